--- /dev/null
+++ b/src/rosemarynotch/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private implementation."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Permits under team limits, queues and dispatch."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for callers."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Main functions of the programs."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Operator commands, imported on use."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The document in force and the records every process follows."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/control/__init__.py
@@ -0,0 +1,1 @@
+"""Steps on the fleet record: waves, moves, failures and jobs."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/exceptions.py
@@ -0,0 +1,117 @@
+"""Failure types.
+
+An operation that can fail in an expected way returns a :class:`Failure`
+instead of raising. The constants of this module are the sentinel values; a
+reason is attached with :meth:`Failure.because`, and callers compare with
+:meth:`Failure.is_a`. Exceptions are for errors that end a program.
+"""
+
+import enum
+
+import attrs
+
+__all__ = [
+    "Failure",
+    "Ran",
+    "RosemarynotchError",
+    "SettingsError",
+]
+
+
+class RosemarynotchError(Exception):
+    """Base class of the exceptions of this package."""
+
+
+class SettingsError(RosemarynotchError):
+    """A setting is missing or out of range."""
+
+
+class Ran(enum.StrEnum):
+    """Whether a failed request may have run on a target."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+@attrs.frozen
+class Failure:
+    """A typed failure.
+
+    :ivar code: stable identifier, in kebab case
+    :ivar status: HTTP status that callers and operators get
+    :ivar ran: whether the request may have run
+    :ivar reason: what happened, for a person
+    """
+
+    code: str
+    status: int
+    ran: Ran = Ran.NO
+    reason: str = ""
+
+    def because(self, reason: str) -> "Failure":
+        """Return this failure with a reason."""
+        return attrs.evolve(self, reason=reason)
+
+    def after_start(self) -> "Failure":
+        """Return this failure for a request that may have run."""
+        return attrs.evolve(self, ran=Ran.UNKNOWN)
+
+    def is_a(self, kind: "Failure") -> bool:
+        """Tell whether this failure is of the given kind."""
+        return self.code == kind.code
+
+
+# Requests of callers.
+KEY_MISSING = Failure("key-missing", 401)
+KEY_INVALID = Failure("key-invalid", 401)
+KEY_WITHDRAWN = Failure("key-withdrawn", 401)
+TEAM_UNKNOWN = Failure("team-unknown", 403)
+QUEUE_UNKNOWN = Failure("queue-unknown", 404)
+POOL_UNKNOWN = Failure("pool-unknown", 404)
+JOB_UNKNOWN = Failure("job-unknown", 404)
+REQUEST_MALFORMED = Failure("request-malformed", 400)
+BODY_TOO_LARGE = Failure("body-too-large", 413)
+BODY_TRUNCATED = Failure("body-truncated", 400)
+JOB_TOO_LARGE = Failure("job-too-large", 422)
+IDEMPOTENCY_KEY_REUSED = Failure("idempotency-key-reused", 422)
+QUEUE_FULL = Failure("queue-full", 429)
+DEADLINE_UNREACHABLE = Failure("deadline-unreachable", 503)
+DEADLINE_PASSED = Failure("deadline-passed", 504)
+CALLER_GONE = Failure("caller-gone", 499)
+NO_TARGET = Failure("no-target", 503)
+SHUTTING_DOWN = Failure("shutting-down", 503)
+CONFIGURATION_STALE = Failure("configuration-stale", 503)
+NOT_OWNER = Failure("not-owner", 503)
+OUTCOME_UNKNOWN = Failure("outcome-unknown", 504, Ran.UNKNOWN)
+
+# Targets and peers.
+TARGET_UNREACHABLE = Failure("target-unreachable", 502)
+TARGET_REFUSED = Failure("target-refused", 503)
+TARGET_TIMEOUT = Failure("target-timeout", 504, Ran.UNKNOWN)
+ANSWER_TRUNCATED = Failure("answer-truncated", 502, Ran.UNKNOWN)
+PEER_UNREACHABLE = Failure("peer-unreachable", 503)
+PEER_TIMEOUT = Failure("peer-timeout", 504, Ran.UNKNOWN)
+PEER_VERSION = Failure("peer-version", 502)
+
+# The platform.
+STORE_UNAVAILABLE = Failure("store-unavailable", 503)
+STORE_CONFLICT = Failure("store-conflict", 409)
+STORE_KEY_MISSING = Failure("store-key-missing", 404)
+STORE_UNCHANGED = Failure("store-unchanged", 304)
+LEASE_LOST = Failure("lease-lost", 409)
+PLATFORM_UNAVAILABLE = Failure("platform-unavailable", 503)
+PLATFORM_REFUSED = Failure("platform-refused", 409)
+RECORD_MALFORMED = Failure("record-malformed", 500)
+
+# Operators.
+OPERATOR_KEY_INVALID = Failure("operator-key-invalid", 401)
+DOCUMENT_MALFORMED = Failure("document-malformed", 422)
+DOCUMENT_NOT_TRIED = Failure("document-not-tried", 409)
+VERSION_CHANGED = Failure("version-changed", 409)
+CHANGE_UNKNOWN = Failure("change-unknown", 504, Ran.UNKNOWN)
+CONFIRMATION_NEEDED = Failure("confirmation-needed", 409)
+BUDGET_WOULD_BREAK = Failure("budget-would-break", 409)
+VM_UNKNOWN = Failure("vm-unknown", 404)
+VM_BUSY = Failure("vm-busy", 409)
+WAVE_UNKNOWN = Failure("wave-unknown", 404)
--- /dev/null
+++ b/src/rosemarynotch/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Records, messages and their encoding."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/operators/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for operators and the report."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange between the processes of rosemarynotch."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: store, VMs, tasks."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/platform/records.py
@@ -0,0 +1,129 @@
+"""Typed records on the platform's store."""
+
+import random
+from typing import Any
+from typing import Callable
+
+import attrs
+
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import STORE_CONFLICT
+from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models.records import Head
+from rosemarynotch._internal.platform.interface import Store
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = [
+    "CONFIG_KEY",
+    "FLEET_KEY",
+    "HEAD_KEY",
+    "LIMITS_PREFIX",
+    "MEMBERS_KEY",
+    "Record",
+    "RecordStore",
+]
+
+CONFIG_KEY = "config/current"
+FLEET_KEY = "fleet"
+HEAD_KEY = "head"
+LIMITS_PREFIX = "limits/"
+MEMBERS_KEY = "members"
+
+UPDATE_ATTEMPTS = 12
+RETRY_DELAY_S = 0.02
+
+
+@attrs.frozen(kw_only=True)
+class Record:
+    """A decoded record and its revision; 0 when the key is missing."""
+
+    value: Any
+    revision: int
+
+
+class RecordStore:
+    """Reads and changes typed records.
+
+    :param store: the platform's store
+    :param clock: for the delay between attempts
+    :param rng: spreads the delays of processes that race
+    """
+
+    def __init__(self, store: Store, clock: Clock, rng: random.Random) -> None:
+        self.store = store
+        self._clock = clock
+        self._rng = rng
+
+    def read(
+        self, key: str, kind: type, compressed: bool = False
+    ) -> Record | Failure:
+        """Read and decode a record.
+
+        :returns: the record, STORE_KEY_MISSING, STORE_UNAVAILABLE or
+            RECORD_MALFORMED
+        """
+        found = self.store.get(key)
+        if isinstance(found, Failure):
+            return found
+        decode = codec.decode_compressed if compressed else codec.decode
+        value = decode(found.value, kind)
+        if isinstance(value, Failure):
+            return value.because(f"{key}: {value.reason}")
+        return Record(value=value, revision=found.revision)
+
+    def update(
+        self,
+        key: str,
+        kind: type,
+        default: Any,
+        change: Callable[[Any], Any],
+        compressed: bool = False,
+    ) -> Record | Failure:
+        """Change a record by compare-and-swap, again after each conflict.
+
+        ``change`` must decide from the value that it gets alone: it is
+        called again with a newer value after a conflict. After a lost
+        answer the failure has ``ran`` unknown, and the write may or may not
+        have taken effect.
+
+        :param default: value of a missing record
+        :param change: returns the new value, an equal value for "nothing to
+            write", or a Failure that ends the update
+        :returns: the record after the update, or a Failure
+        """
+        encode = codec.encode_compressed if compressed else codec.encode
+        for attempt in range(UPDATE_ATTEMPTS):
+            record = self.read(key, kind, compressed)
+            if isinstance(record, Failure):
+                if not record.is_a(STORE_KEY_MISSING):
+                    return record
+                record = Record(value=default, revision=0)
+            value = change(record.value)
+            if isinstance(value, Failure):
+                return value
+            if value == record.value and record.revision:
+                return record
+            written = self.store.put(key, encode(value), record.revision)
+            if not isinstance(written, Failure):
+                return Record(value=value, revision=written)
+            if not written.is_a(STORE_CONFLICT):
+                return written
+            delay_s = self._rng.random() * RETRY_DELAY_S * (attempt + 1)
+            self._clock.sleep(delay_s)
+        return STORE_CONFLICT.because(f"{key}: gave up after conflicts")
+
+    def bump_head(self, **revisions: int) -> Record | Failure:
+        """Raise revisions in the head record, a hint for watchers.
+
+        :param revisions: fields of :class:`Head` with their new values
+        """
+
+        def raise_revisions(head: Head) -> Head:
+            newer = {
+                name: max(value, getattr(head, name))
+                for name, value in revisions.items()
+            }
+            return attrs.evolve(head, **newer)
+
+        return self.update(HEAD_KEY, Head, Head(), raise_revisions)
--- /dev/null
+++ b/src/rosemarynotch/_internal/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions behind abstract base classes, each with a baseline."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets, routing and ejection."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers without knowledge of the domain."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/utils/settings.py
@@ -0,0 +1,55 @@
+"""Settings from flags and environment variables."""
+
+import inspect
+import os
+import sys
+from typing import Callable
+
+import defopt
+
+from rosemarynotch._internal.exceptions import SettingsError
+
+__all__ = ["run_program"]
+
+ENVIRONMENT_PREFIX = "ROSEMARYNOTCH_"
+EXIT_BAD_SETTINGS = 2
+
+
+def run_program(main: Callable[..., int | None]) -> None:
+    """Parse settings, run a program and exit with its status.
+
+    Each keyword-only parameter of ``main`` is a flag and an environment
+    variable; the flag wins. A bad setting ends the program with exit status
+    2 and one line.
+
+    :param main: function whose parameters are the settings
+    """
+    argv = _environment_arguments(main) + sys.argv[1:]
+    try:
+        status = defopt.run(main, argv=argv)
+    except SettingsError as error:
+        print(f"{sys.argv[0]}: {error}", file=sys.stderr)
+        status = EXIT_BAD_SETTINGS
+    sys.exit(status or 0)
+
+
+def _environment_arguments(main: Callable) -> list[str]:
+    """Turn environment variables into flags that come before the others."""
+    arguments = []
+    for name, parameter in inspect.signature(main).parameters.items():
+        value = os.environ.get(ENVIRONMENT_PREFIX + name.upper())
+        if value is None or parameter.kind is not parameter.KEYWORD_ONLY:
+            continue
+        arguments += _flag(name, value, parameter.annotation)
+    return arguments
+
+
+def _flag(name: str, value: str, annotation) -> list[str]:
+    flag = name.replace("_", "-")
+    if annotation is not bool:
+        return [f"--{flag}={value}"]
+    if value.lower() in ("1", "true", "yes"):
+        return [f"--{flag}"]
+    if value.lower() in ("0", "false", "no"):
+        return [f"--no-{flag}"]
+    raise SettingsError(f"{ENVIRONMENT_PREFIX}{name.upper()}: not a boolean")
--- /dev/null
+++ b/src/rosemarynotch/_internal/wiring/__init__.py
@@ -0,0 +1,1 @@
+"""The composition root."""
