--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,77 @@
+"""WSGI service by waitress for stand-ins."""
+
+import threading
+
+import waitress.channel
+import waitress.server
+import waitress.task
+import waitress.wasyncore
+
+from standins.faults import AnswerLost
+
+__all__ = ["PlatformServer", "serve_in_thread"]
+
+STORE_VALUE_BYTES = 1 << 20
+SOCKET_BACKLOG = 256
+
+
+class _Task(waitress.task.WSGITask):
+    """Closes the connection without a byte after AnswerLost."""
+
+    def execute(self):
+        try:
+            super().execute()
+        except AnswerLost:
+            self.close_on_finish = True
+            self.wrote_header = True
+
+
+class _Channel(waitress.channel.HTTPChannel):
+    task_class = _Task
+
+
+class PlatformServer:
+    """Serves an application at some addresses until it is closed."""
+
+    def __init__(self, app, listen: list[str], threads: int) -> None:
+        self._map: dict = {}
+        self._server = waitress.server.create_server(
+            app,
+            map=self._map,
+            listen=" ".join(listen),
+            threads=threads,
+            backlog=SOCKET_BACKLOG,
+            connection_limit=2000,
+            channel_timeout=120,
+            max_request_body_size=2 * STORE_VALUE_BYTES,
+            inbuf_overflow=2 * STORE_VALUE_BYTES,
+            outbuf_overflow=2 * STORE_VALUE_BYTES,
+            asyncore_use_poll=True,
+        )
+        self._listeners = [
+            each
+            for each in self._map.values()
+            if isinstance(each, waitress.server.BaseWSGIServer)
+        ]
+        for listener in self._listeners:
+            listener.channel_class = _Channel
+        self.ports = [each.effective_port for each in self._listeners]
+
+    def run(self) -> None:
+        """Serve until the process is interrupted or closed."""
+        self._server.run()
+
+    def close(self) -> None:
+        """Stop at once, closing all connections."""
+        self._listeners[0].trigger.pull_trigger(self._close_in_loop)
+        self._listeners[0].task_dispatcher.shutdown(timeout=0)
+
+    def _close_in_loop(self) -> None:
+        waitress.wasyncore.close_all(self._map, ignore_all=True)
+
+
+def serve_in_thread(server) -> threading.Thread:
+    """Run a server in a daemon thread."""
+    thread = threading.Thread(target=server.run, daemon=True)
+    thread.start()
+    return thread
