--- /dev/null
+++ b/src/rosemarynotch/_internal/platform/http_vms.py
@@ -0,0 +1,47 @@
+"""The platform's VM service over HTTP."""
+
+from rosemarynotch._internal.platform.interface import PlatformVm
+from rosemarynotch._internal.platform.interface import VmService
+from rosemarynotch._internal.platform.service_call import ServiceClient
+from rosemarynotch._internal.utils.clock import Clock
+from rosemarynotch._internal.utils.http import CALL_TIMEOUT_S
+
+__all__ = ["HttpVmService"]
+
+
+class HttpVmService(VmService):
+    """Client of the VM service.
+
+    :param address: host and port
+    :param timeout_s: longest wait for the next part of an answer
+    """
+
+    def __init__(
+        self, address: str, clock: Clock, timeout_s: float = CALL_TIMEOUT_S
+    ) -> None:
+        self._service = ServiceClient(address, clock, timeout_s)
+
+    def vms(self):
+        """Return the list of VMs, which lags."""
+        return self._service.read(("v1", "vms"), list[PlatformVm])
+
+    def drain(self, vm, operation_id):
+        """Let a VM refuse new work."""
+        return self._operate(vm, "drain", operation_id)
+
+    def undrain(self, vm, operation_id):
+        """Let a VM take work again."""
+        return self._operate(vm, "undrain", operation_id)
+
+    def reboot(self, vm, operation_id):
+        """Reboot a VM once per operation."""
+        return self._operate(vm, "reboot", operation_id)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._service.close()
+
+    def _operate(self, vm, operation, operation_id):
+        return self._service.operate(
+            "POST", ("v1", "vms", vm, operation), {"operation": operation_id}
+        )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -60,7 +60,9 @@
 
     def __call__(self, environ, start_response):
         """Answer one request."""
-        path = environ["PATH_INFO"].split("/")[1:]
+        # WSGI hands bytes over as latin-1.
+        whole = environ["PATH_INFO"].encode("latin-1").decode()
+        path = whole.split("/")[1:]
         query = dict(parse_qsl(environ.get("QUERY_STRING", "")))
         body = environ["wsgi.input"].read()
         port = int(environ["SERVER_PORT"])
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -13,6 +13,7 @@
 
 STORE_VALUE_BYTES = 1 << 20
 SOCKET_BACKLOG = 256
+SHUTDOWN_S = 0.5
 
 
 class _Task(waitress.task.WSGITask):
@@ -64,7 +65,7 @@
     def close(self) -> None:
         """Stop at once, closing all connections."""
         self._listeners[0].trigger.pull_trigger(self._close_in_loop)
-        self._listeners[0].task_dispatcher.shutdown(timeout=0)
+        self._listeners[0].task_dispatcher.shutdown(timeout=SHUTDOWN_S)
 
     def _close_in_loop(self) -> None:
         waitress.wasyncore.close_all(self._map, ignore_all=True)
