--- /dev/null
+++ b/src/rosemarynotch/_internal/cli/replay.py
@@ -0,0 +1,109 @@
+"""Replays traces, generates load and measures baselines."""
+
+from pathlib import Path
+
+import msgspec
+
+from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.replay.load import generate_load
+from rosemarynotch._internal.replay.load import load_profile
+from rosemarynotch._internal.replay.load_summary import format_load
+from rosemarynotch._internal.replay.load_summary import summarize_load
+from rosemarynotch._internal.replay.playing import play
+from rosemarynotch._internal.replay.sending import DirectSender
+from rosemarynotch._internal.replay.sending import EntrySender
+from rosemarynotch._internal.replay.sending import Result
+from rosemarynotch._internal.replay.sending import WRONG_ANSWER
+from rosemarynotch._internal.replay.summary import format_trace
+from rosemarynotch._internal.replay.trace import load_keys
+from rosemarynotch._internal.replay.trace import load_trace
+from rosemarynotch._internal.utils.clock import SystemClock
+from rosemarynotch._internal.utils.settings import run_program
+
+__all__ = ["main", "replay"]
+
+EXIT_NOT_HELD = 1
+
+
+def replay(
+    *,
+    entries: str = "",
+    direct: str = "",
+    keys: str = "",
+    trace: str = "",
+    load: str = "",
+    results: str = "",
+    seed: int = 1,
+    workers: int = 256,
+    timeout_s: float = 60.0,
+) -> int:
+    """Replay a trace or generate load, and print what came of it.
+
+    :param entries: caller addresses of entries, separated by commas
+    :param direct: addresses of targets instead, as a baseline
+    :param keys: JSON file with keys by name
+    :param trace: file of JSON lines; exits with 1 unless all stated
+        outcomes held
+    :param load: JSON file with a load profile; exits with 1 after an
+        answer that was not whole or not the request's own
+    :param results: file for the results, one JSON line each, or for the
+        figures of generated load
+    :param seed: of generated load
+    :param workers: requests of a trace that wait at the same time
+    :param timeout_s: longest wait for an answer
+    """
+    if bool(entries) == bool(direct):
+        raise SettingsError("give either --entries or --direct")
+    if bool(trace) == bool(load):
+        raise SettingsError("give either --trace or --load")
+    clock = SystemClock()
+    addresses = (entries or direct).split(",")
+    if direct:
+        sender = DirectSender(addresses, clock, timeout_s)
+    else:
+        sender = EntrySender(addresses, clock, timeout_s, load_keys(keys))
+    if trace:
+        found = play(load_trace(trace), sender, clock, workers)
+        _write(results, [_line(result) for result in found])
+        print(format_trace(found))
+        held = all(result.holds() for result in found)
+    else:
+        profile = load_profile(load)
+        found = generate_load(profile, sender, clock, seed, len(addresses))
+        summary = summarize_load(profile, found)
+        _write(results, [msgspec.json.encode(summary)])
+        print(format_load(summary, found))
+        held = all(result.code != WRONG_ANSWER for result in found)
+    return 0 if held else EXIT_NOT_HELD
+
+
+def main() -> None:
+    """Run the program ``rosemarynotch-replay``."""
+    run_program(replay)
+
+
+def _line(result: Result) -> bytes:
+    row = result.row
+    return msgspec.json.encode(
+        {
+            "request_id": row.request_id,
+            "queue": row.queue,
+            "team": row.team,
+            "outcome": row.outcome,
+            "code": result.code,
+            "ran": result.ran,
+            "latency_ms": result.latency_ms,
+            "late_ms": result.late_ms,
+            "idempotent": row.idempotent,
+            "held": result.holds(),
+        }
+    )
+
+
+def _write(path: str, lines: list[bytes]) -> None:
+    if path:
+        Path(path).write_bytes(b"\n".join(lines) + b"\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/rosemarynotch/_internal/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded requests, and generated load."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/replay/sending.py
@@ -0,0 +1,176 @@
+"""Sends one request and names its outcome."""
+
+import abc
+
+import attrs
+import msgspec
+
+from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.replay.trace import Expected
+from rosemarynotch._internal.replay.trace import TraceRow
+from rosemarynotch._internal.utils.clock import Clock
+from rosemarynotch._internal.utils.http import CallFailed
+from rosemarynotch._internal.utils.http import HttpClient
+from rosemarynotch._internal.utils.http import Reply
+
+__all__ = ["DirectSender", "EntrySender", "Result", "Sender"]
+
+ANSWERED = "answered"
+WRONG_ANSWER = "wrong-answer"
+NOT_SENT = "not-sent"
+BROKEN = "connection-broken"
+ERROR_STATUS = 400
+IDLE_CONNECTIONS = 512
+
+
+@attrs.frozen(kw_only=True)
+class Result:
+    """What became of a request.
+
+    :ivar code: ``answered``, ``wrong-answer``, the code of a refusal, or
+        why there is neither
+    :ivar late_ms: how late it was sent
+    """
+
+    row: TraceRow
+    code: str
+    ran: Ran
+    latency_ms: float
+    late_ms: float = 0.0
+
+    @property
+    def is_answered(self) -> bool:
+        """Tell whether the whole answer to this request came back."""
+        return self.code == ANSWERED
+
+    @property
+    def is_refused(self) -> bool:
+        """Tell whether it was refused as not run."""
+        return not self.is_answered and self.ran is Ran.NO
+
+    def holds(self) -> bool:
+        """Tell whether the stated outcome held."""
+        expected = Expected.parse(self.row.outcome)
+        if self.is_answered:
+            return expected.answer
+        if not self.is_refused or not expected.refusal:
+            return False
+        return expected.code in ("", self.code)
+
+
+class Sender(abc.ABC):
+    """Sends requests of traces or of generated load."""
+
+    def __init__(self, addresses: list[str], clock: Clock, timeout_s: float):
+        self._clock = clock
+        self._clients = [
+            HttpClient(address, clock, timeout_s, IDLE_CONNECTIONS)
+            for address in addresses
+        ]
+
+    def send(self, row: TraceRow) -> Result:
+        """Send a request once and wait for its outcome."""
+        client = self._clients[row.entry % len(self._clients)]
+        start_s = self._clock.monotonic_s()
+        reply = client.call(
+            row.method,
+            self._segments(row),
+            body=None if row.method == "GET" else row.request_id.encode(),
+            headers=self._headers(row),
+        )
+        code, ran = _judge(row, reply)
+        return Result(
+            row=row,
+            code=code,
+            ran=ran,
+            latency_ms=(self._clock.monotonic_s() - start_s) * 1000,
+        )
+
+    @abc.abstractmethod
+    def _segments(self, row: TraceRow) -> tuple[str, ...]:
+        """Return the path."""
+
+    def _headers(self, row: TraceRow) -> dict[str, str]:
+        """Return what the target stand-in needs to know."""
+        return {
+            "X-Request-Id": row.request_id,
+            "X-Work-Ms": str(row.work_ms),
+            "X-Answer-Bytes": str(row.answer_bytes),
+            "X-Team": row.team,
+        }
+
+
+class DirectSender(Sender):
+    """Sends to targets, for baselines; ``entry`` is the target's index."""
+
+    def _segments(self, row):
+        return ("work",)
+
+
+class EntrySender(Sender):
+    """Sends to entries.
+
+    :param keys: keys by name
+    """
+
+    def __init__(self, addresses, clock, timeout_s, keys: dict[str, str]):
+        super().__init__(addresses, clock, timeout_s)
+        self._keys = keys
+
+    def _segments(self, row):
+        return ("s", row.service, "work")
+
+    def _headers(self, row):
+        headers = super()._headers(row)
+        headers["Rosemarynotch-Queue"] = row.queue
+        headers["Rosemarynotch-Worth"] = str(row.worth)
+        headers["Rosemarynotch-Idempotent"] = str(int(row.idempotent))
+        if row.key:
+            key = self._keys.get(row.key, row.key)
+            headers["Authorization"] = f"Bearer {key}"
+        if row.idempotency_key:
+            headers["Idempotency-Key"] = row.idempotency_key
+        if row.retry:
+            headers["Rosemarynotch-Retry"] = "1"
+        if row.deadline_ms:
+            headers["Rosemarynotch-Deadline-Ms"] = str(row.deadline_ms)
+        return headers
+
+
+class _Refusal(msgspec.Struct):
+    code: str
+
+
+def _judge(row: TraceRow, reply: Reply | CallFailed) -> tuple[str, Ran]:
+    if isinstance(reply, CallFailed):
+        return (NOT_SENT if reply.ran is Ran.NO else BROKEN), reply.ran
+    ran = reply.headers.get("Rosemarynotch-Ran")
+    if ran is not None:
+        return _refusal_code(reply), _parse_ran(ran)
+    if reply.headers.get("Rosemarynotch-Not-Run") == "1":
+        return "target-refused", Ran.NO
+    if reply.status >= ERROR_STATUS:
+        return f"status-{reply.status}", Ran.YES
+    return (ANSWERED if _is_own(row, reply) else WRONG_ANSWER), Ran.YES
+
+
+def _is_own(row: TraceRow, reply: Reply) -> bool:
+    """Tell whether an answer is whole and belongs to the request."""
+    start = row.request_id.encode() + b"\n"
+    return (
+        reply.headers.get("X-Request-Id") == row.request_id
+        and reply.body.startswith(start)
+        and len(reply.body) == max(row.answer_bytes, len(start))
+    )
+
+
+def _refusal_code(reply: Reply) -> str:
+    try:
+        return msgspec.json.decode(reply.body, type=_Refusal).code
+    except msgspec.DecodeError:
+        return f"status-{reply.status}"
+
+
+def _parse_ran(text: str) -> Ran:
+    """Return what a header says; anything unclear counts as unknown."""
+    return Ran(text) if text in list(Ran) else Ran.UNKNOWN
--- /dev/null
+++ b/src/rosemarynotch/_internal/replay/summary.py
@@ -0,0 +1,119 @@
+"""Counts and percentiles of results, as tables for a phone."""
+
+from collections import Counter
+from typing import Callable
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.replay.playing import LATE_MS
+from rosemarynotch._internal.replay.sending import Result
+
+__all__ = ["format_trace", "Latency", "latency", "MAX_COLUMNS"]
+
+MAX_COLUMNS = 40
+NAME_COLUMNS = 16
+NUMBER_COLUMNS = 6
+MAX_LISTED = 10
+UNITS_PER_MS = 100
+MAX_UNITS = 3_600_000 * UNITS_PER_MS
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50, 90, 99)
+
+
+@attrs.frozen(kw_only=True)
+class Latency:
+    """Percentiles of a set of latencies."""
+
+    count: int
+    p50_ms: float
+    p90_ms: float
+    p99_ms: float
+    max_ms: float
+
+
+def latency(results: list[Result]) -> Latency:
+    """Return percentiles of the answered requests."""
+    histogram = HdrHistogram(1, MAX_UNITS, SIGNIFICANT_DIGITS)
+    for result in results:
+        if result.is_answered:
+            units = round(result.latency_ms * UNITS_PER_MS)
+            histogram.record_value(min(MAX_UNITS, max(1, units)))
+    p50_ms, p90_ms, p99_ms = (
+        histogram.get_value_at_percentile(at) / UNITS_PER_MS
+        for at in PERCENTILES
+    )
+    return Latency(
+        count=histogram.get_total_count(),
+        p50_ms=p50_ms,
+        p90_ms=p90_ms,
+        p99_ms=p99_ms,
+        max_ms=histogram.get_max_value() / UNITS_PER_MS,
+    )
+
+
+def format_trace(results: list[Result]) -> str:
+    """Return the report on a replayed trace."""
+    lines = _outcomes(results, lambda result: result.row.queue, "queue")
+    lines += [""] + _outcomes(results, lambda result: result.row.team, "team")
+    lines += [""] + format_latency(results, lambda result: result.row.queue)
+    lines += [""] + format_codes(results)
+    broken = [result for result in results if not result.holds()]
+    for result in broken[:MAX_LISTED]:
+        lines.append(f"{result.row.request_id}: {result.code}"[:MAX_COLUMNS])
+        lines.append(f"  stated {result.row.outcome}"[:MAX_COLUMNS])
+    held = len(results) - len(broken)
+    lines.append(f"stated outcomes held: {held} of {len(results)}")
+    return "\n".join(lines)
+
+
+def format_latency(
+    results: list[Result], group: Callable[[Result], str]
+) -> list[str]:
+    """Return lines with the latency of each group."""
+    lines = [row("latency ms", "p50", "p90", "p99", "max")]
+    for name, members in by_group(results, group).items():
+        found = latency(members)
+        if found.count:
+            values = (found.p50_ms, found.p90_ms, found.p99_ms, found.max_ms)
+            lines.append(row(name, *(f"{value:.0f}" for value in values)))
+    return lines
+
+
+def format_codes(results: list[Result]) -> list[str]:
+    """Return lines with the count of each refusal and failure."""
+    counts = Counter(r.code for r in results if not r.is_answered)
+    lines = [f"{code[:33]:<33}{n:>7}" for code, n in counts.most_common()]
+    late = sum(result.late_ms > LATE_MS for result in results)
+    if late:
+        lines.append(f"{f'sent over {LATE_MS:.0f} ms late':<33}{late:>7}")
+    return lines
+
+
+def by_group(
+    results: list[Result], group: Callable[[Result], str]
+) -> dict[str, list[Result]]:
+    """Return results by the name of their group, in order of names."""
+    groups: dict[str, list[Result]] = {}
+    for result in results:
+        groups.setdefault(group(result), []).append(result)
+    return dict(sorted(groups.items()))
+
+
+def row(name: str, *cells: str) -> str:
+    """Return a line of a table with up to four numbers."""
+    line = f"{name[:NAME_COLUMNS - 1]:<{NAME_COLUMNS}}"
+    return line + "".join(f"{cell:>{NUMBER_COLUMNS}}" for cell in cells)
+
+
+def _outcomes(results, group, title):
+    lines = [row(title, "ok", "not", "unkn", "other")]
+    for name, members in by_group(results, group).items():
+        answered = sum(result.is_answered for result in members)
+        refused = sum(result.is_refused for result in members)
+        unknown = sum(result.ran is Ran.UNKNOWN for result in members)
+        other = len(members) - answered - refused - unknown
+        counts = (answered, refused, unknown, other)
+        lines.append(row(name, *(str(count) for count in counts)))
+    return lines
--- a/src/rosemarynotch/_internal/utils/http.py
+++ b/src/rosemarynotch/_internal/utils/http.py
@@ -49,16 +49,22 @@
     :param address: host and port
     :param clock: measures how long connections are idle
     :param timeout_s: longest wait for the next part of an answer
+    :param max_idle: connections that are kept for later calls
     """
 
     def __init__(
-        self, address: str, clock: Clock, timeout_s: float = CALL_TIMEOUT_S
+        self,
+        address: str,
+        clock: Clock,
+        timeout_s: float = CALL_TIMEOUT_S,
+        max_idle: int = MAX_IDLE_CONNECTIONS,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._host = host.strip("[]")
         self._port = int(port)
         self._clock = clock
         self._timeout_s = timeout_s
+        self._max_idle = max_idle
         self._lock = threading.Lock()
         self._idle: list[tuple[http.client.HTTPConnection, float]] = []
 
@@ -70,6 +76,7 @@
         body: bytes | None = None,
         repeatable: bool = False,
         wait_s: float = 0.0,
+        headers: dict[str, str] | None = None,
     ) -> Reply | CallFailed:
         """Make a call.
 
@@ -83,14 +90,15 @@
         if query:
             path += "?" + urlencode(query)
         timeout_s = self._timeout_s + wait_s
-        result = self._once(method, path, body, timeout_s, repeatable)
+        message = (method, path, body, headers or {})
+        result = self._once(message, timeout_s, repeatable)
         if not isinstance(result, CallFailed):
             return result
         # When one connection has stopped to respond, others may have too.
         self.close()
         if not repeatable:
             return result
-        second = self._once(method, path, body, timeout_s, repeatable)
+        second = self._once(message, timeout_s, repeatable)
         if isinstance(second, CallFailed) and result.ran is Ran.UNKNOWN:
             return attrs.evolve(second, ran=Ran.UNKNOWN)
         return second
@@ -103,25 +111,20 @@
             connection.close()
 
     def _once(
-        self,
-        method: str,
-        path: str,
-        body: bytes | None,
-        timeout_s: float,
-        repeatable: bool,
+        self, message: tuple, timeout_s: float, repeatable: bool
     ) -> Reply | CallFailed:
         try:
             connection = self._take(repeatable)
         except OSError as error:
-            return CallFailed(Ran.NO, self._reason(method, path, error))
+            return CallFailed(Ran.NO, self._reason(message, error))
         try:
             connection.sock.settimeout(timeout_s)
-            connection.request(method, path, body)
+            connection.request(*message)
             response = connection.getresponse()
             reply = Reply(response.status, response.headers, response.read())
         except (OSError, http.client.HTTPException) as error:
             connection.close()
-            return CallFailed(Ran.UNKNOWN, self._reason(method, path, error))
+            return CallFailed(Ran.UNKNOWN, self._reason(message, error))
         self._keep(connection)
         return reply
 
@@ -152,7 +155,7 @@
         with self._lock:
             if connection.sock is not None:
                 self._idle.append((connection, now_s))
-            first = max(0, len(self._idle) - MAX_IDLE_CONNECTIONS)
+            first = max(0, len(self._idle) - self._max_idle)
             oldest_s = now_s - MAX_IDLE_S
             while first < len(self._idle) and self._idle[first][1] < oldest_s:
                 first += 1
@@ -160,8 +163,9 @@
         for each, _ in closing:
             each.close()
 
-    def _reason(self, method: str, path: str, error: Exception) -> str:
-        where = f"{method} {self._host}:{self._port}{path.partition('?')[0]}"
+    def _reason(self, message: tuple, error: Exception) -> str:
+        path = message[1].partition("?")[0]
+        where = f"{message[0]} {self._host}:{self._port}{path}"
         return f"{where}: {str(error) or type(error).__name__}"
 
 
--- /dev/null
+++ b/traces/generate.py
@@ -0,0 +1,204 @@
+"""Writes the traces of the demonstration.
+
+Run as ``python -m traces.generate kochi > traces/kochi.jsonl``.
+"""
+
+import random
+import sys
+
+import attrs
+import msgspec
+
+from rosemarynotch._internal.replay.trace import TraceRow
+
+__all__ = ["ENVIRONMENTS", "generate", "to_lines"]
+
+LENGTH_MS = 25_000.0
+REQUESTS_PER_SERVICE = 120
+# Each service peaks in its turn, for a fifth of the time, at about five
+# times its mean load; demand in between is a twentieth of the mean.
+OFF_PEAK_PART = 0.05
+ENTRY_WEIGHTS = (0.5, 0.3, 0.2)
+KEYED_PART = 0.6
+REPEAT_DELAY_MS = 300.0
+SHORT_DEADLINE_PART = 0.05
+SHORT_DEADLINE_MS = 900
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """Requests to one service; its queue has the same name."""
+
+    name: str
+    method: str
+    work_ms: float
+    worth: float
+    answer_bytes: int
+    idempotent: bool
+
+
+@attrs.frozen(kw_only=True)
+class Environment:
+    """An environment with the weights of its teams."""
+
+    services: tuple[Service, ...]
+    teams: dict[str, int]
+    seed: int
+
+
+def _service(name, method, work_ms, worth, answer_bytes=200):
+    return Service(
+        name=name,
+        method=method,
+        work_ms=work_ms,
+        worth=worth,
+        answer_bytes=answer_bytes,
+        idempotent=method != "POST",
+    )
+
+
+ENVIRONMENTS = {
+    "kochi": Environment(
+        services=(
+            _service("settlement", "POST", 380.0, 5.0),
+            _service("posting", "POST", 360.0, 3.0),
+            _service("reconciliation", "PUT", 400.0, 2.0),
+            _service("statements", "GET", 350.0, 1.0, 20_000),
+            _service("reporting", "GET", 420.0, 1.0, 60_000),
+        ),
+        teams={
+            "aluva-traders": 6,
+            "vypin-fishers": 5,
+            "angamaly-growers": 2,
+            "kalady-weavers": 1,
+            "munambam-savers": 1,
+            "paravur-potters": 1,
+        },
+        seed=11,
+    ),
+    "flanders": Environment(
+        services=(
+            _service("quotes", "GET", 340.0, 1.0, 4_000),
+            _service("reservations", "PUT", 360.0, 2.0),
+            _service("orders", "POST", 400.0, 5.0),
+            _service("van-plans", "PUT", 420.0, 2.0, 30_000),
+            _service("accounts", "GET", 350.0, 1.0, 8_000),
+        ),
+        teams={
+            "gent-shop": 6,
+            "brugge-shop": 4,
+            "aalst-depot": 3,
+            "web-shop": 2,
+            "dispatch": 1,
+            "bookkeeping": 1,
+        },
+        seed=12,
+    ),
+}
+
+
+def generate(name: str) -> list[TraceRow]:
+    """Return the trace of an environment."""
+    environment = ENVIRONMENTS[name]
+    rng = random.Random(environment.seed)
+    rows = []
+    for turn, service in enumerate(environment.services):
+        for number in range(REQUESTS_PER_SERVICE):
+            row = _request(environment, service, number, rng)
+            offset_ms = _offset_ms(turn, len(environment.services), rng)
+            rows.append(attrs.evolve(row, offset_ms=round(offset_ms, 1)))
+    rows += _repeats(rows, rng)
+    rows += _refusals(environment, rng)
+    return sorted(rows, key=lambda row: (row.offset_ms, row.request_id))
+
+
+def to_lines(rows: list[TraceRow]) -> bytes:
+    """Return the content of a trace file."""
+    return b"".join(msgspec.json.encode(row) + b"\n" for row in rows)
+
+
+def _offset_ms(turn: int, turns: int, rng: random.Random) -> float:
+    """Return a time, for most requests within the peak of the service."""
+    peak_ms = LENGTH_MS / turns
+    if rng.random() < OFF_PEAK_PART * (turns - 1) / turns:
+        at_ms = rng.uniform(0.0, LENGTH_MS - peak_ms)
+        return at_ms if at_ms < turn * peak_ms else at_ms + peak_ms
+    return turn * peak_ms + rng.uniform(0.0, peak_ms)
+
+
+def _request(environment, service, number, rng) -> TraceRow:
+    team = rng.choices(*zip(*environment.teams.items(), strict=True))[0]
+    request_id = f"{service.name}-{number}"
+    keyed = service.method == "POST" and rng.random() < KEYED_PART
+    short = service.idempotent and rng.random() < SHORT_DEADLINE_PART
+    return TraceRow(
+        request_id=request_id,
+        offset_ms=0.0,
+        service=service.name,
+        queue=service.name,
+        team=team,
+        key=team,
+        method=service.method,
+        idempotent=service.idempotent,
+        work_ms=round(service.work_ms * rng.uniform(0.7, 1.3), 1),
+        worth=service.worth,
+        entry=_entry(rng),
+        outcome="answered-or-refused" if short else "answered",
+        idempotency_key=f"key-{request_id}" if keyed else "",
+        deadline_ms=SHORT_DEADLINE_MS if short else 0,
+        answer_bytes=service.answer_bytes,
+    )
+
+
+def _entry(rng: random.Random) -> int:
+    return rng.choices(range(len(ENTRY_WEIGHTS)), ENTRY_WEIGHTS)[0]
+
+
+def _repeats(rows: list[TraceRow], rng: random.Random) -> list[TraceRow]:
+    """Return repeats of keyed requests, each to another entry.
+
+    A caller that lost its connection repeats a request with the same
+    idempotency key: it has to get the answer of the first run.
+    """
+    keyed = [row for row in rows if row.idempotency_key]
+    return [
+        attrs.evolve(
+            row,
+            offset_ms=round(row.offset_ms + REPEAT_DELAY_MS, 1),
+            entry=(row.entry + 1) % len(ENTRY_WEIGHTS),
+            retry=True,
+        )
+        for row in rng.sample(keyed, 12)
+    ]
+
+
+def _refusals(environment, rng: random.Random) -> list[TraceRow]:
+    """Return requests that must not run."""
+    cases = (
+        ("wrong-key", {"key": "wrong"}, "refused:key-invalid"),
+        ("withdrawn-key", {"key": "withdrawn"}, "refused:key-withdrawn"),
+        ("no-key", {"key": ""}, "refused:key-missing"),
+        ("unknown-queue", {"queue": "nowhere"}, "refused:queue-unknown"),
+    )
+    rows = []
+    for name, fields, outcome in cases:
+        for entry in range(len(ENTRY_WEIGHTS)):
+            service = rng.choice(environment.services)
+            row = _request(environment, service, 0, rng)
+            rows.append(
+                attrs.evolve(
+                    row,
+                    request_id=f"{name}-{entry}",
+                    offset_ms=round(rng.uniform(0.0, LENGTH_MS), 1),
+                    entry=entry,
+                    outcome=outcome,
+                    idempotency_key="",
+                    deadline_ms=0,
+                    **fields,
+                )
+            )
+    return rows
+
+
+if __name__ == "__main__":
+    sys.stdout.buffer.write(to_lines(generate(sys.argv[1])))
