Measure shares of open loops against what arrived

The nominal rate made a team look 6.2 % off its share in a run of 4 s in which its exponential gaps brought 6 % fewer requests; it was served all of them.

--- a/src/rosemarynotch/_internal/replay/load_summary.py
+++ b/src/rosemarynotch/_internal/replay/load_summary.py
@@ -1,6 +1,7 @@
 """What generated load has shown: shares, goodput, latency, refusals."""
 
 from collections import Counter
+import math
 
 import attrs
 
@@ -15,6 +16,7 @@
 from rosemarynotch._internal.replay.summary import latency
 from rosemarynotch._internal.replay.summary import Latency
 from rosemarynotch._internal.replay.summary import row
+from rosemarynotch._internal.replay.summary import short
 
 __all__ = ["format_load", "LoadSummary", "PoolSummary", "summarize_load"]
 
@@ -56,7 +58,7 @@
         latency_by_team={name: latency(them) for name, them in teams.items()},
         codes=dict(Counter(result.code for result in results)),
         pools={
-            service: _pool(profile, service, answered)
+            service: _pool(profile, service, results)
             for service in sorted({c.service for c in profile.classes})
         },
     )
@@ -69,7 +71,7 @@
         lines += [f"pool {name}, worth/s", row("team", "fair", "got", "off%")]
         for team, off in pool.relative_distance.items():
             cells = (pool.fair[team], pool.served.get(team, 0.0), off * 100)
-            lines.append(row(team, *(f"{cell:.1f}" for cell in cells)))
+            lines.append(row(team, *(short(cell) for cell in cells)))
         lines.append(row("mean", "", "", f"{pool.mean_distance * 100:.1f}"))
         lines.append(row("worst", "", "", f"{pool.worst_distance * 100:.1f}"))
         lines.append("")
@@ -80,13 +82,19 @@
     return "\n".join(lines)
 
 
-def _pool(profile, service, answered) -> PoolSummary:
+def _pool(profile, service, results) -> PoolSummary:
     classes = [each for each in profile.classes if each.service == service]
     served: dict[str, float] = {each.team: 0.0 for each in classes}
-    for result in answered:
-        if result.row.service == service:
-            served[result.row.team] += result.row.worth / profile.measured_s
-    found = _distance(served, classes)
+    arrived: dict[str, float] = dict(served)
+    for result in results:
+        if result.row.service != service:
+            continue
+        worth = result.row.worth / profile.measured_s
+        if result.is_answered:
+            served[result.row.team] += worth
+        if result.row.offset_ms:
+            arrived[result.row.team] += worth
+    found = _distance(served, arrived, classes)
     return PoolSummary(
         served=served,
         fair=found.fair,
@@ -96,22 +104,31 @@
     )
 
 
-def _distance(served: dict[str, float], classes: list[LoadClass]) -> Distance:
+def _distance(served, arrived, classes: list[LoadClass]) -> Distance:
+    """Compare service with shares, within what each team asked for.
+
+    :param arrived: worth of the requests of open loops, by team
+    """
     shares = {each.team: each.share for each in classes}
-    demands = {team: 0.0 for team in shares}
+    demands = dict(arrived)
     for each in classes:
-        demands[each.team] += _demand(each)
+        demands[each.team] += _closed_demand(each)
+    limits = {each.team: _limit(each) for each in classes}
+    demands = {team: min(demands[team], limits[team]) for team in demands}
     return distance(served, shares, demands)
 
 
-def _demand(each: LoadClass) -> float:
-    """Return the worth per second that a class could be served at most.
+def _closed_demand(each: LoadClass) -> float:
+    """Return the worth per second that callers in a loop get at most."""
+    return each.callers * _worth_per_slot(each)
 
-    A caller in a closed loop gets at most one request per work time, and a
-    team runs at most its limit at the same time.
-    """
-    per_slot = each.worth * 1000 / each.work_ms
-    demand = each.callers * per_slot + each.rate_per_s * each.worth
-    if each.limit_requests:
-        demand = min(demand, each.limit_requests * per_slot)
-    return demand
+
+def _limit(each: LoadClass) -> float:
+    """Return the worth per second that the team's limit allows."""
+    if not each.limit_requests:
+        return math.inf
+    return each.limit_requests * _worth_per_slot(each)
+
+
+def _worth_per_slot(each: LoadClass) -> float:
+    return each.worth * 1000 / each.work_ms
--- a/src/rosemarynotch/_internal/replay/summary.py
+++ b/src/rosemarynotch/_internal/replay/summary.py
@@ -16,6 +16,7 @@
 NAME_COLUMNS = 16
 NUMBER_COLUMNS = 6
 MAX_LISTED = 10
+DECIMAL_BELOW = 1000.0
 UNITS_PER_MS = 100
 MAX_UNITS = 3_600_000 * UNITS_PER_MS
 SIGNIFICANT_DIGITS = 3
@@ -77,7 +78,7 @@
         found = latency(members)
         if found.count:
             values = (found.p50_ms, found.p90_ms, found.p99_ms, found.max_ms)
-            lines.append(row(name, *(f"{value:.0f}" for value in values)))
+            lines.append(row(name, *(short(value) for value in values)))
     return lines
 
 
@@ -107,6 +108,11 @@
     return line + "".join(f"{cell:>{NUMBER_COLUMNS}}" for cell in cells)
 
 
+def short(value: float) -> str:
+    """Return a number that fits a column."""
+    return f"{value:.1f}" if value < DECIMAL_BELOW else f"{value:.0f}"
+
+
 def _outcomes(results, group, title):
     lines = [row(title, "ok", "not", "unkn", "other")]
     for name, members in by_group(results, group).items():
--- a/tests/unit/test_replay.py
+++ b/tests/unit/test_replay.py
@@ -297,6 +297,22 @@
         assert not levels or max(levels) - min(levels) < 1e-9
 
 
+def test_demand_of_open_loops_is_what_arrived():
+    """Guards against a team that is off its share for want of arrivals."""
+    callers = _profile(callers=100, work_ms=10.0).classes
+    arrivals = _profile(team="b", rate_per_s=1000.0).classes
+    profile = attrs.evolve(
+        _profile(), classes=callers + arrivals, measured_s=1.0
+    )
+    served = [_answered(_row(request_id=f"a-{n}")) for n in range(30)]
+    served += [_answered(_row(team="b", offset_ms=1.0)) for n in range(10)]
+
+    pool = summarize_load(profile, served).pools["orders"]
+
+    assert pool.fair == pytest.approx({"a": 30.0, "b": 10.0})
+    assert pool.worst_distance == pytest.approx(0.0)
+
+
 def test_distance():
     """Guards against a mean that hides a team without service."""
     found = distance(
