Add the request path of an entry

A caller's request is parsed and checked, queued by team and pool, granted a slot, a permit and a target, sent on a connection of its own, and answered in whole. Requests with an idempotency key go to their owner, those of teams without a portion to the largest holder. The server drains before it closes.

--- /dev/null
+++ b/src/rosemarynotch/_internal/admission/dispatch.py
@@ -0,0 +1,399 @@
+"""Queues requests and grants them slots, permits and targets."""
+
+import heapq
+import itertools
+import math
+import threading
+import time
+from typing import Callable
+
+from rosemarynotch._internal.admission.grants import Grant
+from rosemarynotch._internal.admission.recheck import recheck
+from rosemarynotch._internal.admission.slots import PoolSlots
+from rosemarynotch._internal.admission.waiting import PoolQueues
+from rosemarynotch._internal.admission.waiting import Waiter
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.document import QueueSpec
+from rosemarynotch._internal.models.messages import CallerRequest
+from rosemarynotch._internal.models.messages import DemandRow
+from rosemarynotch._internal.models.records import VmState
+from rosemarynotch._internal.policy.ordering import OrderPolicy
+from rosemarynotch._internal.policy.ordering import TeamTurn
+from rosemarynotch._internal.policy.routing import Router
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["Dispatcher"]
+
+# A blocked thread looks this often whether its caller has hung up.
+WAIT_SLICE_S = 0.5
+# Fractions of slots, warm-up and probes become due as time passes.
+TICK_S = 0.025
+IDLE_POLL_S = 0.02
+
+
+class _Pool:
+    """Queues and slots of one pool."""
+
+    def __init__(self, name: str, shares, clock: Clock) -> None:
+        self.name = name
+        self.queues = PoolQueues()
+        self.slots = PoolSlots(name, shares, clock)
+
+
+class Dispatcher:
+    """Admits requests (rules R1, R3, R6).
+
+    One lock guards all queues. Permits are released, and their listeners
+    called, outside of it.
+
+    :param in_force: the configuration
+    :param fleet: serving VMs by pool
+    :param members: the entries that share a pool's urgent reserve
+    :param freshness: whether the configuration may still be used
+    :param permits: team limits
+    :param shares: slots by pool and team
+    :param health: usable targets
+    :param max_inside_requests: bound on queued and running requests, so
+        that threads are left for refusals and probes
+    """
+
+    def __init__(
+        self,
+        *,
+        in_force,
+        fleet,
+        members,
+        freshness,
+        permits,
+        shares,
+        health,
+        router: Router,
+        order: OrderPolicy,
+        clock: Clock,
+        metrics,
+        max_inside_requests: int,
+    ) -> None:
+        self._in_force = in_force
+        self._fleet = fleet
+        self._members = members
+        self._freshness = freshness
+        self._permits = permits
+        self._shares = shares
+        self._health = health
+        self._router = router
+        self._order = order
+        self._clock = clock
+        self._metrics = metrics
+        self._max_inside = max_inside_requests
+        self._lock = threading.Lock()
+        self._pools: dict[str, _Pool] = {}
+        self._in_flight: dict[str, int] = {}
+        self._holds: list[tuple[float, int, Grant]] = []
+        self._hold_ids = itertools.count()
+        self._short: set[str] = set()
+        self._inside = 0
+        self._shutting_down = False
+        self._stopped = threading.Event()
+        self._thread: threading.Thread | None = None
+        permits.add_listener(self.pump)
+        fleet.add_listener(self.pump)
+
+    def start(self) -> None:
+        """Start the thread that follows the passing of time."""
+        self._thread = threading.Thread(
+            target=self._run_ticks, name="dispatch-ticks", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread; call after :meth:`wait_idle`."""
+        self._stopped.set()
+        if self._thread is not None:
+            self._thread.join()
+
+    def enter(
+        self,
+        request: CallerRequest,
+        queue: QueueSpec,
+        gone: Callable[[], bool] = lambda: False,
+        tried: frozenset = frozenset(),
+    ) -> Grant | Failure:
+        """Block until the request may be sent or is refused.
+
+        :param gone: tells whether the caller has hung up
+        :param tried: VMs that refused this request; it goes to the front
+        :returns: the grant, or a failure with ``ran`` no
+        """
+        now_s = self._clock.monotonic_s()
+        waiter = Waiter(
+            request=request,
+            queue=queue,
+            arrived_s=now_s,
+            deadline_s=now_s + request.remaining_ms / 1000,
+            gone=gone,
+            tried=tried,
+        )
+        with self._lock:
+            refusal = self._queue_up(waiter)
+            if refusal is None:
+                self._pump(self._pools[queue.pool])
+                if waiter.result is None:
+                    waiter.signal = threading.Lock()
+                    waiter.signal.acquire()
+        if refusal is not None:
+            self._metrics.count(
+                "refused", team=request.team, code=refusal.code
+            )
+            return refusal
+        while waiter.result is None:
+            self._block(waiter)
+        return self._account(waiter)
+
+    def demand(self) -> tuple[DemandRow, ...]:
+        """Return demand and service by pool and team since the start."""
+        with self._lock:
+            return tuple(
+                DemandRow(
+                    pool=pool.name,
+                    team=team,
+                    queued_requests=pool.queues.queued(team),
+                    running_requests=use.running,
+                    served_worth=use.served_worth,
+                    slot_s=use.slot_s,
+                )
+                for pool in self._pools.values()
+                for team, use in pool.slots.teams.items()
+            )
+
+    def running_by_vm(self) -> dict[str, int]:
+        """Return requests in flight on VMs that do not serve."""
+        with self._lock:
+            vms = self._fleet.record.vms
+            return {
+                vm: count
+                for vm, count in self._in_flight.items()
+                if vm not in vms or vms[vm].state is not VmState.SERVING
+            }
+
+    def short_teams(self) -> tuple[str, ...]:
+        """Return teams whose requests wait for a permit."""
+        with self._lock:
+            return tuple(sorted(self._short))
+
+    def begin_shutdown(self) -> None:
+        """Refuse new requests; queued ones still run."""
+        with self._lock:
+            self._shutting_down = True
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until nothing is queued, runs or is held."""
+        end_s = time.monotonic() + timeout_s
+        while time.monotonic() < end_s:
+            with self._lock:
+                if not self._inside and not self._holds:
+                    return True
+            time.sleep(IDLE_POLL_S)
+        return False
+
+    def pump(self, *_changed) -> None:
+        """Start what can start after something has changed."""
+        with self._lock:
+            for pool in self._pools.values():
+                self._pump(pool)
+
+    def tick(self) -> None:
+        """End holds that are over and start what can start."""
+        now_s = self._clock.monotonic_s()
+        ended = []
+        with self._lock:
+            while self._holds and self._holds[0][0] <= now_s:
+                ended.append(heapq.heappop(self._holds)[2])
+            for grant in ended:
+                self._free(grant, now_s - grant.started_s, served=False)
+        for grant in ended:
+            self._permits.release(grant.team)
+        self.pump()
+
+    def _run_ticks(self):
+        while not self._stopped.wait(TICK_S):
+            self.tick()
+
+    def _queue_up(self, waiter):
+        queue, team = waiter.queue, waiter.request.team
+        if self._shutting_down:
+            return failures.SHUTTING_DOWN
+        if self._inside >= self._max_inside:
+            return failures.QUEUE_FULL.because("the entry is full")
+        if not self._fleet.serving(queue.pool):
+            return failures.NO_TARGET.because(queue.pool)
+        pool = self._pools.get(queue.pool)
+        if pool is None:
+            pool = _Pool(queue.pool, self._shares, self._clock)
+            self._pools[queue.pool] = pool
+        ahead = pool.queues.length(team, queue.urgent)
+        wait_s = pool.slots.estimated_wait_s(team, ahead)
+        if waiter.arrived_s + wait_s > waiter.deadline_s:
+            reason = f"estimated wait {wait_s * 1000:.0f} ms"
+            return failures.DEADLINE_UNREACHABLE.because(reason)
+        if not pool.queues.add(waiter):
+            return failures.QUEUE_FULL.because(queue.name)
+        self._inside += 1
+        return None
+
+    def _block(self, waiter):
+        left_s = waiter.deadline_s - self._clock.monotonic_s()
+        waiter.signal.acquire(timeout=min(WAIT_SLICE_S, max(0.001, left_s)))
+        if waiter.result is not None:
+            return
+        with self._lock:
+            if waiter.result is not None:
+                return
+            refusal = self._refusal(waiter)
+            if refusal is not None:
+                self._drop(waiter, refusal)
+
+    def _account(self, waiter):
+        result, team = waiter.result, waiter.request.team
+        if isinstance(result, Failure):
+            self._metrics.count("refused", team=team, code=result.code)
+        else:
+            wait_ms = (result.started_s - waiter.arrived_s) * 1000
+            self._metrics.record_ms("queue_wait", wait_ms, team=team)
+        return result
+
+    def _refusal(self, waiter):
+        """Return why a waiting request must not start any more, if so."""
+        if waiter.gone():
+            return failures.CALLER_GONE
+        if self._clock.monotonic_s() >= waiter.deadline_s:
+            return failures.DEADLINE_PASSED.because("while queued")
+        return recheck(waiter, self._in_force.current, self._freshness)
+
+    def _drop(self, waiter, refusal):
+        self._pools[waiter.queue.pool].queues.remove(waiter)
+        self._inside -= 1
+        self._note_not_short(waiter.request.team)
+        waiter.settle(refusal)
+
+    def _pump(self, pool):
+        """Start requests of a pool until slots, permits or work run out."""
+        while pool.queues:
+            for urgent in (True, False):
+                if self._start_one(pool, urgent):
+                    break
+            else:
+                return
+
+    def _start_one(self, pool, urgent):
+        heads = self._valid_heads(pool, urgent)
+        if not heads:
+            return False
+        targets = self._health.usable(
+            pool.name, self._fleet.serving(pool.name), self._in_flight
+        )
+        if not targets:
+            return False
+        reserve = self._reserve(pool.name)
+        heads = {
+            head.request.team: head
+            for head in heads
+            if pool.slots.may_start(head.request.team, urgent, reserve)
+        }
+        while heads:
+            head = heads.pop(self._choose(pool, heads))
+            if self._start(pool, head, targets):
+                return True
+        return False
+
+    def _valid_heads(self, pool, urgent):
+        """Return the head of each team, after dropping what cannot run."""
+        while True:
+            heads = pool.queues.heads(urgent)
+            refused = [(head, self._refusal(head)) for head in heads]
+            refused = [(h, refusal) for h, refusal in refused if refusal]
+            if not refused:
+                return heads
+            for head, refusal in refused:
+                self._drop(head, refusal)
+
+    def _choose(self, pool, heads):
+        if len(heads) == 1:
+            return next(iter(heads))
+        document = self._in_force.current.document
+        turns = []
+        for team, head in heads.items():
+            use = pool.slots.use(team)
+            spec = document.team(team)
+            worth = use.recent_worth + use.running_worth
+            share = spec.share if spec else 0.0
+            turns.append(TeamTurn(team, head.arrival, share, worth))
+        return self._order.choose(pool.name, turns).team
+
+    def _start(self, pool, waiter, targets):
+        request, urgent = waiter.request, waiter.queue.urgent
+        if waiter.tried:
+            targets = [t for t in targets if t.vm not in waiter.tried]
+        target = self._router.pick(targets)
+        if target is None:
+            return False
+        if not self._permits.try_acquire(request.team):
+            self._short.add(request.team)
+            return False
+        pool.queues.remove(waiter)
+        self._note_not_short(request.team)
+        pool.slots.start(request.team, urgent, request.worth)
+        self._in_flight[target.vm] = self._in_flight.get(target.vm, 0) + 1
+        waiter.settle(
+            Grant(
+                vm=target.vm,
+                address=target.address,
+                pool=pool.name,
+                team=request.team,
+                urgent=urgent,
+                worth=request.worth,
+                started_s=self._clock.monotonic_s(),
+                finish=self._finish,
+                hold=self._hold,
+            )
+        )
+        return True
+
+    def _note_not_short(self, team):
+        if team not in self._short:
+            return
+        if not any(p.queues.queued(team) for p in self._pools.values()):
+            self._short.discard(team)
+
+    def _finish(self, grant, outcome, run_ms):
+        served = not isinstance(outcome, Failure) and outcome.status < 500
+        with self._lock:
+            self._inside -= 1
+            self._free(grant, run_ms / 1000, served)
+        self._permits.release(grant.team)
+        with self._lock:
+            self._pump(self._pools[grant.pool])
+
+    def _hold(self, grant, duration_ms):
+        end_s = self._clock.monotonic_s() + duration_ms / 1000
+        with self._lock:
+            self._inside -= 1
+            entry = (end_s, next(self._hold_ids), grant)
+            heapq.heappush(self._holds, entry)
+
+    def _free(self, grant, run_s, served):
+        slots = self._pools[grant.pool].slots
+        slots.stop(grant.team, grant.urgent, grant.worth, run_s, served)
+        left = self._in_flight[grant.vm] - 1
+        if left:
+            self._in_flight[grant.vm] = left
+        else:
+            del self._in_flight[grant.vm]
+
+    def _reserve(self, pool):
+        """Return this entry's part of the slots for urgent work."""
+        spec = self._in_force.current.document.pool(pool)
+        if spec is None or not spec.urgent_reserve_slots:
+            return 0
+        entries = max(1, len(self._members.entries()))
+        return math.ceil(spec.urgent_reserve_slots / entries)
--- /dev/null
+++ b/src/rosemarynotch/_internal/admission/grants.py
@@ -0,0 +1,49 @@
+"""The right to send one request to one target."""
+
+from typing import Callable
+
+import attrs
+
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.messages import Answer
+
+__all__ = ["Grant"]
+
+
+@attrs.define(eq=False)
+class Grant:
+    """A slot, a permit and a target for one request.
+
+    The holder calls :meth:`finish` or :meth:`hold` once; later calls have
+    no effect.
+
+    :ivar vm: name of the target VM
+    :ivar address: host and port of the target
+    """
+
+    vm: str
+    address: str
+    pool: str
+    team: str
+    urgent: bool
+    worth: float
+    started_s: float
+    _finish: Callable[["Grant", Answer | Failure, float], None]
+    _hold: Callable[["Grant", float], None]
+    is_open: bool = True
+
+    def finish(self, outcome: Answer | Failure, run_ms: float) -> None:
+        """Free the slot and the permit: the request does not run any more.
+
+        :param outcome: an answer counts as served
+        :param run_ms: time for which the target ran the request
+        """
+        if self.is_open:
+            self.is_open = False
+            self._finish(self, outcome, run_ms)
+
+    def hold(self, duration_ms: float) -> None:
+        """Keep slot and permit: the request may run for this time yet."""
+        if self.is_open:
+            self.is_open = False
+            self._hold(self, duration_ms)
--- /dev/null
+++ b/src/rosemarynotch/_internal/admission/idempotency.py
@@ -0,0 +1,189 @@
+"""Outcomes of requests by idempotency key (rule R5)."""
+
+from collections import OrderedDict
+import hashlib
+import threading
+from typing import Callable
+
+import attrs
+
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.models.messages import Answer
+from rosemarynotch._internal.models.messages import CallerRequest
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["BODY_DROPPED_HEADER", "IdempotencyTable"]
+
+KEEP_S = 120.0
+MAX_TABLE_BYTES = 32 * 1024 * 1024
+MAX_KEPT_BODY_BYTES = 64 * 1024
+# Estimate for an entry without its body and headers.
+ENTRY_BYTES = 1024
+BODY_DROPPED_HEADER = "Rosemarynotch-Body-Dropped"
+
+
+@attrs.define(eq=False)
+class _Run:
+    """A request that runs, or its outcome."""
+
+    fingerprint: bytes
+    done: threading.Event = attrs.field(factory=threading.Event)
+    outcome: Answer | Failure | None = None
+    size_bytes: int = ENTRY_BYTES
+    done_at_s: float = 0.0
+
+
+class IdempotencyTable:
+    """Runs each key that this entry owns once and answers its repeats.
+
+    :param members: a change of the entries moves keys here whose requests
+        may have run elsewhere
+    """
+
+    def __init__(self, members, clock: Clock) -> None:
+        self._members = members
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._runs: dict[tuple[str, str], _Run] = {}
+        self._done: OrderedDict[tuple[str, str], _Run] = OrderedDict()
+        self._size_bytes = 0
+        self._revision = -1
+        self._entries: frozenset = frozenset()
+        self._uncertain_until_s = 0.0
+
+    def run(
+        self,
+        request: CallerRequest,
+        execute: Callable[[], Answer | Failure],
+    ) -> Answer | Failure:
+        """Run a request, or return the outcome of its earlier run.
+
+        :param execute: runs the request on a target
+        """
+        key = (request.team, request.idempotency_key)
+        fingerprint = _fingerprint(request)
+        with self._lock:
+            self._expire()
+            run = self._runs.get(key)
+            if run is None:
+                refusal = self._refuse_new(request)
+                if refusal is not None:
+                    return refusal
+                run = _Run(fingerprint)
+                self._runs[key] = run
+                self._size_bytes += run.size_bytes
+                first = True
+            else:
+                first = False
+        if run.fingerprint != fingerprint:
+            return failures.IDEMPOTENCY_KEY_REUSED.because(
+                "the key was sent with other content"
+            )
+        if first:
+            return self._execute(key, run, request, execute)
+        if not run.done.wait(request.remaining_ms / 1000):
+            return failures.OUTCOME_UNKNOWN.because("the request still runs")
+        return run.outcome
+
+    def _execute(self, key, run, request, execute):
+        outcome = failures.OUTCOME_UNKNOWN.because("internal error")
+        try:
+            outcome = execute()
+        finally:
+            with self._lock:
+                self._settle(key, run, request, outcome)
+            run.done.set()
+        return outcome
+
+    def _settle(self, key, run, request, outcome):
+        run.outcome = outcome
+        if isinstance(outcome, Failure):
+            # What did not run, or may run again, is tried again by a repeat.
+            if outcome.ran is Ran.NO or request.idempotent:
+                del self._runs[key]
+                self._size_bytes -= run.size_bytes
+                return
+        else:
+            run.outcome = _kept(outcome)
+            extra = _size(run.outcome)
+            run.size_bytes += extra
+            self._size_bytes += extra
+        run.done_at_s = self._clock.monotonic_s()
+        self._done[key] = run
+        self._shrink()
+
+    def _refuse_new(self, request):
+        if self._size_bytes + ENTRY_BYTES > MAX_TABLE_BYTES:
+            return failures.QUEUE_FULL.because("too many idempotency keys")
+        self._note_entries()
+        if not request.retry or request.idempotent:
+            return None
+        if self._clock.monotonic_s() < self._uncertain_until_s:
+            return failures.OUTCOME_UNKNOWN.because(
+                "the key may have been used at its former owner"
+            )
+        return None
+
+    def _note_entries(self):
+        """Start an uncertain period when keys may have moved here."""
+        revision = self._members.revision
+        if revision == self._revision:
+            return
+        self._revision = revision
+        entries = frozenset(
+            (member.name, member.incarnation)
+            for member in self._members.entries()
+        )
+        if entries != self._entries:
+            self._entries = entries
+            self._uncertain_until_s = self._clock.monotonic_s() + KEEP_S
+
+    def _expire(self):
+        before_s = self._clock.monotonic_s() - KEEP_S
+        while self._done:
+            key, run = next(iter(self._done.items()))
+            if run.done_at_s > before_s:
+                return
+            del self._done[key], self._runs[key]
+            self._size_bytes -= run.size_bytes
+
+    def _shrink(self):
+        """Drop the oldest bodies; that a request ran is never dropped."""
+        for run in self._done.values():
+            if self._size_bytes <= MAX_TABLE_BYTES:
+                return
+            if isinstance(run.outcome, Answer) and run.outcome.body:
+                before = _size(run.outcome)
+                run.outcome = _without_body(run.outcome)
+                freed = before - _size(run.outcome)
+                run.size_bytes -= freed
+                self._size_bytes -= freed
+
+
+def _fingerprint(request):
+    digest = hashlib.sha256()
+    for part in (request.method, request.path, request.queue):
+        digest.update(part.encode() + b"\0")
+    digest.update(request.body)
+    return digest.digest()
+
+
+def _size(answer):
+    headers = sum(len(n) + len(v) for n, v in answer.headers)
+    return len(answer.body) + headers
+
+
+def _kept(answer):
+    if len(answer.body) <= MAX_KEPT_BODY_BYTES:
+        return answer
+    return _without_body(answer)
+
+
+def _without_body(answer):
+    return Answer(
+        status=answer.status,
+        headers=((BODY_DROPPED_HEADER, "1"),),
+        body=b"",
+    )
--- /dev/null
+++ b/src/rosemarynotch/_internal/admission/recheck.py
@@ -0,0 +1,42 @@
+"""Checks a queued request again under the configuration in force."""
+
+from rosemarynotch._internal.admission.waiting import Waiter
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.exceptions import Failure
+
+__all__ = ["recheck"]
+
+
+def recheck(waiter: Waiter, current, freshness) -> Failure | None:
+    """Check team, key and queue of a request before it starts (rule R6).
+
+    :param current: the configuration in force
+    :returns: None, or why the request is refused, with ``ran`` no
+    """
+    request = waiter.request
+    if request.key_id:
+        stale = freshness.check()
+        if stale is not None:
+            return stale
+    if waiter.checked_version == current.version:
+        return None
+    refusal = _check(request, waiter.queue, current.document)
+    if refusal is None:
+        waiter.checked_version = current.version
+    return refusal
+
+
+def _check(request, checked_queue, document):
+    team = document.team(request.team)
+    if team is None:
+        return failures.TEAM_UNKNOWN.because(request.team)
+    queue = document.queue(request.queue)
+    if queue is None or queue.pool != checked_queue.pool:
+        return failures.QUEUE_UNKNOWN.because(request.queue)
+    if not request.key_id:
+        if queue.open_to_all:
+            return None
+        return failures.KEY_MISSING.because("the queue needs a key")
+    if all(key.key_id != request.key_id for key in team.keys):
+        return failures.KEY_WITHDRAWN.because(request.key_id)
+    return None
--- /dev/null
+++ b/src/rosemarynotch/_internal/admission/slots.py
@@ -0,0 +1,160 @@
+"""Use of one pool's slots by teams at this entry."""
+
+import math
+
+import attrs
+
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["PoolSlots", "TeamUse"]
+
+# Served worth of the past decides the order with this time constant, the
+# period over which the shares correct deficits.
+WORTH_MEMORY_S = 30.0
+# Bounds how much slot time a team can save up or owe.
+MAX_CREDIT_SLOT_S = 1.0
+EPSILON = 1e-9
+RUN_TIME_WEIGHT = 0.1
+
+
+@attrs.define
+class TeamUse:
+    """What a team uses and used in a pool.
+
+    :ivar credit_slot_s: slot time that it is behind its share of slots
+    :ivar recent_worth: served worth, which fades out
+    :ivar running_worth: worth of what runs
+    """
+
+    running: int = 0
+    urgent_running: int = 0
+    running_worth: float = 0.0
+    served_worth: float = 0.0
+    slot_s: float = 0.0
+    recent_worth: float = 0.0
+    credit_slot_s: float = 0.0
+    updated_s: float = 0.0
+
+
+class PoolSlots:
+    """Counts what runs in a pool and decides who may start.
+
+    The dispatcher's lock guards it.
+
+    :param pool: name of the pool
+    :param shares: gives the slots of teams and the spare ones
+    :param clock: times credits
+    """
+
+    def __init__(self, pool: str, shares, clock: Clock) -> None:
+        self._pool = pool
+        self._shares = shares
+        self._clock = clock
+        self.teams: dict[str, TeamUse] = {}
+        self.mean_run_s = 0.0
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests that run."""
+        return sum(use.running for use in self.teams.values())
+
+    @property
+    def urgent_running(self) -> int:
+        """Return the number of urgent requests that run."""
+        return sum(use.urgent_running for use in self.teams.values())
+
+    def use(self, team: str) -> TeamUse:
+        """Return the use of a team, brought up to the present."""
+        now_s = self._clock.monotonic_s()
+        use = self.teams.get(team)
+        if use is None:
+            use = self.teams[team] = TeamUse(updated_s=now_s)
+        if now_s > use.updated_s:
+            self._advance(team, use, now_s)
+        return use
+
+    def may_start(self, team: str, urgent: bool, reserve: int) -> bool:
+        """Tell whether a slot is there for one more request of a team.
+
+        :param reserve: slots of this entry that are kept for urgent work
+        """
+        use = self.use(team)
+        if urgent:
+            urgent_running = self.urgent_running
+            if urgent_running >= self._urgent_bound():
+                return False
+            if urgent_running < reserve:
+                return True
+        slots = self._shares.slots(self._pool, team)
+        if use.running + 1 <= slots + EPSILON:
+            return True
+        # A fraction of a slot is used in turns: the team runs one request
+        # more until it has had its fraction of the time.
+        if use.running < slots and use.credit_slot_s >= 0:
+            return True
+        spare = self._shares.spare_slots(self._pool)
+        if not urgent:
+            spare -= max(0, reserve - self.urgent_running)
+        return self._over_share() + 1 <= spare + EPSILON
+
+    def start(self, team: str, urgent: bool, worth: float) -> None:
+        """Count a request that starts."""
+        use = self.use(team)
+        use.running += 1
+        use.urgent_running += urgent
+        use.running_worth += worth
+
+    def stop(
+        self, team: str, urgent: bool, worth: float, run_s: float, served: bool
+    ) -> None:
+        """Count a request that ended or that no longer holds its slot."""
+        use = self.use(team)
+        use.running -= 1
+        use.urgent_running -= urgent
+        use.running_worth -= worth
+        use.slot_s += run_s
+        if served:
+            use.served_worth += worth
+            use.recent_worth += worth
+            self._learn(run_s)
+
+    def estimated_wait_s(self, team: str, ahead: int) -> float:
+        """Return how long a request waits behind others of its team."""
+        if not ahead:
+            return 0.0
+        slots = self._shares.slots(self._pool, team)
+        parallel = max(1.0, slots, self.use(team).running)
+        return ahead * self.mean_run_s / parallel
+
+    def _advance(self, team, use, now_s):
+        passed_s = now_s - use.updated_s
+        use.updated_s = now_s
+        use.recent_worth *= math.exp(-passed_s / WORTH_MEMORY_S)
+        slots = self._shares.slots(self._pool, team)
+        used = min(use.running, math.ceil(slots))
+        credit = use.credit_slot_s + (slots - used) * passed_s
+        use.credit_slot_s = min(
+            MAX_CREDIT_SLOT_S, max(-MAX_CREDIT_SLOT_S, credit)
+        )
+
+    def _over_share(self):
+        return sum(
+            max(0, use.running - math.ceil(self._slots_of(team)))
+            for team, use in self.teams.items()
+            if use.running
+        )
+
+    def _urgent_bound(self):
+        """Return half of this entry's part of the pool, at least 1."""
+        slots = sum(self._slots_of(team) for team in self.teams)
+        spare = self._shares.spare_slots(self._pool)
+        return max(1, int((slots + spare) / 2))
+
+    def _slots_of(self, team):
+        return self._shares.slots(self._pool, team)
+
+    def _learn(self, run_s):
+        if not self.mean_run_s:
+            self.mean_run_s = run_s
+        else:
+            self.mean_run_s += RUN_TIME_WEIGHT * (run_s - self.mean_run_s)
--- a/src/rosemarynotch/_internal/callers/__init__.py
+++ b/src/rosemarynotch/_internal/callers/__init__.py
@@ -1,1 +1,8 @@
 """HTTP for callers."""
+
+from rosemarynotch._internal.callers.app import CallerApp
+from rosemarynotch._internal.callers.forwarding import Forwarder
+from rosemarynotch._internal.callers.running import RequestRunner
+from rosemarynotch._internal.callers.server import CallerServer
+
+__all__ = ["CallerApp", "CallerServer", "Forwarder", "RequestRunner"]
--- /dev/null
+++ b/src/rosemarynotch/_internal/callers/app.py
@@ -0,0 +1,91 @@
+"""WSGI application for callers."""
+
+import threading
+
+from rosemarynotch._internal.callers.answers import respond
+from rosemarynotch._internal.callers.answers import respond_json
+from rosemarynotch._internal.callers.forwarding import Forwarder
+from rosemarynotch._internal.callers.jobs import JobEndpoints
+from rosemarynotch._internal.callers.parsing import parse_request
+from rosemarynotch._internal.callers.parsing import SERVICE_PREFIX
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.exceptions import Failure
+
+__all__ = ["CallerApp", "HEALTH_PATH"]
+
+HEALTH_PATH = "/healthz"
+JOBS_PREFIX = "/v1/jobs"
+
+
+def _never():
+    return False
+
+
+class CallerApp:
+    """Requests to services, job endpoints and the load balancer's probe.
+
+    :param in_force: the configuration
+    :param freshness: whether keys can be checked at the moment
+    :param check_key: finds the holder of a key in a document
+    :param forwarder: runs requests
+    :param jobs: accepts jobs
+    :param submission_type: class that the intake takes
+    """
+
+    def __init__(
+        self,
+        *,
+        in_force,
+        freshness,
+        check_key,
+        forwarder: Forwarder,
+        jobs,
+        submission_type,
+        metrics,
+    ) -> None:
+        self._in_force = in_force
+        self._freshness = freshness
+        self._check_key = check_key
+        self._forwarder = forwarder
+        self._jobs = JobEndpoints(
+            in_force=in_force,
+            freshness=freshness,
+            check_key=check_key,
+            jobs=jobs,
+            submission_type=submission_type,
+        )
+        self._metrics = metrics
+        self._leaving = threading.Event()
+
+    def __call__(self, environ, start_response):
+        """Answer one request of a caller."""
+        path = environ["PATH_INFO"]
+        if path.startswith(SERVICE_PREFIX):
+            result = self._serve(environ)
+            return respond(result, environ["REQUEST_METHOD"], start_response)
+        if path == HEALTH_PATH:
+            return self._answer_probe(start_response)
+        if path == JOBS_PREFIX or path.startswith(JOBS_PREFIX + "/"):
+            return self._jobs(environ, start_response)
+        failure = failures.POOL_UNKNOWN.because("no such path")
+        return respond(failure, environ["REQUEST_METHOD"], start_response)
+
+    def announce_leaving(self) -> None:
+        """Let the load balancer's probe fail; requests are still served."""
+        self._leaving.set()
+
+    def _serve(self, environ):
+        document = self._in_force.current.document
+        parsed = parse_request(
+            environ, document, self._freshness, self._check_key
+        )
+        if isinstance(parsed, Failure):
+            self._metrics.count("refused", team="", code=parsed.code)
+            return parsed
+        gone = environ.get("waitress.client_disconnected", _never)
+        return self._forwarder.run(parsed.request, parsed.queue, gone)
+
+    def _answer_probe(self, start_response):
+        if self._leaving.is_set():
+            return respond(failures.SHUTTING_DOWN, "GET", start_response)
+        return respond_json(200, b'{"state":"serving"}', start_response)
--- /dev/null
+++ b/src/rosemarynotch/_internal/callers/parsing.py
@@ -0,0 +1,219 @@
+"""Turns a caller's HTTP request into a checked CallerRequest."""
+
+import math
+import re
+from urllib.parse import urlsplit
+import uuid
+
+import attrs
+
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.document import QueueSpec
+from rosemarynotch._internal.models.messages import CallerRequest
+
+__all__ = [
+    "find_holder",
+    "MAX_BODY_BYTES",
+    "parse_request",
+    "ParsedRequest",
+    "read_body",
+    "SERVICE_PREFIX",
+    "TEAM_HEADER",
+]
+
+MAX_BODY_BYTES = 512 * 1024
+MAX_DEADLINE_MS = 600_000
+MAX_WORTH = 1_000_000.0
+MAX_IDEMPOTENCY_KEY_CHARS = 200
+SERVICE_PREFIX = "/s/"
+# Tells the target for which team it works; a caller cannot set it.
+TEAM_HEADER = "Rosemarynotch-Team"
+IDEMPOTENT_METHODS = frozenset(
+    ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE")
+)
+# What the request line to the target may contain.
+PATH_PATTERN = re.compile(r"[\x21-\x7e]+")
+# Headers that end here: those of one connection, and those for this entry.
+# The key must not reach a target, which could use it.
+DROPPED_HEADERS = frozenset(
+    (
+        "HTTP_AUTHORIZATION",
+        "HTTP_CONNECTION",
+        "HTTP_EXPECT",
+        "HTTP_HOST",
+        "HTTP_KEEP_ALIVE",
+        "HTTP_PROXY_AUTHORIZATION",
+        "HTTP_PROXY_CONNECTION",
+        "HTTP_ROSEMARYNOTCH_TEAM",
+        "HTTP_TE",
+        "HTTP_TRAILER",
+        "HTTP_TRANSFER_ENCODING",
+        "HTTP_UPGRADE",
+    )
+)
+
+
+@attrs.define
+class ParsedRequest:
+    """A request with the queue that it goes to."""
+
+    request: CallerRequest
+    queue: QueueSpec
+
+
+class _Malformed(Exception):
+    """A header of the request cannot be used."""
+
+
+def parse_request(
+    environ, document, freshness, check_key
+) -> ParsedRequest | Failure:
+    """Parse a request to a service and check its key.
+
+    :param environ: WSGI environment
+    :param document: the configuration in force
+    :param freshness: whether keys can be checked at the moment
+    :param check_key: finds the holder of the key that was sent
+    :returns: the request, or a failure with ``ran`` no
+    """
+    path = _raw_path(environ)
+    service, slash, rest = path[len(SERVICE_PREFIX) :].partition("/")
+    if not slash:
+        service, mark, query = service.partition("?")
+        rest = mark + query
+    queue = document.queue(environ.get("HTTP_ROSEMARYNOTCH_QUEUE", service))
+    if queue is None:
+        return failures.QUEUE_UNKNOWN.because("no such queue")
+    if queue.pool != service:
+        reason = f"queue {queue.name} does not feed {service[:80]}"
+        return failures.QUEUE_UNKNOWN.because(reason)
+    holder = find_holder(environ, queue, document, freshness, check_key)
+    if isinstance(holder, Failure):
+        return holder
+    body = read_body(environ)
+    if isinstance(body, Failure):
+        return body
+    try:
+        request = _request(environ, queue, holder, "/" + rest, body)
+    except _Malformed as error:
+        return failures.REQUEST_MALFORMED.because(str(error))
+    return ParsedRequest(request, queue)
+
+
+def read_body(environ) -> bytes | Failure:
+    """Read the whole body.
+
+    :returns: the body, BODY_TOO_LARGE or BODY_TRUNCATED
+    """
+    text = environ.get("CONTENT_LENGTH") or "0"
+    if not (text.isascii() and text.isdigit()):
+        return failures.REQUEST_MALFORMED.because("Content-Length")
+    length = int(text)
+    if length > MAX_BODY_BYTES:
+        return failures.BODY_TOO_LARGE.because(f"over {MAX_BODY_BYTES} bytes")
+    if not length:
+        return b""
+    body = environ["wsgi.input"].read(length)
+    if len(body) < length:
+        return failures.BODY_TRUNCATED.because(f"{len(body)} of {length}")
+    return body
+
+
+def _raw_path(environ):
+    """Return path and query as sent, with their percent-encoding."""
+    uri = environ["REQUEST_URI"]
+    if uri.startswith("/"):
+        return uri
+    parts = urlsplit(uri)
+    return parts.path + ("?" + parts.query if parts.query else "")
+
+
+def find_holder(
+    environ, queue: QueueSpec | None, document, freshness, check_key
+) -> tuple[str, str] | Failure:
+    """Return team and key id that the request counts for.
+
+    :param queue: None for work outside of queues, which needs a key
+    """
+    if queue is not None and queue.open_to_all:
+        return queue.team, ""
+    stale = freshness.check()
+    if stale is not None:
+        return stale
+    holder = check_key(document, environ.get("HTTP_AUTHORIZATION", ""))
+    if isinstance(holder, Failure):
+        return holder
+    return holder.team, holder.key_id
+
+
+def _request(environ, queue, holder, path, body):
+    if not PATH_PATTERN.fullmatch(path):
+        raise _Malformed("path")
+    method = environ["REQUEST_METHOD"]
+    idempotent = method in IDEMPOTENT_METHODS
+    key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+    if len(key) > MAX_IDEMPOTENCY_KEY_CHARS:
+        raise _Malformed("Idempotency-Key")
+    return CallerRequest(
+        request_id=uuid.uuid4().hex,
+        team=holder[0],
+        key_id=holder[1],
+        queue=queue.name,
+        method=method,
+        path=path,
+        headers=_target_headers(environ, holder[0]),
+        body=body,
+        worth=_worth(environ),
+        remaining_ms=_deadline_ms(environ, queue.longest_run_ms),
+        idempotent=_flag(environ, "IDEMPOTENT", idempotent),
+        retry=_flag(environ, "RETRY", False),
+        idempotency_key=key,
+    )
+
+
+def _target_headers(environ, team):
+    headers = [
+        (name[5:].replace("_", "-").title(), value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_") and name not in DROPPED_HEADERS
+    ]
+    content_type = environ.get("CONTENT_TYPE")
+    if content_type:
+        headers.append(("Content-Type", content_type))
+    headers.append((TEAM_HEADER, team))
+    return tuple(headers)
+
+
+def _worth(environ):
+    text = environ.get("HTTP_ROSEMARYNOTCH_WORTH")
+    if text is None:
+        return 1.0
+    try:
+        worth = float(text)
+    except ValueError:
+        raise _Malformed("Rosemarynotch-Worth") from None
+    if not math.isfinite(worth) or not 0 < worth <= MAX_WORTH:
+        raise _Malformed("Rosemarynotch-Worth")
+    return worth
+
+
+def _deadline_ms(environ, default_ms):
+    text = environ.get("HTTP_ROSEMARYNOTCH_DEADLINE_MS")
+    if text is None:
+        return default_ms
+    if not (text.isascii() and text.isdigit()):
+        raise _Malformed("Rosemarynotch-Deadline-Ms")
+    deadline_ms = int(text[:10])
+    if not 0 < deadline_ms <= MAX_DEADLINE_MS:
+        raise _Malformed("Rosemarynotch-Deadline-Ms")
+    return deadline_ms
+
+
+def _flag(environ, name, default):
+    text = environ.get("HTTP_ROSEMARYNOTCH_" + name)
+    if text is None:
+        return default
+    if text not in ("0", "1"):
+        raise _Malformed("Rosemarynotch-" + name.title())
+    return text == "1"
--- /dev/null
+++ b/tests/lib/entries.py
@@ -0,0 +1,325 @@
+"""One entry process in memory, with fakes for what others provide."""
+
+import random
+import threading
+from types import SimpleNamespace
+
+import attrs
+
+from rosemarynotch._internal.admission.dispatch import Dispatcher
+from rosemarynotch._internal.admission.idempotency import IdempotencyTable
+from rosemarynotch._internal.callers.app import CallerApp
+from rosemarynotch._internal.callers.forwarding import Forwarder
+from rosemarynotch._internal.callers.running import RequestRunner
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.document import KeySpec
+from rosemarynotch._internal.models.document import PoolKind
+from rosemarynotch._internal.models.document import PoolSpec
+from rosemarynotch._internal.models.document import QueueSpec
+from rosemarynotch._internal.models.document import TeamSpec
+from rosemarynotch._internal.models.records import FleetRecord
+from rosemarynotch._internal.models.records import Member
+from rosemarynotch._internal.models.records import MemberKind
+from rosemarynotch._internal.models.records import VmRecord
+from rosemarynotch._internal.models.records import VmState
+from rosemarynotch._internal.policy.ordering import WorthOverShareOrder
+from rosemarynotch._internal.policy.routing import TwoChoicesRouter
+from rosemarynotch._internal.targets.client import TargetClient
+from rosemarynotch._internal.targets.health import HealthTable
+from rosemarynotch._internal.utils.clock import SystemClock
+
+__all__ = [
+    "document",
+    "EntryUnderTest",
+    "FakeExchange",
+    "FakeFleet",
+    "FakePermits",
+    "FakeShares",
+    "fleet_record",
+]
+
+
+def document(teams=("red", "blue"), reserve=0, longest_run_ms=30_000):
+    """Return a document with the pool and queues that tests use."""
+    pool = PoolSpec(
+        name="quotes",
+        kind=PoolKind.SERVICE,
+        min_available_vms=1,
+        vms=(),
+        urgent_reserve_slots=reserve,
+    )
+
+    def queue(name, **fields):
+        return QueueSpec(
+            name=name, pool="quotes", longest_run_ms=longest_run_ms, **fields
+        )
+
+    key = KeySpec(key_id="k1", salt="", digest="")
+    return Document(
+        pools=(pool,),
+        teams=tuple(
+            TeamSpec(name=name, share=1.0, limit_requests=100, keys=(key,))
+            for name in teams
+        ),
+        queues=(
+            queue("quotes"),
+            queue("rush", urgent=True),
+            queue("open", open_to_all=True, team=teams[0]),
+        ),
+    )
+
+
+def fleet_record(addresses, slots=8, state=VmState.SERVING):
+    """Return a fleet of one VM per address, named by position."""
+    return FleetRecord(
+        vms={
+            f"vm-{number}": VmRecord(
+                pool="quotes",
+                state=state,
+                instance="i-1",
+                address=address,
+                data_centre="Gent",
+                rack="r1",
+                slots=slots,
+            )
+            for number, address in enumerate(addresses)
+        }
+    )
+
+
+class FakeFleet:
+    """Serving VMs."""
+
+    def __init__(self, record):
+        self.record = record
+        self.revision = 1
+        self.listeners = []
+
+    def serving(self, pool):
+        """Return the serving VMs of a pool."""
+        return [
+            (name, vm)
+            for name, vm in self.record.vms.items()
+            if vm.pool == pool and vm.state is VmState.SERVING
+        ]
+
+    def add_listener(self, callback):
+        """Keep a callback."""
+        self.listeners.append(callback)
+
+    def apply(self, record):
+        """Take a record."""
+        self.record, self.revision = record, self.revision + 1
+        for callback in self.listeners:
+            callback()
+
+
+class FakePermits:
+    """Portions that a test sets; 100 unless set."""
+
+    def __init__(self):
+        self.portions = {}
+        self.holder = ""
+        self.most_running = 0
+        self._lock = threading.Lock()
+        self._running = {}
+
+    def portion(self, team):
+        """Return the portion of a team."""
+        return self.portions.get(team, 100)
+
+    def running(self, team):
+        """Return the permits in use."""
+        return self._running.get(team, 0)
+
+    def try_acquire(self, team):
+        """Take a permit."""
+        with self._lock:
+            if self.running(team) >= self.portion(team):
+                return False
+            self._running[team] = self.running(team) + 1
+            self.most_running = max(self.most_running, self._running[team])
+            return True
+
+    def release(self, team):
+        """Give a permit back."""
+        with self._lock:
+            self._running[team] -= 1
+
+    def largest_holder(self, _team):
+        """Return the entry that a test chose."""
+        return self.holder
+
+    def add_listener(self, callback):
+        """Ignore listeners."""
+
+
+class FakeShares:
+    """Slots that a test sets; all slots are spare unless set."""
+
+    def __init__(self):
+        self.by_team = {}
+        self.spare = 1000.0
+
+    def slots(self, _pool, team):
+        """Return the slots of a team."""
+        return self.by_team.get(team, 0.0)
+
+    def spare_slots(self, _pool):
+        """Return the slots that nobody has."""
+        return self.spare
+
+
+class FakeExchange:
+    """Hands forwards to the handler of another entry in this process."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.failure = None
+        self.sent = []
+
+    def forward(self, entry, forward, _timeout_s):
+        """Run a request at another entry."""
+        self.sent.append((entry, forward))
+        return self.failure or self.handlers[entry](forward)
+
+
+class FakeMetrics:
+    """Counts by name and code."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self.counts = {}
+
+    def count(self, name, amount=1, **labels):
+        """Count an event."""
+        key = (name, labels.get("code", ""))
+        with self._lock:
+            self.counts[key] = self.counts.get(key, 0) + amount
+
+    def record_ms(self, name, value_ms, **labels):
+        """Ignore times."""
+
+
+def fake_check_key(current, authorization):
+    """Accept ``Bearer <team>.<key id>.secret`` of known keys."""
+    team_name, _, rest = authorization.removeprefix("Bearer ").partition(".")
+    if not rest:
+        return failures.KEY_MISSING
+    key_id, _, secret = rest.partition(".")
+    team = current.team(team_name)
+    if team is None or secret != "secret":
+        return failures.KEY_INVALID
+    if all(key.key_id != key_id for key in team.keys):
+        return failures.KEY_WITHDRAWN
+    return SimpleNamespace(team=team_name, key_id=key_id)
+
+
+@attrs.frozen(kw_only=True)
+class FakeSubmission:
+    """A job submission."""
+
+    payload: str
+    idempotency_key: str = ""
+
+
+class EntryUnderTest:
+    """The request path of one entry, started by :meth:`start`."""
+
+    def __init__(
+        self,
+        addresses,
+        clock=None,
+        order=None,
+        router=None,
+        name="entry-1",
+        entries=("entry-1",),
+        slots=8,
+        current=None,
+        max_inside=200,
+    ):
+        self.clock = clock or SystemClock()
+        self.stale = None
+        self.in_force = SimpleNamespace(
+            current=SimpleNamespace(
+                version=1, digest="", document=current or document()
+            )
+        )
+        self.fleet = FakeFleet(fleet_record(addresses, slots))
+        members = [
+            Member(
+                name=entry,
+                kind=MemberKind.ENTRY,
+                incarnation="a",
+                vm=entry,
+                vm_instance="",
+                data_centre="Gent",
+                peer_address="",
+            )
+            for entry in entries
+        ]
+        self.members = SimpleNamespace(
+            revision=1,
+            entries=lambda: members,
+            owner=lambda team, key: key.partition("@")[2] or name,
+        )
+        freshness = SimpleNamespace(check=lambda: self.stale)
+        self.permits = FakePermits()
+        self.shares = FakeShares()
+        self.metrics = FakeMetrics()
+        self.exchange = FakeExchange()
+        self.health = HealthTable(self.clock)
+        self.client = TargetClient(self.clock)
+        self.dispatcher = Dispatcher(
+            in_force=self.in_force,
+            fleet=self.fleet,
+            members=self.members,
+            freshness=freshness,
+            permits=self.permits,
+            shares=self.shares,
+            health=self.health,
+            router=router or TwoChoicesRouter(random.Random(1)),
+            order=order or WorthOverShareOrder(),
+            clock=self.clock,
+            metrics=self.metrics,
+            max_inside_requests=max_inside,
+        )
+        self.forwarder = Forwarder(
+            name=name,
+            in_force=self.in_force,
+            members=self.members,
+            permits=self.permits,
+            exchange=self.exchange,
+            runner=RequestRunner(
+                dispatcher=self.dispatcher,
+                client=self.client,
+                health=self.health,
+                clock=self.clock,
+                metrics=self.metrics,
+            ),
+            table=IdempotencyTable(self.members, self.clock),
+            clock=self.clock,
+            metrics=self.metrics,
+        )
+        self.app = CallerApp(
+            in_force=self.in_force,
+            freshness=freshness,
+            check_key=fake_check_key,
+            forwarder=self.forwarder,
+            jobs=SimpleNamespace(
+                submit=lambda team, queue, job: {"team": team},
+                status=lambda team, job_id: failures.JOB_UNKNOWN,
+                cancel=lambda team, job_id: None,
+            ),
+            submission_type=FakeSubmission,
+            metrics=self.metrics,
+        )
+
+    def change_document(self, changed):
+        """Put another document in force."""
+        self.in_force.current = SimpleNamespace(
+            version=self.in_force.current.version + 1,
+            digest="",
+            document=changed,
+        )
