Add the configuration views, keys, freshness, follower and membership

Every process follows the head record with one watch, reads all records again every 10 s in case a hint is lost, and refuses older versions and revisions. A pause of over 2 s or a removal from the members record suspends admission until the process has revalidated with the store.

--- /dev/null
+++ b/src/rosemarynotch/_internal/configuration/follower.py
@@ -0,0 +1,251 @@
+"""Following the shared records in the store."""
+
+import threading
+from typing import Callable
+
+import logbook
+
+from rosemarynotch._internal.configuration.documents import read_document
+from rosemarynotch._internal.configuration.documents import unpack_answer
+from rosemarynotch._internal.configuration.freshness import Freshness
+from rosemarynotch._internal.configuration.views import FleetView
+from rosemarynotch._internal.configuration.views import InForce
+from rosemarynotch._internal.configuration.views import MembersView
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
+from rosemarynotch._internal.exceptions import STORE_UNCHANGED
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models.messages import DocumentAnswer
+from rosemarynotch._internal.models.messages import Heartbeat
+from rosemarynotch._internal.models.records import ConfigPointer
+from rosemarynotch._internal.models.records import FleetRecord
+from rosemarynotch._internal.models.records import Head
+from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.platform.records import CONFIG_KEY
+from rosemarynotch._internal.platform.records import FLEET_KEY
+from rosemarynotch._internal.platform.records import HEAD_KEY
+from rosemarynotch._internal.platform.records import MEMBERS_KEY
+from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["CatchUp", "Follower"]
+
+# A writer may stop between its write and the update of the head, so the
+# records are read in full from time to time. Three reads in 10 s from 60
+# processes are 18 of the 2,000 reads a second that the store allows.
+FULL_READ_S = 10.0
+WATCH_MS = 4_000
+# Delay after a failed call, so that an outage is not met with a busy loop.
+RETRY_S = 0.5
+
+_log = logbook.Logger(__name__)
+
+
+class Follower:
+    """Keeps the views of this process up to date with the store.
+
+    :param freshness: is told of each answer of the store
+    """
+
+    def __init__(
+        self,
+        records: RecordStore,
+        in_force: InForce,
+        fleet: FleetView,
+        members: MembersView,
+        freshness: Freshness,
+        clock: Clock,
+    ) -> None:
+        self._records = records
+        self._in_force = in_force
+        self._fleet = fleet
+        self._members = members
+        self._freshness = freshness
+        self._clock = clock
+        self._head_revision = 0
+        self._config_revision = 0
+        self._full_read_s = -float("inf")
+        self._stopped = threading.Event()
+        self._thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Start the thread that follows the head record."""
+        self._thread = threading.Thread(
+            target=self._run, name="follower", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread; it ends after its watch."""
+        self._stopped.set()
+
+    def step(self, watch_ms: int = WATCH_MS) -> bool:
+        """Wait once for a change and take it over.
+
+        :returns: whether the store answered
+        """
+        now_s = self._clock.monotonic_s()
+        if now_s - self._full_read_s >= FULL_READ_S:
+            if not self.refresh():
+                return False
+            self._full_read_s = now_s
+        found = self._records.store.watch(
+            HEAD_KEY, self._head_revision, watch_ms
+        )
+        if isinstance(found, Failure):
+            return self._note(found)
+        self._freshness.note_store_contact()
+        head = codec.decode(found.value, Head)
+        if isinstance(head, Failure) or not self._take_head(head):
+            return False
+        self._head_revision = found.revision
+        return True
+
+    def refresh(self) -> bool:
+        """Read all records.
+
+        :returns: whether the store answered each call
+        """
+        return all(
+            [
+                self.refresh_config(),
+                self._refresh(self._fleet, FLEET_KEY, FleetRecord, True),
+                self._refresh(self._members, MEMBERS_KEY, MembersRecord),
+            ]
+        )
+
+    def refresh_config(self) -> bool:
+        """Read the configuration in force.
+
+        :returns: whether the store answered each call
+        """
+        read = self._records.read(CONFIG_KEY, ConfigPointer)
+        if isinstance(read, Failure):
+            return self._note(read)
+        self._freshness.note_store_contact()
+        pointer = read.value
+        if pointer.current.version > self._in_force.current.version:
+            stored = read_document(self._records.store, pointer.current.digest)
+            if isinstance(stored, Failure):
+                _log.warning("configuration not read: {}", stored.reason)
+                return self._note(stored)
+            self._in_force.apply(pointer, stored.document, stored.encoded)
+        self._config_revision = max(self._config_revision, read.revision)
+        return True
+
+    def _take_head(self, head: Head) -> bool:
+        done = True
+        if head.config_revision > self._config_revision:
+            done &= self.refresh_config()
+        if head.fleet_revision > self._fleet.revision:
+            done &= self._refresh(self._fleet, FLEET_KEY, FleetRecord, True)
+        if head.members_revision > self._members.revision:
+            done &= self._refresh(self._members, MEMBERS_KEY, MembersRecord)
+        return done
+
+    def _refresh(self, view, key, kind, compressed=False) -> bool:
+        read = self._records.read(key, kind, compressed)
+        if isinstance(read, Failure):
+            return self._note(read)
+        self._freshness.note_store_contact()
+        view.apply(read.value, read.revision)
+        return True
+
+    def _note(self, failure: Failure) -> bool:
+        """Tell whether a failure is an answer, and note the contact."""
+        answered = failure.is_a(STORE_KEY_MISSING)
+        answered |= failure.is_a(STORE_UNCHANGED)
+        if answered:
+            self._freshness.note_store_contact()
+        return answered
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            if not self.step():
+                self._stopped.wait(RETRY_S)
+
+
+class CatchUp:
+    """Fetches a configuration that a heartbeat has announced (rule R6).
+
+    The store is asked first. A peer is asked when the store does not have
+    the version or does not answer.
+
+    :param refresh: reads the configuration from the store
+    :param fetch: asks a member for a version
+    """
+
+    def __init__(
+        self,
+        in_force: InForce,
+        refresh: Callable[[], bool],
+        fetch: Callable[[str, int], DocumentAnswer | Failure],
+    ) -> None:
+        self._in_force = in_force
+        self._refresh = refresh
+        self._fetch = fetch
+        self._changed = threading.Condition()
+        self._announced: dict[str, int] = {}
+        self._stopped = False
+
+    def start(self) -> None:
+        """Start the thread that fetches."""
+        threading.Thread(
+            target=self._run, name="catch-up", daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """End the thread."""
+        with self._changed:
+            self._stopped = True
+            self._changed.notify_all()
+
+    def note_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Note the version that a member has in force."""
+        if heartbeat.config_version <= self._in_force.current.version:
+            return
+        with self._changed:
+            self._announced[heartbeat.sender] = heartbeat.config_version
+            self._changed.notify_all()
+
+    def step(self) -> None:
+        """Fetch the newest version that was announced."""
+        with self._changed:
+            announced, self._announced = self._announced, {}
+        newest = sorted(announced.items(), key=lambda item: -item[1])
+        if newest and newest[0][1] > self._in_force.current.version:
+            self._refresh()
+        for sender, version in newest:
+            if version <= self._in_force.current.version:
+                return
+            self._fetch_from(sender, version)
+
+    def document_answer(self, version: int) -> DocumentAnswer | Failure:
+        """Answer a peer that asks for a version or a newer one."""
+        current = self._in_force.current
+        if current.pointer is None or current.version < version:
+            return STORE_KEY_MISSING.because(f"version {version} not known")
+        return DocumentAnswer(
+            pointer=codec.encode(current.pointer), document=current.encoded
+        )
+
+    def _fetch_from(self, sender: str, version: int) -> None:
+        answer = self._fetch(sender, version)
+        if isinstance(answer, Failure):
+            return
+        unpacked = unpack_answer(answer)
+        if isinstance(unpacked, Failure):
+            _log.warning("document of {} refused: {}", sender, unpacked.reason)
+            return
+        pointer, stored = unpacked
+        self._in_force.apply(pointer, stored.document, stored.encoded)
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                self._changed.wait_for(
+                    lambda: self._announced or self._stopped
+                )
+                if self._stopped:
+                    return
+            self.step()
--- /dev/null
+++ b/tests/unit/test_configuration.py
@@ -0,0 +1,227 @@
+"""Tests of the views, keys, freshness and membership."""
+
+import random
+
+import attrs
+import testtools
+
+from rosemarynotch._internal import configuration
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.document import TeamSpec
+from rosemarynotch._internal.models.messages import Heartbeat
+from rosemarynotch._internal.models.records import ConfigPointer
+from rosemarynotch._internal.models.records import ConfigVersion
+from rosemarynotch._internal.models.records import Member
+from rosemarynotch._internal.models.records import MemberKind
+from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.platform.records import MEMBERS_KEY
+from rosemarynotch._internal.platform.records import RecordStore
+from standins.kv import KeyValue
+from tests.lib.clocks import ManualClock
+from tests.lib.stores import Fault
+from tests.lib.stores import MemoryStore
+
+
+def member(name, incarnation="i1", vm=None, kind=MemberKind.ENTRY):
+    """Build a member."""
+    return Member(
+        name=name,
+        kind=kind,
+        incarnation=incarnation,
+        vm=vm or f"vm-{name}",
+        vm_instance="1",
+        data_centre="Gent",
+        peer_address="",
+    )
+
+
+def heartbeat(sender, store_age_s=0.0, config_version=0):
+    """Build a heartbeat."""
+    return Heartbeat(
+        sender=sender,
+        incarnation="i1",
+        sequence=1,
+        members_revision=1,
+        config_version=config_version,
+        fleet_revision=0,
+        store_age_s=store_age_s,
+    )
+
+
+def members_view(names):
+    """Build a view with entries."""
+    view = configuration.MembersView()
+    record = MembersRecord(members={name: member(name) for name in names})
+    view.apply(record, 1)
+    return view
+
+
+class KeysTest(testtools.TestCase):
+    """Guards against work that is accepted for the wrong team (P3)."""
+
+    def test_table_of_authorizations(self):
+        text, spec = configuration.make_key("gent.quotes", "k1")
+        team = TeamSpec(
+            name="gent.quotes", share=1.0, limit_requests=1, keys=(spec,)
+        )
+        document = Document(pools=(), teams=(team,), queues=())
+        secret = text.rsplit(".", 1)[1]
+        table = [
+            ("", failures.KEY_MISSING),
+            ("Basic abc", failures.KEY_MISSING),
+            ("Bearer", failures.KEY_MISSING),
+            ("Bearer abc", failures.KEY_INVALID),
+            ("Bearer a..b", failures.KEY_INVALID),
+            (f"Bearer {text}x", failures.KEY_INVALID),
+            (f"Bearer gent.quotes.k2.{secret}", failures.KEY_WITHDRAWN),
+            (f"Bearer brugge.k1.{secret}", failures.TEAM_UNKNOWN),
+            (f"Bearer gent.quotes.k1.{secret}\udce9", failures.KEY_INVALID),
+        ]
+        for authorization, kind in table:
+            result = configuration.check_key(document, authorization)
+            self.assertTrue(result.is_a(kind), authorization)
+        holder = configuration.check_key(document, f"bearer  {text}")
+        self.assertEqual(("gent.quotes", "k1"), attrs.astuple(holder))
+
+
+class OwnerTest(testtools.TestCase):
+    """Guards against keys that change their owner needlessly (R5)."""
+
+    def test_only_keys_of_a_lost_entry_move(self):
+        names = [f"entry-{number}" for number in range(6)]
+        before, after = members_view(names), members_view(names[1:])
+        for number in range(200):
+            owner = before.owner("team", str(number))
+            if owner != names[0]:
+                self.assertEqual(owner, after.owner("team", str(number)))
+        self.assertEqual("", configuration.MembersView().owner("a", "b"))
+
+
+class FreshnessTest(testtools.TestCase):
+    """Guards against work that is accepted under an outdated key (R6)."""
+
+    def test_each_way_to_be_fresh_ends(self):
+        clock = ManualClock()
+        view = members_view(["a", "b", "c"])
+        freshness = configuration.Freshness(clock, view, "a")
+        self.assertIsNotNone(freshness.check())
+        freshness.note_store_contact()
+        clock.advance(10)
+        self.assertIsNone(freshness.check())
+        clock.advance(0.1)
+        self.assertIsNotNone(freshness.check())
+        freshness.note_heartbeat(heartbeat("b", store_age_s=4))
+        clock.advance(6)
+        self.assertIsNone(freshness.check())
+        clock.advance(0.1)
+        self.assertIsNotNone(freshness.check())
+        freshness.note_heartbeat(heartbeat("c", store_age_s=99))
+        self.assertIsNone(freshness.check())
+        clock.advance(10.1)
+        self.assertIsNotNone(freshness.check())
+
+
+class MembershipTest(testtools.TestCase):
+    """Guards against a member that is lost or taken for another (R2)."""
+
+    def setUp(self):
+        super().setUp()
+        self.core = KeyValue()
+        self.clock = ManualClock()
+
+    def membership(self, me):
+        self.store = MemoryStore(self.core)
+        records = RecordStore(self.store, self.clock, random.Random(1))
+        view = configuration.MembersView()
+        return configuration.Membership(records, view, me)
+
+    def listed(self):
+        data = self.core.get(MEMBERS_KEY).value
+        return codec.decode(data, MembersRecord).members
+
+    def test_lost_answer_is_verified_by_reading(self):
+        membership = self.membership(member("a"))
+        self.store.fault, self.store.fault_calls = Fault.LOST_ANSWER, 2
+        self.assertIsNotNone(membership.register())
+        self.assertIsNone(membership.register())
+        self.assertEqual({"a"}, set(self.listed()))
+
+    def test_name_of_another_vm_is_kept(self):
+        self.assertIsNone(self.membership(member("a")).register())
+        self.assertIsNone(self.membership(member("a", "i2")).register())
+        self.assertEqual("i2", self.listed()["a"].incarnation)
+        other = self.membership(member("a", "i3", vm="vm-z")).register()
+        self.assertTrue(other.is_a(failures.STORE_CONFLICT))
+
+    def test_old_incarnation_does_not_remove_the_new_one(self):
+        old = self.membership(member("a", "i1"))
+        old.register()
+        self.membership(member("a", "i2")).register()
+        self.assertIsNone(old.remove())
+        self.assertEqual("i2", self.listed()["a"].incarnation)
+
+    def test_pause_suspends_until_revalidated(self):
+        membership = self.membership(member("a"))
+        membership.register()
+        seen = []
+        membership.add_listener(seen.append)
+        guard = configuration.PauseGuard(self.clock)
+        guard.add_revalidation(membership.revalidate)
+        self.clock.advance(2.1)
+        self.assertTrue(guard.suspended())
+        self.store.fault = Fault.DOWN
+        guard.tick()
+        self.assertTrue(guard.suspended())
+        self.store.fault = Fault.NONE
+        guard.tick()
+        self.assertFalse(guard.suspended())
+        self.assertEqual([], seen)
+
+    def test_removed_member_registers_as_a_new_one(self):
+        membership = self.membership(member("a"))
+        membership.register()
+        guard = configuration.PauseGuard(self.clock)
+        guard.add_revalidation(membership.revalidate)
+        self.membership(member("a")).remove()
+        self.clock.advance(3)
+        guard.tick()
+        self.assertFalse(guard.suspended())
+        self.assertNotEqual("i1", membership.me.incarnation)
+        self.assertEqual(membership.me, self.listed()["a"])
+
+
+class DocumentTest(testtools.TestCase):
+    """Guards against a document that is not the accepted one (P10)."""
+
+    def test_changed_bytes_are_refused(self):
+        document = Document(pools=(), teams=(), queues=())
+        data = codec.encode(document)
+        digest = configuration.document_digest(data)
+        store = MemoryStore(KeyValue())
+        store.put(configuration.document_key(digest), data + b"x", 0)
+        result = configuration.read_document(store, digest)
+        self.assertTrue(result.is_a(failures.DOCUMENT_MALFORMED))
+
+    def test_version_does_not_go_back(self):
+        in_force = configuration.InForce()
+        document = Document(pools=(), teams=(), queues=())
+        self.assertTrue(in_force.apply(pointer(2), document))
+        self.assertFalse(in_force.apply(pointer(2), document))
+        self.assertFalse(in_force.apply(pointer(1), document))
+        self.assertEqual(2, in_force.current.version)
+
+
+def pointer(version, digest="d"):
+    """Build a pointer to a version."""
+    return ConfigPointer(
+        current=ConfigVersion(
+            version=version,
+            digest=digest,
+            change_id=f"c{version}",
+            operator="op",
+            reason="test",
+            accepted_at_s=0.0,
+        )
+    )
