Add the exchange between processes

One ROUTER socket per process and one DEALER socket and thread per peer. The peer acknowledges heartbeats and probes on the same connection. A forward is given to the socket only while acknowledgements are recent, so that a refusal as unreachable means that nothing was sent; once it was given to the socket, a missing answer has an unknown outcome.

--- a/src/rosemarynotch/_internal/peers/__init__.py
+++ b/src/rosemarynotch/_internal/peers/__init__.py
@@ -1,1 +1,7 @@
-"""Exchange between the processes of rosemarynotch."""
+"""The exchange between processes: heartbeats, forwards, hints."""
+
+from rosemarynotch._internal.peers.exchange import Exchange
+from rosemarynotch._internal.peers.heard import HeardMember
+from rosemarynotch._internal.peers.timing import Timing
+
+__all__ = ["Exchange", "HeardMember", "Timing"]
--- /dev/null
+++ b/src/rosemarynotch/_internal/peers/exchange.py
@@ -0,0 +1,321 @@
+"""Messages between the members."""
+
+import itertools
+import threading
+from typing import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+import logbook
+import zmq
+
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import PEER_UNREACHABLE
+from rosemarynotch._internal.exceptions import SHUTTING_DOWN
+from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models.messages import DocumentAnswer
+from rosemarynotch._internal.models.messages import DocumentRequest
+from rosemarynotch._internal.models.messages import Forward
+from rosemarynotch._internal.models.messages import ForwardAnswer
+from rosemarynotch._internal.models.messages import Heartbeat
+from rosemarynotch._internal.models.messages import LimitChanged
+from rosemarynotch._internal.models.records import Member
+from rosemarynotch._internal.peers.heard import Heard
+from rosemarynotch._internal.peers.heard import HeardMember
+from rosemarynotch._internal.peers.link import Link
+from rosemarynotch._internal.peers.server import Server
+from rosemarynotch._internal.peers.timing import Timing
+from rosemarynotch._internal.peers.wire import Kind
+from rosemarynotch._internal.peers.wire import Message
+
+if TYPE_CHECKING:
+    from rosemarynotch._internal.configuration import MembersView
+
+__all__ = ["Exchange"]
+
+DOCUMENT_TIMEOUT_S = 5.0
+
+_log = logbook.Logger(__name__)
+
+
+@attrs.frozen
+class _LinkTiming:
+    """The times of a link, which follow the number of members."""
+
+    timing: Timing
+    members: "MembersView"
+
+    def beat_s(self) -> float:
+        return self.timing.period_for(len(self.members.record.members))
+
+    def silence_s(self) -> float:
+        return self.timing.silence_for(len(self.members.record.members))
+
+
+class Exchange:
+    """Heartbeats, forwards and hints between this process and its peers.
+
+    Callbacks of heartbeats and hints run on the thread of the server
+    socket and must not wait.
+
+    :param me: this member; its peer address is bound
+    :param members: the peers are its members
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        members: "MembersView",
+        clock,
+        metrics,
+        timing: Timing | None = None,
+    ) -> None:
+        self._me = me
+        self._members = members
+        self._clock = clock
+        self._metrics = metrics
+        self._timing = timing or Timing()
+        self._link_timing = _LinkTiming(self._timing, members)
+        self._heard = Heard(members, clock)
+        self._context = zmq.Context()
+        self._server = Server(self._context, metrics, self._take, self._answer)
+        self._address = ""
+        self._lock = threading.Lock()
+        self._links: dict[str, Link] = {}
+        self._running = False
+        self._request_ids = itertools.count(1)
+        self._beat = threading.Event()
+        self._ticker = threading.Thread(
+            target=self._tick, name="heartbeats", daemon=True
+        )
+        self._source: Callable[[], Heartbeat] | None = None
+        self._on_forward: Callable[[Forward], ForwardAnswer] | None = None
+        self._on_document = _no_document
+        self._on_heartbeat: tuple[Callable[[Heartbeat], None], ...] = ()
+        self._on_limit: tuple[Callable[[str], None], ...] = ()
+
+    def bind(self) -> str:
+        """Bind the peer address, before this member is registered.
+
+        :returns: the address with its port
+        :raises SettingsError: if the address cannot be bound
+        """
+        if not self._address:
+            self._address = self._server.bind(self._me.peer_address)
+        return self._address
+
+    def start(self) -> None:
+        """Start the threads."""
+        self.bind()
+        self._running = True
+        self._server.start()
+        self._ticker.start()
+        self._members.add_listener(self._follow_members)
+        self._follow_members()
+
+    def stop(self) -> None:
+        """End the threads and close the sockets."""
+        with self._lock:
+            self._running = False
+            links, self._links = list(self._links.values()), {}
+        self._beat.set()
+        for link in links:
+            link.stop()
+        for link in links:
+            link.join()
+        if self._ticker.ident is not None:
+            self._ticker.join()
+        self._server.stop()
+        self._context.destroy(linger=0)
+
+    def set_heartbeat_source(self, callback: Callable[[], Heartbeat]) -> None:
+        """Set what builds the heartbeats of this member."""
+        self._source = callback
+
+    def add_heartbeat_listener(
+        self, callback: Callable[[Heartbeat], None]
+    ) -> None:
+        """Call back with each heartbeat that is taken."""
+        self._on_heartbeat += (callback,)
+
+    def set_forward_handler(
+        self, callback: Callable[[Forward], ForwardAnswer]
+    ) -> None:
+        """Set what runs forwarded requests, on a worker thread."""
+        self._on_forward = callback
+
+    def set_document_source(
+        self, callback: Callable[[int], DocumentAnswer | Failure]
+    ) -> None:
+        """Set what answers a peer that asks for a configuration."""
+        self._on_document = callback
+
+    def add_limit_listener(self, callback: Callable[[str], None]) -> None:
+        """Call back with the team whose limit record has changed."""
+        self._on_limit += (callback,)
+
+    def hasten(self) -> None:
+        """Send a heartbeat at once, or soon after the previous one."""
+        self._beat.set()
+
+    def forward(
+        self, entry: str, forward: Forward, timeout_s: float
+    ) -> ForwardAnswer | Failure:
+        """Let another entry run a request.
+
+        :returns: its answer; PEER_UNREACHABLE or PEER_VERSION (not run), or
+            PEER_TIMEOUT with ``ran`` unknown
+        """
+        return self._request(
+            entry, Kind.FORWARD, forward, ForwardAnswer, timeout_s
+        )
+
+    def fetch_document(
+        self, entry: str, version: int
+    ) -> DocumentAnswer | Failure:
+        """Ask another member for a configuration of at least a version."""
+        request = DocumentRequest(version=version)
+        return self._request(
+            entry,
+            Kind.DOCUMENT_REQUEST,
+            request,
+            DocumentAnswer,
+            DOCUMENT_TIMEOUT_S,
+        )
+
+    def send_limit_changed(self, entry: str, team: str) -> None:
+        """Hint that a limit record has changed; it may get lost."""
+        link = self._links.get(entry)
+        if link is not None:
+            body = codec.encode(LimitChanged(team=team))
+            link.send(Message(Kind.LIMIT_CHANGED, 0, body))
+
+    def heard(self) -> dict[str, HeardMember]:
+        """Return the last heartbeat of each member and its age."""
+        return self._heard.members()
+
+    def connected(self) -> list[str]:
+        """Return the members that acknowledge heartbeats."""
+        with self._lock:
+            links = list(self._links.values())
+        return sorted(link.peer.name for link in links if link.is_connected())
+
+    def _request(self, entry, kind, request, answer_kind, timeout_s):
+        link = self._links.get(entry)
+        if link is None:
+            return PEER_UNREACHABLE.because(f"{entry} is not a member")
+        message = Message(kind, next(self._request_ids), codec.encode(request))
+        answer = link.request(message, timeout_s)
+        if isinstance(answer, Failure):
+            return answer
+        decoded = codec.decode(answer.body, answer_kind)
+        if isinstance(decoded, Failure):
+            # The peer has run something, but its answer cannot be read.
+            return decoded.after_start()
+        return decoded
+
+    def _take(self, message: Message) -> None:
+        if message.kind is Kind.HEARTBEAT:
+            self._take_heartbeat(message.body)
+        elif message.kind is Kind.LIMIT_CHANGED:
+            hint = codec.decode(message.body, LimitChanged)
+            if not isinstance(hint, Failure):
+                for callback in self._on_limit:
+                    callback(hint.team)
+
+    def _take_heartbeat(self, body: bytes) -> None:
+        heartbeat = codec.decode(body, Heartbeat)
+        if isinstance(heartbeat, Failure) or not self._heard.take(heartbeat):
+            self._metrics.count("peer_heartbeats_refused")
+            return
+        for callback in self._on_heartbeat:
+            callback(heartbeat)
+
+    def _answer(self, message: Message) -> Message | Failure:
+        if message.kind is Kind.DOCUMENT_REQUEST:
+            request = codec.decode(message.body, DocumentRequest)
+            if isinstance(request, Failure):
+                return request
+            answer = self._on_document(request.version)
+            kind = Kind.DOCUMENT_ANSWER
+        else:
+            request = codec.decode(message.body, Forward)
+            if isinstance(request, Failure):
+                return request
+            if self._on_forward is None:
+                return SHUTTING_DOWN.because("takes no requests of peers")
+            answer = self._on_forward(request)
+            kind = Kind.FORWARD_ANSWER
+        if isinstance(answer, Failure):
+            return answer
+        return Message(kind, message.request_id, codec.encode(answer))
+
+    def _tick(self) -> None:
+        hasten_s = self._timing.hasten_s
+        while self._running:
+            self._send_heartbeat()
+            # The least time between heartbeats is waited out first, so that
+            # requests for one in the meantime lead to one heartbeat.
+            self._clock.sleep(hasten_s)
+            self._beat.wait(self._link_timing.beat_s() - hasten_s)
+            self._beat.clear()
+
+    def _send_heartbeat(self) -> None:
+        if self._source is None:
+            return
+        try:
+            body = codec.encode(self._source())
+        except Exception:
+            self._metrics.count("peer_handler_errors")
+            _log.exception("error in the source of heartbeats")
+            return
+        message = Message(Kind.HEARTBEAT, 0, body)
+        with self._lock:
+            links = list(self._links.values())
+        for link in links:
+            link.send(message)
+
+    def _follow_members(self) -> None:
+        """Open, replace and close links as the members record says."""
+        wanted = {
+            name: member
+            for name, member in self._members.record.members.items()
+            if name != self._me.name
+        }
+        with self._lock:
+            if not self._running:
+                return
+            outdated = [
+                link
+                for name, link in self._links.items()
+                if wanted.get(name) != link.peer
+            ]
+            for link in outdated:
+                del self._links[link.peer.name]
+            opened = [
+                self._open(member)
+                for name, member in wanted.items()
+                if name not in self._links
+            ]
+        for link in outdated:
+            link.stop()
+        self._heard.forget_others()
+        if opened:
+            self.hasten()
+
+    def _open(self, member: Member) -> Link:
+        link = Link(
+            self._context,
+            member,
+            self._clock,
+            self._metrics,
+            self._link_timing,
+        )
+        self._links[member.name] = link
+        link.start()
+        return link
+
+
+def _no_document(version: int) -> Failure:
+    return STORE_KEY_MISSING.because(f"version {version} not known")
--- /dev/null
+++ b/tests/unit/test_peers.py
@@ -0,0 +1,343 @@
+"""Tests of the exchange against peers that fail in different ways."""
+
+import threading
+import time
+
+import attrs
+import msgspec
+import testtools
+import zmq
+
+from rosemarynotch._internal.configuration import MembersView
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models import messages
+from rosemarynotch._internal.models.records import Member
+from rosemarynotch._internal.models.records import MemberKind
+from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.peers import Exchange
+from rosemarynotch._internal.peers.heard import Heard
+from rosemarynotch._internal.peers import Timing
+from rosemarynotch._internal.peers.wire import decode_message
+from rosemarynotch._internal.peers.wire import encode_message
+from rosemarynotch._internal.peers.wire import Kind
+from rosemarynotch._internal.peers.wire import Message
+from rosemarynotch._internal.utils.clock import SystemClock
+from tests.lib.clocks import ManualClock
+from tests.lib.counts import Counts
+
+FAST = Timing(period_s=0.1, per_member_s=0.0, hasten_s=0.02)
+PATIENCE_S = 20
+
+
+def wait_for(condition):
+    """Wait until a condition holds; a hang is a failure."""
+    end_s = time.monotonic() + PATIENCE_S
+    while not condition():
+        if time.monotonic() > end_s:
+            raise AssertionError("condition not reached")
+        time.sleep(0.01)
+
+
+def member(name, address="127.0.0.1:0", incarnation="i1"):
+    """Build an entry."""
+    return Member(
+        name=name,
+        kind=MemberKind.ENTRY,
+        incarnation=incarnation,
+        vm=name,
+        vm_instance="1",
+        data_centre="Gent",
+        peer_address=address,
+    )
+
+
+def heartbeat(sender, incarnation="i1", sequence=1, members_revision=1):
+    """Build a heartbeat."""
+    return messages.Heartbeat(
+        sender=sender,
+        incarnation=incarnation,
+        sequence=sequence,
+        members_revision=members_revision,
+        config_version=0,
+        fleet_revision=0,
+        store_age_s=0.0,
+    )
+
+
+def forward():
+    """Build a request to forward."""
+    request = messages.CallerRequest(
+        request_id="r",
+        team="t",
+        key_id="k",
+        queue="q",
+        method="POST",
+        path="/",
+        headers=(),
+        body=b"x" * 100_000,
+        worth=1.0,
+        remaining_ms=1000,
+        idempotent=False,
+    )
+    return messages.Forward(
+        request=request, members_revision=1, config_version=1
+    )
+
+
+class RawPeer:
+    """A peer that answers as a test decides.
+
+    :ivar answer: kind -> frames to send back
+    """
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.received = []
+        self._stopped = False
+        self._context = zmq.Context()
+        self._socket = self._context.socket(zmq.ROUTER)
+        port = self._socket.bind_to_random_port("tcp://127.0.0.1")
+        self.address = f"127.0.0.1:{port}"
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def kinds(self):
+        """Return the kinds of the messages received."""
+        return [message.kind for _, message in list(self.received)]
+
+    def stop(self):
+        """End the peer."""
+        self._stopped = True
+        self._thread.join()
+        self._context.destroy(linger=0)
+
+    def _run(self):
+        while not self._stopped:
+            if not self._socket.poll(10):
+                continue
+            identity, data = self._socket.recv_multipart()
+            message = decode_message(data)
+            self.received.append((identity, message))
+            for frame in self.answer(message):
+                self._socket.send_multipart([identity, frame])
+
+
+ACK = encode_message(Message(Kind.ACK))
+
+
+def acknowledge(message):
+    """Acknowledge probes and heartbeats; answer no request."""
+    if message.kind in (Kind.PROBE, Kind.HEARTBEAT):
+        return [ACK]
+    return []
+
+
+class FaultTableTest(testtools.TestCase):
+    """Guards against refusals that say "not run" of what ran (P6, P7)."""
+
+    def setUp(self):
+        super().setUp()
+        self.counts = Counts()
+        self.members = MembersView()
+        self.exchange = Exchange(
+            member("a"), self.members, SystemClock(), self.counts, FAST
+        )
+        self.exchange.start()
+        self.addCleanup(self.exchange.stop)
+
+    def peer(self, answer, revision=1):
+        peer = RawPeer(answer)
+        self.addCleanup(peer.stop)
+        record = MembersRecord(members={"b": member("b", peer.address)})
+        self.members.apply(record, revision)
+        return peer
+
+    def connected_peer(self, answer):
+        peer = self.peer(answer)
+        wait_for(lambda: self.exchange.connected() == ["b"])
+        return peer
+
+    def assert_failure(self, result, kind, ran):
+        self.assertIsInstance(result, Failure)
+        self.assertEqual((kind.code, ran), (result.code, result.ran))
+
+    def test_unknown_member(self):
+        result = self.exchange.forward("z", forward(), 1)
+        self.assert_failure(result, failures.PEER_UNREACHABLE, Ran.NO)
+
+    def test_peer_that_was_never_heard(self):
+        record = MembersRecord(members={"b": member("b", "127.0.0.1:9")})
+        self.members.apply(record, 1)
+        result = self.exchange.forward("b", forward(), 1)
+        self.assert_failure(result, failures.PEER_UNREACHABLE, Ran.NO)
+
+    def test_peer_that_does_not_answer(self):
+        peer = self.connected_peer(acknowledge)
+        result = self.exchange.forward("b", forward(), 0.3)
+        self.assert_failure(result, failures.PEER_TIMEOUT, Ran.UNKNOWN)
+        self.assertIn(Kind.FORWARD, peer.kinds())
+
+    def test_peer_that_falls_silent_gets_no_forward(self):
+        peer = self.connected_peer(acknowledge)
+        peer.answer = lambda message: []
+        wait_for(lambda: not self.exchange.connected())
+        result = self.exchange.forward("b", forward(), 1)
+        self.assert_failure(result, failures.PEER_UNREACHABLE, Ran.NO)
+        self.assertNotIn(Kind.FORWARD, peer.kinds())
+        wait_for(lambda: self.counts.by_name["peer_links_replaced"])
+        peer.answer = acknowledge
+        wait_for(self.exchange.connected)
+        self.assertGreater(len({who for who, _ in peer.received}), 1)
+
+    def test_connection_lost_while_waiting(self):
+        peer = self.connected_peer(acknowledge)
+
+        def fall_silent(message):
+            if message.kind is Kind.FORWARD:
+                peer.answer = lambda message: []
+            return acknowledge(message)
+
+        peer.answer = fall_silent
+        result = self.exchange.forward("b", forward(), 3600)
+        self.assert_failure(result, failures.PEER_TIMEOUT, Ran.UNKNOWN)
+
+    def test_other_protocol_version(self):
+        other = msgspec.msgpack.encode([2, "ack", {"layout": "other"}])
+        peer = self.peer(lambda message: [other])
+        wait_for(lambda: self.counts.by_name["peer_messages_refused"])
+        result = self.exchange.forward("b", forward(), 1)
+        self.assert_failure(result, failures.PEER_VERSION, Ran.NO)
+        self.assertNotIn(Kind.FORWARD, peer.kinds())
+
+    def test_late_answer_is_dropped(self):
+        held = []
+
+        def answer_late(message):
+            if message.kind is not Kind.FORWARD:
+                return acknowledge(message)
+            body = codec.encode(
+                messages.ForwardAnswer(
+                    answer=messages.Answer(
+                        status=200 + message.request_id, headers=(), body=b""
+                    )
+                )
+            )
+            kind = Kind.FORWARD_ANSWER
+            held.append(
+                encode_message(Message(kind, message.request_id, body))
+            )
+            return list(held) if len(held) > 1 else []
+
+        self.connected_peer(answer_late)
+        first = self.exchange.forward("b", forward(), 0.3)
+        self.assert_failure(first, failures.PEER_TIMEOUT, Ran.UNKNOWN)
+        second = self.exchange.forward("b", forward(), PATIENCE_S)
+        self.assertEqual(202, second.answer.status)
+        self.assertEqual(1, self.counts.by_name["peer_answers_late"])
+
+    def test_restarted_member_gets_a_new_link(self):
+        self.connected_peer(acknowledge)
+        new = self.peer(acknowledge, revision=2)
+        wait_for(lambda: self.exchange.connected() == ["b"])
+        self.exchange.forward("b", forward(), 0.3)
+        wait_for(lambda: Kind.FORWARD in new.kinds())
+
+    def test_second_process_cannot_bind_the_address(self):
+        second = Exchange(
+            member("c", self.exchange.bind()),
+            self.members,
+            SystemClock(),
+            self.counts,
+        )
+        self.assertRaises(SettingsError, second.bind)
+        second.stop()
+
+
+class PairTest(testtools.TestCase):
+    """Guards against messages that do not reach their handler."""
+
+    def setUp(self):
+        super().setUp()
+        self.exchanges = {}
+        views = {}
+        for name in ("a", "b"):
+            views[name] = MembersView()
+            exchange = Exchange(
+                member(name), views[name], SystemClock(), Counts(), FAST
+            )
+            self.exchanges[name] = exchange
+            exchange.start()
+            self.addCleanup(exchange.stop)
+        record = MembersRecord(
+            members={
+                name: member(name, exchange.bind())
+                for name, exchange in self.exchanges.items()
+            }
+        )
+        for view in views.values():
+            view.apply(record, 1)
+        wait_for(lambda: self.exchanges["a"].connected())
+
+    def test_forward_hint_and_document(self):
+        a, b = self.exchanges["a"], self.exchanges["b"]
+        answer = messages.Answer(status=201, headers=(), body=b"y" * 10**6)
+        b.set_forward_handler(lambda _: messages.ForwardAnswer(answer=answer))
+        result = a.forward("b", forward(), PATIENCE_S)
+        self.assertEqual(answer, result.answer)
+        teams = []
+        b.add_limit_listener(teams.append)
+        a.send_limit_changed("b", "ledger")
+        wait_for(lambda: teams == ["ledger"])
+        document = messages.DocumentAnswer(pointer=b"p", document=b"d")
+        missing = a.fetch_document("b", 3)
+        self.assertTrue(missing.is_a(failures.STORE_KEY_MISSING))
+        b.set_document_source(lambda version: document)
+        self.assertEqual(document, a.fetch_document("b", 3))
+
+    def test_error_in_a_handler_is_an_unknown_outcome(self):
+        a, b = self.exchanges["a"], self.exchanges["b"]
+        b.set_forward_handler(lambda _: 1 / 0)
+        result = a.forward("b", forward(), 0.5)
+        self.assertIs(Ran.UNKNOWN, result.ran)
+        self.assertTrue(a.connected())
+
+    def test_heartbeats_arrive(self):
+        a, b = self.exchanges["a"], self.exchanges["b"]
+        sent = []
+
+        def source():
+            sent.append(heartbeat("a", sequence=len(sent) + 1))
+            return sent[-1]
+
+        a.set_heartbeat_source(source)
+        a.hasten()
+        wait_for(lambda: b.heard())
+        self.assertIn(b.heard()["a"].heartbeat, sent)
+
+
+class HeardTest(testtools.TestCase):
+    """Guards against news of a process that has been replaced."""
+
+    def test_table(self):
+        view = MembersView()
+        record = MembersRecord(members={"b": member("b", incarnation="i2")})
+        view.apply(record, 5)
+        heard = Heard(view, ManualClock())
+        table = [
+            ("i1", 9, 5, False, "replaced incarnation"),
+            ("i2", 1, 4, True, "registered incarnation"),
+            ("i2", 1, 5, False, "repeated"),
+            ("i2", 3, 5, True, "next"),
+            ("i2", 2, 5, False, "late"),
+            ("i3", 1, 6, True, "incarnation of a newer record"),
+            ("i2", 3, 5, False, "late after a newer incarnation"),
+        ]
+        for incarnation, sequence, revision, taken, reason in table:
+            news = heartbeat("b", incarnation, sequence, revision)
+            self.assertEqual(taken, heard.take(news), reason)
+        unknown = attrs.evolve(heartbeat("z"), members_revision=5)
+        self.assertFalse(heard.take(unknown))
