Add permits under the limits of teams

Portions in the limit records are claimed, moved, lowered and reclaimed by compare-and-swap. A stateful test runs processes with lost and delayed writes, outages, pauses, restarts, removals and changes of the limit.

--- /dev/null
+++ b/src/rosemarynotch/_internal/admission/gone.py
@@ -0,0 +1,131 @@
+"""Evidence that a holder of portions is gone (rule R2)."""
+
+import attrs
+
+from rosemarynotch._internal.admission.portions import is_set_aside
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
+from rosemarynotch._internal.models.records import Member
+from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.platform.interface import VmService
+from rosemarynotch._internal.platform.records import MEMBERS_KEY
+from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["GoneWatch", "HolderKey"]
+
+# Beyond the longest run time; covers the gap after which a paused process
+# stops admitting requests.
+MARGIN_S = 2.0
+# The VM list lags, so it may not show a new VM yet. An instance that this
+# process has never seen listed counts as gone only after this time.
+UNSEEN_S = 600.0
+
+
+@attrs.frozen
+class HolderKey:
+    """The key of a portion in a limit record and its incarnation."""
+
+    key: str
+    incarnation: str
+
+
+class GoneWatch:
+    """Tells which holders are gone for long enough to reclaim portions.
+
+    The evidence is looked at again in each call; the wait starts anew when
+    it vanishes. A holder that is not in the members record is gone: it
+    registers before it holds portions, and it is removed only after a
+    graceful stop or on the evidence of rule R2.
+
+    :param me: this member, which a credible VM list contains
+    """
+
+    def __init__(
+        self, records: RecordStore, vms: VmService, me: Member, clock: Clock
+    ) -> None:
+        self._records = records
+        self._vms = vms
+        self._me = me
+        self._clock = clock
+        self._since_s: dict[HolderKey, float] = {}
+        self._unseen_s: dict[tuple[str, str], float] = {}
+        self._seen: set[tuple[str, str]] = set()
+
+    def waiting(self) -> bool:
+        """Tell whether a holder seems gone, but not for long enough."""
+        return bool(self._since_s)
+
+    def gone(
+        self, holders: set[HolderKey], longest_run_s: float
+    ) -> frozenset[HolderKey]:
+        """Return the holders whose portions may be reclaimed.
+
+        :param holders: from limit records that were read before this call
+        """
+        members = self._members()
+        if isinstance(members, Failure):
+            return frozenset()
+        lost_vms = self._lost_vms(members)
+        now_s = self._clock.monotonic_s()
+        suspects = {
+            holder
+            for holder in holders
+            if _is_replaced(holder, members)
+            or _vm_of(holder, members) in lost_vms
+        }
+        self._since_s = {
+            holder: self._since_s.get(holder, now_s) for holder in suspects
+        }
+        wait_s = longest_run_s + MARGIN_S
+        return frozenset(
+            holder
+            for holder, since_s in self._since_s.items()
+            if now_s - since_s >= wait_s
+        )
+
+    def _members(self) -> MembersRecord | Failure:
+        """Read the record anew, as the view may be older than a portion."""
+        read = self._records.read(MEMBERS_KEY, MembersRecord)
+        if isinstance(read, Failure):
+            if read.is_a(STORE_KEY_MISSING):
+                return MembersRecord()
+            return read
+        return read.value
+
+    def _lost_vms(self, members: MembersRecord) -> set[tuple[str, str]]:
+        """Return VM instances of members that the list lacks."""
+        listed = self._vms.vms()
+        if isinstance(listed, Failure):
+            return set()
+        instances = {(vm.name, vm.instance) for vm in listed}
+        if self._me.vm not in {name for name, _ in instances}:
+            # An empty list, or one of somewhere else, proves nothing.
+            return set()
+        of_members = {
+            (member.vm, member.vm_instance)
+            for member in members.members.values()
+        }
+        missing = of_members - instances
+        self._seen = (self._seen | instances) & (of_members | instances)
+        now_s = self._clock.monotonic_s()
+        self._unseen_s = {
+            vm: self._unseen_s.get(vm, now_s) for vm in missing - self._seen
+        }
+        return {
+            vm
+            for vm in missing
+            if vm in self._seen or now_s - self._unseen_s[vm] >= UNSEEN_S
+        }
+
+
+def _is_replaced(holder: HolderKey, members: MembersRecord) -> bool:
+    if is_set_aside(holder.key):
+        return True
+    member = members.members.get(holder.key)
+    return member is None or member.incarnation != holder.incarnation
+
+
+def _vm_of(holder: HolderKey, members: MembersRecord):
+    member = members.members.get(holder.key)
+    return (member.vm, member.vm_instance) if member is not None else None
--- /dev/null
+++ b/src/rosemarynotch/_internal/admission/schedule.py
@@ -0,0 +1,51 @@
+"""What is due when, for one thread that waits for it."""
+
+import threading
+
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["Schedule"]
+
+
+class Schedule:
+    """Names with the earliest time at which each is due."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._due_s: dict[str, float] = {}
+        self._stopped = False
+
+    def add(self, name: str, delay_s: float = 0.0) -> None:
+        """Let a name be due after a delay, or earlier if it already is."""
+        at_s = self._clock.monotonic_s() + delay_s
+        with self._changed:
+            self._due_s[name] = min(at_s, self._due_s.get(name, at_s))
+            self._changed.notify_all()
+
+    def take_due(self) -> list[str]:
+        """Return and remove the names that are due."""
+        now_s = self._clock.monotonic_s()
+        with self._changed:
+            due = [name for name, at_s in self._due_s.items() if at_s <= now_s]
+            for name in due:
+                del self._due_s[name]
+        return due
+
+    def wait(self, until_s: float) -> bool:
+        """Wait until a name is due or a time is reached.
+
+        :returns: False after :meth:`stop`
+        """
+        with self._changed:
+            next_s = min([until_s, *self._due_s.values()])
+            wait_s = next_s - self._clock.monotonic_s()
+            if wait_s > 0 and not self._stopped:
+                self._changed.wait(wait_s)
+            return not self._stopped
+
+    def stop(self) -> None:
+        """End the waiting."""
+        with self._changed:
+            self._stopped = True
+            self._changed.notify_all()
--- a/src/rosemarynotch/_internal/peers/link.py
+++ b/src/rosemarynotch/_internal/peers/link.py
@@ -172,6 +172,8 @@
                 self._pending[request.message.request_id] = future
         data = encode_message(request.message)
         try:
+            if future is not None and not self.is_connected():
+                raise zmq.Again
             socket.send(data, zmq.DONTWAIT)
         except zmq.Again:
             self._refuse_taken(request)
--- /dev/null
+++ b/tests/unit/test_limits_stateful.py
@@ -0,0 +1,261 @@
+"""Stateful test of the limits of teams over several processes (P4)."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.platform.records import MEMBERS_KEY
+from standins.kv import KeyValue
+from tests.lib.clocks import ManualClock
+from tests.lib.fleet import limit_document
+from tests.lib.fleet import LONGEST_RUN_S
+from tests.lib.fleet import member
+from tests.lib.fleet import pointer
+from tests.lib.fleet import Process
+from tests.lib.fleet import VmList
+from tests.lib.stores import Fault
+
+NAMES = ("a", "b", "c")
+TEAM = "ledger"
+TICK_S = 0.5
+
+names = strategies.sampled_from(NAMES)
+
+
+class Holder:
+    """A process as the test sees it.
+
+    :ivar starts_s: start times of the requests that it has not released
+    """
+
+    def __init__(self, process):
+        self.process = process
+        self.version = 0
+        self.starts_s = []
+        self.paused = False
+        self.paused_s = 0.0
+
+
+class LimitsMachine(stateful.RuleBasedStateMachine):
+    """Processes that admit requests while everything goes wrong.
+
+    A request runs on its target for the longest run time at most, also
+    when the process that sent it is paused or dead.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.core = KeyValue(lambda: self.clock.now_s)
+        self.vms = VmList(NAMES)
+        self.documents = [limit_document({TEAM: 5})]
+        self.incarnations = 0
+        self.holders = {}
+        self.orphans_s = []
+        for name in NAMES:
+            self.start(name)
+        self.total_before = 0
+
+    def start(self, name):
+        self.incarnations += 1
+        me = member(
+            name,
+            f"i{self.incarnations}",
+            instance=self.vms.instances[f"vm-{name}"],
+        )
+        process = Process(
+            self.core, self.clock, self.vms, me, self.incarnations
+        )
+        process.membership.register()
+        process.guard.tick()
+        self.holders[name] = Holder(process)
+        self.follow(name)
+
+    def live(self, name):
+        holder = self.holders.get(name)
+        return None if holder is None or holder.paused else holder
+
+    def total(self):
+        """Return the number of requests that truly run."""
+        since_s = self.clock.now_s - LONGEST_RUN_S
+        starts_s = list(self.orphans_s)
+        for holder in self.holders.values():
+            starts_s += holder.starts_s
+        return sum(1 for start_s in starts_s if start_s > since_s)
+
+    def limit(self):
+        """Return the highest limit that a process has in force."""
+        versions = {holder.version for holder in self.holders.values()}
+        versions.add(len(self.documents))
+        return max(
+            self.documents[version - 1].team(TEAM).limit_requests
+            for version in versions
+            if version
+        )
+
+    @stateful.rule(name=names, count=strategies.integers(1, 6))
+    def acquire(self, name, count):
+        holder = self.live(name)
+        if holder is None:
+            return
+        for _ in range(count):
+            if holder.process.permits.try_acquire(TEAM):
+                holder.starts_s.append(self.clock.now_s)
+                assert self.total() <= self.limit()
+
+    @stateful.rule(name=names, count=strategies.integers(1, 6))
+    def release(self, name, count):
+        holder = self.live(name)
+        for _ in range(count):
+            if holder is not None and holder.starts_s:
+                holder.starts_s.pop()
+                holder.process.permits.release(TEAM)
+
+    @stateful.rule(name=names)
+    def settle(self, name):
+        if self.live(name):
+            self.advance(TICK_S)
+            self.live(name).process.permits.step()
+
+    @stateful.rule(name=names)
+    def poll(self, name):
+        if self.live(name):
+            self.live(name).process.permits.poll()
+
+    @stateful.rule(sender=names, receiver=names)
+    def beat(self, sender, receiver):
+        if sender != receiver and self.live(sender) and self.live(receiver):
+            heartbeat = self.live(sender).process.heartbeat()
+            self.live(receiver).process.permits.note_heartbeat(heartbeat)
+
+    @stateful.rule(name=names)
+    def follow(self, name):
+        holder = self.live(name)
+        if holder is None:
+            return
+        holder.version = len(self.documents)
+        holder.process.in_force.apply(
+            pointer(holder.version), self.documents[-1]
+        )
+        holder.process.follow_members()
+
+    @stateful.rule(delay_s=strategies.sampled_from([0.5, 2.5, 8.0]))
+    def advance(self, delay_s):
+        end_s = self.clock.now_s + delay_s
+        while self.clock.now_s < end_s:
+            self.clock.advance(TICK_S)
+            for holder in list(self.holders.values()):
+                if not holder.paused:
+                    holder.process.guard.tick()
+
+    @stateful.rule(limit=strategies.integers(0, 9))
+    def change_limit(self, limit):
+        self.documents.append(limit_document({TEAM: limit}))
+
+    @stateful.rule(
+        name=names,
+        fault=strategies.sampled_from(list(Fault) + ["delay"]),
+        calls=strategies.integers(1, 6),
+    )
+    def store_fault(self, name, fault, calls):
+        holder = self.live(name)
+        if holder is None:
+            return
+        store = holder.process.store
+        if fault == "delay":
+            store.delaying = True
+        else:
+            store.fault, store.fault_calls = fault, calls
+
+    @stateful.rule(name=names)
+    def delayed_writes_happen(self, name):
+        holder = self.holders.get(name)
+        if holder is not None and not holder.process.store.fault_calls > 0:
+            holder.process.store.apply_delayed()
+
+    @stateful.rule(name=names)
+    def pause(self, name):
+        holder = self.live(name)
+        if holder is not None:
+            holder.paused = True
+            holder.paused_s = self.clock.now_s
+
+    @stateful.rule(name=names)
+    def resume(self, name):
+        holder = self.holders.get(name)
+        if holder is not None:
+            holder.paused = False
+
+    @stateful.rule(name=names, replaced=strategies.booleans())
+    def crash(self, name, replaced):
+        holder = self.holders.pop(name, None)
+        if holder is None:
+            return
+        self.orphans_s += holder.starts_s
+        if replaced:
+            vm = f"vm-{name}"
+            old = self.vms.instances[vm]
+            self.vms.instances[vm] = str(int(old) + 1)
+
+    @stateful.rule(name=names)
+    def restart(self, name):
+        if name not in self.holders:
+            self.start(name)
+
+    @stateful.rule(name=names)
+    def stop(self, name):
+        holder = self.live(name)
+        if holder is None or holder.starts_s:
+            return
+        holder.process.permits.stop()
+        holder.process.membership.remove()
+        del self.holders[name]
+
+    @stateful.rule(name=names)
+    def control_removes(self, name):
+        """Remove a member that is dead, or paused and taken for dead."""
+        holder = self.holders.get(name)
+        if holder is not None and not holder.paused:
+            return
+        if holder is not None and self.clock.now_s - holder.paused_s <= 2:
+            self.advance(2.5)
+        remover = Process(
+            self.core, self.clock, self.vms, member("control"), 99
+        )
+
+        def drop(record):
+            others = {k: v for k, v in record.members.items() if k != name}
+            return MembersRecord(members=others)
+
+        remover.records.update(
+            MEMBERS_KEY, MembersRecord, MembersRecord(), drop
+        )
+
+    @stateful.rule(kind=strategies.sampled_from(["all", "empty", "others"]))
+    def vm_list(self, kind):
+        """Show the list, nothing, or only VMs of somewhere else."""
+        if kind == "all":
+            self.vms.shown = None
+        elif kind == "empty":
+            self.vms.shown = []
+        else:
+            self.vms.shown = [
+                vm for vm in VmList(["x"]).vms() if vm.name == "vm-x"
+            ]
+
+    @stateful.invariant()
+    def running_stays_below_the_limit(self):
+        total = self.total()
+        assert total <= max(self.limit(), self.total_before)
+        self.total_before = total
+
+
+LimitsMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    max_examples=120,
+    stateful_step_count=40,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+LimitsTest = LimitsMachine.TestCase
