Add the control loop over the fleet record, waves and moves

The leader reconciles the fleet record with the document in force and with the platform's VM list, and moves waves and pool moves on. Each pass is one pure change on the record that it replaces, so several controllers may run at once.

--- a/src/rosemarynotch/_internal/control/__init__.py
+++ b/src/rosemarynotch/_internal/control/__init__.py
@@ -1,1 +1,8 @@
 """Steps on the fleet record: waves, moves, failures and jobs."""
+
+from rosemarynotch._internal.control.leadership import Leadership
+from rosemarynotch._internal.control.loop import ControlLoop
+from rosemarynotch._internal.control.loop import FleetSources
+from rosemarynotch._internal.control.loop import Policies
+
+__all__ = ["ControlLoop", "FleetSources", "Leadership", "Policies"]
--- /dev/null
+++ b/src/rosemarynotch/_internal/control/availability.py
@@ -0,0 +1,100 @@
+"""The conditions of rule R7 for taking a VM out of service."""
+
+import attrs
+
+from rosemarynotch._internal.exceptions import BUDGET_WOULD_BREAK
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.records import FleetRecord
+from rosemarynotch._internal.models.records import VmRecord
+from rosemarynotch._internal.models.records import VmState
+
+__all__ = ["Availability", "is_out_by_plan"]
+
+PLANNED_STATES = frozenset(
+    (VmState.DRAINING, VmState.DRAINED, VmState.REBOOTING, VmState.LEAVING)
+)
+
+Rack = tuple[str, str]
+
+
+def is_out_by_plan(vm: VmRecord) -> bool:
+    """Tell whether a VM is out of service because of a plan.
+
+    A VM that joins counts only after a reboot; a new VM and the replacement
+    of a failed one were not taken out by anybody.
+    """
+    if vm.state is VmState.JOINING:
+        return bool(vm.wave)
+    return vm.state in PLANNED_STATES
+
+
+@attrs.define
+class PoolAvailability:
+    """What one pool has in service and out of service by plan."""
+
+    min_available_vms: int | None
+    serving: set[str] = attrs.field(factory=set)
+    planned_racks: dict[Rack, int] = attrs.field(factory=dict)
+
+
+class Availability:
+    """Budgets of all pools for one value of the fleet record.
+
+    A pool that the document lacks has no budget.
+
+    :param failed: VMs seen as failed, which count as not serving
+    """
+
+    def __init__(
+        self,
+        record: FleetRecord,
+        document: Document,
+        failed: frozenset[str] = frozenset(),
+    ) -> None:
+        self._vms = dict(record.vms)
+        self._failed = failed
+        self.pools = {
+            pool.name: PoolAvailability(pool.min_available_vms)
+            for pool in document.pools
+        }
+        for name, vm in record.vms.items():
+            self._count(name, vm)
+
+    def _count(self, name: str, vm: VmRecord) -> None:
+        pool = self.pools.setdefault(vm.pool, PoolAvailability(None))
+        if vm.state is VmState.SERVING:
+            if name not in self._failed:
+                pool.serving.add(name)
+        elif is_out_by_plan(vm):
+            rack = (vm.data_centre, vm.rack)
+            pool.planned_racks[rack] = pool.planned_racks.get(rack, 0) + 1
+
+    def refusal(self, name: str) -> Failure | None:
+        """Return why a VM has to stay in service, or None.
+
+        :returns: BUDGET_WOULD_BREAK with a reason
+        """
+        vm = self._vms[name]
+        pool = self.pools[vm.pool]
+        if pool.min_available_vms is None:
+            return None
+        left = len(pool.serving - {name})
+        if left < pool.min_available_vms:
+            return BUDGET_WOULD_BREAK.because(
+                f"pool {vm.pool} would keep {left} VMs of at least"
+                f" {pool.min_available_vms}"
+            )
+        if pool.planned_racks.keys() - {(vm.data_centre, vm.rack)}:
+            return BUDGET_WOULD_BREAK.because(
+                f"another rack of pool {vm.pool} is out of service"
+            )
+        return None
+
+    def take(self, name: str) -> None:
+        """Count a VM as out of service by plan from now on."""
+        vm = self._vms[name]
+        pool = self.pools[vm.pool]
+        pool.serving.discard(name)
+        rack = (vm.data_centre, vm.rack)
+        pool.planned_racks[rack] = pool.planned_racks.get(rack, 0) + 1
--- /dev/null
+++ b/src/rosemarynotch/_internal/control/fleet.py
@@ -0,0 +1,275 @@
+"""Reconciliation of the fleet record, as pure functions on its value."""
+
+import attrs
+
+from rosemarynotch._internal.control.availability import Availability
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.document import VmSpec
+from rosemarynotch._internal.models.records import FleetRecord
+from rosemarynotch._internal.models.records import VmRecord
+from rosemarynotch._internal.models.records import VmState
+from rosemarynotch._internal.platform.interface import PlatformVm
+from rosemarynotch._internal.platform.interface import PlatformVmState
+
+__all__ = [
+    "begin_drain",
+    "follow_document",
+    "follow_list",
+    "is_list_plausible",
+    "is_operator_drain",
+    "return_to_service",
+    "with_vms",
+]
+
+REMOVE_PREFIX = "remove/"
+
+# States without work on the VM; an undeclared VM can be dropped from them.
+IDLE_STATES = frozenset((VmState.DRAINED, VmState.FAILED, VmState.JOINING))
+# States in which the platform's list has to show the VM.
+LISTED_STATES = frozenset(
+    (VmState.SERVING, VmState.DRAINING, VmState.DRAINED, VmState.LEAVING)
+)
+
+
+def with_vms(record: FleetRecord, vms: dict[str, VmRecord]) -> FleetRecord:
+    """Return the record with these VMs, or itself if nothing changed."""
+    if vms.keys() == record.vms.keys() and all(
+        vm is record.vms[name] for name, vm in vms.items()
+    ):
+        return record
+    return attrs.evolve(record, vms=vms)
+
+
+def begin_drain(
+    vm: VmRecord, operation_id: str, wave: str = "", destination: str = ""
+) -> VmRecord:
+    """Return a serving VM as draining."""
+    return attrs.evolve(
+        vm,
+        state=VmState.DRAINING,
+        operation_id=operation_id,
+        wave=wave,
+        destination=destination,
+    )
+
+
+def return_to_service(vm: VmRecord, operation_id: str = "") -> VmRecord:
+    """Return a VM as serving, with nothing under way.
+
+    :param operation_id: the operation that ended this way, kept so that a
+        repeat of it is recognised
+    """
+    return attrs.evolve(
+        vm,
+        state=VmState.SERVING,
+        operation_id=operation_id,
+        wave="",
+        destination="",
+    )
+
+
+def is_operator_drain(vm: VmRecord) -> bool:
+    """Tell whether an operator keeps this VM out of service."""
+    return (
+        vm.state in (VmState.DRAINING, VmState.DRAINED)
+        and not vm.wave
+        and not vm.destination
+        and not vm.operation_id.startswith(REMOVE_PREFIX)
+    )
+
+
+def follow_document(
+    record: FleetRecord,
+    document: Document,
+    token: str,
+    failed: frozenset[str] = frozenset(),
+) -> FleetRecord:
+    """Add declared VMs, and drain and drop what is no longer declared.
+
+    A VM keeps the pool that the record gives it, since moves change it; the
+    declared pool is used when a VM is new or its pool was removed.
+
+    :param token: makes the operation ids of new drains unique
+    """
+    declared = {
+        spec.name: (pool.name, spec)
+        for pool in document.pools
+        for spec in pool.vms
+    }
+    pools = {pool.name for pool in document.pools}
+    vms = {}
+    for name, vm in record.vms.items():
+        if name in declared:
+            vms[name] = _follow_spec(vm, *declared[name], pools)
+        elif vm.state not in IDLE_STATES:
+            vms[name] = vm
+    for name, (pool, spec) in declared.items():
+        if name not in vms:
+            vms[name] = _new_vm(pool, spec)
+    record = with_vms(record, vms)
+    return _drain_undeclared(record, document, declared, token, failed)
+
+
+def _new_vm(pool: str, spec: VmSpec) -> VmRecord:
+    return VmRecord(
+        pool=pool,
+        state=VmState.JOINING,
+        instance="",
+        address="",
+        data_centre=spec.data_centre,
+        rack=spec.rack,
+        slots=spec.slots,
+        connections=spec.connections,
+    )
+
+
+def _follow_spec(
+    vm: VmRecord, pool: str, spec: VmSpec, pools: set[str]
+) -> VmRecord:
+    declared = (spec.data_centre, spec.rack, spec.slots, spec.connections)
+    if declared != (vm.data_centre, vm.rack, vm.slots, vm.connections):
+        vm = attrs.evolve(
+            vm,
+            data_centre=spec.data_centre,
+            rack=spec.rack,
+            slots=spec.slots,
+            connections=spec.connections,
+        )
+    if vm.destination and vm.destination not in pools:
+        return return_to_service(vm)
+    if vm.pool not in pools and vm.state in IDLE_STATES:
+        return vm if vm.destination else attrs.evolve(vm, pool=pool)
+    return vm
+
+
+def _drain_undeclared(record, document, declared, token, failed):
+    pools = {pool.name for pool in document.pools}
+    leaving = [
+        name
+        for name, vm in record.vms.items()
+        if vm.state is VmState.SERVING
+        and (name not in declared or vm.pool not in pools)
+    ]
+    if not leaving:
+        return record
+    availability = Availability(record, document, failed)
+    vms = dict(record.vms)
+    for name in leaving:
+        if availability.refusal(name) is not None:
+            continue
+        availability.take(name)
+        destination = declared[name][0] if name in declared else ""
+        operation_id = f"{REMOVE_PREFIX}{name}/{token}"
+        vms[name] = begin_drain(
+            vms[name], operation_id, destination=destination
+        )
+    return with_vms(record, vms)
+
+
+def is_list_plausible(record: FleetRecord, listed: list[PlatformVm]) -> bool:
+    """Tell whether the platform's list may change the record.
+
+    An empty list, or one that lacks over half of the VMs that were there,
+    is more likely a fault of the list than of the fleet.
+    """
+    names = {row.name for row in listed}
+    known = [
+        name
+        for name, vm in record.vms.items()
+        if vm.instance and vm.state in LISTED_STATES
+    ]
+    missing = sum(name not in names for name in known)
+    return bool(names) and 2 * missing <= len(known)
+
+
+def follow_list(record: FleetRecord, listed: list[PlatformVm]) -> FleetRecord:
+    """Take over addresses, instances, leaving and missing VMs.
+
+    The list must be plausible. VMs that the record lacks are ignored.
+    """
+    rows = {row.name: row for row in listed}
+    vms = {}
+    done: dict[str, list[str]] = {}
+    for name, vm in record.vms.items():
+        row = rows.get(name)
+        vms[name] = _missing(vm) if row is None else _listed(vm, row)
+        if vm.wave and vms[name].state is VmState.SERVING:
+            done.setdefault(vm.wave, []).append(name)
+    waves = dict(record.waves)
+    for wave, names in done.items():
+        if wave in waves:
+            done_vms = (*waves[wave].done_vms, *names)
+            waves[wave] = attrs.evolve(waves[wave], done_vms=done_vms)
+    record = with_vms(record, vms)
+    return attrs.evolve(record, waves=waves) if done else record
+
+
+def _missing(vm: VmRecord) -> VmRecord:
+    if not vm.instance or vm.state in (VmState.REBOOTING, VmState.FAILED):
+        return vm
+    if is_operator_drain(vm):
+        # The operator may repair it; it stays out until the undrain.
+        return _evolve(vm, state=VmState.DRAINED)
+    state = VmState.FAILED
+    if vm.state is VmState.LEAVING:
+        # It left as announced and is awaited like a new VM.
+        state = VmState.JOINING
+    return _evolve(
+        vm, state=state, instance="", operation_id="", wave="", destination=""
+    )
+
+
+def _listed(vm: VmRecord, row: PlatformVm) -> VmRecord:
+    if row.state is not PlatformVmState.LIVE:
+        return _not_live(vm, row)
+    if vm.state is VmState.REBOOTING:
+        if row.instance == vm.instance:
+            return vm
+        return _joining(vm, row)
+    if vm.state is VmState.JOINING:
+        return _joining_live(vm, row)
+    if is_operator_drain(vm):
+        return _evolve(vm, instance=row.instance, address=row.address)
+    if vm.state in (VmState.FAILED, VmState.LEAVING):
+        return _joining(vm, row)
+    if row.instance != vm.instance:
+        # Restarted or replaced between two lists; what was planned for the
+        # old instance is void.
+        return _joining(_cleared(vm), row)
+    return _evolve(vm, address=row.address)
+
+
+def _not_live(vm: VmRecord, row: PlatformVm) -> VmRecord:
+    if vm.state is VmState.REBOOTING or is_operator_drain(vm):
+        return vm
+    if vm.state in (VmState.FAILED, VmState.JOINING):
+        return vm
+    return _evolve(_cleared(vm), state=VmState.LEAVING, instance=row.instance)
+
+
+def _joining(vm: VmRecord, row: PlatformVm) -> VmRecord:
+    return _evolve(
+        vm,
+        state=VmState.JOINING,
+        instance=row.instance,
+        address=row.address,
+    )
+
+
+def _joining_live(vm: VmRecord, row: PlatformVm) -> VmRecord:
+    if row.instance != vm.instance or row.address != vm.address:
+        return _joining(vm, row)
+    if not row.address:
+        return vm
+    return return_to_service(vm)
+
+
+def _cleared(vm: VmRecord) -> VmRecord:
+    return _evolve(vm, operation_id="", wave="", destination="")
+
+
+def _evolve(vm: VmRecord, **fields) -> VmRecord:
+    """Change fields, and keep the same object if all are equal already."""
+    if all(getattr(vm, name) == value for name, value in fields.items()):
+        return vm
+    return attrs.evolve(vm, **fields)
--- /dev/null
+++ b/src/rosemarynotch/_internal/control/loop.py
@@ -0,0 +1,257 @@
+"""The control loop: one pass over the fleet record about every second."""
+
+import random
+import threading
+
+import attrs
+import logbook
+
+from rosemarynotch._internal.control.failures import FailureTracker
+from rosemarynotch._internal.control.fleet import follow_document
+from rosemarynotch._internal.control.fleet import follow_list
+from rosemarynotch._internal.control.fleet import is_list_plausible
+from rosemarynotch._internal.control.leadership import Leadership
+from rosemarynotch._internal.control.moves import begin_moves
+from rosemarynotch._internal.control.moves import finish_moves
+from rosemarynotch._internal.control.moves import pool_loads
+from rosemarynotch._internal.control.observation import demand_by_pool
+from rosemarynotch._internal.control.observation import DrainProgress
+from rosemarynotch._internal.control.observation import ejected_by_most
+from rosemarynotch._internal.control.observation import fresh_heartbeats
+from rosemarynotch._internal.control.vm_list import VmList
+from rosemarynotch._internal.control.waves import advance_drained
+from rosemarynotch._internal.control.waves import advance_waves
+from rosemarynotch._internal.control.waves import WaveInputs
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.records import FleetRecord
+from rosemarynotch._internal.models.records import VmState
+from rosemarynotch._internal.platform.interface import VmService
+from rosemarynotch._internal.platform.records import FLEET_KEY
+from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.policy.moves import Move
+from rosemarynotch._internal.policy.moves import MovePolicy
+from rosemarynotch._internal.policy.waves import WavePolicy
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["ControlLoop", "FleetSources", "Policies"]
+
+PASS_INTERVAL_S = 1.0
+TOKEN_BITS = 48
+
+_log = logbook.Logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class Policies:
+    """The replaceable decisions of the loop."""
+
+    waves: WavePolicy
+    moves: MovePolicy
+
+
+@attrs.frozen(kw_only=True)
+class FleetSources:
+    """Where the loop gets its knowledge from.
+
+    :ivar in_force: InForce view of the configuration
+    :ivar fleet: FleetView
+    :ivar members: MembersView
+    :ivar heard: returns the last heartbeat of each member and its age
+    :ivar vms: the platform's VM service
+    """
+
+    in_force: object
+    fleet: object
+    members: object
+    heard: object
+    vms: VmService
+
+
+class ControlLoop:
+    """Reconciles the fleet record and moves waves and moves on.
+
+    Any number of processes may run passes at the same time: every change is
+    computed from the value that it replaces.
+
+    :param jobs: steps on jobs, with ``step(leads, document, record)`` and
+        ``busy_workers()``
+    :param rng: makes operation ids unique
+    """
+
+    def __init__(
+        self,
+        records: RecordStore,
+        sources: FleetSources,
+        policies: Policies,
+        leadership: Leadership,
+        jobs,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._records = records
+        self._sources = sources
+        self._policies = policies
+        self._leadership = leadership
+        self._jobs = jobs
+        self._clock = clock
+        self._rng = rng
+        self._list = VmList(sources.vms, clock)
+        self._failures = FailureTracker(clock)
+        self._progress = DrainProgress(records, jobs.busy_workers)
+        self._unannounced_revision = 0
+        self._told: set[tuple[str, str]] = set()
+        self._stopped = threading.Event()
+        self._thread: threading.Thread | None = None
+
+    @property
+    def alarms(self) -> tuple[str, ...]:
+        """Return what an operator has to look at, for the report."""
+        return (self._list.alarm,) if self._list.alarm else ()
+
+    def start(self) -> None:
+        """Start the thread that runs passes."""
+        self._thread = threading.Thread(
+            target=self._run, name="control", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread after its pass and give up the lease."""
+        self._stopped.set()
+        if self._thread is not None:
+            self._thread.join()
+        self._leadership.resign()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(PASS_INTERVAL_S):
+            try:
+                self.step()
+            except Exception:
+                # A fault in one pass must not end control for good.
+                _log.exception("control pass failed")
+
+    def step(self) -> None:
+        """Run one pass without sleeping."""
+        leads = self._leadership.hold()
+        current = self._sources.in_force.current
+        if not current.version:
+            return
+        if leads:
+            self._step_fleet(current.document)
+        self._jobs.step(leads, current.document, self._sources.fleet.record)
+
+    def _step_fleet(self, document: Document) -> None:
+        # The record is read before the revision, so that the revision is
+        # never older than the record.
+        record = self._sources.fleet.record
+        revision = self._sources.fleet.revision
+        self._list.refresh(record)
+        change = self._change(document, record, revision)
+        if not revision or change(record) is not record:
+            self._update(change)
+        elif self._unannounced_revision:
+            self._announce(self._unannounced_revision)
+        self._reboot(self._sources.fleet.record)
+
+    def _change(self, document: Document, record: FleetRecord, revision: int):
+        """Return the change of this pass, a pure function of the record."""
+        entries = self._sources.members.entries()
+        heard = self._sources.heard()
+        heartbeats = fresh_heartbeats(heard, entries)
+        demand = demand_by_pool(heartbeats)
+        demand.update(self._jobs.demand_slots())
+        ejected = ejected_by_most(heartbeats)
+        drained, waiting = self._progress.check(
+            record, revision, heard, entries
+        )
+        inputs = WaveInputs(
+            token=f"{self._rng.getrandbits(TOKEN_BITS):012x}",
+            drained=drained,
+            waiting=waiting,
+            ejected=ejected,
+            settled=self._failures.settled(record, ejected),
+            demand_slots=demand,
+        )
+        loads = pool_loads(record, document, demand, ejected)
+        moves = self._policies.moves.choose(loads, self._clock.monotonic_s())
+        return FleetChange(
+            document, self._list, self._policies.waves, inputs, moves
+        )
+
+    def _update(self, change: "FleetChange") -> None:
+        written = self._records.update(
+            FLEET_KEY, FleetRecord, FleetRecord(), change, compressed=True
+        )
+        if isinstance(written, Failure):
+            # The next pass starts from the same record and repeats the
+            # change. After a lost answer it finds it made and announces it.
+            return
+        if change.used_list:
+            self._list.note_own_change(written.value)
+        self._sources.fleet.apply(written.value, written.revision)
+        self._announce(written.revision)
+
+    def _announce(self, revision: int) -> None:
+        bumped = self._records.bump_head(fleet_revision=revision)
+        failed = isinstance(bumped, Failure)
+        self._unannounced_revision = revision if failed else 0
+
+    def _reboot(self, record: FleetRecord) -> None:
+        """Tell the platform about reboots; repeats have the same id."""
+        wanted = {
+            (name, vm.operation_id)
+            for name, vm in record.vms.items()
+            if vm.state is VmState.REBOOTING
+        }
+        self._told &= wanted
+        for name, operation_id in sorted(wanted - self._told):
+            failure = self._sources.vms.reboot(name, operation_id)
+            if failure is None:
+                self._told.add((name, operation_id))
+
+
+class FleetChange:
+    """All changes of one pass, applied to whatever value is current.
+
+    :ivar used_list: whether the last call was given a record to which the
+        VM list may be applied
+    """
+
+    def __init__(
+        self,
+        document: Document,
+        vm_list: VmList,
+        wave_policy: WavePolicy,
+        inputs: WaveInputs,
+        moves: list[Move],
+    ) -> None:
+        self._document = document
+        self._list = vm_list
+        self._wave_policy = wave_policy
+        self._inputs = inputs
+        self._moves = moves
+        self.used_list = False
+
+    def __call__(self, record: FleetRecord) -> FleetRecord:
+        """Return the record after this pass, itself if nothing changes."""
+        inputs = self._inputs
+        listed = self._list.rows_for(record)
+        self.used_list = bool(listed)
+        if listed and is_list_plausible(record, listed):
+            record = follow_list(record, listed)
+        record = follow_document(
+            record, self._document, inputs.token, inputs.ejected
+        )
+        record = finish_moves(record)
+        record = advance_waves(
+            record, self._document, self._wave_policy, inputs
+        )
+        record = advance_drained(record, inputs)
+        return begin_moves(
+            record,
+            self._document,
+            self._moves,
+            inputs.token,
+            inputs.ejected,
+        )
--- /dev/null
+++ b/src/rosemarynotch/_internal/control/moves.py
@@ -0,0 +1,107 @@
+"""Moves of VMs between pools, as pure functions on the fleet record."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from rosemarynotch._internal.control.availability import Availability
+from rosemarynotch._internal.control.fleet import begin_drain
+from rosemarynotch._internal.control.fleet import return_to_service
+from rosemarynotch._internal.control.fleet import with_vms
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.document import PoolKind
+from rosemarynotch._internal.models.records import FleetRecord
+from rosemarynotch._internal.models.records import VmState
+from rosemarynotch._internal.policy.moves import Move
+from rosemarynotch._internal.policy.moves import PoolLoad
+
+__all__ = ["begin_moves", "finish_moves", "home_pools", "pool_loads"]
+
+
+def home_pools(document: Document) -> dict[str, str]:
+    """Return the declared pool of each VM."""
+    return {
+        spec.name: pool.name for pool in document.pools for spec in pool.vms
+    }
+
+
+def pool_loads(
+    record: FleetRecord,
+    document: Document,
+    demand_slots: dict[str, float],
+    failed: frozenset[str] = frozenset(),
+) -> list[PoolLoad]:
+    """Return the load of spare and service pools for a move policy."""
+    homes = home_pools(document)
+    spares = {p.name for p in document.pools if p.kind is PoolKind.SPARE}
+    serving: dict[str, list[str]] = {}
+    incoming_slots: dict[str, int] = {}
+    for name, vm in record.vms.items():
+        if vm.state is VmState.SERVING and name not in failed:
+            serving.setdefault(vm.pool, []).append(name)
+        if vm.destination:
+            slots = incoming_slots.get(vm.destination, 0)
+            incoming_slots[vm.destination] = slots + vm.slots
+    loads = []
+    for pool in document.pools:
+        if pool.kind is PoolKind.WORKERS:
+            continue
+        names = serving.get(pool.name, [])
+        slots = [record.vms[name].slots for name in names]
+        loads.append(
+            PoolLoad(
+                name=pool.name,
+                spare=pool.kind is PoolKind.SPARE,
+                demand_slots=demand_slots.get(pool.name, 0.0),
+                slots=sum(slots) + incoming_slots.get(pool.name, 0),
+                vm_slots=max(slots, default=1),
+                available_vms=max(0, len(names) - pool.min_available_vms),
+                lent_vms=sum(homes.get(name) in spares for name in names),
+            )
+        )
+    return loads
+
+
+def begin_moves(
+    record: FleetRecord,
+    document: Document,
+    moves: Sequence[Move],
+    token: str,
+    failed: frozenset[str] = frozenset(),
+) -> FleetRecord:
+    """Drain one VM for each move, as far as the budgets allow."""
+    if not moves:
+        return record
+    homes = home_pools(document)
+    spares = {p.name for p in document.pools if p.kind is PoolKind.SPARE}
+    availability = Availability(record, document, failed)
+    vms = dict(record.vms)
+    for move in moves:
+        for name, vm in vms.items():
+            if vm.pool != move.source or vm.state is not VmState.SERVING:
+                continue
+            if homes.get(name) not in spares or name in failed:
+                continue
+            if availability.refusal(name) is None:
+                availability.take(name)
+                vms[name] = begin_drain(
+                    vm, f"move/{name}/{token}", destination=move.destination
+                )
+                break
+    return with_vms(record, vms)
+
+
+def finish_moves(record: FleetRecord) -> FleetRecord:
+    """Let drained VMs serve the pool that they move to."""
+    vms = dict(record.vms)
+    count = 0
+    for name, vm in record.vms.items():
+        if vm.state is VmState.DRAINED and vm.destination:
+            moved = attrs.evolve(vm, pool=vm.destination)
+            vms[name] = return_to_service(moved, vm.operation_id)
+            count += 1
+    if not count:
+        return record
+    return attrs.evolve(
+        record, vms=vms, moves_count=record.moves_count + count
+    )
--- /dev/null
+++ b/tests/unit/test_control_fleet.py
@@ -0,0 +1,421 @@
+"""Tests of the control loop on the fleet record."""
+
+import random
+
+import testtools
+
+from rosemarynotch._internal.control import ControlLoop
+from rosemarynotch._internal.control.fleet import follow_list
+from rosemarynotch._internal.control import FleetSources
+from rosemarynotch._internal.control import Leadership
+from rosemarynotch._internal.control import operations
+from rosemarynotch._internal.control import Policies
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.models.document import PoolKind
+from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.models.records import VmState
+from rosemarynotch._internal.models.records import WaveState
+from rosemarynotch._internal.platform.interface import PlatformVmState
+from rosemarynotch._internal.platform.records import MEMBERS_KEY
+from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.policy.moves import NoMoves
+from rosemarynotch._internal.policy.waves import AsManyAsAllowed
+from standins.kv import KeyValue
+from tests.lib.clocks import ManualClock
+from tests.lib import control_fakes as fakes
+from tests.lib.stores import Fault
+from tests.lib.stores import MemoryStore
+
+
+class ControlTestCase(testtools.TestCase):
+    """One control loop over one store, with two entries."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.core = KeyValue(self.clock.monotonic_s)
+        self.store = MemoryStore(self.core)
+        self.records = RecordStore(self.store, self.clock, random.Random(1))
+        self.jobs = fakes.NoJobs()
+        self.running = {}
+        self.held = {}
+        self.ejected = ()
+        self.follow(fakes.document_of(fakes.one_pool()))
+
+    def follow(self, document):
+        """Start with a document whose VMs are all on the list."""
+        self.document = document
+        self.in_force = fakes.InForce(document)
+        self.fleet = fakes.empty_fleet_view()
+        self.vms = fakes.FakeVms(document)
+        self.members = fakes.RecordView(MembersRecord())
+        self.members.apply(fakes.members_of("e1", "e2"), 1)
+        self.records.update(
+            MEMBERS_KEY,
+            MembersRecord,
+            MembersRecord(),
+            lambda _: self.members.record,
+        )
+        sources = FleetSources(
+            in_force=self.in_force,
+            fleet=self.fleet,
+            members=self.members,
+            heard=self.heard,
+            vms=self.vms,
+        )
+        self.loop = ControlLoop(
+            self.records,
+            sources,
+            Policies(waves=AsManyAsAllowed(), moves=NoMoves()),
+            Leadership(self.store, self.clock, "c1/1"),
+            self.jobs,
+            self.clock,
+            random.Random(2),
+        )
+        self.steps(4)
+
+    def heard(self):
+        """Let entries follow the fleet record, apart from held ones."""
+        return {
+            name: fakes.HeardMember(
+                fakes.idle_heartbeat(
+                    name,
+                    self.held.get(name, self.fleet.revision),
+                    running_by_vm=dict(self.running),
+                    ejected_vms=self.ejected,
+                )
+            )
+            for name in ("e1", "e2")
+        }
+
+    def steps(self, count=1):
+        """Run passes one second apart."""
+        for _ in range(count):
+            self.loop.step()
+            self.clock.advance(1.0)
+
+    def states(self):
+        """Return the state of each VM."""
+        return {n: v.state for n, v in self.fleet.record.vms.items()}
+
+    def count(self, state):
+        """Return how many VMs have a state."""
+        return list(self.states().values()).count(state)
+
+
+class FleetTest(ControlTestCase):
+    """Guards against a fleet record that departs from what is declared."""
+
+    def test_declared_vms_join_their_pool_once_listed(self):
+        self.assertEqual({VmState.SERVING}, set(self.states().values()))
+        vm = self.fleet.record.vms["quotes-1"]
+        self.assertEqual("quotes-1:80", vm.address)
+
+    def test_idle_pass_writes_nothing(self):
+        writes = self.core.calls["write"]
+        reads = self.core.calls["read"]
+        self.steps(20)
+        self.assertEqual(writes, self.core.calls["write"])
+        self.assertEqual(reads, self.core.calls["read"])
+
+    def test_removed_vm_is_drained_before_it_is_dropped(self):
+        self.running = {"quotes-3": 1}
+        self.in_force.current = fakes.CurrentDocument(
+            fakes.document_of(fakes.one_pool(vms=3))
+        )
+        self.steps(3)
+        self.assertIs(VmState.DRAINING, self.states()["quotes-3"])
+        self.running = {}
+        self.steps(3)
+        self.assertNotIn("quotes-3", self.states())
+
+    def test_removed_pool_is_drained_before_it_is_dropped(self):
+        self.running = {"quotes-0": 1}
+        self.in_force.current = fakes.CurrentDocument(fakes.document_of())
+        self.steps(4)
+        self.assertEqual({"quotes-0": VmState.DRAINING}, self.states())
+
+    def test_missing_vm_fails_and_its_replacement_serves(self):
+        row = self.vms.rows.pop("quotes-2")
+        self.steps(2)
+        self.assertIs(VmState.FAILED, self.states()["quotes-2"])
+        self.vms.rows["quotes-2"] = row
+        self.vms.replace("quotes-2")
+        self.steps(3)
+        self.assertIs(VmState.SERVING, self.states()["quotes-2"])
+
+    def test_implausible_list_changes_nothing(self):
+        rows = self.vms.rows
+        for kept in (0, 1):
+            self.vms.rows = dict(list(rows.items())[:kept])
+            self.steps(3)
+            self.assertEqual(4, self.count(VmState.SERVING))
+            self.assertEqual(1, len(self.loop.alarms))
+        self.vms.rows = rows
+        self.steps(1)
+        self.assertEqual((), self.loop.alarms)
+
+    def test_leaving_vm_gets_no_new_work(self):
+        self.vms.set_state("quotes-0", PlatformVmState.LEAVING)
+        self.steps(2)
+        self.assertIs(VmState.LEAVING, self.states()["quotes-0"])
+
+    def test_list_older_than_another_controllers_change_is_not_used(self):
+        old_rows = self.vms.vms()
+        self.vms.replace("quotes-0")
+        self.steps(3)
+        newer = self.fleet.record
+        self.assertIsNot(newer, follow_list(newer, old_rows))
+        self.vms.rows = {row.name: row for row in old_rows}
+        self.loop._list._base = None
+        self.assertEqual([], self.loop._list.rows_for(newer))
+
+    def test_lost_answer_is_recognised_on_the_next_pass(self):
+        self.vms.rows.pop("quotes-2")
+        self.clock.advance(1.0)
+        # The lease renewal and the read pass, then the answer to the write
+        # is lost.
+        original = self.store.put
+
+        def lose_once(*arguments):
+            self.store.put = original
+            self.store.fault = Fault.LOST_ANSWER
+            self.store.fault_calls = 1
+            return original(*arguments)
+
+        self.store.put = lose_once
+        self.steps(2)
+        self.assertIs(VmState.FAILED, self.states()["quotes-2"])
+        self.assertEqual(
+            self.fleet.revision, self.records.store.get("fleet").revision
+        )
+
+
+class WaveTest(ControlTestCase):
+    """Guards against waves that break budgets or lose work."""
+
+    def start(self):
+        """Start the wave over all pools."""
+        started = operations.start_wave(
+            self.records, self.document, "patch", "ann", "kernel"
+        )
+        self.fleet.apply(started.value, started.revision)
+
+    def wave(self):
+        """Return the record of the wave."""
+        return self.fleet.record.waves["patch"]
+
+    def test_wave_maintains_every_vm_once(self):
+        self.start()
+        for _ in range(60):
+            self.steps()
+            self.vms.finish_reboots()
+        self.assertIs(WaveState.DONE, self.wave().state)
+        self.assertEqual(
+            sorted(self.states()), sorted(vm for vm, _ in self.vms.reboots)
+        )
+        self.assertEqual(4, self.count(VmState.SERVING))
+
+    def test_nothing_is_rebooted_with_work_in_flight(self):
+        self.running = {"quotes-0": 1, "quotes-2": 1}
+        self.start()
+        self.steps(10)
+        self.assertEqual([], self.vms.reboots)
+        self.assertEqual(2, self.count(VmState.DRAINING))
+
+    def test_entry_with_an_older_record_holds_the_wave(self):
+        self.held = {"e2": self.fleet.revision}
+        self.start()
+        self.steps(5)
+        self.assertEqual([], self.vms.reboots)
+        self.assertIn("e2", self.wave().held_by)
+
+    def test_entry_that_registered_unseen_holds_the_wave(self):
+        self.records.update(
+            MEMBERS_KEY,
+            MembersRecord,
+            MembersRecord(),
+            lambda _: fakes.members_of("e1", "e2", "e3"),
+        )
+        self.start()
+        self.steps(5)
+        self.assertEqual([], self.vms.reboots)
+        self.assertIn("e3", self.wave().held_by)
+
+    def test_unplanned_failure_returns_draining_vms(self):
+        self.running = {"quotes-0": 1, "quotes-2": 1}
+        self.start()
+        self.steps(2)
+        row = self.vms.rows.pop("quotes-1")
+        self.steps(3)
+        self.assertEqual(3, self.count(VmState.SERVING))
+        self.assertIn("quotes-1", self.wave().held_by)
+        self.vms.rows["quotes-1"] = row
+        self.steps(4)
+        self.assertEqual(2, self.count(VmState.DRAINING))
+
+    def test_vm_ejected_by_most_entries_pauses_the_wave(self):
+        self.running = {"quotes-0": 1, "quotes-2": 1}
+        self.start()
+        self.steps(2)
+        self.ejected = ("quotes-1",)
+        self.steps(2)
+        self.assertEqual(4, self.count(VmState.SERVING))
+
+    def test_lasting_failure_leaves_the_budget_in_charge(self):
+        self.start()
+        del self.vms.rows["quotes-1"]
+        self.steps(5)
+        self.assertEqual([], self.vms.reboots)
+        self.steps(40)
+        self.assertEqual(1, len(self.vms.reboots))
+
+    def test_reboot_is_told_again_with_the_same_operation(self):
+        self.start()
+        self.vms.reboot = lambda vm, operation_id: (
+            self.vms.reboots.append((vm, operation_id))
+            or failures.PLATFORM_UNAVAILABLE.after_start()
+        )
+        self.steps(8)
+        self.assertTrue(len(self.vms.reboots) > 2)
+        self.assertEqual(2, len(set(self.vms.reboots)))
+
+    def test_abort_returns_what_was_not_rebooted(self):
+        self.running = {"quotes-0": 1, "quotes-2": 1}
+        self.start()
+        self.steps(2)
+        done = operations.abort_wave(self.records, "patch", "ann", "stop")
+        self.fleet.apply(done.value, done.revision)
+        self.steps(3)
+        self.assertEqual(4, self.count(VmState.SERVING))
+        self.assertIs(WaveState.ABORTED, self.wave().state)
+
+    def test_worker_with_tasks_is_not_drained(self):
+        pool = fakes.one_pool(kind=PoolKind.WORKERS)
+        self.follow(fakes.document_of(pool))
+        self.jobs.busy = frozenset(("quotes-0", "quotes-2"))
+        self.start()
+        self.steps(6)
+        self.assertEqual([], self.vms.reboots)
+
+
+class OperationsTest(ControlTestCase):
+    """Guards against operators' changes that break rules or apply twice."""
+
+    def drain(self, vm, operation_id):
+        """Drain a VM and let the loop see it."""
+        done = operations.drain_vm(
+            self.records, self.document, vm, operation_id
+        )
+        if not isinstance(done, failures.Failure):
+            self.fleet.apply(done.value, done.revision)
+        return done
+
+    def test_refusals(self):
+        self.drain("quotes-0", "op-1")
+        cases = [
+            ("quotes-1", failures.BUDGET_WOULD_BREAK),
+            ("quotes-0", failures.VM_BUSY),
+            ("absent", failures.VM_UNKNOWN),
+        ]
+        for vm, expected in cases:
+            self.assertTrue(self.drain(vm, "op-2").is_a(expected), vm)
+        self.drain("quotes-2", "op-3")
+        moved = operations.move_vm(
+            self.records, self.document, "quotes-1", "quotes", "op-4"
+        )
+        self.assertNotIsInstance(moved, failures.Failure)
+        unknown = operations.move_vm(
+            self.records, self.document, "quotes-1", "absent", "op-5"
+        )
+        self.assertTrue(unknown.is_a(failures.POOL_UNKNOWN))
+
+    def test_repeats_change_nothing(self):
+        first = self.drain("quotes-0", "op-1")
+        self.assertEqual(first, self.drain("quotes-0", "op-1"))
+        for _ in range(2):
+            back = operations.undrain_vm(self.records, "quotes-0", "op-2")
+        self.assertIs(VmState.SERVING, back.value.vms["quotes-0"].state)
+
+    def test_unknown_wave(self):
+        for refused in (
+            operations.start_wave(
+                self.records, self.document, "absent", "ann", ""
+            ),
+            operations.pause_wave(self.records, "patch", "ann", ""),
+        ):
+            self.assertTrue(refused.is_a(failures.WAVE_UNKNOWN))
+
+    def test_drained_vm_stays_out_over_a_replacement(self):
+        self.drain("quotes-0", "op-1")
+        self.steps(3)
+        row = self.vms.rows.pop("quotes-0")
+        self.steps(3)
+        self.vms.rows["quotes-0"] = row
+        self.vms.replace("quotes-0")
+        self.steps(3)
+        self.assertIs(VmState.DRAINED, self.states()["quotes-0"])
+
+    def test_move_changes_the_pool_once_drained(self):
+        spare = fakes.one_pool(
+            vms=2, minimum=0, name="desk", kind=PoolKind.SPARE
+        )
+        self.follow(fakes.document_of(fakes.one_pool(), spare))
+        self.running = {"desk-0": 1}
+        moved = operations.move_vm(
+            self.records, self.document, "desk-0", "quotes", "op-1"
+        )
+        self.fleet.apply(moved.value, moved.revision)
+        self.steps(3)
+        self.assertEqual("desk", self.fleet.record.vms["desk-0"].pool)
+        self.running = {}
+        self.steps(3)
+        vm = self.fleet.record.vms["desk-0"]
+        self.assertEqual(("quotes", VmState.SERVING), (vm.pool, vm.state))
+        repeated = operations.move_vm(
+            self.records, self.document, "desk-0", "quotes", "op-1"
+        )
+        self.assertEqual(vm, repeated.value.vms["desk-0"])
+
+
+class LeadershipTest(testtools.TestCase):
+    """Guards against a leader that goes on after its lease has ended."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.core = KeyValue(self.clock.monotonic_s)
+        self.stores = [MemoryStore(self.core) for _ in range(2)]
+        self.members = [
+            Leadership(store, self.clock, f"c{index}/1")
+            for index, store in enumerate(self.stores)
+        ]
+
+    def test_one_leads_and_another_takes_over(self):
+        held = [member.hold() for member in self.members]
+        self.assertEqual([True, False], held)
+        self.clock.advance(5.1)
+        self.assertTrue(self.members[1].hold())
+        self.assertFalse(self.members[0].hold())
+
+    def test_store_outage_ends_leadership_in_time(self):
+        self.members[0].hold()
+        self.stores[0].fault = Fault.DOWN
+        self.clock.advance(4.9)
+        self.assertTrue(self.members[0].hold())
+        self.clock.advance(0.2)
+        self.assertFalse(self.members[0].hold())
+
+    def test_lost_answer_to_the_creation_is_recovered(self):
+        create = self.members[0]
+        self.stores[0].put = lambda *arguments: (
+            self.core.put(*arguments) and failures.STORE_UNAVAILABLE
+        )
+        self.assertFalse(create.hold())
+        self.clock.advance(2.0)
+        self.assertTrue(create.hold())
+
+    def test_resigning_lets_another_lead_at_once(self):
+        self.members[0].hold()
+        self.members[0].resign()
+        self.assertTrue(self.members[1].hold())
