--- /dev/null
+++ b/src/rosemarynotch/_internal/operators/findings.py
@@ -0,0 +1,250 @@
+"""Judges a snapshot: what is at risk, and why."""
+
+import enum
+from typing import Iterator
+
+import attrs
+
+from rosemarynotch._internal.operators.snapshot import FleetSnapshot
+
+__all__ = ["Alarm", "duration", "find", "Finding", "last_seen", "Level"]
+
+# P10: in force everywhere within 18 s.
+SPREAD_S = 18.0
+# Rule R6: without store contact for longer, an entry may stop taking work.
+STORE_OLD_S = 10.0
+# Shares: the worst relative distance is at most 5 % over one minute.
+MAX_DISTANCE = 0.05
+LIMIT_NEARLY_USED = 0.9
+
+
+class Level(enum.IntEnum):
+    """How bad a finding is; the lowest comes first in the report."""
+
+    RISK = 0
+    NOT_KNOWN = 1
+    WARNING = 2
+
+
+class Alarm(enum.StrEnum):
+    """Alarms, explained in docs/operations.md."""
+
+    BUDGET_BROKEN = "budget-broken"
+    LIMIT_EXCEEDED = "limit-exceeded"
+    STORE_DOWN = "store-down"
+    VERSION_BEHIND = "version-behind"
+    UNDER_SHARE = "under-share"
+    NO_CONFIGURATION = "no-configuration"
+    NO_FLEET_RECORD = "no-fleet-record"
+    MEMBER_SILENT = "member-silent"
+    STORE_OLD = "store-old"
+    WAVE_HELD = "wave-held"
+    FLEET_BEHIND = "fleet-behind"
+    VM_FAILED = "vm-failed"
+    BUDGET_USED = "budget-used"
+    LIMIT_NEARLY_USED = "limit-nearly-used"
+    VERSION_SPREADING = "version-spreading"
+
+
+@attrs.frozen(kw_only=True)
+class Finding:
+    """Something that an operator should know.
+
+    :ivar promise: the promise at risk, such as ``P1``; may be empty
+    """
+
+    level: Level
+    alarm: Alarm
+    text: str
+    promise: str = ""
+
+
+def find(snapshot: FleetSnapshot) -> list[Finding]:
+    """Return all findings, worst first."""
+    findings = [
+        *_data(snapshot),
+        *_store(snapshot),
+        *_versions(snapshot),
+        *_teams(snapshot),
+        *_shares(snapshot),
+        *_waves(snapshot),
+    ]
+    if snapshot.fleet_revision:
+        findings += _pools(snapshot)
+    return sorted(findings, key=lambda item: item.level)
+
+
+def _data(snapshot: FleetSnapshot) -> Iterator[Finding]:
+    if not snapshot.version:
+        yield Finding(
+            level=Level.NOT_KNOWN,
+            alarm=Alarm.NO_CONFIGURATION,
+            text="No configuration is known here",
+        )
+    if not snapshot.fleet_revision:
+        yield Finding(
+            level=Level.NOT_KNOWN,
+            alarm=Alarm.NO_FLEET_RECORD,
+            text="VM states are not known here",
+        )
+    if not snapshot.members:
+        yield Finding(
+            level=Level.NOT_KNOWN,
+            alarm=Alarm.MEMBER_SILENT,
+            text="No members are known here",
+        )
+    for member in snapshot.silent:
+        age_s = member.heard_age_s
+        when = "never heard"
+        if age_s is not None:
+            when = f"silent for {duration(age_s)}"
+        yield Finding(
+            level=Level.NOT_KNOWN,
+            alarm=Alarm.MEMBER_SILENT,
+            text=f"{member.name}: {when}",
+        )
+
+
+def _store(snapshot: FleetSnapshot) -> Iterator[Finding]:
+    if snapshot.store_age_s > STORE_OLD_S:
+        yield Finding(
+            level=Level.RISK,
+            alarm=Alarm.STORE_DOWN,
+            promise="P10",
+            text=f"Store {last_seen(snapshot.store_age_s)}:"
+            " no changes, waves or new jobs",
+        )
+        return
+    silent = {member.name for member in snapshot.silent}
+    for member in snapshot.members:
+        if member.name in silent or member.store_age_s <= STORE_OLD_S:
+            continue
+        yield Finding(
+            level=Level.WARNING,
+            alarm=Alarm.STORE_OLD,
+            text=f"{member.name}: store {last_seen(member.store_age_s)}",
+        )
+
+
+def _versions(snapshot: FleetSnapshot) -> Iterator[Finding]:
+    silent = {member.name for member in snapshot.silent}
+    is_late = snapshot.time_s - snapshot.accepted_at_s > SPREAD_S
+    for member in snapshot.members:
+        if member.name in silent:
+            continue
+        if member.config_version < snapshot.version:
+            yield Finding(
+                level=Level.RISK if is_late else Level.WARNING,
+                alarm=(
+                    Alarm.VERSION_BEHIND
+                    if is_late
+                    else Alarm.VERSION_SPREADING
+                ),
+                promise="P10" if is_late else "",
+                text=f"{member.name} has v{member.config_version},"
+                f" newest is v{snapshot.version}",
+            )
+        is_draining = any(
+            "draining" in pool.out_vms for pool in snapshot.pools
+        )
+        if is_draining and member.fleet_revision < snapshot.fleet_revision:
+            yield Finding(
+                level=Level.WARNING,
+                alarm=Alarm.FLEET_BEHIND,
+                text=f"{member.name} does not know all drains yet",
+            )
+
+
+def _pools(snapshot: FleetSnapshot) -> Iterator[Finding]:
+    for pool in snapshot.pools:
+        usable, needed = pool.usable_vms, pool.min_available_vms
+        ejected = len(pool.ejected_vms)
+        if usable < needed:
+            why = _out_text(pool.out_vms)
+            if ejected:
+                why = f"{why}, {ejected} ejected".removeprefix(", ")
+            yield Finding(
+                level=Level.RISK,
+                alarm=Alarm.BUDGET_BROKEN,
+                promise="P1",
+                text=f"{pool.name}: {usable} VMs usable, needs {needed}"
+                + (f" ({why})" if why else ""),
+            )
+        elif usable == needed and usable < pool.total_vms:
+            yield Finding(
+                level=Level.WARNING,
+                alarm=Alarm.BUDGET_USED,
+                text=f"{pool.name}: {usable} VMs usable, none to spare",
+            )
+        failed = pool.out_vms.get("failed", ())
+        if failed:
+            names = ", ".join(failed[:3]) + (" ..." if failed[3:] else "")
+            yield Finding(
+                level=Level.WARNING,
+                alarm=Alarm.VM_FAILED,
+                text=f"{pool.name}: {len(failed)} failed: {names}",
+            )
+
+
+def _out_text(out_vms: dict[str, tuple[str, ...]]) -> str:
+    return ", ".join(
+        f"{len(names)} {state}" for state, names in sorted(out_vms.items())
+    )
+
+
+def _teams(snapshot: FleetSnapshot) -> Iterator[Finding]:
+    for team in snapshot.teams:
+        running, limit = team.running_requests, team.limit_requests
+        if running > limit:
+            yield Finding(
+                level=Level.RISK,
+                alarm=Alarm.LIMIT_EXCEEDED,
+                promise="P4",
+                text=f"{team.name}: {running} running, limit {limit}",
+            )
+        elif running and running >= LIMIT_NEARLY_USED * limit:
+            yield Finding(
+                level=Level.WARNING,
+                alarm=Alarm.LIMIT_NEARLY_USED,
+                text=f"{team.name}: {running} of limit {limit} running",
+            )
+
+
+def _shares(snapshot: FleetSnapshot) -> Iterator[Finding]:
+    for share in sorted(snapshot.shares, key=lambda item: item.distance):
+        if share.distance < -MAX_DISTANCE:
+            yield Finding(
+                level=Level.RISK,
+                alarm=Alarm.UNDER_SHARE,
+                promise="share",
+                text=f"{share.team}: {-share.distance:.0%} under share"
+                f" in {share.pool}",
+            )
+
+
+def _waves(snapshot: FleetSnapshot) -> Iterator[Finding]:
+    for wave in snapshot.waves:
+        is_open = wave.state in ("running", "paused")
+        if is_open and (wave.held_by or wave.state == "paused"):
+            why = wave.held_by or "paused by an operator"
+            yield Finding(
+                level=Level.WARNING,
+                alarm=Alarm.WAVE_HELD,
+                text=f"Wave {wave.name} held: {why}",
+            )
+
+
+def duration(seconds: float) -> str:
+    """Return a duration for a person, such as ``14 s`` or ``3 min``."""
+    if seconds < 120:
+        return f"{seconds:.0f} s"
+    if seconds < 7200:
+        return f"{seconds / 60:.0f} min"
+    return f"{seconds / 3600:.0f} h"
+
+
+def last_seen(age_s: float) -> str:
+    """Return when something was seen, for a person."""
+    if age_s == float("inf"):
+        return "not seen since the start"
+    return f"last seen {duration(age_s)} ago"
--- /dev/null
+++ b/src/rosemarynotch/_internal/operators/observer.py
@@ -0,0 +1,244 @@
+"""Collects the snapshot that operators see from what this entry knows."""
+
+from typing import Callable
+from typing import Protocol
+
+from rosemarynotch._internal.configuration import FleetView
+from rosemarynotch._internal.configuration import Freshness
+from rosemarynotch._internal.configuration import InForce
+from rosemarynotch._internal.configuration import MembersView
+from rosemarynotch._internal.models.document import PoolSpec
+from rosemarynotch._internal.models.messages import Heartbeat
+from rosemarynotch._internal.models.records import VmState
+from rosemarynotch._internal.operators.shares import ShareMeter
+from rosemarynotch._internal.operators.snapshot import FleetSnapshot
+from rosemarynotch._internal.operators.snapshot import MemberState
+from rosemarynotch._internal.operators.snapshot import PoolState
+from rosemarynotch._internal.operators.snapshot import TeamState
+from rosemarynotch._internal.operators.snapshot import Usage
+from rosemarynotch._internal.operators.snapshot import WaveProgress
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["Observer"]
+
+# Heartbeats are sent every max(1 s, 0.15 s x members); three may be missed.
+HEARTBEAT_S = 1.0
+HEARTBEAT_PER_MEMBER_S = 0.15
+MISSED_HEARTBEATS = 3
+
+
+class _Heard(Protocol):
+    heartbeat: Heartbeat
+    age_s: float
+
+
+class Observer:
+    """Puts together what members report.
+
+    :param heard: the last heartbeat of each other member, with its age
+    :param own: the heartbeat that this entry would send now
+    """
+
+    def __init__(
+        self,
+        environment: str,
+        in_force: InForce,
+        fleet: FleetView,
+        members: MembersView,
+        freshness: Freshness,
+        heard: Callable[[], dict[str, _Heard]],
+        own: Callable[[], Heartbeat],
+        clock: Clock,
+    ) -> None:
+        self._environment = environment
+        self._in_force = in_force
+        self._fleet = fleet
+        self._members = members
+        self._freshness = freshness
+        self._heard = heard
+        self._own = own
+        self._clock = clock
+        self._meter = ShareMeter(clock)
+
+    def note_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Sample served worth from time to time; a heartbeat listener."""
+        if self._meter.is_due():
+            recent = self._recent().values()
+            self._meter.sample([beat for beat, _ in recent])
+
+    def snapshot(self) -> FleetSnapshot:
+        """Return the present state."""
+        recent = self._recent()
+        document = self._in_force.current.document
+        members = self._member_states(recent)
+        version = max(
+            [self._in_force.current.version]
+            + [beat.config_version for beat, _ in recent.values()]
+        )
+        running = _sums(recent, "team", "running_requests")
+        queued = _sums(recent, "team", "queued_requests")
+        teams = tuple(
+            TeamState(
+                name=team.name,
+                limit_requests=team.limit_requests,
+                running_requests=running.get(team.name, 0),
+                queued_requests=queued.get(team.name, 0),
+            )
+            for team in document.teams
+        )
+        at_limit = frozenset(
+            team.name
+            for team in teams
+            if team.running_requests >= team.limit_requests
+        )
+        return FleetSnapshot(
+            environment=self._environment,
+            time_s=self._clock.wall_s(),
+            version=version,
+            accepted_at_s=self._accepted_at_s(version),
+            store_age_s=self._freshness.store_age_s(),
+            fleet_revision=max(
+                [self._fleet.revision]
+                + [beat.fleet_revision for beat, _ in recent.values()]
+            ),
+            silent_after_s=self._silent_after_s(),
+            members=members,
+            pools=self._pool_states(recent),
+            teams=teams,
+            shares=self._meter.shares(document, at_limit),
+            shares_measured=self._meter.is_measured(),
+            waves=self._wave_progress(),
+        )
+
+    def usage(self) -> Usage:
+        """Return what runs, to judge a change of the configuration."""
+        recent = self._recent()
+        running = _sums(recent, "pool", "running_requests")
+        queued = _sums(recent, "pool", "queued_requests")
+        serving: dict[str, set[str]] = {}
+        for name, vm in self._fleet.record.vms.items():
+            if vm.state is VmState.SERVING:
+                serving.setdefault(vm.pool, set()).add(name)
+        return Usage(
+            complete=not self.snapshot().silent and self._fleet.revision > 0,
+            running_by_team=_sums(recent, "team", "running_requests"),
+            queued_by_team=_sums(recent, "team", "queued_requests"),
+            work_by_pool={
+                pool: running[pool] + queued[pool] for pool in running
+            },
+            serving_by_pool={
+                pool: frozenset(names) for pool, names in serving.items()
+            },
+        )
+
+    def _recent(self) -> dict[str, tuple[Heartbeat, float]]:
+        """Return heartbeat and age by member, this entry's included.
+
+        Old heartbeats are kept: what a silent member had running is more
+        likely still running than not.
+        """
+        listed = self._members.record.members
+        found = {
+            name: (item.heartbeat, item.age_s)
+            for name, item in self._heard().items()
+            if name in listed
+        }
+        own = self._own()
+        found[own.sender] = (own, 0.0)
+        return found
+
+    def _silent_after_s(self) -> float:
+        count = len(self._members.record.members)
+        interval_s = max(HEARTBEAT_S, HEARTBEAT_PER_MEMBER_S * count)
+        return MISSED_HEARTBEATS * interval_s
+
+    def _member_states(self, recent) -> tuple[MemberState, ...]:
+        states = []
+        for name, member in sorted(self._members.record.members.items()):
+            if name not in recent:
+                state = MemberState(
+                    name=name, kind=str(member.kind), heard_age_s=None
+                )
+            else:
+                beat, age_s = recent[name]
+                state = MemberState(
+                    name=name,
+                    kind=str(member.kind),
+                    heard_age_s=age_s,
+                    config_version=beat.config_version,
+                    fleet_revision=beat.fleet_revision,
+                    store_age_s=beat.store_age_s + age_s,
+                )
+            states.append(state)
+        return tuple(states)
+
+    def _accepted_at_s(self, version: int) -> float:
+        pointer = self._in_force.current.pointer
+        if pointer is None or pointer.current.version != version:
+            return 0.0
+        return pointer.current.accepted_at_s
+
+    def _pool_states(self, recent) -> tuple[PoolState, ...]:
+        ejected = {
+            vm for beat, _ in recent.values() for vm in beat.ejected_vms
+        }
+        running = _sums(recent, "pool", "running_requests")
+        queued = _sums(recent, "pool", "queued_requests")
+        return tuple(
+            self._pool_state(pool, ejected, running, queued)
+            for pool in self._in_force.current.document.pools
+        )
+
+    def _pool_state(self, pool: PoolSpec, ejected, running, queued):
+        vms = {
+            name: vm
+            for name, vm in self._fleet.record.vms.items()
+            if vm.pool == pool.name
+        }
+        out: dict[str, tuple[str, ...]] = {}
+        serving = []
+        for name, vm in sorted(vms.items()):
+            if vm.state is VmState.SERVING:
+                serving.append(name)
+            else:
+                state = str(vm.state)
+                out[state] = (*out.get(state, ()), name)
+        return PoolState(
+            name=pool.name,
+            min_available_vms=pool.min_available_vms,
+            total_vms=len(vms),
+            serving_vms=len(serving),
+            ejected_vms=tuple(name for name in serving if name in ejected),
+            out_vms=out,
+            running_requests=running.get(pool.name, 0),
+            queued_requests=queued.get(pool.name, 0),
+        )
+
+    def _wave_progress(self) -> tuple[WaveProgress, ...]:
+        document = self._in_force.current.document
+        record = self._fleet.record
+        waves = []
+        for name, wave in sorted(record.waves.items()):
+            spec = document.wave(name)
+            pools = spec.pools if spec else ()
+            total = sum(vm.pool in pools for vm in record.vms.values())
+            waves.append(
+                WaveProgress(
+                    name=name,
+                    state=str(wave.state),
+                    done_vms=len(wave.done_vms),
+                    total_vms=max(total, len(wave.done_vms)),
+                    held_by=wave.held_by,
+                )
+            )
+        return tuple(waves)
+
+
+def _sums(recent, group: str, field: str) -> dict[str, int]:
+    """Add up a field of all demand rows by pool or team."""
+    sums: dict[str, int] = {}
+    for beat, _ in recent.values():
+        for row in beat.demand:
+            name = getattr(row, group)
+            sums[name] = sums.get(name, 0) + getattr(row, field)
+    return sums
--- /dev/null
+++ b/src/rosemarynotch/_internal/operators/report.py
@@ -0,0 +1,134 @@
+"""The report, to be read on a phone: worst news first."""
+
+import textwrap
+import time
+
+from rosemarynotch._internal.operators.findings import duration
+from rosemarynotch._internal.operators.findings import find
+from rosemarynotch._internal.operators.findings import Finding
+from rosemarynotch._internal.operators.findings import last_seen
+from rosemarynotch._internal.operators.findings import Level
+from rosemarynotch._internal.operators.snapshot import FleetSnapshot
+
+__all__ = ["MAX_LINES", "report_lines", "WIDTH"]
+
+WIDTH = 40
+MAX_LINES = 20
+MAX_WAVES = 3
+
+
+def report_lines(snapshot: FleetSnapshot) -> list[str]:
+    """Return the report.
+
+    It has at most :data:`MAX_LINES` lines of at most :data:`WIDTH`
+    characters. Findings that do not fit are counted.
+    """
+    findings = find(snapshot)
+    when = time.strftime("%d %b %H:%M", time.gmtime(snapshot.time_s))
+    head = _wrap(f"{snapshot.environment} {when} UTC") + _verdict(findings)
+    facts = [line for fact in _facts(snapshot) for line in _wrap(fact)]
+    room = MAX_LINES - len(head) - len(facts)
+    return head + _fit(findings, room) + facts
+
+
+def _verdict(findings: list[Finding]) -> list[str]:
+    risks = [item for item in findings if item.level is Level.RISK]
+    gaps = [item for item in findings if item.level is Level.NOT_KNOWN]
+    lines = []
+    if risks:
+        promises = sorted({item.promise for item in risks}, key=_promise_key)
+        lines += _wrap("AT RISK: " + " ".join(promises))
+    if gaps:
+        lines += _wrap(f"NOT KNOWN: {len(gaps)} gaps in the data")
+    if not lines:
+        warnings = f", {len(findings)} warnings" if findings else ""
+        lines = [f"No promise at risk{warnings}"]
+    return lines
+
+
+def _promise_key(promise: str) -> tuple[bool, int]:
+    number = promise.removeprefix("P")
+    return (not number.isdigit(), int(number) if number.isdigit() else 0)
+
+
+def _fit(findings: list[Finding], room: int) -> list[str]:
+    lines: list[str] = []
+    for index, item in enumerate(findings):
+        prefix = f"{item.promise} " if item.promise else ""
+        more = _wrap(f"! {prefix}{item.text}")
+        is_last = index + 1 == len(findings)
+        if len(lines) + len(more) > room - (not is_last):
+            left = len(findings) - index
+            return lines + [f"! and {left} more, see status"]
+        lines += more
+    return lines
+
+
+def _facts(snapshot: FleetSnapshot):
+    heard = len(snapshot.members) - len(snapshot.silent)
+    ages = [
+        member.heard_age_s
+        for member in snapshot.members
+        if member.heard_age_s is not None
+    ]
+    oldest = f", oldest {duration(max(ages))}" if ages else ""
+    yield f"Heard: {heard} of {len(snapshot.members)}{oldest}"
+    yield f"Store: {last_seen(snapshot.store_age_s)}"
+    count, total = snapshot.in_force(snapshot.version)
+    yield f"Config: v{snapshot.version} on {count} of {total}"
+    if snapshot.fleet_revision:
+        yield from _vm_facts(snapshot)
+    yield from _team_facts(snapshot)
+    waves = [w for w in snapshot.waves if w.state in ("running", "paused")]
+    for wave in waves[:MAX_WAVES]:
+        yield (
+            f"Wave {wave.name}: {wave.done_vms} of {wave.total_vms}"
+            f" done, {wave.state}"
+        )
+    if waves[MAX_WAVES:]:
+        yield f"and {len(waves) - MAX_WAVES} more waves"
+
+
+def _vm_facts(snapshot: FleetSnapshot):
+    total = sum(pool.total_vms for pool in snapshot.pools)
+    serving = sum(pool.serving_vms for pool in snapshot.pools)
+    yield f"VMs: {serving} of {total} serve"
+    guarded = [pool for pool in snapshot.pools if pool.min_available_vms]
+    if guarded:
+        tight = min(
+            guarded, key=lambda pool: pool.usable_vms - pool.min_available_vms
+        )
+        yield (
+            f"Least to spare: {tight.name},"
+            f" {tight.usable_vms} for {tight.min_available_vms}"
+        )
+
+
+def _team_facts(snapshot: FleetSnapshot):
+    running = sum(team.running_requests for team in snapshot.teams)
+    queued = sum(team.queued_requests for team in snapshot.teams)
+    which = " of heard members" if snapshot.silent else ""
+    yield f"Requests{which}: {running} running, {queued} waiting"
+    limited = [team for team in snapshot.teams if team.limit_requests]
+    if limited:
+        most = max(
+            limited,
+            key=lambda team: team.running_requests / team.limit_requests,
+        )
+        yield (
+            f"Nearest limit: {most.name},"
+            f" {most.running_requests} of {most.limit_requests}"
+        )
+    if snapshot.shares:
+        worst = min(snapshot.shares, key=lambda item: item.distance)
+        yield f"Lowest share: {worst.team}, {worst.distance:+.1%}"
+    elif snapshot.shares_measured:
+        yield "Shares: no two teams wait in one pool"
+    else:
+        yield "Shares: not measured yet"
+
+
+def _wrap(text: str) -> list[str]:
+    return textwrap.wrap(
+        text, WIDTH, subsequent_indent="  ", break_on_hyphens=False
+    )
--- /dev/null
+++ b/src/rosemarynotch/_internal/operators/shares.py
@@ -0,0 +1,126 @@
+"""Measures how close teams are to their share."""
+
+import collections
+import threading
+
+import attrs
+
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.messages import Heartbeat
+from rosemarynotch._internal.operators.snapshot import ShareState
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["ShareMeter"]
+
+# The share target is stated over one minute.
+WINDOW_S = 60.0
+SAMPLE_INTERVAL_S = 5.0
+# Fewer samples say more about bursts than about shares.
+MIN_SAMPLES = 6
+
+Row = tuple[str, str]  # pool and team
+
+
+@attrs.frozen(kw_only=True)
+class _Sample:
+    time_s: float
+    served: dict[Row, float]
+    queued: dict[Row, int]
+
+
+class ShareMeter:
+    """Compares served worth with shares, over the last minute.
+
+    Only teams that had requests waiting in every sample are compared: the
+    others got all that they asked for.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._samples: collections.deque[_Sample] = collections.deque()
+        self._last: dict[tuple[str, str], dict[Row, float]] = {}
+
+    def is_due(self) -> bool:
+        """Tell whether it is time for the next sample."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            return (
+                not self._samples
+                or now_s - self._samples[-1].time_s >= SAMPLE_INTERVAL_S
+            )
+
+    def is_measured(self) -> bool:
+        """Tell whether there are enough samples."""
+        with self._lock:
+            return len(self._samples) >= MIN_SAMPLES
+
+    def sample(self, heartbeats: list[Heartbeat]) -> None:
+        """Take the newest heartbeats of all members."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            served: dict[Row, float] = {}
+            queued: dict[Row, int] = {}
+            last = {}
+            for heartbeat in heartbeats:
+                member = (heartbeat.sender, heartbeat.incarnation)
+                before = self._last.get(member)
+                last[member] = {}
+                for row in heartbeat.demand:
+                    key = (row.pool, row.team)
+                    last[member][key] = row.served_worth
+                    queued[key] = queued.get(key, 0) + row.queued_requests
+                    if before is not None:
+                        grown = row.served_worth - before.get(key, 0.0)
+                        served[key] = served.get(key, 0.0) + grown
+            self._last = last
+            self._samples.append(
+                _Sample(time_s=now_s, served=served, queued=queued)
+            )
+            while self._samples[0].time_s < now_s - WINDOW_S:
+                self._samples.popleft()
+
+    def shares(
+        self, document: Document, at_limit: frozenset[str] = frozenset()
+    ) -> tuple[ShareState, ...]:
+        """Return the teams that waited all along, by pool.
+
+        :param at_limit: teams that wait because of their limit
+        """
+        with self._lock:
+            samples = list(self._samples)
+        if len(samples) < MIN_SAMPLES:
+            return ()
+        shares = {team.name: team.share for team in document.teams}
+        waiting = [
+            row
+            for row in samples[0].queued
+            if all(sample.queued.get(row) for sample in samples)
+            and row[1] in shares
+            and row[1] not in at_limit
+        ]
+        states = []
+        for pool in sorted({pool for pool, _ in waiting}):
+            teams = sorted(team for name, team in waiting if name == pool)
+            states += _compare(pool, teams, samples, shares)
+        return tuple(states)
+
+
+def _compare(pool, teams, samples, shares) -> list[ShareState]:
+    served = {
+        team: sum(sample.served.get((pool, team), 0.0) for sample in samples)
+        for team in teams
+    }
+    all_served = sum(served.values())
+    all_shares = sum(shares[team] for team in teams)
+    if len(teams) < 2 or all_served <= 0:
+        return []
+    return [
+        ShareState(
+            pool=pool,
+            team=team,
+            expected_part=shares[team] / all_shares,
+            served_part=served[team] / all_served,
+        )
+        for team in teams
+    ]
--- /dev/null
+++ b/src/rosemarynotch/_internal/operators/snapshot.py
@@ -0,0 +1,153 @@
+"""What an operator wants to know, as plain values."""
+
+import attrs
+
+__all__ = [
+    "FleetSnapshot",
+    "MemberState",
+    "PoolState",
+    "ShareState",
+    "TeamState",
+    "Usage",
+    "WaveProgress",
+]
+
+
+@attrs.frozen(kw_only=True)
+class Usage:
+    """What runs at the moment, as far as members were heard.
+
+    :ivar complete: all members were heard recently
+    """
+
+    complete: bool
+    running_by_team: dict[str, int] = attrs.field(factory=dict)
+    queued_by_team: dict[str, int] = attrs.field(factory=dict)
+    work_by_pool: dict[str, int] = attrs.field(factory=dict)
+    serving_by_pool: dict[str, frozenset[str]] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class MemberState:
+    """A member and its newest heartbeat.
+
+    :ivar heard_age_s: None when it was never heard
+    """
+
+    name: str
+    kind: str
+    heard_age_s: float | None
+    config_version: int = 0
+    fleet_revision: int = 0
+    store_age_s: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class PoolState:
+    """A pool, its budget and its load.
+
+    :ivar ejected_vms: serving VMs that an entry sees as failed
+    :ivar out_vms: names of the VMs that do not serve, by state
+    """
+
+    name: str
+    min_available_vms: int
+    total_vms: int
+    serving_vms: int
+    ejected_vms: tuple[str, ...] = ()
+    out_vms: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    running_requests: int = 0
+    queued_requests: int = 0
+
+    @property
+    def usable_vms(self) -> int:
+        """Return the VMs that count towards the budget."""
+        return self.serving_vms - len(self.ejected_vms)
+
+
+@attrs.frozen(kw_only=True)
+class TeamState:
+    """A team's running requests and limit over the whole fleet."""
+
+    name: str
+    limit_requests: int
+    running_requests: int = 0
+    queued_requests: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class ShareState:
+    """Part of the served worth that a waiting team got in a pool.
+
+    Both parts are relative to the teams that waited in the pool all along.
+    """
+
+    pool: str
+    team: str
+    expected_part: float
+    served_part: float
+
+    @property
+    def distance(self) -> float:
+        """Return the relative distance from the share, below 0 if under."""
+        return self.served_part / self.expected_part - 1
+
+
+@attrs.frozen(kw_only=True)
+class WaveProgress:
+    """Progress of a wave and what holds it."""
+
+    name: str
+    state: str
+    done_vms: int
+    total_vms: int
+    held_by: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class FleetSnapshot:
+    """Everything that the report is made from.
+
+    :ivar version: newest configuration version that any member has
+    :ivar accepted_at_s: wall time of its acceptance, 0 when not known
+    :ivar store_age_s: time since the last store contact of this entry
+    :ivar fleet_revision: newest revision of the fleet record seen
+    :ivar shares_measured: whether ``shares`` covers a long enough time
+    :ivar silent_after_s: age from which a heartbeat counts as missing
+    """
+
+    environment: str
+    time_s: float
+    version: int
+    accepted_at_s: float
+    store_age_s: float
+    fleet_revision: int
+    silent_after_s: float
+    members: tuple[MemberState, ...] = ()
+    pools: tuple[PoolState, ...] = ()
+    teams: tuple[TeamState, ...] = ()
+    shares: tuple[ShareState, ...] = ()
+    shares_measured: bool = False
+    waves: tuple[WaveProgress, ...] = ()
+
+    @property
+    def silent(self) -> tuple[MemberState, ...]:
+        """Return the members without a recent heartbeat."""
+        return tuple(
+            member
+            for member in self.members
+            if member.heard_age_s is None
+            or member.heard_age_s > self.silent_after_s
+        )
+
+    def in_force(self, version: int) -> tuple[int, int]:
+        """Return how many members have a version in force, and how many
+        there are.
+        """
+        silent = {member.name for member in self.silent}
+        count = sum(
+            member.config_version >= version
+            for member in self.members
+            if member.name not in silent
+        )
+        return count, len(self.members)
