--- /dev/null
+++ b/tests/unit/test_report.py
@@ -0,0 +1,288 @@
+"""Tests of the report."""
+
+import attrs
+import testtools
+
+from rosemarynotch._internal.configuration import FleetView
+from rosemarynotch._internal.configuration import Freshness
+from rosemarynotch._internal.configuration import InForce
+from rosemarynotch._internal.configuration import MembersView
+from rosemarynotch._internal.models.messages import DemandRow
+from rosemarynotch._internal.models.messages import Heartbeat
+from rosemarynotch._internal.models.records import ConfigPointer
+from rosemarynotch._internal.models.records import ConfigVersion
+from rosemarynotch._internal.models.records import FleetRecord
+from rosemarynotch._internal.models.records import Member
+from rosemarynotch._internal.models.records import MemberKind
+from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.models.records import VmRecord
+from rosemarynotch._internal.models.records import VmState
+from rosemarynotch._internal.operators.findings import find
+from rosemarynotch._internal.operators.observer import Observer
+from rosemarynotch._internal.operators.report import MAX_LINES
+from rosemarynotch._internal.operators.report import report_lines
+from rosemarynotch._internal.operators.report import WIDTH
+from rosemarynotch._internal.operators.shares import ShareMeter
+from rosemarynotch._internal.operators.snapshot import FleetSnapshot
+from rosemarynotch._internal.operators.snapshot import MemberState
+from rosemarynotch._internal.operators.snapshot import PoolState
+from rosemarynotch._internal.operators.snapshot import ShareState
+from rosemarynotch._internal.operators.snapshot import TeamState
+from rosemarynotch._internal.operators.snapshot import WaveProgress
+from rosemarynotch._internal.peers import HeardMember
+from tests.lib.clocks import ManualClock
+from tests.lib.documents import make_document
+
+MEMBER = MemberState(
+    name="entry-1",
+    kind="entry",
+    heard_age_s=0.4,
+    config_version=7,
+    fleet_revision=3,
+    store_age_s=0.5,
+)
+POOL = PoolState(
+    name="settlement", min_available_vms=4, total_vms=6, serving_vms=6
+)
+TEAM = TeamState(name="harbour", limit_requests=60, running_requests=20)
+HEALTHY = FleetSnapshot(
+    environment="kochi",
+    time_s=1_000_000.0,
+    version=7,
+    accepted_at_s=999_000.0,
+    store_age_s=0.3,
+    fleet_revision=3,
+    silent_after_s=3.0,
+    members=(MEMBER, attrs.evolve(MEMBER, name="entry-2")),
+    pools=(POOL,),
+    teams=(TEAM,),
+    shares_measured=True,
+)
+OLD = attrs.evolve(MEMBER, name="entry-9", heard_age_s=200)
+
+# (change to the healthy snapshot, text in the report)
+BAD = (
+    ({"pools": (attrs.evolve(POOL, serving_vms=3),)}, "AT RISK: P1"),
+    (
+        {"pools": (attrs.evolve(POOL, ejected_vms=("a", "b", "c")),)},
+        "P1 settlement: 3 VMs usable",
+    ),
+    ({"pools": (attrs.evolve(POOL, serving_vms=4),)}, "none to spare"),
+    ({"teams": (attrs.evolve(TEAM, running_requests=61),)}, "P4 harbour: 61"),
+    ({"teams": (attrs.evolve(TEAM, running_requests=57),)}, "57 of limit 60"),
+    ({"store_age_s": 40.0}, "P10 Store last seen 40 s ago"),
+    ({"store_age_s": float("inf")}, "not seen since the start"),
+    (
+        {"members": (MEMBER, attrs.evolve(MEMBER, config_version=6))},
+        "P10 entry-1 has v6",
+    ),
+    ({"members": (MEMBER, OLD)}, "entry-9: silent for 3 min"),
+    (
+        {"members": (MEMBER, attrs.evolve(OLD, heard_age_s=None))},
+        "entry-9: never heard",
+    ),
+    ({"members": ()}, "No members are known"),
+    ({"version": 0}, "No configuration is known"),
+    ({"fleet_revision": 0}, "VM states are not known"),
+    (
+        {
+            "shares": (
+                ShareState(
+                    pool="settlement",
+                    team="market",
+                    expected_part=0.5,
+                    served_part=0.4,
+                ),
+            )
+        },
+        "market: 20% under share",
+    ),
+    (
+        {
+            "waves": (
+                WaveProgress(
+                    name="monthly",
+                    state="paused",
+                    done_vms=2,
+                    total_vms=6,
+                    held_by="rack r2 failed",
+                ),
+            )
+        },
+        "held: rack r2 failed",
+    ),
+)
+
+
+class ReportTest(testtools.TestCase):
+    """Guards against a report that hides bad news or does not fit."""
+
+    def assert_fits(self, lines):
+        self.assertTrue(len(lines) <= MAX_LINES, lines)
+        self.assertTrue(all(len(line) <= WIDTH for line in lines), lines)
+
+    def test_healthy_fleet(self):
+        lines = report_lines(HEALTHY)
+        self.assert_fits(lines)
+        self.assertEqual("No promise at risk", lines[1])
+        self.assertIn("Config: v7 on 2 of 2", lines)
+
+    def test_bad_news_is_told(self):
+        for fields, text in BAD:
+            lines = report_lines(attrs.evolve(HEALTHY, **fields))
+            self.assert_fits(lines)
+            joined = " ".join(line.strip() for line in lines)
+            self.assertIn(text, joined)
+            self.assertNotEqual("No promise at risk", lines[1], fields)
+
+    def test_missing_data_is_never_all_well(self):
+        for fields in (
+            {"members": (MEMBER, OLD)},
+            {"members": ()},
+            {"version": 0},
+            {"fleet_revision": 0},
+            {"store_age_s": 40.0},
+        ):
+            text = "\n".join(report_lines(attrs.evolve(HEALTHY, **fields)))
+            self.assertNotIn("No promise at risk", text)
+
+    def test_worst_news_comes_first_and_the_rest_is_counted(self):
+        pools = tuple(
+            attrs.evolve(POOL, name=f"pool-{number}", serving_vms=3)
+            for number in range(30)
+        )
+        members = (MEMBER, OLD)
+        snapshot = attrs.evolve(HEALTHY, pools=pools, members=members)
+        lines = report_lines(snapshot)
+        self.assert_fits(lines)
+        self.assertIn("P1 pool-0", lines[3])
+        shown = sum(
+            line.startswith("! ") and "more" not in line for line in lines
+        )
+        hidden = len(find(snapshot)) - shown
+        self.assertIn(f"! and {hidden} more, see status", lines)
+
+
+class ShareMeterTest(testtools.TestCase):
+    """Guards against shares measured over teams that did not wait."""
+
+    def sample(self, rates, queued, samples=8, restart_at=-1):
+        clock = ManualClock()
+        meter = ShareMeter(clock)
+        for number in range(samples):
+            restarted = 0 <= restart_at <= number
+            since = number - restart_at if restarted else number + 50
+            rows = tuple(
+                DemandRow(
+                    pool="settlement",
+                    team=team,
+                    queued_requests=queued[team],
+                    running_requests=1,
+                    served_worth=rate * since,
+                    slot_s=0,
+                )
+                for team, rate in rates.items()
+            )
+            beat = heartbeat(demand=rows, incarnation=str(restarted))
+            meter.sample([beat])
+            clock.advance(5)
+        return meter.shares(make_document())
+
+    def test_waiting_teams_are_compared(self):
+        for restart_at in (-1, 4):
+            shares = self.sample(
+                {"harbour": 10, "market": 10},
+                {"harbour": 5, "market": 5},
+                restart_at=restart_at,
+            )
+            self.assertEqual(["harbour", "market"], [s.team for s in shares])
+            self.assertAlmostEqual(-0.25, shares[0].distance)
+            self.assertAlmostEqual(0.5, shares[1].distance)
+
+    def test_team_that_got_all_it_asked_for_is_not_compared(self):
+        queued = {"harbour": 0, "market": 5}
+        self.assertEqual((), self.sample({"harbour": 1, "market": 9}, queued))
+
+
+def heartbeat(sender="entry-2", **fields):
+    values = {
+        "incarnation": "i",
+        "sequence": 1,
+        "members_revision": 1,
+        "config_version": 4,
+        "fleet_revision": 1,
+        "store_age_s": 0.1,
+    }
+    return Heartbeat(sender=sender, **{**values, **fields})
+
+
+class ObserverTest(testtools.TestCase):
+    """Guards against sums over the wrong members, and forgotten silence."""
+
+    def test_snapshot(self):
+        clock = ManualClock()
+        in_force, fleet, members = InForce(), FleetView(), MembersView()
+        version = ConfigVersion(
+            version=4,
+            digest="d",
+            change_id="c",
+            operator="anna",
+            reason="",
+            accepted_at_s=900.0,
+        )
+        in_force.apply(ConfigPointer(current=version), make_document())
+        vm = VmRecord(
+            pool="settlement",
+            state=VmState.SERVING,
+            instance="i",
+            address="a",
+            data_centre="d",
+            rack="r",
+        )
+        out = attrs.evolve(vm, state=VmState.FAILED)
+        fleet.apply(FleetRecord(vms={"s-1": vm, "s-2": out}), 5)
+        rows = {
+            name: Member(
+                name=name,
+                kind=MemberKind.ENTRY,
+                incarnation="i",
+                vm=name,
+                vm_instance="v",
+                data_centre="d",
+                peer_address="p",
+            )
+            for name in ("entry-1", "entry-2", "entry-3")
+        }
+        members.apply(MembersRecord(members=rows), 1)
+        row = DemandRow(
+            pool="settlement",
+            team="harbour",
+            queued_requests=1,
+            running_requests=2,
+            served_worth=0,
+            slot_s=0,
+        )
+        beats = {"entry-2": heartbeat(demand=(row,), config_version=5)}
+        beats["entry-7"] = heartbeat("entry-7", demand=(row,))
+        observer = Observer(
+            "trial",
+            in_force,
+            fleet,
+            members,
+            Freshness(clock, members, "entry-1"),
+            lambda: {
+                name: HeardMember(heartbeat=beat, age_s=1.0)
+                for name, beat in beats.items()
+            },
+            lambda: heartbeat("entry-1", demand=(row,)),
+            clock,
+        )
+        snapshot = observer.snapshot()
+        self.assertEqual(["entry-3"], [m.name for m in snapshot.silent])
+        self.assertEqual(5, snapshot.version)
+        self.assertEqual((1, 3), snapshot.in_force(5))
+        self.assertEqual(4, snapshot.teams[0].running_requests)
+        self.assertEqual({"failed": ("s-2",)}, snapshot.pools[0].out_vms)
+        usage = observer.usage()
+        self.assertFalse(usage.complete)
+        self.assertEqual({"settlement": 6}, usage.work_by_pool)
