Add the operators' port

Changes of the document, keys, VMs, waves and jobs with who, why and a change id; a change that hits running work or keys needs a confirmation. A rollback that lets a withdrawn key work again needs one too.

--- a/src/rosemarynotch/_internal/operators/__init__.py
+++ b/src/rosemarynotch/_internal/operators/__init__.py
@@ -1,1 +1,17 @@
 """HTTP for operators and the report."""
+
+from rosemarynotch._internal.operators.app import OperatorApp
+from rosemarynotch._internal.operators.changes import Change
+from rosemarynotch._internal.operators.changes import ConfigChanges
+from rosemarynotch._internal.operators.keys import OperatorKeys
+from rosemarynotch._internal.operators.observer import Observer
+from rosemarynotch._internal.operators.report import report_lines
+
+__all__ = [
+    "Change",
+    "ConfigChanges",
+    "Observer",
+    "OperatorApp",
+    "OperatorKeys",
+    "report_lines",
+]
--- /dev/null
+++ b/src/rosemarynotch/_internal/operators/config_calls.py
@@ -0,0 +1,291 @@
+"""Calls on the configuration and on keys."""
+
+from typing import Any
+from typing import Callable
+
+import attrs
+
+from rosemarynotch._internal.configuration import document_digest
+from rosemarynotch._internal.exceptions import CONFIRMATION_NEEDED
+from rosemarynotch._internal.exceptions import DOCUMENT_MALFORMED
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import KEY_INVALID
+from rosemarynotch._internal.exceptions import REQUEST_MALFORMED
+from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
+from rosemarynotch._internal.exceptions import TEAM_UNKNOWN
+from rosemarynotch._internal.exceptions import VERSION_CHANGED
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.document import TeamSpec
+from rosemarynotch._internal.models.records import ConfigVersion
+from rosemarynotch._internal.models.validation import check_document
+from rosemarynotch._internal.models.validation import parse_document
+from rosemarynotch._internal.operators.changes import ConfigChanges
+from rosemarynotch._internal.operators.changes import find_version
+from rosemarynotch._internal.operators.differences import consequences
+from rosemarynotch._internal.operators.differences import differences
+from rosemarynotch._internal.operators.differences import revived_keys
+from rosemarynotch._internal.operators.http import Request
+from rosemarynotch._internal.operators.http import Route
+from rosemarynotch._internal.operators.observer import Observer
+from rosemarynotch._internal.operators import requests
+
+__all__ = ["ConfigCalls"]
+
+# A command on a key does not depend on the version, so it is repeated when
+# another change comes between.
+KEY_ATTEMPTS = 5
+EMPTY = Document(pools=(), teams=(), queues=())
+
+
+class ConfigCalls:
+    """Reads and changes the configuration.
+
+    :param is_trial: documents may be tried in this environment
+    """
+
+    def __init__(
+        self, changes: ConfigChanges, observer: Observer, is_trial: bool
+    ) -> None:
+        self._changes = changes
+        self._observer = observer
+        self._is_trial = is_trial
+        self.routes = (
+            Route("GET", "/v1/config", self.show),
+            Route("GET", "/v1/config/history", self.history),
+            Route("GET", "/v1/config/changes/<id>", self.show_change),
+            Route("GET", "/v1/config/tried/<digest>", self.show_trial),
+            Route("POST", "/v1/config/diff", self.diff),
+            Route("POST", "/v1/config/try", self.try_document),
+            Route("POST", "/v1/config/promote", self.promote),
+            Route("POST", "/v1/config/rollback", self.rollback),
+            Route("POST", "/v1/keys/give", self.give_key),
+            Route("POST", "/v1/keys/withdraw", self.withdraw_key),
+        )
+
+    def show(self, request: Request) -> Any:
+        """Return the newest version with its document."""
+        current = self._current()
+        if isinstance(current, Failure):
+            return current
+        version, document = current
+        if version is None:
+            return {"version": 0, "document": None}
+        return {**self._accepted(version), "document": document}
+
+    def history(self, request: Request) -> Any:
+        """Return the newest versions, newest first."""
+        pointer = self._changes.pointer()
+        if isinstance(pointer, Failure):
+            return pointer
+        versions = (pointer.current, *pointer.history) if pointer else ()
+        return {"versions": versions}
+
+    def show_change(self, request: Request, change_id: str) -> Any:
+        """Tell whether a change is accepted, and on how many in force."""
+        version = self._changes.find_change(change_id)
+        if isinstance(version, Failure):
+            return version
+        if version is None:
+            return STORE_KEY_MISSING.because(
+                f"change {change_id} is not among the newest versions"
+            )
+        return self._accepted(version)
+
+    def show_trial(self, request: Request, digest: str) -> Any:
+        """Return the trial of a digest."""
+        return self._changes.trials.find(digest)
+
+    def diff(self, request: Request) -> Any:
+        """Compare a document with the newest version."""
+        body = request.decode(requests.DiffRequest)
+        if isinstance(body, Failure):
+            return body
+        document = _parse(body.document)
+        current = self._current()
+        for failure in (document, current):
+            if isinstance(failure, Failure):
+                return failure
+        version, old = current
+        usage = self._observer.usage()
+        return {
+            "version": version.version if version else 0,
+            "digest": document_digest(codec.encode(document)),
+            "differences": differences(old, document),
+            "consequences": consequences(old, document, usage),
+        }
+
+    def try_document(self, request: Request) -> Any:
+        """Put a document in force in a trial environment."""
+        if not self._is_trial:
+            return REQUEST_MALFORMED.because("not a trial environment")
+
+        def run(document, body, change):
+            return self._changes.try_document(document, change)
+
+        return self._change_document(request, run)
+
+    def promote(self, request: Request) -> Any:
+        """Put a document in force that was tried and signed off."""
+
+        def run(document, body, change):
+            return self._changes.promote(
+                document, body.digest, change, body.trial
+            )
+
+        return self._change_document(request, run)
+
+    def rollback(self, request: Request) -> Any:
+        """Put the document of an earlier version in force again."""
+        body = requests.decode_change(request, requests.Rollback)
+        if isinstance(body, Failure):
+            return body
+        pointer = self._changes.pointer()
+        if isinstance(pointer, Failure):
+            return pointer
+        target = find_version(pointer, body.to_version)
+        if isinstance(target, Failure):
+            return target
+        document = self._changes.document(target.digest)
+        if isinstance(document, Failure):
+            return document
+        return self._confirm_and_run(
+            document,
+            body,
+            lambda change: self._changes.rollback(body.to_version, change),
+            revived_keys,
+        )
+
+    def give_key(self, request: Request) -> Any:
+        """Add a key to a team."""
+        body = requests.decode_change(request, requests.KeyGive)
+        if isinstance(body, Failure):
+            return body
+
+        def change(team: TeamSpec) -> TeamSpec | Failure:
+            if body.key in team.keys:
+                return team
+            return attrs.evolve(team, keys=(*team.keys, body.key))
+
+        return self._change_team(body, change)
+
+    def withdraw_key(self, request: Request) -> Any:
+        """Take a key from a team."""
+        body = requests.decode_change(request, requests.KeyWithdraw)
+        if isinstance(body, Failure):
+            return body
+
+        def change(team: TeamSpec) -> TeamSpec | Failure:
+            kept = tuple(k for k in team.keys if k.key_id != body.key_id)
+            if kept == team.keys:
+                return KEY_INVALID.because(
+                    f"team {team.name} has no key {body.key_id}"
+                )
+            return attrs.evolve(team, keys=kept)
+
+        return self._change_team(body, change)
+
+    def _change_document(self, request: Request, run: Callable) -> Any:
+        body = requests.decode_change(request, requests.DocumentChange)
+        if isinstance(body, Failure):
+            return body
+        document = _parse(body.document)
+        if isinstance(document, Failure):
+            return document
+        return self._confirm_and_run(
+            document, body, lambda change: run(document, body, change)
+        )
+
+    def _confirm_and_run(
+        self, document: Document, body, run, more=lambda old, new: []
+    ) -> Any:
+        """Run a change unless its consequences need a confirmation.
+
+        :param more: finds further consequences
+        """
+        current = self._current()
+        if isinstance(current, Failure):
+            return current
+        version, old = current
+        change = requests.to_change(body, body.expected_version)
+        number = version.version if version else 0
+        if number == body.expected_version and not body.confirmed:
+            found = consequences(old, document, self._observer.usage())
+            found += more(old, document)
+            if found:
+                return CONFIRMATION_NEEDED.because("\n".join(found))
+        # A repeat, or a version that has changed, is told by the change.
+        return self._accepted(run(change))
+
+    def _change_team(self, body, change_team: Callable) -> Any:
+        for _ in range(KEY_ATTEMPTS):
+            current = self._current()
+            known = self._changes.find_change(body.change_id)
+            for failure in (current, known):
+                if isinstance(failure, Failure):
+                    return failure
+            version, document = current
+            if known is not None:
+                return self._accepted(known)
+            changed = _with_team(document, body.team, change_team)
+            if isinstance(changed, Failure):
+                return changed
+            if changed == document:
+                return self._accepted(version)
+            change = requests.to_change(body, version.version)
+            result = self._changes.apply(changed, change)
+            if not _is_version_changed(result):
+                break
+        return self._accepted(result)
+
+    def _current(self) -> tuple[ConfigVersion | None, Document] | Failure:
+        pointer = self._changes.pointer()
+        if isinstance(pointer, Failure):
+            return pointer
+        if pointer is None:
+            return None, EMPTY
+        document = self._changes.document(pointer.current.digest)
+        if isinstance(document, Failure):
+            return document
+        return pointer.current, document
+
+    def _accepted(self, version: ConfigVersion | Failure) -> Any:
+        if isinstance(version, Failure):
+            return version
+        snapshot = self._observer.snapshot()
+        count, total = snapshot.in_force(version.version)
+        return {
+            "state": "accepted",
+            **attrs.asdict(version),
+            "in_force": count,
+            "members": total,
+        }
+
+
+def _is_version_changed(result: ConfigVersion | Failure) -> bool:
+    return isinstance(result, Failure) and result.is_a(VERSION_CHANGED)
+
+
+def _parse(text: str) -> Document | Failure:
+    document = parse_document(text)
+    if isinstance(document, Document):
+        return document
+    return DOCUMENT_MALFORMED.because("\n".join(map(str, document)))
+
+
+def _with_team(
+    document: Document, name: str, change: Callable
+) -> Document | Failure:
+    """Return a document with one team changed."""
+    team = document.team(name)
+    if team is None:
+        return TEAM_UNKNOWN.because(name)
+    changed = change(team)
+    if isinstance(changed, Failure):
+        return changed
+    teams = tuple(changed if t.name == name else t for t in document.teams)
+    document = attrs.evolve(document, teams=teams)
+    problems = check_document(document)
+    if problems:
+        return DOCUMENT_MALFORMED.because("\n".join(map(str, problems)))
+    return document
--- a/src/rosemarynotch/_internal/operators/differences.py
+++ b/src/rosemarynotch/_internal/operators/differences.py
@@ -9,7 +9,7 @@
 from rosemarynotch._internal.models.document import VmSpec
 from rosemarynotch._internal.operators.snapshot import Usage
 
-__all__ = ["consequences", "differences"]
+__all__ = ["consequences", "differences", "revived_keys"]
 
 
 def differences(old: Document, new: Document) -> list[str]:
@@ -126,6 +126,17 @@
             yield f"team {team.name}: key {key_id} stops working"
 
 
+def revived_keys(old: Document, new: Document) -> list[str]:
+    """Return the keys that a rollback would let work again."""
+    return [
+        f"team {team.name}: key {key_id} works again"
+        for team in new.teams
+        for key_id in sorted(
+            _keys(team).keys() - _keys(old.team(team.name)).keys()
+        )
+    ]
+
+
 def _pool_consequences(old, new, usage: Usage) -> Iterator[str]:
     for pool in old.pools:
         if new.pool(pool.name) is not None:
--- /dev/null
+++ b/src/rosemarynotch/_internal/operators/fleet_calls.py
@@ -0,0 +1,265 @@
+"""Calls on VMs, waves and jobs."""
+
+from typing import Any
+from typing import Callable
+from typing import Protocol
+
+import logbook
+
+from rosemarynotch._internal.configuration import FleetView
+from rosemarynotch._internal.configuration import InForce
+from rosemarynotch._internal.exceptions import CHANGE_UNKNOWN
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.exceptions import REQUEST_MALFORMED
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.operators.http import Request
+from rosemarynotch._internal.operators.http import Route
+from rosemarynotch._internal.operators.observer import Observer
+from rosemarynotch._internal.operators import requests
+from rosemarynotch._internal.platform.records import Record
+from rosemarynotch._internal.platform.records import RecordStore
+
+__all__ = ["FleetCalls", "Jobs", "Operations"]
+
+# Each operation can be repeated with the same change id.
+ATTEMPTS = 3
+
+_log = logbook.Logger(__name__)
+
+
+class Operations(Protocol):
+    """The functions of ``control.operations``."""
+
+    def drain_vm(
+        self,
+        records: RecordStore,
+        document: Document,
+        vm: str,
+        operation_id: str,
+        failed: frozenset[str],
+    ) -> Record | Failure:
+        """Take a VM out of service."""
+
+    def undrain_vm(
+        self, records: RecordStore, vm: str, operation_id: str
+    ) -> Record | Failure:
+        """Let a VM serve again."""
+
+    def move_vm(
+        self,
+        records: RecordStore,
+        document: Document,
+        vm: str,
+        pool: str,
+        operation_id: str,
+        failed: frozenset[str],
+    ) -> Record | Failure:
+        """Let a VM serve another pool."""
+
+    def start_wave(
+        self,
+        records: RecordStore,
+        document: Document,
+        wave: str,
+        operator: str,
+        reason: str,
+    ) -> Record | Failure:
+        """Start a wave."""
+
+    def pause_wave(
+        self, records: RecordStore, wave: str, operator: str, reason: str
+    ) -> Record | Failure:
+        """Pause a wave; ``resume_wave`` and ``abort_wave`` are alike."""
+
+
+class Jobs(Protocol):
+    """What operators do with jobs."""
+
+    def list_jobs(self, team: str) -> list | Failure:
+        """Return the jobs of a team, or of all teams if it is empty."""
+
+    def cancel(self, team: str, job_id: str) -> None | Failure:
+        """Cancel a job; repeating it is harmless."""
+
+
+class FleetCalls:
+    """Calls on the fleet record and on jobs."""
+
+    def __init__(
+        self,
+        records: RecordStore,
+        in_force: InForce,
+        fleet: FleetView,
+        observer: Observer,
+        operations: Operations,
+        jobs: Jobs,
+    ) -> None:
+        self._records = records
+        self._in_force = in_force
+        self._fleet = fleet
+        self._observer = observer
+        self._operations = operations
+        self._jobs = jobs
+        self.routes = (
+            Route("GET", "/v1/fleet", self.show),
+            Route("GET", "/v1/fleet/revisions/<revision>", self.in_force),
+            Route("POST", "/v1/vms/<vm>/drain", self.drain),
+            Route("POST", "/v1/vms/<vm>/undrain", self.undrain),
+            Route("POST", "/v1/vms/<vm>/move", self.move),
+            Route("POST", "/v1/waves/<wave>/start", self.start_wave),
+            Route("POST", "/v1/waves/<wave>/pause", self.pause_wave),
+            Route("POST", "/v1/waves/<wave>/resume", self.resume_wave),
+            Route("POST", "/v1/waves/<wave>/abort", self.abort_wave),
+            Route("GET", "/v1/jobs", self.list_jobs),
+            Route("POST", "/v1/jobs/<id>/cancel", self.cancel_job),
+        )
+
+    def show(self, request: Request) -> Any:
+        """Return the fleet record as this entry knows it."""
+        record = self._fleet.record
+        return {
+            "fleet_revision": self._fleet.revision,
+            "vms": record.vms,
+            "waves": record.waves,
+            "moves_count": record.moves_count,
+        }
+
+    def in_force(self, request: Request, revision: str) -> Any:
+        """Tell how many members have a fleet revision in force."""
+        if not revision.isdecimal():
+            return REQUEST_MALFORMED.because("a revision is a number")
+        return self._accepted(int(revision))
+
+    def drain(self, request: Request, vm: str) -> Any:
+        """Take a VM out of service until it is undrained."""
+        return self._run(
+            request,
+            requests.FleetChange,
+            lambda body: self._operations.drain_vm(
+                self._records,
+                self._in_force.current.document,
+                vm,
+                body.change_id,
+                self._failed(),
+            ),
+        )
+
+    def undrain(self, request: Request, vm: str) -> Any:
+        """Let a VM serve again."""
+        return self._run(
+            request,
+            requests.FleetChange,
+            lambda body: self._operations.undrain_vm(
+                self._records, vm, body.change_id
+            ),
+        )
+
+    def move(self, request: Request, vm: str) -> Any:
+        """Let a VM serve another pool."""
+        return self._run(
+            request,
+            requests.MoveChange,
+            lambda body: self._operations.move_vm(
+                self._records,
+                self._in_force.current.document,
+                vm,
+                body.pool,
+                body.change_id,
+                self._failed(),
+            ),
+        )
+
+    def start_wave(self, request: Request, wave: str) -> Any:
+        """Start a wave."""
+        return self._run(
+            request,
+            requests.FleetChange,
+            lambda body: self._operations.start_wave(
+                self._records,
+                self._in_force.current.document,
+                wave,
+                body.operator,
+                body.reason,
+            ),
+        )
+
+    def pause_wave(self, request: Request, wave: str) -> Any:
+        """Pause a wave."""
+        return self._set_wave(request, wave, self._operations.pause_wave)
+
+    def resume_wave(self, request: Request, wave: str) -> Any:
+        """Go on with a wave."""
+        return self._set_wave(request, wave, self._operations.resume_wave)
+
+    def abort_wave(self, request: Request, wave: str) -> Any:
+        """End a wave."""
+        return self._set_wave(request, wave, self._operations.abort_wave)
+
+    def list_jobs(self, request: Request) -> Any:
+        """Return jobs, of one team or of all."""
+        jobs = self._jobs.list_jobs(request.query("team"))
+        return jobs if isinstance(jobs, Failure) else {"jobs": jobs}
+
+    def cancel_job(self, request: Request, job_id: str) -> Any:
+        """Cancel a job."""
+        body = requests.decode_change(request, requests.JobCancel)
+        if isinstance(body, Failure):
+            return body
+        result = _repeat(body, lambda: self._jobs.cancel(body.team, job_id))
+        if isinstance(result, Failure):
+            return result
+        _note("job cancelled", body, job=job_id, team=body.team)
+        return {"state": "accepted", "change_id": body.change_id}
+
+    def _set_wave(self, request: Request, wave: str, operation) -> Any:
+        return self._run(
+            request,
+            requests.FleetChange,
+            lambda body: operation(
+                self._records, wave, body.operator, body.reason
+            ),
+        )
+
+    def _run(self, request: Request, kind: type, operation: Callable) -> Any:
+        body = requests.decode_change(request, kind)
+        if isinstance(body, Failure):
+            return body
+        result = _repeat(body, lambda: operation(body))
+        if isinstance(result, Failure):
+            return result
+        _note("fleet changed", body, call=request.environ["PATH_INFO"])
+        return {
+            **self._accepted(result.revision),
+            "change_id": body.change_id,
+        }
+
+    def _accepted(self, revision: int) -> dict[str, Any]:
+        count, total = self._observer.snapshot().fleet_in_force(revision)
+        return {
+            "state": "accepted",
+            "fleet_revision": revision,
+            "in_force": count,
+            "members": total,
+        }
+
+    def _failed(self) -> frozenset[str]:
+        pools = self._observer.snapshot().pools
+        return frozenset(vm for pool in pools for vm in pool.ejected_vms)
+
+
+def _repeat(body, operation: Callable) -> Any:
+    """Run an operation, and again while its answer is lost."""
+    for _ in range(ATTEMPTS):
+        result = operation()
+        if not isinstance(result, Failure) or result.ran is Ran.NO:
+            return result
+    return CHANGE_UNKNOWN.because(
+        f"the store does not answer; repeat with change id {body.change_id}"
+    )
+
+
+def _note(event: str, body, **fields) -> None:
+    _log.notice(
+        event, change_id=body.change_id, operator=body.operator, **fields
+    )
--- a/src/rosemarynotch/_internal/operators/snapshot.py
+++ b/src/rosemarynotch/_internal/operators/snapshot.py
@@ -141,12 +141,17 @@
         )
 
     def in_force(self, version: int) -> tuple[int, int]:
-        """Return how many members have a version in force, and how many
-        there are.
-        """
+        """Return how many of how many members have a version in force."""
+        return self._count("config_version", version)
+
+    def fleet_in_force(self, revision: int) -> tuple[int, int]:
+        """Return how many of how many members have a fleet revision."""
+        return self._count("fleet_revision", revision)
+
+    def _count(self, field: str, least: int) -> tuple[int, int]:
         silent = {member.name for member in self.silent}
         count = sum(
-            member.config_version >= version
+            getattr(member, field) >= least
             for member in self.members
             if member.name not in silent
         )
--- /dev/null
+++ b/tests/lib/operators.py
@@ -0,0 +1,170 @@
+"""An operators' port in this process, for tests."""
+
+import io
+import json
+import random
+
+from rosemarynotch._internal.configuration import FleetView
+from rosemarynotch._internal.configuration import Follower
+from rosemarynotch._internal.configuration import Freshness
+from rosemarynotch._internal.configuration import InForce
+from rosemarynotch._internal.configuration import make_key
+from rosemarynotch._internal.configuration import MembersView
+from rosemarynotch._internal.control import operations
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.models.messages import Heartbeat
+from rosemarynotch._internal.models.records import FleetRecord
+from rosemarynotch._internal.models.records import Member
+from rosemarynotch._internal.models.records import MemberKind
+from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.models.records import VmRecord
+from rosemarynotch._internal.models.records import VmState
+from rosemarynotch._internal.operators import ConfigChanges
+from rosemarynotch._internal.operators.keys import format_setting
+from rosemarynotch._internal.operators import Observer
+from rosemarynotch._internal.operators import OperatorApp
+from rosemarynotch._internal.operators import OperatorKeys
+from rosemarynotch._internal.platform.records import FLEET_KEY
+from rosemarynotch._internal.platform.records import MEMBERS_KEY
+from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.utils.metrics import Metrics
+from standins.kv import KeyValue
+from tests.lib.clocks import ManualClock
+from tests.lib.stores import MemoryStore
+
+__all__ = ["FakeJobs", "OperatorPort"]
+
+OPERATOR_KEY, OPERATOR_SPEC = make_key("anna", "k1")
+
+
+class FakeJobs:
+    """Jobs of one team."""
+
+    def __init__(self) -> None:
+        self.cancelled: list[str] = []
+
+    def list_jobs(self, team):
+        """Return one job."""
+        return [{"job_id": "j1", "team": team or "harbour"}]
+
+    def cancel(self, team, job_id):
+        """Cancel the job of :meth:`list_jobs`."""
+        if job_id != "j1":
+            return failures.JOB_UNKNOWN.because(job_id)
+        self.cancelled.append(job_id)
+        return None
+
+
+class OperatorPort:
+    """The application of one entry, with the store of an environment."""
+
+    def __init__(self, core=None, is_trial=True) -> None:
+        clock = ManualClock()
+        self.store = MemoryStore(core or KeyValue())
+        records = RecordStore(self.store, clock, random.Random(1))
+        self.in_force, self.fleet = InForce(), FleetView()
+        members = MembersView()
+        freshness = Freshness(clock, members, "entry-1")
+        self.follower = Follower(
+            records, self.in_force, self.fleet, members, freshness, clock
+        )
+        self.metrics, self.jobs = Metrics(), FakeJobs()
+        me = Member(
+            name="entry-1",
+            kind=MemberKind.ENTRY,
+            incarnation="i",
+            vm="vm-1",
+            vm_instance="v",
+            data_centre="d",
+            peer_address="p",
+        )
+        vms = {name: _vm(name) for name in ("s-1", "s-2")}
+        record = FleetRecord(vms=vms)
+        records.update(
+            MEMBERS_KEY,
+            MembersRecord,
+            None,
+            lambda _: MembersRecord(members={"entry-1": me}),
+        )
+        records.update(
+            FLEET_KEY, FleetRecord, None, lambda _: record, compressed=True
+        )
+        observer = Observer(
+            "trial",
+            self.in_force,
+            self.fleet,
+            members,
+            freshness,
+            dict,
+            self._heartbeat,
+            clock,
+        )
+        self.app = OperatorApp(
+            keys=OperatorKeys(format_setting("anna", OPERATOR_SPEC)),
+            records=records,
+            in_force=self.in_force,
+            fleet=self.fleet,
+            observer=observer,
+            changes=ConfigChanges(records, clock, "trial"),
+            operations=operations,
+            jobs=self.jobs,
+            metrics=self.metrics,
+            is_trial=is_trial,
+        )
+        self.follow()
+
+    def follow(self) -> None:
+        """Read the records."""
+        self.follower.refresh()
+
+    def call(self, method, path, body=None, key=OPERATOR_KEY):
+        """Send a request.
+
+        :returns: status and body, decoded if it is JSON
+        """
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        path, _, query = path.partition("?")
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "CONTENT_LENGTH": str(len(data)),
+            "HTTP_AUTHORIZATION": f"Bearer {key}",
+            "wsgi.input": io.BytesIO(data),
+        }
+        seen = {}
+
+        def start_response(status, headers):
+            seen.update(headers, status=int(status.split()[0]))
+
+        answer = b"".join(self.app(environ, start_response))
+        if seen["Content-Type"] == "application/json":
+            return seen["status"], json.loads(answer)
+        return seen["status"], answer.decode()
+
+    def change(self, path, number=1, **fields):
+        """Send a change by its number."""
+        body = {"change_id": f"c{number}", "operator": "anna", "reason": "r"}
+        return self.call("POST", path, {**body, **fields})
+
+    def _heartbeat(self):
+        return Heartbeat(
+            sender="entry-1",
+            incarnation="i",
+            sequence=1,
+            members_revision=1,
+            config_version=self.in_force.current.version,
+            fleet_revision=self.fleet.revision,
+            store_age_s=0.0,
+        )
+
+
+def _vm(name: str) -> VmRecord:
+    return VmRecord(
+        pool="settlement",
+        state=VmState.SERVING,
+        instance="i",
+        address="127.0.0.1:1",
+        data_centre="fort-hall",
+        rack=f"r{name[-1]}",
+    )
--- /dev/null
+++ b/tests/unit/test_operator_app.py
@@ -0,0 +1,254 @@
+"""Contract of the operators' port."""
+
+import testtools
+
+from rosemarynotch._internal.configuration import make_key
+from tests.lib.documents import TOML
+from tests.lib.operators import OperatorPort
+from tests.lib.stores import Fault
+
+WITH_KEY = TOML.replace(
+    "share = 2,",
+    'share = 2, keys = [{ key_id = "k1", salt = "SALT", digest = "D" }],',
+)
+WITH_KEY = WITH_KEY.replace("SALT", "a" * 16).replace('"D"', f'"{"b" * 64}"')
+LOWER = TOML.replace("limit_requests = 10", "limit_requests = 1", 1)
+FLEET = {"change_id": "c1", "operator": "anna", "reason": "r"}
+DOCUMENT = {**FLEET, "expected_version": 0, "document": TOML}
+
+# (method, path, body, status, code)
+REFUSED = (
+    ("GET", "/v1/nothing", None, 400, "request-malformed"),
+    ("POST", "/v1/config", {}, 400, "request-malformed"),
+    ("POST", "/v1/config/try", b"{", 400, "request-malformed"),
+    ("POST", "/v1/config/try", [], 400, "request-malformed"),
+    ("POST", "/v1/config/try", FLEET, 400, "request-malformed"),
+    ("POST", "/v1/config/try", b" " * 1048577, 413, "body-too-large"),
+    (
+        "POST",
+        "/v1/config/try",
+        {**DOCUMENT, "document": "pools = 1"},
+        422,
+        "document-malformed",
+    ),
+    (
+        "POST",
+        "/v1/config/try",
+        {**DOCUMENT, "operator": "bert"},
+        401,
+        "operator-key-invalid",
+    ),
+    (
+        "POST",
+        "/v1/config/try",
+        {**DOCUMENT, "reason": " "},
+        400,
+        "request-malformed",
+    ),
+    (
+        "POST",
+        "/v1/config/try",
+        {**DOCUMENT, "change_id": "a/b"},
+        400,
+        "request-malformed",
+    ),
+    (
+        "POST",
+        "/v1/config/try",
+        {**DOCUMENT, "expected_version": 3},
+        409,
+        "version-changed",
+    ),
+    (
+        "POST",
+        "/v1/config/promote",
+        {**DOCUMENT, "digest": "0" * 64},
+        409,
+        "document-not-tried",
+    ),
+    (
+        "POST",
+        "/v1/config/rollback",
+        {**FLEET, "expected_version": 0, "to_version": 4},
+        404,
+        "store-key-missing",
+    ),
+    ("GET", "/v1/config/changes/c9", None, 404, "store-key-missing"),
+    ("POST", "/v1/vms/s-9/drain", FLEET, 404, "vm-unknown"),
+    ("POST", "/v1/vms/s-1/move", FLEET, 400, "request-malformed"),
+    ("POST", "/v1/waves/w/start", FLEET, 404, "wave-unknown"),
+    ("GET", "/v1/fleet/revisions/x", None, 400, "request-malformed"),
+    (
+        "POST",
+        "/v1/keys/withdraw",
+        {**FLEET, "team": "x", "key_id": "k"},
+        403,
+        "team-unknown",
+    ),
+    (
+        "POST",
+        "/v1/jobs/j9/cancel",
+        {**FLEET, "team": "t"},
+        404,
+        "job-unknown",
+    ),
+)
+
+
+class OperatorAppTest(testtools.TestCase):
+    """Guards against operators' calls that are refused or taken wrongly."""
+
+    def setUp(self):
+        super().setUp()
+        self.port = OperatorPort()
+
+    def put_in_force(self, document, number=1, version=0, **fields):
+        result = self.port.change(
+            "/v1/config/try",
+            number,
+            expected_version=version,
+            document=document,
+            **fields,
+        )
+        self.port.follow()
+        return result
+
+    def test_refusals(self):
+        for method, path, body, status, code in REFUSED:
+            got, answer = self.port.call(method, path, body)
+            self.assertEqual((status, code), (got, answer["code"]), path)
+            self.assertEqual("no", answer["ran"])
+
+    def test_keys(self):
+        stranger, _ = make_key("anna", "k1")
+        for key in ("", "anna", "anna.k1.x", "bert.k1.x", stranger):
+            for path in ("/v1/config", "/v1/nothing"):
+                status, answer = self.port.call("GET", path, key=key)
+                self.assertEqual(401, status)
+                self.assertEqual("operator-key-invalid", answer["code"])
+
+    def test_change_is_accepted_then_in_force(self):
+        status, answer = self.put_in_force(TOML)
+        self.assertEqual(
+            (200, 1, 0), (status, answer["version"], answer["in_force"])
+        )
+        status, answer = self.port.call("GET", "/v1/config/changes/c1")
+        self.assertEqual((1, 1), (answer["in_force"], answer["members"]))
+        again = self.put_in_force(TOML)
+        self.assertEqual((200, 1), (again[0], again[1]["version"]))
+        _, answer = self.port.call("GET", "/v1/config/history")
+        self.assertEqual(["c1"], [v["change_id"] for v in answer["versions"]])
+
+    def test_all_problems_of_a_document_are_told(self):
+        bad = TOML.replace("share = 1", "share = 0").replace("s-2", "s-1")
+        _, answer = self.put_in_force(bad)
+        self.assertEqual(2, len(answer["reason"].splitlines()))
+
+    def test_consequences_need_a_confirmation(self):
+        self.put_in_force(WITH_KEY)
+        status, answer = self.put_in_force(TOML, 2, 1)
+        self.assertEqual(
+            (409, "confirmation-needed"), (status, answer["code"])
+        )
+        self.assertIn("key k1 stops working", answer["reason"])
+        _, answer = self.port.call(
+            "POST", "/v1/config/diff", {"document": TOML}
+        )
+        self.assertEqual(
+            ["team harbour: key k1 withdrawn"], answer["differences"]
+        )
+        status, answer = self.put_in_force(TOML, 2, 1, confirmed=True)
+        self.assertEqual((200, 2), (status, answer["version"]))
+
+    def test_rollback_that_revives_a_key_needs_a_confirmation(self):
+        self.put_in_force(WITH_KEY)
+        self.put_in_force(TOML, 2, 1, confirmed=True)
+        fields = {"expected_version": 2, "to_version": 1}
+        status, answer = self.port.change("/v1/config/rollback", 3, **fields)
+        self.assertEqual(409, status)
+        self.assertIn("key k1 works again", answer["reason"])
+        status, answer = self.port.change(
+            "/v1/config/rollback", 3, **fields, confirmed=True
+        )
+        self.assertEqual((200, 3), (status, answer["version"]))
+
+    def test_promotion_of_exactly_the_tried_document(self):
+        _, tried = self.put_in_force(TOML)
+        digest = tried["digest"]
+        _, trial = self.port.call("GET", f"/v1/config/tried/{digest}")
+        production = OperatorPort(is_trial=False)
+        body = {**DOCUMENT, "digest": digest}
+        status, answer = production.call("POST", "/v1/config/try", body)
+        self.assertEqual("request-malformed", answer["code"])
+        status, answer = production.call("POST", "/v1/config/promote", body)
+        self.assertEqual("document-not-tried", answer["code"])
+        body["trial"] = trial
+        for document, wanted in ((LOWER, 409), (TOML, 200)):
+            body["document"] = document
+            status, _ = production.call("POST", "/v1/config/promote", body)
+            self.assertEqual(wanted, status)
+
+    def test_key_is_given_and_withdrawn_as_versions(self):
+        self.put_in_force(TOML)
+        text, spec = make_key("harbour", "k2")
+        key = {"key_id": "k2", "salt": spec.salt, "digest": spec.digest}
+        for _ in range(2):
+            status, answer = self.port.change(
+                "/v1/keys/give", 2, team="harbour", key=key
+            )
+            self.assertEqual((200, 2), (status, answer["version"]))
+        status, answer = self.port.change(
+            "/v1/keys/give", 3, team="harbour", key={**key, "salt": "b" * 16}
+        )
+        self.assertEqual("document-malformed", answer["code"])
+        for _ in range(2):
+            status, answer = self.port.change(
+                "/v1/keys/withdraw", 4, team="harbour", key_id="k2"
+            )
+            self.assertEqual((200, 3), (status, answer["version"]))
+
+    def test_fleet_operations(self):
+        self.put_in_force(TOML)
+        for _ in range(2):
+            status, answer = self.port.change("/v1/vms/s-1/drain")
+            self.assertEqual(200, status, answer)
+        self.assertEqual(0, answer["in_force"])
+        self.port.follow()
+        revision = answer["fleet_revision"]
+        _, answer = self.port.call("GET", f"/v1/fleet/revisions/{revision}")
+        self.assertEqual(1, answer["in_force"])
+        status, answer = self.port.change("/v1/vms/s-2/drain", 2)
+        self.assertEqual("budget-would-break", answer["code"])
+        status, answer = self.port.change("/v1/vms/s-1/undrain", 3)
+        self.assertEqual(200, status)
+
+    def test_store_outage_and_lost_answers_are_told_apart(self):
+        self.put_in_force(TOML)
+        self.port.store.fault = Fault.DOWN
+        _, answer = self.port.change("/v1/vms/s-1/drain")
+        self.assertEqual(
+            ("store-unavailable", "no"), (answer["code"], answer["ran"])
+        )
+        self.port.store.fault = Fault.LOST_ANSWER
+        _, answer = self.port.change("/v1/vms/s-1/drain")
+        self.assertEqual(
+            ("change-unknown", "unknown"), (answer["code"], answer["ran"])
+        )
+        self.assertIn("c1", answer["reason"])
+
+    def test_report_status_metrics_and_jobs(self):
+        self.put_in_force(TOML)
+        self.port.metrics.record_ms("wait", 3, team="<a>")
+        _, text = self.port.call("GET", "/v1/report")
+        self.assertIn("No promise at risk", text)
+        _, page = self.port.call("GET", "/v1/report?format=html")
+        self.assertIn("<svg", page)
+        self.assertNotIn("<a>", page)
+        _, status = self.port.call("GET", "/v1/status")
+        self.assertEqual([], status["findings"])
+        _, metrics = self.port.call("GET", "/v1/metrics")
+        self.assertEqual(1, metrics["summaries"]["wait{team=<a>}"]["count"])
+        _, jobs = self.port.call("GET", "/v1/jobs?team=market")
+        self.assertEqual("market", jobs["jobs"][0]["team"])
+        self.port.change("/v1/jobs/j1/cancel", team="harbour")
+        self.assertEqual(["j1"], self.port.jobs.cancelled)
