Add jobs: intake in batches, table, placement and tasks

An entry writes the submissions and cancellations of a few milliseconds as one create-only batch. A start that the platform refused is repeated under the same task id, so that a late start by a paused controller cannot run the job twice.

--- /dev/null
+++ b/src/rosemarynotch/_internal/admission/jobs.py
@@ -0,0 +1,298 @@
+"""Acceptance of jobs at an entry (rule R9)."""
+
+from collections import OrderedDict
+import itertools
+import math
+import threading
+
+import attrs
+
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.document import PoolKind
+from rosemarynotch._internal.models.document import QueueSpec
+from rosemarynotch._internal.models.jobs import batch_key
+from rosemarynotch._internal.models.jobs import BatchedCancellation
+from rosemarynotch._internal.models.jobs import BatchedSubmission
+from rosemarynotch._internal.models.jobs import BATCHES_PREFIX
+from rosemarynotch._internal.models.jobs import job_id_of
+from rosemarynotch._internal.models.jobs import JobAccepted
+from rosemarynotch._internal.models.jobs import JobBatch
+from rosemarynotch._internal.models.jobs import JobShard
+from rosemarynotch._internal.models.jobs import JobState
+from rosemarynotch._internal.models.jobs import JobStatus
+from rosemarynotch._internal.models.jobs import JobSubmission
+from rosemarynotch._internal.models.jobs import shard_of
+from rosemarynotch._internal.models.jobs import table_key
+from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["JobIntake"]
+
+GATHER_S = 0.003
+# The store takes values up to 1 MB; half of it leaves room for one
+# submission with the largest body.
+BATCH_BYTES = 480_000
+# A shard of the table is one value of at most 1 MB and has to hold many jobs.
+PAYLOAD_BYTES = 16_384
+CANCELLATION_BYTES = 100
+SUBMISSION_BYTES = 300
+READ_BACK_ATTEMPTS = 4
+READ_BACK_DELAY_S = 0.05
+# Pollers of one shard share a read for this time.
+STATUS_AGE_S = 0.5
+RECENT_JOBS = 10_000
+PENDING_BATCHES_READ = 8
+
+Item = BatchedSubmission | BatchedCancellation
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """One item that waits for the write of its batch."""
+
+    item: Item
+    done: bool = False
+    failure: Failure | None = None
+
+
+class JobIntake:
+    """Writes submissions and cancellations to the store in batches.
+
+    The first thread that comes gathers what others bring within a few
+    milliseconds and writes it for all of them.
+
+    :param in_force: InForce view, for the sizes of workers
+    :param holder: name and incarnation of this process, without a slash;
+        no other process may have used it
+    """
+
+    def __init__(
+        self, records: RecordStore, in_force, holder: str, clock: Clock
+    ) -> None:
+        self._records = records
+        self._store = records.store
+        self._in_force = in_force
+        self._holder = holder
+        self._clock = clock
+        self._pending_lock = threading.Lock()
+        self._pending: list[Ticket] = []
+        self._write_lock = threading.Lock()
+        self._sequence = 1
+        self._unnamed = itertools.count(1)
+        self._recent: OrderedDict[str, BatchedSubmission] = OrderedDict()
+        self._shards: dict[int, tuple[float, JobShard]] = {}
+
+    def submit(
+        self, team: str, queue: QueueSpec, submission: JobSubmission
+    ) -> JobAccepted | Failure:
+        """Accept a job once it is in the store.
+
+        :returns: the id, JOB_TOO_LARGE, BODY_TOO_LARGE, REQUEST_MALFORMED,
+            or STORE_UNAVAILABLE, with ``ran`` unknown when the job may have
+            been accepted
+        """
+        failure = _check(self._in_force.current.document, queue, submission)
+        if failure is not None:
+            return failure
+        key = submission.idempotency_key
+        if not key:
+            key = f"{self._holder}/{next(self._unnamed)}"
+        item = BatchedSubmission(
+            job_id=job_id_of(team, key),
+            team=team,
+            accepted_at_s=self._clock.wall_s(),
+            submission=attrs.evolve(submission, queue=queue.name),
+        )
+        failure = self._commit(item)
+        return failure or JobAccepted(job_id=item.job_id)
+
+    def cancel(self, team: str, job_id: str) -> None | Failure:
+        """Record a cancellation; the job stops soon afterwards.
+
+        A job that the team does not have is not reported here, because that
+        would cost a read for each cancellation.
+
+        :returns: None or STORE_UNAVAILABLE
+        """
+        return self._commit(BatchedCancellation(job_id=job_id, team=team))
+
+    def status(self, team: str, job_id: str) -> JobStatus | Failure:
+        """Return the state of a team's job.
+
+        :returns: the status, JOB_UNKNOWN or STORE_UNAVAILABLE
+        """
+        try:
+            shard = self._shard(shard_of(job_id))
+        except ValueError:
+            return failures.JOB_UNKNOWN
+        if isinstance(shard, Failure):
+            return shard
+        row = shard.jobs.get(job_id)
+        if row is not None:
+            known = row.team == team
+            return row.status(job_id) if known else failures.JOB_UNKNOWN
+        item = self._recent.get(job_id) or self._find_pending(job_id)
+        if item is None or item.team != team:
+            return failures.JOB_UNKNOWN
+        return JobStatus(
+            job_id=job_id,
+            queue=item.submission.queue,
+            state=JobState.QUEUED,
+            attempt=1,
+        )
+
+    def _shard(self, number: int) -> JobShard | Failure:
+        now_s = self._clock.monotonic_s()
+        read_s, shard = self._shards.get(number, (float("-inf"), None))
+        if now_s - read_s < STATUS_AGE_S:
+            return shard
+        found = self._records.read(table_key(number), JobShard, True)
+        if not isinstance(found, Failure):
+            shard = found.value
+        elif found.is_a(failures.STORE_KEY_MISSING):
+            shard = JobShard()
+        else:
+            return found
+        self._shards[number] = (now_s, shard)
+        return shard
+
+    def _find_pending(self, job_id: str) -> BatchedSubmission | None:
+        """Look for a job that another entry accepted a moment ago."""
+        keys = self._store.keys(BATCHES_PREFIX)
+        if isinstance(keys, Failure):
+            return None
+        for found in keys[:PENDING_BATCHES_READ]:
+            batch = self._records.read(found.key, JobBatch)
+            if isinstance(batch, Failure):
+                continue
+            for item in batch.value.submissions:
+                if item.job_id == job_id:
+                    return item
+        return None
+
+    def _commit(self, item: Item) -> None | Failure:
+        ticket = Ticket(item)
+        with self._pending_lock:
+            self._pending.append(ticket)
+        with self._write_lock:
+            if not ticket.done:
+                self._clock.sleep(GATHER_S)
+            while not ticket.done:
+                self._write_batch(self._take_batch())
+        return ticket.failure
+
+    def _take_batch(self) -> list[Ticket]:
+        with self._pending_lock:
+            size_bytes = 0
+            count = 0
+            for ticket in self._pending:
+                size_bytes += _size_bytes(ticket.item)
+                if count and size_bytes > BATCH_BYTES:
+                    break
+                count += 1
+            batch = self._pending[:count]
+            del self._pending[:count]
+            return batch
+
+    def _write_batch(self, tickets: list[Ticket]) -> None:
+        items = [ticket.item for ticket in tickets]
+        batch = JobBatch(
+            submissions=tuple(
+                item for item in items if isinstance(item, BatchedSubmission)
+            ),
+            cancellations=tuple(
+                item for item in items if isinstance(item, BatchedCancellation)
+            ),
+        )
+        failure = self._write(codec.encode(batch))
+        if failure is None:
+            for item in batch.submissions:
+                self._recent[item.job_id] = item
+            while len(self._recent) > RECENT_JOBS:
+                self._recent.popitem(last=False)
+        for ticket in tickets:
+            ticket.failure = failure
+            ticket.done = True
+
+    def _write(self, data: bytes) -> None | Failure:
+        """Create the next batch, and make sure after an unclear answer.
+
+        A later batch uses a new sequence number if this one stays unclear.
+        Controllers then ignore this batch should it still appear, because
+        they merge the batches of a holder in order.
+        """
+        written = self._store.put(self._key(), data, 0)
+        if isinstance(written, Failure) and not _is_unclear(written):
+            return written
+        if isinstance(written, Failure):
+            written = self._make_sure(data)
+        self._sequence += 1
+        return written if isinstance(written, Failure) else None
+
+    def _make_sure(self, data: bytes) -> int | Failure:
+        for attempt in range(READ_BACK_ATTEMPTS):
+            found = self._store.get(self._key())
+            if not isinstance(found, Failure):
+                if found.value == data:
+                    return found.revision
+                break
+            if found.is_a(failures.STORE_KEY_MISSING):
+                # The first write may still arrive, or a controller may have
+                # merged and deleted it. Creating it again is harmless.
+                written = self._store.put(self._key(), data, 0)
+                if not isinstance(written, Failure):
+                    return written
+            self._clock.sleep(READ_BACK_DELAY_S * (attempt + 1))
+        return failures.STORE_UNAVAILABLE.after_start().because(
+            "the store did not confirm the job"
+        )
+
+    def _key(self) -> str:
+        return batch_key(self._holder, self._sequence)
+
+
+def _is_unclear(failure: Failure) -> bool:
+    """Tell whether the batch may be in the store all the same."""
+    unclear = failure.ran is not Ran.NO
+    return unclear or failure.is_a(failures.STORE_CONFLICT)
+
+
+def _size_bytes(item: Item) -> int:
+    if isinstance(item, BatchedSubmission):
+        payload = item.submission.payload
+        return SUBMISSION_BYTES + len(payload.encode())
+    return CANCELLATION_BYTES
+
+
+def _check(
+    document: Document, queue: QueueSpec, submission: JobSubmission
+) -> Failure | None:
+    pool = document.pool(queue.pool)
+    if pool is None or pool.kind is not PoolKind.WORKERS:
+        return failures.REQUEST_MALFORMED.because(
+            f"queue {queue.name} takes no jobs"
+        )
+    sizes = (submission.cores, submission.memory_mb, submission.accelerators)
+    if not math.isfinite(submission.cores) or submission.cores <= 0:
+        return failures.REQUEST_MALFORMED.because("cores must be above 0")
+    if min(sizes) < 0:
+        return failures.REQUEST_MALFORMED.because("sizes must not be negative")
+    if len(submission.payload.encode()) > PAYLOAD_BYTES:
+        return failures.BODY_TOO_LARGE.because(
+            f"the payload of a job takes at most {PAYLOAD_BYTES} bytes"
+        )
+    fits = any(
+        submission.cores <= vm.cores
+        and submission.memory_mb <= vm.memory_mb
+        and submission.accelerators <= vm.accelerators
+        for vm in pool.vms
+    )
+    if not fits:
+        return failures.JOB_TOO_LARGE.because(
+            f"no worker of pool {pool.name} is that large"
+        )
+    return None
--- /dev/null
+++ b/src/rosemarynotch/_internal/control/job_rows.py
@@ -0,0 +1,224 @@
+"""Changes of the job table, as pure functions on rows and shards."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+
+from rosemarynotch._internal.models.jobs import BatchedSubmission
+from rosemarynotch._internal.models.jobs import JobBatch
+from rosemarynotch._internal.models.jobs import JobRow
+from rosemarynotch._internal.models.jobs import JobShard
+from rosemarynotch._internal.models.jobs import JobState
+from rosemarynotch._internal.models.jobs import MergedMark
+from rosemarynotch._internal.models.jobs import shard_of
+from rosemarynotch._internal.platform.interface import Task
+from rosemarynotch._internal.platform.interface import TaskState
+
+__all__ = [
+    "cancel_row",
+    "cancel_unstarted",
+    "follow_task",
+    "follow_tasks",
+    "merge_batches",
+    "prune",
+    "requeue_refused",
+    "task_id_of",
+    "with_rows",
+]
+
+# After failures on this many workers the job itself is at fault.
+WORKERS_PER_JOB = 3
+# A submission that is repeated within this time is the same job.
+FINISHED_RETENTION_S = 3_600.0
+FINISHED_PER_SHARD = 1_000
+
+# (holder, sequence, batch), ascending per holder.
+NumberedBatch = tuple[str, int, JobBatch]
+
+
+def task_id_of(job_id: str, row: JobRow) -> str:
+    """Return the platform's identifier of the present attempt."""
+    return f"{job_id}.{row.attempt}"
+
+
+def with_rows(shard: JobShard, changed: dict[str, JobRow]) -> JobShard:
+    """Return the shard with these rows changed, itself if there are none."""
+    if not changed:
+        return shard
+    return attrs.evolve(shard, jobs={**shard.jobs, **changed})
+
+
+def merge_batches(
+    shard: JobShard,
+    number: int,
+    batches: Iterable[NumberedBatch],
+    now_s: float,
+) -> JobShard:
+    """Add the jobs and cancellations of batches that are not merged yet.
+
+    Submissions come first, because a cancellation may have been accepted by
+    another entry than its job.
+    """
+    jobs = dict(shard.jobs)
+    merged = dict(shard.merged)
+    cancellations = []
+    for holder, sequence, batch in batches:
+        mark = shard.merged.get(holder)
+        if mark is not None and mark.sequence >= sequence:
+            continue
+        mine = [s for s in batch.submissions if shard_of(s.job_id) == number]
+        for item in mine:
+            jobs.setdefault(item.job_id, _new_row(item))
+        stops = [
+            c for c in batch.cancellations if shard_of(c.job_id) == number
+        ]
+        cancellations += stops
+        if mine or stops:
+            merged[holder] = MergedMark(sequence=sequence, merged_at_s=now_s)
+    for item in cancellations:
+        row = jobs.get(item.job_id)
+        if row is not None and row.team == item.team:
+            jobs[item.job_id] = cancel_row(row, now_s)
+    if merged == shard.merged:
+        return shard
+    return JobShard(jobs=jobs, merged=merged)
+
+
+def _new_row(item: BatchedSubmission) -> JobRow:
+    submission = item.submission
+    return JobRow(
+        team=item.team,
+        queue=submission.queue,
+        cores=submission.cores,
+        memory_mb=submission.memory_mb,
+        accelerators=submission.accelerators,
+        payload=submission.payload,
+        idempotent=submission.idempotent,
+        accepted_at_s=item.accepted_at_s,
+    )
+
+
+def cancel_row(row: JobRow, now_s: float) -> JobRow:
+    """Cancel a queued job, or mark an active one to be stopped."""
+    if row.state.is_final or row.cancelled:
+        return row
+    if row.state is JobState.QUEUED:
+        return _final(row, JobState.CANCELLED, now_s, "cancelled")
+    return attrs.evolve(row, cancelled=True)
+
+
+def cancel_unstarted(row: JobRow, now_s: float) -> JobRow:
+    """End a cancelled job whose task the platform does not know."""
+    return _final(row, JobState.CANCELLED, now_s, "cancelled")
+
+
+def follow_task(row: JobRow, task: Task, now_s: float) -> JobRow:
+    """Take over what the platform says about the present attempt.
+
+    A queued row may have a task as well: a controller that was paused may
+    have started it after another one was refused.
+    """
+    if row.state.is_final:
+        return row
+    if task.state is TaskState.RUNNING:
+        if row.state is JobState.RUNNING and row.worker == task.worker:
+            return row
+        return attrs.evolve(row, state=JobState.RUNNING, worker=task.worker)
+    if task.state is TaskState.DONE:
+        done = attrs.evolve(row, worker=task.worker, result=task.result)
+        return _final(done, JobState.DONE, now_s, "")
+    if row.cancelled:
+        return _final(row, JobState.CANCELLED, now_s, "cancelled")
+    if task.state is TaskState.FAILED:
+        return _failed(row, task, now_s)
+    # Stopped by the platform or for a drain, or lost with its worker.
+    if row.idempotent:
+        return _next_attempt(row, task.checkpoint or row.checkpoint)
+    return _final(
+        row, JobState.UNKNOWN, now_s, f"task {task.state} on {task.worker}"
+    )
+
+
+def _failed(row: JobRow, task: Task, now_s: float) -> JobRow:
+    workers = row.failed_workers
+    if task.worker not in workers:
+        workers = (*workers, task.worker)
+    row = attrs.evolve(row, failed_workers=workers, result=task.result)
+    if not row.idempotent:
+        return _final(row, JobState.FAILED, now_s, f"failed on {task.worker}")
+    if len(workers) >= WORKERS_PER_JOB:
+        return _final(
+            row, JobState.FAILED, now_s, f"failed on {len(workers)} workers"
+        )
+    return _next_attempt(row, row.checkpoint)
+
+
+def requeue_refused(row: JobRow) -> JobRow:
+    """Return a job to the queue whose task the platform did not start.
+
+    The attempt keeps its number: the platform starts a task id once, so a
+    start by a paused controller that arrives late and the start on another
+    worker cannot both take effect.
+    """
+    return attrs.evolve(
+        row, state=JobState.QUEUED, worker="", permit_holder=""
+    )
+
+
+def _next_attempt(row: JobRow, checkpoint: str) -> JobRow:
+    return attrs.evolve(
+        requeue_refused(row), attempt=row.attempt + 1, checkpoint=checkpoint
+    )
+
+
+def _final(row: JobRow, state: JobState, now_s: float, reason: str) -> JobRow:
+    # The payload is not needed any more and would fill the shard.
+    return attrs.evolve(
+        row,
+        state=state,
+        reason=reason,
+        finished_at_s=now_s,
+        payload="",
+        permit_holder="",
+    )
+
+
+def prune(shard: JobShard, now_s: float) -> JobShard:
+    """Drop jobs that ended long ago, and marks of holders that are gone."""
+    oldest_s = now_s - FINISHED_RETENTION_S
+    final = sorted(
+        (row.finished_at_s, job_id)
+        for job_id, row in shard.jobs.items()
+        if row.state.is_final
+    )
+    surplus = max(0, len(final) - FINISHED_PER_SHARD)
+    dropped = {
+        job_id
+        for index, (finished_s, job_id) in enumerate(final)
+        if finished_s < oldest_s or index < surplus
+    }
+    merged = {
+        holder: mark
+        for holder, mark in shard.merged.items()
+        if mark.merged_at_s >= oldest_s
+    }
+    if not dropped and len(merged) == len(shard.merged):
+        return shard
+    jobs = {k: row for k, row in shard.jobs.items() if k not in dropped}
+    return JobShard(jobs=jobs, merged=merged)
+
+
+def follow_tasks(
+    shard: JobShard, tasks: Mapping[str, Task], now_s: float
+) -> JobShard:
+    """Take over the tasks of all jobs of a shard."""
+    changed = {}
+    for job_id, row in shard.jobs.items():
+        if row.state.is_final:
+            continue
+        task = tasks.get(task_id_of(job_id, row))
+        followed = row if task is None else follow_task(row, task, now_s)
+        if followed is not row:
+            changed[job_id] = followed
+    return with_rows(shard, changed)
--- /dev/null
+++ b/src/rosemarynotch/_internal/control/jobs.py
@@ -0,0 +1,215 @@
+"""Jobs from the batch to the answer (rule R9)."""
+
+from collections.abc import Container
+
+import attrs
+
+from rosemarynotch._internal.control.job_permits import JobPermits
+from rosemarynotch._internal.control.job_rows import follow_tasks
+from rosemarynotch._internal.control.job_rows import merge_batches
+from rosemarynotch._internal.control.job_rows import prune
+from rosemarynotch._internal.control.job_rows import with_rows
+from rosemarynotch._internal.control.job_table import BatchReader
+from rosemarynotch._internal.control.job_table import JobTable
+from rosemarynotch._internal.control.placing import place_jobs
+from rosemarynotch._internal.control.placing import Placement
+from rosemarynotch._internal.control.task_runner import TaskRunner
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.jobs import JobShard
+from rosemarynotch._internal.models.jobs import JobState
+from rosemarynotch._internal.models.jobs import SHARD_COUNT
+from rosemarynotch._internal.models.jobs import shard_of
+from rosemarynotch._internal.models.records import FleetRecord
+from rosemarynotch._internal.platform.interface import TaskService
+from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.policy.placement import PlacementPolicy
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["JobKeeper"]
+
+# Another controller may have changed the table; one call finds out.
+REFRESH_INTERVAL_S = 5.0
+
+
+class AllWorkers(Container):
+    """Stands for every worker while the table is not known."""
+
+    def __contains__(self, name: object) -> bool:
+        return True
+
+
+class JobKeeper:
+    """Merges batches, places and starts jobs, and follows their tasks.
+
+    Every change is a compare-and-swap on one shard that decides from the
+    rows it replaces; the platform is asked only after the write.
+
+    :param tasks: the platform's task service
+    :param policy: placement policy
+    :param permits: this process's portions of the team limits
+    :param holder: name and incarnation of this process
+    """
+
+    def __init__(
+        self,
+        records: RecordStore,
+        tasks: TaskService,
+        policy: PlacementPolicy,
+        permits,
+        holder: str,
+        clock: Clock,
+    ) -> None:
+        self._table = JobTable(records)
+        self._batches = BatchReader(records)
+        self._policy = policy
+        self._permits = JobPermits(permits)
+        self._holder = holder
+        self._clock = clock
+        self._runner = TaskRunner(tasks, policy, clock)
+        self._next_refresh_s = float("-inf")
+        self._led = False
+
+    def busy_workers(self) -> Container[str]:
+        """Return the workers on which tasks may run."""
+        if not self._led or not self._table.complete:
+            return AllWorkers()
+        return frozenset(
+            row.worker
+            for _, row in self._table.open_rows()
+            if row.state.is_active
+        )
+
+    def step(
+        self, leads: bool, document: Document, record: FleetRecord
+    ) -> None:
+        """Run one pass.
+
+        :param leads: whether this process does the work; otherwise it only
+            releases the permits of jobs that have ended
+        """
+        if leads:
+            self._lead(document, record)
+        elif self._permits:
+            self._refresh_if_due(REFRESH_INTERVAL_S)
+        self._led = leads
+        if self._permits:
+            self._permits.settle(self._table, self._holder)
+
+    def _lead(self, document: Document, record: FleetRecord) -> None:
+        if not self._led or not self._table.complete:
+            self._next_refresh_s = float("-inf")
+        self._refresh_if_due(REFRESH_INTERVAL_S)
+        if not self._table.complete:
+            return
+        self._merge()
+        self._follow()
+        if not self._table.complete:
+            return
+        self._adopt()
+        self._place(document, record)
+        self._runner.start_jobs(self._table, record, self._holder)
+        self._runner.stop_jobs(self._table, record)
+
+    def _refresh_if_due(self, interval_s: float) -> None:
+        now_s = self._clock.monotonic_s()
+        if now_s >= self._next_refresh_s and self._table.refresh():
+            self._next_refresh_s = now_s + interval_s
+
+    def _merge(self) -> None:
+        batches = self._batches.read()
+        if not batches:
+            return
+        now_s = self._clock.wall_s()
+        merged = [
+            self._table.update(
+                number,
+                lambda shard, number=number: prune(
+                    merge_batches(shard, number, batches, now_s), now_s
+                ),
+            )
+            for number in range(SHARD_COUNT)
+        ]
+        if all(merged):
+            self._batches.delete()
+
+    def _follow(self) -> None:
+        """Take over what the platform says about the tasks."""
+        tasks = self._runner.observe(self._table)
+        if tasks is None:
+            return
+        now_s = self._clock.wall_s()
+        for number in range(SHARD_COUNT):
+            if not self._table.has_open_rows(number):
+                continue
+            self._table.update(
+                number, lambda shard: follow_tasks(shard, tasks, now_s)
+            )
+
+    def _place(self, document: Document, record: FleetRecord) -> None:
+        if not any(
+            row.state is JobState.QUEUED for _, row in self._table.open_rows()
+        ):
+            return
+        placements = place_jobs(
+            record,
+            document,
+            self._table,
+            self._policy,
+            self._runner.health,
+            self._permits.acquire,
+        )
+        shards: dict[int, list[Placement]] = {}
+        for placement in placements:
+            number = shard_of(placement.job_id)
+            shards.setdefault(number, []).append(placement)
+        for number, chosen in shards.items():
+            self._table.update(
+                number,
+                lambda shard, chosen=chosen: _with_placements(
+                    shard, chosen, self._holder
+                ),
+            )
+
+    def _adopt(self) -> None:
+        """Take permits for active jobs that have no holder."""
+        adopted: dict[int, list[str]] = {}
+        for job_id, row in self._table.open_rows():
+            if row.state.is_active and not row.permit_holder:
+                if self._permits.acquire(job_id, row.team):
+                    adopted.setdefault(shard_of(job_id), []).append(job_id)
+        for number, job_ids in adopted.items():
+            self._table.update(
+                number,
+                lambda shard, ids=job_ids: _with_holder(
+                    shard, ids, self._holder
+                ),
+            )
+
+
+def _with_placements(
+    shard: JobShard, placements: list[Placement], holder: str
+) -> JobShard:
+    """Mark queued jobs as starting; others are left as they are."""
+    changed = {}
+    for placement in placements:
+        row = shard.jobs.get(placement.job_id)
+        if row is None or row.state is not JobState.QUEUED:
+            continue
+        changed[placement.job_id] = attrs.evolve(
+            row,
+            state=JobState.STARTING,
+            worker=placement.worker,
+            permit_holder=holder,
+            reserved_cores=placement.size.cores,
+            reserved_memory_mb=placement.size.memory_mb,
+        )
+    return with_rows(shard, changed)
+
+
+def _with_holder(shard: JobShard, job_ids: list[str], holder: str) -> JobShard:
+    changed = {}
+    for job_id in job_ids:
+        row = shard.jobs.get(job_id)
+        if row and row.state.is_active and not row.permit_holder:
+            changed[job_id] = attrs.evolve(row, permit_holder=holder)
+    return with_rows(shard, changed)
--- a/src/rosemarynotch/_internal/control/loop.py
+++ b/src/rosemarynotch/_internal/control/loop.py
@@ -160,7 +160,6 @@
         heard = self._sources.heard()
         heartbeats = fresh_heartbeats(heard, entries)
         demand = demand_by_pool(heartbeats)
-        demand.update(self._jobs.demand_slots())
         ejected = ejected_by_most(heartbeats)
         drained, waiting = self._progress.check(
             record, revision, heard, entries
--- a/tests/lib/control_fakes.py
+++ b/tests/lib/control_fakes.py
@@ -83,10 +83,6 @@
         """Return the workers that the test keeps busy."""
         return self.busy
 
-    def demand_slots(self):
-        """Return no demand."""
-        return {}
-
 
 class FakeVms(VmService):
     """A VM list without lag; a reboot ends at :meth:`finish_reboots`."""
