--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
+SOURCES := src standins tests traces demo
 
 .PHONY: test demo lint format
 
@@ -9,13 +10,16 @@
 	touch $@
 
 lint: $(VENV)/.installed
-	$(BIN)/isort --check-only -q src standins tests
-	$(BIN)/black --check -q src standins tests
-	$(BIN)/flake8 src standins tests
+	$(BIN)/isort --check-only -q $(SOURCES)
+	$(BIN)/black --check -q $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
 
 format: $(VENV)/.installed
-	$(BIN)/isort -q src standins tests
-	$(BIN)/black -q src standins tests
+	$(BIN)/isort -q $(SOURCES)
+	$(BIN)/black -q $(SOURCES)
 
 test: lint
 	$(BIN)/python -m pytest
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m demo.run
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Runs both example environments on this machine, over loopback."""
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,135 @@
+"""Starts, waits for and stops the processes of the demonstration."""
+
+import contextlib
+import http.client
+import os
+from pathlib import Path
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import msgspec
+
+__all__ = ["call", "free_ports", "Processes", "run_module"]
+
+ROOT = Path(__file__).parent.parent
+START_S = 20.0
+STOP_S = 40.0
+POLL_S = 0.05
+CALL_S = 5.0
+
+
+class StartFailed(Exception):
+    """A process did not start in time."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of the loopback address that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+def call(address: str, path: str):
+    """Return the JSON answer of a stand-in."""
+    connection = http.client.HTTPConnection(address, timeout=CALL_S)
+    try:
+        connection.request("GET", path)
+        return msgspec.json.decode(connection.getresponse().read())
+    finally:
+        connection.close()
+
+
+def run_module(module: str, *arguments: str, check: bool = True) -> str:
+    """Run a program and return its standard output.
+
+    :param check: whether another exit status than 0 is an error
+    """
+    result = subprocess.run(
+        [sys.executable, "-m", module, *arguments],
+        cwd=ROOT,
+        env=_environment(),
+        stdout=subprocess.PIPE,
+        text=True,
+        check=check,
+    )
+    return result.stdout
+
+
+def _environment() -> dict[str, str]:
+    paths = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
+    return {**os.environ, "PYTHONPATH": paths}
+
+
+class Processes:
+    """The processes of one environment, each with a log file."""
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self._running: dict[str, subprocess.Popen] = {}
+
+    def start(self, name: str, module: str, **flags: object) -> None:
+        """Start a program in the background.
+
+        :param flags: settings of the program
+        """
+        arguments = [
+            f"--{flag.replace('_', '-')}={value}"
+            for flag, value in flags.items()
+        ]
+        with self.log(name).open("wb") as log:
+            self._running[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=ROOT,
+                env=_environment(),
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def log(self, name: str) -> Path:
+        """Return the log file of a process."""
+        return self._directory / f"{name}.log"
+
+    def wait_for_port(self, name: str, port: int) -> None:
+        """Wait until a process takes connections.
+
+        :raises StartFailed: when it ends or takes too long
+        """
+        end_s = time.monotonic() + START_S
+        while time.monotonic() < end_s:
+            if self._running[name].poll() is not None:
+                break
+            with contextlib.suppress(OSError):
+                socket.create_connection(("127.0.0.1", port), 1.0).close()
+                return
+            time.sleep(POLL_S)
+        tail = self.log(name).read_text()[-2000:]
+        raise StartFailed(f"{name} did not start:\n{tail}")
+
+    def stop(self, prefix: str = "") -> dict[str, int]:
+        """Send SIGTERM and return exit statuses by name.
+
+        A process that does not end in time is killed; its status is then
+        negative.
+        """
+        chosen = {
+            name: process
+            for name, process in self._running.items()
+            if name.startswith(prefix)
+        }
+        for process in chosen.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+        end_s = time.monotonic() + STOP_S
+        for name, process in chosen.items():
+            try:
+                process.wait(max(0.0, end_s - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+            del self._running[name]
+        return {name: each.returncode for name, each in chosen.items()}
--- a/traces/generate.py
+++ b/traces/generate.py
@@ -27,7 +27,11 @@
 
 @attrs.frozen(kw_only=True)
 class Service:
-    """Requests to one service; its queue has the same name."""
+    """Requests to one service; its queue has the same name.
+
+    :ivar open_team: team of a queue that is open to all, without a key
+    :ivar urgent_part: part of the requests that goes to the urgent queue
+    """
 
     name: str
     method: str
@@ -35,6 +39,8 @@
     worth: float
     answer_bytes: int
     idempotent: bool
+    open_team: str = ""
+    urgent_part: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -46,7 +52,7 @@
     seed: int
 
 
-def _service(name, method, work_ms, worth, answer_bytes=200):
+def _service(name, method, work_ms, worth, answer_bytes=200, **fields):
     return Service(
         name=name,
         method=method,
@@ -54,13 +60,14 @@
         worth=worth,
         answer_bytes=answer_bytes,
         idempotent=method != "POST",
+        **fields,
     )
 
 
 ENVIRONMENTS = {
     "kochi": Environment(
         services=(
-            _service("settlement", "POST", 380.0, 5.0),
+            _service("settlement", "POST", 380.0, 5.0, urgent_part=0.05),
             _service("posting", "POST", 360.0, 3.0),
             _service("reconciliation", "PUT", 400.0, 2.0),
             _service("statements", "GET", 350.0, 1.0, 20_000),
@@ -78,9 +85,9 @@
     ),
     "flanders": Environment(
         services=(
-            _service("quotes", "GET", 340.0, 1.0, 4_000),
+            _service("quotes", "GET", 340.0, 1.0, 4_000, open_team="web-shop"),
             _service("reservations", "PUT", 360.0, 2.0),
-            _service("orders", "POST", 400.0, 5.0),
+            _service("orders", "POST", 400.0, 5.0, urgent_part=0.05),
             _service("van-plans", "PUT", 420.0, 2.0, 30_000),
             _service("accounts", "GET", 350.0, 1.0, 8_000),
         ),
@@ -127,7 +134,9 @@
 
 
 def _request(environment, service, number, rng) -> TraceRow:
-    team = rng.choices(*zip(*environment.teams.items(), strict=True))[0]
+    names, weights = zip(*environment.teams.items(), strict=True)
+    team = service.open_team or rng.choices(names, weights)[0]
+    urgent = rng.random() < service.urgent_part
     request_id = f"{service.name}-{number}"
     keyed = service.method == "POST" and rng.random() < KEYED_PART
     short = service.idempotent and rng.random() < SHORT_DEADLINE_PART
@@ -135,9 +144,9 @@
         request_id=request_id,
         offset_ms=0.0,
         service=service.name,
-        queue=service.name,
+        queue=service.name + ("-urgent" if urgent else ""),
         team=team,
-        key=team,
+        key="" if service.open_team else team,
         method=service.method,
         idempotent=service.idempotent,
         work_ms=round(service.work_ms * rng.uniform(0.7, 1.3), 1),
@@ -180,10 +189,11 @@
         ("no-key", {"key": ""}, "refused:key-missing"),
         ("unknown-queue", {"queue": "nowhere"}, "refused:queue-unknown"),
     )
+    services = [each for each in environment.services if not each.open_team]
     rows = []
     for name, fields, outcome in cases:
         for entry in range(len(ENTRY_WEIGHTS)):
-            service = rng.choice(environment.services)
+            service = rng.choice(services)
             row = _request(environment, service, 0, rng)
             rows.append(
                 attrs.evolve(
