Add the composition of entry and control, and removal of dead members

Control takes members out of the record whose VM instance is gone from a credible VM list; the evidence moves into platform.lost_vms so that it is shared with the reclaim of portions.

--- a/src/rosemarynotch/_internal/admission/gone.py
+++ b/src/rosemarynotch/_internal/admission/gone.py
@@ -8,6 +8,7 @@
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.platform.interface import VmService
+from rosemarynotch._internal.platform.lost_vms import LostVms
 from rosemarynotch._internal.platform.records import MEMBERS_KEY
 from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
@@ -17,9 +18,6 @@
 # Beyond the longest run time; covers the gap after which a paused process
 # stops admitting requests.
 MARGIN_S = 2.0
-# The VM list lags, so it may not show a new VM yet. An instance that this
-# process has never seen listed counts as gone only after this time.
-UNSEEN_S = 600.0
 
 
 @attrs.frozen
@@ -45,12 +43,9 @@
         self, records: RecordStore, vms: VmService, me: Member, clock: Clock
     ) -> None:
         self._records = records
-        self._vms = vms
-        self._me = me
+        self._lost_vms = LostVms(vms, me.vm, clock)
         self._clock = clock
         self._since_s: dict[HolderKey, float] = {}
-        self._unseen_s: dict[tuple[str, str], float] = {}
-        self._seen: set[tuple[str, str]] = set()
 
     def waiting(self) -> bool:
         """Tell whether a holder seems gone, but not for long enough."""
@@ -66,7 +61,7 @@
         members = self._members()
         if isinstance(members, Failure):
             return frozenset()
-        lost_vms = self._lost_vms(members)
+        lost_vms = self._lost_vms.among(members)
         now_s = self._clock.monotonic_s()
         suspects = {
             holder
@@ -93,31 +88,6 @@
             return read
         return read.value
 
-    def _lost_vms(self, members: MembersRecord) -> set[tuple[str, str]]:
-        """Return VM instances of members that the list lacks."""
-        listed = self._vms.vms()
-        if isinstance(listed, Failure):
-            return set()
-        instances = {(vm.name, vm.instance) for vm in listed}
-        if self._me.vm not in {name for name, _ in instances}:
-            # An empty list, or one of somewhere else, proves nothing.
-            return set()
-        of_members = {
-            (member.vm, member.vm_instance)
-            for member in members.members.values()
-        }
-        missing = of_members - instances
-        self._seen = (self._seen | instances) & (of_members | instances)
-        now_s = self._clock.monotonic_s()
-        self._unseen_s = {
-            vm: self._unseen_s.get(vm, now_s) for vm in missing - self._seen
-        }
-        return {
-            vm
-            for vm in missing
-            if vm in self._seen or now_s - self._unseen_s[vm] >= UNSEEN_S
-        }
-
 
 def _is_replaced(holder: HolderKey, members: MembersRecord) -> bool:
     if is_set_aside(holder.key):
--- /dev/null
+++ b/src/rosemarynotch/_internal/cli/control.py
@@ -0,0 +1,79 @@
+"""Main function of ``rosemarynotch-control``."""
+
+from rosemarynotch._internal.cli.programs import check_addresses
+from rosemarynotch._internal.cli.programs import set_up_program_logs
+from rosemarynotch._internal.cli.programs import stop_event
+from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.models.records import MemberKind
+from rosemarynotch._internal.utils.settings import run_program
+
+__all__ = ["main"]
+
+
+def serve(
+    *,
+    name: str,
+    vm: str,
+    data_centre: str,
+    store: str,
+    vm_service: str,
+    task_service: str,
+    peer_listen: str,
+    vm_instance: str = "",
+    move_policy: str = "hysteresis",
+    wave_policy: str = "many",
+    log_level: str = "NOTICE",
+) -> int:
+    """Run maintenance waves, move VMs between pools and place jobs.
+
+    :param name: name of this process, unique in its environment
+    :param vm: name of the VM in the platform's list
+    :param data_centre: data centre of the VM
+    :param store: HOST:PORT of the platform's key-value store
+    :param vm_service: HOST:PORT of the platform's VM service
+    :param task_service: HOST:PORT of the platform's task service
+    :param peer_listen: HOST:PORT for other members
+    :param vm_instance: instance of the VM; looked up in the list when empty
+    :param move_policy: none, threshold or hysteresis
+    :param wave_policy: one or many
+    :param log_level: lowest level of log lines
+    """
+    # Imported here, so that --help and bad settings answer at once.
+    from rosemarynotch._internal.wiring import control
+    from rosemarynotch._internal.wiring.process import MemberSettings
+
+    check_addresses(
+        store=store,
+        vm_service=vm_service,
+        task_service=task_service,
+        peer_listen=peer_listen,
+    )
+    _check_choice("move-policy", move_policy, control.MOVE_POLICIES)
+    _check_choice("wave-policy", wave_policy, control.WAVE_POLICIES)
+    set_up_program_logs("control", name, log_level)
+    member = MemberSettings(
+        name=name,
+        kind=MemberKind.CONTROL,
+        vm=vm,
+        vm_instance=vm_instance,
+        data_centre=data_centre,
+        store=store,
+        vm_service=vm_service,
+        task_service=task_service,
+        peer_listen=peer_listen,
+    )
+    settings = control.ControlSettings(
+        member=member, move_policy=move_policy, wave_policy=wave_policy
+    )
+    return control.Control(settings).run(stop_event())
+
+
+def _check_choice(setting: str, value: str, choices: dict) -> None:
+    if value not in choices:
+        known = ", ".join(sorted(choices))
+        raise SettingsError(f"{setting}: {value!r} is not one of {known}")
+
+
+def main() -> None:
+    """Run the program."""
+    run_program(serve)
--- /dev/null
+++ b/src/rosemarynotch/_internal/cli/entry.py
@@ -0,0 +1,102 @@
+"""Main function of ``rosemarynotch-entry``."""
+
+from rosemarynotch._internal.cli.programs import check_addresses
+from rosemarynotch._internal.cli.programs import set_up_program_logs
+from rosemarynotch._internal.cli.programs import stop_event
+from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.models.records import MemberKind
+from rosemarynotch._internal.utils.settings import run_program
+
+__all__ = ["main"]
+
+MIN_CALLER_THREADS = 4
+MAX_CALLER_THREADS = 1024
+
+
+def serve(
+    *,
+    name: str,
+    vm: str,
+    data_centre: str,
+    store: str,
+    vm_service: str,
+    task_service: str,
+    caller_listen: str,
+    operator_listen: str,
+    peer_listen: str,
+    operator_keys: str,
+    environment: str = "trial",
+    is_trial: bool = False,
+    vm_instance: str = "",
+    caller_threads: int = 128,
+    balancer_notice_s: float = 5.0,
+    log_level: str = "NOTICE",
+) -> int:
+    """Pass requests of callers to targets.
+
+    :param name: name of this entry, unique in its environment
+    :param vm: name of the VM in the platform's list
+    :param data_centre: data centre of the VM
+    :param store: HOST:PORT of the platform's key-value store
+    :param vm_service: HOST:PORT of the platform's VM service
+    :param task_service: HOST:PORT of the platform's task service
+    :param caller_listen: HOST:PORT for callers
+    :param operator_listen: HOST:PORT for operators
+    :param peer_listen: HOST:PORT for other members
+    :param operator_keys: operator:key-id:salt:digest, separated by commas
+    :param environment: name of the environment, for reports
+    :param is_trial: whether documents may be tried here
+    :param vm_instance: instance of the VM; looked up in the list when empty
+    :param caller_threads: requests that are queued or run at the same time
+    :param balancer_notice_s: time in seconds between failing the probe and
+        closing the port at a stop
+    :param log_level: lowest level of log lines
+    """
+    # Imported here, so that --help and bad settings answer at once.
+    from rosemarynotch._internal.wiring.entry import Entry
+    from rosemarynotch._internal.wiring.entry import EntrySettings
+    from rosemarynotch._internal.wiring.process import MemberSettings
+
+    check_addresses(
+        store=store,
+        vm_service=vm_service,
+        task_service=task_service,
+        peer_listen=peer_listen,
+    )
+    if not MIN_CALLER_THREADS <= caller_threads <= MAX_CALLER_THREADS:
+        raise SettingsError(
+            f"caller-threads: {caller_threads} is not within "
+            f"{MIN_CALLER_THREADS} and {MAX_CALLER_THREADS}"
+        )
+    if balancer_notice_s < 0:
+        raise SettingsError("balancer-notice-s: must not be negative")
+    set_up_program_logs("entry", name, log_level)
+    member = MemberSettings(
+        name=name,
+        kind=MemberKind.ENTRY,
+        vm=vm,
+        vm_instance=vm_instance,
+        data_centre=data_centre,
+        store=store,
+        vm_service=vm_service,
+        task_service=task_service,
+        peer_listen=peer_listen,
+        operator_listen=operator_listen,
+    )
+    entry = Entry(
+        EntrySettings(
+            member=member,
+            environment=environment,
+            is_trial=is_trial,
+            caller_listen=caller_listen,
+            operator_keys=operator_keys,
+            caller_threads=caller_threads,
+            balancer_notice_s=balancer_notice_s,
+        )
+    )
+    return entry.run(stop_event())
+
+
+def main() -> None:
+    """Run the program."""
+    run_program(serve)
--- /dev/null
+++ b/src/rosemarynotch/_internal/cli/programs.py
@@ -0,0 +1,38 @@
+"""What the long-running programs share."""
+
+import signal
+import threading
+
+from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.utils.addresses import parse_address
+from rosemarynotch._internal.utils.logs import set_up_logs
+
+__all__ = ["check_addresses", "set_up_program_logs", "stop_event"]
+
+
+def check_addresses(**settings: str) -> None:
+    """Check settings that are addresses.
+
+    :raises SettingsError: if one is not HOST:PORT
+    """
+    for name, value in settings.items():
+        parse_address(name.replace("_", "-"), value)
+
+
+def set_up_program_logs(component: str, name: str, level: str) -> None:
+    """Send log lines to standard error.
+
+    :raises SettingsError: if the level is unknown
+    """
+    try:
+        set_up_logs(component, name, level)
+    except LookupError:
+        raise SettingsError(f"log-level: {level!r} is unknown") from None
+
+
+def stop_event() -> threading.Event:
+    """Return an event that SIGTERM and SIGINT set."""
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    return stopping
--- a/src/rosemarynotch/_internal/control/loop.py
+++ b/src/rosemarynotch/_internal/control/loop.py
@@ -6,6 +6,7 @@
 import attrs
 import logbook
 
+from rosemarynotch._internal.control.dead_members import DeadMembers
 from rosemarynotch._internal.control.failures import FailureTracker
 from rosemarynotch._internal.control.fleet import follow_document
 from rosemarynotch._internal.control.fleet import follow_list
@@ -88,7 +89,9 @@
         jobs,
         clock: Clock,
         rng: random.Random,
+        dead_members: DeadMembers | None = None,
     ) -> None:
+        self._dead_members = dead_members
         self._records = records
         self._sources = sources
         self._policies = policies
@@ -139,6 +142,8 @@
             return
         if leads:
             self._step_fleet(current.document)
+            if self._dead_members is not None:
+                self._dead_members.step()
         self._jobs.step(leads, current.document, self._sources.fleet.record)
 
     def _step_fleet(self, document: Document) -> None:
--- /dev/null
+++ b/src/rosemarynotch/_internal/wiring/control.py
@@ -0,0 +1,156 @@
+"""Composition of a control process."""
+
+import threading
+
+import attrs
+import logbook
+
+from rosemarynotch._internal.admission.permits import Permits
+from rosemarynotch._internal.control.dead_members import DeadMembers
+from rosemarynotch._internal.control.jobs import JobKeeper
+from rosemarynotch._internal.control.leadership import Leadership
+from rosemarynotch._internal.control.loop import ControlLoop
+from rosemarynotch._internal.control.loop import FleetSources
+from rosemarynotch._internal.control.loop import Policies
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.records import Member
+from rosemarynotch._internal.platform.lost_vms import LostVms
+from rosemarynotch._internal.policy.moves import HysteresisMoves
+from rosemarynotch._internal.policy.moves import MovePolicy
+from rosemarynotch._internal.policy.moves import NoMoves
+from rosemarynotch._internal.policy.moves import ThresholdMoves
+from rosemarynotch._internal.policy.placement import LearntSpread
+from rosemarynotch._internal.policy.waves import AsManyAsAllowed
+from rosemarynotch._internal.policy.waves import OneAtATime
+from rosemarynotch._internal.policy.waves import WavePolicy
+from rosemarynotch._internal.wiring.heartbeats import HeartbeatSource
+from rosemarynotch._internal.wiring.process import MemberProcess
+from rosemarynotch._internal.wiring.process import MemberSettings
+
+__all__ = [
+    "Control",
+    "ControlSettings",
+    "MOVE_POLICIES",
+    "WAVE_POLICIES",
+]
+
+MOVE_POLICIES: dict[str, type[MovePolicy]] = {
+    "none": NoMoves,
+    "threshold": ThresholdMoves,
+    "hysteresis": HysteresisMoves,
+}
+WAVE_POLICIES: dict[str, type[WavePolicy]] = {
+    "one": OneAtATime,
+    "many": AsManyAsAllowed,
+}
+
+_log = logbook.Logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class ControlSettings:
+    """Settings of control beyond those of every member."""
+
+    member: MemberSettings
+    move_policy: str
+    wave_policy: str
+
+
+class Control:
+    """A control process: waves, moves, failures and jobs."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self._settings = settings
+        self.process = MemberProcess(settings.member)
+
+    def run(self, stopping: threading.Event) -> int:
+        """Work until the event is set; return the exit status."""
+        threading.Thread(
+            target=self._pass_on, args=(stopping,), daemon=True
+        ).start()
+        me = self.process.bind()
+        if isinstance(me, Failure):
+            return 0
+        self._build(me)
+        if self.process.register() is not None:
+            return 0
+        self.process.start()
+        self._permits.start()
+        self._loop.start()
+        _log.notice("control started")
+        stopping.wait()
+        self._loop.stop()
+        self.process.stop(self._permits.stop)
+        _log.notice("stopped")
+        return 0
+
+    def _pass_on(self, stopping: threading.Event) -> None:
+        stopping.wait()
+        self.process.request_stop()
+
+    def _build(self, me: Member) -> None:
+        process = self.process
+        self._permits = Permits(
+            process.records,
+            process.vms,
+            me,
+            process.in_force,
+            process.members,
+            process.guard,
+            process.clock,
+            process.rng,
+            process.exchange.send_limit_changed,
+            claims=False,
+        )
+        holder = f"{me.name}.{me.incarnation}"
+        jobs = JobKeeper(
+            process.records,
+            process.tasks,
+            LearntSpread(),
+            self._permits,
+            holder,
+            process.clock,
+        )
+        self._loop = self._control_loop(holder, jobs)
+        self._connect(jobs)
+
+    def _control_loop(self, holder: str, jobs: JobKeeper) -> ControlLoop:
+        process = self.process
+        settings = self._settings
+        sources = FleetSources(
+            in_force=process.in_force,
+            fleet=process.fleet,
+            members=process.members,
+            heard=process.exchange.heard,
+            vms=process.vms,
+        )
+        policies = Policies(
+            waves=WAVE_POLICIES[settings.wave_policy](),
+            moves=MOVE_POLICIES[settings.move_policy](),
+        )
+        lost_vms = LostVms(process.vms, settings.member.vm, process.clock)
+        return ControlLoop(
+            process.records,
+            sources,
+            policies,
+            Leadership(process.records.store, process.clock, holder),
+            jobs,
+            process.clock,
+            process.rng,
+            DeadMembers(
+                process.records, process.members, lost_vms, process.clock
+            ),
+        )
+
+    def _connect(self, jobs: JobKeeper) -> None:
+        process = self.process
+        exchange = process.exchange
+        process.membership.add_listener(self._permits.restart)
+        process.guard.add_revalidation(self._permits.revalidate)
+        exchange.add_heartbeat_listener(self._permits.note_heartbeat)
+        exchange.add_limit_listener(self._permits.note_limit_changed)
+        exchange.set_heartbeat_source(
+            HeartbeatSource(
+                process, tuple, dict, self._permits.short_teams, tuple
+            )
+        )
--- /dev/null
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -0,0 +1,253 @@
+"""Composition of an entry process."""
+
+import threading
+
+import attrs
+import logbook
+from waitress.server import create_server
+
+from rosemarynotch._internal.admission.dispatch import Dispatcher
+from rosemarynotch._internal.admission.idempotency import IdempotencyTable
+from rosemarynotch._internal.admission.jobs import JobIntake
+from rosemarynotch._internal.admission.permits import Permits
+from rosemarynotch._internal.callers.app import CallerApp
+from rosemarynotch._internal.callers.forwarding import Forwarder
+from rosemarynotch._internal.callers.running import RequestRunner
+from rosemarynotch._internal.callers.server import CallerServer
+from rosemarynotch._internal.configuration import check_key
+from rosemarynotch._internal.control import operations
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.jobs import JobSubmission
+from rosemarynotch._internal.models.records import Member
+from rosemarynotch._internal.operators.app import OperatorApp
+from rosemarynotch._internal.operators.changes import ConfigChanges
+from rosemarynotch._internal.operators.keys import OperatorKeys
+from rosemarynotch._internal.operators.observer import Observer
+from rosemarynotch._internal.policy.ordering import WorthOverShareOrder
+from rosemarynotch._internal.policy.routing import TwoChoicesRouter
+from rosemarynotch._internal.policy.shares import ShareTable
+from rosemarynotch._internal.targets.client import TargetClient
+from rosemarynotch._internal.targets.health import HealthTable
+from rosemarynotch._internal.utils.addresses import parse_address
+from rosemarynotch._internal.wiring.heartbeats import HeartbeatSource
+from rosemarynotch._internal.wiring.process import MemberProcess
+from rosemarynotch._internal.wiring.process import MemberSettings
+
+__all__ = ["Entry", "EntrySettings"]
+
+OPERATOR_THREADS = 4
+SHARES_PERIOD_S = 1.0
+# Time between log lines while requests hold up a stop.
+STOP_POLL_S = 10.0
+
+_log = logbook.Logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings:
+    """Settings of an entry beyond those of every member.
+
+    :ivar balancer_notice_s: time during which the probe fails before the
+        entry stops listening
+    """
+
+    member: MemberSettings
+    environment: str
+    is_trial: bool
+    caller_listen: str
+    operator_keys: str
+    caller_threads: int
+    balancer_notice_s: float
+
+
+class Entry:
+    """An entry: callers to targets, and the operators' port."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._keys = OperatorKeys(settings.operator_keys)
+        self._caller = parse_address("caller-listen", settings.caller_listen)
+        self._operator = parse_address(
+            "operator-listen", settings.member.operator_listen
+        )
+        self.process = MemberProcess(settings.member)
+        self._stopped = threading.Event()
+
+    def run(self, stopping: threading.Event) -> int:
+        """Serve until the event is set; return the exit status."""
+        threading.Thread(
+            target=self._pass_on, args=(stopping,), daemon=True
+        ).start()
+        me = self.process.bind()
+        if isinstance(me, Failure):
+            return 0
+        self._build(me)
+        if self.process.register() is not None:
+            return 0
+        self._start()
+        _log.notice("serving", address=self._server.address)
+        stopping.wait()
+        self._stop()
+        _log.notice("stopped")
+        return 0
+
+    def _pass_on(self, stopping: threading.Event) -> None:
+        stopping.wait()
+        self.process.request_stop()
+
+    def _build(self, me: Member) -> None:
+        process = self.process
+        self._build_admission(me)
+        jobs = JobIntake(
+            process.records,
+            process.in_force,
+            f"{me.name}.{me.incarnation}",
+            process.clock,
+        )
+        forwarder = self._forwarder()
+        app = CallerApp(
+            in_force=process.in_force,
+            freshness=process.freshness,
+            check_key=check_key,
+            forwarder=forwarder,
+            jobs=jobs,
+            submission_type=JobSubmission,
+            metrics=process.metrics,
+        )
+        process.exchange.set_forward_handler(forwarder.handle_forward)
+        host, port = self._caller
+        self._server = CallerServer(
+            app, host, port, self._settings.caller_threads
+        )
+        self._jobs = jobs
+        self._build_operators()
+
+    def _build_admission(self, me: Member) -> None:
+        process = self.process
+        self._permits = Permits(
+            process.records,
+            process.vms,
+            me,
+            process.in_force,
+            process.members,
+            process.guard,
+            process.clock,
+            process.rng,
+            process.exchange.send_limit_changed,
+        )
+        self._shares = ShareTable(
+            process.in_force, process.fleet, process.members, process.clock
+        )
+        self._health = HealthTable(process.clock)
+        self._dispatcher = Dispatcher(
+            in_force=process.in_force,
+            fleet=process.fleet,
+            members=process.members,
+            freshness=process.freshness,
+            permits=self._permits,
+            shares=self._shares,
+            health=self._health,
+            router=TwoChoicesRouter(process.rng),
+            order=WorthOverShareOrder(),
+            clock=process.clock,
+            metrics=process.metrics,
+        )
+        self._heartbeats = HeartbeatSource(
+            process,
+            self._dispatcher.demand,
+            self._dispatcher.running_by_vm,
+            self._permits.short_teams,
+            self._health.ejected,
+        )
+        self._connect_admission()
+
+    def _connect_admission(self) -> None:
+        process = self.process
+        exchange = process.exchange
+        self._permits.set_short_source(self._dispatcher.short_teams)
+        process.membership.add_listener(self._permits.restart)
+        process.guard.add_revalidation(self._permits.revalidate)
+        exchange.set_heartbeat_source(self._heartbeats)
+        exchange.add_heartbeat_listener(self._permits.note_heartbeat)
+        exchange.add_heartbeat_listener(self._shares.note_heartbeat)
+        exchange.add_limit_listener(self._permits.note_limit_changed)
+
+    def _forwarder(self) -> Forwarder:
+        process = self.process
+        runner = RequestRunner(
+            dispatcher=self._dispatcher,
+            client=TargetClient(process.clock),
+            health=self._health,
+            clock=process.clock,
+            metrics=process.metrics,
+        )
+        return Forwarder(
+            name=self._settings.member.name,
+            in_force=process.in_force,
+            members=process.members,
+            permits=self._permits,
+            exchange=process.exchange,
+            runner=runner,
+            table=IdempotencyTable(process.members, process.clock),
+            clock=process.clock,
+            metrics=process.metrics,
+        )
+
+    def _build_operators(self) -> None:
+        process = self.process
+        observer = Observer(
+            self._settings.environment,
+            process.in_force,
+            process.fleet,
+            process.members,
+            process.freshness,
+            process.exchange.heard,
+            self._heartbeats,
+            process.clock,
+        )
+        process.exchange.add_heartbeat_listener(observer.note_heartbeat)
+        app = OperatorApp(
+            keys=self._keys,
+            records=process.records,
+            in_force=process.in_force,
+            fleet=process.fleet,
+            observer=observer,
+            changes=ConfigChanges(
+                process.records, process.clock, self._settings.environment
+            ),
+            operations=operations,
+            jobs=self._jobs,
+            metrics=process.metrics,
+            is_trial=self._settings.is_trial,
+        )
+        host, port = self._operator
+        self._operator_server = create_server(
+            app, host=host, port=port, threads=OPERATOR_THREADS, ident=None
+        )
+
+    def _start(self) -> None:
+        self.process.start()
+        self._permits.start()
+        self._dispatcher.start()
+        threading.Thread(
+            target=self._update_shares, name="shares", daemon=True
+        ).start()
+        threading.Thread(
+            target=self._operator_server.run, name="operators", daemon=True
+        ).start()
+        self._server.start()
+
+    def _update_shares(self) -> None:
+        while not self._stopped.wait(SHARES_PERIOD_S):
+            self._shares.update(self._dispatcher.demand())
+
+    def _stop(self) -> None:
+        """Stop without cutting requests (rule R8)."""
+        self._server.stop(self._settings.balancer_notice_s)
+        self._dispatcher.begin_shutdown()
+        while not self._dispatcher.wait_idle(STOP_POLL_S):
+            _log.notice("waiting for requests in flight")
+        self.process.stop(self._permits.stop)
+        self._stopped.set()
+        self._dispatcher.stop()
+        self._operator_server.close()
