--- a/demo/processes.py
+++ b/demo/processes.py
@@ -12,9 +12,17 @@
 
 import msgspec
 
-__all__ = ["call", "free_ports", "Processes", "run_module"]
+__all__ = [
+    "call",
+    "free_ports",
+    "Processes",
+    "module",
+    "program",
+    "run_program",
+]
 
 ROOT = Path(__file__).parent.parent
+PROGRAMS = Path(sys.executable).parent
 START_S = 20.0
 STOP_S = 40.0
 POLL_S = 0.05
@@ -44,13 +52,23 @@
         connection.close()
 
 
-def run_module(module: str, *arguments: str, check: bool = True) -> str:
-    """Run a program and return its standard output.
+def program(name: str) -> tuple[str, ...]:
+    """Return how to start an installed program."""
+    return (str(PROGRAMS / name),)
+
+
+def module(name: str) -> tuple[str, ...]:
+    """Return how to start a module."""
+    return (sys.executable, "-m", name)
+
+
+def run_program(name: str, *arguments: str, check: bool = True) -> str:
+    """Run an installed program and return its standard output.
 
     :param check: whether another exit status than 0 is an error
     """
     result = subprocess.run(
-        [sys.executable, "-m", module, *arguments],
+        [*program(name), *arguments],
         cwd=ROOT,
         env=_environment(),
         stdout=subprocess.PIPE,
@@ -72,18 +90,20 @@
         self._directory = directory
         self._running: dict[str, subprocess.Popen] = {}
 
-    def start(self, name: str, module: str, **flags: object) -> None:
+    def start(
+        self, name: str, command: tuple[str, ...], **flags: object
+    ) -> None:
         """Start a program in the background.
 
-        :param flags: settings of the program
+        :param flags: settings of the program; True for a flag alone
         """
-        arguments = [
-            f"--{flag.replace('_', '-')}={value}"
-            for flag, value in flags.items()
-        ]
+        arguments = []
+        for flag, value in flags.items():
+            text = "--" + flag.replace("_", "-")
+            arguments.append(text if value is True else f"{text}={value}")
         with self.log(name).open("wb") as log:
             self._running[name] = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments],
+                [*command, *arguments],
                 cwd=ROOT,
                 env=_environment(),
                 stdout=log,
--- a/demo/run.py
+++ b/demo/run.py
@@ -21,13 +21,14 @@
 from demo.environment import prepare
 from demo.processes import call
 from demo.processes import free_ports
+from demo.processes import module
 from demo.processes import Processes
-from demo.processes import run_module
+from demo.processes import program
+from demo.processes import run_program
 
 __all__ = ["main"]
 
 ENVIRONMENTS = ("kochi", "flanders")
-CLI = "rosemarynotch._internal.cli"
 OPERATOR = "demo"
 REASON = "demonstration"
 WAVE = "weekly"
@@ -40,6 +41,8 @@
 LIST_LAG_MS = 500
 DATA_CENTRE = "demo"
 LOG_LINES = 12
+# There is no load balancer that has to see the probe fail.
+BALANCER_NOTICE_S = 0.5
 
 
 class Demonstration:
@@ -84,14 +87,14 @@
         targets = self._environment.target_ports.values()
         self._processes.start(
             "targets",
-            "standins.target",
+            module("standins.target"),
             listen=",".join(f"127.0.0.1:{port}" for port in targets),
             admin_listen=f"127.0.0.1:{self._admin_port}",
             slots=SLOTS,
         )
         self._processes.start(
             "platform",
-            "standins.platform",
+            module("standins.platform"),
             listen=self._platform,
             fleet=self._environment.fleet_file,
             reboot_ms=REBOOT_MS,
@@ -116,17 +119,20 @@
         peers = self._peer_ports[2 * number :]
         self._processes.start(
             f"entry-{number + 1}",
-            f"{CLI}.entry",
+            program("rosemarynotch-entry"),
             name=f"entry-{number + 1}",
             caller_listen=f"127.0.0.1:{self._caller_ports[number]}",
             operator_listen=f"127.0.0.1:{self._operator_ports[number]}",
             peer_listen=f"127.0.0.1:{peers[0]}",
             operator_keys=self._operator_setting,
+            environment=self._environment.name,
+            is_trial=True,
+            balancer_notice_s=BALANCER_NOTICE_S,
             **common,
         )
         self._processes.start(
             f"control-{number + 1}",
-            f"{CLI}.control",
+            program("rosemarynotch-control"),
             name=f"control-{number + 1}",
             peer_listen=f"127.0.0.1:{peers[1]}",
             **common,
@@ -147,8 +153,8 @@
         wave = threading.Thread(target=self._start_wave, args=(failed,))
         wave.start()
         entries = (f"127.0.0.1:{port}" for port in self._caller_ports)
-        text = run_module(
-            f"{CLI}.replay",
+        text = run_program(
+            "rosemarynotch-replay",
             f"--entries={','.join(entries)}",
             f"--keys={self._environment.keys_file}",
             f"--trace=traces/{self._environment.name}.jsonl",
@@ -203,11 +209,11 @@
         """Run ``rosemarynotch`` and return what it prints as JSON."""
         words = [*command.split(), *arguments, "--output=json"]
         words += self._session() if session else []
-        return msgspec.json.decode(run_module(f"{CLI}.operator", *words))
+        return msgspec.json.decode(run_program("rosemarynotch", *words))
 
     def _show(self, command: str) -> None:
         """Run ``rosemarynotch`` and print what it prints."""
-        text = run_module(f"{CLI}.operator", command, *self._session())
+        text = run_program("rosemarynotch", command, *self._session())
         print(text, flush=True)
 
 
