--- /dev/null
+++ b/src/rosemarynotch/_internal/commands/documents.py
@@ -0,0 +1,170 @@
+"""Commands on the document."""
+
+import pathlib
+
+from rosemarynotch._internal.commands.exits import CommandError
+from rosemarynotch._internal.commands.exits import Exit
+from rosemarynotch._internal.commands.options import ChangeOptions
+from rosemarynotch._internal.commands.options import changes
+from rosemarynotch._internal.commands.options import local
+from rosemarynotch._internal.commands.options import Output
+from rosemarynotch._internal.commands.options import reads
+from rosemarynotch._internal.commands.session import Session
+from rosemarynotch._internal.commands.waiting import follow
+from rosemarynotch._internal.configuration import document_digest
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.validation import parse_document
+
+__all__ = ["diff", "promote", "rollback", "try_document", "validate"]
+
+ANY_VERSION = -1
+
+
+@local
+def validate(output: Output, file: str):
+    """Check a document without asking an entry.
+
+    :param file: the document
+    """
+    document = _read(file)[1]
+    digest = document_digest(codec.encode(document))
+    output.show(
+        {"digest": digest, "valid": True},
+        f"valid: {len(document.pools)} pools, {len(document.teams)} teams,"
+        f" {len(document.queues)} queues\ndigest {digest}",
+    )
+
+
+@reads
+def diff(session: Session, output: Output, file: str):
+    """Compare a document with the newest version.
+
+    :param file: the document
+    """
+    answer = session.post("/v1/config/diff", {"document": _read(file)[0]})
+    lines = [f"against version {answer['version']}"]
+    lines += answer["differences"] or ["no differences"]
+    lines += [f"! {line}" for line in answer["consequences"]]
+    output.show(answer, "\n".join(lines))
+
+
+@changes
+def try_document(
+    session: Session,
+    output: Output,
+    options: ChangeOptions,
+    file: str,
+    *,
+    expected_version: int = ANY_VERSION,
+    confirm: bool = False,
+):
+    """Put a document in force in a trial environment and record it.
+
+    :param file: the document
+    :param expected_version: refuse if another version is the newest
+    :param confirm: accept the consequences that were listed
+    """
+    body = options.body(
+        document=_read(file)[0],
+        expected_version=_expected(session, expected_version),
+        confirmed=confirm,
+    )
+    answer = session.post("/v1/config/try", body)
+    return _follow(session, output, options, answer)
+
+
+@changes
+def promote(
+    session: Session,
+    output: Output,
+    options: ChangeOptions,
+    file: str,
+    *,
+    digest: str,
+    trial_entry: str = "",
+    trial_operator_key: str = "",
+    expected_version: int = ANY_VERSION,
+    confirm: bool = False,
+):
+    """Put the document in force that was tried and signed off.
+
+    :param file: the document
+    :param digest: the digest that was signed off
+    :param trial_entry: operator port of the trial environment, if it has
+        another store
+    :param trial_operator_key: key for the trial environment, if another
+    :param expected_version: refuse if another version is the newest
+    :param confirm: accept the consequences that were listed
+    """
+    trial = None
+    document = _read(file)[0]
+    if trial_entry:
+        key = trial_operator_key or session.key
+        trial = Session(trial_entry, key).get(f"/v1/config/tried/{digest}")
+    body = options.body(
+        document=document,
+        digest=digest,
+        trial=trial,
+        expected_version=_expected(session, expected_version),
+        confirmed=confirm,
+    )
+    answer = session.post("/v1/config/promote", body)
+    return _follow(session, output, options, answer)
+
+
+@changes
+def rollback(
+    session: Session,
+    output: Output,
+    options: ChangeOptions,
+    version: int,
+    *,
+    expected_version: int = ANY_VERSION,
+    confirm: bool = False,
+):
+    """Put the document of an earlier version in force, as a new version.
+
+    :param version: the earlier version
+    :param expected_version: refuse if another version is the newest
+    :param confirm: accept the consequences that were listed
+    """
+    body = options.body(
+        to_version=version,
+        expected_version=_expected(session, expected_version),
+        confirmed=confirm,
+    )
+    answer = session.post("/v1/config/rollback", body)
+    return _follow(session, output, options, answer)
+
+
+def _read(file: str) -> tuple[str, Document]:
+    try:
+        text = pathlib.Path(file).read_text(encoding="utf-8")
+    except (OSError, ValueError) as error:
+        raise CommandError(Exit.BAD_USAGE, f"{file}: {error}") from error
+    document = parse_document(text)
+    if not isinstance(document, Document):
+        lines = "\n".join(str(problem) for problem in document)
+        raise CommandError(
+            Exit.REFUSED, f"document-malformed:\n{lines}", "document-malformed"
+        )
+    return text, document
+
+
+def _expected(session: Session, version: int) -> int:
+    if version != ANY_VERSION:
+        return version
+    return session.get("/v1/config")["version"]
+
+
+def _follow(session, output, options, answer):
+    return follow(
+        session,
+        output,
+        options,
+        answer,
+        f"/v1/config/changes/{options.change_id}",
+        f"version {answer['version']}",
+        f"digest {answer['digest']}",
+    )
--- /dev/null
+++ b/src/rosemarynotch/_internal/commands/exits.py
@@ -0,0 +1,34 @@
+"""Exit statuses of commands."""
+
+import enum
+
+from rosemarynotch._internal.exceptions import RosemarynotchError
+
+__all__ = ["CommandError", "Exit"]
+
+
+class Exit(enum.IntEnum):
+    """How a command ended; docs/operations.md explains each."""
+
+    DONE = 0
+    REFUSED = 1
+    BAD_USAGE = 2
+    NOT_YET_EVERYWHERE = 3
+    UNKNOWN = 4
+    CONFIRMATION_NEEDED = 5
+    NO_ANSWER = 6
+
+
+class CommandError(RosemarynotchError):
+    """Ends a command.
+
+    :ivar exit: exit status
+    :ivar text: for the operator
+    :ivar code: of the failure that an entry returned, may be empty
+    """
+
+    def __init__(self, exit_status: Exit, text: str, code: str = "") -> None:
+        super().__init__(text)
+        self.exit = exit_status
+        self.text = text
+        self.code = code
--- /dev/null
+++ b/src/rosemarynotch/_internal/commands/jobs.py
@@ -0,0 +1,41 @@
+"""Commands on jobs."""
+
+from rosemarynotch._internal.commands.options import ChangeOptions
+from rosemarynotch._internal.commands.options import changes
+from rosemarynotch._internal.commands.options import Output
+from rosemarynotch._internal.commands.options import reads
+from rosemarynotch._internal.commands.session import Session
+
+__all__ = ["cancel_job", "list_jobs"]
+
+
+@reads
+def list_jobs(session: Session, output: Output, *, team: str = ""):
+    """Show jobs.
+
+    :param team: only the jobs of this team
+    """
+    answer = session.get(f"/v1/jobs?team={team}")
+    lines = [
+        " ".join(str(value) for value in job.values() if value != "")
+        for job in answer["jobs"]
+    ]
+    output.show(answer, "\n".join(lines) or "no jobs")
+
+
+@changes
+def cancel_job(
+    session: Session,
+    output: Output,
+    options: ChangeOptions,
+    job: str,
+    *,
+    team: str,
+):
+    """Cancel a job.
+
+    :param job: identifier of the job
+    :param team: the team that it belongs to
+    """
+    answer = session.post(f"/v1/jobs/{job}/cancel", options.body(team=team))
+    output.show(answer, f"accepted\nchange id {options.change_id}")
--- /dev/null
+++ b/src/rosemarynotch/_internal/commands/keys.py
@@ -0,0 +1,102 @@
+"""Commands on keys. A secret never leaves the operator's side."""
+
+import attrs
+
+from rosemarynotch._internal.commands.exits import CommandError
+from rosemarynotch._internal.commands.exits import Exit
+from rosemarynotch._internal.commands.options import ChangeOptions
+from rosemarynotch._internal.commands.options import changes
+from rosemarynotch._internal.commands.options import local
+from rosemarynotch._internal.commands.options import Output
+from rosemarynotch._internal.commands.session import Session
+from rosemarynotch._internal.commands.waiting import follow
+from rosemarynotch._internal.configuration import make_key
+from rosemarynotch._internal.operators.keys import format_setting
+
+__all__ = ["give_key", "make_operator_key", "withdraw_key"]
+
+
+@changes
+def give_key(
+    session: Session,
+    output: Output,
+    options: ChangeOptions,
+    team: str,
+    key_id: str,
+):
+    """Make a key for a team and show it once.
+
+    :param team: name of the team
+    :param key_id: identifier of the new key
+    """
+    text, spec = make_key(team, key_id)
+    line = (
+        f'{{ key_id = "{spec.key_id}", salt = "{spec.salt}",'
+        f' digest = "{spec.digest}" }}'
+    )
+    body = options.body(team=team, key=attrs.asdict(spec))
+    try:
+        answer = session.post("/v1/keys/give", body)
+    except CommandError as error:
+        if error.exit is not Exit.UNKNOWN:
+            raise
+        # The key may be in force, so it must not be lost. A repeat would
+        # make another key, so the operator asks first.
+        raise CommandError(
+            Exit.UNKNOWN,
+            f"key {text}\n{error.text}\nask with: change {options.change_id}",
+            error.code,
+        ) from error
+    answer = {**answer, "key": text, "line": line}
+    return follow(
+        session,
+        output,
+        options,
+        answer,
+        f"/v1/config/changes/{answer['change_id']}",
+        f"version {answer['version']}",
+        f"key, not shown again:\n{text}\nfor the team's keys in your file:\n"
+        f"{line}",
+    )
+
+
+@changes
+def withdraw_key(
+    session: Session,
+    output: Output,
+    options: ChangeOptions,
+    team: str,
+    key_id: str,
+):
+    """Let a key of a team stop working.
+
+    :param team: name of the team
+    :param key_id: identifier of the key
+    """
+    body = options.body(team=team, key_id=key_id)
+    answer = session.post("/v1/keys/withdraw", body)
+    return follow(
+        session,
+        output,
+        options,
+        answer,
+        f"/v1/config/changes/{answer['change_id']}",
+        f"version {answer['version']}",
+        "remove the key from your file as well",
+    )
+
+
+@local
+def make_operator_key(output: Output, operator: str, key_id: str = "k1"):
+    """Make a key for an operator, and the setting that lets it in.
+
+    :param operator: name of the operator
+    :param key_id: identifier of the key
+    """
+    text, spec = make_key(operator, key_id)
+    setting = format_setting(operator, spec)
+    output.show(
+        {"key": text, "setting": setting},
+        f"key, not shown again:\n{text}\nfor the entries' operator keys:\n"
+        f"{setting}",
+    )
--- /dev/null
+++ b/src/rosemarynotch/_internal/commands/session.py
@@ -0,0 +1,131 @@
+"""Calls of commands to the operators' port of an entry."""
+
+import http.client
+import json
+from typing import Any
+import urllib.parse
+
+from rosemarynotch._internal.commands.exits import CommandError
+from rosemarynotch._internal.commands.exits import Exit
+from rosemarynotch._internal.exceptions import CONFIRMATION_NEEDED
+from rosemarynotch._internal.exceptions import IDEMPOTENCY_KEY_REUSED
+from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.exceptions import VERSION_CHANGED
+
+__all__ = ["Session", "split_address"]
+
+# An entry repeats a write whose answer was lost several times.
+TIMEOUT_S = 30.0
+# Answers that rule out that an earlier attempt took effect.
+SETTLED_CODES = (VERSION_CHANGED.code, IDEMPOTENCY_KEY_REUSED.code)
+OK = 200
+FIRST_SERVER_ERROR = 500
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Return host and port.
+
+    :raises SettingsError: the text is not HOST:PORT
+    """
+    host, _, port = text.strip().rpartition(":")
+    if not host or not port.isdecimal():
+        raise SettingsError(f"entry: {text!r} is not HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+class Session:
+    """Asks entries in turn until one answers.
+
+    :param entries: HOST:PORT, several separated by commas
+    :ivar key: the operator key
+    """
+
+    def __init__(
+        self, entries: str, key: str, timeout_s: float = TIMEOUT_S
+    ) -> None:
+        self._addresses = [split_address(text) for text in entries.split(",")]
+        self.key = key
+        self._timeout_s = timeout_s
+
+    def get(self, path: str) -> Any:
+        """Return an answer.
+
+        :raises CommandError: refused, or no entry answers
+        """
+        return self._call("GET", path, b"")
+
+    def post(self, path: str, body: dict[str, Any]) -> Any:
+        """Send a change, which carries a change id, and return the answer.
+
+        A change whose answer was lost is sent to the next entry: with the
+        same change id it takes effect at most once.
+
+        :raises CommandError: refused, unknown, or no entry answers
+        """
+        return self._call("POST", path, json.dumps(body).encode())
+
+    def _call(self, method: str, path: str, body: bytes) -> Any:
+        maybe_ran = False
+        last = CommandError(Exit.NO_ANSWER, "no entry answers")
+        for address in self._addresses:
+            try:
+                status, data = self._exchange(address, method, path, body)
+            except ConnectionRefusedError as error:
+                last = _no_answer(address, error)
+                continue
+            except (OSError, http.client.HTTPException) as error:
+                last = _no_answer(address, error)
+                maybe_ran |= method == "POST"
+                continue
+            if status == OK:
+                return data
+            last = _refusal(data)
+            if last.code in SETTLED_CODES:
+                raise last
+            maybe_ran |= last.exit is Exit.UNKNOWN
+            if status < FIRST_SERVER_ERROR and not maybe_ran:
+                raise last
+        if maybe_ran:
+            raise CommandError(Exit.UNKNOWN, f"not known: {last.text}")
+        raise last
+
+    def _exchange(self, address, method, path, body) -> tuple[int, Any]:
+        connection = http.client.HTTPConnection(
+            *address, timeout=self._timeout_s
+        )
+        try:
+            connection.request(
+                method,
+                urllib.parse.quote(path, safe="/?=&"),
+                body,
+                {"Authorization": f"Bearer {self.key}"},
+            )
+            response = connection.getresponse()
+            data = response.read()
+        finally:
+            connection.close()
+        kind = response.headers.get_content_type()
+        if kind != "application/json":
+            return response.status, data.decode()
+        try:
+            return response.status, json.loads(data)
+        except ValueError as error:
+            raise http.client.HTTPException("malformed answer") from error
+
+
+def _no_answer(address: tuple[str, int], error: Exception) -> CommandError:
+    why = str(error) or type(error).__name__
+    host, port = address
+    return CommandError(Exit.NO_ANSWER, f"{host}:{port}: {why}")
+
+
+def _refusal(data: Any) -> CommandError:
+    if not isinstance(data, dict) or "code" not in data:
+        return CommandError(Exit.NO_ANSWER, "the answer is not of an entry")
+    exit_status = Exit.REFUSED
+    if data.get("ran") != "no":
+        exit_status = Exit.UNKNOWN
+    elif data["code"] == CONFIRMATION_NEEDED.code:
+        exit_status = Exit.CONFIRMATION_NEEDED
+    text = f"{data['code']}: {data.get('reason', '')}"
+    return CommandError(exit_status, text, data["code"])
--- a/src/rosemarynotch/_internal/operators/config_calls.py
+++ b/src/rosemarynotch/_internal/operators/config_calls.py
@@ -9,6 +9,7 @@
 from rosemarynotch._internal.exceptions import CONFIRMATION_NEEDED
 from rosemarynotch._internal.exceptions import DOCUMENT_MALFORMED
 from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import IDEMPOTENCY_KEY_REUSED
 from rosemarynotch._internal.exceptions import KEY_INVALID
 from rosemarynotch._internal.exceptions import REQUEST_MALFORMED
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
@@ -225,9 +226,9 @@
                 if isinstance(failure, Failure):
                     return failure
             version, document = current
-            if known is not None:
-                return self._accepted(known)
             changed = _with_team(document, body.team, change_team)
+            if known is not None:
+                return self._accepted(_repeated(known, document, changed))
             if isinstance(changed, Failure):
                 return changed
             if changed == document:
@@ -266,6 +267,22 @@
     return isinstance(result, Failure) and result.is_a(VERSION_CHANGED)
 
 
+def _repeated(
+    known: ConfigVersion, document: Document, changed: Document | Failure
+) -> ConfigVersion | Failure:
+    """Judge a change of a key whose change id is known.
+
+    It is a repeat only if its effect is there. Otherwise the operator would
+    hold a key that is not the one in force.
+    """
+    is_withdrawn = isinstance(changed, Failure) and changed.is_a(KEY_INVALID)
+    if is_withdrawn or changed == document:
+        return known
+    return IDEMPOTENCY_KEY_REUSED.because(
+        f"change {known.change_id} is version {known.version}"
+    )
+
+
 def _parse(text: str) -> Document | Failure:
     document = parse_document(text)
     if isinstance(document, Document):
--- a/tests/unit/test_operator_app.py
+++ b/tests/unit/test_operator_app.py
@@ -197,10 +197,15 @@
                 "/v1/keys/give", 2, team="harbour", key=key
             )
             self.assertEqual((200, 2), (status, answer["version"]))
-        status, answer = self.port.change(
-            "/v1/keys/give", 3, team="harbour", key={**key, "salt": "b" * 16}
-        )
-        self.assertEqual("document-malformed", answer["code"])
+        other = {**key, "salt": "b" * 16}
+        for number, code in (
+            (2, "idempotency-key-reused"),
+            (3, "document-malformed"),
+        ):
+            status, answer = self.port.change(
+                "/v1/keys/give", number, team="harbour", key=other
+            )
+            self.assertEqual(code, answer["code"])
         for _ in range(2):
             status, answer = self.port.change(
                 "/v1/keys/withdraw", 4, team="harbour", key_id="k2"
