--- a/src/rosemarynotch/_internal/commands/session.py
+++ b/src/rosemarynotch/_internal/commands/session.py
@@ -67,7 +67,7 @@
     def _call(self, method: str, path: str, body: bytes) -> Any:
         maybe_ran = False
         last = CommandError(Exit.NO_ANSWER, "no entry answers")
-        for address in self._addresses:
+        for address in tuple(self._addresses):
             try:
                 status, data = self._exchange(address, method, path, body)
             except ConnectionRefusedError as error:
@@ -78,6 +78,7 @@
                 maybe_ran |= method == "POST"
                 continue
             if status == OK:
+                self._prefer(address)
                 return data
             last = _refusal(data)
             if last.code in SETTLED_CODES:
@@ -89,6 +90,14 @@
             raise CommandError(Exit.UNKNOWN, f"not known: {last.text}")
         raise last
 
+    def _prefer(self, address: tuple[str, int]) -> None:
+        """Ask this entry first from now on.
+
+        Otherwise each further call waits for entries that do not answer.
+        """
+        self._addresses.remove(address)
+        self._addresses.insert(0, address)
+
     def _exchange(self, address, method, path, body) -> tuple[int, Any]:
         connection = http.client.HTTPConnection(
             *address, timeout=self._timeout_s
