--- a/src/rosemarynotch/_internal/cli/control.py
+++ b/src/rosemarynotch/_internal/cli/control.py
@@ -77,3 +77,7 @@
 def main() -> None:
     """Run the program."""
     run_program(serve)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/rosemarynotch/_internal/cli/entry.py
+++ b/src/rosemarynotch/_internal/cli/entry.py
@@ -9,7 +9,7 @@
 
 __all__ = ["main"]
 
-MIN_CALLER_THREADS = 4
+MIN_CALLER_THREADS = 32
 MAX_CALLER_THREADS = 1024
 
 
@@ -28,7 +28,7 @@
     environment: str = "trial",
     is_trial: bool = False,
     vm_instance: str = "",
-    caller_threads: int = 128,
+    caller_threads: int = 512,
     balancer_notice_s: float = 5.0,
     log_level: str = "NOTICE",
 ) -> int:
@@ -100,3 +100,7 @@
 def main() -> None:
     """Run the program."""
     run_program(serve)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -36,6 +36,8 @@
 __all__ = ["Entry", "EntrySettings"]
 
 OPERATOR_THREADS = 4
+# Threads for refusals, job endpoints and the probe while requests wait.
+RESERVED_THREADS = 16
 SHARES_PERIOD_S = 1.0
 # Time between log lines while requests hold up a stop.
 STOP_POLL_S = 10.0
@@ -151,6 +153,9 @@
             order=WorthOverShareOrder(),
             clock=process.clock,
             metrics=process.metrics,
+            max_inside_requests=(
+                self._settings.caller_threads - RESERVED_THREADS
+            ),
         )
         self._heartbeats = HeartbeatSource(
             process,
