--- a/src/rosemarynotch/_internal/operators/findings.py
+++ b/src/rosemarynotch/_internal/operators/findings.py
@@ -16,6 +16,8 @@
 # Shares: the worst relative distance is at most 5 % over one minute.
 MAX_DISTANCE = 0.05
 LIMIT_NEARLY_USED = 0.9
+# Heartbeats carry this age of a store contact when there was none.
+NEVER_S = 1e9
 
 
 class Level(enum.IntEnum):
@@ -245,6 +247,6 @@
 
 def last_seen(age_s: float) -> str:
     """Return when something was seen, for a person."""
-    if age_s == float("inf"):
+    if age_s >= NEVER_S:
         return "not seen since the start"
     return f"last seen {duration(age_s)} ago"
--- a/tests/functional/test_commands.py
+++ b/tests/functional/test_commands.py
@@ -11,12 +11,12 @@
 from unittest import mock
 
 import testtools
-from waitress.server import create_server
 
 from rosemarynotch._internal.cli.operator import COMMANDS
 from rosemarynotch._internal.cli.operator import main
 from rosemarynotch._internal.commands.exits import Exit
 from rosemarynotch._internal.configuration import make_key
+from rosemarynotch._internal.operators.server import OperatorServer
 from tests.lib.documents import TOML
 from tests.lib.operators import OPERATOR_KEY
 from tests.lib.operators import OperatorPort
@@ -44,15 +44,10 @@
                 port.follow()
             return port.app(environ, start_response)
 
-        server = create_server(app, host="127.0.0.1", port=0, threads=2)
-        thread = threading.Thread(target=server.run, daemon=True)
-        thread.start()
-
-        def stop():
-            server.trigger.pull_trigger(server.close)
-
-        self.addCleanup(stop)
-        return f"127.0.0.1:{server.effective_port}"
+        server = OperatorServer(app, "127.0.0.1", 0)
+        server.start()
+        self.addCleanup(server.stop)
+        return server.address
 
     def run_command(self, *words, entry="", key=OPERATOR_KEY):
         """Return exit status and printed text."""
--- a/tests/unit/test_operator_app.py
+++ b/tests/unit/test_operator_app.py
@@ -1,11 +1,28 @@
 """Contract of the operators' port."""
 
+import random
+
+import attrs
 import testtools
 
+from rosemarynotch._internal.admission.jobs import JobIntake
+from rosemarynotch._internal.configuration import InForce
 from rosemarynotch._internal.configuration import make_key
+from rosemarynotch._internal.exceptions import JOB_UNKNOWN
+from rosemarynotch._internal.models.jobs import job_id_of
+from rosemarynotch._internal.models.jobs import JobRow
+from rosemarynotch._internal.models.jobs import JobShard
+from rosemarynotch._internal.models.jobs import JobState
+from rosemarynotch._internal.models.jobs import shard_of
+from rosemarynotch._internal.models.jobs import table_key
+from rosemarynotch._internal.operators import OperatorJobs
+from rosemarynotch._internal.platform.records import RecordStore
+from standins.kv import KeyValue
+from tests.lib.clocks import ManualClock
 from tests.lib.documents import TOML
 from tests.lib.operators import OperatorPort
 from tests.lib.stores import Fault
+from tests.lib.stores import MemoryStore
 
 WITH_KEY = TOML.replace(
     "share = 2,",
@@ -257,3 +274,56 @@
         self.assertEqual("market", jobs["jobs"][0]["team"])
         self.port.change("/v1/jobs/j1/cancel", team="harbour")
         self.assertEqual(["j1"], self.port.jobs.cancelled)
+
+
+class OperatorJobsTest(testtools.TestCase):
+    """Guards against a list without open jobs, and wrong cancellations."""
+
+    def setUp(self):
+        super().setUp()
+        clock = ManualClock()
+        store = MemoryStore(KeyValue())
+        records = RecordStore(store, clock, random.Random(1))
+        self.intake = JobIntake(records, InForce(), "entry-1.i", clock)
+        self.jobs = OperatorJobs(records, self.intake)
+        for number, (team, state) in enumerate(
+            (
+                ("harbour", JobState.DONE),
+                ("market", JobState.RUNNING),
+                ("harbour", JobState.QUEUED),
+            )
+        ):
+            job_id = job_id_of(team, str(number))
+            row = JobRow(
+                team=team,
+                queue="q",
+                cores=1,
+                memory_mb=1,
+                accelerators=0,
+                payload="",
+                idempotent=True,
+                accepted_at_s=number,
+                state=state,
+            )
+            records.update(
+                table_key(shard_of(job_id)),
+                JobShard,
+                JobShard(),
+                lambda shard, row=row, job_id=job_id: attrs.evolve(
+                    shard, jobs={**shard.jobs, job_id: row}
+                ),
+                compressed=True,
+            )
+
+    def test_open_jobs_come_first(self):
+        states = [job.state for job in self.jobs.list_jobs("")]
+        self.assertEqual(["running", "queued", "done"], states)
+        teams = {job.team for job in self.jobs.list_jobs("harbour")}
+        self.assertEqual({"harbour"}, teams)
+
+    def test_cancel_needs_the_team_of_the_job(self):
+        job = self.jobs.list_jobs("market")[0]
+        self.assertIsNone(self.jobs.cancel("market", job.job_id))
+        for team, job_id in (("harbour", job.job_id), ("market", "x")):
+            failure = self.jobs.cancel(team, job_id)
+            self.assertTrue(failure.is_a(JOB_UNKNOWN))
