Cut system calls of the request path and split the dispatcher

Each system call gives up the interpreter lock. Time-outs of targets are now kept by the kernel, an answer is written at once, and request identifiers need no randomness.

--- a/src/rosemarynotch/_internal/admission/dispatch.py
+++ b/src/rosemarynotch/_internal/admission/dispatch.py
@@ -1,16 +1,13 @@
 """Queues requests and grants them slots, permits and targets."""
 
-import heapq
-import itertools
-import math
 import threading
 import time
 from typing import Callable
 
 from rosemarynotch._internal.admission.grants import Grant
+from rosemarynotch._internal.admission.holds import Holds
+from rosemarynotch._internal.admission.pools import PoolState
 from rosemarynotch._internal.admission.recheck import recheck
-from rosemarynotch._internal.admission.slots import PoolSlots
-from rosemarynotch._internal.admission.waiting import PoolQueues
 from rosemarynotch._internal.admission.waiting import Waiter
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
@@ -19,7 +16,6 @@
 from rosemarynotch._internal.models.messages import DemandRow
 from rosemarynotch._internal.models.records import VmState
 from rosemarynotch._internal.policy.ordering import OrderPolicy
-from rosemarynotch._internal.policy.ordering import TeamTurn
 from rosemarynotch._internal.policy.routing import Router
 from rosemarynotch._internal.utils.clock import Clock
 
@@ -32,15 +28,6 @@
 IDLE_POLL_S = 0.02
 
 
-class _Pool:
-    """Queues and slots of one pool."""
-
-    def __init__(self, name: str, shares, clock: Clock) -> None:
-        self.name = name
-        self.queues = PoolQueues()
-        self.slots = PoolSlots(name, shares, clock)
-
-
 class Dispatcher:
     """Admits requests (rules R1, R3, R6).
 
@@ -54,8 +41,6 @@
     :param permits: team limits
     :param shares: slots by pool and team
     :param health: usable targets
-    :param max_inside_requests: bound on queued and running requests, so
-        that threads are left for refusals and probes
     """
 
     def __init__(
@@ -72,7 +57,6 @@
         order: OrderPolicy,
         clock: Clock,
         metrics,
-        max_inside_requests: int,
     ) -> None:
         self._in_force = in_force
         self._fleet = fleet
@@ -85,12 +69,10 @@
         self._order = order
         self._clock = clock
         self._metrics = metrics
-        self._max_inside = max_inside_requests
         self._lock = threading.Lock()
-        self._pools: dict[str, _Pool] = {}
+        self._pools: dict[str, PoolState] = {}
         self._in_flight: dict[str, int] = {}
-        self._holds: list[tuple[float, int, Grant]] = []
-        self._hold_ids = itertools.count()
+        self._holds = Holds()
         self._short: set[str] = set()
         self._inside = 0
         self._shutting_down = False
@@ -205,10 +187,8 @@
     def tick(self) -> None:
         """End holds that are over and start what can start."""
         now_s = self._clock.monotonic_s()
-        ended = []
         with self._lock:
-            while self._holds and self._holds[0][0] <= now_s:
-                ended.append(heapq.heappop(self._holds)[2])
+            ended = self._holds.take_ended(now_s)
             for grant in ended:
                 self._free(grant, now_s - grant.started_s, served=False)
         for grant in ended:
@@ -223,13 +203,13 @@
         queue, team = waiter.queue, waiter.request.team
         if self._shutting_down:
             return failures.SHUTTING_DOWN
-        if self._inside >= self._max_inside:
-            return failures.QUEUE_FULL.because("the entry is full")
         if not self._fleet.serving(queue.pool):
             return failures.NO_TARGET.because(queue.pool)
         pool = self._pools.get(queue.pool)
         if pool is None:
-            pool = _Pool(queue.pool, self._shares, self._clock)
+            pool = PoolState(
+                queue.pool, self._shares, self._order, self._clock
+            )
             self._pools[queue.pool] = pool
         ahead = pool.queues.length(team, queue.urgent)
         wait_s = pool.slots.estimated_wait_s(team, ahead)
@@ -286,60 +266,29 @@
                 return
 
     def _start_one(self, pool, urgent):
-        heads = self._valid_heads(pool, urgent)
+        heads = pool.valid_heads(urgent, self._refusal, self._drop)
         if not heads:
             return False
-        targets = self._health.usable(
-            pool.name, self._fleet.serving(pool.name), self._in_flight
-        )
+        serving = self._fleet.serving(pool.name)
+        targets = self._health.usable(pool.name, serving, self._in_flight)
         if not targets:
             return False
-        reserve = self._reserve(pool.name)
-        heads = {
-            head.request.team: head
-            for head in heads
-            if pool.slots.may_start(head.request.team, urgent, reserve)
-        }
-        while heads:
-            head = heads.pop(self._choose(pool, heads))
-            if self._start(pool, head, targets):
+        document = self._in_force.current.document
+        entries_count = len(self._members.entries())
+        startable = pool.startable(heads, document, entries_count)
+        while startable:
+            head = startable.pop(pool.choose(startable, document))
+            untried = _untried(head.tried, serving, targets)
+            if untried and self._start(pool, head, untried):
                 return True
         return False
 
-    def _valid_heads(self, pool, urgent):
-        """Return the head of each team, after dropping what cannot run."""
-        while True:
-            heads = pool.queues.heads(urgent)
-            refused = [(head, self._refusal(head)) for head in heads]
-            refused = [(h, refusal) for h, refusal in refused if refusal]
-            if not refused:
-                return heads
-            for head, refusal in refused:
-                self._drop(head, refusal)
-
-    def _choose(self, pool, heads):
-        if len(heads) == 1:
-            return next(iter(heads))
-        document = self._in_force.current.document
-        turns = []
-        for team, head in heads.items():
-            use = pool.slots.use(team)
-            spec = document.team(team)
-            worth = use.recent_worth + use.running_worth
-            share = spec.share if spec else 0.0
-            turns.append(TeamTurn(team, head.arrival, share, worth))
-        return self._order.choose(pool.name, turns).team
-
     def _start(self, pool, waiter, targets):
         request, urgent = waiter.request, waiter.queue.urgent
-        if waiter.tried:
-            targets = [t for t in targets if t.vm not in waiter.tried]
-        target = self._router.pick(targets)
-        if target is None:
-            return False
         if not self._permits.try_acquire(request.team):
             self._short.add(request.team)
             return False
+        target = self._router.pick(targets)
         pool.queues.remove(waiter)
         self._note_not_short(request.team)
         pool.slots.start(request.team, urgent, request.worth)
@@ -378,8 +327,7 @@
         end_s = self._clock.monotonic_s() + duration_ms / 1000
         with self._lock:
             self._inside -= 1
-            entry = (end_s, next(self._hold_ids), grant)
-            heapq.heappush(self._holds, entry)
+            self._holds.add(grant, end_s)
 
     def _free(self, grant, run_s, served):
         slots = self._pools[grant.pool].slots
@@ -390,10 +338,13 @@
         else:
             del self._in_flight[grant.vm]
 
-    def _reserve(self, pool):
-        """Return this entry's part of the slots for urgent work."""
-        spec = self._in_force.current.document.pool(pool)
-        if spec is None or not spec.urgent_reserve_slots:
-            return 0
-        entries = max(1, len(self._members.entries()))
-        return math.ceil(spec.urgent_reserve_slots / entries)
+
+def _untried(tried, serving, targets):
+    """Return the targets to choose from for a request.
+
+    A target that has refused the request is used again only when the pool
+    has no other that serves.
+    """
+    if not tried or all(name in tried for name, _ in serving):
+        return targets
+    return [target for target in targets if target.vm not in tried]
--- /dev/null
+++ b/src/rosemarynotch/_internal/admission/pools.py
@@ -0,0 +1,83 @@
+"""Queues, slots and order of one pool."""
+
+import math
+from typing import Callable
+
+from rosemarynotch._internal.admission.slots import PoolSlots
+from rosemarynotch._internal.admission.waiting import PoolQueues
+from rosemarynotch._internal.admission.waiting import Waiter
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.policy.ordering import OrderPolicy
+from rosemarynotch._internal.policy.ordering import TeamTurn
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["PoolState"]
+
+
+class PoolState:
+    """What waits for a pool and what uses it, at this entry.
+
+    The dispatcher's lock guards it.
+    """
+
+    def __init__(
+        self, name: str, shares, order: OrderPolicy, clock: Clock
+    ) -> None:
+        self.name = name
+        self.queues = PoolQueues()
+        self.slots = PoolSlots(name, shares, clock)
+        self._order = order
+
+    def valid_heads(
+        self,
+        urgent: bool,
+        refuse: Callable[[Waiter], Failure | None],
+        drop: Callable[[Waiter, Failure], None],
+    ) -> list[Waiter]:
+        """Return the first request of each team, without refused ones.
+
+        :param refuse: tells why a request must not start any more
+        :param drop: takes a refused request out of its queue
+        """
+        while True:
+            heads = self.queues.heads(urgent)
+            refused = False
+            for head in heads:
+                refusal = refuse(head)
+                if refusal is not None:
+                    drop(head, refusal)
+                    refused = True
+            if not refused:
+                return heads
+
+    def startable(
+        self, heads: list[Waiter], document: Document, entries_count: int
+    ) -> dict[str, Waiter]:
+        """Return, by team, the requests for which a slot is there.
+
+        :param entries_count: entries that divide the urgent reserve
+        """
+        spec = document.pool(self.name)
+        reserve = spec.urgent_reserve_slots if spec else 0
+        reserve = math.ceil(reserve / max(1, entries_count))
+        return {
+            head.request.team: head
+            for head in heads
+            if self.slots.may_start(
+                head.request.team, head.queue.urgent, reserve
+            )
+        }
+
+    def choose(self, heads: dict[str, Waiter], document: Document) -> str:
+        """Return the team that goes next."""
+        if len(heads) == 1:
+            return next(iter(heads))
+        turns = []
+        for team, head in heads.items():
+            use = self.slots.use(team)
+            spec = document.team(team)
+            worth = use.recent_worth + use.running_worth
+            share = spec.share if spec else 0.0
+            turns.append(TeamTurn(team, head.arrival, share, worth))
+        return self._order.choose(self.name, turns).team
--- a/src/rosemarynotch/_internal/callers/app.py
+++ b/src/rosemarynotch/_internal/callers/app.py
@@ -15,6 +15,8 @@
 
 HEALTH_PATH = "/healthz"
 JOBS_PREFIX = "/v1/jobs"
+# Part of the requests in hand that is left to urgent queues.
+URGENT_FRACTION = 0.1
 
 
 def _never():
@@ -30,6 +32,8 @@
     :param forwarder: runs requests
     :param jobs: accepts jobs
     :param submission_type: class that the intake takes
+    :param max_requests: bound on requests in hand, below the number of
+        threads so that refusals, probes and job calls always get one
     """
 
     def __init__(
@@ -42,6 +46,7 @@
         jobs,
         submission_type,
         metrics,
+        max_requests: int,
     ) -> None:
         self._in_force = in_force
         self._freshness = freshness
@@ -56,6 +61,9 @@
         )
         self._metrics = metrics
         self._leaving = threading.Event()
+        self._lock = threading.Lock()
+        self._max_requests = max_requests
+        self._requests_count = 0
 
     def __call__(self, environ, start_response):
         """Answer one request of a caller."""
@@ -82,8 +90,25 @@
         if isinstance(parsed, Failure):
             self._metrics.count("refused", team="", code=parsed.code)
             return parsed
-        gone = environ.get("waitress.client_disconnected", _never)
-        return self._forwarder.run(parsed.request, parsed.queue, gone)
+        if not self._try_take(parsed.queue.urgent):
+            self._metrics.count("refused", team="", code="entry-full")
+            return failures.QUEUE_FULL.because("the entry is full")
+        try:
+            gone = environ.get("waitress.client_disconnected", _never)
+            return self._forwarder.run(parsed.request, parsed.queue, gone)
+        finally:
+            with self._lock:
+                self._requests_count -= 1
+
+    def _try_take(self, urgent):
+        bound = self._max_requests
+        if not urgent:
+            bound -= int(bound * URGENT_FRACTION)
+        with self._lock:
+            if self._requests_count >= bound:
+                return False
+            self._requests_count += 1
+            return True
 
     def _answer_probe(self, start_response):
         if self._leaving.is_set():
--- a/src/rosemarynotch/_internal/callers/parsing.py
+++ b/src/rosemarynotch/_internal/callers/parsing.py
@@ -1,9 +1,10 @@
 """Turns a caller's HTTP request into a checked CallerRequest."""
 
+import itertools
 import math
+import os
 import re
 from urllib.parse import urlsplit
-import uuid
 
 import attrs
 
@@ -52,6 +53,10 @@
         "HTTP_UPGRADE",
     )
 )
+# Identifiers are unique over processes. Reading randomness for each request
+# would be a system call, which gives up the interpreter lock.
+PROCESS_ID = os.urandom(8).hex()
+_numbers = itertools.count(1)
 
 
 @attrs.define
@@ -156,7 +161,7 @@
     if len(key) > MAX_IDEMPOTENCY_KEY_CHARS:
         raise _Malformed("Idempotency-Key")
     return CallerRequest(
-        request_id=uuid.uuid4().hex,
+        request_id=f"{PROCESS_ID}-{next(_numbers):x}",
         team=holder[0],
         key_id=holder[1],
         queue=queue.name,
--- a/src/rosemarynotch/_internal/callers/server.py
+++ b/src/rosemarynotch/_internal/callers/server.py
@@ -1,5 +1,6 @@
 """The HTTP server for callers, and its graceful stop."""
 
+import logging
 import threading
 import time
 
@@ -17,6 +18,9 @@
 
 __all__ = ["CallerServer"]
 
+# The server logs a line for each request that finds no free thread.
+logging.getLogger("waitress.queue").setLevel(logging.ERROR)
+
 MEGABYTE = 1024 * 1024
 MAX_HEADER_BYTES = 32 * 1024
 # A caller that stops in the middle of a request frees its connection.
@@ -63,6 +67,20 @@
             self.set_close_on_finish()
         return super().build_response_header()
 
+    def write(self, data):
+        """Write the head and a whole body at once.
+
+        Apart, each would be a system call and a packet.
+        """
+        whole = self.complete and self.content_length == len(data)
+        if self.wrote_header or not data or not whole or not self.has_body:
+            super().write(data)
+            return
+        head = self.build_response_header()
+        self.wrote_header = True
+        self.content_bytes_written = len(data)
+        self.channel.write_soon(head + data)
+
 
 class _Channel(HTTPChannel):
     task_class = _AnswerTask
--- a/src/rosemarynotch/_internal/targets/connection.py
+++ b/src/rosemarynotch/_internal/targets/connection.py
@@ -2,24 +2,29 @@
 
 import http.client
 import io
-import select
 import socket
+import struct
 import time
 
 __all__ = ["AnswerReader", "TargetConnection", "TargetResponse"]
 
+TIMEVAL = struct.Struct("@ll")
+# What fits into the kernel's buffer is sent at once. For more than this,
+# the bound has to cover the sum of many writes.
+SMALL_REQUEST_BYTES = 16 * 1024
+
 
 class DeadlineSocketIO(socket.SocketIO):
     """Reads from a socket until a point in time.
 
-    A socket time-out alone bounds each read, and a target that sends one
-    byte at a time could keep the caller for ever.
+    A bound on each read alone would let a target that sends one byte at a
+    time keep the caller for ever.
     """
 
-    def __init__(self, sock: socket.socket, end_s: float) -> None:
+    def __init__(self, sock: "TargetSocket") -> None:
         super().__init__(sock, "rb")
         self._socket = sock
-        self._end_s = end_s
+        self._first = True
         self.finished = False
 
     def readinto(self, buffer):
@@ -29,11 +34,13 @@
         """
         if self.finished:
             return 0
-        left_s = self._end_s - time.monotonic()
-        if left_s <= 0:
-            raise TimeoutError("timed out")
-        self._socket.settimeout(left_s)
-        return super().readinto(buffer)
+        if not self._first:
+            self._socket.bound(socket.SO_RCVTIMEO)
+        self._first = False
+        try:
+            return self._socket.recv_into(buffer)
+        except BlockingIOError:
+            raise TimeoutError("timed out") from None
 
 
 class AnswerReader(io.BufferedReader):
@@ -50,13 +57,29 @@
 
 
 class TargetSocket(socket.socket):
-    """A socket that knows when its current exchange has to end."""
+    """A blocking socket whose exchange has to end at a point in time.
+
+    Its bounds are kept by the kernel. With the time-outs of Python each
+    read and write would be two system calls, and the interpreter lock is
+    given up for each.
+    """
 
     end_s = 0.0
 
+    def bound(self, option: int) -> None:
+        """Set SO_RCVTIMEO or SO_SNDTIMEO to the time that is left.
+
+        :raises TimeoutError: when no time is left
+        """
+        left_us = int((self.end_s - time.monotonic()) * 1_000_000)
+        if left_us <= 0:
+            raise TimeoutError("timed out")
+        value = TIMEVAL.pack(*divmod(left_us, 1_000_000))
+        self.setsockopt(socket.SOL_SOCKET, option, value)
+
     def makefile(self, mode="rb"):
         """Return a reader of one answer."""
-        return AnswerReader(DeadlineSocketIO(self, self.end_s))
+        return AnswerReader(DeadlineSocketIO(self))
 
 
 class TargetResponse(http.client.HTTPResponse):
@@ -88,6 +111,7 @@
             sock.settimeout(self.timeout)
             sock.connect((self.host, self.port))
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.settimeout(None)
         except BaseException:
             sock.close()
             raise
@@ -96,10 +120,30 @@
     def begin_exchange(self, timeout_s: float) -> None:
         """Bound the exchange that starts now."""
         self.sock.end_s = time.monotonic() + timeout_s
-        self.sock.settimeout(timeout_s)
+        self.sock.bound(socket.SO_SNDTIMEO)
+        self.sock.bound(socket.SO_RCVTIMEO)
+
+    def send(self, data):
+        """Send a part of a request.
+
+        :raises TimeoutError: when the end of the exchange has passed
+        """
+        if len(data) > SMALL_REQUEST_BYTES:
+            self.sock.settimeout(self.sock.end_s - time.monotonic())
+            self.sock.sendall(data)
+            self.sock.settimeout(None)
+            return
+        try:
+            self.sock.sendall(data)
+        except BlockingIOError:
+            raise TimeoutError("timed out") from None
 
     def is_stale(self) -> bool:
         """Tell whether the target closed it or sent bytes unasked."""
-        poller = select.poll()
-        poller.register(self.sock, select.POLLIN)
-        return bool(poller.poll(0))
+        try:
+            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, run by hand."""
--- /dev/null
+++ b/tests/bench/request_path.py
@@ -0,0 +1,216 @@
+"""Measures one entry process against direct requests, in one run.
+
+Callers are closed loops on kept connections. With a rate, each caller waits
+for its next turn instead, and latency is counted from that turn.
+"""
+
+import json
+import multiprocessing
+import os
+import socket
+import statistics
+import subprocess
+import sys
+import threading
+import time
+
+import defopt
+
+from rosemarynotch._internal.callers.server import CallerServer
+from tests.lib.entries import EntryUnderTest
+
+CALLER_PROCESSES = 3
+CALLERS = (1, 8, 64)
+REQUEST = (
+    "GET {path}?work_ms={work_ms} HTTP/1.1\r\nHost: measured\r\n"
+    "Authorization: Bearer red.k1.secret\r\nAccept: */*\r\n"
+    "User-Agent: measure\r\nX-Request-Id: 1234567890\r\n\r\n"
+)
+THREADS = 128
+
+
+def call_once(connection, request):
+    """Send a request and read the answer; return its status."""
+    connection.sendall(request)
+    data = b""
+    while b"\r\n\r\n" not in data:
+        received = connection.recv(65536)
+        if not received:
+            raise ConnectionError("closed")
+        data += received
+    head, _, body = data.partition(b"\r\n\r\n")
+    lower = head.lower()
+    length = int(lower.partition(b"content-length:")[2].split(b"\r\n")[0])
+    while len(body) < length:
+        body += connection.recv(65536)
+    return int(head[9:12])
+
+
+def run_caller(address, request, start_s, end_s, interval_s, results):
+    """Send requests until the end."""
+    host, _, port = address.rpartition(":")
+    connection = socket.create_connection((host, int(port)))
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    due_s = start_s
+    with connection:
+        while due_s < end_s:
+            now_s = time.monotonic()
+            if interval_s and now_s < due_s:
+                time.sleep(due_s - now_s)
+            elif not interval_s:
+                due_s = now_s
+            status = call_once(connection, request)
+            results.append((status, time.monotonic() - due_s))
+            due_s = due_s + interval_s if interval_s else time.monotonic()
+
+
+def caller_process(plans, queue):
+    """Run some callers in threads and report their results."""
+    results = []
+    threads = [
+        threading.Thread(target=run_caller, args=(*plan, results))
+        for plan in plans
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    queue.put(results)
+
+
+def measure(addresses, path, callers, seconds, work_ms, rate):
+    """Return requests per second and latency quantiles."""
+    context = multiprocessing.get_context("spawn")
+    queue = context.Queue()
+    request = REQUEST.format(path=path, work_ms=work_ms).encode()
+    start_s = time.monotonic() + 1.0
+    interval_s = callers / rate if rate else 0.0
+    plans = [
+        (
+            addresses[number % len(addresses)],
+            request,
+            start_s + interval_s * number / callers,
+            start_s + seconds,
+            interval_s,
+        )
+        for number in range(callers)
+    ]
+    parts = [plans[n::CALLER_PROCESSES] for n in range(CALLER_PROCESSES)]
+    processes = [
+        context.Process(target=caller_process, args=(part, queue))
+        for part in parts
+        if part
+    ]
+    for process in processes:
+        process.start()
+    results = [row for _ in processes for row in queue.get()]
+    for process in processes:
+        process.join()
+    times_ms = sorted(latency * 1000 for _, latency in results)
+    bad = sum(1 for status, _ in results if status != 200)
+    return {
+        "callers": callers,
+        "per_s": round(len(results) / seconds),
+        "median_ms": round(statistics.median(times_ms), 3),
+        "p99_ms": round(times_ms[int(len(times_ms) * 0.99)], 3),
+        "not_200": bad,
+    }
+
+
+def run_entry(addresses, profile_file, connection):
+    """Serve one entry until told to stop."""
+    if profile_file:
+        from tests.bench.sampling import Sampler
+
+        sampler = Sampler()
+        sampler.start()
+    entry = EntryUnderTest(addresses.split(","))
+    entry.dispatcher.start()
+    server = CallerServer(entry.app, "127.0.0.1", 0, THREADS)
+    server.start()
+    connection.send(server.address)
+    while True:
+        message = connection.recv()
+        if message == "cpu":
+            connection.send(sum(os.times()[:2]))
+        else:
+            break
+    if profile_file:
+        with open(profile_file, "w") as report:
+            report.write(sampler.report())
+    os._exit(0)
+
+
+def start_targets(count):
+    """Start target processes and return them with their addresses."""
+    processes, addresses = [], []
+    for _ in range(count):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{sock.getsockname()[1]}"
+        command = [sys.executable, "-m", "standins.target"]
+        command += [f"--listen={address}", "--slots=64"]
+        process = subprocess.Popen(command, stdout=subprocess.PIPE)
+        process.stdout.readline()
+        processes.append(process)
+        addresses.append(address)
+    return processes, addresses
+
+
+def main(
+    *,
+    targets: int = 5,
+    seconds: float = 4.0,
+    work_ms: float = 0.0,
+    profile_file: str = "",
+    half: bool = True,
+) -> None:
+    """Print one line of JSON per measurement.
+
+    :param targets: target processes
+    :param seconds: time of each measurement
+    :param work_ms: time for which a target works on a request
+    :param profile_file: where the entry writes samples of its threads
+    :param half: measure also at half of the highest rate
+    """
+    processes, addresses = start_targets(targets)
+    context = multiprocessing.get_context("spawn")
+    ours, theirs = context.Pipe()
+    entry = context.Process(
+        target=run_entry, args=(",".join(addresses), profile_file, theirs)
+    )
+    entry.start()
+    try:
+        through = [ours.recv()]
+        best = {}
+        for callers in CALLERS:
+            for name, where, path in (
+                ("direct", addresses, "/x"),
+                ("entry", through, "/s/quotes/x"),
+            ):
+                ours.send("cpu")
+                before_s = ours.recv()
+                row = measure(where, path, callers, seconds, work_ms, 0)
+                ours.send("cpu")
+                row["entry_cpu_s"] = round(ours.recv() - before_s, 2)
+                print(name, json.dumps(row), flush=True)
+                if name == "entry":
+                    best[callers] = row["per_s"]
+        for callers in CALLERS[1:] if half else ():
+            rate = best[callers] / 2
+            for name, where, path in (
+                ("direct", addresses, "/x"),
+                ("entry", through, "/s/quotes/x"),
+            ):
+                row = measure(where, path, callers, seconds, work_ms, rate)
+                print("half", name, json.dumps(row), flush=True)
+    finally:
+        ours.send("stop")
+        entry.join()
+        for process in processes:
+            process.terminate()
+            process.wait()
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/tests/lib/entries.py
+++ b/tests/lib/entries.py
@@ -237,7 +237,7 @@
         entries=("entry-1",),
         slots=8,
         current=None,
-        max_inside=200,
+        max_requests=200,
     ):
         self.clock = clock or SystemClock()
         self.stale = None
@@ -283,7 +283,6 @@
             order=order or WorthOverShareOrder(),
             clock=self.clock,
             metrics=self.metrics,
-            max_inside_requests=max_inside,
         )
         self.forwarder = Forwarder(
             name=name,
@@ -313,6 +312,7 @@
                 cancel=lambda team, job_id: None,
             ),
             submission_type=FakeSubmission,
+            max_requests=max_requests,
             metrics=self.metrics,
         )
 
