--- a/tests/unit/test_limits_stateful.py
+++ b/tests/unit/test_limits_stateful.py
@@ -34,7 +34,6 @@
         self.version = 0
         self.starts_s = []
         self.paused = False
-        self.paused_s = 0.0
 
 
 class LimitsMachine(stateful.RuleBasedStateMachine):
@@ -55,6 +54,7 @@
         self.orphans_s = []
         for name in NAMES:
             self.start(name)
+        self.settle_all()
         self.total_before = 0
 
     def start(self, name):
@@ -68,7 +68,6 @@
             self.core, self.clock, self.vms, me, self.incarnations
         )
         process.membership.register()
-        process.guard.tick()
         self.holders[name] = Holder(process)
         self.follow(name)
 
@@ -112,6 +111,16 @@
                 holder.starts_s.pop()
                 holder.process.permits.release(TEAM)
 
+    @stateful.rule()
+    def fill(self):
+        for name in NAMES:
+            self.acquire(name, 9)
+
+    @stateful.rule()
+    def settle_all(self):
+        for name in NAMES:
+            self.settle(name)
+
     @stateful.rule(name=names)
     def settle(self, name):
         if self.live(name):
@@ -128,6 +137,8 @@
         if sender != receiver and self.live(sender) and self.live(receiver):
             heartbeat = self.live(sender).process.heartbeat()
             self.live(receiver).process.permits.note_heartbeat(heartbeat)
+            self.settle(receiver)
+            self.settle(sender)
 
     @stateful.rule(name=names)
     def follow(self, name):
@@ -149,9 +160,13 @@
                 if not holder.paused:
                     holder.process.guard.tick()
 
-    @stateful.rule(limit=strategies.integers(0, 9))
-    def change_limit(self, limit):
+    @stateful.rule(
+        limit=strategies.integers(0, 9), followers=strategies.sets(names)
+    )
+    def change_limit(self, limit, followers):
         self.documents.append(limit_document({TEAM: limit}))
+        for name in sorted(followers):
+            self.follow(name)
 
     @stateful.rule(
         name=names,
@@ -174,33 +189,31 @@
         if holder is not None and not holder.process.store.fault_calls > 0:
             holder.process.store.apply_delayed()
 
-    @stateful.rule(name=names)
     def pause(self, name):
         holder = self.live(name)
         if holder is not None:
             holder.paused = True
-            holder.paused_s = self.clock.now_s
 
     @stateful.rule(name=names)
-    def resume(self, name):
+    def pause_or_resume(self, name):
         holder = self.holders.get(name)
         if holder is not None:
-            holder.paused = False
+            holder.paused = not holder.paused
 
-    @stateful.rule(name=names, replaced=strategies.booleans())
-    def crash(self, name, replaced):
+    @stateful.rule(
+        name=names,
+        replaced=strategies.booleans(),
+        at_once=strategies.booleans(),
+    )
+    def crash(self, name, replaced, at_once):
         holder = self.holders.pop(name, None)
-        if holder is None:
-            return
-        self.orphans_s += holder.starts_s
-        if replaced:
-            vm = f"vm-{name}"
-            old = self.vms.instances[vm]
-            self.vms.instances[vm] = str(int(old) + 1)
-
-    @stateful.rule(name=names)
-    def restart(self, name):
-        if name not in self.holders:
+        if holder is not None:
+            self.orphans_s += holder.starts_s
+            if replaced:
+                vm = f"vm-{name}"
+                old = self.vms.instances[vm]
+                self.vms.instances[vm] = str(int(old) + 1)
+        if holder is None or at_once:
             self.start(name)
 
     @stateful.rule(name=names)
@@ -211,14 +224,14 @@
         holder.process.permits.stop()
         holder.process.membership.remove()
         del self.holders[name]
+        self.start(name)
 
     @stateful.rule(name=names)
     def control_removes(self, name):
         """Remove a member that is dead, or paused and taken for dead."""
         holder = self.holders.get(name)
-        if holder is not None and not holder.paused:
-            return
-        if holder is not None and self.clock.now_s - holder.paused_s <= 2:
+        if holder is not None:
+            self.pause(name)
             self.advance(2.5)
         remover = Process(
             self.core, self.clock, self.vms, member("control"), 99
@@ -244,6 +257,23 @@
                 vm for vm in VmList(["x"]).vms() if vm.name == "vm-x"
             ]
 
+    def potential(self):
+        """Return the number that would run if all admitted what they can."""
+        since_s = self.clock.now_s - LONGEST_RUN_S
+        count = sum(1 for start_s in self.orphans_s if start_s > since_s)
+        for holder in self.holders.values():
+            running = sum(1 for at_s in holder.starts_s if at_s > since_s)
+            free = 0
+            if not holder.process.guard.suspended():
+                permits = holder.process.permits
+                free = permits.portion(TEAM) - permits.running(TEAM)
+            count += running + max(0, free)
+        return count
+
+    @stateful.invariant()
+    def admissible_stays_below_the_limit(self):
+        assert self.potential() <= max(self.limit(), self.total())
+
     @stateful.invariant()
     def running_stays_below_the_limit(self):
         total = self.total()
@@ -253,8 +283,8 @@
 
 LimitsMachine.TestCase.settings = hypothesis.settings(
     derandomize=True,
-    max_examples=120,
-    stateful_step_count=40,
+    max_examples=200,
+    stateful_step_count=50,
     deadline=None,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
--- /dev/null
+++ b/tests/unit/test_permits.py
@@ -0,0 +1,269 @@
+"""Tests of single events in the life of portions (rules R1 and R2)."""
+
+import testtools
+
+from rosemarynotch._internal.admission.gone import GoneWatch
+from rosemarynotch._internal.admission.gone import HolderKey
+from rosemarynotch._internal.exceptions import PLATFORM_UNAVAILABLE
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models.records import LimitRecord
+from standins.kv import KeyValue
+from tests.lib.clocks import ManualClock
+from tests.lib.fleet import limit_document
+from tests.lib.fleet import LONGEST_RUN_S
+from tests.lib.fleet import member
+from tests.lib.fleet import pointer
+from tests.lib.fleet import Process
+from tests.lib.fleet import VmList
+from tests.lib.stores import Fault
+
+TEAM = "ledger"
+
+
+class PermitsTest(testtools.TestCase):
+    """Guards against a sum of portions above the limit (P4)."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.core = KeyValue(lambda: self.clock.now_s)
+        self.hints = []
+        self.processes = []
+        self.version = 0
+
+    def start(self, names, limit):
+        self.vms = VmList(names)
+        self.processes = [self.process(name) for name in names]
+        self.change_limit(limit)
+        return self.processes
+
+    def process(self, name, incarnation="i1"):
+        process = Process(
+            self.core,
+            self.clock,
+            self.vms,
+            member(name, incarnation),
+            notify=self.hint,
+        )
+        process.membership.register()
+        return process
+
+    def hint(self, name, team):
+        self.hints.append(name)
+        for process in self.processes:
+            if process.membership.me.name == name:
+                process.permits.note_limit_changed(team)
+
+    def change_limit(self, limit, rounds=4):
+        self.version += 1
+        self.document = limit_document({TEAM: limit} if limit else {})
+        for process in self.processes:
+            process.follow_members()
+            process.in_force.apply(pointer(self.version), self.document)
+        self.settle(rounds)
+
+    def settle(self, rounds=4):
+        for _ in range(rounds):
+            self.clock.advance(1)
+            for process in self.processes:
+                process.guard.tick()
+                process.permits.step()
+
+    def poll(self):
+        for process in self.processes:
+            process.guard.tick()
+            process.permits.poll()
+        self.settle(1)
+
+    def portions(self):
+        return [process.permits.portion(TEAM) for process in self.processes]
+
+    def record(self):
+        data = self.core.get(f"limits/{TEAM}").value
+        return codec.decode(data, LimitRecord)
+
+    def fill(self, process):
+        count = 0
+        while process.permits.try_acquire(TEAM):
+            count += 1
+        return count
+
+    def ask(self, asker, giver):
+        self.poll()
+        self.fill(asker)
+        giver.permits.note_heartbeat(asker.heartbeat())
+
+    def test_small_limit_leaves_an_entry_without_a_portion(self):
+        self.start("abcdef", 5)
+        self.assertEqual([0, 1, 1, 1, 1, 1], sorted(self.portions()))
+        self.assertEqual("e", self.processes[5].permits.largest_holder(TEAM))
+        self.assertEqual("", self.processes[5].permits.largest_holder("x"))
+
+    def test_idle_permits_move_to_a_holder_that_is_short(self):
+        a, b = self.start("ab", 8)
+        self.assertEqual([4, 4], self.portions())
+        self.hints.clear()
+        self.ask(b, a)
+        self.settle()
+        self.assertEqual([2, 6], self.portions())
+        self.assertIn("b", self.hints)
+
+    def test_write_that_happens_late_does_not_add_permits(self):
+        a, b = self.start("ab", 8)
+        self.ask(b, a)
+        a.store.delaying = True
+        self.clock.advance(1)
+        a.permits.step()
+        self.assertEqual(2, a.permits.portion(TEAM))
+        a.guard.tick()
+        a.store.fault = Fault.DOWN
+        a.permits.revalidate()
+        self.assertEqual(2, a.permits.portion(TEAM))
+        a.store.fault = Fault.NONE
+        a.permits.revalidate()
+        a.store.apply_delayed()
+        b.permits.revalidate()
+        self.assertEqual(8, sum(self.portions()))
+
+    def test_local_number_is_lowered_before_the_write(self):
+        a, b = self.start("ab", 8)
+        self.ask(b, a)
+        seen, put = [], a.store.put
+        a.store.put = lambda *args: seen.append(self.portions()) or put(*args)
+        self.clock.advance(1)
+        a.permits.step()
+        self.assertEqual([[2, 4]], seen)
+
+    def test_refused_write_gives_the_local_number_back(self):
+        a, b = self.start("ab", 8)
+        self.ask(b, a)
+        a.store.fault = Fault.DOWN
+        self.clock.advance(1)
+        a.permits.step()
+        self.assertEqual([4, 4], self.portions())
+
+    def test_lowered_limit_lets_nothing_start_until_it_fits(self):
+        a, b = self.start("ab", 10)
+        self.assertEqual(5, self.fill(a))
+        self.change_limit(4, rounds=1)
+        self.assertEqual(2, self.record().portions["b"].requests)
+        self.assertEqual(0, self.fill(b))
+        for running in (4, 3, 2):
+            a.permits.release(TEAM)
+            recorded = self.record().portions["a"].requests
+            self.assertGreaterEqual(recorded, running)
+            self.settle(2)
+            total = running + self.fill(a) + self.fill(b)
+            self.assertLessEqual(total, 4)
+
+    def test_lowered_limit_is_capped_while_the_store_is_down(self):
+        a, b = self.start("ab", 10)
+        a.permits.try_acquire(TEAM)
+        for process in (a, b):
+            process.store.fault = Fault.DOWN
+        self.change_limit(4)
+        self.assertEqual([0, 0], self.portions())
+
+    def test_raised_limit_is_claimed_and_removed_team_gets_nothing(self):
+        self.start("ab", 4)
+        self.change_limit(10)
+        self.assertEqual([5, 5], self.portions())
+        self.change_limit(0)
+        self.assertEqual([0, 0], self.portions())
+        self.assertEqual({}, self.record().portions)
+
+    def test_new_entry_gets_its_part_of_what_is_idle(self):
+        self.start("ab", 9)
+        self.vms.instances["vm-c"] = "1"
+        self.processes.append(self.process("c"))
+        c = self.processes[-1]
+        c.in_force.apply(pointer(self.version), self.document)
+        for process in self.processes:
+            process.follow_members()
+        self.settle()
+        self.assertEqual([3, 3, 3], self.portions())
+
+    def test_graceful_stop_gives_portions_back(self):
+        a, b = self.start("ab", 8)
+        a.store.delaying = True
+        self.assertFalse(a.permits.stop())
+        self.assertTrue(a.permits.stop())
+        a.membership.remove()
+        self.processes = [b]
+        b.follow_members()
+        self.settle()
+        self.assertEqual([8], self.portions())
+
+    def test_portion_of_an_earlier_incarnation_waits(self):
+        a, b = self.start("ab", 8)
+        self.processes[0] = again = self.process("a", "i2")
+        again.in_force.apply(pointer(self.version), self.document)
+        for process in self.processes:
+            process.follow_members()
+        self.settle(1)
+        self.assertEqual([0, 4], self.portions())
+        self.poll()
+        self.clock.advance(LONGEST_RUN_S + 0.9)
+        self.poll()
+        self.assertEqual(4, sum(self.portions()))
+        self.clock.advance(0.2)
+        self.poll()
+        self.settle()
+        self.assertEqual([4, 4], self.portions())
+
+    def test_paused_process_admits_nothing_until_it_has_read(self):
+        a, b = self.start("ab", 8)
+        self.clock.advance(2.1)
+        self.assertEqual(0, self.fill(a))
+        a.store.fault = Fault.DOWN
+        a.guard.tick()
+        self.assertEqual(0, self.fill(a))
+        a.store.fault = Fault.NONE
+        a.guard.tick()
+        self.assertEqual(4, self.fill(a))
+
+    def test_removed_process_goes_on_without_its_portion(self):
+        a, b = self.start("ab", 8)
+        a.permits.try_acquire(TEAM)
+        b_sees = self.process("a", "i9")
+        self.assertIsNone(b_sees.membership.remove())
+        self.clock.advance(3)
+        a.guard.tick()
+        self.assertEqual(0, a.permits.portion(TEAM))
+        self.assertNotEqual("i1", a.membership.me.incarnation)
+
+
+class GoneWatchTest(testtools.TestCase):
+    """Guards against the reclaim of a portion that is still used (R2)."""
+
+    def test_table_of_lists(self):
+        table = [
+            (["a", "b"], False, "listed"),
+            ([], False, "empty list"),
+            (["x"], False, "list without the observer"),
+            (None, False, "no list"),
+            (["a"], True, "instance has disappeared"),
+        ]
+        for shown, gone, reason in table:
+            clock = ManualClock()
+            vms = VmList("ab")
+            core = KeyValue(lambda: clock.now_s)
+            processes = [
+                Process(core, clock, vms, member(name)) for name in "ab"
+            ]
+            for process in processes:
+                process.membership.register()
+            watch = GoneWatch(processes[0].records, vms, member("a"), clock)
+            holders = {HolderKey("b", "i1")}
+            self.assertFalse(watch.gone(holders, LONGEST_RUN_S))
+            vms.shown = PLATFORM_UNAVAILABLE
+            if shown is not None:
+                vms.shown = VmList(shown).vms()
+            watch.gone(holders, LONGEST_RUN_S)
+            clock.advance(LONGEST_RUN_S + 1.9)
+            self.assertFalse(watch.gone(holders, LONGEST_RUN_S), reason)
+            clock.advance(0.2)
+            result = watch.gone(holders, LONGEST_RUN_S)
+            self.assertEqual(gone, bool(result), reason)
+            vms.shown = None
+            self.assertFalse(watch.gone(holders, LONGEST_RUN_S), reason)
