--- a/src/rosemarynotch/_internal/replay/summary.py
+++ b/src/rosemarynotch/_internal/replay/summary.py
@@ -13,10 +13,12 @@
 __all__ = ["format_trace", "Latency", "latency", "MAX_COLUMNS"]
 
 MAX_COLUMNS = 40
-NAME_COLUMNS = 16
-NUMBER_COLUMNS = 6
+NAME_COLUMNS = 20
+NUMBER_COLUMNS = 5
 MAX_LISTED = 10
-DECIMAL_BELOW = 1000.0
+# A number has four characters and a space.
+DECIMAL_BELOW = 99.95
+THOUSANDS_FROM = 9999.5
 UNITS_PER_MS = 100
 MAX_UNITS = 3_600_000 * UNITS_PER_MS
 SIGNIFICANT_DIGITS = 3
@@ -110,7 +112,11 @@
 
 def short(value: float) -> str:
     """Return a number that fits a column."""
-    return f"{value:.1f}" if value < DECIMAL_BELOW else f"{value:.0f}"
+    if value < DECIMAL_BELOW:
+        return f"{value:.1f}"
+    if value < THOUSANDS_FROM:
+        return f"{value:.0f}"
+    return f"{value / 1000:.0f}k"
 
 
 def _outcomes(results, group, title):
--- a/standins/target.py
+++ b/standins/target.py
@@ -1,4 +1,17 @@
-"""Stand-in for targets: services with slots, connections and faults."""
+"""Stand-in for targets: services with slots, connections and faults.
+
+A request to any other path works as its headers say, or its query:
+``X-Work-Ms`` (``work_ms``), ``X-Answer-Bytes``, ``X-Request-Id`` and
+``X-Status``; the team is ``Rosemarynotch-Team``, or else ``X-Team``.
+
+Admin calls are for the target that is called, or for that of
+``?address=``, and are answered whatever the fault:
+
+* ``POST /admin/drain|undrain|down|up``, ``POST /admin/reboot?down_ms=``;
+* ``POST /admin/fault``: fields of :class:`standins.target_state.Fault`;
+* ``POST /admin/clear``: forget the ledger;
+* ``GET /ledger``: requests that ran, and counts; ``GET /stats``.
+"""
 
 import signal
 import threading
