Test promises under failures of real processes

Entries and control run as processes on stand-ins in the test's process; kills, pauses, cuts from the store and a wave are judged by the ledgers of the stand-ins.

--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -115,6 +115,7 @@
             jobs=jobs,
             submission_type=JobSubmission,
             metrics=process.metrics,
+            max_requests=self._settings.caller_threads - RESERVED_THREADS,
         )
         process.exchange.set_forward_handler(forwarder.handle_forward)
         host, port = self._caller
@@ -153,9 +154,6 @@
             order=WorthOverShareOrder(),
             clock=process.clock,
             metrics=process.metrics,
-            max_inside_requests=(
-                self._settings.caller_threads - RESERVED_THREADS
-            ),
         )
         self._heartbeats = HeartbeatSource(
             process,
--- /dev/null
+++ b/tests/lib/cluster.py
@@ -0,0 +1,345 @@
+"""Entry and control processes on stand-ins, for tests of failures.
+
+The stand-ins run in the process of the test, so that it can read their
+ledgers and switch their faults directly. Each product process gets a port of
+the platform of its own, so that it can be cut off alone.
+"""
+
+import concurrent.futures
+import contextlib
+import http.client
+import json
+import os
+from pathlib import Path
+import random
+import signal
+import subprocess
+import sys
+import time
+import uuid
+
+import attrs
+
+from rosemarynotch._internal.configuration import make_key
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.document import PoolKind
+from rosemarynotch._internal.models.document import PoolSpec
+from rosemarynotch._internal.models.document import QueueSpec
+from rosemarynotch._internal.models.document import TeamSpec
+from rosemarynotch._internal.models.document import VmSpec
+from rosemarynotch._internal.models.document import WaveSpec
+from rosemarynotch._internal.operators.changes import Change
+from rosemarynotch._internal.operators.changes import ConfigChanges
+from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.utils.clock import SystemClock
+from standins.platform import Platform
+from standins.serving import PlatformServer
+from standins.serving import serve_in_thread
+from standins.target_server import TargetProcess
+from standins.vms import Vm
+from tests.lib.stores import MemoryStore
+
+__all__ = ["Cluster", "Outcome", "wait_until"]
+
+ROOT = Path(__file__).parent.parent.parent
+HOST = "127.0.0.1"
+THREADS = 48
+# Only ends a test that hangs; no test judges by time.
+WAIT_S = 60.0
+POLL_S = 0.05
+LONGEST_RUN_MS = 3_000
+SLOTS = 4
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """What a caller was told about one request."""
+
+    request_id: str
+    status: int
+    body: bytes
+    ran: str
+
+    @property
+    def is_answered(self) -> bool:
+        """Tell whether the answer is whole and the request's own."""
+        own = self.body == self.request_id.encode() + b"\n"
+        return self.status == 200 and own
+
+    @property
+    def code(self) -> str:
+        """Return the code of a refusal."""
+        return json.loads(self.body)["code"] if self.ran else ""
+
+
+def wait_until(condition, what: str):
+    """Return the first true result of a condition."""
+    end_s = time.monotonic() + WAIT_S
+    while time.monotonic() < end_s:
+        result = condition()
+        if result:
+            return result
+        time.sleep(POLL_S)
+    raise AssertionError(f"not reached: {what}")
+
+
+class Cluster:
+    """Some entries and controls with one pool of targets.
+
+    :param teams: upper limits by team
+    """
+
+    def __init__(
+        self,
+        teams: dict[str, int],
+        entries: int = 3,
+        controls: int = 1,
+        vms: int = 3,
+    ) -> None:
+        self.names = [f"entry-{n}" for n in range(1, entries + 1)]
+        self.control_names = [f"control-{n}" for n in range(1, controls + 1)]
+        self.keys: dict[str, str] = {}
+        self.targets = TargetProcess(slots=SLOTS)
+        self._processes: dict[str, subprocess.Popen] = {}
+        self._callers: dict[str, str] = {}
+        self._logs = Path(os.environ.get("CLUSTER_LOGS", os.devnull))
+        self.document = self._make_document(teams, vms)
+        self.platform = Platform(self._make_vms(), reboot_ms=100)
+        self.store = MemoryStore(self.platform.store)
+        self.records = RecordStore(self.store, SystemClock(), random.Random(7))
+        members = self.names + self.control_names
+        self._server = PlatformServer(
+            self.platform, [f"{HOST}:0"] * len(members), THREADS
+        )
+        ports = [int(port) for port in self._server.ports]
+        self._ports = dict(zip(members, ports, strict=True))
+        serve_in_thread(self._server)
+
+    def __enter__(self):
+        try:
+            self.apply(self.document)
+            for name in self.names + self.control_names:
+                self.start(name)
+            wait_until(self._is_ready, "all entries serve")
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        for name, process in self._processes.items():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        self._server.close()
+        self.targets.close()
+
+    def apply(self, document: Document) -> int:
+        """Put a document in force through the operators' code."""
+        changes = ConfigChanges(self.records, SystemClock(), "test")
+        pointer = changes.pointer()
+        change = Change(
+            change_id=uuid.uuid4().hex,
+            operator="test",
+            reason="test",
+            expected_version=pointer.current.version if pointer else 0,
+        )
+        accepted = changes.apply(document, change)
+        self.document = document
+        return accepted.version
+
+    def start(self, name: str) -> None:
+        """Start a process, which may have run before."""
+        is_entry = name in self.names
+        program = "entry" if is_entry else "control"
+        platform = f"{HOST}:{self._ports[name]}"
+        flags = {
+            "name": name,
+            "vm": f"vm-{name}",
+            "data-centre": "Gent",
+            "store": platform,
+            "vm-service": platform,
+            "task-service": platform,
+            "peer-listen": self._address(name, "peer"),
+        }
+        if is_entry:
+            _, operator = make_key("test", "k")
+            flags |= {
+                "caller-listen": self._address(name, "caller"),
+                "operator-listen": self._address(name, "operator"),
+                "operator-keys": (f"test:k:{operator.salt}:{operator.digest}"),
+                "caller-threads": 64,
+                "balancer-notice-s": 0.1,
+            }
+        arguments = [f"--{flag}={value}" for flag, value in flags.items()]
+        with self._log(name) as log:
+            self._processes[name] = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    f"rosemarynotch._internal.cli.{program}",
+                    *arguments,
+                ],
+                env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self._processes[name].send_signal(number)
+
+    def wait(self, name: str) -> int:
+        """Wait for the end of a process and return its status."""
+        return self._processes[name].wait(WAIT_S)
+
+    def cut_store(self, *names: str, is_cut: bool = True) -> None:
+        """Let the store drop the calls of some processes, or all."""
+        outage = "drop" if is_cut else "up"
+        for name in names or self._ports:
+            self.platform.faults.change({"store": outage}, self._ports[name])
+
+    def send(
+        self,
+        entry: str,
+        team: str,
+        work_ms: int = 0,
+        method: str = "POST",
+        key: str = "",
+        headers: dict[str, str] | None = None,
+    ) -> Outcome:
+        """Send one request and return what the caller was told.
+
+        ``ran`` is "unknown" when the connection broke.
+        """
+        request_id = uuid.uuid4().hex
+        sent = {
+            "Authorization": f"Bearer {key or self.keys[team]}",
+            "X-request-id": request_id,
+            "X-work-ms": str(work_ms),
+            **(headers or {}),
+        }
+        connection = http.client.HTTPConnection(
+            self._callers[entry], timeout=WAIT_S
+        )
+        try:
+            connection.request(method, "/s/pool/work", b"x", sent)
+            answer = connection.getresponse()
+            return Outcome(
+                request_id=request_id,
+                status=answer.status,
+                body=answer.read(),
+                ran=answer.headers.get("Rosemarynotch-Ran", ""),
+            )
+        except ConnectionRefusedError:
+            return Outcome(
+                request_id=request_id, status=0, body=b"{}", ran="no"
+            )
+        except (OSError, http.client.HTTPException):
+            return Outcome(
+                request_id=request_id, status=0, body=b"{}", ran="unknown"
+            )
+        finally:
+            connection.close()
+
+    @contextlib.contextmanager
+    def load(self, requests: list[tuple], workers: int = 48):
+        """Send requests in the background; the list fills with outcomes.
+
+        :param requests: arguments of :meth:`send`
+        """
+        outcomes: list[Outcome] = []
+        with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+            futures = [pool.submit(self.send, *each) for each in requests]
+            try:
+                yield outcomes
+            finally:
+                outcomes += [future.result() for future in futures]
+
+    def runs(self) -> dict[str, int]:
+        """Return how often each request ran."""
+        return self.targets.ledger.show()["runs_by_id"]
+
+    def most_running(self) -> dict[str, int]:
+        """Return the most requests that ran at once, by team."""
+        return self.targets.ledger.show()["max_running_by_team"]
+
+    def interrupted(self) -> int:
+        """Return how many requests were interrupted on targets."""
+        rows = self.targets.ledger.show()["requests"]
+        return sum(row.interrupted for row in rows)
+
+    def _make_document(self, teams: dict[str, int], vms: int) -> Document:
+        specs = []
+        for name, limit in teams.items():
+            self.keys[name], spec = make_key(name, "k1")
+            specs.append(
+                TeamSpec(
+                    name=name, share=1, limit_requests=limit, keys=(spec,)
+                )
+            )
+        pool = PoolSpec(
+            name="pool",
+            kind=PoolKind.SERVICE,
+            min_available_vms=vms - 1,
+            vms=tuple(
+                VmSpec(
+                    name=f"target-{number}",
+                    data_centre="Gent",
+                    rack=f"r{number}",
+                    slots=SLOTS,
+                )
+                for number in range(vms)
+            ),
+        )
+        queue = QueueSpec(
+            name="pool", pool="pool", longest_run_ms=LONGEST_RUN_MS
+        )
+        return Document(
+            pools=(pool,),
+            teams=tuple(specs),
+            queues=(queue,),
+            waves=(WaveSpec(name="wave", pools=("pool",)),),
+        )
+
+    def _make_vms(self) -> list[Vm]:
+        members = [Vm(f"vm-{n}") for n in self.names + self.control_names]
+        for spec in self.document.pools[0].vms:
+            target = self.targets.add(f"{HOST}:0")
+            vm = Vm(
+                spec.name,
+                address=target.address,
+                data_centre=spec.data_centre,
+                rack=spec.rack,
+            )
+            members.append(vm)
+        return members
+
+    def _address(self, name: str, use: str) -> str:
+        """Return a loopback address that stays the same over restarts."""
+        if use != "caller":
+            return f"{HOST}:{self._port(name, use)}"
+        address = f"{HOST}:{self._port(name, use)}"
+        self._callers[name] = address
+        return address
+
+    def _port(self, name: str, use: str) -> int:
+        ports = self.__dict__.setdefault("_fixed_ports", {})
+        if (name, use) not in ports:
+            with contextlib.closing(http.client.socket.socket()) as probe:
+                probe.bind((HOST, 0))
+                ports[name, use] = probe.getsockname()[1]
+        return ports[name, use]
+
+    def _log(self, name: str):
+        if self._logs == Path(os.devnull):
+            return open(os.devnull, "wb")
+        return (self._logs / f"{name}.log").open("ab")
+
+    def _is_ready(self) -> bool:
+        for name, process in self._processes.items():
+            if process.poll() is not None:
+                raise AssertionError(f"{name} ended at its start")
+        team = next(iter(self.keys))
+        return all(self.send(name, team).is_answered for name in self.names)
