--- a/src/rosemarynotch/_internal/commands/state.py
+++ b/src/rosemarynotch/_internal/commands/state.py
@@ -67,6 +67,10 @@
         f" {team['limit_requests']}, {team['queued_requests']} waiting"
         for team in snapshot["teams"]
     ]
+    lines += [
+        f"VM {vm['name']}: {vm['state']}, {vm['running_requests']} running"
+        for vm in snapshot["vms_out"]
+    ]
     lines += [
         f"wave {wave['name']}: {wave['state']}, {wave['done_vms']} of"
         f" {wave['total_vms']}"
--- a/src/rosemarynotch/_internal/operators/observer.py
+++ b/src/rosemarynotch/_internal/operators/observer.py
@@ -16,6 +16,7 @@
 from rosemarynotch._internal.operators.snapshot import PoolState
 from rosemarynotch._internal.operators.snapshot import TeamState
 from rosemarynotch._internal.operators.snapshot import Usage
+from rosemarynotch._internal.operators.snapshot import VmOut
 from rosemarynotch._internal.operators.snapshot import WaveProgress
 from rosemarynotch._internal.utils.clock import Clock
 
@@ -108,6 +109,7 @@
             shares=self._meter.shares(document, at_limit),
             shares_measured=self._meter.is_measured(),
             waves=self._wave_progress(),
+            vms_out=self._vms_out(recent),
         )
 
     def usage(self) -> Usage:
@@ -214,6 +216,21 @@
             queued_requests=queued.get(pool.name, 0),
         )
 
+    def _vms_out(self, recent) -> tuple[VmOut, ...]:
+        running: dict[str, int] = {}
+        for beat, _ in recent.values():
+            for name, count in beat.running_by_vm.items():
+                running[name] = running.get(name, 0) + count
+        return tuple(
+            VmOut(
+                name=name,
+                state=str(vm.state),
+                running_requests=running.get(name, 0),
+            )
+            for name, vm in sorted(self._fleet.record.vms.items())
+            if vm.state is not VmState.SERVING
+        )
+
     def _wave_progress(self) -> tuple[WaveProgress, ...]:
         document = self._in_force.current.document
         record = self._fleet.record
--- a/src/rosemarynotch/_internal/operators/report.py
+++ b/src/rosemarynotch/_internal/operators/report.py
@@ -15,6 +15,7 @@
 WIDTH = 40
 MAX_LINES = 20
 MAX_WAVES = 3
+MAX_DRAINS = 2
 
 
 def report_lines(snapshot: FleetSnapshot) -> list[str]:
@@ -39,13 +40,19 @@
         promises = sorted({item.promise for item in risks}, key=_promise_key)
         lines += _wrap("AT RISK: " + " ".join(promises))
     if gaps:
-        lines += _wrap(f"NOT KNOWN: {len(gaps)} gaps in the data")
+        lines += _wrap(f"NOT KNOWN: {_count(len(gaps), 'gap')} in the data")
     if not lines:
-        warnings = f", {len(findings)} warnings" if findings else ""
-        lines = [f"No promise at risk{warnings}"]
+        warnings = _count(len(findings), "warning")
+        lines = ["No promise at risk"]
+        if findings:
+            lines = [f"No promise at risk, {warnings}"]
     return lines
 
 
+def _count(number: int, word: str) -> str:
+    return f"{number} {word}" + ("" if number == 1 else "s")
+
+
 def _promise_key(promise: str) -> tuple[bool, int]:
     number = promise.removeprefix("P")
     return (not number.isdigit(), int(number) if number.isdigit() else 0)
@@ -75,10 +82,17 @@
     yield f"Heard: {heard} of {len(snapshot.members)}{oldest}"
     yield f"Store: {last_seen(snapshot.store_age_s)}"
     count, total = snapshot.in_force(snapshot.version)
-    yield f"Config: v{snapshot.version} on {count} of {total}"
+    if snapshot.version:
+        yield f"Config: v{snapshot.version} on {count} of {total}"
     if snapshot.fleet_revision:
         yield from _vm_facts(snapshot)
     yield from _team_facts(snapshot)
+    drains = [vm for vm in snapshot.vms_out if vm.running_requests]
+    drains.sort(key=lambda vm: -vm.running_requests)
+    for vm in drains[:MAX_DRAINS]:
+        yield f"{vm.state} {vm.name}: {vm.running_requests} running"
+    if drains[MAX_DRAINS:]:
+        yield f"and {len(drains) - MAX_DRAINS} more VMs with requests"
     waves = [w for w in snapshot.waves if w.state in ("running", "paused")]
     for wave in waves[:MAX_WAVES]:
         yield (
@@ -109,7 +123,11 @@
     queued = sum(team.queued_requests for team in snapshot.teams)
     which = " of heard members" if snapshot.silent else ""
     yield f"Requests{which}: {running} running, {queued} waiting"
-    limited = [team for team in snapshot.teams if team.limit_requests]
+    limited = [
+        team
+        for team in snapshot.teams
+        if team.limit_requests and team.running_requests
+    ]
     if limited:
         most = max(
             limited,
--- a/src/rosemarynotch/_internal/operators/snapshot.py
+++ b/src/rosemarynotch/_internal/operators/snapshot.py
@@ -9,6 +9,7 @@
     "ShareState",
     "TeamState",
     "Usage",
+    "VmOut",
     "WaveProgress",
 ]
 
@@ -93,6 +94,15 @@
         return self.served_part / self.expected_part - 1
 
 
+@attrs.frozen(kw_only=True)
+class VmOut:
+    """A VM that does not serve, and what still runs there."""
+
+    name: str
+    state: str
+    running_requests: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class WaveProgress:
     """Progress of a wave and what holds it."""
@@ -129,6 +139,7 @@
     shares: tuple[ShareState, ...] = ()
     shares_measured: bool = False
     waves: tuple[WaveProgress, ...] = ()
+    vms_out: tuple[VmOut, ...] = ()
 
     @property
     def silent(self) -> tuple[MemberState, ...]:
--- a/tests/unit/test_report.py
+++ b/tests/unit/test_report.py
@@ -262,7 +262,11 @@
             served_worth=0,
             slot_s=0,
         )
-        beats = {"entry-2": heartbeat(demand=(row,), config_version=5)}
+        beats = {
+            "entry-2": heartbeat(
+                demand=(row,), config_version=5, running_by_vm={"s-2": 3}
+            )
+        }
         beats["entry-7"] = heartbeat("entry-7", demand=(row,))
         observer = Observer(
             "trial",
@@ -283,6 +287,10 @@
         self.assertEqual((1, 3), snapshot.in_force(5))
         self.assertEqual(4, snapshot.teams[0].running_requests)
         self.assertEqual({"failed": ("s-2",)}, snapshot.pools[0].out_vms)
+        self.assertEqual(
+            [("s-2", 3)],
+            [(vm.name, vm.running_requests) for vm in snapshot.vms_out],
+        )
         usage = observer.usage()
         self.assertFalse(usage.complete)
         self.assertEqual({"settlement": 6}, usage.work_by_pool)
