--- a/src/rosemarynotch/_internal/commands/session.py
+++ b/src/rosemarynotch/_internal/commands/session.py
@@ -136,5 +136,6 @@
         exit_status = Exit.UNKNOWN
     elif data["code"] == CONFIRMATION_NEEDED.code:
         exit_status = Exit.CONFIRMATION_NEEDED
-    text = f"{data['code']}: {data.get('reason', '')}"
+    reason = data.get("reason")
+    text = f"{data['code']}: {reason}" if reason else data["code"]
     return CommandError(exit_status, text, data["code"])
--- a/src/rosemarynotch/_internal/operators/app.py
+++ b/src/rosemarynotch/_internal/operators/app.py
@@ -11,6 +11,7 @@
 from rosemarynotch._internal.operators.http import answer
 from rosemarynotch._internal.operators.http import find_route
 from rosemarynotch._internal.operators.http import Request
+from rosemarynotch._internal.operators.key_calls import KeyCalls
 from rosemarynotch._internal.operators.keys import OperatorKeys
 from rosemarynotch._internal.operators.observer import Observer
 from rosemarynotch._internal.operators.report_calls import ReportCalls
@@ -45,8 +46,10 @@
     ) -> None:
         self._keys = keys
         self._metrics = metrics
+        config = ConfigCalls(changes, observer, is_trial)
         self._routes = (
-            *ConfigCalls(changes, observer, is_trial).routes,
+            *config.routes,
+            *KeyCalls(changes, config).routes,
             *FleetCalls(
                 records, in_force, fleet, observer, operations, jobs
             ).routes,
--- a/src/rosemarynotch/_internal/operators/config_calls.py
+++ b/src/rosemarynotch/_internal/operators/config_calls.py
@@ -1,4 +1,4 @@
-"""Calls on the configuration and on keys."""
+"""Calls on the configuration."""
 
 from typing import Any
 from typing import Callable
@@ -9,17 +9,11 @@
 from rosemarynotch._internal.exceptions import CONFIRMATION_NEEDED
 from rosemarynotch._internal.exceptions import DOCUMENT_MALFORMED
 from rosemarynotch._internal.exceptions import Failure
-from rosemarynotch._internal.exceptions import IDEMPOTENCY_KEY_REUSED
-from rosemarynotch._internal.exceptions import KEY_INVALID
 from rosemarynotch._internal.exceptions import REQUEST_MALFORMED
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
-from rosemarynotch._internal.exceptions import TEAM_UNKNOWN
-from rosemarynotch._internal.exceptions import VERSION_CHANGED
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models.document import Document
-from rosemarynotch._internal.models.document import TeamSpec
 from rosemarynotch._internal.models.records import ConfigVersion
-from rosemarynotch._internal.models.validation import check_document
 from rosemarynotch._internal.models.validation import parse_document
 from rosemarynotch._internal.operators.changes import ConfigChanges
 from rosemarynotch._internal.operators.changes import find_version
@@ -33,9 +27,6 @@
 
 __all__ = ["ConfigCalls"]
 
-# A command on a key does not depend on the version, so it is repeated when
-# another change comes between.
-KEY_ATTEMPTS = 5
 EMPTY = Document(pools=(), teams=(), queues=())
 
 
@@ -60,19 +51,17 @@
             Route("POST", "/v1/config/try", self.try_document),
             Route("POST", "/v1/config/promote", self.promote),
             Route("POST", "/v1/config/rollback", self.rollback),
-            Route("POST", "/v1/keys/give", self.give_key),
-            Route("POST", "/v1/keys/withdraw", self.withdraw_key),
         )
 
     def show(self, request: Request) -> Any:
         """Return the newest version with its document."""
-        current = self._current()
+        current = self.current()
         if isinstance(current, Failure):
             return current
         version, document = current
         if version is None:
             return {"version": 0, "document": None}
-        return {**self._accepted(version), "document": document}
+        return {**self.accepted(version), "document": document}
 
     def history(self, request: Request) -> Any:
         """Return the newest versions, newest first."""
@@ -91,7 +80,7 @@
             return STORE_KEY_MISSING.because(
                 f"change {change_id} is not among the newest versions"
             )
-        return self._accepted(version)
+        return self.accepted(version)
 
     def show_trial(self, request: Request, digest: str) -> Any:
         """Return the trial of a digest."""
@@ -103,7 +92,7 @@
         if isinstance(body, Failure):
             return body
         document = _parse(body.document)
-        current = self._current()
+        current = self.current()
         for failure in (document, current):
             if isinstance(failure, Failure):
                 return failure
@@ -157,35 +146,6 @@
             revived_keys,
         )
 
-    def give_key(self, request: Request) -> Any:
-        """Add a key to a team."""
-        body = requests.decode_change(request, requests.KeyGive)
-        if isinstance(body, Failure):
-            return body
-
-        def change(team: TeamSpec) -> TeamSpec | Failure:
-            if body.key in team.keys:
-                return team
-            return attrs.evolve(team, keys=(*team.keys, body.key))
-
-        return self._change_team(body, change)
-
-    def withdraw_key(self, request: Request) -> Any:
-        """Take a key from a team."""
-        body = requests.decode_change(request, requests.KeyWithdraw)
-        if isinstance(body, Failure):
-            return body
-
-        def change(team: TeamSpec) -> TeamSpec | Failure:
-            kept = tuple(k for k in team.keys if k.key_id != body.key_id)
-            if kept == team.keys:
-                return KEY_INVALID.because(
-                    f"team {team.name} has no key {body.key_id}"
-                )
-            return attrs.evolve(team, keys=kept)
-
-        return self._change_team(body, change)
-
     def _change_document(self, request: Request, run: Callable) -> Any:
         body = requests.decode_change(request, requests.DocumentChange)
         if isinstance(body, Failure):
@@ -204,7 +164,7 @@
 
         :param more: finds further consequences
         """
-        current = self._current()
+        current = self.current()
         if isinstance(current, Failure):
             return current
         version, old = current
@@ -216,30 +176,10 @@
             if found:
                 return CONFIRMATION_NEEDED.because("\n".join(found))
         # A repeat, or a version that has changed, is told by the change.
-        return self._accepted(run(change))
+        return self.accepted(run(change))
 
-    def _change_team(self, body, change_team: Callable) -> Any:
-        for _ in range(KEY_ATTEMPTS):
-            current = self._current()
-            known = self._changes.find_change(body.change_id)
-            for failure in (current, known):
-                if isinstance(failure, Failure):
-                    return failure
-            version, document = current
-            changed = _with_team(document, body.team, change_team)
-            if known is not None:
-                return self._accepted(_repeated(known, document, changed))
-            if isinstance(changed, Failure):
-                return changed
-            if changed == document:
-                return self._accepted(version)
-            change = requests.to_change(body, version.version)
-            result = self._changes.apply(changed, change)
-            if not _is_version_changed(result):
-                break
-        return self._accepted(result)
-
-    def _current(self) -> tuple[ConfigVersion | None, Document] | Failure:
+    def current(self) -> tuple[ConfigVersion | None, Document] | Failure:
+        """Return the newest version and its document from the store."""
         pointer = self._changes.pointer()
         if isinstance(pointer, Failure):
             return pointer
@@ -250,7 +190,8 @@
             return document
         return pointer.current, document
 
-    def _accepted(self, version: ConfigVersion | Failure) -> Any:
+    def accepted(self, version: ConfigVersion | Failure) -> Any:
+        """Return the answer for a version, or a failure as it is."""
         if isinstance(version, Failure):
             return version
         snapshot = self._observer.snapshot()
@@ -263,46 +204,8 @@
         }
 
 
-def _is_version_changed(result: ConfigVersion | Failure) -> bool:
-    return isinstance(result, Failure) and result.is_a(VERSION_CHANGED)
-
-
-def _repeated(
-    known: ConfigVersion, document: Document, changed: Document | Failure
-) -> ConfigVersion | Failure:
-    """Judge a change of a key whose change id is known.
-
-    It is a repeat only if its effect is there. Otherwise the operator would
-    hold a key that is not the one in force.
-    """
-    is_withdrawn = isinstance(changed, Failure) and changed.is_a(KEY_INVALID)
-    if is_withdrawn or changed == document:
-        return known
-    return IDEMPOTENCY_KEY_REUSED.because(
-        f"change {known.change_id} is version {known.version}"
-    )
-
-
 def _parse(text: str) -> Document | Failure:
     document = parse_document(text)
     if isinstance(document, Document):
         return document
     return DOCUMENT_MALFORMED.because("\n".join(map(str, document)))
-
-
-def _with_team(
-    document: Document, name: str, change: Callable
-) -> Document | Failure:
-    """Return a document with one team changed."""
-    team = document.team(name)
-    if team is None:
-        return TEAM_UNKNOWN.because(name)
-    changed = change(team)
-    if isinstance(changed, Failure):
-        return changed
-    teams = tuple(changed if t.name == name else t for t in document.teams)
-    document = attrs.evolve(document, teams=teams)
-    problems = check_document(document)
-    if problems:
-        return DOCUMENT_MALFORMED.because("\n".join(map(str, problems)))
-    return document
