--- /dev/null
+++ b/src/rosemarynotch/_internal/policy/shares.py
@@ -0,0 +1,282 @@
+"""Slots of this entry, from the demand of all entries."""
+
+import collections
+import math
+import threading
+from typing import Callable
+
+import attrs
+
+from rosemarynotch._internal.models.messages import DemandRow
+from rosemarynotch._internal.models.messages import Heartbeat
+from rosemarynotch._internal.policy.allocation import EqualSplit
+from rosemarynotch._internal.policy.allocation import PoolDemand
+from rosemarynotch._internal.policy.allocation import SharePolicy
+from rosemarynotch._internal.policy.allocation import TeamDemand
+from rosemarynotch._internal.policy.allocation import WeightedMaxMin
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = [
+    "EqualSplit",
+    "PoolDemand",
+    "SharePolicy",
+    "ShareTable",
+    "TeamDemand",
+    "WeightedMaxMin",
+]
+
+# Worth and deficit are taken from this much of the past.
+WINDOW_S = 30.0
+BUCKET_S = 1.0
+# Rows of an entry that is not heard are used for this time, then its equal
+# part of each pool is left to it.
+LAST_KNOWN_S = 30.0
+# The allocation is computed at most this often, and takes at most one part
+# in COMPUTE_PART of the time.
+COMPUTE_S = 0.2
+COMPUTE_PART = 100
+# Slot-seconds with the mean worth of the pool that are added to what a team
+# used, so that its first few answers do not decide its weight.
+PRIOR_SLOT_S = 2.0
+
+Key = tuple[str, str]
+
+
+@attrs.define
+class _Usage:
+    """Worth and slot-seconds of one (pool, team) over all entries."""
+
+    worth: float = 0.0
+    slot_s: float = 0.0
+    due_worth: float = 0.0
+
+
+@attrs.define
+class _Entry:
+    """The newest rows of one entry, by (pool, team)."""
+
+    incarnation: str = ""
+    heard_s: float = -math.inf
+    rows: dict[Key, DemandRow] = attrs.field(factory=dict)
+    counters: dict[Key, tuple[float, float]] = attrs.field(factory=dict)
+
+
+class ShareTable:
+    """Computes what this entry may run, from own and heard demand rows.
+
+    Every entry computes the same allocation from nearly the same rows and
+    takes of each team's slots the fraction that it has of the demand.
+
+    :param name: this entry
+    :param pool_slots: pool -> slots of its serving VMs
+    :param team_share: team -> its share, 0 when unknown
+    :param entries: () -> names of all entries
+    """
+
+    def __init__(
+        self,
+        name: str,
+        policy: SharePolicy,
+        clock: Clock,
+        pool_slots: Callable[[str], float],
+        team_share: Callable[[str], float],
+        entries: Callable[[], list[str]],
+    ) -> None:
+        self._name = name
+        self._policy = policy
+        self._clock = clock
+        self._pool_slots = pool_slots
+        self._team_share = team_share
+        self._entries = entries
+        self._lock = threading.Lock()
+        self._table: dict[str, _Entry] = {name: _Entry()}
+        self._buckets: collections.deque = collections.deque()
+        self._window: dict[Key, _Usage] = {}
+        self._bucket: dict[Key, _Usage] = {}
+        self._bucket_s = clock.monotonic_s()
+        self._computed_s = -math.inf
+        self._compute_due_s = -math.inf
+        self._wanted: dict[Key, float] = {}
+        self._carry: dict[Key, float] = {}
+        self._slots: dict[Key, int] = {}
+        self._spare: dict[str, float] = {}
+
+    def slots(self, pool: str, team: str) -> float:
+        """Return how many requests of a team may run here.
+
+        It is a whole number. Fractions are dithered: the remainder is
+        carried from update to update.
+        """
+        with self._lock:
+            return float(self._slots.get((pool, team), 0))
+
+    def spare_slots(self, pool: str) -> float:
+        """Return how many requests may run here beyond the teams' slots.
+
+        It counts over all teams together: the sum of what each team has
+        running beyond its slots may reach this number.
+        """
+        with self._lock:
+            spare = self._spare.get(pool)
+        if spare is None:
+            return self._pool_slots(pool) / max(1, len(self._entries()))
+        return spare
+
+    def update(self, own: tuple[DemandRow, ...]) -> None:
+        """Take the demand of this entry and renew its slots."""
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            self._take(self._name, "", own, now_s)
+            if now_s >= self._compute_due_s:
+                self._compute(now_s)
+                cost_s = self._clock.monotonic_s() - now_s
+                wait_s = max(COMPUTE_S, COMPUTE_PART * cost_s)
+                self._compute_due_s = now_s + wait_s
+            self._dither()
+
+    def note_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Take the demand of another entry."""
+        with self._lock:
+            self._take(
+                heartbeat.sender,
+                heartbeat.incarnation,
+                heartbeat.demand,
+                self._clock.monotonic_s(),
+            )
+
+    def _take(self, name, incarnation, rows, now_s) -> None:
+        entry = self._table.setdefault(name, _Entry())
+        if entry.incarnation != incarnation:
+            # The counters of a new incarnation start from 0.
+            entry.counters = {}
+            entry.incarnation = incarnation
+        entry.heard_s = now_s
+        entry.rows = {(row.pool, row.team): row for row in rows}
+        for key, row in entry.rows.items():
+            counters = (row.served_worth, row.slot_s)
+            worth, slot_s = entry.counters.get(key, counters)
+            entry.counters[key] = counters
+            for usage in self._usages(key):
+                usage.worth += max(0.0, row.served_worth - worth)
+                usage.slot_s += max(0.0, row.slot_s - slot_s)
+
+    def _usages(self, key: Key) -> tuple[_Usage, _Usage]:
+        return (
+            self._bucket.setdefault(key, _Usage()),
+            self._window.setdefault(key, _Usage()),
+        )
+
+    def _compute(self, now_s: float) -> None:
+        """Allocate all pools and take this entry's fractions."""
+        names = set(self._entries()) | {self._name}
+        self._table = {
+            name: entry for name, entry in self._table.items() if name in names
+        }
+        known = [
+            entry
+            for name, entry in self._table.items()
+            if name == self._name or now_s - entry.heard_s <= LAST_KNOWN_S
+        ]
+        by_pool: dict[str, dict[str, float]] = {}
+        for entry in known:
+            for (pool, team), row in entry.rows.items():
+                teams = by_pool.setdefault(pool, {})
+                demand = row.queued_requests + row.running_requests
+                teams[team] = teams.get(team, 0.0) + demand
+        elapsed_s = min(now_s - self._computed_s, BUCKET_S)
+        self._computed_s = now_s
+        self._roll(now_s)
+        self._wanted, self._spare = {}, {}
+        for pool, teams in by_pool.items():
+            slots = self._pool_slots(pool) * len(known) / len(names)
+            self._compute_pool(pool, slots, teams, elapsed_s)
+            self._spare[pool] /= len(known)
+
+    def _compute_pool(self, pool, slots, teams, elapsed_s) -> None:
+        demand = PoolDemand(slots=slots, teams=self._demands(pool, teams))
+        allocation = self._policy.allocate(demand)
+        due = self._policy.allocate(_without_deficit(demand))
+        for team in demand.teams:
+            due_worth = due[team.team] * team.worth_per_slot_s * elapsed_s
+            for usage in self._usages((pool, team.team)):
+                usage.due_worth += due_worth
+        own = self._table[self._name].rows
+        for team, total in teams.items():
+            row = own.get((pool, team))
+            if row is not None and total:
+                part = (row.queued_requests + row.running_requests) / total
+                self._wanted[(pool, team)] = allocation[team] * part
+        self._spare[pool] = max(0.0, slots - sum(allocation.values()))
+
+    def _demands(self, pool, teams) -> tuple[TeamDemand, ...]:
+        usages = {
+            team: self._window.get((pool, team), _Usage()) for team in teams
+        }
+        worth = sum(usage.worth for usage in usages.values())
+        slot_s = sum(usage.slot_s for usage in usages.values())
+        mean = worth / slot_s if worth and slot_s else 1.0
+        due = sum(usage.due_worth for usage in usages.values())
+        served_part = worth / due if due else 0.0
+        return tuple(
+            TeamDemand(
+                team=team,
+                demand_slots=demand,
+                share=self._team_share(team),
+                worth_per_slot_s=(usages[team].worth + mean * PRIOR_SLOT_S)
+                / (usages[team].slot_s + PRIOR_SLOT_S),
+                deficit=_deficit(usages[team], served_part),
+            )
+            for team, demand in teams.items()
+        )
+
+    def _roll(self, now_s: float) -> None:
+        """Close the current bucket and drop those outside the window."""
+        if now_s - self._bucket_s < BUCKET_S:
+            return
+        self._buckets.append((now_s, self._bucket))
+        self._bucket, self._bucket_s = {}, now_s
+        while self._buckets and self._buckets[0][0] < now_s - WINDOW_S:
+            _, old = self._buckets.popleft()
+            for key, usage in old.items():
+                total = self._window[key]
+                total.worth -= usage.worth
+                total.slot_s -= usage.slot_s
+                total.due_worth -= usage.due_worth
+        if not self._buckets or len(self._buckets) % int(WINDOW_S) == 0:
+            self._drop_unused()
+
+    def _drop_unused(self) -> None:
+        used = {key for _, bucket in self._buckets for key in bucket}
+        used |= self._bucket.keys()
+        self._window = {
+            key: usage for key, usage in self._window.items() if key in used
+        }
+
+    def _dither(self) -> None:
+        slots, carry = {}, {}
+        for key, wanted in self._wanted.items():
+            exact = wanted + self._carry.get(key, 0.0)
+            slots[key] = math.floor(exact + ROUNDING)
+            carry[key] = exact - slots[key]
+        self._slots, self._carry = slots, carry
+
+
+# Sums of parts that make up a whole slot may end just below it.
+ROUNDING = 1e-9
+
+
+def _deficit(usage: _Usage, served_part: float) -> float:
+    """Return the part of the due worth that a team did not get.
+
+    The worth that is due is scaled to what was served in total, since a
+    pool never delivers all of its slots.
+    """
+    due = usage.due_worth * served_part
+    return (due - usage.worth) / due if due > 0 else 0.0
+
+
+def _without_deficit(demand: PoolDemand) -> PoolDemand:
+    return attrs.evolve(
+        demand,
+        teams=tuple(attrs.evolve(team, deficit=0.0) for team in demand.teams),
+    )
--- /dev/null
+++ b/src/rosemarynotch/_internal/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments and generated load."""
--- /dev/null
+++ b/src/rosemarynotch/_internal/replay/share_trial.py
@@ -0,0 +1,285 @@
+"""How close teams come to their shares when callers are uneven.
+
+Entries run in one process on simulated time. Each has its own share table;
+heartbeats pass the demand rows between them. All teams always have more
+requests than the pool can run, but the callers of one team are all at one
+entry, and those of another at the five others.
+"""
+
+import random
+
+import attrs
+
+from rosemarynotch._internal.models.messages import DemandRow
+from rosemarynotch._internal.models.messages import Heartbeat
+from rosemarynotch._internal.policy.shares import ShareTable
+from rosemarynotch._internal.policy.shares import WeightedMaxMin
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["run_trial", "Team", "TrialResult"]
+
+POOL = "settlement"
+ENTRIES_COUNT = 6
+POOL_SLOTS = 48
+STEP_S = 0.005
+UPDATE_STEPS = 40
+HEARTBEAT_STEPS = 200
+# The first part of a run is not counted.
+WARM_UP_S = 10.0
+
+
+@attrs.frozen
+class Team:
+    """A team of the trial.
+
+    :ivar callers: callers at each entry; each sends its next request as
+        soon as it has the answer
+    """
+
+    name: str
+    share: float
+    worth: float
+    mean_run_s: float
+    callers: tuple[int, ...]
+
+
+TEAMS = (
+    Team("fort", 8, 1.0, 0.05, (120, 0, 0, 0, 0, 0)),
+    Team("ernakulam", 5, 3.0, 0.08, (0, 24, 24, 24, 24, 24)),
+    Team("aluva", 3, 1.0, 0.03, (40, 5, 5, 10, 0, 20)),
+    Team("vypin", 2, 0.5, 0.05, (10, 10, 10, 10, 10, 10)),
+    Team("chellanam", 1, 2.0, 0.20, (0, 0, 30, 1, 1, 0)),
+    Team("kumbalangi", 1, 1.0, 0.05, (3, 0, 0, 25, 0, 2)),
+)
+
+
+@attrs.frozen
+class TrialResult:
+    """Relative distances of served worth from the shares.
+
+    :ivar busy_part: part of the pool's slots that was used
+    :ivar over_part: requests that ran beyond the pool's slots, as a part
+        of the slots
+    """
+
+    distances: dict[str, float]
+    busy_part: float
+    over_part: float
+
+    @property
+    def mean(self) -> float:
+        """Return the mean distance over teams."""
+        return sum(self.distances.values()) / len(self.distances)
+
+    @property
+    def worst(self) -> float:
+        """Return the largest distance of a team."""
+        return max(self.distances.values())
+
+
+class _SimulatedClock(Clock):
+    """Time that the trial moves."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def monotonic_s(self) -> float:
+        return self.now_s
+
+    def wall_s(self) -> float:
+        return self.now_s
+
+    def sleep(self, delay_s: float) -> None:
+        self.now_s += delay_s
+
+
+@attrs.define
+class _Use:
+    """What one team does at one entry."""
+
+    team: Team
+    queued: int
+    left_s: list[float] = attrs.field(factory=list)
+    served_worth: float = 0.0
+    slot_s: float = 0.0
+
+    def row(self) -> DemandRow:
+        return DemandRow(
+            pool=POOL,
+            team=self.team.name,
+            queued_requests=self.queued,
+            running_requests=len(self.left_s),
+            served_worth=self.served_worth,
+            slot_s=self.slot_s,
+        )
+
+
+class _Entry:
+    """An entry with its share table."""
+
+    def __init__(self, number, teams, table, rng) -> None:
+        self.name = f"entry-{number}"
+        self.table = table
+        self.uses = [
+            _Use(team, team.callers[number])
+            for team in teams
+            if team.callers[number]
+        ]
+        self._rng = rng
+        self._sequence = 0
+
+    def rows(self) -> tuple[DemandRow, ...]:
+        return tuple(use.row() for use in self.uses)
+
+    def heartbeat(self) -> Heartbeat:
+        self._sequence += 1
+        return Heartbeat(
+            sender=self.name,
+            incarnation="1",
+            sequence=self._sequence,
+            members_revision=1,
+            config_version=1,
+            fleet_revision=1,
+            store_age_s=0.0,
+            demand=self.rows(),
+        )
+
+    def start_requests(self) -> None:
+        over = sum(
+            max(0, len(use.left_s) - self._slots(use)) for use in self.uses
+        )
+        spare = self.table.spare_slots(POOL)
+        for use in sorted(
+            self.uses, key=lambda use: use.served_worth / use.team.share
+        ):
+            while use.queued:
+                if len(use.left_s) >= self._slots(use):
+                    over += 1
+                    if over > spare:
+                        break
+                use.queued -= 1
+                run_s = self._rng.expovariate(1 / use.team.mean_run_s)
+                use.left_s.append(run_s)
+
+    def run(self, speed: float) -> None:
+        for use in self.uses:
+            use.slot_s += len(use.left_s) * STEP_S
+            left_s = [left_s - STEP_S * speed for left_s in use.left_s]
+            use.left_s = [left_s for left_s in left_s if left_s > 0]
+            done = len(left_s) - len(use.left_s)
+            use.served_worth += done * use.team.worth
+            use.queued += done
+
+    def _slots(self, use: _Use) -> float:
+        return self.table.slots(POOL, use.team.name)
+
+
+def run_trial(
+    exchanged: bool,
+    duration_s: float = 60.0,
+    seed: int = 1,
+    teams: tuple[Team, ...] = TEAMS,
+    deficit_gain: float | None = None,
+) -> TrialResult:
+    """Run the trial.
+
+    :param exchanged: whether heartbeats are delivered; without them each
+        entry has an equal part of the pool, which is the baseline
+    """
+    clock = _SimulatedClock()
+    entries = _make_entries(clock, teams, seed, deficit_gain)
+    warm_up_steps = int(WARM_UP_S / STEP_S)
+    worth_before: dict[str, float] = {}
+    busy = over = 0.0
+    steps = int((WARM_UP_S + duration_s) / STEP_S)
+    for step in range(steps):
+        clock.now_s = step * STEP_S
+        for number, entry in enumerate(entries):
+            if (step + 7 * number) % UPDATE_STEPS == 0:
+                entry.table.update(entry.rows())
+            if exchanged and (step + 31 * number) % HEARTBEAT_STEPS == 0:
+                _deliver(entry, entries)
+            entry.start_requests()
+        running = sum(
+            len(use.left_s) for entry in entries for use in entry.uses
+        )
+        for entry in entries:
+            entry.run(min(1.0, POOL_SLOTS / max(1, running)))
+        if step == warm_up_steps:
+            worth_before = _worth(entries)
+        elif step > warm_up_steps:
+            busy += min(running, POOL_SLOTS)
+            over += max(0, running - POOL_SLOTS)
+    slot_steps = POOL_SLOTS * (steps - warm_up_steps - 1)
+    return TrialResult(
+        _distances(teams, worth_before, _worth(entries)),
+        busy / slot_steps,
+        over / slot_steps,
+    )
+
+
+def _make_entries(clock, teams, seed, deficit_gain) -> list[_Entry]:
+    names = [f"entry-{number}" for number in range(ENTRIES_COUNT)]
+    shares = {team.name: team.share for team in teams}
+    policy = WeightedMaxMin()
+    if deficit_gain is not None:
+        policy = WeightedMaxMin(deficit_gain)
+    return [
+        _Entry(
+            number,
+            teams,
+            ShareTable(
+                name,
+                policy,
+                clock,
+                lambda pool: POOL_SLOTS,
+                shares.__getitem__,
+                lambda: names,
+            ),
+            random.Random(100 * seed + number),
+        )
+        for number, name in enumerate(names)
+    ]
+
+
+def _deliver(sender: _Entry, entries: list[_Entry]) -> None:
+    heartbeat = sender.heartbeat()
+    for entry in entries:
+        if entry is not sender:
+            entry.table.note_heartbeat(heartbeat)
+
+
+def _worth(entries: list[_Entry]) -> dict[str, float]:
+    worth: dict[str, float] = {}
+    for entry in entries:
+        for use in entry.uses:
+            name = use.team.name
+            worth[name] = worth.get(name, 0.0) + use.served_worth
+    return worth
+
+
+def _distances(teams, before, after) -> dict[str, float]:
+    served = {name: after[name] - before[name] for name in after}
+    total = sum(served.values())
+    shares = sum(team.share for team in teams)
+    return {
+        team.name: abs(served[team.name] / total * shares / team.share - 1)
+        for team in teams
+    }
+
+
+def main() -> None:
+    """Print the distances of the baseline and the exchanged table."""
+    for name, exchanged in (("equal split", False), ("exchanged", True)):
+        for seed in (1, 2, 3):
+            result = run_trial(exchanged, seed=seed)
+            print(
+                f"{name:12} seed {seed}: mean {100 * result.mean:5.1f} %, "
+                f"worst {100 * result.worst:5.1f} %, "
+                f"busy {100 * result.busy_part:5.1f} %, "
+                f"over {100 * result.over_part:4.1f} %"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -10,46 +10,18 @@
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.models.document import TeamSpec
-from rosemarynotch._internal.models.messages import Heartbeat
-from rosemarynotch._internal.models.records import ConfigPointer
-from rosemarynotch._internal.models.records import ConfigVersion
-from rosemarynotch._internal.models.records import Member
-from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.platform.records import MEMBERS_KEY
 from rosemarynotch._internal.platform.records import RecordStore
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
+from tests.lib.fleet import heartbeat
+from tests.lib.fleet import member
+from tests.lib.fleet import pointer
 from tests.lib.stores import Fault
 from tests.lib.stores import MemoryStore
 
 
-def member(name, incarnation="i1", vm=None, kind=MemberKind.ENTRY):
-    """Build a member."""
-    return Member(
-        name=name,
-        kind=kind,
-        incarnation=incarnation,
-        vm=vm or f"vm-{name}",
-        vm_instance="1",
-        data_centre="Gent",
-        peer_address="",
-    )
-
-
-def heartbeat(sender, store_age_s=0.0, config_version=0):
-    """Build a heartbeat."""
-    return Heartbeat(
-        sender=sender,
-        incarnation="i1",
-        sequence=1,
-        members_revision=1,
-        config_version=config_version,
-        fleet_revision=0,
-        store_age_s=store_age_s,
-    )
-
-
 def members_view(names):
     """Build a view with entries."""
     view = configuration.MembersView()
@@ -152,7 +124,9 @@
         self.assertIsNone(self.membership(member("a")).register())
         self.assertIsNone(self.membership(member("a", "i2")).register())
         self.assertEqual("i2", self.listed()["a"].incarnation)
-        other = self.membership(member("a", "i3", vm="vm-z")).register()
+        other = self.membership(
+            attrs.evolve(member("a", "i3"), vm="vm-z")
+        ).register()
         self.assertTrue(other.is_a(failures.STORE_CONFLICT))
 
     def test_old_incarnation_does_not_remove_the_new_one(self):
@@ -211,17 +185,3 @@
         self.assertFalse(in_force.apply(pointer(2), document))
         self.assertFalse(in_force.apply(pointer(1), document))
         self.assertEqual(2, in_force.current.version)
-
-
-def pointer(version, digest="d"):
-    """Build a pointer to a version."""
-    return ConfigPointer(
-        current=ConfigVersion(
-            version=version,
-            digest=digest,
-            change_id=f"c{version}",
-            operator="op",
-            reason="test",
-            accepted_at_s=0.0,
-        )
-    )
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -3,7 +3,6 @@
 import threading
 import time
 
-import attrs
 import msgspec
 import testtools
 import zmq
@@ -15,8 +14,6 @@
 from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models import messages
-from rosemarynotch._internal.models.records import Member
-from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.peers import Exchange
 from rosemarynotch._internal.peers.heard import Heard
@@ -28,9 +25,12 @@
 from rosemarynotch._internal.utils.clock import SystemClock
 from tests.lib.clocks import ManualClock
 from tests.lib.counts import Counts
+from tests.lib.fleet import heartbeat
+from tests.lib.fleet import member
 
 FAST = Timing(period_s=0.1, per_member_s=0.0, hasten_s=0.02)
 PATIENCE_S = 20
+FREE = "127.0.0.1:0"
 
 
 def wait_for(condition):
@@ -42,32 +42,6 @@
         time.sleep(0.01)
 
 
-def member(name, address="127.0.0.1:0", incarnation="i1"):
-    """Build an entry."""
-    return Member(
-        name=name,
-        kind=MemberKind.ENTRY,
-        incarnation=incarnation,
-        vm=name,
-        vm_instance="1",
-        data_centre="Gent",
-        peer_address=address,
-    )
-
-
-def heartbeat(sender, incarnation="i1", sequence=1, members_revision=1):
-    """Build a heartbeat."""
-    return messages.Heartbeat(
-        sender=sender,
-        incarnation=incarnation,
-        sequence=sequence,
-        members_revision=members_revision,
-        config_version=0,
-        fleet_revision=0,
-        store_age_s=0.0,
-    )
-
-
 def forward():
     """Build a request to forward."""
     request = messages.CallerRequest(
@@ -144,7 +118,11 @@
         self.counts = Counts()
         self.members = MembersView()
         self.exchange = Exchange(
-            member("a"), self.members, SystemClock(), self.counts, FAST
+            member("a", address=FREE),
+            self.members,
+            SystemClock(),
+            self.counts,
+            FAST,
         )
         self.exchange.start()
         self.addCleanup(self.exchange.stop)
@@ -152,7 +130,9 @@
     def peer(self, answer, revision=1):
         peer = RawPeer(answer)
         self.addCleanup(peer.stop)
-        record = MembersRecord(members={"b": member("b", peer.address)})
+        record = MembersRecord(
+            members={"b": member("b", address=peer.address)}
+        )
         self.members.apply(record, revision)
         return peer
 
@@ -170,7 +150,9 @@
         self.assert_failure(result, failures.PEER_UNREACHABLE, Ran.NO)
 
     def test_peer_that_was_never_heard(self):
-        record = MembersRecord(members={"b": member("b", "127.0.0.1:9")})
+        record = MembersRecord(
+            members={"b": member("b", address="127.0.0.1:9")}
+        )
         self.members.apply(record, 1)
         result = self.exchange.forward("b", forward(), 1)
         self.assert_failure(result, failures.PEER_UNREACHABLE, Ran.NO)
@@ -248,7 +230,7 @@
 
     def test_second_process_cannot_bind_the_address(self):
         second = Exchange(
-            member("c", self.exchange.bind()),
+            member("c", address=self.exchange.bind()),
             self.members,
             SystemClock(),
             self.counts,
@@ -267,14 +249,18 @@
         for name in ("a", "b"):
             views[name] = MembersView()
             exchange = Exchange(
-                member(name), views[name], SystemClock(), Counts(), FAST
+                member(name, address=FREE),
+                views[name],
+                SystemClock(),
+                Counts(),
+                FAST,
             )
             self.exchanges[name] = exchange
             exchange.start()
             self.addCleanup(exchange.stop)
         record = MembersRecord(
             members={
-                name: member(name, exchange.bind())
+                name: member(name, address=exchange.bind())
                 for name, exchange in self.exchanges.items()
             }
         )
@@ -337,7 +323,9 @@
             ("i2", 3, 5, False, "late after a newer incarnation"),
         ]
         for incarnation, sequence, revision, taken, reason in table:
-            news = heartbeat("b", incarnation, sequence, revision)
+            news = heartbeat(
+                "b", incarnation, sequence, members_revision=revision
+            )
             self.assertEqual(taken, heard.take(news), reason)
-        unknown = attrs.evolve(heartbeat("z"), members_revision=5)
+        unknown = heartbeat("z", members_revision=5)
         self.assertFalse(heard.take(unknown))
--- /dev/null
+++ b/tests/unit/test_shares.py
@@ -0,0 +1,173 @@
+"""Tests of the allocation of slots and of the share table."""
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from rosemarynotch._internal.models.messages import DemandRow
+from rosemarynotch._internal.policy.shares import EqualSplit
+from rosemarynotch._internal.policy.shares import PoolDemand
+from rosemarynotch._internal.policy.shares import ShareTable
+from rosemarynotch._internal.policy.shares import TeamDemand
+from rosemarynotch._internal.policy.shares import WeightedMaxMin
+from rosemarynotch._internal.replay.share_trial import run_trial
+from tests.lib.clocks import ManualClock
+from tests.lib.fleet import heartbeat
+
+NEARLY = 1e-6
+POOL = "quotes"
+
+teams = strategies.lists(
+    strategies.builds(
+        TeamDemand,
+        team=strategies.uuids().map(str),
+        demand_slots=strategies.integers(0, 100),
+        share=strategies.floats(0, 10),
+        worth_per_slot_s=strategies.floats(0, 10),
+        deficit=strategies.floats(-3, 1),
+    ),
+    max_size=8,
+    unique_by=lambda team: team.team,
+)
+
+
+class AllocationTest(testtools.TestCase):
+    """Guards against slots that are lost, doubled or shared unfairly."""
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.given(
+        teams=teams,
+        slots=strategies.integers(0, 100),
+        policy=strategies.sampled_from([WeightedMaxMin(), EqualSplit()]),
+    )
+    def test_properties(self, teams, slots, policy):
+        pool = PoolDemand(slots=slots, teams=tuple(teams))
+        allocation = policy.allocate(pool)
+        demand = {team.team: team.demand_slots for team in teams}
+        for team, given in allocation.items():
+            self.assertTrue(0 <= given <= demand[team])
+        used = sum(allocation.values())
+        self.assertAlmostEqual(min(slots, sum(demand.values())), used, 5)
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.given(
+        shares=strategies.lists(
+            strategies.tuples(
+                strategies.integers(1, 9), strategies.integers(0, 60)
+            ),
+            min_size=1,
+            max_size=8,
+        ),
+        slots=strategies.integers(1, 60),
+    )
+    def test_weighted_max_min(self, shares, slots):
+        pool = PoolDemand(
+            slots=slots,
+            teams=tuple(
+                TeamDemand(team=str(i), demand_slots=demand, share=share)
+                for i, (share, demand) in enumerate(shares)
+            ),
+        )
+        allocation = WeightedMaxMin().allocate(pool)
+        level = {
+            team.team: allocation[team.team] / team.share
+            for team in pool.teams
+        }
+        for team in pool.teams:
+            if allocation[team.team] < team.demand_slots - NEARLY:
+                # A team that wants more is at the highest level.
+                self.assertGreaterEqual(
+                    level[team.team] + NEARLY, max(level.values())
+                )
+
+    def test_worth_and_deficit_change_the_weight(self):
+        def allocate(**second):
+            first = TeamDemand(team="a", demand_slots=99, share=1)
+            other = TeamDemand(team="b", demand_slots=99, share=1, **second)
+            pool = PoolDemand(slots=12, teams=(first, other))
+            return WeightedMaxMin().allocate(pool)["b"]
+
+        self.assertAlmostEqual(6, allocate())
+        self.assertAlmostEqual(4, allocate(worth_per_slot_s=2.0))
+        self.assertAlmostEqual(8, allocate(deficit=0.9))
+        self.assertAlmostEqual(4, allocate(deficit=-0.9))
+
+
+class ShareTableTest(testtools.TestCase):
+    """Guards against slots that are unused or used by two entries."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.table = self.make("a")
+
+    def make(self, name, slots=9):
+        return ShareTable(
+            name,
+            WeightedMaxMin(),
+            self.clock,
+            lambda pool: slots,
+            lambda team: 1.0,
+            lambda: ["a", "b", "c"],
+        )
+
+    def row(self, team, queued, running=0):
+        return DemandRow(
+            pool=POOL,
+            team=team,
+            queued_requests=queued,
+            running_requests=running,
+            served_worth=0.0,
+            slot_s=0.0,
+        )
+
+    def hear(self, name, *rows, table=None):
+        (table or self.table).note_heartbeat(heartbeat(name, demand=rows))
+
+    def test_equal_split_until_others_are_heard(self):
+        self.assertEqual(3, self.table.spare_slots(POOL))
+        self.table.update((self.row("t", 50),))
+        self.assertEqual(3, self.table.slots(POOL, "t"))
+        self.assertEqual(0, self.table.spare_slots(POOL))
+        self.hear("b")
+        self.hear("c")
+        self.clock.advance(1)
+        self.table.update((self.row("t", 50),))
+        self.assertEqual(9, self.table.slots(POOL, "t"))
+        self.clock.advance(29)
+        self.table.update((self.row("t", 50),))
+        self.assertEqual(9, self.table.slots(POOL, "t"))
+        self.clock.advance(1)
+        self.table.update((self.row("t", 50),))
+        self.assertEqual(3, self.table.slots(POOL, "t"))
+
+    def test_spare_slots_are_there_only_while_the_pool_is_not_full(self):
+        self.hear("b", self.row("t", 0, 3))
+        self.hear("c")
+        self.table.update((self.row("t", 0, 3),))
+        self.assertEqual(1, self.table.spare_slots(POOL))
+        self.hear("b", self.row("t", 10, 3))
+        self.clock.advance(1)
+        self.table.update((self.row("t", 0, 3),))
+        self.assertEqual(0, self.table.spare_slots(POOL))
+
+    def test_fractions_add_up_over_updates(self):
+        tables = {name: self.make(name, slots=4) for name in "abc"}
+        own = self.row("t", 10)
+        totals = dict.fromkeys(tables, 0)
+        for _ in range(30):
+            self.clock.advance(1)
+            for name, table in tables.items():
+                for other in set(tables) - {name}:
+                    self.hear(other, own, table=table)
+                table.update((own,))
+                totals[name] += table.slots(POOL, "t")
+        self.assertEqual({"a": 40, "b": 40, "c": 40}, totals)
+
+    def test_uneven_callers_come_close_to_their_shares(self):
+        exchanged = run_trial(True, duration_s=60.0)
+        equal = run_trial(False, duration_s=10.0)
+        self.assertLessEqual(exchanged.mean, 0.02)
+        self.assertLessEqual(exchanged.worst, 0.05)
+        self.assertGreater(equal.mean, 10 * exchanged.mean)
+        self.assertGreater(exchanged.busy_part, 0.95)
