--- a/tests/unit/test_versions_stateful.py
+++ b/tests/unit/test_versions_stateful.py
@@ -75,8 +75,8 @@
             return PEER_UNREACHABLE
         return self.catch_ups[name].document_answer(version)
 
-    @stateful.rule()
-    def accept_new_version(self):
+    @stateful.rule(readers=strategies.sets(names))
+    def accept_new_version(self, readers):
         version = len(self.versions)
         encoded = codec.encode(limit_document({"t": version}))
         digest = configuration.document_digest(encoded)
@@ -85,6 +85,8 @@
         entry = self.core.get(CONFIG_KEY)
         data = codec.encode(pointer(version, digest))
         self.core.put(CONFIG_KEY, data, entry.revision if entry else 0)
+        for name in sorted(readers):
+            self.refresh(name)
 
     @stateful.rule(name=names)
     def follow(self, name):
