--- a/src/rosemarynotch/_internal/cli/control.py
+++ b/src/rosemarynotch/_internal/cli/control.py
@@ -1,9 +1,9 @@
 """Main function of ``rosemarynotch-control``."""
 
 from rosemarynotch._internal.cli.programs import check_addresses
+from rosemarynotch._internal.cli.programs import check_choice
 from rosemarynotch._internal.cli.programs import set_up_program_logs
 from rosemarynotch._internal.cli.programs import stop_event
-from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.utils.settings import run_program
 
@@ -48,8 +48,8 @@
         task_service=task_service,
         peer_listen=peer_listen,
     )
-    _check_choice("move-policy", move_policy, control.MOVE_POLICIES)
-    _check_choice("wave-policy", wave_policy, control.WAVE_POLICIES)
+    check_choice("move-policy", move_policy, control.MOVE_POLICIES)
+    check_choice("wave-policy", wave_policy, control.WAVE_POLICIES)
     set_up_program_logs("control", name, log_level)
     member = MemberSettings(
         name=name,
@@ -68,12 +68,6 @@
     return control.Control(settings).run(stop_event())
 
 
-def _check_choice(setting: str, value: str, choices: dict) -> None:
-    if value not in choices:
-        known = ", ".join(sorted(choices))
-        raise SettingsError(f"{setting}: {value!r} is not one of {known}")
-
-
 def main() -> None:
     """Run the program."""
     run_program(serve)
--- a/src/rosemarynotch/_internal/cli/entry.py
+++ b/src/rosemarynotch/_internal/cli/entry.py
@@ -1,6 +1,7 @@
 """Main function of ``rosemarynotch-entry``."""
 
 from rosemarynotch._internal.cli.programs import check_addresses
+from rosemarynotch._internal.cli.programs import check_choice
 from rosemarynotch._internal.cli.programs import set_up_program_logs
 from rosemarynotch._internal.cli.programs import stop_event
 from rosemarynotch._internal.exceptions import SettingsError
@@ -29,6 +30,9 @@
     is_trial: bool = False,
     vm_instance: str = "",
     caller_threads: int = 512,
+    share_policy: str = "max-min",
+    order: str = "worth-over-share",
+    router: str = "two-choices",
     balancer_notice_s: float = 5.0,
     log_level: str = "NOTICE",
 ) -> int:
@@ -48,13 +52,15 @@
     :param is_trial: whether documents may be tried here
     :param vm_instance: instance of the VM; looked up in the list when empty
     :param caller_threads: requests that are queued or run at the same time
+    :param share_policy: max-min, or the baselines equal and local
+    :param order: worth-over-share, or the baselines fifo and round-robin
+    :param router: two-choices, or the baselines least-in-flight and random
     :param balancer_notice_s: time in seconds between failing the probe and
         closing the port at a stop
     :param log_level: lowest level of log lines
     """
     # Imported here, so that --help and bad settings answer at once.
-    from rosemarynotch._internal.wiring.entry import Entry
-    from rosemarynotch._internal.wiring.entry import EntrySettings
+    from rosemarynotch._internal.wiring import entry
     from rosemarynotch._internal.wiring.process import MemberSettings
 
     check_addresses(
@@ -63,6 +69,9 @@
         task_service=task_service,
         peer_listen=peer_listen,
     )
+    check_choice("share-policy", share_policy, entry.SHARE_POLICIES)
+    check_choice("order", order, entry.ORDERS)
+    check_choice("router", router, entry.ROUTERS)
     if not MIN_CALLER_THREADS <= caller_threads <= MAX_CALLER_THREADS:
         raise SettingsError(
             f"caller-threads: {caller_threads} is not within "
@@ -83,18 +92,19 @@
         peer_listen=peer_listen,
         operator_listen=operator_listen,
     )
-    entry = Entry(
-        EntrySettings(
-            member=member,
-            environment=environment,
-            is_trial=is_trial,
-            caller_listen=caller_listen,
-            operator_keys=operator_keys,
-            caller_threads=caller_threads,
-            balancer_notice_s=balancer_notice_s,
-        )
+    settings = entry.EntrySettings(
+        member=member,
+        environment=environment,
+        is_trial=is_trial,
+        caller_listen=caller_listen,
+        operator_keys=operator_keys,
+        caller_threads=caller_threads,
+        share_policy=share_policy,
+        order=order,
+        router=router,
+        balancer_notice_s=balancer_notice_s,
     )
-    return entry.run(stop_event())
+    return entry.Entry(settings).run(stop_event())
 
 
 def main() -> None:
--- a/src/rosemarynotch/_internal/cli/programs.py
+++ b/src/rosemarynotch/_internal/cli/programs.py
@@ -7,7 +7,12 @@
 from rosemarynotch._internal.utils.addresses import parse_address
 from rosemarynotch._internal.utils.logs import set_up_logs
 
-__all__ = ["check_addresses", "set_up_program_logs", "stop_event"]
+__all__ = [
+    "check_addresses",
+    "check_choice",
+    "set_up_program_logs",
+    "stop_event",
+]
 
 
 def check_addresses(**settings: str) -> None:
@@ -19,6 +24,16 @@
         parse_address(name.replace("_", "-"), value)
 
 
+def check_choice(setting: str, value: str, choices: dict) -> None:
+    """Check a setting that has to be one of some names.
+
+    :raises SettingsError: if it is not
+    """
+    if value not in choices:
+        known = ", ".join(sorted(choices))
+        raise SettingsError(f"{setting}: {value!r} is not one of {known}")
+
+
 def set_up_program_logs(component: str, name: str, level: str) -> None:
     """Send log lines to standard error.
 
--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -23,8 +23,17 @@
 from rosemarynotch._internal.operators.changes import ConfigChanges
 from rosemarynotch._internal.operators.keys import OperatorKeys
 from rosemarynotch._internal.operators.observer import Observer
+from rosemarynotch._internal.policy.local_shares import LocalShares
+from rosemarynotch._internal.policy.ordering import FifoOrder
+from rosemarynotch._internal.policy.ordering import OrderPolicy
+from rosemarynotch._internal.policy.ordering import RoundRobinOrder
 from rosemarynotch._internal.policy.ordering import WorthOverShareOrder
+from rosemarynotch._internal.policy.routing import LeastInFlightRouter
+from rosemarynotch._internal.policy.routing import RandomRouter
+from rosemarynotch._internal.policy.routing import Router
 from rosemarynotch._internal.policy.routing import TwoChoicesRouter
+from rosemarynotch._internal.policy.shares import EqualSplit
+from rosemarynotch._internal.policy.shares import SharePolicy
 from rosemarynotch._internal.policy.shares import ShareTable
 from rosemarynotch._internal.policy.shares import WeightedMaxMin
 from rosemarynotch._internal.targets.client import TargetClient
@@ -34,7 +43,13 @@
 from rosemarynotch._internal.wiring.process import MemberProcess
 from rosemarynotch._internal.wiring.process import MemberSettings
 
-__all__ = ["Entry", "EntrySettings"]
+__all__ = [
+    "Entry",
+    "EntrySettings",
+    "ORDERS",
+    "ROUTERS",
+    "SHARE_POLICIES",
+]
 
 OPERATOR_THREADS = 4
 # Threads for refusals, job endpoints and the probe while requests wait.
@@ -43,6 +58,23 @@
 # Time between log lines while requests hold up a stop.
 STOP_POLL_S = 10.0
 
+LOCAL_SHARES = "local"
+SHARE_POLICIES: dict[str, type[SharePolicy] | None] = {
+    "max-min": WeightedMaxMin,
+    "equal": EqualSplit,
+    LOCAL_SHARES: None,
+}
+ORDERS: dict[str, type[OrderPolicy]] = {
+    "worth-over-share": WorthOverShareOrder,
+    "fifo": FifoOrder,
+    "round-robin": RoundRobinOrder,
+}
+ROUTERS: dict[str, type[Router]] = {
+    "two-choices": TwoChoicesRouter,
+    "least-in-flight": LeastInFlightRouter,
+    "random": RandomRouter,
+}
+
 _log = logbook.Logger(__name__)
 
 
@@ -60,6 +92,9 @@
     caller_listen: str
     operator_keys: str
     caller_threads: int
+    share_policy: str
+    order: str
+    router: str
     balancer_notice_s: float
 
 
@@ -139,14 +174,7 @@
             process.rng,
             process.exchange.send_limit_changed,
         )
-        self._shares = ShareTable(
-            me.name,
-            WeightedMaxMin(),
-            process.clock,
-            self._pool_slots,
-            self._team_share,
-            self._entry_names,
-        )
+        self._shares = self._share_table(me.name)
         self._health = HealthTable(process.clock)
         self._dispatcher = Dispatcher(
             in_force=process.in_force,
@@ -156,8 +184,8 @@
             permits=self._permits,
             shares=self._shares,
             health=self._health,
-            router=TwoChoicesRouter(process.rng),
-            order=WorthOverShareOrder(),
+            router=ROUTERS[self._settings.router](process.rng),
+            order=ORDERS[self._settings.order](),
             clock=process.clock,
             metrics=process.metrics,
         )
@@ -170,6 +198,18 @@
         )
         self._connect_admission()
 
+    def _share_table(self, name: str) -> ShareTable | LocalShares:
+        if self._settings.share_policy == LOCAL_SHARES:
+            return LocalShares(self._pool_slots, self._entry_names)
+        return ShareTable(
+            name,
+            SHARE_POLICIES[self._settings.share_policy](),
+            self.process.clock,
+            self._pool_slots,
+            self._team_share,
+            self._entry_names,
+        )
+
     def _pool_slots(self, pool: str) -> float:
         return sum(vm.slots for _, vm in self.process.fleet.serving(pool))
 
