--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
-SOURCES := src standins tests traces demo
+SOURCES := src standins tests traces demo experiments
 
 .PHONY: test demo lint format
 
--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with real processes on stand-ins, over loopback."""
--- /dev/null
+++ b/experiments/setting.py
@@ -0,0 +1,262 @@
+"""Starts entries and control on stand-ins for an experiment."""
+
+import contextlib
+from pathlib import Path
+import random
+import tempfile
+import time
+import uuid
+
+import attrs
+import msgspec
+
+from demo.processes import call
+from demo.processes import free_ports
+from demo.processes import module
+from demo.processes import Processes
+from demo.processes import program
+from demo.processes import run_program
+from rosemarynotch._internal.configuration import make_key
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.document import KeySpec
+from rosemarynotch._internal.models.document import PoolKind
+from rosemarynotch._internal.models.document import PoolSpec
+from rosemarynotch._internal.models.document import QueueSpec
+from rosemarynotch._internal.models.document import TeamSpec
+from rosemarynotch._internal.models.document import VmSpec
+from rosemarynotch._internal.operators.changes import Change
+from rosemarynotch._internal.operators.changes import ConfigChanges
+from rosemarynotch._internal.operators.keys import format_setting
+from rosemarynotch._internal.platform import HttpStore
+from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.replay.load import LoadProfile
+from rosemarynotch._internal.utils.clock import SystemClock
+
+__all__ = ["Setting", "Shape"]
+
+HOST = "127.0.0.1"
+LIMIT_REQUESTS = 1_000
+SETTLE_S = 4.0
+
+
+@attrs.frozen(kw_only=True)
+class Shape:
+    """What an experiment starts.
+
+    :ivar shares: share by team
+    :ivar entry_flags: settings of the entries, such as a baseline
+    """
+
+    shares: dict[str, float]
+    pools: tuple[str, ...] = ("pool",)
+    vms_per_pool: int = 6
+    slots: int = 8
+    entries: int = 6
+    controls: int = 1
+    urgent_reserve_slots: int = 0
+    limits: dict[str, int] = attrs.field(factory=dict)
+    entry_flags: dict[str, object] = attrs.field(factory=dict)
+
+
+class Setting:
+    """The processes of one run; used as a context manager."""
+
+    def __init__(self, shape: Shape) -> None:
+        self.shape = shape
+        self._stack = contextlib.ExitStack()
+        directory = tempfile.TemporaryDirectory(prefix="rosemarynotch-")
+        self._directory = Path(self._stack.enter_context(directory))
+        self.processes = Processes(self._directory)
+        self._keys: dict[str, str] = {}
+
+    def __enter__(self):
+        shape = self.shape
+        self._ports = iter(
+            free_ports(
+                len(shape.pools) * (shape.vms_per_pool + 1)
+                + 3 * shape.entries
+                + shape.controls
+                + 1
+            )
+        )
+        try:
+            self._start()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.processes.stop("entry")
+        self.processes.stop()
+        self._stack.close()
+
+    def run_load(self, profile: LoadProfile, seed: int) -> dict:
+        """Run the load tool against all entries and return its figures."""
+        return self._replay(profile, seed, f"--entries={self.callers}")
+
+    def run_direct(self, profile: LoadProfile, seed: int) -> dict:
+        """Run the load tool against the targets, as a baseline."""
+        return self._replay(profile, seed, f"--direct={self.target_listen}")
+
+    def stats(self) -> dict:
+        """Return what the platform counted."""
+        return call(self.platform, "/stats")
+
+    def _replay(self, profile, seed, where) -> dict:
+        profile_file = self._directory / "profile.json"
+        results = self._directory / "figures.json"
+        keys = self._directory / "keys.json"
+        profile_file.write_bytes(msgspec.json.encode(profile))
+        keys.write_bytes(msgspec.json.encode(self._keys))
+        text = run_program(
+            "rosemarynotch-replay",
+            where,
+            f"--keys={keys}",
+            f"--load={profile_file}",
+            f"--seed={seed}",
+            f"--results={results}",
+            check=False,
+        )
+        if not results.exists():
+            raise RuntimeError(text)
+        return msgspec.json.decode(results.read_bytes())
+
+    def _start(self) -> None:
+        shape = self.shape
+        addresses = self._start_targets()
+        self.target_listen = ",".join(addresses.values())
+        rows = [{"name": f"vm-{n}"} for n in range(shape.entries)]
+        rows += [{"name": name, "address": a} for name, a in addresses.items()]
+        fleet = self._directory / "fleet.json"
+        fleet.write_bytes(msgspec.json.encode(rows))
+        self.platform = self._address()
+        self.processes.start(
+            "platform",
+            module("standins.platform"),
+            listen=self.platform,
+            fleet=fleet,
+        )
+        self._wait_for("platform", self.platform)
+        self._apply()
+        self._start_members()
+        time.sleep(SETTLE_S)
+
+    def _start_targets(self) -> dict[str, str]:
+        """Start one process per pool; return addresses by VM."""
+        addresses = {}
+        for pool in self.shape.pools:
+            mine = {
+                f"{pool}-{n}": self._address()
+                for n in range(self.shape.vms_per_pool)
+            }
+            admin = self._address()
+            self.processes.start(
+                f"targets-{pool}",
+                module("standins.target"),
+                listen=",".join(mine.values()),
+                admin_listen=admin,
+                slots=self.shape.slots,
+            )
+            self._wait_for(f"targets-{pool}", admin)
+            addresses |= mine
+        return addresses
+
+    def _start_members(self) -> None:
+        shape = self.shape
+        _, operator = make_key("operator", "k")
+        setting = format_setting("operator", operator)
+        callers = {}
+        for n in range(shape.entries):
+            name = f"entry-{n}"
+            callers[name] = self._address()
+            self.processes.start(
+                name,
+                program("rosemarynotch-entry"),
+                **self._member_flags(name, n),
+                caller_listen=callers[name],
+                operator_listen=self._address(),
+                operator_keys=setting,
+                balancer_notice_s=0.1,
+                **shape.entry_flags,
+            )
+        for n in range(shape.controls):
+            name = f"control-{n}"
+            self.processes.start(
+                name,
+                program("rosemarynotch-control"),
+                **self._member_flags(name, n),
+            )
+        for name, address in callers.items():
+            self._wait_for(name, address)
+        self.callers = ",".join(callers.values())
+
+    def _member_flags(self, name: str, number: int) -> dict[str, str]:
+        return {
+            "name": name,
+            "vm": f"vm-{number}",
+            "data_centre": "Gent",
+            "store": self.platform,
+            "vm_service": self.platform,
+            "task_service": self.platform,
+            "peer_listen": self._address(),
+        }
+
+    def _apply(self) -> None:
+        clock = SystemClock()
+        store = HttpStore(self.platform, clock)
+        records = RecordStore(store, clock, random.Random(1))
+        change = Change(
+            change_id=uuid.uuid4().hex,
+            operator="experiment",
+            reason="experiment",
+            expected_version=0,
+        )
+        changes = ConfigChanges(records, clock, "experiment")
+        changes.apply(self._document(), change)
+
+    def _document(self) -> Document:
+        shape = self.shape
+        teams = tuple(
+            TeamSpec(
+                name=name,
+                share=share,
+                limit_requests=shape.limits.get(name, LIMIT_REQUESTS),
+                keys=(self._make_key(name),),
+            )
+            for name, share in shape.shares.items()
+        )
+        pools = tuple(
+            PoolSpec(
+                name=pool,
+                kind=PoolKind.SERVICE,
+                min_available_vms=shape.vms_per_pool - 1,
+                urgent_reserve_slots=shape.urgent_reserve_slots,
+                vms=tuple(
+                    VmSpec(
+                        name=f"{pool}-{n}",
+                        data_centre="Gent",
+                        rack=f"r{n // 4}",
+                        slots=shape.slots,
+                    )
+                    for n in range(shape.vms_per_pool)
+                ),
+            )
+            for pool in shape.pools
+        )
+        queues = tuple(
+            QueueSpec(name=f"{pool}{suffix}", pool=pool, urgent=bool(suffix))
+            for pool in shape.pools
+            for suffix in ("", "-urgent")
+        )
+        return Document(pools=pools, teams=teams, queues=queues)
+
+    def _make_key(self, team: str) -> KeySpec:
+        self._keys[team], spec = make_key(team, "k1")
+        return spec
+
+    def _address(self) -> str:
+        return f"{HOST}:{next(self._ports)}"
+
+    def _wait_for(self, name: str, address: str) -> None:
+        self.processes.wait_for_port(name, int(address.rpartition(":")[2]))
