Test targets, health, order, dispatch and idempotency

Slots follow the whole numbers of the share table, so fractions are no longer kept here. A target is ejected only if peers with enough outcomes do better: before, the first of several failing targets was ejected. Jobs and keys use the models and views that exist now.

--- a/src/rosemarynotch/_internal/admission/dispatch.py
+++ b/src/rosemarynotch/_internal/admission/dispatch.py
@@ -23,8 +23,9 @@
 
 # A blocked thread looks this often whether its caller has hung up.
 WAIT_SLICE_S = 0.5
-# Fractions of slots, warm-up and probes become due as time passes.
+# Warm-up, probes and the ends of holds become due as time passes.
 TICK_S = 0.025
+SHARES_S = 0.2
 IDLE_POLL_S = 0.02
 
 
@@ -196,7 +197,13 @@
         self.pump()
 
     def _run_ticks(self):
+        due_s = 0.0
         while not self._stopped.wait(TICK_S):
+            now_s = self._clock.monotonic_s()
+            if now_s >= due_s:
+                due_s = now_s + SHARES_S
+                self._shares.update(self.demand())
+                self._health.forget_missing()
             self.tick()
 
     def _queue_up(self, waiter):
--- a/src/rosemarynotch/_internal/admission/slots.py
+++ b/src/rosemarynotch/_internal/admission/slots.py
@@ -11,8 +11,6 @@
 # Served worth of the past decides the order with this time constant, the
 # period over which the shares correct deficits.
 WORTH_MEMORY_S = 30.0
-# Bounds how much slot time a team can save up or owe.
-MAX_CREDIT_SLOT_S = 1.0
 EPSILON = 1e-9
 RUN_TIME_WEIGHT = 0.1
 
@@ -21,7 +19,6 @@
 class TeamUse:
     """What a team uses and used in a pool.
 
-    :ivar credit_slot_s: slot time that it is behind its share of slots
     :ivar recent_worth: served worth, which fades out
     :ivar running_worth: worth of what runs
     """
@@ -32,7 +29,6 @@
     served_worth: float = 0.0
     slot_s: float = 0.0
     recent_worth: float = 0.0
-    credit_slot_s: float = 0.0
     updated_s: float = 0.0
 
 
@@ -70,13 +66,16 @@
         if use is None:
             use = self.teams[team] = TeamUse(updated_s=now_s)
         if now_s > use.updated_s:
-            self._advance(team, use, now_s)
+            passed_s = now_s - use.updated_s
+            use.updated_s = now_s
+            use.recent_worth *= math.exp(-passed_s / WORTH_MEMORY_S)
         return use
 
     def may_start(self, team: str, urgent: bool, reserve: int) -> bool:
         """Tell whether a slot is there for one more request of a team.
 
-        :param reserve: slots of this entry that are kept for urgent work
+        :param reserve: slots of this entry that are kept for urgent work;
+            they are not part of the shares
         """
         use = self.use(team)
         if urgent:
@@ -88,13 +87,7 @@
         slots = self._shares.slots(self._pool, team)
         if use.running + 1 <= slots + EPSILON:
             return True
-        # A fraction of a slot is used in turns: the team runs one request
-        # more until it has had its fraction of the time.
-        if use.running < slots and use.credit_slot_s >= 0:
-            return True
         spare = self._shares.spare_slots(self._pool)
-        if not urgent:
-            spare -= max(0, reserve - self.urgent_running)
         return self._over_share() + 1 <= spare + EPSILON
 
     def start(self, team: str, urgent: bool, worth: float) -> None:
@@ -126,20 +119,9 @@
         parallel = max(1.0, slots, self.use(team).running)
         return ahead * self.mean_run_s / parallel
 
-    def _advance(self, team, use, now_s):
-        passed_s = now_s - use.updated_s
-        use.updated_s = now_s
-        use.recent_worth *= math.exp(-passed_s / WORTH_MEMORY_S)
-        slots = self._shares.slots(self._pool, team)
-        used = min(use.running, math.ceil(slots))
-        credit = use.credit_slot_s + (slots - used) * passed_s
-        use.credit_slot_s = min(
-            MAX_CREDIT_SLOT_S, max(-MAX_CREDIT_SLOT_S, credit)
-        )
-
     def _over_share(self):
         return sum(
-            max(0, use.running - math.ceil(self._slots_of(team)))
+            max(0.0, use.running - self._slots_of(team))
             for team, use in self.teams.items()
             if use.running
         )
--- a/src/rosemarynotch/_internal/callers/app.py
+++ b/src/rosemarynotch/_internal/callers/app.py
@@ -28,10 +28,8 @@
 
     :param in_force: the configuration
     :param freshness: whether keys can be checked at the moment
-    :param check_key: finds the holder of a key in a document
     :param forwarder: runs requests
     :param jobs: accepts jobs
-    :param submission_type: class that the intake takes
     :param max_requests: bound on requests in hand, below the number of
         threads so that refusals, probes and job calls always get one
     """
@@ -41,23 +39,18 @@
         *,
         in_force,
         freshness,
-        check_key,
         forwarder: Forwarder,
         jobs,
-        submission_type,
         metrics,
         max_requests: int,
     ) -> None:
         self._in_force = in_force
         self._freshness = freshness
-        self._check_key = check_key
         self._forwarder = forwarder
         self._jobs = JobEndpoints(
             in_force=in_force,
             freshness=freshness,
-            check_key=check_key,
             jobs=jobs,
-            submission_type=submission_type,
         )
         self._metrics = metrics
         self._leaving = threading.Event()
@@ -84,9 +77,7 @@
 
     def _serve(self, environ):
         document = self._in_force.current.document
-        parsed = parse_request(
-            environ, document, self._freshness, self._check_key
-        )
+        parsed = parse_request(environ, document, self._freshness)
         if isinstance(parsed, Failure):
             self._metrics.count("refused", team="", code=parsed.code)
             return parsed
--- a/src/rosemarynotch/_internal/callers/jobs.py
+++ b/src/rosemarynotch/_internal/callers/jobs.py
@@ -9,6 +9,7 @@
 from rosemarynotch._internal.callers.parsing import read_body
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.jobs import JobSubmission
 
 __all__ = ["JobEndpoints"]
 
@@ -21,17 +22,12 @@
     """Submission, status and cancellation of jobs.
 
     :param jobs: the intake
-    :param submission_type: attrs class that a submission is decoded to
     """
 
-    def __init__(
-        self, *, in_force, freshness, check_key, jobs, submission_type
-    ) -> None:
+    def __init__(self, *, in_force, freshness, jobs) -> None:
         self._in_force = in_force
         self._freshness = freshness
-        self._check_key = check_key
         self._jobs = jobs
-        self._submission_type = submission_type
 
     def __call__(self, environ, start_response):
         """Answer one request below ``/v1/jobs``."""
@@ -69,7 +65,7 @@
         if isinstance(body, Failure):
             return body
         try:
-            submission = msgspec.json.decode(body, type=self._submission_type)
+            submission = msgspec.json.decode(body, type=JobSubmission)
         except (msgspec.DecodeError, ValueError) as error:
             return failures.REQUEST_MALFORMED.because(str(error))
         key = environ.get("HTTP_IDEMPOTENCY_KEY")
@@ -95,6 +91,5 @@
             queue,
             self._in_force.current.document,
             self._freshness,
-            self._check_key,
         )
         return holder if isinstance(holder, Failure) else holder[0]
--- a/src/rosemarynotch/_internal/callers/parsing.py
+++ b/src/rosemarynotch/_internal/callers/parsing.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from rosemarynotch._internal.configuration import check_key
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.document import QueueSpec
@@ -71,15 +72,12 @@
     """A header of the request cannot be used."""
 
 
-def parse_request(
-    environ, document, freshness, check_key
-) -> ParsedRequest | Failure:
+def parse_request(environ, document, freshness) -> ParsedRequest | Failure:
     """Parse a request to a service and check its key.
 
     :param environ: WSGI environment
     :param document: the configuration in force
     :param freshness: whether keys can be checked at the moment
-    :param check_key: finds the holder of the key that was sent
     :returns: the request, or a failure with ``ran`` no
     """
     path = _raw_path(environ)
@@ -93,7 +91,7 @@
     if queue.pool != service:
         reason = f"queue {queue.name} does not feed {service[:80]}"
         return failures.QUEUE_UNKNOWN.because(reason)
-    holder = find_holder(environ, queue, document, freshness, check_key)
+    holder = find_holder(environ, queue, document, freshness)
     if isinstance(holder, Failure):
         return holder
     body = read_body(environ)
@@ -135,7 +133,7 @@
 
 
 def find_holder(
-    environ, queue: QueueSpec | None, document, freshness, check_key
+    environ, queue: QueueSpec | None, document, freshness
 ) -> tuple[str, str] | Failure:
     """Return team and key id that the request counts for.
 
--- a/src/rosemarynotch/_internal/targets/health.py
+++ b/src/rosemarynotch/_internal/targets/health.py
@@ -179,9 +179,15 @@
         ejected = 1 + sum(1 for peer in peers if peer.ejected)
         if ejected > len(names) * MAX_EJECTED_FRACTION:
             return False
-        rates = [peer.failure_rate() for peer in peers if not peer.ejected]
-        peer_rate = sum(rates) / len(rates) if rates else 0.0
-        return rate > EJECT_TIMES_PEERS * peer_rate
+        rates = [
+            peer.failure_rate()
+            for peer in peers
+            if not peer.ejected and len(peer.outcomes) >= MIN_OUTCOMES
+        ]
+        # Without peers to compare with, the cause may be common to all.
+        if not rates:
+            return False
+        return rate > EJECT_TIMES_PEERS * sum(rates) / len(rates)
 
 
 def _allowed_slots(target, record, now_s):
--- a/tests/bench/request_path.py
+++ b/tests/bench/request_path.py
@@ -18,12 +18,13 @@
 
 from rosemarynotch._internal.callers.server import CallerServer
 from tests.lib.entries import EntryUnderTest
+from tests.lib.entries import KEY
 
 CALLER_PROCESSES = 3
 CALLERS = (1, 8, 64)
 REQUEST = (
     "GET {path}?work_ms={work_ms} HTTP/1.1\r\nHost: measured\r\n"
-    "Authorization: Bearer red.k1.secret\r\nAccept: */*\r\n"
+    "Authorization: Bearer {key}\r\nAccept: */*\r\n"
     "User-Agent: measure\r\nX-Request-Id: 1234567890\r\n\r\n"
 )
 THREADS = 128
@@ -78,11 +79,11 @@
     queue.put(results)
 
 
-def measure(addresses, path, callers, seconds, work_ms, rate):
+def measure(addresses, path, callers, seconds, work_ms, rate, key):
     """Return requests per second and latency quantiles."""
     context = multiprocessing.get_context("spawn")
     queue = context.Queue()
-    request = REQUEST.format(path=path, work_ms=work_ms).encode()
+    request = REQUEST.format(path=path, work_ms=work_ms, key=key).encode()
     start_s = time.monotonic() + 1.0
     interval_s = callers / rate if rate else 0.0
     plans = [
@@ -128,7 +129,7 @@
     entry.dispatcher.start()
     server = CallerServer(entry.app, "127.0.0.1", 0, THREADS)
     server.start()
-    connection.send(server.address)
+    connection.send((server.address, KEY))
     while True:
         message = connection.recv()
         if message == "cpu":
@@ -181,7 +182,8 @@
     )
     entry.start()
     try:
-        through = [ours.recv()]
+        address, key = ours.recv()
+        through = [address]
         best = {}
         for callers in CALLERS:
             for name, where, path in (
@@ -190,7 +192,7 @@
             ):
                 ours.send("cpu")
                 before_s = ours.recv()
-                row = measure(where, path, callers, seconds, work_ms, 0)
+                row = measure(where, path, callers, seconds, work_ms, 0, key)
                 ours.send("cpu")
                 row["entry_cpu_s"] = round(ours.recv() - before_s, 2)
                 print(name, json.dumps(row), flush=True)
@@ -202,7 +204,9 @@
                 ("direct", addresses, "/x"),
                 ("entry", through, "/s/quotes/x"),
             ):
-                row = measure(where, path, callers, seconds, work_ms, rate)
+                row = measure(
+                    where, path, callers, seconds, work_ms, rate, key
+                )
                 print("half", name, json.dumps(row), flush=True)
     finally:
         ours.send("stop")
--- a/tests/functional/test_caller_server.py
+++ b/tests/functional/test_caller_server.py
@@ -9,10 +9,11 @@
 
 from rosemarynotch._internal.callers.server import CallerServer
 from tests.lib.entries import EntryUnderTest
+from tests.lib.entries import KEY
 from tests.lib.targets import answer_bytes
 from tests.lib.targets import ScriptedTarget
 
-KEY = {"Authorization": "Bearer red.k1.secret"}
+HEADERS = {"Authorization": f"Bearer {KEY}"}
 
 
 class CallerServerTest(testtools.TestCase):
@@ -35,7 +36,7 @@
         body = request.partition(b"\r\n\r\n")[2] or b"ok"
         connection.sendall(answer_bytes(body, headers=b"X-Two: 2\r\n"))
 
-    def call(self, method, path, body=None, headers=KEY):
+    def call(self, method, path, body=None, headers=HEADERS):
         connection = http.client.HTTPConnection(self.server.address)
         self.addCleanup(connection.close)
         connection.request(method, path, body, headers)
@@ -50,7 +51,7 @@
         request = self.target.requests[0]
         self.assertTrue(request.startswith(b"POST /a%20b?c=d HTTP/1.1"))
         self.assertIn(b"Rosemarynotch-Team: red\r\n", request)
-        self.assertNotIn(b"secret", request)
+        self.assertNotIn(KEY.encode(), request)
         self.server.stop(0)
 
     def test_stop_finishes_what_runs_and_refuses_the_probe(self):
--- a/tests/lib/entries.py
+++ b/tests/lib/entries.py
@@ -4,20 +4,20 @@
 import threading
 from types import SimpleNamespace
 
-import attrs
-
 from rosemarynotch._internal.admission.dispatch import Dispatcher
 from rosemarynotch._internal.admission.idempotency import IdempotencyTable
 from rosemarynotch._internal.callers.app import CallerApp
 from rosemarynotch._internal.callers.forwarding import Forwarder
 from rosemarynotch._internal.callers.running import RequestRunner
+from rosemarynotch._internal.configuration import FleetView
+from rosemarynotch._internal.configuration import make_key
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.models.document import Document
-from rosemarynotch._internal.models.document import KeySpec
 from rosemarynotch._internal.models.document import PoolKind
 from rosemarynotch._internal.models.document import PoolSpec
 from rosemarynotch._internal.models.document import QueueSpec
 from rosemarynotch._internal.models.document import TeamSpec
+from rosemarynotch._internal.models.messages import CallerRequest
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.models.records import MemberKind
@@ -30,15 +30,18 @@
 from rosemarynotch._internal.utils.clock import SystemClock
 
 __all__ = [
+    "caller_request",
     "document",
     "EntryUnderTest",
     "FakeExchange",
-    "FakeFleet",
     "FakePermits",
     "FakeShares",
     "fleet_record",
+    "KEY",
 ]
 
+KEY, KEY_SPEC = make_key("red", "k1")
+
 
 def document(teams=("red", "blue"), reserve=0, longest_run_ms=30_000):
     """Return a document with the pool and queues that tests use."""
@@ -55,11 +58,12 @@
             name=name, pool="quotes", longest_run_ms=longest_run_ms, **fields
         )
 
-    key = KeySpec(key_id="k1", salt="", digest="")
     return Document(
         pools=(pool,),
         teams=tuple(
-            TeamSpec(name=name, share=1.0, limit_requests=100, keys=(key,))
+            TeamSpec(
+                name=name, share=1.0, limit_requests=100, keys=(KEY_SPEC,)
+            )
             for name in teams
         ),
         queues=(
@@ -88,33 +92,6 @@
     )
 
 
-class FakeFleet:
-    """Serving VMs."""
-
-    def __init__(self, record):
-        self.record = record
-        self.revision = 1
-        self.listeners = []
-
-    def serving(self, pool):
-        """Return the serving VMs of a pool."""
-        return [
-            (name, vm)
-            for name, vm in self.record.vms.items()
-            if vm.pool == pool and vm.state is VmState.SERVING
-        ]
-
-    def add_listener(self, callback):
-        """Keep a callback."""
-        self.listeners.append(callback)
-
-    def apply(self, record):
-        """Take a record."""
-        self.record, self.revision = record, self.revision + 1
-        for callback in self.listeners:
-            callback()
-
-
 class FakePermits:
     """Portions that a test sets; 100 unless set."""
 
@@ -158,6 +135,9 @@
 class FakeShares:
     """Slots that a test sets; all slots are spare unless set."""
 
+    def update(self, own):
+        """Ignore demand."""
+
     def __init__(self):
         self.by_team = {}
         self.spare = 1000.0
@@ -202,28 +182,6 @@
         """Ignore times."""
 
 
-def fake_check_key(current, authorization):
-    """Accept ``Bearer <team>.<key id>.secret`` of known keys."""
-    team_name, _, rest = authorization.removeprefix("Bearer ").partition(".")
-    if not rest:
-        return failures.KEY_MISSING
-    key_id, _, secret = rest.partition(".")
-    team = current.team(team_name)
-    if team is None or secret != "secret":
-        return failures.KEY_INVALID
-    if all(key.key_id != key_id for key in team.keys):
-        return failures.KEY_WITHDRAWN
-    return SimpleNamespace(team=team_name, key_id=key_id)
-
-
-@attrs.frozen(kw_only=True)
-class FakeSubmission:
-    """A job submission."""
-
-    payload: str
-    idempotency_key: str = ""
-
-
 class EntryUnderTest:
     """The request path of one entry, started by :meth:`start`."""
 
@@ -246,7 +204,8 @@
                 version=1, digest="", document=current or document()
             )
         )
-        self.fleet = FakeFleet(fleet_record(addresses, slots))
+        self.fleet = FleetView()
+        self.fleet.apply(fleet_record(addresses, slots), 1)
         members = [
             Member(
                 name=entry,
@@ -304,14 +263,12 @@
         self.app = CallerApp(
             in_force=self.in_force,
             freshness=freshness,
-            check_key=fake_check_key,
             forwarder=self.forwarder,
             jobs=SimpleNamespace(
                 submit=lambda team, queue, job: {"team": team},
                 status=lambda team, job_id: failures.JOB_UNKNOWN,
                 cancel=lambda team, job_id: None,
             ),
-            submission_type=FakeSubmission,
             max_requests=max_requests,
             metrics=self.metrics,
         )
@@ -323,3 +280,21 @@
             digest="",
             document=changed,
         )
+
+
+def caller_request(**fields):
+    """Return a request of team red to queue quotes."""
+    values = {
+        "request_id": "r",
+        "team": "red",
+        "key_id": "k1",
+        "queue": "quotes",
+        "method": "GET",
+        "path": "/",
+        "headers": (),
+        "body": b"",
+        "worth": 1.0,
+        "remaining_ms": 5_000,
+        "idempotent": True,
+    }
+    return CallerRequest(**{**values, **fields})
--- /dev/null
+++ b/tests/unit/test_idempotency.py
@@ -0,0 +1,127 @@
+"""Tests of rule R5."""
+
+import threading
+from types import SimpleNamespace
+
+import testtools
+
+from rosemarynotch._internal.admission import idempotency
+from rosemarynotch._internal.admission.idempotency import IdempotencyTable
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.models.messages import Answer
+from tests.lib.clocks import ManualClock
+from tests.lib.entries import caller_request
+
+ANSWER = Answer(status=201, headers=(("A", "b"),), body=b"done")
+
+
+def _request(**fields):
+    fields = {"idempotent": False, "method": "POST", **fields}
+    return caller_request(idempotency_key="key", **fields)
+
+
+class IdempotencyTableTest(testtools.TestCase):
+    """Guards against a request that runs twice or is answered wrongly."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.entries = [SimpleNamespace(name="entry-1", incarnation="a")]
+        self.members = SimpleNamespace(
+            revision=1, entries=lambda: self.entries
+        )
+        self.table = IdempotencyTable(self.members, self.clock)
+        self.runs = 0
+        self.outcome = ANSWER
+
+    def execute(self):
+        self.runs += 1
+        return self.outcome
+
+    def run_table(self, **fields):
+        return self.table.run(_request(**fields), self.execute)
+
+    def test_repeat_gets_the_first_answer_for_two_minutes(self):
+        self.assertEqual([ANSWER] * 2, [self.run_table(), self.run_table()])
+        self.assertEqual(1, self.runs)
+        self.clock.advance(121)
+        self.run_table()
+        self.assertEqual(2, self.runs)
+
+    def test_other_content_under_the_same_key_is_refused(self):
+        self.run_table()
+        for change in ({"body": b"other"}, {"path": "/o"}, {"queue": "rush"}):
+            result = self.run_table(**change)
+            self.assertEqual("idempotency-key-reused", result.code)
+        self.assertEqual(1, self.runs)
+
+    def test_outcomes_that_are_kept(self):
+        unknown = failures.TARGET_TIMEOUT
+        # Outcome, whether the request is idempotent, runs of two requests.
+        for outcome, idempotent, runs in (
+            (failures.QUEUE_FULL, False, 2),
+            (unknown, False, 1),
+            (unknown, True, 2),
+        ):
+            self.table = IdempotencyTable(self.members, self.clock)
+            self.runs, self.outcome = 0, outcome
+            for _ in range(2):
+                self.assertEqual(
+                    outcome, self.run_table(idempotent=idempotent)
+                )
+            self.assertEqual(runs, self.runs, outcome)
+
+    def test_repeat_waits_for_the_run(self):
+        started, finish = threading.Event(), threading.Event()
+
+        def execute():
+            started.set()
+            finish.wait(10)
+            return self.execute()
+
+        results = []
+        first = threading.Thread(
+            target=lambda: results.append(self.table.run(_request(), execute))
+        )
+        first.start()
+        started.wait(10)
+        impatient = self.run_table(remaining_ms=20)
+        self.assertEqual("outcome-unknown", impatient.code)
+        finish.set()
+        self.assertEqual(ANSWER, self.run_table())
+        first.join()
+        self.assertEqual(([ANSWER], 1), (results, self.runs))
+
+    def test_marked_repeat_is_unknown_while_a_former_owner_may_have_run(self):
+        self.assertEqual("unknown", self.run_table(retry=True).ran)
+        self.assertEqual(ANSWER, self.run_table(retry=True, idempotent=True))
+        self.clock.advance(121)
+        self.assertEqual(ANSWER, self.run_table(retry=True))
+        self.members.revision = 2
+        self.clock.advance(121)
+        self.assertEqual(ANSWER, self.run_table(retry=True))
+        self.entries = []
+        self.members.revision = 3
+        self.clock.advance(121)
+        self.assertEqual("unknown", self.run_table(retry=True).ran)
+
+    def test_full_table_drops_bodies_but_never_that_a_request_ran(self):
+        self.patch(idempotency, "MAX_TABLE_BYTES", 70_000)
+        self.outcome = Answer(status=200, headers=(), body=b"x" * 60_000)
+        keys = [f"key-{n}" for n in range(70)]
+        results = []
+        for key in keys:
+            request = caller_request(idempotency_key=key, idempotent=False)
+            results.append(self.table.run(request, self.execute))
+        ran = self.runs
+        self.assertEqual("queue-full", results[-1].code)
+        for key in keys[:ran]:
+            request = caller_request(idempotency_key=key, idempotent=False)
+            self.assertEqual(200, self.table.run(request, None).status)
+
+    def test_large_answer_is_repeated_by_its_status(self):
+        self.outcome = Answer(status=200, headers=(), body=b"x" * 70_000)
+        self.assertEqual(self.outcome, self.run_table())
+        repeat = self.run_table()
+        self.assertEqual((200, b""), (repeat.status, repeat.body))
+        self.assertIn(("Rosemarynotch-Body-Dropped", "1"), repeat.headers)
--- /dev/null
+++ b/tests/unit/test_targets.py
@@ -0,0 +1,162 @@
+"""Tests of exchanges with targets that misbehave."""
+
+import time
+
+import testtools
+
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.targets.client import MAX_ANSWER_BYTES
+from rosemarynotch._internal.targets.client import TargetClient
+from rosemarynotch._internal.utils.clock import SystemClock
+from tests.lib.clocks import ManualClock
+from tests.lib.entries import caller_request
+from tests.lib.targets import answer_bytes
+from tests.lib.targets import ScriptedTarget
+from tests.lib.targets import unused_address
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+BIG = MAX_ANSWER_BYTES + 1
+
+
+def _dribble(connection):
+    for byte in answer_bytes(b"x" * 100):
+        connection.sendall(bytes([byte]))
+        time.sleep(0.02)
+
+
+# What a target does with its connection, and the failure that this is.
+CONTRACT = {
+    "closes before the first byte": (b"", failures.ANSWER_TRUNCATED),
+    "closes in the head": (HEAD, failures.ANSWER_TRUNCATED),
+    "closes in the body": (answer_bytes()[:-1], failures.ANSWER_TRUNCATED),
+    "closes in a chunk": (CHUNKED + b"5\r\nab", failures.ANSWER_TRUNCATED),
+    "ends without a last chunk": (
+        CHUNKED + b"2\r\nab\r\n",
+        failures.ANSWER_TRUNCATED,
+    ),
+    "does not delimit": (HEAD + b"\r\nok", failures.ANSWER_TRUNCATED),
+    "delimits twice": (
+        CHUNKED[:-2] + b"Content-Length: 2\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        failures.ANSWER_TRUNCATED,
+    ),
+    "gives two lengths": (
+        answer_bytes(headers=b"Content-Length: 1\r\n"),
+        failures.ANSWER_TRUNCATED,
+    ),
+    "answers too much": (answer_bytes(b"x" * BIG), failures.ANSWER_TRUNCATED),
+    "speaks something else": (b"\x00\x01\r\n\r\n", failures.ANSWER_TRUNCATED),
+    "stays silent": (lambda c: time.sleep(0.6), failures.TARGET_TIMEOUT),
+    "sends one byte at a time": (_dribble, failures.TARGET_TIMEOUT),
+}
+
+
+class TargetContractTest(testtools.TestCase):
+    """Guards against answers that are partial or of another request."""
+
+    def start(self, behave):
+        target = ScriptedTarget(behave)
+        self.addCleanup(target.close)
+        return target
+
+    def test_misbehaviour_is_a_typed_failure_that_may_have_run(self):
+        for name, (action, expected) in CONTRACT.items():
+            with self.subTest(name):
+
+                def behave(connection, _request, action=action):
+                    if callable(action):
+                        action(connection)
+                    else:
+                        connection.sendall(action)
+                    return False
+
+                client = TargetClient(SystemClock())
+                address = self.start(behave).address
+                start_s = time.monotonic()
+                result = client.send(address, caller_request(), 0.3)
+                self.assertIsInstance(result, Failure, name)
+                self.assertEqual(expected.code, result.code, name)
+                self.assertEqual("unknown", result.ran, name)
+                self.assertTrue(time.monotonic() - start_s < 2, name)
+
+    def test_refused_connection_did_not_run(self):
+        client = TargetClient(SystemClock())
+        result = client.send(unused_address(), caller_request(), 1.0)
+        self.assertEqual("target-unreachable", result.code)
+        self.assertEqual("no", result.ran)
+
+    def test_late_answer_never_reaches_another_caller(self):
+        def behave(connection, request):
+            name = request.split()[1][1:]
+            if name == b"late":
+                time.sleep(0.2)
+            connection.sendall(answer_bytes(name))
+
+        target = self.start(behave)
+        client = TargetClient(SystemClock())
+        late = caller_request(path="/late")
+        for timeout_s in (0.05, 0.19):
+            result = client.send(target.address, late, timeout_s)
+            self.assertEqual("target-timeout", result.code)
+            time.sleep(0.15)
+            other = caller_request(path="/other")
+            self.assertEqual(
+                b"other", client.send(target.address, other, 1.0).body
+            )
+
+    def test_bytes_after_an_answer_never_reach_another_caller(self):
+        # The surplus comes with the answer or after it.
+        for pause_s in (0, 0.05):
+            requests = []
+
+            def behave(connection, request, pause_s=pause_s):
+                requests.append(request)
+                connection.sendall(answer_bytes(b"%d" % len(requests)))
+                time.sleep(pause_s)
+                connection.sendall(answer_bytes(b"surplus"))
+
+            target = self.start(behave)
+            client = TargetClient(SystemClock())
+            for expected in (b"1", b"2"):
+                result = client.send(target.address, caller_request(), 1.0)
+                self.assertEqual(expected, result.body)
+                time.sleep(0.1)
+            self.assertEqual(2, target.connections_count)
+
+    def test_idle_connections_are_used_within_their_bounds(self):
+        target = self.start(lambda c, _: c.sendall(answer_bytes()))
+        clock = ManualClock()
+        client = TargetClient(clock)
+        # Idle time, whether the request is idempotent, connections so far.
+        for idle_s, idempotent, count in (
+            (0, False, 1),
+            (0.4, False, 1),
+            (0.6, False, 2),
+            (4.9, True, 2),
+            (5.1, True, 3),
+        ):
+            clock.advance(idle_s)
+            request = caller_request(idempotent=idempotent)
+            client.send(target.address, request, 1.0)
+            self.assertEqual(count, target.connections_count, idle_s)
+
+    def test_connection_closed_while_idle_is_not_used(self):
+        def behave(connection, _request):
+            connection.sendall(answer_bytes())
+            return False
+
+        target = self.start(behave)
+        client = TargetClient(SystemClock())
+        for _ in range(3):
+            result = client.send(target.address, caller_request(), 1.0)
+            self.assertEqual(200, result.status)
+            time.sleep(0.05)
+
+    def test_large_request_to_a_silent_target_ends_in_time(self):
+        target = self.start(lambda c, _: c.sendall(answer_bytes()))
+        body = b"x" * 512 * 1024
+        request = caller_request(method="POST", body=body)
+        client = TargetClient(SystemClock())
+        self.assertEqual(200, client.send(target.address, request, 5).status)
+        self.assertTrue(target.requests[0].endswith(body))
