Test callers, retries and forwarding; bound retries of one request

A request to a pool with one target was retried until its deadline, because attempts were counted by target: now there are at most 3. An idempotent request is given up on a silent connection after an unusual time while the retry budget lasts, since its own bound would leave no time for a retry. A connection to a missing local listener could be connected to itself.

--- a/src/rosemarynotch/_internal/callers/running.py
+++ b/src/rosemarynotch/_internal/callers/running.py
@@ -1,10 +1,11 @@
 """Runs one request on targets from this entry (rule R3)."""
 
-import threading
 from typing import Callable
 
 import attrs
 
+from rosemarynotch._internal.callers.retries import RetryBudget
+from rosemarynotch._internal.callers.retries import RunTimes
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
@@ -14,35 +15,10 @@
 from rosemarynotch._internal.targets.answers import is_not_run
 from rosemarynotch._internal.utils.clock import Clock
 
-__all__ = ["RequestRunner", "RetryBudget"]
+__all__ = ["RequestRunner"]
 
-RETRY_FRACTION = 0.1
-# Lets an entry with little traffic retry at all.
-MAX_SAVED_RETRIES = 10.0
-# A request that no target takes is refused after this many targets.
-MAX_TARGETS = 3
-
-
-class RetryBudget:
-    """Allows retries for a fraction of the first attempts."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._saved = MAX_SAVED_RETRIES
-
-    def note_first_attempt(self) -> None:
-        """Count a first attempt."""
-        with self._lock:
-            saved = self._saved + RETRY_FRACTION
-            self._saved = min(MAX_SAVED_RETRIES, saved)
-
-    def try_spend(self) -> bool:
-        """Take one retry out of the budget, if there is one."""
-        with self._lock:
-            if self._saved < 1:
-                return False
-            self._saved -= 1
-            return True
+# Bounds what one request can cost, whatever the budget allows.
+MAX_ATTEMPTS = 3
 
 
 class RequestRunner:
@@ -62,6 +38,7 @@
         self._clock = clock
         self._metrics = metrics
         self._budget = RetryBudget()
+        self._run_times = RunTimes()
 
     def run(
         self,
@@ -77,32 +54,38 @@
         self._budget.note_first_attempt()
         tried = frozenset()
         earlier = None
-        while True:
+        for attempt in range(1, MAX_ATTEMPTS + 1):
             grant = self._dispatcher.enter(request, queue, gone, tried)
             if isinstance(grant, Failure):
                 return earlier or grant
-            result = self._attempt(grant, request, queue, end_s)
+            result = self._attempt(
+                grant,
+                request,
+                queue,
+                end_s,
+                request.idempotent and attempt == 1,
+            )
             if isinstance(result, Answer):
                 return result
             if result.ran is Ran.NO:
-                tried = tried | {grant.vm}
-                if len(tried) >= MAX_TARGETS:
-                    return earlier or result
+                result = earlier or result
             else:
                 earlier = result
                 if not request.idempotent or not self._budget.try_spend():
                     return result
-                tried = frozenset((grant.vm,))
                 self._metrics.count("retried", team=request.team)
             left_s = end_s - self._clock.monotonic_s()
-            if left_s <= 0:
-                return earlier or failures.DEADLINE_PASSED
+            if attempt == MAX_ATTEMPTS or left_s <= 0:
+                return result
+            tried = tried | {grant.vm}
             request = attrs.evolve(request, remaining_ms=int(left_s * 1000))
 
-    def _attempt(self, grant, request, queue, end_s):
+    def _attempt(self, grant, request, queue, end_s, may_repeat):
         """Send a request once; what did not run has ``ran`` no."""
         start_s = self._clock.monotonic_s()
         timeout_s = min(end_s - start_s, queue.longest_run_ms / 1000)
+        if may_repeat:
+            timeout_s = min(timeout_s, self._unusual_s(request, timeout_s))
         if timeout_s <= 0:
             result = failures.DEADLINE_PASSED.because("before it was sent")
             grant.finish(result, 0.0)
@@ -113,6 +96,8 @@
             grant.hold(queue.longest_run_ms)
             raise
         run_ms = (self._clock.monotonic_s() - start_s) * 1000
+        if isinstance(result, Answer) or result.is_a(failures.TARGET_TIMEOUT):
+            self._run_times.note(request.queue, request.team, run_ms / 1000)
         self._health.note(grant.vm, result)
         if is_not_run(result):
             result = failures.TARGET_REFUSED.because(grant.vm)
@@ -125,3 +110,13 @@
             if isinstance(result, Answer):
                 self._metrics.record_ms("run", run_ms, team=request.team)
         return result
+
+    def _unusual_s(self, request, longest_s):
+        """Return after which time another connection should be tried.
+
+        Without budget, a request that is only slow would fail for nothing.
+        """
+        if self._budget.is_spent():
+            return longest_s
+        unusual_s = self._run_times.unusual_s(request.queue, request.team)
+        return unusual_s or longest_s
--- a/src/rosemarynotch/_internal/targets/connection.py
+++ b/src/rosemarynotch/_internal/targets/connection.py
@@ -110,6 +110,10 @@
         try:
             sock.settimeout(self.timeout)
             sock.connect((self.host, self.port))
+            # Without a listener, the kernel may give the socket the port
+            # that it connects to, and it is then connected to itself.
+            if sock.getsockname() == sock.getpeername():
+                raise ConnectionRefusedError("connected to itself")
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.settimeout(None)
         except BaseException:
--- a/tests/functional/test_caller_server.py
+++ b/tests/functional/test_caller_server.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import socket
 import threading
 import time
 
@@ -52,7 +53,69 @@
         self.assertTrue(request.startswith(b"POST /a%20b?c=d HTTP/1.1"))
         self.assertIn(b"Rosemarynotch-Team: red\r\n", request)
         self.assertNotIn(KEY.encode(), request)
-        self.server.stop(0)
+
+    def raw(self, data, half_close=False):
+        """Send bytes and return all that comes back."""
+        host, _, port = self.server.address.rpartition(":")
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(data)
+            if half_close:
+                sock.shutdown(socket.SHUT_WR)
+            return sock.makefile("rb").read()
+
+    def test_requests_that_the_server_refuses_are_typed(self):
+        head = b"POST /s/quotes/x HTTP/1.1\r\n"
+        for data, status, code in (
+            (head + b"Content-Length: 600000\r\n\r\n", 413, "body-too-large"),
+            (head + b"Bad Header\r\n\r\n", 400, "request-malformed"),
+            (head + b"Content-Length: x\r\n\r\n", 400, "request-malformed"),
+            (
+                head + b"Transfer-Encoding: gzip\r\n\r\n",
+                501,
+                "request-malformed",
+            ),
+            (head + b"A: " + b"x" * 40000, 431, "request-malformed"),
+        ):
+            answer = self.raw(data)
+            self.assertIn(b" %d " % status, answer[:20])
+            self.assertIn(b"Rosemarynotch-Ran: no\r\n", answer)
+            self.assertIn(b'"code":"%s"' % code.encode(), answer)
+        self.assertEqual([], self.target.requests)
+
+    def test_truncated_body_does_not_run(self):
+        key = f"Authorization: Bearer {KEY}\r\n".encode()
+        head = b"POST /s/quotes/x HTTP/1.1\r\nContent-Length: 9\r\n" + key
+        self.assertEqual(b"", self.raw(head + b"\r\nhalf", half_close=True))
+        self.assertEqual([], self.target.requests)
+
+    def test_hang_up_while_queued_drops_and_while_running_does_not(self):
+        self.entry.permits.portions["red"] = 1
+        request = "POST /s/quotes/slow{} HTTP/1.1\r\nAuthorization: "
+        request += f"Bearer {KEY}\r\n\r\n"
+        host, _, port = self.server.address.rpartition(":")
+        for number in (1, 2):
+            sock = socket.create_connection((host, int(port)))
+            sock.sendall(request.format(number).encode())
+            self.wait_for(lambda: self.target.requests)
+            self.wait_for(lambda: self.queued() == number - 1)
+            sock.close()
+        self.wait_for(lambda: not self.queued())
+        self.assertEqual(1, self.entry.permits.running("red"))
+        counts = self.entry.metrics.counts
+        self.assertEqual(1, counts["refused", "caller-gone"])
+        self.release.set()
+        self.wait_for(lambda: not self.entry.permits.running("red"))
+        self.assertEqual(1, len(self.target.requests))
+
+    def queued(self):
+        rows = self.entry.dispatcher.demand()
+        return sum(row.queued_requests for row in rows)
+
+    def wait_for(self, condition):
+        end_s = time.monotonic() + 10
+        while not condition():
+            self.assertTrue(time.monotonic() < end_s, "nothing happened")
+            time.sleep(0.01)
 
     def test_stop_finishes_what_runs_and_refuses_the_probe(self):
         results = []
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -170,11 +170,10 @@
         self.assertEqual("deadline-unreachable", late.code)
         self.dispatcher.begin_shutdown()
         self.assertEqual("shutting-down", self.enter().code)
-        while grants or any(thread.is_alive() for thread in threads):
-            for grant in grants:
-                grant.finish(ANSWER, 1.0)
-            grants, self.results = self.results, []
-            time.sleep(0.005)
+        self.results += grants
+        while any(thread.is_alive() for thread in threads) or self.results:
+            if self.results:
+                self.results.pop().finish(ANSWER, 1.0)
         self.assertTrue(self.dispatcher.wait_idle(1.0))
 
     def enter_without_targets(self):
