--- a/src/rosemarynotch/_internal/control/job_permits.py
+++ b/src/rosemarynotch/_internal/control/job_permits.py
@@ -8,9 +8,11 @@
 class JobPermits:
     """Holds one permit for each job that this process started.
 
-    A row names the process whose permit it uses. A process that no longer
-    leads keeps its permits until the jobs end or another process takes them
-    over, so a change of the leader never lets a team exceed its limit.
+    A row names the process whose permit it uses, from its first placement
+    until no task of it can run; a job whose start was refused keeps its
+    permit, since a start that arrives late may still succeed. A process
+    that no longer leads keeps its permits until the jobs end, so a change
+    of the leader never lets a team exceed its limit.
 
     :param permits: this process's portions, with ``try_acquire`` and
         ``release``
@@ -38,7 +40,6 @@
             if not table.knows(job_id):
                 continue
             row = table.row(job_id)
-            mine = row is not None and row.permit_holder == holder
-            if not mine or not row.state.is_active:
+            if row is None or row.permit_holder != holder:
                 del self._held[job_id]
                 self._permits.release(team)
--- a/src/rosemarynotch/_internal/control/job_rows.py
+++ b/src/rosemarynotch/_internal/control/job_rows.py
@@ -161,14 +161,17 @@
     start by a paused controller that arrives late and the start on another
     worker cannot both take effect.
     """
-    return attrs.evolve(
-        row, state=JobState.QUEUED, worker="", permit_holder=""
-    )
+    return attrs.evolve(row, state=JobState.QUEUED, worker="")
 
 
 def _next_attempt(row: JobRow, checkpoint: str) -> JobRow:
     return attrs.evolve(
-        requeue_refused(row), attempt=row.attempt + 1, checkpoint=checkpoint
+        row,
+        state=JobState.QUEUED,
+        worker="",
+        permit_holder="",
+        attempt=row.attempt + 1,
+        checkpoint=checkpoint,
     )
 
 
--- a/src/rosemarynotch/_internal/control/jobs.py
+++ b/src/rosemarynotch/_internal/control/jobs.py
@@ -105,9 +105,8 @@
         self._follow()
         if not self._table.complete:
             return
-        self._adopt()
         self._place(document, record)
-        self._runner.start_jobs(self._table, record, self._holder)
+        self._runner.start_jobs(self._table, record)
         self._runner.stop_jobs(self._table, record)
 
     def _refresh_if_due(self, interval_s: float) -> None:
@@ -170,21 +169,6 @@
                 ),
             )
 
-    def _adopt(self) -> None:
-        """Take permits for active jobs that have no holder."""
-        adopted: dict[int, list[str]] = {}
-        for job_id, row in self._table.open_rows():
-            if row.state.is_active and not row.permit_holder:
-                if self._permits.acquire(job_id, row.team):
-                    adopted.setdefault(shard_of(job_id), []).append(job_id)
-        for number, job_ids in adopted.items():
-            self._table.update(
-                number,
-                lambda shard, ids=job_ids: _with_holder(
-                    shard, ids, self._holder
-                ),
-            )
-
 
 def _with_placements(
     shard: JobShard, placements: list[Placement], holder: str
@@ -199,17 +183,8 @@
             row,
             state=JobState.STARTING,
             worker=placement.worker,
-            permit_holder=holder,
+            permit_holder=row.permit_holder or holder,
             reserved_cores=placement.size.cores,
             reserved_memory_mb=placement.size.memory_mb,
         )
     return with_rows(shard, changed)
-
-
-def _with_holder(shard: JobShard, job_ids: list[str], holder: str) -> JobShard:
-    changed = {}
-    for job_id in job_ids:
-        row = shard.jobs.get(job_id)
-        if row and row.state.is_active and not row.permit_holder:
-            changed[job_id] = attrs.evolve(row, permit_holder=holder)
-    return with_rows(shard, changed)
--- a/src/rosemarynotch/_internal/control/loop.py
+++ b/src/rosemarynotch/_internal/control/loop.py
@@ -10,6 +10,7 @@
 from rosemarynotch._internal.control.fleet import follow_document
 from rosemarynotch._internal.control.fleet import follow_list
 from rosemarynotch._internal.control.fleet import is_list_plausible
+from rosemarynotch._internal.control.gone_members import GoneMembers
 from rosemarynotch._internal.control.leadership import Leadership
 from rosemarynotch._internal.control.moves import begin_moves
 from rosemarynotch._internal.control.moves import finish_moves
@@ -75,8 +76,7 @@
     computed from the value that it replaces.
 
     :param jobs: steps on jobs, with ``step(leads, document, record)`` and
-        ``busy_workers()``
-    :param rng: makes operation ids unique
+    X: makes operation ids unique
     """
 
     def __init__(
@@ -86,6 +86,7 @@
         policies: Policies,
         leadership: Leadership,
         jobs,
+        own_vm: str,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -98,6 +99,7 @@
         self._rng = rng
         self._list = VmList(sources.vms, clock)
         self._failures = FailureTracker(clock)
+        self._gone = GoneMembers(records, own_vm, clock)
         self._progress = DrainProgress(records, jobs.busy_workers)
         self._unannounced_revision = 0
         self._told: set[tuple[str, str]] = set()
@@ -153,6 +155,12 @@
         elif self._unannounced_revision:
             self._announce(self._unannounced_revision)
         self._reboot(self._sources.fleet.record)
+        if not self._list.alarm:
+            self._gone.step(
+                self._sources.members.record,
+                self._sources.heard(),
+                self._list.rows,
+            )
 
     def _change(self, document: Document, record: FleetRecord, revision: int):
         """Return the change of this pass, a pure function of the record."""
--- a/src/rosemarynotch/_internal/control/placing.py
+++ b/src/rosemarynotch/_internal/control/placing.py
@@ -145,7 +145,7 @@
         if not worker:
             misses += 1
             continue
-        if not acquire(job_id, row.team):
+        if not row.permit_holder and not acquire(job_id, row.team):
             exhausted.add(row.team)
             continue
         next(room for room in rooms if room.name == worker).take(size)
--- a/src/rosemarynotch/_internal/control/task_runner.py
+++ b/src/rosemarynotch/_internal/control/task_runner.py
@@ -123,9 +123,7 @@
             if now_s - self._missing_since_s[task_id] >= MISSING_S
         }
 
-    def start_jobs(
-        self, table: JobTable, record: FleetRecord, holder: str
-    ) -> None:
+    def start_jobs(self, table: JobTable, record: FleetRecord) -> None:
         """Start the tasks of jobs that are marked as starting.
 
         A worker that drains still gets the tasks that were placed before.
--- a/src/rosemarynotch/_internal/control/vm_list.py
+++ b/src/rosemarynotch/_internal/control/vm_list.py
@@ -28,13 +28,14 @@
     another process has changed the record, the list may be older than what
     the record says about an instance, and a new one is fetched.
 
+    :ivar rows: the last list
     :ivar alarm: why the last list was not used, empty when it was
     """
 
     def __init__(self, vms: VmService, clock: Clock) -> None:
         self._vms = vms
         self._clock = clock
-        self._rows: list[PlatformVm] = []
+        self.rows: list[PlatformVm] = []
         self._base: FleetRecord | None = None
         self._fetched_s = float("-inf")
         self._next_s = float("-inf")
@@ -62,14 +63,14 @@
         self._next_s = now_s + max(
             SHORTEST_INTERVAL_S, size_bytes / LIST_BYTES_PER_S
         )
-        self._rows = rows
+        self.rows = rows
         self._base = record
         self._set_alarm(record, rows)
 
     def rows_for(self, record: FleetRecord) -> list[PlatformVm]:
         """Return the list if it may be applied to this record."""
         same = record is self._base or record == self._base
-        return self._rows if same else []
+        return self.rows if same else []
 
     def note_own_change(self, record: FleetRecord) -> None:
         """Go on using the list after this process wrote the record."""
--- a/tests/unit/test_control_fleet.py
+++ b/tests/unit/test_control_fleet.py
@@ -7,14 +7,18 @@
 from rosemarynotch._internal.control import ControlLoop
 from rosemarynotch._internal.control.fleet import follow_list
 from rosemarynotch._internal.control import FleetSources
+from rosemarynotch._internal.control.gone_members import GoneMembers
 from rosemarynotch._internal.control import Leadership
 from rosemarynotch._internal.control import operations
 from rosemarynotch._internal.control import Policies
+from rosemarynotch._internal.control.waves import advance_drained
+from rosemarynotch._internal.control.waves import WaveInputs
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.models.document import PoolKind
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.models.records import VmState
 from rosemarynotch._internal.models.records import WaveState
+from rosemarynotch._internal.platform.interface import PlatformVm
 from rosemarynotch._internal.platform.interface import PlatformVmState
 from rosemarynotch._internal.platform.records import MEMBERS_KEY
 from rosemarynotch._internal.platform.records import RecordStore
@@ -69,6 +73,7 @@
             Policies(waves=AsManyAsAllowed(), moves=NoMoves()),
             Leadership(self.store, self.clock, "c1/1"),
             self.jobs,
+            "vm-c",
             self.clock,
             random.Random(2),
         )
@@ -298,6 +303,51 @@
         self.steps(6)
         self.assertEqual([], self.vms.reboots)
 
+    def test_late_report_of_an_earlier_drain_is_ignored(self):
+        self.start()
+        self.steps(1)
+        draining = self.fleet.record
+        late = WaveInputs(token="t", drained=frozenset([("quotes-0", "old")]))
+        self.assertIs(draining, advance_drained(draining, late))
+
+
+class GoneMembersTest(ControlTestCase):
+    """Guards against a dead entry that holds up every drain for ever."""
+
+    def setUp(self):
+        super().setUp()
+        record = self.members.record
+        self.record = record
+        self.gone = GoneMembers(self.records, "vm-e1", self.clock)
+        self.listed = [
+            PlatformVm(
+                name=member.vm,
+                instance=member.vm_instance,
+                state=PlatformVmState.LIVE,
+            )
+            for member in record.members.values()
+        ]
+
+    def left_after(self, listed, heard, seconds):
+        """Return the members left after a time with this evidence."""
+        for _ in range(seconds):
+            self.gone.step(self.record, heard, listed)
+            self.clock.advance(1.0)
+        found = self.records.read(MEMBERS_KEY, MembersRecord)
+        return sorted(found.value.members)
+
+    def test_only_absent_and_silent_members_are_removed(self):
+        heard = self.heard()
+        silent = {"e1": heard["e1"]}
+        both = ["e1", "e2"]
+        without = self.listed[:1]
+        self.assertEqual(both, self.left_after(self.listed, silent, 30))
+        self.assertEqual(both, self.left_after(without, heard, 30))
+        self.assertEqual(both, self.left_after([], silent, 30))
+        self.assertEqual(both, self.left_after(self.listed[1:], {}, 30))
+        self.assertEqual(both, self.left_after(without, silent, 10))
+        self.assertEqual(["e1"], self.left_after(without, silent, 2))
+
 
 class OperationsTest(ControlTestCase):
     """Guards against operators' changes that break rules or apply twice."""
--- a/tests/unit/test_control_races.py
+++ b/tests/unit/test_control_races.py
@@ -135,6 +135,7 @@
             Policies(waves=AsManyAsAllowed(), moves=HysteresisMoves(8.0)),
             AlwaysLeads(),
             fakes.NoJobs(),
+            "vm-c",
             machine.clock,
             rng,
         )
