--- a/src/rosemarynotch/_internal/control/loop.py
+++ b/src/rosemarynotch/_internal/control/loop.py
@@ -11,6 +11,7 @@
 from rosemarynotch._internal.control.fleet import follow_document
 from rosemarynotch._internal.control.fleet import follow_list
 from rosemarynotch._internal.control.fleet import is_list_plausible
+from rosemarynotch._internal.control.gone_members import GoneMembers
 from rosemarynotch._internal.control.leadership import Leadership
 from rosemarynotch._internal.control.moves import begin_moves
 from rosemarynotch._internal.control.moves import finish_moves
@@ -76,8 +77,7 @@
     computed from the value that it replaces.
 
     :param jobs: steps on jobs, with ``step(leads, document, record)`` and
-        ``busy_workers()``
-    :param rng: makes operation ids unique
+    X: makes operation ids unique
     """
 
     def __init__(
@@ -87,6 +87,7 @@
         policies: Policies,
         leadership: Leadership,
         jobs,
+        own_vm: str,
         clock: Clock,
         rng: random.Random,
         dead_members: DeadMembers | None = None,
@@ -101,6 +102,7 @@
         self._rng = rng
         self._list = VmList(sources.vms, clock)
         self._failures = FailureTracker(clock)
+        self._gone = GoneMembers(records, own_vm, clock)
         self._progress = DrainProgress(records, jobs.busy_workers)
         self._unannounced_revision = 0
         self._told: set[tuple[str, str]] = set()
@@ -158,6 +160,12 @@
         elif self._unannounced_revision:
             self._announce(self._unannounced_revision)
         self._reboot(self._sources.fleet.record)
+        if not self._list.alarm:
+            self._gone.step(
+                self._sources.members.record,
+                self._sources.heard(),
+                self._list.rows,
+            )
 
     def _change(self, document: Document, record: FleetRecord, revision: int):
         """Return the change of this pass, a pure function of the record."""
