--- a/src/rosemarynotch/_internal/commands/session.py
+++ b/src/rosemarynotch/_internal/commands/session.py
@@ -66,26 +66,27 @@
 
     def _call(self, method: str, path: str, body: bytes) -> Any:
         maybe_ran = False
-        last = CommandError(Exit.NO_ANSWER, "no entry answers")
+        # What an entry says tells more than that another does not answer.
+        refusal: CommandError | None = None
+        silence: list[str] = []
         for address in tuple(self._addresses):
             try:
                 status, data = self._exchange(address, method, path, body)
-            except ConnectionRefusedError as error:
-                last = _no_answer(address, error)
-                continue
             except (OSError, http.client.HTTPException) as error:
-                last = _no_answer(address, error)
-                maybe_ran |= method == "POST"
+                silence.append(_no_answer(address, error))
+                is_refused = isinstance(error, ConnectionRefusedError)
+                maybe_ran |= method == "POST" and not is_refused
                 continue
             if status == OK:
                 self._prefer(address)
                 return data
-            last = _refusal(data)
-            if last.code in SETTLED_CODES:
-                raise last
-            maybe_ran |= last.exit is Exit.UNKNOWN
+            refusal = _refusal(data)
+            if refusal.code in SETTLED_CODES:
+                raise refusal
+            maybe_ran |= refusal.exit is Exit.UNKNOWN
             if status < FIRST_SERVER_ERROR and not maybe_ran:
-                raise last
+                raise refusal
+        last = refusal or CommandError(Exit.NO_ANSWER, "\n".join(silence))
         if maybe_ran:
             raise CommandError(Exit.UNKNOWN, f"not known: {last.text}")
         raise last
@@ -122,10 +123,9 @@
             raise http.client.HTTPException("malformed answer") from error
 
 
-def _no_answer(address: tuple[str, int], error: Exception) -> CommandError:
-    why = str(error) or type(error).__name__
+def _no_answer(address: tuple[str, int], error: Exception) -> str:
     host, port = address
-    return CommandError(Exit.NO_ANSWER, f"{host}:{port}: {why}")
+    return f"{host}:{port}: {str(error) or type(error).__name__}"
 
 
 def _refusal(data: Any) -> CommandError:
--- a/tests/functional/test_commands.py
+++ b/tests/functional/test_commands.py
@@ -144,6 +144,11 @@
             entry = ",".join(filter(None, (entries, more)))
             status, text = self.change("drain", "s-1", entry=entry)
             self.assertEqual(wanted, status, text)
+        self.port.store.fault = Fault.DOWN
+        entry = f"{self.address},127.0.0.1:1"
+        status, text = self.change("drain", "s-2", entry=entry)
+        self.assertEqual(Exit.REFUSED, status)
+        self.assertIn("store-unavailable", text)
         status, _ = self.run_command("report", entry="127.0.0.1:1")
         self.assertEqual(Exit.NO_ANSWER, status)
 
