--- a/src/rosemarynotch/_internal/commands/keys.py
+++ b/src/rosemarynotch/_internal/commands/keys.py
@@ -11,6 +11,8 @@
 from rosemarynotch._internal.commands.session import Session
 from rosemarynotch._internal.commands.waiting import follow
 from rosemarynotch._internal.configuration import make_key
+from rosemarynotch._internal.models.rules import NAME
+from rosemarynotch._internal.models.rules import NAME_VALID
 from rosemarynotch._internal.operators.keys import format_setting
 
 __all__ = ["give_key", "make_operator_key", "withdraw_key"]
@@ -93,6 +95,9 @@
     :param operator: name of the operator
     :param key_id: identifier of the key
     """
+    for name in (operator, key_id):
+        if not NAME.fullmatch(name):
+            raise CommandError(Exit.BAD_USAGE, f"{name!r}: not {NAME_VALID}")
     text, spec = make_key(operator, key_id)
     setting = format_setting(operator, spec)
     output.show(
--- a/src/rosemarynotch/_internal/commands/waiting.py
+++ b/src/rosemarynotch/_internal/commands/waiting.py
@@ -11,7 +11,7 @@
 
 __all__ = ["follow"]
 
-POLL_S = 0.5
+POLL_S = 0.2
 
 
 def follow(
--- a/src/rosemarynotch/_internal/models/rules.py
+++ b/src/rosemarynotch/_internal/models/rules.py
@@ -21,7 +21,7 @@
 from rosemarynotch._internal.models.fields import Problem
 from rosemarynotch._internal.models.fields import RANGES
 
-__all__ = ["check_tables", "one_of"]
+__all__ = ["check_tables", "NAME", "NAME_VALID", "one_of"]
 
 # A team's name and a key id are parts of a key, which dots separate.
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
--- a/tests/functional/test_commands.py
+++ b/tests/functional/test_commands.py
@@ -212,6 +212,7 @@
             (("report",), {"key": bad_key}, Exit.REFUSED),
             (("validate", str(self.file)), {}, Exit.REFUSED),
             (("validate", "/nowhere"), {}, Exit.BAD_USAGE),
+            (("operator-key", "a:b"), {}, Exit.BAD_USAGE),
         ):
             status, text = self.run_command(*words, **fields)
             self.assertEqual(wanted, status, (words, text))
--- a/tests/unit/test_changes.py
+++ b/tests/unit/test_changes.py
@@ -230,3 +230,78 @@
             make_document(), make_document(9), Usage(complete=False)
         )
         self.assertIn("not known what it runs", found[0])
+
+
+class UnreliableStore(MemoryStore):
+    """Loses answers, lets lost writes arrive late, and lets others in."""
+
+    def __init__(self, core, rng):
+        super().__init__(core)
+        self.rng = rng
+        self.late = []
+        self.others = []
+
+    def put(self, key, value, expected, lease=""):
+        """Write a value, or let that happen later or not at all."""
+        if self.others and self.rng.random() < 0.3:
+            self.others.pop()()
+        if self.late and self.rng.random() < 0.5:
+            super().put(*self.late.pop())
+        chance = self.rng.random()
+        if chance < 0.6:
+            return super().put(key, value, expected, lease)
+        if chance < 0.75:
+            super().put(key, value, expected, lease)
+        elif chance < 0.9:
+            self.late.append((key, value, expected, lease))
+        return failures.STORE_UNAVAILABLE.after_start()
+
+
+class RacingOperatorsTest(testtools.TestCase):
+    """Guards against accepted changes that vanish or revert, and against
+    "nothing changed" for a change that takes effect.
+    """
+
+    def test_what_operators_are_told_is_true(self):
+        for seed in range(300):
+            self.run_operators(seed)
+
+    def run_operators(self, seed):
+        rng = random.Random(seed)
+        store = UnreliableStore(KeyValue(), rng)
+        changes = ConfigChanges(
+            RecordStore(store, ManualClock(), rng), ManualClock(), "trial"
+        )
+        told = {}
+        seen = {}
+
+        def operate(number):
+            pointer = changes.pointer()
+            version = pointer.current.version if pointer else 0
+            result = changes.apply(
+                make_document(number + 1), change(number, version)
+            )
+            told[f"c{number}"] = result
+
+        def note():
+            pointer = changes.pointer()
+            for item in (pointer.current, *pointer.history) if pointer else ():
+                known = seen.setdefault(item.version, item)
+                self.assertEqual(known, item, seed)
+
+        store.others = [lambda n=n: operate(n) for n in range(10, 16)]
+        for number in range(6):
+            operate(number)
+            note()
+        store.rng = random.Random(seed)
+        for late in store.late:
+            MemoryStore.put(store, *late)
+        note()
+        self.assertEqual(list(range(1, len(seen) + 1)), sorted(seen), seed)
+        accepted = [item.change_id for item in seen.values()]
+        self.assertEqual(len(set(accepted)), len(accepted), seed)
+        for change_id, result in told.items():
+            if not isinstance(result, Failure):
+                self.assertEqual(result, seen[result.version], seed)
+            elif result.ran is failures.Ran.NO:
+                self.assertNotIn(change_id, accepted, seed)
--- a/tests/unit/test_operator_app.py
+++ b/tests/unit/test_operator_app.py
@@ -33,60 +33,41 @@
 FLEET = {"change_id": "c1", "operator": "anna", "reason": "r"}
 DOCUMENT = {**FLEET, "expected_version": 0, "document": TOML}
 
+TRY, ROLLBACK = "/v1/config/try", "/v1/config/rollback"
+
+
+def document(**fields):
+    return {**DOCUMENT, **fields}
+
+
+def fleet(**fields):
+    return {**FLEET, **fields}
+
+
 # (method, path, body, status, code)
 REFUSED = (
     ("GET", "/v1/nothing", None, 400, "request-malformed"),
     ("POST", "/v1/config", {}, 400, "request-malformed"),
-    ("POST", "/v1/config/try", b"{", 400, "request-malformed"),
-    ("POST", "/v1/config/try", [], 400, "request-malformed"),
-    ("POST", "/v1/config/try", FLEET, 400, "request-malformed"),
-    ("POST", "/v1/config/try", b" " * 1048577, 413, "body-too-large"),
-    (
-        "POST",
-        "/v1/config/try",
-        {**DOCUMENT, "document": "pools = 1"},
-        422,
-        "document-malformed",
-    ),
-    (
-        "POST",
-        "/v1/config/try",
-        {**DOCUMENT, "operator": "bert"},
-        401,
-        "operator-key-invalid",
-    ),
-    (
-        "POST",
-        "/v1/config/try",
-        {**DOCUMENT, "reason": " "},
-        400,
-        "request-malformed",
-    ),
-    (
-        "POST",
-        "/v1/config/try",
-        {**DOCUMENT, "change_id": "a/b"},
-        400,
-        "request-malformed",
-    ),
-    (
-        "POST",
-        "/v1/config/try",
-        {**DOCUMENT, "expected_version": 3},
-        409,
-        "version-changed",
-    ),
+    ("POST", TRY, b"{", 400, "request-malformed"),
+    ("POST", TRY, [], 400, "request-malformed"),
+    ("POST", TRY, FLEET, 400, "request-malformed"),
+    ("POST", TRY, b" " * 1048577, 413, "body-too-large"),
+    ("POST", TRY, document(document="a = 1"), 422, "document-malformed"),
+    ("POST", TRY, document(operator="bert"), 401, "operator-key-invalid"),
+    ("POST", TRY, document(reason=" "), 400, "request-malformed"),
+    ("POST", TRY, document(change_id="a/b"), 400, "request-malformed"),
+    ("POST", TRY, document(expected_version=3), 409, "version-changed"),
     (
         "POST",
         "/v1/config/promote",
-        {**DOCUMENT, "digest": "0" * 64},
+        document(digest="0" * 64),
         409,
         "document-not-tried",
     ),
     (
         "POST",
-        "/v1/config/rollback",
-        {**FLEET, "expected_version": 0, "to_version": 4},
+        ROLLBACK,
+        fleet(expected_version=0, to_version=4),
         404,
         "store-key-missing",
     ),
@@ -98,17 +79,11 @@
     (
         "POST",
         "/v1/keys/withdraw",
-        {**FLEET, "team": "x", "key_id": "k"},
+        fleet(team="x", key_id="k"),
         403,
         "team-unknown",
     ),
-    (
-        "POST",
-        "/v1/jobs/j9/cancel",
-        {**FLEET, "team": "t"},
-        404,
-        "job-unknown",
-    ),
+    ("POST", "/v1/jobs/j9/cancel", fleet(team="t"), 404, "job-unknown"),
 )
 
 
--- a/tests/unit/test_report.py
+++ b/tests/unit/test_report.py
@@ -60,57 +60,44 @@
 )
 OLD = attrs.evolve(MEMBER, name="entry-9", heard_age_s=200)
 
+UNDER_SHARE = ShareState(
+    pool="settlement", team="market", expected_part=0.5, served_part=0.4
+)
+HELD = WaveProgress(
+    name="monthly", state="paused", done_vms=2, total_vms=6, held_by="rack r2"
+)
+
+
+def pool(**fields):
+    return {"pools": (attrs.evolve(POOL, **fields),)}
+
+
+def team(**fields):
+    return {"teams": (attrs.evolve(TEAM, **fields),)}
+
+
+def member(**fields):
+    return {"members": (MEMBER, attrs.evolve(MEMBER, **fields))}
+
+
 # (change to the healthy snapshot, text in the report)
 BAD = (
-    ({"pools": (attrs.evolve(POOL, serving_vms=3),)}, "AT RISK: P1"),
-    (
-        {"pools": (attrs.evolve(POOL, ejected_vms=("a", "b", "c")),)},
-        "P1 settlement: 3 VMs usable",
-    ),
-    ({"pools": (attrs.evolve(POOL, serving_vms=4),)}, "none to spare"),
-    ({"teams": (attrs.evolve(TEAM, running_requests=61),)}, "P4 harbour: 61"),
-    ({"teams": (attrs.evolve(TEAM, running_requests=57),)}, "57 of limit 60"),
+    (pool(serving_vms=3), "AT RISK: P1"),
+    (pool(ejected_vms=("a", "b", "c")), "P1 settlement: 3 VMs usable"),
+    (pool(serving_vms=4), "none to spare"),
+    (team(running_requests=61), "P4 harbour: 61"),
+    (team(running_requests=57), "57 of limit 60"),
     ({"store_age_s": 40.0}, "P10 Store last seen 40 s ago"),
-    ({"store_age_s": float("inf")}, "not seen since the start"),
-    (
-        {"members": (MEMBER, attrs.evolve(MEMBER, config_version=6))},
-        "P10 entry-1 has v6",
-    ),
-    ({"members": (MEMBER, OLD)}, "entry-9: silent for 3 min"),
-    (
-        {"members": (MEMBER, attrs.evolve(OLD, heard_age_s=None))},
-        "entry-9: never heard",
-    ),
+    ({"store_age_s": 1e9}, "not seen since the start"),
+    (member(config_version=6), "P10 entry-1 has v6"),
+    (member(heard_age_s=200), "entry-1: silent for 3 min"),
+    (member(heard_age_s=None), "entry-1: never heard"),
+    (member(store_age_s=30), "entry-1: store last seen 30 s ago"),
     ({"members": ()}, "No members are known"),
     ({"version": 0}, "No configuration is known"),
     ({"fleet_revision": 0}, "VM states are not known"),
-    (
-        {
-            "shares": (
-                ShareState(
-                    pool="settlement",
-                    team="market",
-                    expected_part=0.5,
-                    served_part=0.4,
-                ),
-            )
-        },
-        "market: 20% under share",
-    ),
-    (
-        {
-            "waves": (
-                WaveProgress(
-                    name="monthly",
-                    state="paused",
-                    done_vms=2,
-                    total_vms=6,
-                    held_by="rack r2 failed",
-                ),
-            )
-        },
-        "held: rack r2 failed",
-    ),
+    ({"shares": (UNDER_SHARE,)}, "market: 20% under share"),
+    ({"waves": (HELD,)}, "held: rack r2"),
 )
 
 
