--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -26,6 +26,7 @@
 from rosemarynotch._internal.policy.ordering import WorthOverShareOrder
 from rosemarynotch._internal.policy.routing import TwoChoicesRouter
 from rosemarynotch._internal.policy.shares import ShareTable
+from rosemarynotch._internal.policy.shares import WeightedMaxMin
 from rosemarynotch._internal.targets.client import TargetClient
 from rosemarynotch._internal.targets.health import HealthTable
 from rosemarynotch._internal.utils.addresses import parse_address
@@ -115,6 +116,7 @@
             jobs=jobs,
             submission_type=JobSubmission,
             metrics=process.metrics,
+            max_requests=self._settings.caller_threads - RESERVED_THREADS,
         )
         process.exchange.set_forward_handler(forwarder.handle_forward)
         host, port = self._caller
@@ -138,7 +140,12 @@
             process.exchange.send_limit_changed,
         )
         self._shares = ShareTable(
-            process.in_force, process.fleet, process.members, process.clock
+            me.name,
+            WeightedMaxMin(),
+            process.clock,
+            self._pool_slots,
+            self._team_share,
+            self._entry_names,
         )
         self._health = HealthTable(process.clock)
         self._dispatcher = Dispatcher(
@@ -153,9 +160,6 @@
             order=WorthOverShareOrder(),
             clock=process.clock,
             metrics=process.metrics,
-            max_inside_requests=(
-                self._settings.caller_threads - RESERVED_THREADS
-            ),
         )
         self._heartbeats = HeartbeatSource(
             process,
@@ -166,6 +170,16 @@
         )
         self._connect_admission()
 
+    def _pool_slots(self, pool: str) -> float:
+        return sum(vm.slots for _, vm in self.process.fleet.serving(pool))
+
+    def _team_share(self, name: str) -> float:
+        team = self.process.in_force.current.document.team(name)
+        return team.share if team is not None else 0.0
+
+    def _entry_names(self) -> list[str]:
+        return [member.name for member in self.process.members.entries()]
+
     def _connect_admission(self) -> None:
         process = self.process
         exchange = process.exchange
