List jobs from the table, and tell an internal error apart

The operators' port takes the job intake as it is and reads the table itself; the composed program answered 'job list' with an internal error. A change that an entry answers with an internal error may have taken effect, so the command says unknown.

--- a/src/rosemarynotch/_internal/commands/documents.py
+++ b/src/rosemarynotch/_internal/commands/documents.py
@@ -42,7 +42,7 @@
 
     :param file: the document
     """
-    answer = session.post("/v1/config/diff", {"document": _read(file)[0]})
+    answer = session.ask("/v1/config/diff", {"document": _read(file)[0]})
     lines = [f"against version {answer['version']}"]
     lines += answer["differences"] or ["no differences"]
     lines += [f"! {line}" for line in answer["consequences"]]
--- a/src/rosemarynotch/_internal/commands/session.py
+++ b/src/rosemarynotch/_internal/commands/session.py
@@ -52,7 +52,15 @@
 
         :raises CommandError: refused, or no entry answers
         """
-        return self._call("GET", path, b"")
+        return self._call("GET", path, b"", changes=False)
+
+    def ask(self, path: str, body: dict[str, Any]) -> Any:
+        """Send a body that changes nothing and return the answer.
+
+        :raises CommandError: refused, or no entry answers
+        """
+        data = json.dumps(body).encode()
+        return self._call("POST", path, data, changes=False)
 
     def post(self, path: str, body: dict[str, Any]) -> Any:
         """Send a change, which carries a change id, and return the answer.
@@ -62,9 +70,10 @@
 
         :raises CommandError: refused, unknown, or no entry answers
         """
-        return self._call("POST", path, json.dumps(body).encode())
+        data = json.dumps(body).encode()
+        return self._call("POST", path, data, changes=True)
 
-    def _call(self, method: str, path: str, body: bytes) -> Any:
+    def _call(self, method: str, path: str, body: bytes, changes: bool) -> Any:
         maybe_ran = False
         # What an entry says tells more than that another does not answer.
         refusal: CommandError | None = None
@@ -75,7 +84,7 @@
             except (OSError, http.client.HTTPException) as error:
                 silence.append(_no_answer(address, error))
                 is_refused = isinstance(error, ConnectionRefusedError)
-                maybe_ran |= method == "POST" and not is_refused
+                maybe_ran |= changes and not is_refused
                 continue
             if status == OK:
                 self._prefer(address)
@@ -83,7 +92,9 @@
             refusal = _refusal(data)
             if refusal.code in SETTLED_CODES:
                 raise refusal
-            maybe_ran |= refusal.exit is Exit.UNKNOWN
+            if refusal.exit is Exit.CONFIRMATION_NEEDED and not maybe_ran:
+                raise refusal
+            maybe_ran |= changes and refusal.exit is not Exit.REFUSED
             if status < FIRST_SERVER_ERROR and not maybe_ran:
                 raise refusal
         last = refusal or CommandError(Exit.NO_ANSWER, "\n".join(silence))
--- a/src/rosemarynotch/_internal/operators/app.py
+++ b/src/rosemarynotch/_internal/operators/app.py
@@ -6,11 +6,12 @@
 from rosemarynotch._internal.operators.changes import ConfigChanges
 from rosemarynotch._internal.operators.config_calls import ConfigCalls
 from rosemarynotch._internal.operators.fleet_calls import FleetCalls
-from rosemarynotch._internal.operators.fleet_calls import Jobs
 from rosemarynotch._internal.operators.fleet_calls import Operations
 from rosemarynotch._internal.operators.http import answer
 from rosemarynotch._internal.operators.http import find_route
 from rosemarynotch._internal.operators.http import Request
+from rosemarynotch._internal.operators.jobs import Intake
+from rosemarynotch._internal.operators.jobs import OperatorJobs
 from rosemarynotch._internal.operators.key_calls import KeyCalls
 from rosemarynotch._internal.operators.keys import OperatorKeys
 from rosemarynotch._internal.operators.observer import Observer
@@ -26,7 +27,7 @@
 
     :param keys: operators that are let in
     :param operations: the module ``control.operations``
-    :param jobs: lists and cancels jobs
+    :param jobs: the job intake of this entry
     :param is_trial: documents may be tried in this environment
     """
 
@@ -40,7 +41,7 @@
         observer: Observer,
         changes: ConfigChanges,
         operations: Operations,
-        jobs: Jobs,
+        jobs: Intake,
         metrics: Metrics,
         is_trial: bool,
     ) -> None:
@@ -51,7 +52,12 @@
             *config.routes,
             *KeyCalls(changes, config).routes,
             *FleetCalls(
-                records, in_force, fleet, observer, operations, jobs
+                records,
+                in_force,
+                fleet,
+                observer,
+                operations,
+                OperatorJobs(records, jobs),
             ).routes,
             *ReportCalls(observer, metrics).routes,
         )
--- a/src/rosemarynotch/_internal/operators/fleet_calls.py
+++ b/src/rosemarynotch/_internal/operators/fleet_calls.py
@@ -15,12 +15,13 @@
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.operators.http import Request
 from rosemarynotch._internal.operators.http import Route
+from rosemarynotch._internal.operators.jobs import OperatorJobs
 from rosemarynotch._internal.operators.observer import Observer
 from rosemarynotch._internal.operators import requests
 from rosemarynotch._internal.platform.records import Record
 from rosemarynotch._internal.platform.records import RecordStore
 
-__all__ = ["FleetCalls", "Jobs", "Operations"]
+__all__ = ["FleetCalls", "Operations"]
 
 # Each operation can be repeated with the same change id.
 ATTEMPTS = 3
@@ -73,16 +74,6 @@
         """Pause a wave; ``resume_wave`` and ``abort_wave`` are alike."""
 
 
-class Jobs(Protocol):
-    """What operators do with jobs."""
-
-    def list_jobs(self, team: str) -> list | Failure:
-        """Return the jobs of a team, or of all teams if it is empty."""
-
-    def cancel(self, team: str, job_id: str) -> None | Failure:
-        """Cancel a job; repeating it is harmless."""
-
-
 class FleetCalls:
     """Calls on the fleet record and on jobs."""
 
@@ -93,7 +84,7 @@
         fleet: FleetView,
         observer: Observer,
         operations: Operations,
-        jobs: Jobs,
+        jobs: OperatorJobs,
     ) -> None:
         self._records = records
         self._in_force = in_force
--- a/src/rosemarynotch/_internal/operators/jobs.py
+++ b/src/rosemarynotch/_internal/operators/jobs.py
@@ -14,7 +14,7 @@
 from rosemarynotch._internal.models.jobs import table_key
 from rosemarynotch._internal.platform.records import RecordStore
 
-__all__ = ["JobSummary", "OperatorJobs"]
+__all__ = ["Intake", "JobSummary", "OperatorJobs"]
 
 MAX_JOBS = 200
 
--- a/tests/functional/test_commands.py
+++ b/tests/functional/test_commands.py
@@ -16,6 +16,7 @@
 from rosemarynotch._internal.cli.operator import main
 from rosemarynotch._internal.commands.exits import Exit
 from rosemarynotch._internal.configuration import make_key
+from rosemarynotch._internal.models.jobs import JobState
 from rosemarynotch._internal.operators.server import OperatorServer
 from tests.lib.documents import TOML
 from tests.lib.operators import OPERATOR_KEY
@@ -127,6 +128,15 @@
         status, _ = self.change("drain", "s-1", "--change-id", "c7")
         self.assertEqual(Exit.DONE, status)
 
+    def test_internal_error_during_a_change_is_unknown(self):
+        broken = OperatorPort()
+        broken.app = None
+        address = self.serve(broken)
+        status, _ = self.change("drain", "s-1", entry=address)
+        self.assertEqual(Exit.UNKNOWN, status)
+        status, _ = self.run_command("report", entry=address)
+        self.assertEqual(Exit.NO_ANSWER, status)
+
     def test_entries_are_tried_in_turn(self):
         closed = socket.create_server(("127.0.0.1", 0))
         silent = f"127.0.0.1:{closed.getsockname()[1]}"
@@ -176,6 +186,7 @@
             TOML + '[[waves]]\nname = "w"\npools = ["settlement"]\n'
         )
         self.change("try", str(self.file))
+        job = self.port.add_job("harbour", 1, JobState.QUEUED)
         for words in (
             ("drain", "s-1"),
             ("undrain", "s-1"),
@@ -183,7 +194,7 @@
             ("wave", "pause", "w"),
             ("wave", "resume", "w"),
             ("wave", "abort", "w"),
-            ("job", "cancel", "j1", "--team", "harbour"),
+            ("job", "cancel", job, "--team", "harbour"),
         ):
             status, text = self.change(*words)
             self.assertEqual(Exit.DONE, status, (words, text))
@@ -194,7 +205,7 @@
             (("report",), "No promise at risk"),
             (("report", "--html"), "<pre>"),
             (("status",), "pool settlement: 2/2 VMs"),
-            (("job", "list"), "j1"),
+            (("job", "list"), job),
             (("validate", str(self.file)), "valid: 1 pools"),
             (("operator-key", "bert"), "bert:k1:"),
         ):
--- a/tests/lib/operators.py
+++ b/tests/lib/operators.py
@@ -4,6 +4,7 @@
 import json
 import random
 
+from rosemarynotch._internal.admission.jobs import JobIntake
 from rosemarynotch._internal.configuration import FleetView
 from rosemarynotch._internal.configuration import Follower
 from rosemarynotch._internal.configuration import Freshness
@@ -11,7 +12,11 @@
 from rosemarynotch._internal.configuration import make_key
 from rosemarynotch._internal.configuration import MembersView
 from rosemarynotch._internal.control import operations
-from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.models.jobs import job_id_of
+from rosemarynotch._internal.models.jobs import JobRow
+from rosemarynotch._internal.models.jobs import JobShard
+from rosemarynotch._internal.models.jobs import shard_of
+from rosemarynotch._internal.models.jobs import table_key
 from rosemarynotch._internal.models.messages import Heartbeat
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import Member
@@ -32,29 +37,11 @@
 from tests.lib.clocks import ManualClock
 from tests.lib.stores import MemoryStore
 
-__all__ = ["FakeJobs", "OperatorPort"]
+__all__ = ["OPERATOR_KEY", "OperatorPort"]
 
 OPERATOR_KEY, OPERATOR_SPEC = make_key("anna", "k1")
 
 
-class FakeJobs:
-    """Jobs of one team."""
-
-    def __init__(self) -> None:
-        self.cancelled: list[str] = []
-
-    def list_jobs(self, team):
-        """Return one job."""
-        return [{"job_id": "j1", "team": team or "harbour"}]
-
-    def cancel(self, team, job_id):
-        """Cancel the job of :meth:`list_jobs`."""
-        if job_id != "j1":
-            return failures.JOB_UNKNOWN.because(job_id)
-        self.cancelled.append(job_id)
-        return None
-
-
 class OperatorPort:
     """The application of one entry, with the store of an environment."""
 
@@ -68,7 +55,8 @@
         self.follower = Follower(
             records, self.in_force, self.fleet, members, freshness, clock
         )
-        self.metrics, self.jobs = Metrics(), FakeJobs()
+        self.records, self.metrics = records, Metrics()
+        self.jobs = JobIntake(records, self.in_force, "entry-1.i", clock)
         me = Member(
             name="entry-1",
             kind=MemberKind.ENTRY,
@@ -147,6 +135,32 @@
         body = {"change_id": f"c{number}", "operator": "anna", "reason": "r"}
         return self.call("POST", path, {**body, **fields})
 
+    def add_job(self, team, number, state):
+        """Add a job to the table.
+
+        :returns: its id
+        """
+        job_id = job_id_of(team, str(number))
+        row = JobRow(
+            team=team,
+            queue="q",
+            cores=1,
+            memory_mb=1,
+            accelerators=0,
+            payload="",
+            idempotent=True,
+            accepted_at_s=number,
+            state=state,
+        )
+        self.records.update(
+            table_key(shard_of(job_id)),
+            JobShard,
+            JobShard(),
+            lambda shard: JobShard(jobs={**shard.jobs, job_id: row}),
+            compressed=True,
+        )
+        return job_id
+
     def _heartbeat(self):
         return Heartbeat(
             sender="entry-1",
--- a/tests/unit/test_operator_app.py
+++ b/tests/unit/test_operator_app.py
@@ -1,28 +1,14 @@
 """Contract of the operators' port."""
 
-import random
-
-import attrs
 import testtools
 
-from rosemarynotch._internal.admission.jobs import JobIntake
-from rosemarynotch._internal.configuration import InForce
 from rosemarynotch._internal.configuration import make_key
 from rosemarynotch._internal.exceptions import JOB_UNKNOWN
-from rosemarynotch._internal.models.jobs import job_id_of
-from rosemarynotch._internal.models.jobs import JobRow
-from rosemarynotch._internal.models.jobs import JobShard
 from rosemarynotch._internal.models.jobs import JobState
-from rosemarynotch._internal.models.jobs import shard_of
-from rosemarynotch._internal.models.jobs import table_key
 from rosemarynotch._internal.operators import OperatorJobs
-from rosemarynotch._internal.platform.records import RecordStore
-from standins.kv import KeyValue
-from tests.lib.clocks import ManualClock
 from tests.lib.documents import TOML
 from tests.lib.operators import OperatorPort
 from tests.lib.stores import Fault
-from tests.lib.stores import MemoryStore
 
 WITH_KEY = TOML.replace(
     "share = 2,",
@@ -245,10 +231,13 @@
         self.assertEqual([], status["findings"])
         _, metrics = self.port.call("GET", "/v1/metrics")
         self.assertEqual(1, metrics["summaries"]["wait{team=<a>}"]["count"])
+        job = self.port.add_job("market", 1, JobState.QUEUED)
         _, jobs = self.port.call("GET", "/v1/jobs?team=market")
-        self.assertEqual("market", jobs["jobs"][0]["team"])
-        self.port.change("/v1/jobs/j1/cancel", team="harbour")
-        self.assertEqual(["j1"], self.port.jobs.cancelled)
+        self.assertEqual([job], [item["job_id"] for item in jobs["jobs"]])
+        path = f"/v1/jobs/{job}/cancel"
+        status, _ = self.port.change(path, team="market")
+        self.assertEqual(200, status)
+        self.assertEqual(1, len(self.port.store.keys("jobs/batches/")))
 
 
 class OperatorJobsTest(testtools.TestCase):
@@ -256,11 +245,8 @@
 
     def setUp(self):
         super().setUp()
-        clock = ManualClock()
-        store = MemoryStore(KeyValue())
-        records = RecordStore(store, clock, random.Random(1))
-        self.intake = JobIntake(records, InForce(), "entry-1.i", clock)
-        self.jobs = OperatorJobs(records, self.intake)
+        port = OperatorPort()
+        self.jobs = OperatorJobs(port.records, port.jobs)
         for number, (team, state) in enumerate(
             (
                 ("harbour", JobState.DONE),
@@ -268,27 +254,7 @@
                 ("harbour", JobState.QUEUED),
             )
         ):
-            job_id = job_id_of(team, str(number))
-            row = JobRow(
-                team=team,
-                queue="q",
-                cores=1,
-                memory_mb=1,
-                accelerators=0,
-                payload="",
-                idempotent=True,
-                accepted_at_s=number,
-                state=state,
-            )
-            records.update(
-                table_key(shard_of(job_id)),
-                JobShard,
-                JobShard(),
-                lambda shard, row=row, job_id=job_id: attrs.evolve(
-                    shard, jobs={**shard.jobs, job_id: row}
-                ),
-                compressed=True,
-            )
+            port.add_job(team, number, state)
 
     def test_open_jobs_come_first(self):
         states = [job.state for job in self.jobs.list_jobs("")]
