--- a/src/rosemarynotch/_internal/commands/session.py
+++ b/src/rosemarynotch/_internal/commands/session.py
@@ -52,7 +52,15 @@
 
         :raises CommandError: refused, or no entry answers
         """
-        return self._call("GET", path, b"")
+        return self._call("GET", path, b"", changes=False)
+
+    def ask(self, path: str, body: dict[str, Any]) -> Any:
+        """Send a body that changes nothing and return the answer.
+
+        :raises CommandError: refused, or no entry answers
+        """
+        data = json.dumps(body).encode()
+        return self._call("POST", path, data, changes=False)
 
     def post(self, path: str, body: dict[str, Any]) -> Any:
         """Send a change, which carries a change id, and return the answer.
@@ -62,30 +70,34 @@
 
         :raises CommandError: refused, unknown, or no entry answers
         """
-        return self._call("POST", path, json.dumps(body).encode())
+        data = json.dumps(body).encode()
+        return self._call("POST", path, data, changes=True)
 
-    def _call(self, method: str, path: str, body: bytes) -> Any:
+    def _call(self, method: str, path: str, body: bytes, changes: bool) -> Any:
         maybe_ran = False
-        last = CommandError(Exit.NO_ANSWER, "no entry answers")
+        # What an entry says tells more than that another does not answer.
+        refusal: CommandError | None = None
+        silence: list[str] = []
         for address in tuple(self._addresses):
             try:
                 status, data = self._exchange(address, method, path, body)
-            except ConnectionRefusedError as error:
-                last = _no_answer(address, error)
-                continue
             except (OSError, http.client.HTTPException) as error:
-                last = _no_answer(address, error)
-                maybe_ran |= method == "POST"
+                silence.append(_no_answer(address, error))
+                is_refused = isinstance(error, ConnectionRefusedError)
+                maybe_ran |= changes and not is_refused
                 continue
             if status == OK:
                 self._prefer(address)
                 return data
-            last = _refusal(data)
-            if last.code in SETTLED_CODES:
-                raise last
-            maybe_ran |= last.exit is Exit.UNKNOWN
+            refusal = _refusal(data)
+            if refusal.code in SETTLED_CODES:
+                raise refusal
+            if refusal.exit is Exit.CONFIRMATION_NEEDED and not maybe_ran:
+                raise refusal
+            maybe_ran |= changes and refusal.exit is not Exit.REFUSED
             if status < FIRST_SERVER_ERROR and not maybe_ran:
-                raise last
+                raise refusal
+        last = refusal or CommandError(Exit.NO_ANSWER, "\n".join(silence))
         if maybe_ran:
             raise CommandError(Exit.UNKNOWN, f"not known: {last.text}")
         raise last
@@ -122,10 +134,9 @@
             raise http.client.HTTPException("malformed answer") from error
 
 
-def _no_answer(address: tuple[str, int], error: Exception) -> CommandError:
-    why = str(error) or type(error).__name__
+def _no_answer(address: tuple[str, int], error: Exception) -> str:
     host, port = address
-    return CommandError(Exit.NO_ANSWER, f"{host}:{port}: {why}")
+    return f"{host}:{port}: {str(error) or type(error).__name__}"
 
 
 def _refusal(data: Any) -> CommandError:
--- a/tests/functional/test_commands.py
+++ b/tests/functional/test_commands.py
@@ -16,6 +16,7 @@
 from rosemarynotch._internal.cli.operator import main
 from rosemarynotch._internal.commands.exits import Exit
 from rosemarynotch._internal.configuration import make_key
+from rosemarynotch._internal.models.jobs import JobState
 from rosemarynotch._internal.operators.server import OperatorServer
 from tests.lib.documents import TOML
 from tests.lib.operators import OPERATOR_KEY
@@ -127,6 +128,15 @@
         status, _ = self.change("drain", "s-1", "--change-id", "c7")
         self.assertEqual(Exit.DONE, status)
 
+    def test_internal_error_during_a_change_is_unknown(self):
+        broken = OperatorPort()
+        broken.app = None
+        address = self.serve(broken)
+        status, _ = self.change("drain", "s-1", entry=address)
+        self.assertEqual(Exit.UNKNOWN, status)
+        status, _ = self.run_command("report", entry=address)
+        self.assertEqual(Exit.NO_ANSWER, status)
+
     def test_entries_are_tried_in_turn(self):
         closed = socket.create_server(("127.0.0.1", 0))
         silent = f"127.0.0.1:{closed.getsockname()[1]}"
@@ -144,6 +154,11 @@
             entry = ",".join(filter(None, (entries, more)))
             status, text = self.change("drain", "s-1", entry=entry)
             self.assertEqual(wanted, status, text)
+        self.port.store.fault = Fault.DOWN
+        entry = f"{self.address},127.0.0.1:1"
+        status, text = self.change("drain", "s-2", entry=entry)
+        self.assertEqual(Exit.REFUSED, status)
+        self.assertIn("store-unavailable", text)
         status, _ = self.run_command("report", entry="127.0.0.1:1")
         self.assertEqual(Exit.NO_ANSWER, status)
 
@@ -171,6 +186,7 @@
             TOML + '[[waves]]\nname = "w"\npools = ["settlement"]\n'
         )
         self.change("try", str(self.file))
+        job = self.port.add_job("harbour", 1, JobState.QUEUED)
         for words in (
             ("drain", "s-1"),
             ("undrain", "s-1"),
@@ -178,7 +194,7 @@
             ("wave", "pause", "w"),
             ("wave", "resume", "w"),
             ("wave", "abort", "w"),
-            ("job", "cancel", "j1", "--team", "harbour"),
+            ("job", "cancel", job, "--team", "harbour"),
         ):
             status, text = self.change(*words)
             self.assertEqual(Exit.DONE, status, (words, text))
@@ -189,7 +205,7 @@
             (("report",), "No promise at risk"),
             (("report", "--html"), "<pre>"),
             (("status",), "pool settlement: 2/2 VMs"),
-            (("job", "list"), "j1"),
+            (("job", "list"), job),
             (("validate", str(self.file)), "valid: 1 pools"),
             (("operator-key", "bert"), "bert:k1:"),
         ):
@@ -207,6 +223,7 @@
             (("report",), {"key": bad_key}, Exit.REFUSED),
             (("validate", str(self.file)), {}, Exit.REFUSED),
             (("validate", "/nowhere"), {}, Exit.BAD_USAGE),
+            (("operator-key", "a:b"), {}, Exit.BAD_USAGE),
         ):
             status, text = self.run_command(*words, **fields)
             self.assertEqual(wanted, status, (words, text))
--- a/tests/unit/test_operator_app.py
+++ b/tests/unit/test_operator_app.py
@@ -1,28 +1,14 @@
 """Contract of the operators' port."""
 
-import random
-
-import attrs
 import testtools
 
-from rosemarynotch._internal.admission.jobs import JobIntake
-from rosemarynotch._internal.configuration import InForce
 from rosemarynotch._internal.configuration import make_key
 from rosemarynotch._internal.exceptions import JOB_UNKNOWN
-from rosemarynotch._internal.models.jobs import job_id_of
-from rosemarynotch._internal.models.jobs import JobRow
-from rosemarynotch._internal.models.jobs import JobShard
 from rosemarynotch._internal.models.jobs import JobState
-from rosemarynotch._internal.models.jobs import shard_of
-from rosemarynotch._internal.models.jobs import table_key
 from rosemarynotch._internal.operators import OperatorJobs
-from rosemarynotch._internal.platform.records import RecordStore
-from standins.kv import KeyValue
-from tests.lib.clocks import ManualClock
 from tests.lib.documents import TOML
 from tests.lib.operators import OperatorPort
 from tests.lib.stores import Fault
-from tests.lib.stores import MemoryStore
 
 WITH_KEY = TOML.replace(
     "share = 2,",
@@ -33,60 +19,41 @@
 FLEET = {"change_id": "c1", "operator": "anna", "reason": "r"}
 DOCUMENT = {**FLEET, "expected_version": 0, "document": TOML}
 
+TRY, ROLLBACK = "/v1/config/try", "/v1/config/rollback"
+
+
+def document(**fields):
+    return {**DOCUMENT, **fields}
+
+
+def fleet(**fields):
+    return {**FLEET, **fields}
+
+
 # (method, path, body, status, code)
 REFUSED = (
     ("GET", "/v1/nothing", None, 400, "request-malformed"),
     ("POST", "/v1/config", {}, 400, "request-malformed"),
-    ("POST", "/v1/config/try", b"{", 400, "request-malformed"),
-    ("POST", "/v1/config/try", [], 400, "request-malformed"),
-    ("POST", "/v1/config/try", FLEET, 400, "request-malformed"),
-    ("POST", "/v1/config/try", b" " * 1048577, 413, "body-too-large"),
-    (
-        "POST",
-        "/v1/config/try",
-        {**DOCUMENT, "document": "pools = 1"},
-        422,
-        "document-malformed",
-    ),
-    (
-        "POST",
-        "/v1/config/try",
-        {**DOCUMENT, "operator": "bert"},
-        401,
-        "operator-key-invalid",
-    ),
-    (
-        "POST",
-        "/v1/config/try",
-        {**DOCUMENT, "reason": " "},
-        400,
-        "request-malformed",
-    ),
-    (
-        "POST",
-        "/v1/config/try",
-        {**DOCUMENT, "change_id": "a/b"},
-        400,
-        "request-malformed",
-    ),
-    (
-        "POST",
-        "/v1/config/try",
-        {**DOCUMENT, "expected_version": 3},
-        409,
-        "version-changed",
-    ),
+    ("POST", TRY, b"{", 400, "request-malformed"),
+    ("POST", TRY, [], 400, "request-malformed"),
+    ("POST", TRY, FLEET, 400, "request-malformed"),
+    ("POST", TRY, b" " * 1048577, 413, "body-too-large"),
+    ("POST", TRY, document(document="a = 1"), 422, "document-malformed"),
+    ("POST", TRY, document(operator="bert"), 401, "operator-key-invalid"),
+    ("POST", TRY, document(reason=" "), 400, "request-malformed"),
+    ("POST", TRY, document(change_id="a/b"), 400, "request-malformed"),
+    ("POST", TRY, document(expected_version=3), 409, "version-changed"),
     (
         "POST",
         "/v1/config/promote",
-        {**DOCUMENT, "digest": "0" * 64},
+        document(digest="0" * 64),
         409,
         "document-not-tried",
     ),
     (
         "POST",
-        "/v1/config/rollback",
-        {**FLEET, "expected_version": 0, "to_version": 4},
+        ROLLBACK,
+        fleet(expected_version=0, to_version=4),
         404,
         "store-key-missing",
     ),
@@ -98,17 +65,11 @@
     (
         "POST",
         "/v1/keys/withdraw",
-        {**FLEET, "team": "x", "key_id": "k"},
+        fleet(team="x", key_id="k"),
         403,
         "team-unknown",
     ),
-    (
-        "POST",
-        "/v1/jobs/j9/cancel",
-        {**FLEET, "team": "t"},
-        404,
-        "job-unknown",
-    ),
+    ("POST", "/v1/jobs/j9/cancel", fleet(team="t"), 404, "job-unknown"),
 )
 
 
@@ -270,10 +231,13 @@
         self.assertEqual([], status["findings"])
         _, metrics = self.port.call("GET", "/v1/metrics")
         self.assertEqual(1, metrics["summaries"]["wait{team=<a>}"]["count"])
+        job = self.port.add_job("market", 1, JobState.QUEUED)
         _, jobs = self.port.call("GET", "/v1/jobs?team=market")
-        self.assertEqual("market", jobs["jobs"][0]["team"])
-        self.port.change("/v1/jobs/j1/cancel", team="harbour")
-        self.assertEqual(["j1"], self.port.jobs.cancelled)
+        self.assertEqual([job], [item["job_id"] for item in jobs["jobs"]])
+        path = f"/v1/jobs/{job}/cancel"
+        status, _ = self.port.change(path, team="market")
+        self.assertEqual(200, status)
+        self.assertEqual(1, len(self.port.store.keys("jobs/batches/")))
 
 
 class OperatorJobsTest(testtools.TestCase):
@@ -281,11 +245,8 @@
 
     def setUp(self):
         super().setUp()
-        clock = ManualClock()
-        store = MemoryStore(KeyValue())
-        records = RecordStore(store, clock, random.Random(1))
-        self.intake = JobIntake(records, InForce(), "entry-1.i", clock)
-        self.jobs = OperatorJobs(records, self.intake)
+        port = OperatorPort()
+        self.jobs = OperatorJobs(port.records, port.jobs)
         for number, (team, state) in enumerate(
             (
                 ("harbour", JobState.DONE),
@@ -293,27 +254,7 @@
                 ("harbour", JobState.QUEUED),
             )
         ):
-            job_id = job_id_of(team, str(number))
-            row = JobRow(
-                team=team,
-                queue="q",
-                cores=1,
-                memory_mb=1,
-                accelerators=0,
-                payload="",
-                idempotent=True,
-                accepted_at_s=number,
-                state=state,
-            )
-            records.update(
-                table_key(shard_of(job_id)),
-                JobShard,
-                JobShard(),
-                lambda shard, row=row, job_id=job_id: attrs.evolve(
-                    shard, jobs={**shard.jobs, job_id: row}
-                ),
-                compressed=True,
-            )
+            port.add_job(team, number, state)
 
     def test_open_jobs_come_first(self):
         states = [job.state for job in self.jobs.list_jobs("")]
