--- a/src/rosemarynotch/_internal/control/loop.py
+++ b/src/rosemarynotch/_internal/control/loop.py
@@ -6,7 +6,6 @@
 import attrs
 import logbook
 
-from rosemarynotch._internal.control.dead_members import DeadMembers
 from rosemarynotch._internal.control.failures import FailureTracker
 from rosemarynotch._internal.control.fleet import follow_document
 from rosemarynotch._internal.control.fleet import follow_list
@@ -90,9 +89,7 @@
         own_vm: str,
         clock: Clock,
         rng: random.Random,
-        dead_members: DeadMembers | None = None,
     ) -> None:
-        self._dead_members = dead_members
         self._records = records
         self._sources = sources
         self._policies = policies
@@ -144,8 +141,6 @@
             return
         if leads:
             self._step_fleet(current.document)
-            if self._dead_members is not None:
-                self._dead_members.step()
         self._jobs.step(leads, current.document, self._sources.fleet.record)
 
     def _step_fleet(self, document: Document) -> None:
--- a/src/rosemarynotch/_internal/wiring/control.py
+++ b/src/rosemarynotch/_internal/wiring/control.py
@@ -6,7 +6,6 @@
 import logbook
 
 from rosemarynotch._internal.admission.permits import Permits
-from rosemarynotch._internal.control.dead_members import DeadMembers
 from rosemarynotch._internal.control.jobs import JobKeeper
 from rosemarynotch._internal.control.leadership import Leadership
 from rosemarynotch._internal.control.loop import ControlLoop
@@ -14,7 +13,6 @@
 from rosemarynotch._internal.control.loop import Policies
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.records import Member
-from rosemarynotch._internal.platform.lost_vms import LostVms
 from rosemarynotch._internal.policy.moves import HysteresisMoves
 from rosemarynotch._internal.policy.moves import MovePolicy
 from rosemarynotch._internal.policy.moves import NoMoves
@@ -128,18 +126,15 @@
             waves=WAVE_POLICIES[settings.wave_policy](),
             moves=MOVE_POLICIES[settings.move_policy](),
         )
-        lost_vms = LostVms(process.vms, settings.member.vm, process.clock)
         return ControlLoop(
             process.records,
             sources,
             policies,
             Leadership(process.records.store, process.clock, holder),
             jobs,
+            settings.member.vm,
             process.clock,
             process.rng,
-            DeadMembers(
-                process.records, process.members, lost_vms, process.clock
-            ),
         )
 
     def _connect(self, jobs: JobKeeper) -> None:
--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -14,10 +14,8 @@
 from rosemarynotch._internal.callers.forwarding import Forwarder
 from rosemarynotch._internal.callers.running import RequestRunner
 from rosemarynotch._internal.callers.server import CallerServer
-from rosemarynotch._internal.configuration import check_key
 from rosemarynotch._internal.control import operations
 from rosemarynotch._internal.exceptions import Failure
-from rosemarynotch._internal.models.jobs import JobSubmission
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.operators.app import OperatorApp
 from rosemarynotch._internal.operators.changes import ConfigChanges
@@ -146,10 +144,8 @@
         app = CallerApp(
             in_force=process.in_force,
             freshness=process.freshness,
-            check_key=check_key,
             forwarder=forwarder,
             jobs=jobs,
-            submission_type=JobSubmission,
             metrics=process.metrics,
             max_requests=self._settings.caller_threads - RESERVED_THREADS,
         )
