--- a/src/rosemarynotch/_internal/commands/jobs.py
+++ b/src/rosemarynotch/_internal/commands/jobs.py
@@ -16,10 +16,12 @@
     :param team: only the jobs of this team
     """
     answer = session.get(f"/v1/jobs?team={team}")
-    lines = [
-        " ".join(str(value) for value in job.values() if value != "")
-        for job in answer["jobs"]
-    ]
+    lines = []
+    for job in answer["jobs"]:
+        words = [job["state"], job["team"], job["queue"], job["worker"]]
+        if job["reason"] not in ("", job["state"]):
+            words.append(job["reason"])
+        lines += [" ".join(filter(None, words)), f"  {job['job_id']}"]
     output.show(answer, "\n".join(lines) or "no jobs")
 
 
