--- a/src/rosemarynotch/_internal/cli/control.py
+++ b/src/rosemarynotch/_internal/cli/control.py
@@ -50,9 +50,10 @@
     )
     check_choice("move-policy", move_policy, control.MOVE_POLICIES)
     check_choice("wave-policy", wave_policy, control.WAVE_POLICIES)
-    set_up_program_logs("control", name, log_level)
+    incarnation = set_up_program_logs("control", name, log_level)
     member = MemberSettings(
         name=name,
+        incarnation=incarnation,
         kind=MemberKind.CONTROL,
         vm=vm,
         vm_instance=vm_instance,
--- a/src/rosemarynotch/_internal/cli/entry.py
+++ b/src/rosemarynotch/_internal/cli/entry.py
@@ -79,9 +79,10 @@
         )
     if balancer_notice_s < 0:
         raise SettingsError("balancer-notice-s: must not be negative")
-    set_up_program_logs("entry", name, log_level)
+    incarnation = set_up_program_logs("entry", name, log_level)
     member = MemberSettings(
         name=name,
+        incarnation=incarnation,
         kind=MemberKind.ENTRY,
         vm=vm,
         vm_instance=vm_instance,
--- a/src/rosemarynotch/_internal/cli/programs.py
+++ b/src/rosemarynotch/_internal/cli/programs.py
@@ -3,6 +3,7 @@
 import signal
 import threading
 
+from rosemarynotch._internal.configuration import new_incarnation
 from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.utils.addresses import parse_address
 from rosemarynotch._internal.utils.logs import set_up_logs
@@ -34,15 +35,18 @@
         raise SettingsError(f"{setting}: {value!r} is not one of {known}")
 
 
-def set_up_program_logs(component: str, name: str, level: str) -> None:
+def set_up_program_logs(component: str, name: str, level: str) -> str:
     """Send log lines to standard error.
 
+    :returns: the incarnation of this process, which each line carries
     :raises SettingsError: if the level is unknown
     """
+    incarnation = new_incarnation()
     try:
-        set_up_logs(component, name, level)
+        set_up_logs(component, f"{name}.{incarnation}", level)
     except LookupError:
         raise SettingsError(f"log-level: {level!r} is unknown") from None
+    return incarnation
 
 
 def stop_event() -> threading.Event:
--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -4,7 +4,6 @@
 
 import attrs
 import logbook
-from waitress.server import create_server
 
 from rosemarynotch._internal.admission.dispatch import Dispatcher
 from rosemarynotch._internal.admission.idempotency import IdempotencyTable
@@ -21,6 +20,7 @@
 from rosemarynotch._internal.operators.changes import ConfigChanges
 from rosemarynotch._internal.operators.keys import OperatorKeys
 from rosemarynotch._internal.operators.observer import Observer
+from rosemarynotch._internal.operators import OperatorServer
 from rosemarynotch._internal.policy.local_shares import LocalShares
 from rosemarynotch._internal.policy.ordering import FifoOrder
 from rosemarynotch._internal.policy.ordering import OrderPolicy
@@ -49,7 +49,6 @@
     "SHARE_POLICIES",
 ]
 
-OPERATOR_THREADS = 4
 # Threads for refusals, job endpoints and the probe while requests wait.
 RESERVED_THREADS = 16
 SHARES_PERIOD_S = 1.0
@@ -276,9 +275,7 @@
             is_trial=self._settings.is_trial,
         )
         host, port = self._operator
-        self._operator_server = create_server(
-            app, host=host, port=port, threads=OPERATOR_THREADS, ident=None
-        )
+        self._operator_server = OperatorServer(app, host, port)
 
     def _start(self) -> None:
         self.process.start()
@@ -287,9 +284,7 @@
         threading.Thread(
             target=self._update_shares, name="shares", daemon=True
         ).start()
-        threading.Thread(
-            target=self._operator_server.run, name="operators", daemon=True
-        ).start()
+        self._operator_server.start()
         self._server.start()
 
     def _update_shares(self) -> None:
@@ -305,4 +300,4 @@
         self.process.stop(self._permits.stop)
         self._stopped.set()
         self._dispatcher.stop()
-        self._operator_server.close()
+        self._operator_server.stop()
--- a/src/rosemarynotch/_internal/wiring/process.py
+++ b/src/rosemarynotch/_internal/wiring/process.py
@@ -14,7 +14,6 @@
 from rosemarynotch._internal.configuration import InForce
 from rosemarynotch._internal.configuration import Membership
 from rosemarynotch._internal.configuration import MembersView
-from rosemarynotch._internal.configuration import new_incarnation
 from rosemarynotch._internal.configuration import PauseGuard
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import VM_UNKNOWN
@@ -44,6 +43,7 @@
     """Settings that entry and control share."""
 
     name: str
+    incarnation: str
     kind: MemberKind
     vm: str
     vm_instance: str
@@ -102,7 +102,7 @@
         me = Member(
             name=settings.name,
             kind=settings.kind,
-            incarnation=new_incarnation(),
+            incarnation=settings.incarnation,
             vm=settings.vm,
             vm_instance=instance,
             data_centre=settings.data_centre,
