Free the slot of a late answer, and refuse what cannot finish in time

Cause: at overload, requests were sent just before their deadline, timed out, and their slot stayed taken for the longest run time of 30 s. Ruled out: the load tool and the targets, whose ledger showed idle slots.

Now a connection that timed out before the first byte of its answer is watched, and the slot is freed when the answer begins; a request whose expected run time passes its deadline is refused as not run.

--- a/src/rosemarynotch/_internal/admission/dispatch.py
+++ b/src/rosemarynotch/_internal/admission/dispatch.py
@@ -191,7 +191,7 @@
         with self._lock:
             ended = self._holds.take_ended(now_s)
             for grant in ended:
-                self._free(grant, now_s - grant.started_s, served=False)
+                self._free(grant, now_s - grant.started_s)
         for grant in ended:
             self._permits.release(grant.team)
         self.pump()
@@ -220,8 +220,9 @@
             self._pools[queue.pool] = pool
         ahead = pool.queues.length(team, queue.urgent)
         wait_s = pool.slots.estimated_wait_s(team, ahead)
-        if waiter.arrived_s + wait_s > waiter.deadline_s:
-            reason = f"estimated wait {wait_s * 1000:.0f} ms"
+        run_s = pool.slots.expected_run_s(team)
+        if waiter.arrived_s + wait_s + run_s > waiter.deadline_s:
+            reason = f"estimated wait and run {(wait_s + run_s) * 1000:.0f} ms"
             return failures.DEADLINE_UNREACHABLE.because(reason)
         if not pool.queues.add(waiter):
             return failures.QUEUE_FULL.because(queue.name)
@@ -253,8 +254,16 @@
         """Return why a waiting request must not start any more, if so."""
         if waiter.gone():
             return failures.CALLER_GONE
-        if self._clock.monotonic_s() >= waiter.deadline_s:
+        now_s = self._clock.monotonic_s()
+        if now_s >= waiter.deadline_s:
             return failures.DEADLINE_PASSED.because("while queued")
+        run_s = self._pools[waiter.queue.pool].slots.expected_run_s(
+            waiter.request.team
+        )
+        if now_s + run_s > waiter.deadline_s:
+            # It would use a slot for an answer that comes too late.
+            reason = f"runs for about {run_s * 1000:.0f} ms"
+            return failures.DEADLINE_UNREACHABLE.because(reason)
         return recheck(waiter, self._in_force.current, self._freshness)
 
     def _drop(self, waiter, refusal):
@@ -311,6 +320,7 @@
                 started_s=self._clock.monotonic_s(),
                 finish=self._finish,
                 hold=self._hold,
+                end_hold=self._end_hold,
             )
         )
         return True
@@ -325,20 +335,33 @@
         served = not isinstance(outcome, Failure) and outcome.status < 500
         with self._lock:
             self._inside -= 1
-            self._free(grant, run_ms / 1000, served)
+            self._free(grant, run_ms / 1000, served, ended=served)
         self._permits.release(grant.team)
         with self._lock:
             self._pump(self._pools[grant.pool])
 
     def _hold(self, grant, duration_ms):
-        end_s = self._clock.monotonic_s() + duration_ms / 1000
+        now_s = self._clock.monotonic_s()
         with self._lock:
             self._inside -= 1
-            self._holds.add(grant, end_s)
+            # The late answer may have come since the time-out.
+            wait_s = 0.0 if grant.has_ended else duration_ms / 1000
+            self._holds.add(grant, now_s + wait_s)
+
+    def _end_hold(self, grant):
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            if not self._holds.end(grant):
+                grant.has_ended = True
+                return
+            self._free(grant, now_s - grant.started_s, ended=True)
+        self._permits.release(grant.team)
+        with self._lock:
+            self._pump(self._pools[grant.pool])
 
-    def _free(self, grant, run_s, served):
+    def _free(self, grant, run_s, served=False, ended=False):
         slots = self._pools[grant.pool].slots
-        slots.stop(grant.team, grant.urgent, grant.worth, run_s, served)
+        slots.stop(grant.team, grant.urgent, grant.worth, run_s, served, ended)
         left = self._in_flight[grant.vm] - 1
         if left:
             self._in_flight[grant.vm] = left
--- a/src/rosemarynotch/_internal/admission/grants.py
+++ b/src/rosemarynotch/_internal/admission/grants.py
@@ -17,6 +17,8 @@
     The holder calls :meth:`finish` or :meth:`hold` once; later calls have
     no effect.
 
+    :ivar is_held: guarded by the dispatcher's lock
+    :ivar has_ended: the late answer came before :meth:`hold`; guarded alike
     :ivar vm: name of the target VM
     :ivar address: host and port of the target
     """
@@ -30,7 +32,10 @@
     started_s: float
     _finish: Callable[["Grant", Answer | Failure, float], None]
     _hold: Callable[["Grant", float], None]
+    _end_hold: Callable[["Grant"], None]
     is_open: bool = True
+    is_held: bool = False
+    has_ended: bool = False
 
     def finish(self, outcome: Answer | Failure, run_ms: float) -> None:
         """Free the slot and the permit: the request does not run any more.
@@ -47,3 +52,7 @@
         if self.is_open:
             self.is_open = False
             self._hold(self, duration_ms)
+
+    def end_hold(self) -> None:
+        """Free slot and permit early: the target has answered after all."""
+        self._end_hold(self)
--- a/src/rosemarynotch/_internal/admission/slots.py
+++ b/src/rosemarynotch/_internal/admission/slots.py
@@ -21,6 +21,7 @@
 
     :ivar recent_worth: served worth, which fades out
     :ivar running_worth: worth of what runs
+    :ivar mean_run_s: run time of its recent requests, late ones included
     """
 
     running: int = 0
@@ -30,6 +31,7 @@
     slot_s: float = 0.0
     recent_worth: float = 0.0
     updated_s: float = 0.0
+    mean_run_s: float = 0.0
 
 
 class PoolSlots:
@@ -47,7 +49,6 @@
         self._shares = shares
         self._clock = clock
         self.teams: dict[str, TeamUse] = {}
-        self.mean_run_s = 0.0
 
     @property
     def running(self) -> int:
@@ -98,9 +99,19 @@
         use.running_worth += worth
 
     def stop(
-        self, team: str, urgent: bool, worth: float, run_s: float, served: bool
+        self,
+        team: str,
+        urgent: bool,
+        worth: float,
+        run_s: float,
+        served: bool,
+        ended: bool,
     ) -> None:
-        """Count a request that ended or that no longer holds its slot."""
+        """Count a request that ended or that no longer holds its slot.
+
+        :param served: it was answered in time
+        :param ended: the target has answered, so ``run_s`` is its run time
+        """
         use = self.use(team)
         use.running -= 1
         use.urgent_running -= urgent
@@ -109,7 +120,9 @@
         if served:
             use.served_worth += worth
             use.recent_worth += worth
-            self._learn(run_s)
+        if ended:
+            mean_s = use.mean_run_s or run_s
+            use.mean_run_s = mean_s + RUN_TIME_WEIGHT * (run_s - mean_s)
 
     def estimated_wait_s(self, team: str, ahead: int) -> float:
         """Return how long a request waits behind others of its team."""
@@ -117,7 +130,16 @@
             return 0.0
         slots = self._shares.slots(self._pool, team)
         parallel = max(1.0, slots, self.use(team).running)
-        return ahead * self.mean_run_s / parallel
+        return ahead * self.use(team).mean_run_s / parallel
+
+    def expected_run_s(self, team: str) -> float:
+        """Return how long a request of a team runs.
+
+        It is 0 while nothing of the team runs: one request is let through
+        even if it seems hopeless, so that a change for the better shows.
+        """
+        use = self.use(team)
+        return use.mean_run_s if use.running else 0.0
 
     def _over_share(self):
         return sum(
@@ -134,9 +156,3 @@
 
     def _slots_of(self, team):
         return self._shares.slots(self._pool, team)
-
-    def _learn(self, run_s):
-        if not self.mean_run_s:
-            self.mean_run_s = run_s
-        else:
-            self.mean_run_s += RUN_TIME_WEIGHT * (run_s - self.mean_run_s)
--- a/src/rosemarynotch/_internal/callers/running.py
+++ b/src/rosemarynotch/_internal/callers/running.py
@@ -13,6 +13,7 @@
 from rosemarynotch._internal.models.messages import Answer
 from rosemarynotch._internal.models.messages import CallerRequest
 from rosemarynotch._internal.targets.answers import is_not_run
+from rosemarynotch._internal.targets.client import LateWatch
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["RequestRunner"]
@@ -91,7 +92,10 @@
             grant.finish(result, 0.0)
             return result
         try:
-            result = self._client.send(grant.address, request, timeout_s)
+            late = LateWatch(
+                queue.longest_run_ms / 1000 - timeout_s, grant.end_hold
+            )
+            result = self._client.send(grant.address, request, timeout_s, late)
         except BaseException:
             grant.hold(queue.longest_run_ms)
             raise
--- a/src/rosemarynotch/_internal/targets/client.py
+++ b/src/rosemarynotch/_internal/targets/client.py
@@ -2,15 +2,19 @@
 
 import http.client
 import threading
+from typing import Callable
+
+import attrs
 
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.messages import Answer
 from rosemarynotch._internal.models.messages import CallerRequest
 from rosemarynotch._internal.targets.connection import TargetConnection
+from rosemarynotch._internal.targets.late import LateAnswers
 from rosemarynotch._internal.utils.clock import Clock
 
-__all__ = ["MAX_ANSWER_BYTES", "TargetClient"]
+__all__ = ["LateWatch", "MAX_ANSWER_BYTES", "TargetClient"]
 
 MAX_ANSWER_BYTES = 1024 * 1024
 # Within one data centre a connection takes about 2 ms. A VM that does not
@@ -27,6 +31,18 @@
 )
 
 
+@attrs.frozen
+class LateWatch:
+    """What to do when the answer does not come in time.
+
+    :ivar wait_s: time after the time-out for which the request may run
+    :ivar on_answer: called when the target answers after all
+    """
+
+    wait_s: float
+    on_answer: Callable[[], None]
+
+
 class TargetClient:
     """Keeps connections to targets, each with one request at a time.
 
@@ -35,17 +51,23 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._late = LateAnswers(clock)
         self._lock = threading.Lock()
         self._idle: dict[str, list[TargetConnection]] = {}
         self._last_sweep_s = clock.monotonic_s()
 
     def send(
-        self, address: str, request: CallerRequest, timeout_s: float
+        self,
+        address: str,
+        request: CallerRequest,
+        timeout_s: float,
+        late: LateWatch | None = None,
     ) -> Answer | Failure:
         """Send a request and read the whole answer.
 
         :param address: host and port of the target
         :param timeout_s: bound on the whole exchange
+        :param late: what to do about an answer that comes later
         :returns: the answer as the target sent it; TARGET_UNREACHABLE when
             nothing was sent; TARGET_TIMEOUT or ANSWER_TRUNCATED when the
             request may have run
@@ -59,9 +81,9 @@
             connection.begin_exchange(timeout_s)
             result, reusable = self._exchange(connection, request)
         except TimeoutError:
-            result = failures.TARGET_TIMEOUT.because(address)
-            reusable = False
             self._forget(address)
+            self._leave(connection, late)
+            return failures.TARGET_TIMEOUT.because(address)
         except (OSError, http.client.HTTPException) as error:
             reason = f"{address}: {type(error).__name__}"
             result = failures.ANSWER_TRUNCATED.because(reason)
@@ -75,6 +97,13 @@
             connection.close()
         return result
 
+    def _leave(self, connection, late):
+        """Stop waiting for an answer, or let it be waited for."""
+        if late is None or not connection.sock.awaits_answer:
+            connection.close()
+            return
+        self._late.watch(connection, late.wait_s, late.on_answer)
+
     def close_idle(self, max_idle_s: float = MAX_IDLE_S) -> None:
         """Close connections that have been idle for too long."""
         before_s = self._clock.monotonic_s() - max_idle_s
@@ -141,6 +170,7 @@
 
     def _exchange(self, connection, request):
         _send(connection, request)
+        connection.sock.awaits_answer = True
         response = connection.getresponse()
         problem = _delimiter_problem(response, request.method)
         if problem:
--- a/src/rosemarynotch/_internal/targets/connection.py
+++ b/src/rosemarynotch/_internal/targets/connection.py
@@ -38,9 +38,11 @@
             self._socket.bound(socket.SO_RCVTIMEO)
         self._first = False
         try:
-            return self._socket.recv_into(buffer)
+            count = self._socket.recv_into(buffer)
         except BlockingIOError:
             raise TimeoutError("timed out") from None
+        self._socket.awaits_answer = False
+        return count
 
 
 class AnswerReader(io.BufferedReader):
@@ -59,12 +61,15 @@
 class TargetSocket(socket.socket):
     """A blocking socket whose exchange has to end at a point in time.
 
+    :ivar awaits_answer: a whole request was sent, and no byte has come back
+
     Its bounds are kept by the kernel. With the time-outs of Python each
     read and write would be two system calls, and the interpreter lock is
     given up for each.
     """
 
     end_s = 0.0
+    awaits_answer = False
 
     def bound(self, option: int) -> None:
         """Set SO_RCVTIMEO or SO_SNDTIMEO to the time that is left.
