--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -4,7 +4,6 @@
 
 import attrs
 import logbook
-from waitress.server import create_server
 
 from rosemarynotch._internal.admission.dispatch import Dispatcher
 from rosemarynotch._internal.admission.idempotency import IdempotencyTable
@@ -14,17 +13,25 @@
 from rosemarynotch._internal.callers.forwarding import Forwarder
 from rosemarynotch._internal.callers.running import RequestRunner
 from rosemarynotch._internal.callers.server import CallerServer
-from rosemarynotch._internal.configuration import check_key
 from rosemarynotch._internal.control import operations
 from rosemarynotch._internal.exceptions import Failure
-from rosemarynotch._internal.models.jobs import JobSubmission
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.operators.app import OperatorApp
 from rosemarynotch._internal.operators.changes import ConfigChanges
 from rosemarynotch._internal.operators.keys import OperatorKeys
 from rosemarynotch._internal.operators.observer import Observer
+from rosemarynotch._internal.operators import OperatorServer
+from rosemarynotch._internal.policy.local_shares import LocalShares
+from rosemarynotch._internal.policy.ordering import FifoOrder
+from rosemarynotch._internal.policy.ordering import OrderPolicy
+from rosemarynotch._internal.policy.ordering import RoundRobinOrder
 from rosemarynotch._internal.policy.ordering import WorthOverShareOrder
+from rosemarynotch._internal.policy.routing import LeastInFlightRouter
+from rosemarynotch._internal.policy.routing import RandomRouter
+from rosemarynotch._internal.policy.routing import Router
 from rosemarynotch._internal.policy.routing import TwoChoicesRouter
+from rosemarynotch._internal.policy.shares import EqualSplit
+from rosemarynotch._internal.policy.shares import SharePolicy
 from rosemarynotch._internal.policy.shares import ShareTable
 from rosemarynotch._internal.policy.shares import WeightedMaxMin
 from rosemarynotch._internal.targets.client import TargetClient
@@ -34,15 +41,37 @@
 from rosemarynotch._internal.wiring.process import MemberProcess
 from rosemarynotch._internal.wiring.process import MemberSettings
 
-__all__ = ["Entry", "EntrySettings"]
+__all__ = [
+    "Entry",
+    "EntrySettings",
+    "ORDERS",
+    "ROUTERS",
+    "SHARE_POLICIES",
+]
 
-OPERATOR_THREADS = 4
 # Threads for refusals, job endpoints and the probe while requests wait.
 RESERVED_THREADS = 16
 SHARES_PERIOD_S = 1.0
 # Time between log lines while requests hold up a stop.
 STOP_POLL_S = 10.0
 
+LOCAL_SHARES = "local"
+SHARE_POLICIES: dict[str, type[SharePolicy] | None] = {
+    "max-min": WeightedMaxMin,
+    "equal": EqualSplit,
+    LOCAL_SHARES: None,
+}
+ORDERS: dict[str, type[OrderPolicy]] = {
+    "worth-over-share": WorthOverShareOrder,
+    "fifo": FifoOrder,
+    "round-robin": RoundRobinOrder,
+}
+ROUTERS: dict[str, type[Router]] = {
+    "two-choices": TwoChoicesRouter,
+    "least-in-flight": LeastInFlightRouter,
+    "random": RandomRouter,
+}
+
 _log = logbook.Logger(__name__)
 
 
@@ -60,6 +89,9 @@
     caller_listen: str
     operator_keys: str
     caller_threads: int
+    share_policy: str
+    order: str
+    router: str
     balancer_notice_s: float
 
 
@@ -111,10 +143,8 @@
         app = CallerApp(
             in_force=process.in_force,
             freshness=process.freshness,
-            check_key=check_key,
             forwarder=forwarder,
             jobs=jobs,
-            submission_type=JobSubmission,
             metrics=process.metrics,
             max_requests=self._settings.caller_threads - RESERVED_THREADS,
         )
@@ -139,14 +169,7 @@
             process.rng,
             process.exchange.send_limit_changed,
         )
-        self._shares = ShareTable(
-            me.name,
-            WeightedMaxMin(),
-            process.clock,
-            self._pool_slots,
-            self._team_share,
-            self._entry_names,
-        )
+        self._shares = self._share_table(me.name)
         self._health = HealthTable(process.clock)
         self._dispatcher = Dispatcher(
             in_force=process.in_force,
@@ -156,8 +179,8 @@
             permits=self._permits,
             shares=self._shares,
             health=self._health,
-            router=TwoChoicesRouter(process.rng),
-            order=WorthOverShareOrder(),
+            router=ROUTERS[self._settings.router](process.rng),
+            order=ORDERS[self._settings.order](),
             clock=process.clock,
             metrics=process.metrics,
         )
@@ -170,6 +193,18 @@
         )
         self._connect_admission()
 
+    def _share_table(self, name: str) -> ShareTable | LocalShares:
+        if self._settings.share_policy == LOCAL_SHARES:
+            return LocalShares(self._pool_slots, self._entry_names)
+        return ShareTable(
+            name,
+            SHARE_POLICIES[self._settings.share_policy](),
+            self.process.clock,
+            self._pool_slots,
+            self._team_share,
+            self._entry_names,
+        )
+
     def _pool_slots(self, pool: str) -> float:
         return sum(vm.slots for _, vm in self.process.fleet.serving(pool))
 
@@ -240,9 +275,7 @@
             is_trial=self._settings.is_trial,
         )
         host, port = self._operator
-        self._operator_server = create_server(
-            app, host=host, port=port, threads=OPERATOR_THREADS, ident=None
-        )
+        self._operator_server = OperatorServer(app, host, port)
 
     def _start(self) -> None:
         self.process.start()
@@ -251,9 +284,7 @@
         threading.Thread(
             target=self._update_shares, name="shares", daemon=True
         ).start()
-        threading.Thread(
-            target=self._operator_server.run, name="operators", daemon=True
-        ).start()
+        self._operator_server.start()
         self._server.start()
 
     def _update_shares(self) -> None:
@@ -269,4 +300,4 @@
         self.process.stop(self._permits.stop)
         self._stopped.set()
         self._dispatcher.stop()
-        self._operator_server.close()
+        self._operator_server.stop()
