--- a/src/rosemarynotch/_internal/admission/slots.py
+++ b/src/rosemarynotch/_internal/admission/slots.py
@@ -74,16 +74,21 @@
     def may_start(self, team: str, urgent: bool, reserve: int) -> bool:
         """Tell whether a slot is there for one more request of a team.
 
-        :param reserve: slots of this entry that are kept for urgent work;
-            they are not part of the shares
+        :param reserve: slots of this entry's part of the pool that are
+            kept for urgent work
         """
         use = self.use(team)
         if urgent:
             urgent_running = self.urgent_running
-            if urgent_running >= self._urgent_bound():
+            if urgent_running >= max(1, int(self._part() / 2)):
                 return False
             if urgent_running < reserve:
                 return True
+        elif reserve:
+            # An entry whose part is all reserve still runs one request.
+            others = self.running - self.urgent_running
+            if others + 1 > max(1, self._part() - reserve):
+                return False
         slots = self._shares.slots(self._pool, team)
         if use.running + 1 <= slots + EPSILON:
             return True
@@ -126,11 +131,10 @@
             if use.running
         )
 
-    def _urgent_bound(self):
-        """Return half of this entry's part of the pool, at least 1."""
+    def _part(self):
+        """Return this entry's part of the pool."""
         slots = sum(self._slots_of(team) for team in self.teams)
-        spare = self._shares.spare_slots(self._pool)
-        return max(1, int((slots + spare) / 2))
+        return slots + self._shares.spare_slots(self._pool)
 
     def _slots_of(self, team):
         return self._shares.slots(self._pool, team)
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -194,13 +194,13 @@
             grant.finish(ANSWER, 1.0)
         self.assertEqual({}, self.dispatcher.running_by_vm())
 
-    def run_saturated(self, rounds, work):
+    def run_saturated(self, rounds, work, running):
         """Run full queues; return how many requests of each kind ran.
 
         :param work: queue and team of each request that always waits
+        :param running: grants of the requests that run at the start
         """
         served = []
-        running = self.fill(4, team="red") + self.fill(4, team="blue")
         for row in work * 3:
             self.enter_later(remaining_ms=10**6, **row)
         for _ in range(rounds):
@@ -223,17 +223,33 @@
         self.start(current=attrs.evolve(now, teams=teams))
         self.entry.shares.spare = 8.0
         work = [{"team": "red"}, {"team": "blue"}]
-        served = self.run_saturated(200, work)
+        running = self.fill(4, team="red") + self.fill(4, team="blue")
+        served = self.run_saturated(200, work, running)
         self.assertTrue(
             2.7 < served["red", False] / served["blue", False] < 3.3
         )
 
+    def test_reserve_is_left_to_urgent_work(self):
+        self.start(current=document(reserve=2))
+        self.entry.shares.spare = 8.0
+        grants = self.fill(6)
+        thread = self.enter_later()
+        grants += [self.enter(queue="rush") for _ in range(2)]
+        self.assertTrue(all(isinstance(grant, Grant) for grant in grants))
+        grants[-1].finish(ANSWER, 1.0)
+        self.assertEqual(1, self.queued())
+        grants[0].finish(ANSWER, 1.0)
+        thread.join(10)
+        self.assertIsInstance(self.results[0], Grant)
+
     def test_urgent_work_goes_first_and_starves_nobody(self):
         self.start(current=document(reserve=2))
         self.entry.shares.by_team = {"red": 4.0, "blue": 4.0}
         self.entry.shares.spare = 0.0
         work = [{"team": "red"}, {"team": "blue"}]
         work += [{"team": "red", "queue": "rush"}]
-        served = self.run_saturated(200, work)
+        running = self.fill(2) + self.fill(3, team="blue") + self.fill(1)
+        running += self.fill(2, queue="rush")
+        served = self.run_saturated(200, work, running)
         self.assertTrue(served["red", True] >= 80, served)
         self.assertTrue(served["blue", False] >= 80, served)
