--- a/src/rosemarynotch/_internal/peers/exchange.py
+++ b/src/rosemarynotch/_internal/peers/exchange.py
@@ -12,8 +12,6 @@
 
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import PEER_UNREACHABLE
-from rosemarynotch._internal.exceptions import SHUTTING_DOWN
-from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models.messages import DocumentAnswer
 from rosemarynotch._internal.models.messages import DocumentRequest
@@ -23,17 +21,16 @@
 from rosemarynotch._internal.models.messages import LimitChanged
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.models.records import MemberKind
-from rosemarynotch._internal.peers.heard import Heard
 from rosemarynotch._internal.peers.heard import HeardMember
+from rosemarynotch._internal.peers.inbox import Inbox
 from rosemarynotch._internal.peers.link import Link
-from rosemarynotch._internal.peers.rows import HeartbeatDecoder
 from rosemarynotch._internal.peers.rows import HeartbeatEncoder
 from rosemarynotch._internal.peers.server import Server
+from rosemarynotch._internal.peers.timing import LinkTiming
 from rosemarynotch._internal.peers.timing import Timing
 from rosemarynotch._internal.peers.wire import join_beat
 from rosemarynotch._internal.peers.wire import Kind
 from rosemarynotch._internal.peers.wire import Message
-from rosemarynotch._internal.peers.wire import split_beat
 
 if TYPE_CHECKING:
     from rosemarynotch._internal.configuration import MembersView
@@ -47,20 +44,6 @@
 _log = logbook.Logger(__name__)
 
 
-@attrs.frozen
-class _LinkTiming:
-    """The times of a link, which follow the number of members."""
-
-    timing: Timing
-    members: "MembersView"
-
-    def beat_s(self) -> float:
-        return self.timing.period_for(len(self.members.record.members))
-
-    def silence_s(self) -> float:
-        return self.timing.silence_for(len(self.members.record.members))
-
-
 class Exchange:
     """Heartbeats, forwards and hints between this process and its peers.
 
@@ -84,10 +67,12 @@
         self._clock = clock
         self._metrics = metrics
         self._timing = timing or Timing()
-        self._link_timing = _LinkTiming(self._timing, members)
-        self._heard = Heard(members, clock)
+        self._link_timing = LinkTiming(self._timing, members)
+        self._inbox = Inbox(members, clock, metrics, self._note_echo)
         self._context = zmq.Context()
-        self._server = Server(self._context, metrics, self._take, self._answer)
+        self._server = Server(
+            self._context, metrics, self._inbox.take, self._inbox.answer
+        )
         self._address = ""
         self._lock = threading.Lock()
         self._links: dict[str, Link] = {}
@@ -98,17 +83,11 @@
             target=self._tick, name="heartbeats", daemon=True
         )
         self._encoder = HeartbeatEncoder()
-        self._decoder = HeartbeatDecoder()
         # Numbers start at random, so that a peer does not acknowledge those
         # of this start of the process with one of an earlier start.
         self._beat_number = 1 + secrets.randbelow(FIRST_BEAT_LIMIT)
-        self._heard_beats: dict[str, int] = {}
-        self._outdated_senders = False
         self._source: Callable[[], Heartbeat] | None = None
-        self._on_forward: Callable[[Forward], ForwardAnswer] | None = None
-        self._on_document = _no_document
-        self._on_heartbeat: tuple[Callable[[Heartbeat], None], ...] = ()
-        self._on_limit: tuple[Callable[[str], None], ...] = ()
+        self._on_sent: tuple[Callable[[Heartbeat], None], ...] = ()
 
     def bind(self) -> str:
         """Bind the peer address, before this member is registered.
@@ -152,23 +131,30 @@
         self, callback: Callable[[Heartbeat], None]
     ) -> None:
         """Call back with each heartbeat that is taken."""
-        self._on_heartbeat += (callback,)
+        self._inbox.on_heartbeat += (callback,)
+
+    def add_sent_listener(self, callback: Callable[[Heartbeat], None]) -> None:
+        """Call back with each own heartbeat, with the rows that peers know.
+
+        It runs on the thread that sends heartbeats.
+        """
+        self._on_sent += (callback,)
 
     def set_forward_handler(
         self, callback: Callable[[Forward], ForwardAnswer]
     ) -> None:
         """Set what runs forwarded requests, on a worker thread."""
-        self._on_forward = callback
+        self._inbox.on_forward = callback
 
     def set_document_source(
         self, callback: Callable[[int], DocumentAnswer | Failure]
     ) -> None:
         """Set what answers a peer that asks for a configuration."""
-        self._on_document = callback
+        self._inbox.on_document = callback
 
     def add_limit_listener(self, callback: Callable[[str], None]) -> None:
         """Call back with the team whose limit record has changed."""
-        self._on_limit += (callback,)
+        self._inbox.on_limit += (callback,)
 
     def hasten(self) -> None:
         """Send a heartbeat at once, or soon after the previous one."""
@@ -208,7 +194,7 @@
 
     def heard(self) -> dict[str, HeardMember]:
         """Return the last heartbeat of each member and its age."""
-        return self._heard.members()
+        return self._inbox.heard.members()
 
     def connected(self) -> list[str]:
         """Return the members that acknowledge heartbeats."""
@@ -230,51 +216,6 @@
             return decoded.after_start()
         return decoded
 
-    def _take(self, message: Message) -> None:
-        if message.kind is Kind.HEARTBEAT:
-            self._take_heartbeat(message)
-        elif message.kind is Kind.LIMIT_CHANGED:
-            hint = codec.decode(message.body, LimitChanged)
-            if not isinstance(hint, Failure):
-                for callback in self._on_limit:
-                    callback(hint.team)
-
-    def _take_heartbeat(self, message: Message) -> None:
-        heartbeat = self._decoder.decode(message.body, self._heard.accepts)
-        if heartbeat is None:
-            self._metrics.count("peer_heartbeats_refused")
-            return
-        self._heard.keep(heartbeat)
-        if self._outdated_senders:
-            self._outdated_senders = False
-            self._decoder.keep_only(self._members.record.members)
-        beat, echo = split_beat(message.request_id)
-        self._heard_beats[heartbeat.sender] = beat
-        link = self._links.get(heartbeat.sender)
-        if link is not None:
-            link.note_echo(echo)
-        for callback in self._on_heartbeat:
-            callback(heartbeat)
-
-    def _answer(self, message: Message) -> Message | Failure:
-        if message.kind is Kind.DOCUMENT_REQUEST:
-            request = codec.decode(message.body, DocumentRequest)
-            if isinstance(request, Failure):
-                return request
-            answer = self._on_document(request.version)
-            kind = Kind.DOCUMENT_ANSWER
-        else:
-            request = codec.decode(message.body, Forward)
-            if isinstance(request, Failure):
-                return request
-            if self._on_forward is None:
-                return SHUTTING_DOWN.because("takes no requests of peers")
-            answer = self._on_forward(request)
-            kind = Kind.FORWARD_ANSWER
-        if isinstance(answer, Failure):
-            return answer
-        return Message(kind, message.request_id, codec.encode(answer))
-
     def _tick(self) -> None:
         hasten_s = self._timing.hasten_s
         while self._running:
@@ -289,7 +230,11 @@
         if self._source is None:
             return
         try:
-            body = self._encoder.encode(self._source())
+            heartbeat = self._source()
+            body = self._encoder.encode(heartbeat)
+            rows = self._encoder.sent_rows()
+            for callback in self._on_sent:
+                callback(attrs.evolve(heartbeat, demand=rows))
         except Exception:
             self._metrics.count("peer_handler_errors")
             _log.exception("error in the source of heartbeats")
@@ -298,7 +243,7 @@
         with self._lock:
             links = list(self._links.values())
         for link in links:
-            echo = self._heard_beats.get(link.peer.name, 0)
+            echo = self._inbox.last_beat(link.peer.name)
             request_id = join_beat(self._beat_number, echo)
             link.send(Message(Kind.HEARTBEAT, request_id, body))
 
@@ -324,20 +269,24 @@
                     self._open(member)
         for link in outdated:
             link.stop()
-        self._heard.forget_others()
-        self._outdated_senders = True
+        self._inbox.follow_members()
 
     def _needs(self, member: Member) -> bool:
         """Tell whether to send to a member; controls do not need controls."""
         kinds = (self._me.kind, member.kind)
         return kinds != (MemberKind.CONTROL, MemberKind.CONTROL)
 
+    def _note_echo(self, name: str, beat: int) -> None:
+        link = self._links.get(name)
+        if link is not None:
+            link.note_echo(beat)
+
     def _on_connected(self) -> None:
         self._encoder.send_complete()
         self.hasten()
 
     def _open(self, member: Member) -> None:
-        self._heard_beats.pop(member.name, None)
+        self._inbox.forget(member.name)
         link = Link(
             self._context,
             member,
@@ -348,7 +297,3 @@
         )
         self._links[member.name] = link
         link.start()
-
-
-def _no_document(version: int) -> Failure:
-    return STORE_KEY_MISSING.because(f"version {version} not known")
--- a/src/rosemarynotch/_internal/peers/rows.py
+++ b/src/rosemarynotch/_internal/peers/rows.py
@@ -2,28 +2,39 @@
 
 Heartbeats are most of what a process sends, and their size is mostly demand
 rows. So names of pools and teams are sent once and then referred to by
-number, and a row is sent only when it has changed. Receivers keep the last
+number, and a row is sent only when it has changed; when many have, those
+with large changes and those sent long ago go first. Receivers keep the last
 row. What a receiver misses is repeated by the next complete heartbeat.
 """
 
 from typing import Callable
+import zlib
 
 import attrs
 
 from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import RECORD_MALFORMED
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models.messages import DemandRow
 from rosemarynotch._internal.models.messages import Heartbeat
 
 __all__ = ["HeartbeatDecoder", "HeartbeatEncoder"]
 
-# A change of the demand that is sent at once.
+# A change of the demand that goes before smaller ones.
 CHANGE_REQUESTS = 2
 CHANGE_PART = 0.25
-# Smaller changes, and counters, are sent every so many heartbeats.
-REFRESH_BEATS = 4
-# A heartbeat with all names and rows repairs what was lost on the way.
-COMPLETE_BEATS = 16
+# Rows in a heartbeat. As the period grows with the number of members, this
+# bounds what a process spends on heartbeats to about 3 KB/s. Up to so many
+# active teams, every row is sent every time.
+ROWS_LIMIT = 16
+# A heartbeat with all names and rows repairs what was lost on the way. One
+# is also sent when a connection is new.
+COMPLETE_BEATS = 64
+# Compression of shorter heartbeats gains nothing.
+COMPRESS_BYTES = 128
+DEFLATE = {"level": 9, "wbits": -15}
+# Far more than all rows of 122 pools and 45 teams.
+LARGEST_BYTES = 1024 * 1024
 
 Key = tuple[str, str]
 # Pool and team by number, queued, running, worth in thousandths, slot time
@@ -45,6 +56,9 @@
     tuple[str, ...],  # short teams
     tuple[str, ...],  # ejected VMs
 ]
+# The first byte of an encoded heartbeat.
+PLAIN = b"\0"
+DEFLATED = b"\1"
 # An age beyond what matters; an infinite age has no number.
 LARGEST_AGE_S = 1e6
 
@@ -65,6 +79,10 @@
         """Let the next heartbeat be complete, for a new receiver."""
         self._complete = True
 
+    def sent_rows(self) -> tuple[DemandRow, ...]:
+        """Return the rows as receivers know them after the last encoding."""
+        return tuple(row for row, _ in self._sent.values())
+
     def encode(self, heartbeat: Heartbeat) -> bytes:
         """Encode a heartbeat."""
         complete = self._complete or self._beat % COMPLETE_BEATS == 0
@@ -82,7 +100,7 @@
             )
             for row in self._choose(heartbeat.demand, complete)
         ]
-        return codec.encode(
+        data = codec.encode(
             (
                 heartbeat.sender,
                 heartbeat.incarnation,
@@ -100,6 +118,10 @@
                 heartbeat.ejected_vms,
             )
         )
+        if len(data) < COMPRESS_BYTES:
+            return PLAIN + data
+        packer = zlib.compressobj(**DEFLATE)
+        return DEFLATED + packer.compress(data) + packer.flush()
 
     def _number(self, name: str) -> int:
         return self._numbers.setdefault(name, len(self._numbers))
@@ -114,14 +136,17 @@
                 rows[key] = attrs.evolve(
                     row, queued_requests=0, running_requests=0
                 )
-        chosen = []
+        changed = []
         for key, row in rows.items():
             last, beat = self._sent.get(key, (None, 0))
-            due = self._beat - beat >= REFRESH_BEATS
-            if complete or last is None or _has_changed(row, last, due):
-                self._sent[key] = (row, self._beat)
-                chosen.append(row)
-        return chosen
+            if complete or row != last:
+                large = last is None or _has_changed_much(row, last)
+                changed.append((not large, beat, key))
+        if not complete:
+            changed = sorted(changed)[:ROWS_LIMIT]
+        for _, _, key in changed:
+            self._sent[key] = (rows[key], self._beat)
+        return [rows[key] for _, _, key in changed]
 
 
 class HeartbeatDecoder:
@@ -139,7 +164,7 @@
             incarnation must not change the rows that are kept
         :returns: None if it is malformed or not accepted
         """
-        plain = codec.decode(data, _Layout)
+        plain = _decode(data)
         if isinstance(plain, Failure):
             return None
         name, incarnation, sequence, members, config, fleet, age_ms = plain[:7]
@@ -200,11 +225,20 @@
             )
 
 
-def _has_changed(row: DemandRow, last: DemandRow, due: bool) -> bool:
+def _decode(data: bytes) -> tuple | Failure:
+    body = data[1:]
+    if data[:1] == DEFLATED:
+        unpacker = zlib.decompressobj(DEFLATE["wbits"])
+        try:
+            body = unpacker.decompress(body, LARGEST_BYTES)
+        except zlib.error as error:
+            return RECORD_MALFORMED.because(str(error))
+    return codec.decode(body, _Layout)
+
+
+def _has_changed_much(row: DemandRow, last: DemandRow) -> bool:
     demand = row.queued_requests + row.running_requests
     before = last.queued_requests + last.running_requests
     if (demand == 0) != (before == 0):
         return True
-    if abs(demand - before) > max(CHANGE_REQUESTS, CHANGE_PART * before):
-        return True
-    return due and row != last
+    return abs(demand - before) > max(CHANGE_REQUESTS, CHANGE_PART * before)
--- a/src/rosemarynotch/_internal/policy/shares.py
+++ b/src/rosemarynotch/_internal/policy/shares.py
@@ -38,6 +38,8 @@
 # Slot-seconds with the mean worth of the pool that are added to what a team
 # used, so that its first few answers do not decide its weight.
 PRIOR_SLOT_S = 2.0
+# Sums of parts that make up a whole slot may end just below it.
+ROUNDING = 1e-9
 
 Key = tuple[str, str]
 
@@ -60,6 +62,11 @@
     rows: dict[Key, DemandRow] = attrs.field(factory=dict)
     counters: dict[Key, tuple[float, float]] = attrs.field(factory=dict)
 
+    def take(self, rows: tuple[DemandRow, ...], now_s: float) -> None:
+        """Replace the rows."""
+        self.heard_s = now_s
+        self.rows = {(row.pool, row.team): row for row in rows}
+
 
 class ShareTable:
     """Computes what this entry may run, from own and heard demand rows.
@@ -89,6 +96,7 @@
         self._team_share = team_share
         self._entries = entries
         self._lock = threading.Lock()
+        self._counts_sent = False
         self._table: dict[str, _Entry] = {name: _Entry()}
         self._buckets: collections.deque = collections.deque()
         self._window: dict[Key, _Usage] = {}
@@ -126,7 +134,10 @@
         """Take the demand of this entry and renew its slots."""
         with self._lock:
             now_s = self._clock.monotonic_s()
-            self._take(self._name, "", own, now_s)
+            entry = self._table[self._name]
+            entry.take(own, now_s)
+            if not self._counts_sent:
+                self._count(entry, own)
             if now_s >= self._compute_due_s:
                 self._compute(now_s)
                 cost_s = self._clock.monotonic_s() - now_s
@@ -137,22 +148,32 @@
     def note_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take the demand of another entry."""
         with self._lock:
-            self._take(
-                heartbeat.sender,
-                heartbeat.incarnation,
-                heartbeat.demand,
-                self._clock.monotonic_s(),
-            )
+            now_s = self._clock.monotonic_s()
+            entry = self._entry(heartbeat.sender, heartbeat.incarnation)
+            entry.take(heartbeat.demand, now_s)
+            self._count(entry, heartbeat.demand)
+
+    def note_sent(self, heartbeat: Heartbeat) -> None:
+        """Take the own counters as other entries know them.
+
+        The own counters are newer than those of others. If each entry used
+        them, its teams would seem to have got more than others, each would
+        take less than its part, and slots would stay unused.
+        """
+        with self._lock:
+            self._counts_sent = True
+            self._count(self._table[self._name], heartbeat.demand)
 
-    def _take(self, name, incarnation, rows, now_s) -> None:
-        entry = self._table.setdefault(name, _Entry())
-        if entry.incarnation != incarnation:
+    def _entry(self, name: str, incarnation: str) -> _Entry:
+        entry = self._table.get(name)
+        if entry is None or entry.incarnation != incarnation:
             # The counters of a new incarnation start from 0.
-            entry.counters = {}
-            entry.incarnation = incarnation
-        entry.heard_s = now_s
-        entry.rows = {(row.pool, row.team): row for row in rows}
-        for key, row in entry.rows.items():
+            entry = self._table[name] = _Entry(incarnation)
+        return entry
+
+    def _count(self, entry: _Entry, rows: tuple[DemandRow, ...]) -> None:
+        for row in rows:
+            key = (row.pool, row.team)
             counters = (row.served_worth, row.slot_s)
             worth, slot_s = entry.counters.get(key, counters)
             entry.counters[key] = counters
@@ -261,10 +282,6 @@
         self._slots, self._carry = slots, carry
 
 
-# Sums of parts that make up a whole slot may end just below it.
-ROUNDING = 1e-9
-
-
 def _deficit(usage: _Usage, served_part: float) -> float:
     """Return the part of the due worth that a team did not get.
 
