Measure served worth as a rate, whatever the period of heartbeats

Counters arrive in lumps of a period, which disturbed the deficits when the period was a good part of the window. The warm-up of the trial is 40 s now instead of 10 s, as the window has to fill and with 12 s the entries had not heard of each other.

--- a/src/rosemarynotch/_internal/policy/shares.py
+++ b/src/rosemarynotch/_internal/policy/shares.py
@@ -14,6 +14,9 @@
 from rosemarynotch._internal.policy.allocation import SharePolicy
 from rosemarynotch._internal.policy.allocation import TeamDemand
 from rosemarynotch._internal.policy.allocation import WeightedMaxMin
+from rosemarynotch._internal.policy.usage import EntryUsage
+from rosemarynotch._internal.policy.usage import Key
+from rosemarynotch._internal.policy.usage import WINDOW_S
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = [
@@ -25,8 +28,6 @@
     "WeightedMaxMin",
 ]
 
-# Worth and deficit are taken from this much of the past.
-WINDOW_S = 30.0
 BUCKET_S = 1.0
 # Rows of an entry that is not heard are used for this time, then its equal
 # part of each pool is left to it.
@@ -41,32 +42,6 @@
 # Sums of parts that make up a whole slot may end just below it.
 ROUNDING = 1e-9
 
-Key = tuple[str, str]
-
-
-@attrs.define
-class _Usage:
-    """Worth and slot-seconds of one (pool, team) over all entries."""
-
-    worth: float = 0.0
-    slot_s: float = 0.0
-    due_worth: float = 0.0
-
-
-@attrs.define
-class _Entry:
-    """The newest rows of one entry, by (pool, team)."""
-
-    incarnation: str = ""
-    heard_s: float = -math.inf
-    rows: dict[Key, DemandRow] = attrs.field(factory=dict)
-    counters: dict[Key, tuple[float, float]] = attrs.field(factory=dict)
-
-    def take(self, rows: tuple[DemandRow, ...], now_s: float) -> None:
-        """Replace the rows."""
-        self.heard_s = now_s
-        self.rows = {(row.pool, row.team): row for row in rows}
-
 
 class ShareTable:
     """Computes what this entry may run, from own and heard demand rows.
@@ -97,10 +72,10 @@
         self._entries = entries
         self._lock = threading.Lock()
         self._counts_sent = False
-        self._table: dict[str, _Entry] = {name: _Entry()}
+        self._table: dict[str, EntryUsage] = {name: EntryUsage()}
         self._buckets: collections.deque = collections.deque()
-        self._window: dict[Key, _Usage] = {}
-        self._bucket: dict[Key, _Usage] = {}
+        self._due_worth: collections.Counter = collections.Counter()
+        self._bucket: collections.Counter = collections.Counter()
         self._bucket_s = clock.monotonic_s()
         self._computed_s = -math.inf
         self._compute_due_s = -math.inf
@@ -137,7 +112,7 @@
             entry = self._table[self._name]
             entry.take(own, now_s)
             if not self._counts_sent:
-                self._count(entry, own)
+                entry.count(own, now_s)
             if now_s >= self._compute_due_s:
                 self._compute(now_s)
                 cost_s = self._clock.monotonic_s() - now_s
@@ -151,7 +126,7 @@
             now_s = self._clock.monotonic_s()
             entry = self._entry(heartbeat.sender, heartbeat.incarnation)
             entry.take(heartbeat.demand, now_s)
-            self._count(entry, heartbeat.demand)
+            entry.count(heartbeat.demand, now_s)
 
     def note_sent(self, heartbeat: Heartbeat) -> None:
         """Take the own counters as other entries know them.
@@ -162,31 +137,16 @@
         """
         with self._lock:
             self._counts_sent = True
-            self._count(self._table[self._name], heartbeat.demand)
+            now_s = self._clock.monotonic_s()
+            self._table[self._name].count(heartbeat.demand, now_s)
 
-    def _entry(self, name: str, incarnation: str) -> _Entry:
+    def _entry(self, name: str, incarnation: str) -> EntryUsage:
         entry = self._table.get(name)
         if entry is None or entry.incarnation != incarnation:
             # The counters of a new incarnation start from 0.
-            entry = self._table[name] = _Entry(incarnation)
+            entry = self._table[name] = EntryUsage(incarnation)
         return entry
 
-    def _count(self, entry: _Entry, rows: tuple[DemandRow, ...]) -> None:
-        for row in rows:
-            key = (row.pool, row.team)
-            counters = (row.served_worth, row.slot_s)
-            worth, slot_s = entry.counters.get(key, counters)
-            entry.counters[key] = counters
-            for usage in self._usages(key):
-                usage.worth += max(0.0, row.served_worth - worth)
-                usage.slot_s += max(0.0, row.slot_s - slot_s)
-
-    def _usages(self, key: Key) -> tuple[_Usage, _Usage]:
-        return (
-            self._bucket.setdefault(key, _Usage()),
-            self._window.setdefault(key, _Usage()),
-        )
-
     def _compute(self, now_s: float) -> None:
         """Allocate all pools and take this entry's fractions."""
         names = set(self._entries()) | {self._name}
@@ -210,17 +170,27 @@
         self._wanted, self._spare = {}, {}
         for pool, teams in by_pool.items():
             slots = self._pool_slots(pool) * len(known) / len(names)
-            self._compute_pool(pool, slots, teams, elapsed_s)
+            used = {
+                team: self._used(known, (pool, team), now_s) for team in teams
+            }
+            self._compute_pool(pool, slots, teams, used, elapsed_s)
             self._spare[pool] /= len(known)
 
-    def _compute_pool(self, pool, slots, teams, elapsed_s) -> None:
-        demand = PoolDemand(slots=slots, teams=self._demands(pool, teams))
+    @staticmethod
+    def _used(known, key: Key, now_s: float) -> tuple[float, float]:
+        used = [entry.used(key, now_s) for entry in known]
+        return sum(item[0] for item in used), sum(item[1] for item in used)
+
+    def _compute_pool(self, pool, slots, teams, used, elapsed_s) -> None:
+        demand = PoolDemand(
+            slots=slots, teams=self._demands(pool, teams, used)
+        )
         allocation = self._policy.allocate(demand)
         due = self._policy.allocate(_without_deficit(demand))
         for team in demand.teams:
             due_worth = due[team.team] * team.worth_per_slot_s * elapsed_s
-            for usage in self._usages((pool, team.team)):
-                usage.due_worth += due_worth
+            self._due_worth[(pool, team.team)] += due_worth
+            self._bucket[(pool, team.team)] += due_worth
         own = self._table[self._name].rows
         for team, total in teams.items():
             row = own.get((pool, team))
@@ -229,23 +199,21 @@
                 self._wanted[(pool, team)] = allocation[team] * part
         self._spare[pool] = max(0.0, slots - sum(allocation.values()))
 
-    def _demands(self, pool, teams) -> tuple[TeamDemand, ...]:
-        usages = {
-            team: self._window.get((pool, team), _Usage()) for team in teams
-        }
-        worth = sum(usage.worth for usage in usages.values())
-        slot_s = sum(usage.slot_s for usage in usages.values())
+    def _demands(self, pool, teams, used) -> tuple[TeamDemand, ...]:
+        worth = sum(used_worth for used_worth, _ in used.values())
+        slot_s = sum(used_slot_s for _, used_slot_s in used.values())
         mean = worth / slot_s if worth and slot_s else 1.0
-        due = sum(usage.due_worth for usage in usages.values())
-        served_part = worth / due if due else 0.0
+        due = {team: self._due_worth[(pool, team)] for team in teams}
+        total_due = sum(due.values())
+        served_part = worth / total_due if total_due else 0.0
         return tuple(
             TeamDemand(
                 team=team,
                 demand_slots=demand,
                 share=self._team_share(team),
-                worth_per_slot_s=(usages[team].worth + mean * PRIOR_SLOT_S)
-                / (usages[team].slot_s + PRIOR_SLOT_S),
-                deficit=_deficit(usages[team], served_part),
+                worth_per_slot_s=(used[team][0] + mean * PRIOR_SLOT_S)
+                / (used[team][1] + PRIOR_SLOT_S),
+                deficit=_deficit(due[team] * served_part, used[team][0]),
             )
             for team, demand in teams.items()
         )
@@ -255,23 +223,12 @@
         if now_s - self._bucket_s < BUCKET_S:
             return
         self._buckets.append((now_s, self._bucket))
-        self._bucket, self._bucket_s = {}, now_s
+        self._bucket, self._bucket_s = collections.Counter(), now_s
         while self._buckets and self._buckets[0][0] < now_s - WINDOW_S:
             _, old = self._buckets.popleft()
-            for key, usage in old.items():
-                total = self._window[key]
-                total.worth -= usage.worth
-                total.slot_s -= usage.slot_s
-                total.due_worth -= usage.due_worth
-        if not self._buckets or len(self._buckets) % int(WINDOW_S) == 0:
-            self._drop_unused()
-
-    def _drop_unused(self) -> None:
-        used = {key for _, bucket in self._buckets for key in bucket}
-        used |= self._bucket.keys()
-        self._window = {
-            key: usage for key, usage in self._window.items() if key in used
-        }
+            self._due_worth.subtract(old)
+        # Positive values only, which drops teams that are not active.
+        self._due_worth = +self._due_worth
 
     def _dither(self) -> None:
         slots, carry = {}, {}
@@ -282,14 +239,13 @@
         self._slots, self._carry = slots, carry
 
 
-def _deficit(usage: _Usage, served_part: float) -> float:
+def _deficit(due: float, worth: float) -> float:
     """Return the part of the due worth that a team did not get.
 
-    The worth that is due is scaled to what was served in total, since a
-    pool never delivers all of its slots.
+    :param due: scaled to what was served in total, since a pool never
+        delivers all of its slots
     """
-    due = usage.due_worth * served_part
-    return (due - usage.worth) / due if due > 0 else 0.0
+    return (due - worth) / due if due > 0 else 0.0
 
 
 def _without_deficit(demand: PoolDemand) -> PoolDemand:
--- a/src/rosemarynotch/_internal/replay/share_trial.py
+++ b/src/rosemarynotch/_internal/replay/share_trial.py
@@ -27,8 +27,9 @@
 UPDATE_STEPS = 40
 # The period of 6 entries and 6 control processes, 2.4 s.
 HEARTBEAT_STEPS = 480
-# The first part of a run is not counted.
-WARM_UP_S = 10.0
+# The first part of a run is not counted: entries first have to hear of each
+# other, and the window of the deficits has to fill.
+WARM_UP_S = 40.0
 
 
 @attrs.frozen
