--- a/experiments/setting.py
+++ b/experiments/setting.py
@@ -164,18 +164,19 @@
 
     def _start_members(self) -> None:
         shape = self.shape
-        _, operator = make_key("operator", "k")
+        self.operator_key, operator = make_key("operator", "k")
         setting = format_setting("operator", operator)
-        callers = {}
+        callers, operators = {}, {}
         for n in range(shape.entries):
             name = f"entry-{n}"
+            operators[name] = self._address()
             callers[name] = self._address()
             self.processes.start(
                 name,
                 program("rosemarynotch-entry"),
                 **self._member_flags(name, n),
                 caller_listen=callers[name],
-                operator_listen=self._address(),
+                operator_listen=operators[name],
                 operator_keys=setting,
                 balancer_notice_s=0.1,
                 **shape.entry_flags,
@@ -190,6 +191,7 @@
         for name, address in callers.items():
             self._wait_for(name, address)
         self.callers = ",".join(callers.values())
+        self.operators = list(operators.values())
 
     def _member_flags(self, name: str, number: int) -> dict[str, str]:
         return {
--- a/src/rosemarynotch/_internal/admission/dispatch.py
+++ b/src/rosemarynotch/_internal/admission/dispatch.py
@@ -289,6 +289,7 @@
         targets = self._health.usable(pool.name, serving, self._in_flight)
         if not targets:
             return False
+        pool.note_own_slots(serving, targets)
         document = self._in_force.current.document
         entries_count = len(self._members.entries())
         startable = pool.startable(heads, document, entries_count)
--- a/src/rosemarynotch/_internal/admission/pools.py
+++ b/src/rosemarynotch/_internal/admission/pools.py
@@ -10,6 +10,8 @@
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.policy.ordering import OrderPolicy
 from rosemarynotch._internal.policy.ordering import TeamTurn
+from rosemarynotch._internal.policy.routing import Candidate
+from rosemarynotch._internal.policy.routing import own_slots
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["PoolState"]
@@ -28,6 +30,17 @@
         self.queues = PoolQueues()
         self.slots = PoolSlots(name, shares, clock)
         self._order = order
+        self._shares = shares
+
+    def note_own_slots(self, serving, targets: list[Candidate]) -> None:
+        """Tell the targets how many of their slots are this entry's own.
+
+        :param serving: name and record of the VMs that serve the pool
+        """
+        start, end = self._shares.slot_range(self.name)
+        own = own_slots([(vm, rec.slots) for vm, rec in serving], start, end)
+        for target in targets:
+            target.own_slots = own.get(target.vm, 0.0)
 
     def valid_heads(
         self,
--- a/src/rosemarynotch/_internal/cli/entry.py
+++ b/src/rosemarynotch/_internal/cli/entry.py
@@ -32,7 +32,7 @@
     caller_threads: int = 512,
     share_policy: str = "max-min",
     order: str = "worth-over-share",
-    router: str = "two-choices",
+    router: str = "own-slots",
     balancer_notice_s: float = 5.0,
     log_level: str = "NOTICE",
 ) -> int:
@@ -54,7 +54,8 @@
     :param caller_threads: requests that are queued or run at the same time
     :param share_policy: max-min, or the baselines equal and local
     :param order: worth-over-share, or the baselines fifo and round-robin
-    :param router: two-choices, or the baselines least-in-flight and random
+    :param router: own-slots, or the baselines two-choices, least-in-flight
+        and random
     :param balancer_notice_s: time in seconds between failing the probe and
         closing the port at a stop
     :param log_level: lowest level of log lines
--- a/src/rosemarynotch/_internal/policy/local_shares.py
+++ b/src/rosemarynotch/_internal/policy/local_shares.py
@@ -32,8 +32,15 @@
         """Return this entry's part of the pool."""
         return self._pool_slots(pool) / max(1, len(self._entries()))
 
+    def slot_range(self, pool: str) -> tuple[float, float]:
+        """Return an empty part: no target is preferred."""
+        return 0.0, 0.0
+
     def update(self, own) -> None:
         """Ignore this entry's demand."""
 
     def note_heartbeat(self, heartbeat) -> None:
         """Ignore another entry's demand."""
+
+    def note_sent(self, heartbeat) -> None:
+        """Ignore what was sent."""
--- a/src/rosemarynotch/_internal/policy/routing.py
+++ b/src/rosemarynotch/_internal/policy/routing.py
@@ -8,6 +8,8 @@
 
 __all__ = [
     "Candidate",
+    "own_slots",
+    "OwnSlotsRouter",
     "LeastInFlightRouter",
     "RandomRouter",
     "Router",
@@ -21,6 +23,7 @@
 
     :ivar slots: requests that it may have in flight from this entry now
     :ivar recent_failures: its failures of the last seconds
+    :ivar own_slots: its slots within this entry's part of the pool
     """
 
     vm: str
@@ -28,6 +31,7 @@
     slots: int
     in_flight: int
     recent_failures: int = 0
+    own_slots: float = 0.0
 
     @property
     def load(self) -> float:
@@ -35,6 +39,24 @@
         return (self.in_flight + self.recent_failures) / self.slots
 
 
+def own_slots(
+    slots: Sequence[tuple[str, int]], start: float, end: float
+) -> dict[str, float]:
+    """Return the slots of each VM that lie within a part of the pool.
+
+    :param slots: VM and number of slots, in the order that all entries use
+    :param start: where the part begins, in slots
+    """
+    found = {}
+    before = 0.0
+    for vm, count in slots:
+        overlap = min(end, before + count) - max(start, before)
+        if overlap > 0:
+            found[vm] = overlap
+        before += count
+    return found
+
+
 class Router(abc.ABC):
     """Picks one of the targets that have a free slot."""
 
@@ -80,3 +102,25 @@
         second = (first + 1 + int(self._rng.random() * (count - 1))) % count
         one, other = candidates[first], candidates[second]
         return one if one.load <= other.load else other
+
+
+class OwnSlotsRouter(TwoChoicesRouter):
+    """The target with most of this entry's own slots free.
+
+    Entries that choose targets independently fill some beyond their slots
+    and leave others idle. Each entry has a part of the pool's slots of its
+    own instead. When its part is full, or a target there has failed, it
+    takes the less loaded of two random targets.
+    """
+
+    def pick(self, candidates):
+        """Return the candidate with most own slots free, if there is one."""
+        best = max(candidates, key=_own_free, default=None)
+        if best is not None and _own_free(best) > 0:
+            return best
+        return super().pick(candidates)
+
+
+def _own_free(candidate: Candidate) -> float:
+    used = candidate.in_flight + candidate.recent_failures
+    return candidate.own_slots - used
--- a/src/rosemarynotch/_internal/policy/shares.py
+++ b/src/rosemarynotch/_internal/policy/shares.py
@@ -83,6 +83,7 @@
         self._carry: dict[Key, float] = {}
         self._slots: dict[Key, int] = {}
         self._spare: dict[str, float] = {}
+        self._ranges: dict[str, tuple[float, float]] = {}
 
     def slots(self, pool: str, team: str) -> float:
         """Return how many requests of a team may run here.
@@ -105,6 +106,21 @@
             return self._pool_slots(pool) / max(1, len(self._entries()))
         return spare
 
+    def slot_range(self, pool: str) -> tuple[float, float]:
+        """Return this entry's part of the pool's slots, laid in a row.
+
+        The parts of all entries follow each other in order of their names,
+        so that entries which know the same rows use different slots.
+        """
+        with self._lock:
+            found = self._ranges.get(pool)
+        if found is not None:
+            return found
+        names = sorted({*self._entries(), self._name})
+        part = self._pool_slots(pool) / len(names)
+        start = names.index(self._name) * part
+        return start, start + part
+
     def update(self, own: tuple[DemandRow, ...]) -> None:
         """Take the demand of this entry and renew its slots."""
         with self._lock:
@@ -162,18 +178,20 @@
         for entry in known:
             for (pool, team), row in entry.rows.items():
                 teams = by_pool.setdefault(pool, {})
-                demand = row.queued_requests + row.running_requests
-                teams[team] = teams.get(team, 0.0) + demand
+                teams[team] = teams.get(team, 0.0) + _demand(row)
         elapsed_s = min(now_s - self._computed_s, BUCKET_S)
         self._computed_s = now_s
         self._roll(now_s)
-        self._wanted, self._spare = {}, {}
+        self._wanted, self._spare, self._ranges = {}, {}, {}
         for pool, teams in by_pool.items():
             slots = self._pool_slots(pool) * len(known) / len(names)
             used = {
                 team: self._used(known, (pool, team), now_s) for team in teams
             }
-            self._compute_pool(pool, slots, teams, used, elapsed_s)
+            allocation = self._compute_pool(
+                pool, slots, teams, used, elapsed_s
+            )
+            self._ranges[pool] = self._range(pool, teams, allocation)
             self._spare[pool] /= len(known)
 
     @staticmethod
@@ -181,7 +199,8 @@
         used = [entry.used(key, now_s) for entry in known]
         return sum(item[0] for item in used), sum(item[1] for item in used)
 
-    def _compute_pool(self, pool, slots, teams, used, elapsed_s) -> None:
+    def _compute_pool(self, pool, slots, teams, used, elapsed_s):
+        """Take this entry's fractions and return the whole allocation."""
         demand = PoolDemand(
             slots=slots, teams=self._demands(pool, teams, used)
         )
@@ -195,9 +214,26 @@
         for team, total in teams.items():
             row = own.get((pool, team))
             if row is not None and total:
-                part = (row.queued_requests + row.running_requests) / total
+                part = _demand(row) / total
                 self._wanted[(pool, team)] = allocation[team] * part
         self._spare[pool] = max(0.0, slots - sum(allocation.values()))
+        return allocation
+
+    def _range(self, pool, teams, allocation) -> tuple[float, float]:
+        """Return where this entry's part begins and ends."""
+        spare = self._spare[pool] / len(self._table)
+        start = 0.0
+        for name in sorted(self._table):
+            rows = self._table[name].rows
+            part = spare + sum(
+                allocation[team] * _demand(rows.get((pool, team))) / total
+                for team, total in teams.items()
+                if total
+            )
+            if name == self._name:
+                return start, start + part
+            start += part
+        return start, start
 
     def _demands(self, pool, teams, used) -> tuple[TeamDemand, ...]:
         worth = sum(used_worth for used_worth, _ in used.values())
@@ -239,6 +275,10 @@
         self._slots, self._carry = slots, carry
 
 
+def _demand(row: DemandRow | None) -> int:
+    return row.queued_requests + row.running_requests if row else 0
+
+
 def _deficit(due: float, worth: float) -> float:
     """Return the part of the due worth that a team did not get.
 
--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -15,6 +15,7 @@
 from rosemarynotch._internal.callers.server import CallerServer
 from rosemarynotch._internal.control import operations
 from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.messages import Heartbeat
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.operators.app import OperatorApp
 from rosemarynotch._internal.operators.changes import ConfigChanges
@@ -27,6 +28,7 @@
 from rosemarynotch._internal.policy.ordering import RoundRobinOrder
 from rosemarynotch._internal.policy.ordering import WorthOverShareOrder
 from rosemarynotch._internal.policy.routing import LeastInFlightRouter
+from rosemarynotch._internal.policy.routing import OwnSlotsRouter
 from rosemarynotch._internal.policy.routing import RandomRouter
 from rosemarynotch._internal.policy.routing import Router
 from rosemarynotch._internal.policy.routing import TwoChoicesRouter
@@ -51,7 +53,6 @@
 
 # Threads for refusals, job endpoints and the probe while requests wait.
 RESERVED_THREADS = 16
-SHARES_PERIOD_S = 1.0
 # Time between log lines while requests hold up a stop.
 STOP_POLL_S = 10.0
 
@@ -67,6 +68,7 @@
     "round-robin": RoundRobinOrder,
 }
 ROUTERS: dict[str, type[Router]] = {
+    "own-slots": OwnSlotsRouter,
     "two-choices": TwoChoicesRouter,
     "least-in-flight": LeastInFlightRouter,
     "random": RandomRouter,
@@ -106,7 +108,6 @@
             "operator-listen", settings.member.operator_listen
         )
         self.process = MemberProcess(settings.member)
-        self._stopped = threading.Event()
 
     def run(self, stopping: threading.Event) -> int:
         """Serve until the event is set; return the exit status."""
@@ -205,8 +206,18 @@
             self._entry_names,
         )
 
+    def _heartbeat_to_send(self) -> Heartbeat:
+        heartbeat = self._heartbeats()
+        self._shares.note_sent(heartbeat)
+        return heartbeat
+
     def _pool_slots(self, pool: str) -> float:
-        return sum(vm.slots for _, vm in self.process.fleet.serving(pool))
+        """Return the slots of a pool without its urgent reserve."""
+        process = self.process
+        slots = sum(vm.slots for _, vm in process.fleet.serving(pool))
+        spec = process.in_force.current.document.pool(pool)
+        reserve = spec.urgent_reserve_slots if spec is not None else 0
+        return max(0, slots - reserve)
 
     def _team_share(self, name: str) -> float:
         team = self.process.in_force.current.document.team(name)
@@ -221,7 +232,7 @@
         self._permits.set_short_source(self._dispatcher.short_teams)
         process.membership.add_listener(self._permits.restart)
         process.guard.add_revalidation(self._permits.revalidate)
-        exchange.set_heartbeat_source(self._heartbeats)
+        exchange.set_heartbeat_source(self._heartbeat_to_send)
         exchange.add_heartbeat_listener(self._permits.note_heartbeat)
         exchange.add_heartbeat_listener(self._shares.note_heartbeat)
         exchange.add_limit_listener(self._permits.note_limit_changed)
@@ -281,16 +292,9 @@
         self.process.start()
         self._permits.start()
         self._dispatcher.start()
-        threading.Thread(
-            target=self._update_shares, name="shares", daemon=True
-        ).start()
         self._operator_server.start()
         self._server.start()
 
-    def _update_shares(self) -> None:
-        while not self._stopped.wait(SHARES_PERIOD_S):
-            self._shares.update(self._dispatcher.demand())
-
     def _stop(self) -> None:
         """Stop without cutting requests (rule R8)."""
         self._server.stop(self._settings.balancer_notice_s)
@@ -298,6 +302,5 @@
         while not self._dispatcher.wait_idle(STOP_POLL_S):
             _log.notice("waiting for requests in flight")
         self.process.stop(self._permits.stop)
-        self._stopped.set()
         self._dispatcher.stop()
         self._operator_server.stop()
--- a/tests/lib/entries.py
+++ b/tests/lib/entries.py
@@ -146,6 +146,10 @@
         """Return the slots of a team."""
         return self.by_team.get(team, 0.0)
 
+    def slot_range(self, _pool):
+        """Return an empty part of the pool."""
+        return 0.0, 0.0
+
     def spare_slots(self, _pool):
         """Return the slots that nobody has."""
         return self.spare
