--- a/tests/bench/request_path.py
+++ b/tests/bench/request_path.py
@@ -118,14 +118,16 @@
     }
 
 
-def run_entry(addresses, profile_file, connection):
+def run_entry(addresses, profile_file, cpu, connection):
     """Serve one entry until told to stop."""
+    if cpu is not None:
+        os.sched_setaffinity(0, {cpu})
     if profile_file:
         from tests.bench.sampling import Sampler
 
         sampler = Sampler()
         sampler.start()
-    entry = EntryUnderTest(addresses.split(","))
+    entry = EntryUnderTest(addresses)
     entry.dispatcher.start()
     server = CallerServer(entry.app, "127.0.0.1", 0, THREADS)
     server.start()
@@ -158,13 +160,46 @@
     return processes, addresses
 
 
+def measure_entry(addresses, cpu, profile_file, seconds, work_ms):
+    """Print measurements of one entry, each next to a direct one."""
+    context = multiprocessing.get_context("spawn")
+    ours, theirs = context.Pipe()
+    entry = context.Process(
+        target=run_entry, args=(addresses, profile_file, cpu, theirs)
+    )
+    entry.start()
+    address, key = ours.recv()
+    name = "entry" if cpu is None else f"entry on processor {cpu}"
+    ways = (("direct", addresses, "/x"), (name, [address], "/s/quotes/x"))
+
+    def entry_cpu_s():
+        ours.send("cpu")
+        return ours.recv()
+
+    def compare(title, callers, rate):
+        for way, where, path in ways:
+            before_s = entry_cpu_s()
+            row = measure(where, path, callers, seconds, work_ms, rate, key)
+            row["entry_cpu_s"] = round(entry_cpu_s() - before_s, 2)
+            print(title, way, json.dumps(row), flush=True)
+        return row["per_s"]
+
+    try:
+        best = {n: compare("full", n, 0) for n in CALLERS}
+        for callers in CALLERS[1:]:
+            compare("half", callers, best[callers] / 2)
+    finally:
+        ours.send("stop")
+        entry.join()
+
+
 def main(
     *,
     targets: int = 5,
     seconds: float = 4.0,
     work_ms: float = 0.0,
     profile_file: str = "",
-    half: bool = True,
+    cpu: int = -1,
 ) -> None:
     """Print one line of JSON per measurement.
 
@@ -172,45 +207,13 @@
     :param seconds: time of each measurement
     :param work_ms: time for which a target works on a request
     :param profile_file: where the entry writes samples of its threads
-    :param half: measure also at half of the highest rate
+    :param cpu: measure also an entry that is bound to this processor
     """
     processes, addresses = start_targets(targets)
-    context = multiprocessing.get_context("spawn")
-    ours, theirs = context.Pipe()
-    entry = context.Process(
-        target=run_entry, args=(",".join(addresses), profile_file, theirs)
-    )
-    entry.start()
     try:
-        address, key = ours.recv()
-        through = [address]
-        best = {}
-        for callers in CALLERS:
-            for name, where, path in (
-                ("direct", addresses, "/x"),
-                ("entry", through, "/s/quotes/x"),
-            ):
-                ours.send("cpu")
-                before_s = ours.recv()
-                row = measure(where, path, callers, seconds, work_ms, 0, key)
-                ours.send("cpu")
-                row["entry_cpu_s"] = round(ours.recv() - before_s, 2)
-                print(name, json.dumps(row), flush=True)
-                if name == "entry":
-                    best[callers] = row["per_s"]
-        for callers in CALLERS[1:] if half else ():
-            rate = best[callers] / 2
-            for name, where, path in (
-                ("direct", addresses, "/x"),
-                ("entry", through, "/s/quotes/x"),
-            ):
-                row = measure(
-                    where, path, callers, seconds, work_ms, rate, key
-                )
-                print("half", name, json.dumps(row), flush=True)
+        for bound in (None,) if cpu < 0 else (None, cpu):
+            measure_entry(addresses, bound, profile_file, seconds, work_ms)
     finally:
-        ours.send("stop")
-        entry.join()
         for process in processes:
             process.terminate()
             process.wait()
