Do not eject targets for the time-outs of short deadlines

Ruled out: queueing in the entries, which had more running than the pool has slots, and the order of teams.

A time-out below the usual run time now says nothing about the target; a target that does not answer within the longest run time still counts.

--- a/src/rosemarynotch/_internal/callers/running.py
+++ b/src/rosemarynotch/_internal/callers/running.py
@@ -93,7 +93,9 @@
             return result
         try:
             late = LateWatch(
-                queue.longest_run_ms / 1000 - timeout_s, grant.end_hold
+                queue.longest_run_ms / 1000 - timeout_s,
+                grant.end_hold,
+                lambda: self._health.note(grant.vm, failures.TARGET_TIMEOUT),
             )
             result = self._client.send(grant.address, request, timeout_s, late)
         except BaseException:
@@ -102,7 +104,8 @@
         run_ms = (self._clock.monotonic_s() - start_s) * 1000
         if isinstance(result, Answer) or result.is_a(failures.TARGET_TIMEOUT):
             self._run_times.note(request.queue, request.team, run_ms / 1000)
-        self._health.note(grant.vm, result)
+        if not self._was_impatient(request, result, timeout_s):
+            self._health.note(grant.vm, result)
         if is_not_run(result):
             result = failures.TARGET_REFUSED.because(grant.vm)
         if isinstance(result, Failure) and result.ran is not Ran.NO:
@@ -115,6 +118,19 @@
                 self._metrics.record_ms("run", run_ms, team=request.team)
         return result
 
+    def _was_impatient(self, request, result, timeout_s):
+        """Tell whether a time-out says nothing about the target.
+
+        Under overload most requests are sent shortly before their deadline.
+        Their time-outs would eject targets that are well.
+        """
+        if not isinstance(result, Failure):
+            return False
+        if not result.is_a(failures.TARGET_TIMEOUT):
+            return False
+        unusual_s = self._run_times.unusual_s(request.queue, request.team)
+        return unusual_s is not None and timeout_s < unusual_s
+
     def _unusual_s(self, request, longest_s):
         """Return after which time another connection should be tried.
 
--- a/src/rosemarynotch/_internal/targets/client.py
+++ b/src/rosemarynotch/_internal/targets/client.py
@@ -2,9 +2,6 @@
 
 import http.client
 import threading
-from typing import Callable
-
-import attrs
 
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
@@ -12,6 +9,7 @@
 from rosemarynotch._internal.models.messages import CallerRequest
 from rosemarynotch._internal.targets.connection import TargetConnection
 from rosemarynotch._internal.targets.late import LateAnswers
+from rosemarynotch._internal.targets.late import LateWatch
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["LateWatch", "MAX_ANSWER_BYTES", "TargetClient"]
@@ -31,18 +29,6 @@
 )
 
 
-@attrs.frozen
-class LateWatch:
-    """What to do when the answer does not come in time.
-
-    :ivar wait_s: time after the time-out for which the request may run
-    :ivar on_answer: called when the target answers after all
-    """
-
-    wait_s: float
-    on_answer: Callable[[], None]
-
-
 class TargetClient:
     """Keeps connections to targets, each with one request at a time.
 
@@ -102,7 +88,7 @@
         if late is None or not connection.sock.awaits_answer:
             connection.close()
             return
-        self._late.watch(connection, late.wait_s, late.on_answer)
+        self._late.watch(connection, late)
 
     def close_idle(self, max_idle_s: float = MAX_IDLE_S) -> None:
         """Close connections that have been idle for too long."""
--- a/src/rosemarynotch/_internal/targets/late.py
+++ b/src/rosemarynotch/_internal/targets/late.py
@@ -12,19 +12,32 @@
 from rosemarynotch._internal.targets.connection import TargetConnection
 from rosemarynotch._internal.utils.clock import Clock
 
-__all__ = ["LateAnswers"]
+__all__ = ["LateAnswers", "LateWatch"]
 
 # Bounds how late a connection is closed that never answers.
 POLL_S = 0.5
 
 
+@attrs.frozen
+class LateWatch:
+    """What to do when the answer does not come in time.
+
+    :ivar wait_s: time after the time-out for which the request may run
+    :ivar on_answer: called when the target answers after all
+    :ivar on_silence: called when it has not answered within the time
+    """
+
+    wait_s: float
+    on_answer: Callable[[], None]
+    on_silence: Callable[[], None]
+
+
 @attrs.define(eq=False)
 class _Late:
     """A connection that is still waited for."""
 
     connection: TargetConnection
-    end_s: float
-    on_answer: Callable[[], None]
+    watch: LateWatch
     is_done: bool = False
 
 
@@ -44,19 +57,10 @@
         self._numbers = itertools.count()
         self._thread: threading.Thread | None = None
 
-    def watch(
-        self,
-        connection: TargetConnection,
-        wait_s: float,
-        on_answer: Callable[[], None],
-    ) -> None:
-        """Take over a connection that waits for its answer.
-
-        :param wait_s: longest time for which the request may still run
-        :param on_answer: called when the answer begins
-        """
-        end_s = self._clock.monotonic_s() + wait_s
-        late = _Late(connection, end_s, on_answer)
+    def watch(self, connection: TargetConnection, watch: LateWatch) -> None:
+        """Take over a connection that waits for its answer."""
+        end_s = self._clock.monotonic_s() + watch.wait_s
+        late = _Late(connection, watch)
         connection.sock.setblocking(False)
         with self._lock:
             self._selector.register(
@@ -72,21 +76,23 @@
     def _run(self) -> None:
         while True:
             for key, _ in self._selector.select(POLL_S):
-                if self._close(key.data):
-                    key.data.on_answer()
+                self._end(key.data)
             for late in self._take_ended():
-                self._close(late)
+                self._end(late)
 
-    def _close(self, late: _Late) -> bool:
-        """Close a connection; tell whether an answer has begun."""
+    def _end(self, late: _Late) -> None:
+        """Close a connection, and tell whether an answer has begun."""
         with self._lock:
             if late.is_done:
-                return False
+                return
             late.is_done = True
             self._selector.unregister(late.connection.sock)
         began = _has_answer(late.connection.sock)
         late.connection.close()
-        return began
+        if began:
+            late.watch.on_answer()
+        else:
+            late.watch.on_silence()
 
     def _take_ended(self) -> list[_Late]:
         now_s = self._clock.monotonic_s()
