--- a/src/rosemarynotch/_internal/admission/permits.py
+++ b/src/rosemarynotch/_internal/admission/permits.py
@@ -31,6 +31,10 @@
 # Processes that learn the same news settle after a random delay, so that
 # the later ones see what the first one has written.
 SPREAD_S = 0.3
+# What all entries together settle in a second after the same news; each
+# takes a read and perhaps a write of the 2,000 reads and several hundred
+# writes a second that the store allows to everyone.
+SETTLE_RATE = 500
 # Requests that end shortly after each other share one write.
 LOWER_DELAY_S = 0.1
 
@@ -66,6 +70,7 @@
         self._rng = rng
         self._me = me.name
         self._longest_run_s = 0.0
+        self._is_first = True
         self._short_source: Callable[[], tuple[str, ...]] = tuple
         self._listeners: tuple[Callable[[], None], ...] = ()
         self._schedule = Schedule(clock)
@@ -144,9 +149,10 @@
         )
         # Requests that started under an earlier document may still run.
         self._longest_run_s = max(self._longest_run_s, longest_ms / 1000)
-        self._settle_soon(
-            self._ledger.follow_document(current.document, current.version)
-        )
+        is_first, self._is_first = self._is_first, not current.version
+        teams = self._ledger.follow_document(current.document, current.version)
+        # The first document is news for this process alone.
+        self._settle_soon(teams, 1 if is_first else self._entries_count())
 
     def note_members(self) -> None:
         """Follow the entries that divide the limits.
@@ -156,7 +162,7 @@
         """
         names = [member.name for member in self._members.entries()]
         if self._ledger.follow_entries(names):
-            self._settle_soon(self._ledger.names())
+            self._settle_soon(self._ledger.names(), self._entries_count())
 
     def note_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Consider the teams that another holder is short of."""
@@ -209,9 +215,14 @@
         """Settle the teams that are due."""
         self._settler.step()
 
-    def _settle_soon(self, teams: list[str]) -> None:
+    def _entries_count(self) -> int:
+        return len(self._ledger.entries())
+
+    def _settle_soon(self, teams: list[str], processes: int = 1) -> None:
+        """Settle teams after a delay that spreads the calls of processes."""
+        spread_s = max(SPREAD_S, len(teams) * processes / SETTLE_RATE)
         for team in teams:
-            self._schedule.add(team, self._rng.random() * SPREAD_S)
+            self._schedule.add(team, self._rng.random() * spread_s)
 
     def _call_listeners(self) -> None:
         for callback in self._listeners:
