Keep placing jobs when sizes are far from the declared ones

Cause 1: a learnt size could exceed every worker of the pool. Jobs that used ten times what they declared made all later jobs of their queue and team wait for ever, since nothing that ended could correct the size. A job whose declared size fits now reserves at most a whole worker.

Cause 2: queued jobs that fit no worker any more (the pool got smaller after they were accepted) counted as misses, and 50 of them ended each pass before any other job was looked at. They are now passed over without counting.

Ruled out: the permits (not exhausted) and the worker health (no failures). Before: test_jobs_ten_times_their_declared_size_still_run and test_jobs_that_can_never_run_do_not_stop_others found jobs still queued; after: all done, each started once.

Also test a move and a drain of the same VM; the first one wins.

--- a/src/rosemarynotch/_internal/control/placing.py
+++ b/src/rosemarynotch/_internal/control/placing.py
@@ -9,6 +9,7 @@
 from rosemarynotch._internal.control.worker_health import WorkerHealth
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.models.document import PoolKind
+from rosemarynotch._internal.models.document import VmSpec
 from rosemarynotch._internal.models.jobs import JobRow
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import VmState
@@ -128,6 +129,7 @@
         False
     """
     pools = worker_rooms(record, document, table)
+    specs = {vm.name: vm for pool in document.pools for vm in pool.vms}
     waiting = Waiting(document, table)
     placements: list[Placement] = []
     misses = 0
@@ -140,7 +142,10 @@
         if row.team in exhausted:
             continue
         rooms = pools.get(pool, [])
-        size = _size(row, policy, rooms)
+        size = _size(row, policy, [specs[room.name] for room in rooms])
+        if size is None:
+            # Not a miss: enough of these jobs would keep all others waiting.
+            continue
         worker = policy.choose(size, _usable(row, rooms, health))
         if not worker:
             misses += 1
@@ -157,22 +162,45 @@
 
 
 def _size(
-    row: JobRow, policy: PlacementPolicy, rooms: list[WorkerRoom]
-) -> JobSize:
+    row: JobRow, policy: PlacementPolicy, workers: list[VmSpec]
+) -> JobSize | None:
+    """Return the room for a job, None if no worker is that large.
+
+    A job that is declared to fit gets at most a whole worker, even if jobs
+    like it have used more.
+    """
     declared = JobSize(
         cores=row.cores,
         memory_mb=row.memory_mb,
         accelerators=row.accelerators,
     )
+    large_enough = [each for each in workers if _holds(each, declared)]
+    if not large_enough:
+        return None
     size = policy.size(row.team, row.queue, declared)
     if row.failed_workers:
         # The failure may have been a lack of room.
-        return JobSize(
+        size = JobSize(
             cores=max(size.cores, declared.cores),
             memory_mb=max(size.memory_mb, declared.memory_mb),
             accelerators=declared.accelerators,
         )
-    return size
+    if any(_holds(each, size) for each in large_enough):
+        return size
+    largest = max(large_enough, key=lambda vm: (vm.cores, vm.memory_mb))
+    return JobSize(
+        cores=min(size.cores, largest.cores),
+        memory_mb=min(size.memory_mb, largest.memory_mb),
+        accelerators=declared.accelerators,
+    )
+
+
+def _holds(worker: VmSpec, size: JobSize) -> bool:
+    return (
+        size.cores <= worker.cores
+        and size.memory_mb <= worker.memory_mb
+        and size.accelerators <= worker.accelerators
+    )
 
 
 def _usable(
--- a/tests/unit/test_control_fleet.py
+++ b/tests/unit/test_control_fleet.py
@@ -427,6 +427,31 @@
         )
         self.assertEqual(vm, repeated.value.vms["desk-0"])
 
+    def test_move_and_drain_of_the_same_vm(self):
+        """Guards against the later of two operations replacing the first."""
+        spare = fakes.one_pool(
+            vms=2, minimum=0, name="desk", kind=PoolKind.SPARE
+        )
+        self.follow(fakes.document_of(fakes.one_pool(), spare))
+
+        def move(vm, operation_id):
+            return operations.move_vm(
+                self.records, self.document, vm, "quotes", operation_id
+            )
+
+        for vm, first, second, pool in (
+            ("desk-0", self.drain, move, "desk"),
+            ("desk-1", move, self.drain, "quotes"),
+        ):
+            done = first(vm, "op-1")
+            self.fleet.apply(done.value, done.revision)
+            self.assertTrue(second(vm, "op-2").is_a(failures.VM_BUSY))
+            self.steps(5)
+            found = self.fleet.record.vms[vm]
+            self.assertEqual((pool, "op-1"), (found.pool, found.operation_id))
+            done = operations.undrain_vm(self.records, vm, "op-3")
+            self.fleet.apply(done.value, done.revision)
+
 
 class LeadershipTest(testtools.TestCase):
     """Guards against a leader that goes on after its lease has ended."""
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -9,6 +9,7 @@
 
 from rosemarynotch._internal.admission.jobs import JobIntake
 from rosemarynotch._internal.control.jobs import JobKeeper
+from rosemarynotch._internal.control.placing import MISSES_PER_PASS
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
@@ -25,6 +26,7 @@
 from rosemarynotch._internal.models.records import VmState
 from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.policy.placement import FirstFitDeclared
+from rosemarynotch._internal.policy.placement import LearntSpread
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
 from tests.lib.control_fakes import InForce
@@ -386,3 +388,35 @@
         self.steps(2)
         self.assertEqual(1, len(self.starts(other)))
         self.assertEqual(1, len(self.starts(urgent)))
+
+    def test_jobs_ten_times_their_declared_size_still_run(self):
+        """Guards against a learnt size that no worker has room for."""
+        self.keeper = JobKeeper(
+            self.records,
+            self.tasks,
+            LearntSpread(),
+            self.permits,
+            "c2.1",
+            self.clock,
+        )
+        behaviour = {"run_ms": 500, "cores": 10.0, "memory_mb": 20_000}
+        for _ in range(4):
+            jobs = [
+                self.submit(behaviour=behaviour, cores=1.0, memory_mb=2_000)
+                for _ in range(6)
+            ]
+            self.steps(15)
+            for job in jobs:
+                self.assertIs(JobState.DONE, self.status(job).state)
+                self.assertEqual(1, len(self.starts(job)))
+
+    def test_jobs_that_can_never_run_do_not_stop_others(self):
+        """Guards against queued jobs that nothing has room for any more."""
+        for team in ("ann", "bob"):
+            for _ in range(2 * MISSES_PER_PASS):
+                self.submit(team=team, cores=4.0)
+        self.document = worker_document(cores=2)
+        small = [self.submit(team, cores=1.0) for team in ("ann", "bob")]
+        self.steps(8)
+        for job, team in zip(small, ("ann", "bob"), strict=True):
+            self.assertIs(JobState.DONE, self.status(job, team).state)
