Test budgets, reused connections and portion sums without a second guard

The new cases ask for more than the budget, reuse a connection before its late answer arrives, and judge each write of a limit record. The wave of cancellations now has 2,000 jobs and bounds the writes of the job table.

--- a/tests/unit/test_control_fleet.py
+++ b/tests/unit/test_control_fleet.py
@@ -12,6 +12,7 @@
 from rosemarynotch._internal.control import operations
 from rosemarynotch._internal.control import Policies
 from rosemarynotch._internal.control.waves import advance_drained
+from rosemarynotch._internal.control.waves import advance_waves
 from rosemarynotch._internal.control.waves import WaveInputs
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.models.document import PoolKind
@@ -24,6 +25,7 @@
 from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.policy.moves import NoMoves
 from rosemarynotch._internal.policy.waves import AsManyAsAllowed
+from rosemarynotch._internal.policy.waves import WavePolicy
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
 from tests.lib import control_fakes as fakes
@@ -31,6 +33,14 @@
 from tests.lib.stores import MemoryStore
 
 
+class TakesAll(WavePolicy):
+    """A policy that asks for every VM, whatever the budget."""
+
+    def choose(self, pools, limit):
+        """Return all candidates."""
+        return [each.vm for pool in pools for each in pool.candidates]
+
+
 class ControlTestCase(testtools.TestCase):
     """One control loop over one store, with two entries."""
 
@@ -380,6 +390,33 @@
         )
         self.assertTrue(unknown.is_a(failures.POOL_UNKNOWN))
 
+    def test_budget_holds_whatever_operators_and_policies_ask(self):
+        self.follow(fakes.document_of(fakes.one_pool(racks=1, minimum=3)))
+
+        def drain(vm, failed=()):
+            return operations.drain_vm(
+                self.records, self.document, vm, "op-1", frozenset(failed)
+            )
+
+        # The failed one does not count as available.
+        refused = drain("quotes-0", failed=["quotes-3"])
+        self.assertTrue(refused.is_a(failures.BUDGET_WOULD_BREAK))
+        record = operations.start_wave(
+            self.records, self.document, "patch", "ann", ""
+        ).value
+        for ejected, expected in (((), 1), (("quotes-3",), 0)):
+            inputs = WaveInputs(
+                ejected=frozenset(ejected),
+                settled=frozenset(ejected),
+                token="t",
+            )
+            after = advance_waves(record, self.document, TakesAll(), inputs)
+            out = [vm.state for vm in after.vms.values()]
+            self.assertEqual(expected, out.count(VmState.DRAINING))
+        self.assertNotIsInstance(drain("quotes-0"), failures.Failure)
+        refused = drain("quotes-1")
+        self.assertTrue(refused.is_a(failures.BUDGET_WOULD_BREAK))
+
     def test_repeats_change_nothing(self):
         first = self.drain("quotes-0", "op-1")
         self.assertEqual(first, self.drain("quotes-0", "op-1"))
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -21,6 +21,7 @@
 from rosemarynotch._internal.models.document import VmSpec
 from rosemarynotch._internal.models.jobs import JobState
 from rosemarynotch._internal.models.jobs import JobSubmission
+from rosemarynotch._internal.models.jobs import SHARD_COUNT
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import VmRecord
 from rosemarynotch._internal.models.records import VmState
@@ -207,8 +208,8 @@
         self.assertEqual(1, len(self.starts(first)))
 
     def test_wave_of_cancellations_costs_few_writes(self):
-        jobs = [self.submit(behaviour={"run_ms": 60_000}) for _ in range(400)]
-        self.steps(6)
+        jobs = [self.submit(behaviour={"run_ms": 60_000}) for _ in range(2000)]
+        self.steps(25)
         before = self.core.calls["write"]
         # The write lock is held until every thread has brought its item.
         self.intake._write_lock.acquire()
@@ -227,6 +228,9 @@
             thread.join()
         self.assertEqual(before + 1, self.core.calls["write"])
         self.steps(3)
+        # Each shard is written for the cancelled and for the stopped ones.
+        most = before + 2 + 2 * SHARD_COUNT
+        self.assertLessEqual(self.core.calls["write"], most)
         states = {self.status(job).state for job in jobs}
         self.assertEqual({JobState.CANCELLED}, states)
 
--- a/tests/unit/test_limits_stateful.py
+++ b/tests/unit/test_limits_stateful.py
@@ -4,7 +4,11 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from rosemarynotch._internal.admission.portions import assigned
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models.records import LimitRecord
 from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.platform.records import LIMITS_PREFIX
 from rosemarynotch._internal.platform.records import MEMBERS_KEY
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
@@ -23,6 +27,22 @@
 names = strategies.sampled_from(NAMES)
 
 
+class JudgedCore(KeyValue):
+    """Fails when a write lets portions grow beyond the limit it states."""
+
+    def put(self, key, value, expected, lease=""):
+        """Write a value and judge it."""
+        before = self.get(key)
+        revision = super().put(key, value, expected, lease)
+        if key.startswith(LIMITS_PREFIX):
+            new = codec.decode(value, LimitRecord)
+            old_sum = 0
+            if before is not None:
+                old_sum = assigned(codec.decode(before.value, LimitRecord))
+            assert assigned(new) <= max(old_sum, new.limit_requests)
+        return revision
+
+
 class Holder:
     """A process as the test sees it.
 
@@ -46,7 +66,7 @@
     def __init__(self):
         super().__init__()
         self.clock = ManualClock()
-        self.core = KeyValue(lambda: self.clock.now_s)
+        self.core = JudgedCore(lambda: self.clock.now_s)
         self.vms = VmList(NAMES)
         self.documents = [limit_document({TEAM: 5})]
         self.incarnations = 0
--- a/tests/unit/test_targets.py
+++ b/tests/unit/test_targets.py
@@ -96,10 +96,11 @@
         target = self.start(behave)
         client = TargetClient(SystemClock())
         late = caller_request(path="/late")
-        for timeout_s in (0.05, 0.19):
+        # The late answer comes before, while or after another is awaited.
+        for timeout_s, pause_s in ((0.05, 0.2), (0.19, 0.15), (0.05, 0.0)):
             result = client.send(target.address, late, timeout_s)
             self.assertEqual("target-timeout", result.code)
-            time.sleep(0.15)
+            time.sleep(pause_s)
             other = caller_request(path="/other")
             self.assertEqual(
                 b"other", client.send(target.address, other, 1.0).body
@@ -112,9 +113,14 @@
 
             def behave(connection, request, pause_s=pause_s):
                 requests.append(request)
-                connection.sendall(answer_bytes(b"%d" % len(requests)))
+                answer = answer_bytes(b"%d" % len(requests))
+                surplus = answer_bytes(b"surplus")
+                if not pause_s:
+                    connection.sendall(answer + surplus)
+                    return
+                connection.sendall(answer)
                 time.sleep(pause_s)
-                connection.sendall(answer_bytes(b"surplus"))
+                connection.sendall(surplus)
 
             target = self.start(behave)
             client = TargetClient(SystemClock())
