Wait for the refusal of a forwarded request at its deadline

Cause: the entry that forwards and the one that runs the request used the same time, and the latter counts from the arrival. Its refusal of a request whose deadline passed in the queue therefore came too late, and the caller was told 'outcome unknown' for what did not run. The sender now waits 0.25 s longer.

Found by the row limit-lowered-team-removed-key-withdrawn of tests/functional/test_failures.py (reason peer-timeout, not run in the ledger). Ruled out: a lost answer, as the peer answered others meanwhile. Before: test_refusal_at_the_deadline_is_awaited fails; after: it passes.

--- a/src/rosemarynotch/_internal/callers/forwarding.py
+++ b/src/rosemarynotch/_internal/callers/forwarding.py
@@ -19,6 +19,12 @@
 __all__ = ["Forwarder"]
 
 
+# The receiver measures the deadline from the arrival of the request. Without
+# this margin its refusal at the deadline would always come too late, and a
+# request that did not run would be reported as an unknown outcome.
+ANSWER_MARGIN_S = 0.25
+
+
 def _never():
     return False
 
@@ -120,7 +126,7 @@
             members_revision=revision,
             config_version=self._in_force.current.version,
         )
-        timeout_s = request.remaining_ms / 1000
+        timeout_s = request.remaining_ms / 1000 + ANSWER_MARGIN_S
         result = self._exchange.forward(entry, forward, timeout_s)
         self._metrics.count("forwarded", team=request.team)
         if isinstance(result, ForwardAnswer):
--- a/tests/lib/entries.py
+++ b/tests/lib/entries.py
@@ -158,9 +158,11 @@
         self.handlers = {}
         self.failure = None
         self.sent = []
+        self.timeouts_s = []
 
-    def forward(self, entry, forward, _timeout_s):
+    def forward(self, entry, forward, timeout_s):
         """Run a request at another entry."""
+        self.timeouts_s.append(timeout_s)
         self.sent.append((entry, forward))
         return self.failure or self.handlers[entry](forward)
 
--- a/tests/unit/test_callers.py
+++ b/tests/unit/test_callers.py
@@ -251,6 +251,13 @@
         self.assertEqual("deadline-passed", found.failure.code)
         self.assertEqual([], self.other.exchange.sent)
 
+    def test_refusal_at_the_deadline_is_awaited(self):
+        """Guards against "unknown" for what waited in another's queue."""
+        self.assertEqual(200, self.call(idempotency_key="k@entry-2")[0])
+        sent = self.exchange.sent[0][1].request
+        timeout_s = self.exchange.timeouts_s[0]
+        self.assertTrue(timeout_s > sent.remaining_ms / 1000)
+
     def test_owner_that_does_not_respond(self):
         # Failure of the exchange, method, status, ran, local runs.
         for failure, method, status, ran, runs in (
