--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -90,3 +90,18 @@
         for used in re.findall(r"^rosemarynotch (\S+)", text, re.M):
             known = {name.split()[0] for name in COMMANDS}
             self.assertIn(used, known)
+
+
+class PromisesPageTest(testtools.TestCase):
+    """Guards against proofs by tests and rows that do not exist."""
+
+    def test_every_named_test_exists(self):
+        text = (ROOT / "docs" / "promises.md").read_text()
+        tests = sorted((ROOT / "tests").rglob("test_*.py"))
+        code = "".join(path.read_text() for path in tests)
+        for name in re.findall(r"`(test_\w+)`", text):
+            self.assertIn(f"def {name}(", code)
+        for name in re.findall(r"`(test_\w+\.py)`", text):
+            self.assertIn(name, [path.name for path in tests])
+        for name in re.findall(r"`([a-z]+(?:-[a-z]+)+)`", text):
+            self.assertIn(f'    "{name}": Row(', code)
