--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -17,6 +17,9 @@
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.peers import Exchange
 from rosemarynotch._internal.peers.heard import Heard
+from rosemarynotch._internal.peers.rows import HeartbeatDecoder
+from rosemarynotch._internal.peers.rows import HeartbeatEncoder
+from rosemarynotch._internal.peers.rows import ROWS_LIMIT
 from rosemarynotch._internal.peers import Timing
 from rosemarynotch._internal.peers.wire import decode_message
 from rosemarynotch._internal.peers.wire import encode_message
@@ -305,6 +308,90 @@
         self.assertIn(b.heard()["a"].heartbeat, sent)
 
 
+class RowsTest(testtools.TestCase):
+    """Guards against demand that differs between sender and receiver."""
+
+    def row(self, team, queued=0, running=0, worth=0.0):
+        return messages.DemandRow(
+            pool="p",
+            team=team,
+            queued_requests=queued,
+            running_requests=running,
+            served_worth=worth,
+            slot_s=worth / 2,
+        )
+
+    def pass_on(self, *rows, lost=False, **fields):
+        news = heartbeat("b", demand=rows, **fields)
+        data = self.encoder.encode(news)
+        if lost:
+            return data, None
+        decoded = self.decoder.decode(data, lambda _: True)
+        return data, {row.team: row for row in decoded.demand}
+
+    def setUp(self):
+        super().setUp()
+        self.encoder = HeartbeatEncoder()
+        self.decoder = HeartbeatDecoder()
+
+    def test_changes_idleness_and_small_changes(self):
+        start = (self.row("s", 8, 2), self.row("t", 1, 1, 3.5))
+        _, rows = self.pass_on(*start)
+        self.assertEqual({"s": start[0], "t": start[1]}, rows)
+        _, rows = self.pass_on(self.row("s", 9, 2))
+        self.assertEqual(self.row("s", 9, 2), rows["s"])
+        self.assertEqual(self.row("t", 0, 0, 3.5), rows["t"])
+
+    def test_many_changes_are_sent_in_turn(self):
+        def many(queued):
+            return [self.row(f"t{n}", queued) for n in range(2 * ROWS_LIMIT)]
+
+        self.pass_on(*many(8))
+        _, rows = self.pass_on(*many(9)[:-1])
+        news = [row for row in rows.values() if row.queued_requests != 8]
+        self.assertEqual(ROWS_LIMIT, len(news))
+        self.assertEqual(0, rows[f"t{2 * ROWS_LIMIT - 1}"].queued_requests)
+        _, rows = self.pass_on(*many(9)[:-1])
+        self.assertEqual(
+            {9, 0}, {row.queued_requests for row in rows.values()}
+        )
+
+    def test_lost_heartbeat_is_repaired(self):
+        self.pass_on(self.row("s", 8))
+        self.pass_on(self.row("s", 8), self.row("t", 5), lost=True)
+        _, rows = self.pass_on(self.row("s", 20), self.row("t", 50))
+        self.assertEqual({"s": self.row("s", 20)}, rows)
+        self.encoder.send_complete()
+        _, rows = self.pass_on(self.row("s", 20), self.row("t", 50))
+        self.assertEqual(self.row("t", 50), rows["t"])
+
+    def test_refused_heartbeat_changes_no_rows(self):
+        self.pass_on(self.row("s", 8))
+        other = HeartbeatEncoder().encode(heartbeat("b", incarnation="i0"))
+        self.assertIsNone(self.decoder.decode(other, lambda _: False))
+        _, rows = self.pass_on()
+        self.assertEqual({"s": self.row("s")}, rows)
+
+    def test_long_cut_off_and_unusual_heartbeats(self):
+        fields = {
+            "store_age_s": float("inf"),
+            "running_by_vm": {"v": 2},
+            "short_teams": ("s",),
+            "ejected_vms": ("w",),
+        }
+        many = tuple(self.row(f"team-{n}", n) for n in range(45))
+        data, rows = self.pass_on(*many)
+        self.assertEqual(many, tuple(rows.values()))
+        cut = HeartbeatDecoder().decode(data[:-9], lambda _: True)
+        self.assertIsNone(cut)
+        self.encoder = HeartbeatEncoder()
+        data, _ = self.pass_on(**fields)
+        decoded = HeartbeatDecoder().decode(data, lambda _: True)
+        self.assertEqual(
+            heartbeat("b", **{**fields, "store_age_s": 1e6}), decoded
+        )
+
+
 class HeardTest(testtools.TestCase):
     """Guards against news of a process that has been replaced."""
 
@@ -326,6 +413,8 @@
             news = heartbeat(
                 "b", incarnation, sequence, members_revision=revision
             )
-            self.assertEqual(taken, heard.take(news), reason)
+            self.assertEqual(taken, heard.accepts(news), reason)
+            if taken:
+                heard.keep(news)
         unknown = heartbeat("z", members_revision=5)
-        self.assertFalse(heard.take(unknown))
+        self.assertFalse(heard.accepts(unknown))
