--- a/tests/functional/test_failures.py
+++ b/tests/functional/test_failures.py
@@ -427,9 +427,9 @@
     as well.
     """
     limits = {"bank": 12}
-    with Cluster(limits, controls=2) as cluster:
+    with Cluster(limits, controls=2, longest_run_ms=8_000) as cluster:
         # Long requests: a reboot that does not wait for them cuts some.
-        requests = mixed(cluster.names, ["bank"], 64, 2_000)
+        requests = mixed(cluster.names, ["bank"], 40, 4_000)
         cluster.lose_answers("control-1", "control-2", store=6, services=4)
         with cluster.load(requests, workers=8) as outcomes:
             start_wave(cluster)
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -104,6 +104,7 @@
         entries: int = 3,
         controls: int = 1,
         vms: int = 3,
+        longest_run_ms: int = LONGEST_RUN_MS,
     ) -> None:
         self.names = [f"entry-{n}" for n in range(1, entries + 1)]
         self.control_names = [f"control-{n}" for n in range(1, controls + 1)]
@@ -112,7 +113,7 @@
         self._processes: dict[str, subprocess.Popen] = {}
         self._callers: dict[str, str] = {}
         self._logs = Path(os.environ.get("CLUSTER_LOGS", os.devnull))
-        self.document = self._make_document(teams, vms)
+        self.document = self._make_document(teams, vms, longest_run_ms)
         self.platform = Platform(self._make_vms(), reboot_ms=100)
         self.store = MemoryStore(self.platform.store)
         self.records = RecordStore(self.store, SystemClock(), random.Random(7))
@@ -314,7 +315,9 @@
         rows = self.targets.ledger.show()["requests"]
         return sum(row.interrupted for row in rows)
 
-    def _make_document(self, teams: dict[str, int], vms: int) -> Document:
+    def _make_document(
+        self, teams: dict[str, int], vms: int, longest_run_ms: int
+    ) -> Document:
         specs = []
         for name, limit in teams.items():
             self.keys[name], spec = make_key(name, "k1")
@@ -338,7 +341,7 @@
             ),
         )
         queue = QueueSpec(
-            name="pool", pool="pool", longest_run_ms=LONGEST_RUN_MS
+            name="pool", pool="pool", longest_run_ms=longest_run_ms
         )
         return Document(
             pools=(pool,),
