Let the stateful test of limits resume holders whose portion was reclaimed

A trial on a scratch copy without the check after a pause (rule R2) passed this test before; now it fails with 6 running under a limit of 5.

--- a/tests/unit/test_limits_stateful.py
+++ b/tests/unit/test_limits_stateful.py
@@ -265,6 +265,21 @@
             MEMBERS_KEY, MembersRecord, MembersRecord(), drop
         )
 
+    @stateful.rule(name=names)
+    def reclaim_from_paused(self, name):
+        """Let others take the portion of a paused holder, then resume it."""
+        if self.live(name) is None:
+            return
+        self.control_removes(name)
+        for _ in range(2):
+            for other in NAMES:
+                self.poll(other)
+            self.advance(8.0)
+        self.settle_all()
+        self.fill()
+        self.pause_or_resume(name)
+        self.acquire(name, 6)
+
     @stateful.rule(kind=strategies.sampled_from(["all", "empty", "others"]))
     def vm_list(self, kind):
         """Show the list, nothing, or only VMs of somewhere else."""
