--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -9,6 +9,7 @@
 
 from rosemarynotch._internal.admission.jobs import JobIntake
 from rosemarynotch._internal.control.jobs import JobKeeper
+from rosemarynotch._internal.control.placing import MISSES_PER_PASS
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
@@ -20,11 +21,13 @@
 from rosemarynotch._internal.models.document import VmSpec
 from rosemarynotch._internal.models.jobs import JobState
 from rosemarynotch._internal.models.jobs import JobSubmission
+from rosemarynotch._internal.models.jobs import SHARD_COUNT
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import VmRecord
 from rosemarynotch._internal.models.records import VmState
 from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.policy.placement import FirstFitDeclared
+from rosemarynotch._internal.policy.placement import LearntSpread
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
 from tests.lib.control_fakes import InForce
@@ -205,8 +208,8 @@
         self.assertEqual(1, len(self.starts(first)))
 
     def test_wave_of_cancellations_costs_few_writes(self):
-        jobs = [self.submit(behaviour={"run_ms": 60_000}) for _ in range(400)]
-        self.steps(6)
+        jobs = [self.submit(behaviour={"run_ms": 60_000}) for _ in range(2000)]
+        self.steps(25)
         before = self.core.calls["write"]
         # The write lock is held until every thread has brought its item.
         self.intake._write_lock.acquire()
@@ -225,6 +228,9 @@
             thread.join()
         self.assertEqual(before + 1, self.core.calls["write"])
         self.steps(3)
+        # Each shard is written for the cancelled and for the stopped ones.
+        most = before + 2 + 2 * SHARD_COUNT
+        self.assertLessEqual(self.core.calls["write"], most)
         states = {self.status(job).state for job in jobs}
         self.assertEqual({JobState.CANCELLED}, states)
 
@@ -386,3 +392,35 @@
         self.steps(2)
         self.assertEqual(1, len(self.starts(other)))
         self.assertEqual(1, len(self.starts(urgent)))
+
+    def test_jobs_ten_times_their_declared_size_still_run(self):
+        """Guards against a learnt size that no worker has room for."""
+        self.keeper = JobKeeper(
+            self.records,
+            self.tasks,
+            LearntSpread(),
+            self.permits,
+            "c2.1",
+            self.clock,
+        )
+        behaviour = {"run_ms": 500, "cores": 10.0, "memory_mb": 20_000}
+        for _ in range(4):
+            jobs = [
+                self.submit(behaviour=behaviour, cores=1.0, memory_mb=2_000)
+                for _ in range(6)
+            ]
+            self.steps(15)
+            for job in jobs:
+                self.assertIs(JobState.DONE, self.status(job).state)
+                self.assertEqual(1, len(self.starts(job)))
+
+    def test_jobs_that_can_never_run_do_not_stop_others(self):
+        """Guards against queued jobs that nothing has room for any more."""
+        for team in ("ann", "bob"):
+            for _ in range(2 * MISSES_PER_PASS):
+                self.submit(team=team, cores=4.0)
+        self.document = worker_document(cores=2)
+        small = [self.submit(team, cores=1.0) for team in ("ann", "bob")]
+        self.steps(8)
+        for job, team in zip(small, ("ann", "bob"), strict=True):
+            self.assertIs(JobState.DONE, self.status(job, team).state)
--- a/tests/unit/test_limits_stateful.py
+++ b/tests/unit/test_limits_stateful.py
@@ -4,7 +4,11 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from rosemarynotch._internal.admission.portions import assigned
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models.records import LimitRecord
 from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.platform.records import LIMITS_PREFIX
 from rosemarynotch._internal.platform.records import MEMBERS_KEY
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
@@ -23,6 +27,22 @@
 names = strategies.sampled_from(NAMES)
 
 
+class JudgedCore(KeyValue):
+    """Fails when a write lets portions grow beyond the limit it states."""
+
+    def put(self, key, value, expected, lease=""):
+        """Write a value and judge it."""
+        before = self.get(key)
+        revision = super().put(key, value, expected, lease)
+        if key.startswith(LIMITS_PREFIX):
+            new = codec.decode(value, LimitRecord)
+            old_sum = 0
+            if before is not None:
+                old_sum = assigned(codec.decode(before.value, LimitRecord))
+            assert assigned(new) <= max(old_sum, new.limit_requests)
+        return revision
+
+
 class Holder:
     """A process as the test sees it.
 
@@ -46,7 +66,7 @@
     def __init__(self):
         super().__init__()
         self.clock = ManualClock()
-        self.core = KeyValue(lambda: self.clock.now_s)
+        self.core = JudgedCore(lambda: self.clock.now_s)
         self.vms = VmList(NAMES)
         self.documents = [limit_document({TEAM: 5})]
         self.incarnations = 0
@@ -250,6 +270,21 @@
             MEMBERS_KEY, MembersRecord, MembersRecord(), drop
         )
 
+    @stateful.rule(name=names)
+    def reclaim_from_paused(self, name):
+        """Let others take the portion of a paused holder, then resume it."""
+        if self.live(name) is None:
+            return
+        self.control_removes(name)
+        for _ in range(2):
+            for other in NAMES:
+                self.poll(other)
+            self.advance(8.0)
+        self.settle_all()
+        self.fill()
+        self.pause_or_resume(name)
+        self.acquire(name, 6)
+
     @stateful.rule(kind=strategies.sampled_from(["all", "empty", "others"]))
     def vm_list(self, kind):
         """Show the list, nothing, or only VMs of somewhere else."""
