--- a/demo/processes.py
+++ b/demo/processes.py
@@ -119,6 +119,10 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def ids(self) -> dict[str, int]:
+        """Return the process ids by name."""
+        return {name: each.pid for name, each in self._running.items()}
+
     def log(self, name: str) -> Path:
         """Return the log file of a process."""
         return self._directory / f"{name}.log"
