Give a pool all its slots after an idle minute

Targets that were not offered for a minute are forgotten. When all targets of a pool were forgotten, each of them warmed up from one slot of 8 at the next request, just when a burst follows a quiet period.

--- a/src/rosemarynotch/_internal/targets/health.py
+++ b/src/rosemarynotch/_internal/targets/health.py
@@ -109,7 +109,7 @@
         """
         now_s = self._clock.monotonic_s()
         with self._lock:
-            first_use = pool not in self._pools
+            first_use = all(name not in self._targets for name, _ in vms)
             self._pools[pool] = {name for name, _ in vms}
             candidates = []
             for name, record in vms:
@@ -144,8 +144,8 @@
     def _target(self, pool, name, record, first_use, now_s):
         target = self._targets.get(name)
         if target is None or target.instance != record.instance:
-            # At the first use of a pool all its targets are new to this
-            # process but not to their callers.
+            # At the first use of a pool, or the first after a long pause,
+            # all its targets are new to this process but not to others.
             since_s = now_s - WARM_UP_S if first_use else now_s
             target = _Target(instance=record.instance, since_s=since_s)
             self._targets[name] = target
--- a/tests/unit/test_health.py
+++ b/tests/unit/test_health.py
@@ -82,6 +82,11 @@
         self.clock.advance(5.0)
         self.assertEqual(4, self.usable()["vm-6"])
 
+    def test_pool_that_was_idle_has_all_its_slots(self):
+        self.clock.advance(61.0)
+        self.health.forget_missing()
+        self.assertEqual({8}, set(self.usable().values()))
+
     def test_fast_failures_do_not_attract_work(self):
         # The failing target is always free and the others are half busy;
         # with two targets, it may not be ejected.
