--- a/src/rosemarynotch/_internal/admission/dispatch.py
+++ b/src/rosemarynotch/_internal/admission/dispatch.py
@@ -7,6 +7,7 @@
 from rosemarynotch._internal.admission.grants import Grant
 from rosemarynotch._internal.admission.holds import Holds
 from rosemarynotch._internal.admission.pools import PoolState
+from rosemarynotch._internal.admission.pools import untried_targets
 from rosemarynotch._internal.admission.recheck import recheck
 from rosemarynotch._internal.admission.waiting import Waiter
 from rosemarynotch._internal import exceptions as failures
@@ -137,16 +138,7 @@
         """Return demand and service by pool and team since the start."""
         with self._lock:
             return tuple(
-                DemandRow(
-                    pool=pool.name,
-                    team=team,
-                    queued_requests=pool.queues.queued(team),
-                    running_requests=use.running,
-                    served_worth=use.served_worth,
-                    slot_s=use.slot_s,
-                )
-                for pool in self._pools.values()
-                for team, use in pool.slots.teams.items()
+                row for pool in self._pools.values() for row in pool.demand()
             )
 
     def running_by_vm(self) -> dict[str, int]:
@@ -295,7 +287,7 @@
         startable = pool.startable(heads, document, entries_count)
         while startable:
             head = startable.pop(pool.choose(startable, document))
-            untried = _untried(head.tried, serving, targets)
+            untried = untried_targets(head.tried, serving, targets)
             if untried and self._start(pool, head, untried):
                 return True
         return False
@@ -368,14 +360,3 @@
             self._in_flight[grant.vm] = left
         else:
             del self._in_flight[grant.vm]
-
-
-def _untried(tried, serving, targets):
-    """Return the targets to choose from for a request.
-
-    A target that has refused the request is used again only when the pool
-    has no other that serves.
-    """
-    if not tried or all(name in tried for name, _ in serving):
-        return targets
-    return [target for target in targets if target.vm not in tried]
--- a/src/rosemarynotch/_internal/admission/pools.py
+++ b/src/rosemarynotch/_internal/admission/pools.py
@@ -8,13 +8,14 @@
 from rosemarynotch._internal.admission.waiting import Waiter
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.messages import DemandRow
 from rosemarynotch._internal.policy.ordering import OrderPolicy
 from rosemarynotch._internal.policy.ordering import TeamTurn
 from rosemarynotch._internal.policy.routing import Candidate
 from rosemarynotch._internal.policy.routing import own_slots
 from rosemarynotch._internal.utils.clock import Clock
 
-__all__ = ["PoolState"]
+__all__ = ["PoolState", "untried_targets"]
 
 
 class PoolState:
@@ -94,3 +95,28 @@
             share = spec.share if spec else 0.0
             turns.append(TeamTurn(team, head.arrival, share, worth))
         return self._order.choose(self.name, turns).team
+
+    def demand(self) -> list[DemandRow]:
+        """Return demand and service by team since the start."""
+        return [
+            DemandRow(
+                pool=self.name,
+                team=team,
+                queued_requests=self.queues.queued(team),
+                running_requests=use.running,
+                served_worth=use.served_worth,
+                slot_s=use.slot_s,
+            )
+            for team, use in self.slots.teams.items()
+        ]
+
+
+def untried_targets(tried, serving, targets):
+    """Return the targets to choose from for a request.
+
+    A target that has refused the request is used again only when the pool
+    has no other that serves.
+    """
+    if not tried or all(name in tried for name, _ in serving):
+        return targets
+    return [target for target in targets if target.vm not in tried]
