--- a/tests/functional/test_failures.py
+++ b/tests/functional/test_failures.py
@@ -98,6 +98,8 @@
         )
     cluster.cut_store("entry-3")
     cluster.signal("entry-3", signal.SIGCONT)
+    time.sleep(PAUSE_S)
+    cluster.cut_store("entry-3", is_cut=False)
 
 
 def stop(cluster):
@@ -428,11 +430,14 @@
     """
     limits = {"bank": 12}
     with Cluster(limits, controls=2, longest_run_ms=8_000) as cluster:
-        # Long requests, so that a reboot that does not wait cuts some, and
-        # few, so that the load does not hold the wave.
-        requests = mixed(cluster.names, ["bank"], 16, 4_000)
+        # Long requests that end at different times, so that a reboot that
+        # does not wait cuts some; few, so that load does not hold the wave.
+        requests = [
+            (cluster.names[n % 3], "bank", 2_500 + 900 * (n % 4))
+            for n in range(30)
+        ]
         cluster.lose_answers("control-1", "control-2", store=6, services=4)
-        with cluster.load(requests, workers=3) as outcomes:
+        with cluster.load(requests, workers=6) as outcomes:
             start_wave(cluster)
             cluster.signal("control-1", signal.SIGKILL)
         rebooted_once(cluster)
