--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -15,7 +15,6 @@
 from rosemarynotch._internal.callers.server import CallerServer
 from rosemarynotch._internal.control import operations
 from rosemarynotch._internal.exceptions import Failure
-from rosemarynotch._internal.models.messages import Heartbeat
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.operators.app import OperatorApp
 from rosemarynotch._internal.operators.changes import ConfigChanges
@@ -206,11 +205,6 @@
             self._entry_names,
         )
 
-    def _heartbeat_to_send(self) -> Heartbeat:
-        heartbeat = self._heartbeats()
-        self._shares.note_sent(heartbeat)
-        return heartbeat
-
     def _pool_slots(self, pool: str) -> float:
         """Return the slots of a pool without its urgent reserve."""
         process = self.process
@@ -232,7 +226,8 @@
         self._permits.set_short_source(self._dispatcher.short_teams)
         process.membership.add_listener(self._permits.restart)
         process.guard.add_revalidation(self._permits.revalidate)
-        exchange.set_heartbeat_source(self._heartbeat_to_send)
+        exchange.set_heartbeat_source(self._heartbeats)
+        exchange.add_sent_listener(self._shares.note_sent)
         exchange.add_heartbeat_listener(self._permits.note_heartbeat)
         exchange.add_heartbeat_listener(self._shares.note_heartbeat)
         exchange.add_limit_listener(self._permits.note_limit_changed)
