Keep the urgent reserve out of the shares once

Cause: the reserve of 2 of 24 slots was taken from the shares and again, rounded up, from each of six entries, so 8 of 24 slots stayed idle. The dispatcher's own subtraction goes; the test of the reserve now takes its slots from the product's function, which subtracts it.

--- a/src/rosemarynotch/_internal/admission/pools.py
+++ b/src/rosemarynotch/_internal/admission/pools.py
@@ -18,6 +18,17 @@
 __all__ = ["PoolState", "untried_targets"]
 
 
+def shareable_slots(fleet, document: Document, pool: str) -> int:
+    """Return the slots of a pool that teams share: all but the reserve.
+
+    :param fleet: serving VMs by pool
+    """
+    slots = sum(vm.slots for _, vm in fleet.serving(pool))
+    spec = document.pool(pool)
+    reserve = spec.urgent_reserve_slots if spec is not None else 0
+    return max(0, slots - reserve)
+
+
 class PoolState:
     """What waits for a pool and what uses it, at this entry.
 
--- a/src/rosemarynotch/_internal/admission/slots.py
+++ b/src/rosemarynotch/_internal/admission/slots.py
@@ -75,8 +75,8 @@
     def may_start(self, team: str, urgent: bool, reserve: int) -> bool:
         """Tell whether a slot is there for one more request of a team.
 
-        :param reserve: slots of this entry's part of the pool that are
-            kept for urgent work
+        :param reserve: slots that urgent work may use here at once; the
+            pool's reserve is not part of the shares
         """
         use = self.use(team)
         if urgent:
@@ -85,16 +85,11 @@
                 return False
             if urgent_running < reserve:
                 return True
-        elif reserve:
-            # An entry whose part is all reserve still runs one request.
-            others = self.running - self.urgent_running
-            if others + 1 > max(1, self._part() - reserve):
-                return False
-        slots = self._shares.slots(self._pool, team)
-        if use.running + 1 <= slots + EPSILON:
+        running = use.running - min(use.urgent_running, reserve)
+        if running + 1 <= self._slots_of(team) + EPSILON:
             return True
         spare = self._shares.spare_slots(self._pool)
-        return self._over_share() + 1 <= spare + EPSILON
+        return self._over_share(reserve) + 1 <= spare + EPSILON
 
     def start(self, team: str, urgent: bool, worth: float) -> None:
         """Count a request that starts."""
@@ -146,12 +141,14 @@
         use = self.use(team)
         return use.mean_run_s if use.running else 0.0
 
-    def _over_share(self):
-        return sum(
+    def _over_share(self, reserve):
+        """Return what teams run beyond their slots, the reserve left out."""
+        over = sum(
             max(0.0, use.running - self._slots_of(team))
             for team, use in self.teams.items()
             if use.running
         )
+        return over - min(self.urgent_running, reserve)
 
     def _part(self):
         """Return this entry's part of the pool."""
--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -9,6 +9,7 @@
 from rosemarynotch._internal.admission.idempotency import IdempotencyTable
 from rosemarynotch._internal.admission.jobs import JobIntake
 from rosemarynotch._internal.admission.permits import Permits
+from rosemarynotch._internal.admission.pools import shareable_slots
 from rosemarynotch._internal.callers.app import CallerApp
 from rosemarynotch._internal.callers.forwarding import Forwarder
 from rosemarynotch._internal.callers.running import RequestRunner
@@ -206,12 +207,8 @@
         )
 
     def _pool_slots(self, pool: str) -> float:
-        """Return the slots of a pool without its urgent reserve."""
-        process = self.process
-        slots = sum(vm.slots for _, vm in process.fleet.serving(pool))
-        spec = process.in_force.current.document.pool(pool)
-        reserve = spec.urgent_reserve_slots if spec is not None else 0
-        return max(0, slots - reserve)
+        document = self.process.in_force.current.document
+        return shareable_slots(self.process.fleet, document, pool)
 
     def _team_share(self, name: str) -> float:
         team = self.process.in_force.current.document.team(name)
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -7,6 +7,7 @@
 import testtools
 
 from rosemarynotch._internal.admission.grants import Grant
+from rosemarynotch._internal.admission.pools import shareable_slots
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.models.messages import Answer
 from rosemarynotch._internal.models.records import VmState
@@ -230,8 +231,11 @@
         )
 
     def test_reserve_is_left_to_urgent_work(self):
-        self.start(current=document(reserve=2))
-        self.entry.shares.spare = 8.0
+        current = document(reserve=2)
+        self.start(current=current)
+        self.entry.shares.spare = shareable_slots(
+            self.entry.fleet, current, "quotes"
+        )
         grants = self.fill(6)
         thread = self.enter_later()
         grants += [self.enter(queue="rush") for _ in range(2)]
