--- a/src/rosemarynotch/_internal/configuration/follower.py
+++ b/src/rosemarynotch/_internal/configuration/follower.py
@@ -102,15 +102,18 @@
         return True
 
     def refresh(self) -> bool:
-        """Read all records.
+        """Read all records that have a newer revision.
+
+        The fleet record of 1,300 VMs is 13 to 17 KB; reading it every 10 s
+        would take half of the traffic that a node may use for control.
 
         :returns: whether the store answered each call
         """
         return all(
             [
                 self.refresh_config(),
-                self._refresh(self._fleet, FLEET_KEY, FleetRecord, True),
-                self._refresh(self._members, MEMBERS_KEY, MembersRecord),
+                self._follow(self._fleet, FLEET_KEY, FleetRecord, True),
+                self._follow(self._members, MEMBERS_KEY, MembersRecord),
             ]
         )
 
@@ -143,6 +146,19 @@
             done &= self._refresh(self._members, MEMBERS_KEY, MembersRecord)
         return done
 
+    def _follow(self, view, key, kind, compressed=False) -> bool:
+        """Read a record if its revision in the list of keys is newer."""
+        listed = self._records.store.keys(key)
+        if isinstance(listed, Failure):
+            return self._note(listed)
+        self._freshness.note_store_contact()
+        if any(
+            item.key == key and item.revision > view.revision
+            for item in listed
+        ):
+            return self._refresh(view, key, kind, compressed)
+        return True
+
     def _refresh(self, view, key, kind, compressed=False) -> bool:
         read = self._records.read(key, kind, compressed)
         if isinstance(read, Failure):
--- a/src/rosemarynotch/_internal/operators/observer.py
+++ b/src/rosemarynotch/_internal/operators/observer.py
@@ -18,15 +18,11 @@
 from rosemarynotch._internal.operators.snapshot import Usage
 from rosemarynotch._internal.operators.snapshot import VmOut
 from rosemarynotch._internal.operators.snapshot import WaveProgress
+from rosemarynotch._internal.peers import Timing
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["Observer"]
 
-# Heartbeats are sent every max(1 s, 0.15 s x members); three may be missed.
-HEARTBEAT_S = 1.0
-HEARTBEAT_PER_MEMBER_S = 0.15
-MISSED_HEARTBEATS = 3
-
 
 class _Heard(Protocol):
     heartbeat: Heartbeat
@@ -150,9 +146,7 @@
         return found
 
     def _silent_after_s(self) -> float:
-        count = len(self._members.record.members)
-        interval_s = max(HEARTBEAT_S, HEARTBEAT_PER_MEMBER_S * count)
-        return MISSED_HEARTBEATS * interval_s
+        return Timing().silence_for(len(self._members.record.members))
 
     def _member_states(self, recent) -> tuple[MemberState, ...]:
         states = []
