Test jobs of real processes while the leading control is killed

12 non-idempotent jobs, a limit of 4 and two control processes: each job ran once, at most 4 at a time, and each answer was read at an entry. The test's ports come from below the range of outgoing connections, which a restarted process could otherwise find in use.

--- a/tests/functional/test_failures.py
+++ b/tests/functional/test_failures.py
@@ -4,12 +4,15 @@
 judges what callers were told by what ran on the targets.
 """
 
+import json
 import signal
 import time
 
 import attrs
 import pytest
 
+from rosemarynotch._internal.control.leadership import LEADER_KEY
+from rosemarynotch._internal.control.leadership import LeaderRecord
 from rosemarynotch._internal.control import operations
 from rosemarynotch._internal.models.records import VmState
 from standins.target_state import Fault
@@ -470,5 +473,45 @@
         serves(cluster, "entry-1")
 
 
+def test_jobs_with_a_killed_leader():
+    """Each accepted job runs once, within the limit, and is answered."""
+    limit = 4
+    with Cluster({"bank": limit}, controls=2) as cluster:
+        job = {"payload": json.dumps({"run_ms": 700, "result": "done"})}
+        jobs = [
+            cluster.call_jobs(cluster.names[n % 3], "bank", "", job)["job_id"]
+            for n in range(12)
+        ]
+        events = cluster.platform.ledger.events
+        wait_until(lambda: events("task-start"), "the first task")
+        holder = cluster.records.read(LEADER_KEY, LeaderRecord).value.holder
+        leader = holder.partition(".")[0]
+        cluster.signal(leader, signal.SIGKILL)
+        cluster.wait(leader)
+        cluster.start(leader)
+        for number, job_id in enumerate(jobs):
+            entry = cluster.names[number % 2]
+            answer = wait_until(
+                lambda job_id=job_id, entry=entry: _done(
+                    cluster.call_jobs(entry, "bank", f"/{job_id}")
+                ),
+                "the job is answered",
+            )
+            assert answer["result"] == "done", answer
+        starts = [each["task"] for each in events("task-start")]
+        assert sorted(each.partition(".")[0] for each in starts) == sorted(
+            jobs
+        )
+        running = 0
+        for event in sorted(events(), key=lambda each: each["at_s"]):
+            running += event["kind"] == "task-start"
+            running -= event["kind"] == "task-end"
+            assert running <= limit
+
+
+def _done(answer):
+    return answer if answer.get("state") == "done" else None
+
+
 def _refused(outcome):
     return outcome if outcome.status == 503 and outcome.ran else None
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -20,6 +20,7 @@
 
 import attrs
 
+from demo.processes import free_ports
 from rosemarynotch._internal.configuration import make_key
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.models.document import PoolKind
@@ -57,6 +58,11 @@
 # Lets work that waits behind a fault run after it.
 DEADLINE_MS = 20_000
 SLOTS = 4
+WORKERS = 2
+WORKER_CORES = 8
+WORKER_MEMORY_MB = 8_192
+# A VM without an address does not join; nothing calls a worker.
+UNUSED_ADDRESS = "127.0.0.1:9"
 
 
 @attrs.frozen(kw_only=True)
@@ -288,6 +294,23 @@
         finally:
             connection.close()
 
+    def call_jobs(
+        self, entry: str, team: str, path: str = "", body: dict | None = None
+    ) -> dict:
+        """Submit a job, or ask for its state without a body."""
+        connection = http.client.HTTPConnection(
+            self._callers[entry], timeout=WAIT_S
+        )
+        headers = {
+            "Authorization": f"Bearer {self.keys[team]}",
+            "Rosemarynotch-Queue": "workers",
+        }
+        method = "GET" if body is None else "POST"
+        data = None if body is None else json.dumps(body)
+        with contextlib.closing(connection):
+            connection.request(method, f"/v1/jobs{path}", data, headers)
+            return json.loads(connection.getresponse().read())
+
     @contextlib.contextmanager
     def load(self, requests: list[tuple], workers: int = 48):
         """Send requests in the background; the list fills with outcomes.
@@ -340,13 +363,29 @@
                 for number in range(vms)
             ),
         )
-        queue = QueueSpec(
-            name="pool", pool="pool", longest_run_ms=longest_run_ms
+        workers = PoolSpec(
+            name="workers",
+            kind=PoolKind.WORKERS,
+            min_available_vms=1,
+            vms=tuple(
+                VmSpec(
+                    name=f"worker-{number}",
+                    data_centre="Gent",
+                    rack=f"w{number}",
+                    cores=WORKER_CORES,
+                    memory_mb=WORKER_MEMORY_MB,
+                )
+                for number in range(WORKERS)
+            ),
+        )
+        queues = tuple(
+            QueueSpec(name=name, pool=name, longest_run_ms=longest_run_ms)
+            for name in ("pool", "workers")
         )
         return Document(
-            pools=(pool,),
+            pools=(pool, workers),
             teams=tuple(specs),
-            queues=(queue,),
+            queues=queues,
             waves=(WaveSpec(name="wave", pools=("pool",)),),
         )
 
@@ -361,6 +400,14 @@
                 rack=spec.rack,
             )
             members.append(vm)
+        for spec in self.document.pools[1].vms:
+            vm = Vm(
+                spec.name,
+                address=UNUSED_ADDRESS,
+                cores=spec.cores,
+                memory_mb=spec.memory_mb,
+            )
+            members.append(vm)
         return members
 
     def _address(self, name: str, use: str) -> str:
@@ -374,9 +421,7 @@
     def _port(self, name: str, use: str) -> int:
         ports = self.__dict__.setdefault("_fixed_ports", {})
         if (name, use) not in ports:
-            with contextlib.closing(http.client.socket.socket()) as probe:
-                probe.bind((HOST, 0))
-                ports[name, use] = probe.getsockname()[1]
+            ports[name, use] = free_ports(1)[0]
         return ports[name, use]
 
     def _log(self, name: str):
