--- a/tests/unit/test_shares.py
+++ b/tests/unit/test_shares.py
@@ -151,18 +151,35 @@
         self.table.update((self.row("t", 0, 3),))
         self.assertEqual(0, self.table.spare_slots(POOL))
 
-    def test_fractions_add_up_over_updates(self):
+    def test_fractions_are_used_right_whatever_requests_last(self):
+        for last_updates in (1, 2, 5):
+            used = self.use_fractions(last_updates)
+            for name, slot_updates in used.items():
+                self.assertTrue(
+                    abs(slot_updates - 40 / 3 * 10) <= 3,
+                    f"{name} used {slot_updates}, requests of {last_updates}",
+                )
+
+    def use_fractions(self, last_updates):
+        """Use what each entry is given; return slot-updates by entry.
+
+        Four slots over three entries are 4/3 for each.
+        """
         tables = {name: self.make(name, slots=4) for name in "abc"}
-        own = self.row("t", 10)
-        totals = dict.fromkeys(tables, 0)
-        for _ in range(30):
-            self.clock.advance(1)
+        ends = {name: [] for name in tables}
+        used = dict.fromkeys(tables, 0)
+        for now in range(100):
+            self.clock.advance(0.2)
+            rows = {n: self.row("t", 10, len(ends[n])) for n in tables}
             for name, table in tables.items():
                 for other in set(tables) - {name}:
-                    self.hear(other, own, table=table)
-                table.update((own,))
-                totals[name] += table.slots(POOL, "t")
-        self.assertEqual({"a": 40, "b": 40, "c": 40}, totals)
+                    self.hear(other, rows[other], table=table)
+                table.update((rows[name],))
+                ends[name] = [end for end in ends[name] if end > now]
+                free = int(table.slots(POOL, "t")) - len(ends[name])
+                ends[name] += [now + last_updates] * max(0, free)
+                used[name] += len(ends[name])
+        return used
 
     def test_uneven_callers_come_close_to_their_shares(self):
         exchanged = run_trial(True, duration_s=60.0)
