--- a/src/rosemarynotch/_internal/callers/app.py
+++ b/src/rosemarynotch/_internal/callers/app.py
@@ -6,6 +6,7 @@
 from rosemarynotch._internal.callers.answers import respond_json
 from rosemarynotch._internal.callers.forwarding import Forwarder
 from rosemarynotch._internal.callers.jobs import JobEndpoints
+from rosemarynotch._internal.callers.jobs import JOBS_PREFIX
 from rosemarynotch._internal.callers.parsing import parse_request
 from rosemarynotch._internal.callers.parsing import SERVICE_PREFIX
 from rosemarynotch._internal import exceptions as failures
@@ -14,7 +15,6 @@
 __all__ = ["CallerApp", "HEALTH_PATH"]
 
 HEALTH_PATH = "/healthz"
-JOBS_PREFIX = "/v1/jobs"
 # Part of the requests in hand that is left to urgent queues.
 URGENT_FRACTION = 0.1
 
--- a/src/rosemarynotch/_internal/callers/jobs.py
+++ b/src/rosemarynotch/_internal/callers/jobs.py
@@ -11,7 +11,7 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.jobs import JobSubmission
 
-__all__ = ["JobEndpoints"]
+__all__ = ["JobEndpoints", "JOBS_PREFIX"]
 
 ACCEPTED = 202
 OK = 200
