--- a/src/rosemarynotch/_internal/wiring/control.py
+++ b/src/rosemarynotch/_internal/wiring/control.py
@@ -5,13 +5,11 @@
 import attrs
 import logbook
 
-from rosemarynotch._internal.admission.permits import Permits
 from rosemarynotch._internal.control.jobs import JobKeeper
 from rosemarynotch._internal.control.leadership import Leadership
 from rosemarynotch._internal.control.loop import ControlLoop
 from rosemarynotch._internal.control.loop import FleetSources
 from rosemarynotch._internal.control.loop import Policies
-from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.policy.moves import HysteresisMoves
 from rosemarynotch._internal.policy.moves import MovePolicy
@@ -63,43 +61,20 @@
 
     def run(self, stopping: threading.Event) -> int:
         """Work until the event is set; return the exit status."""
-        threading.Thread(
-            target=self._pass_on, args=(stopping,), daemon=True
-        ).start()
-        me = self.process.bind()
-        if isinstance(me, Failure):
-            return 0
-        self._build(me)
-        if self.process.register() is not None:
-            return 0
-        self.process.start()
+        return self.process.run(stopping, self._build, self._serve, self._stop)
+
+    def _serve(self) -> None:
         self._permits.start()
         self._loop.start()
         _log.notice("control started")
-        stopping.wait()
+
+    def _stop(self) -> None:
         self._loop.stop()
         self.process.stop(self._permits.stop)
-        _log.notice("stopped")
-        return 0
-
-    def _pass_on(self, stopping: threading.Event) -> None:
-        stopping.wait()
-        self.process.request_stop()
 
     def _build(self, me: Member) -> None:
         process = self.process
-        self._permits = Permits(
-            process.records,
-            process.vms,
-            me,
-            process.in_force,
-            process.members,
-            process.guard,
-            process.clock,
-            process.rng,
-            process.exchange.send_limit_changed,
-            claims=False,
-        )
+        self._permits = process.make_permits(me, claims=False)
         holder = f"{me.name}.{me.incarnation}"
         jobs = JobKeeper(
             process.records,
@@ -140,10 +115,6 @@
     def _connect(self, jobs: JobKeeper) -> None:
         process = self.process
         exchange = process.exchange
-        process.membership.add_listener(self._permits.restart)
-        process.guard.add_revalidation(self._permits.revalidate)
-        exchange.add_heartbeat_listener(self._permits.note_heartbeat)
-        exchange.add_limit_listener(self._permits.note_limit_changed)
         exchange.set_heartbeat_source(
             HeartbeatSource(
                 process, tuple, dict, self._permits.short_teams, tuple
--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -8,14 +8,12 @@
 from rosemarynotch._internal.admission.dispatch import Dispatcher
 from rosemarynotch._internal.admission.idempotency import IdempotencyTable
 from rosemarynotch._internal.admission.jobs import JobIntake
-from rosemarynotch._internal.admission.permits import Permits
 from rosemarynotch._internal.admission.pools import shareable_slots
 from rosemarynotch._internal.callers.app import CallerApp
 from rosemarynotch._internal.callers.forwarding import Forwarder
 from rosemarynotch._internal.callers.running import RequestRunner
 from rosemarynotch._internal.callers.server import CallerServer
 from rosemarynotch._internal.control import operations
-from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.operators.app import OperatorApp
 from rosemarynotch._internal.operators.changes import ConfigChanges
@@ -111,25 +109,7 @@
 
     def run(self, stopping: threading.Event) -> int:
         """Serve until the event is set; return the exit status."""
-        threading.Thread(
-            target=self._pass_on, args=(stopping,), daemon=True
-        ).start()
-        me = self.process.bind()
-        if isinstance(me, Failure):
-            return 0
-        self._build(me)
-        if self.process.register() is not None:
-            return 0
-        self._start()
-        _log.notice("serving", address=self._server.address)
-        stopping.wait()
-        self._stop()
-        _log.notice("stopped")
-        return 0
-
-    def _pass_on(self, stopping: threading.Event) -> None:
-        stopping.wait()
-        self.process.request_stop()
+        return self.process.run(stopping, self._build, self._serve, self._stop)
 
     def _build(self, me: Member) -> None:
         process = self.process
@@ -159,17 +139,7 @@
 
     def _build_admission(self, me: Member) -> None:
         process = self.process
-        self._permits = Permits(
-            process.records,
-            process.vms,
-            me,
-            process.in_force,
-            process.members,
-            process.guard,
-            process.clock,
-            process.rng,
-            process.exchange.send_limit_changed,
-        )
+        self._permits = process.make_permits(me, claims=True)
         self._shares = self._share_table(me.name)
         self._health = HealthTable(process.clock)
         self._dispatcher = Dispatcher(
@@ -221,13 +191,9 @@
         process = self.process
         exchange = process.exchange
         self._permits.set_short_source(self._dispatcher.short_teams)
-        process.membership.add_listener(self._permits.restart)
-        process.guard.add_revalidation(self._permits.revalidate)
         exchange.set_heartbeat_source(self._heartbeats)
         exchange.add_sent_listener(self._shares.note_sent)
-        exchange.add_heartbeat_listener(self._permits.note_heartbeat)
         exchange.add_heartbeat_listener(self._shares.note_heartbeat)
-        exchange.add_limit_listener(self._permits.note_limit_changed)
 
     def _forwarder(self) -> Forwarder:
         process = self.process
@@ -280,12 +246,12 @@
         host, port = self._operator
         self._operator_server = OperatorServer(app, host, port)
 
-    def _start(self) -> None:
-        self.process.start()
+    def _serve(self) -> None:
         self._permits.start()
         self._dispatcher.start()
         self._operator_server.start()
         self._server.start()
+        _log.notice("serving", address=self._server.address)
 
     def _stop(self) -> None:
         """Stop without cutting requests (rule R8)."""
--- a/src/rosemarynotch/_internal/wiring/process.py
+++ b/src/rosemarynotch/_internal/wiring/process.py
@@ -7,6 +7,7 @@
 import attrs
 import logbook
 
+from rosemarynotch._internal.admission.permits import Permits
 from rosemarynotch._internal.configuration import CatchUp
 from rosemarynotch._internal.configuration import FleetView
 from rosemarynotch._internal.configuration import Follower
@@ -86,6 +87,57 @@
         self.guard = PauseGuard(self.clock)
         self._stopping = threading.Event()
 
+    def run(
+        self,
+        stopping: threading.Event,
+        build: Callable[[Member], None],
+        serve: Callable[[], None],
+        stop: Callable[[], None],
+    ) -> int:
+        """Bind, register and serve until the event is set.
+
+        :param build: makes the parts that need the member
+        :returns: the exit status
+        """
+        threading.Thread(
+            target=self._pass_on, args=(stopping,), daemon=True
+        ).start()
+        me = self.bind()
+        if isinstance(me, Failure):
+            return 0
+        build(me)
+        if self.register() is not None:
+            return 0
+        self.start()
+        serve()
+        stopping.wait()
+        stop()
+        _log.notice("stopped")
+        return 0
+
+    def make_permits(self, me: Member, claims: bool) -> Permits:
+        """Make the portions of this process and connect them.
+
+        :param claims: whether to claim fair parts without being short
+        """
+        permits = Permits(
+            self.records,
+            self.vms,
+            me,
+            self.in_force,
+            self.members,
+            self.guard,
+            self.clock,
+            self.rng,
+            self.exchange.send_limit_changed,
+            claims,
+        )
+        self.membership.add_listener(permits.restart)
+        self.guard.add_revalidation(permits.revalidate)
+        self.exchange.add_heartbeat_listener(permits.note_heartbeat)
+        self.exchange.add_limit_listener(permits.note_limit_changed)
+        return permits
+
     def bind(self) -> Member | Failure:
         """Bind the peer address and return this member.
 
@@ -140,8 +192,9 @@
         self.guard.start()
         self.exchange.start()
 
-    def request_stop(self) -> None:
+    def _pass_on(self, stopping: threading.Event) -> None:
         """End a start that waits for the platform."""
+        stopping.wait()
         self._stopping.set()
 
     def stop(self, give_back: Callable[[], bool]) -> None:
