--- a/experiments/control_cost.py
+++ b/experiments/control_cost.py
@@ -20,6 +20,7 @@
 __all__ = ["main"]
 
 KIB = 1024
+SETTLE_S = 40.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -52,6 +53,7 @@
             pools=tuple(f"pool-{n}" for n in range(pools)),
             entries=count,
             controls=count,
+            settle_s=SETTLE_S,
         )
         with Setting(shape) as setting:
             profile = _profile(shape, measured_s, rate_per_s)
--- a/experiments/setting.py
+++ b/experiments/setting.py
@@ -36,7 +36,6 @@
 
 HOST = "127.0.0.1"
 LIMIT_REQUESTS = 1_000
-SETTLE_S = 4.0
 
 
 @attrs.frozen(kw_only=True)
@@ -44,6 +43,8 @@
     """What an experiment starts.
 
     :ivar shares: share by team
+    :ivar settle_s: time in which members hear of each other and divide the
+        limits, before anything is measured
     :ivar entry_flags: settings of the entries, such as a baseline
     """
 
@@ -55,6 +56,7 @@
     controls: int = 1
     urgent_reserve_slots: int = 0
     limits: dict[str, int] = attrs.field(factory=dict)
+    settle_s: float = 4.0
     entry_flags: dict[str, object] = attrs.field(factory=dict)
 
 
@@ -140,7 +142,7 @@
         self._wait_for("platform", self.platform)
         self._apply()
         self._start_members()
-        time.sleep(SETTLE_S)
+        time.sleep(shape.settle_s)
 
     def _start_targets(self) -> dict[str, str]:
         """Start one process per pool; return addresses by VM."""
