Explain a bad setting in one line

The argument parser printed its usage text before the error; a bad flag or variable now gives exit status 2 and one line. A malformed boolean in a variable ended the program with a traceback before.

--- a/src/rosemarynotch/_internal/utils/settings.py
+++ b/src/rosemarynotch/_internal/utils/settings.py
@@ -1,6 +1,8 @@
 """Settings from flags and environment variables."""
 
+import contextlib
 import inspect
+import io
 import os
 import sys
 from typing import Callable
@@ -24,15 +26,29 @@
 
     :param main: function whose parameters are the settings
     """
-    argv = _environment_arguments(main) + sys.argv[1:]
     try:
-        status = defopt.run(main, argv=argv)
+        argv = _environment_arguments(main) + sys.argv[1:]
+        status = _parse(main, argv)()
     except SettingsError as error:
         print(f"{sys.argv[0]}: {error}", file=sys.stderr)
         status = EXIT_BAD_SETTINGS
     sys.exit(status or 0)
 
 
+def _parse(main: Callable, argv: list[str]) -> Callable[[], int | None]:
+    """Bind the settings; the parser's usage text is left out of errors."""
+    messages = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(messages):
+            return defopt.bind(main, argv=argv)
+    except SystemExit as error:
+        if not error.code:
+            raise
+        lines = messages.getvalue().strip().splitlines()
+        reason = lines[-1].partition("error: ")[2] or lines[-1]
+        raise SettingsError(reason) from None
+
+
 def _environment_arguments(main: Callable) -> list[str]:
     """Turn environment variables into flags that come before the others."""
     arguments = []
