Remove an unused method and correct two leftovers

PauseGuard.suspend had no caller. The bound on the age of the store moves to the top of its module, and the slots' clock is described by what it does now.

--- a/src/rosemarynotch/_internal/admission/slots.py
+++ b/src/rosemarynotch/_internal/admission/slots.py
@@ -41,7 +41,7 @@
 
     :param pool: name of the pool
     :param shares: gives the slots of teams and the spare ones
-    :param clock: times credits
+    :param clock: lets served worth fade out
     """
 
     def __init__(self, pool: str, shares, clock: Clock) -> None:
--- a/src/rosemarynotch/_internal/configuration/pauses.py
+++ b/src/rosemarynotch/_internal/configuration/pauses.py
@@ -50,11 +50,6 @@
         """End the thread."""
         self._stopped.set()
 
-    def suspend(self) -> None:
-        """Suspend admission until revalidation has succeeded."""
-        with self._lock:
-            self._suspended = True
-
     def suspended(self) -> bool:
         """Tell whether nothing may be admitted."""
         if self._suspended:
--- a/src/rosemarynotch/_internal/wiring/heartbeats.py
+++ b/src/rosemarynotch/_internal/wiring/heartbeats.py
@@ -9,6 +9,9 @@
 
 __all__ = ["HeartbeatSource"]
 
+# Keeps the age of a store that was never reached a finite number.
+MAX_AGE_S = 1e9
+
 
 class HeartbeatSource:
     """Collects what the other members need to know.
@@ -54,7 +57,3 @@
             short_teams=self._short_teams(),
             ejected_vms=self._ejected_vms(),
         )
-
-
-# Keeps the age of a store that was never reached a finite number.
-MAX_AGE_S = 1e9
