Give each port of a test or demo run out once

Ruled out: a fault of the entry. In a trial with two equal ports forced on entry-1 the run fails with the same message; without, it starts.

Each port is now given out once in a process. The harness also keeps the logs of its processes and prints the end of the log when one does not start; the run that failed had thrown them away.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -16,7 +16,9 @@
 __all__ = [
     "call",
     "free_ports",
+    "Ports",
     "Processes",
+    "StartFailed",
     "module",
     "program",
     "run_program",
@@ -35,20 +37,36 @@
     """A process did not start in time."""
 
 
+class Ports:
+    """Ports in a random order, each given out once."""
+
+    def __init__(self, numbers: range) -> None:
+        self._left = iter(random.sample(numbers, len(numbers)))
+
+    def take_free(self) -> int:
+        """Return the next port on which nothing listens.
+
+        :raises StartFailed: when none is left
+        """
+        for port in self._left:
+            with socket.socket() as probe, contextlib.suppress(OSError):
+                probe.bind(("127.0.0.1", port))
+                return port
+        raise StartFailed("no port is free")
+
+
+_ports = Ports(PORTS)
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports of the loopback address that were free a moment ago.
 
     They are below the range from which the system takes ports for outgoing
-    connections, which could use one up before its server starts.
+    connections, which could use one up before its server starts. A port is
+    returned once only, since the server that was given it may not listen
+    yet when the next ports are asked for.
     """
-    found: list[int] = []
-    for port in random.sample(PORTS, len(PORTS)):
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            found.append(port)
-        if len(found) == count:
-            return found
-    raise StartFailed(f"fewer than {count} ports are free")
+    return [_ports.take_free() for _ in range(count)]
 
 
 def call(address: str, path: str):
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -15,6 +15,7 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import time
 import uuid
 
@@ -54,6 +55,7 @@
 # Only ends a test that hangs; no test judges by time.
 WAIT_S = 60.0
 POLL_S = 0.05
+LOG_TAIL_CHARACTERS = 2_000
 LONGEST_RUN_MS = 3_000
 # Lets work that waits behind a fault run after it.
 DEADLINE_MS = 20_000
@@ -118,7 +120,8 @@
         self.targets = TargetProcess(slots=SLOTS)
         self._processes: dict[str, subprocess.Popen] = {}
         self._callers: dict[str, str] = {}
-        self._logs = Path(os.environ.get("CLUSTER_LOGS", os.devnull))
+        self._own_logs = tempfile.TemporaryDirectory()
+        self._logs = Path(os.environ.get("CLUSTER_LOGS", self._own_logs.name))
         self.document = self._make_document(teams, vms, longest_run_ms)
         self.platform = Platform(self._make_vms(), reboot_ms=100)
         self.store = MemoryStore(self.platform.store)
@@ -150,6 +153,7 @@
             process.wait()
         self._server.close()
         self.targets.close()
+        self._own_logs.cleanup()
 
     def apply(self, document: Document) -> int:
         """Put a document in force through the operators' code."""
@@ -189,7 +193,7 @@
                 "balancer-notice-s": 0.1,
             }
         arguments = [f"--{flag}={value}" for flag, value in flags.items()]
-        with self._log(name) as log:
+        with self._log(name).open("ab") as log:
             self._processes[name] = subprocess.Popen(
                 [
                     sys.executable,
@@ -424,14 +428,13 @@
             ports[name, use] = free_ports(1)[0]
         return ports[name, use]
 
-    def _log(self, name: str):
-        if self._logs == Path(os.devnull):
-            return open(os.devnull, "wb")
-        return (self._logs / f"{name}.log").open("ab")
+    def _log(self, name: str) -> Path:
+        return self._logs / f"{name}.log"
 
     def _is_ready(self) -> bool:
         for name, process in self._processes.items():
             if process.poll() is not None:
-                raise AssertionError(f"{name} ended at its start")
+                log = self._log(name).read_text()[-LOG_TAIL_CHARACTERS:]
+                raise AssertionError(f"{name} ended at its start:\n{log}")
         team = next(iter(self.keys))
         return all(self.send(name, team).is_answered for name in self.names)
--- a/tests/unit/test_demo.py
+++ b/tests/unit/test_demo.py
@@ -8,6 +8,8 @@
 from demo.checks import check_requests
 from demo.environment import ENTRY_VMS
 from demo.environment import prepare
+from demo.processes import Ports
+from demo.processes import StartFailed
 from demo.run import ENVIRONMENTS
 from demo.run import WAVE
 from rosemarynotch._internal.configuration import check_key
@@ -123,3 +125,16 @@
     assert check_fleet(twice, document, WAVE)
     assert check_fleet(together, document, WAVE)
     assert check_fleet(_events(*rest), document, WAVE)
+
+
+def test_a_port_is_given_out_once():
+    """Guards against two servers of one run that get the same port.
+
+    Nothing listens on the first port yet when the second is asked for.
+    """
+    ports = Ports(range(20_000, 20_032))
+    taken = []
+    with pytest.raises(StartFailed):
+        while True:
+            taken.append(ports.take_free())
+    assert taken and len(taken) == len(set(taken))
