Charge fractions of a slot with the counted slot time

Cause: its credit was charged with the number of requests that ran at each look, every 0.2 s.

A team's slot time now counts running requests too, up to the present, and the credit is charged with its growth.

--- a/src/rosemarynotch/_internal/admission/pools.py
+++ b/src/rosemarynotch/_internal/admission/pools.py
@@ -109,17 +109,18 @@
 
     def demand(self) -> list[DemandRow]:
         """Return demand and service by team since the start."""
-        return [
-            DemandRow(
-                pool=self.name,
-                team=team,
-                queued_requests=self.queues.queued(team),
-                running_requests=use.running,
-                served_worth=use.served_worth,
-                slot_s=use.slot_s,
-            )
-            for team, use in self.slots.teams.items()
-        ]
+        return [self._row(team) for team in self.slots.teams]
+
+    def _row(self, team: str) -> DemandRow:
+        use = self.slots.use(team)
+        return DemandRow(
+            pool=self.name,
+            team=team,
+            queued_requests=self.queues.queued(team),
+            running_requests=use.running,
+            served_worth=use.served_worth,
+            slot_s=use.slot_s,
+        )
 
 
 def untried_targets(tried, serving, targets):
--- a/src/rosemarynotch/_internal/admission/slots.py
+++ b/src/rosemarynotch/_internal/admission/slots.py
@@ -19,6 +19,7 @@
 class TeamUse:
     """What a team uses and used in a pool.
 
+    :ivar slot_s: slot time used so far, that of running requests included
     :ivar recent_worth: served worth, which fades out
     :ivar running_worth: worth of what runs
     :ivar mean_run_s: run time of its recent requests, late ones included
@@ -69,6 +70,7 @@
         if now_s > use.updated_s:
             passed_s = now_s - use.updated_s
             use.updated_s = now_s
+            use.slot_s += use.running * passed_s
             use.recent_worth *= math.exp(-passed_s / WORTH_MEMORY_S)
         return use
 
@@ -116,7 +118,6 @@
         use.running -= 1
         use.urgent_running -= urgent
         use.running_worth -= worth
-        use.slot_s += run_s
         if served:
             use.served_worth += worth
             use.recent_worth += worth
--- a/src/rosemarynotch/_internal/models/messages.py
+++ b/src/rosemarynotch/_internal/models/messages.py
@@ -24,7 +24,9 @@
 class DemandRow:
     """Demand and service of one team in one pool at one entry.
 
-    ``served_worth`` and ``slot_s`` only grow within an incarnation.
+    ``served_worth`` and ``slot_s`` only grow within an incarnation. The
+    time of requests that still run is part of ``slot_s``, their worth is
+    not part of ``served_worth``.
     """
 
     pool: str
--- a/src/rosemarynotch/_internal/policy/shares.py
+++ b/src/rosemarynotch/_internal/policy/shares.py
@@ -14,6 +14,7 @@
 from rosemarynotch._internal.policy.allocation import SharePolicy
 from rosemarynotch._internal.policy.allocation import TeamDemand
 from rosemarynotch._internal.policy.allocation import WeightedMaxMin
+from rosemarynotch._internal.policy.turns import SlotTurns
 from rosemarynotch._internal.policy.usage import EntryUsage
 from rosemarynotch._internal.policy.usage import Key
 from rosemarynotch._internal.policy.usage import WINDOW_S
@@ -39,10 +40,6 @@
 # Slot-seconds with the mean worth of the pool that are added to what a team
 # used, so that its first few answers do not decide its weight.
 PRIOR_SLOT_S = 2.0
-# Bounds the slot time that a team can save up or owe.
-MAX_CREDIT_S = 1.0
-# Sums of parts that make up a whole slot may end just below it.
-ROUNDING = 1e-9
 
 
 class ShareTable:
@@ -82,8 +79,7 @@
         self._computed_s = -math.inf
         self._compute_due_s = -math.inf
         self._wanted: dict[Key, float] = {}
-        self._credit: dict[Key, float] = {}
-        self._dithered_s = clock.monotonic_s()
+        self._turns = SlotTurns(clock.monotonic_s())
         self._slots: dict[Key, int] = {}
         self._spare: dict[str, float] = {}
         self._ranges: dict[str, tuple[float, float]] = {}
@@ -137,7 +133,7 @@
                 cost_s = self._clock.monotonic_s() - now_s
                 wait_s = max(COMPUTE_S, COMPUTE_PART * cost_s)
                 self._compute_due_s = now_s + wait_s
-            self._dither(now_s)
+            self._slots = self._turns.give(self._wanted, entry.rows, now_s)
 
     def note_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take the demand of another entry."""
@@ -269,28 +265,6 @@
         # Positive values only, which drops teams that are not active.
         self._due_worth = +self._due_worth
 
-    def _dither(self, now_s: float) -> None:
-        """Give the fraction of a slot in turns, by what was really used.
-
-        A request goes on after its turn has ended. Turns of a fixed length
-        gave 16 % too much to a team whose requests outlast a turn.
-        """
-        elapsed_s = now_s - self._dithered_s
-        self._dithered_s = now_s
-        rows = self._table[self._name].rows
-        slots, credit = {}, {}
-        for key, wanted in self._wanted.items():
-            whole = math.floor(wanted + ROUNDING)
-            row = rows.get(key)
-            running = row.running_requests if row is not None else 0
-            # What runs on spare slots is not held against the team.
-            used = min(running, math.ceil(wanted - ROUNDING))
-            change = (wanted - used) * elapsed_s
-            balance = self._credit.get(key, 0.0) + change
-            credit[key] = max(-MAX_CREDIT_S, min(MAX_CREDIT_S, balance))
-            slots[key] = whole + (wanted - whole > ROUNDING and balance >= 0)
-        self._slots, self._credit = slots, credit
-
 
 def _demand(row: DemandRow | None) -> int:
     return row.queued_requests + row.running_requests if row else 0
--- a/tests/unit/test_shares.py
+++ b/tests/unit/test_shares.py
@@ -111,14 +111,14 @@
             lambda: ["a", "b", "c"],
         )
 
-    def row(self, team, queued, running=0):
+    def row(self, team, queued, running=0, slot_s=0.0):
         return DemandRow(
             pool=POOL,
             team=team,
             queued_requests=queued,
             running_requests=running,
             served_worth=0.0,
-            slot_s=0.0,
+            slot_s=slot_s,
         )
 
     def hear(self, name, *rows, table=None):
@@ -152,34 +152,51 @@
         self.assertEqual(0, self.table.spare_slots(POOL))
 
     def test_fractions_are_used_right_whatever_requests_last(self):
-        for last_updates in (1, 2, 5):
-            used = self.use_fractions(last_updates)
-            for name, slot_updates in used.items():
-                self.assertTrue(
-                    abs(slot_updates - 40 / 3 * 10) <= 3,
-                    f"{name} used {slot_updates}, requests of {last_updates}",
-                )
-
-    def use_fractions(self, last_updates):
-        """Use what each entry is given; return slot-updates by entry.
+        """Guards against a wrong charge for time between two looks.
 
-        Four slots over three entries are 4/3 for each.
+        A third of the cases lasts a multiple of the time between looks.
+        """
+        for slots in (1.2, 4):
+            for last_steps in (2, 4, 6, 8, 11, 20):
+                used = self.use_fractions(slots, last_steps)
+                for name, used_s in used.items():
+                    self.assertTrue(
+                        abs(used_s - slots / 3 * 60) <= 0.03 * 60,
+                        f"{name}: {used_s} of {slots}, {last_steps} steps",
+                    )
+
+    def use_fractions(self, slots, last_steps):
+        """Use what each of three entries is given for a minute.
+
+        A request that may start does so at the next step, of which there
+        are four between two looks.
+
+        :returns: slot-seconds by entry
         """
-        tables = {name: self.make(name, slots=4) for name in "abc"}
+        tables = {name: self.make(name, slots=slots) for name in "abc"}
         ends = {name: [] for name in tables}
-        used = dict.fromkeys(tables, 0)
-        for now in range(100):
-            self.clock.advance(0.2)
-            rows = {n: self.row("t", 10, len(ends[n])) for n in tables}
+        used_s = dict.fromkeys(tables, 0.0)
+        for step in range(1200):
+            self.clock.advance(0.05)
+            for name in tables:
+                used_s[name] += len(ends[name]) * 0.05
+                ends[name] = [end for end in ends[name] if end > step]
+            if step % 4 == 0:
+                self.look(tables, ends, used_s)
             for name, table in tables.items():
-                for other in set(tables) - {name}:
-                    self.hear(other, rows[other], table=table)
-                table.update((rows[name],))
-                ends[name] = [end for end in ends[name] if end > now]
                 free = int(table.slots(POOL, "t")) - len(ends[name])
-                ends[name] += [now + last_updates] * max(0, free)
-                used[name] += len(ends[name])
-        return used
+                ends[name] += [step + last_steps] * max(0, free)
+        return used_s
+
+    def look(self, tables, ends, used_s):
+        rows = {
+            name: self.row("t", 10, len(ends[name]), used_s[name])
+            for name in tables
+        }
+        for name, table in tables.items():
+            for other in set(tables) - {name}:
+                self.hear(other, rows[other], table=table)
+            table.update((rows[name],))
 
     def test_uneven_callers_come_close_to_their_shares(self):
         exchanged = run_trial(True, duration_s=60.0)
