Measure how long a configuration change takes to be in force

'In force everywhere within 18 s' was worked out, but not timed. The experiment replaces a team's key and asks every entry until it takes the new key and refuses the old one: with a hint to the members, without, and with one entry cut off from the store.

--- a/experiments/setting.py
+++ b/experiments/setting.py
@@ -1,6 +1,7 @@
 """Starts entries and control on stand-ins for an experiment."""
 
 import contextlib
+import http.client
 from pathlib import Path
 import random
 import tempfile
@@ -17,6 +18,7 @@
 from demo.processes import program
 from demo.processes import run_program
 from rosemarynotch._internal.configuration import make_key
+from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.models.document import KeySpec
 from rosemarynotch._internal.models.document import PoolKind
@@ -46,6 +48,8 @@
     :ivar settle_s: time in which members hear of each other and divide the
         limits, before anything is measured
     :ivar entry_flags: settings of the entries, such as a baseline
+    :ivar cut_entries: number of entries that reach the platform through a
+        port of its own, which can be cut
     """
 
     shares: dict[str, float]
@@ -58,6 +62,7 @@
     limits: dict[str, int] = attrs.field(factory=dict)
     settle_s: float = 4.0
     entry_flags: dict[str, object] = attrs.field(factory=dict)
+    cut_entries: int = 0
 
 
 class Setting:
@@ -69,7 +74,7 @@
         directory = tempfile.TemporaryDirectory(prefix="rosemarynotch-")
         self._directory = Path(self._stack.enter_context(directory))
         self.processes = Processes(self._directory)
-        self._keys: dict[str, str] = {}
+        self.keys: dict[str, str] = {}
 
     def __enter__(self):
         shape = self.shape
@@ -78,7 +83,7 @@
                 len(shape.pools) * (shape.vms_per_pool + 1)
                 + 3 * shape.entries
                 + shape.controls
-                + 1
+                + 2
             )
         )
         try:
@@ -101,6 +106,20 @@
         """Run the load tool against the targets, as a baseline."""
         return self._replay(profile, seed, f"--direct={self.target_listen}")
 
+    def set_store_fault(self, outage: str) -> None:
+        """Set the outage of the store for the entries that can be cut.
+
+        :param outage: ``up``, or an outage that the stand-in knows
+        """
+        port = self.cut_platform.rpartition(":")[2]
+        connection = http.client.HTTPConnection(self.platform)
+        try:
+            body = msgspec.json.encode({"store": outage})
+            connection.request("POST", f"/faults?port={port}", body)
+            connection.getresponse().read()
+        finally:
+            connection.close()
+
     def stats(self) -> dict:
         """Return what the platform counted."""
         return call(self.platform, "/stats")
@@ -110,7 +129,7 @@
         results = self._directory / "figures.json"
         keys = self._directory / "keys.json"
         profile_file.write_bytes(msgspec.json.encode(profile))
-        keys.write_bytes(msgspec.json.encode(self._keys))
+        keys.write_bytes(msgspec.json.encode(self.keys))
         text = run_program(
             "rosemarynotch-replay",
             where,
@@ -132,11 +151,11 @@
         rows += [{"name": name, "address": a} for name, a in addresses.items()]
         fleet = self._directory / "fleet.json"
         fleet.write_bytes(msgspec.json.encode(rows))
-        self.platform = self._address()
+        self.platform, self.cut_platform = self._address(), self._address()
         self.processes.start(
             "platform",
             module("standins.platform"),
-            listen=self.platform,
+            listen=f"{self.platform},{self.cut_platform}",
             fleet=fleet,
         )
         self._wait_for("platform", self.platform)
@@ -193,31 +212,48 @@
         for name, address in callers.items():
             self._wait_for(name, address)
         self.callers = ",".join(callers.values())
+        self.caller_addresses = list(callers.values())
         self.operators = list(operators.values())
 
     def _member_flags(self, name: str, number: int) -> dict[str, str]:
+        is_cut = name.startswith("entry") and number < self.shape.cut_entries
+        platform = self.cut_platform if is_cut else self.platform
         return {
             "name": name,
             "vm": f"vm-{number}",
             "data_centre": "Gent",
-            "store": self.platform,
-            "vm_service": self.platform,
-            "task_service": self.platform,
+            "store": platform,
+            "vm_service": platform,
+            "task_service": platform,
             "peer_listen": self._address(),
         }
 
     def _apply(self) -> None:
+        self.document = self._document()
+        self.apply(self.document)
+
+    def apply(self, document: Document, is_announced: bool = True) -> int:
+        """Put a document in force and return its version.
+
+        :param is_announced: whether members are told, or have to find it
+        """
         clock = SystemClock()
         store = HttpStore(self.platform, clock)
         records = RecordStore(store, clock, random.Random(1))
+        if not is_announced:
+            records.bump_head = lambda **_: None
+        changes = ConfigChanges(records, clock, "experiment")
+        pointer = changes.pointer()
         change = Change(
             change_id=uuid.uuid4().hex,
             operator="experiment",
             reason="experiment",
-            expected_version=0,
+            expected_version=pointer.current.version if pointer else 0,
         )
-        changes = ConfigChanges(records, clock, "experiment")
-        changes.apply(self._document(), change)
+        accepted = changes.apply(document, change)
+        if isinstance(accepted, Failure):
+            raise RuntimeError(accepted.reason)
+        return accepted.version
 
     def _document(self) -> Document:
         shape = self.shape
@@ -256,7 +292,7 @@
         return Document(pools=pools, teams=teams, queues=queues)
 
     def _make_key(self, team: str) -> KeySpec:
-        self._keys[team], spec = make_key(team, "k1")
+        self.keys[team], spec = make_key(team, "k1")
         return spec
 
     def _address(self) -> str:
