Test metrics over all entries, and keep heartbeats readable by earlier programs

Cause: the first form left the new field out by omit_defaults, which msgspec does not apply to arrays, so each heartbeat had 15 fields and earlier programs would have refused all of them. A new test of the layout showed it. The field is now sent only while there is an alarm; during an alarm an earlier program refuses the heartbeats of the leading control process.

--- a/src/rosemarynotch/_internal/operators/collector.py
+++ b/src/rosemarynotch/_internal/operators/collector.py
@@ -99,13 +99,11 @@
         others = [name for name in listed if name != self._name]
         with self._lock:
             results = dict(zip(others, self._ask(others)))
-        included, missing = {self._name: self._metrics.snapshot()}, []
+        missing = []
         for name, result in results.items():
             if isinstance(result, Failure):
                 self._metrics.count("metrics_missing", code=result.code)
                 missing.append(_missing(name, result))
-            else:
-                included[name] = result
         if self._name not in listed:
             # Without a current members record there may be any number of
             # other entries.
@@ -115,11 +113,16 @@
                     entry=UNKNOWN_ENTRIES, code="members-unknown", reason=text
                 )
             )
-        first, *rest = included.values()
+        included = {
+            name: result
+            for name, result in results.items()
+            if not isinstance(result, Failure)
+        }
+        own = self._metrics.snapshot()
         return CollectedMetrics(
             scope=Scope.ENVIRONMENT,
-            snapshot=first.merge(*rest),
-            included=tuple(sorted(included)),
+            snapshot=own.merge(*included.values()),
+            included=tuple(sorted([self._name, *included])),
             missing=tuple(missing),
         )
 
--- a/src/rosemarynotch/_internal/peers/rows.py
+++ b/src/rosemarynotch/_internal/peers/rows.py
@@ -43,12 +43,12 @@
 _WireRow = tuple[int, int, int, int, int, int]
 
 
-class _Layout(msgspec.Struct, array_like=True, omit_defaults=True):
+class _Layout(msgspec.Struct, array_like=True):
     """A heartbeat as it is sent.
 
-    Fields may be added at the end, with a default: they are left out while
-    they have it, which keeps the layout of earlier programs, and receivers
-    ignore fields that they do not know.
+    Fields may be added at the end, with a default. Receivers ignore fields
+    that they do not know. Programs from before ``alarms`` refuse it, so it is
+    sent only while there are any.
 
     :ivar store_age_ms: age of the store contact
     :ivar complete: whether all names and rows are here
@@ -116,25 +116,25 @@
             )
             for row in self._choose(heartbeat.demand, complete)
         ]
-        data = codec.encode(
-            _Layout(
-                heartbeat.sender,
-                heartbeat.incarnation,
-                heartbeat.sequence,
-                heartbeat.members_revision,
-                heartbeat.config_version,
-                heartbeat.fleet_revision,
-                round(1000 * min(LARGEST_AGE_S, heartbeat.store_age_s)),
-                complete,
-                known_count,
-                list(self._numbers)[known_count:],
-                rows,
-                heartbeat.running_by_vm,
-                heartbeat.short_teams,
-                heartbeat.ejected_vms,
-                heartbeat.alarms,
-            )
+        plain = (
+            heartbeat.sender,
+            heartbeat.incarnation,
+            heartbeat.sequence,
+            heartbeat.members_revision,
+            heartbeat.config_version,
+            heartbeat.fleet_revision,
+            round(1000 * min(LARGEST_AGE_S, heartbeat.store_age_s)),
+            complete,
+            known_count,
+            list(self._numbers)[known_count:],
+            rows,
+            heartbeat.running_by_vm,
+            heartbeat.short_teams,
+            heartbeat.ejected_vms,
         )
+        if heartbeat.alarms:
+            plain += (heartbeat.alarms,)
+        data = codec.encode(plain)
         if len(data) < COMPRESS_BYTES:
             return PLAIN + data
         packer = zlib.compressobj(**DEFLATE)
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -117,6 +117,7 @@
         self.names = [f"entry-{n}" for n in range(1, entries + 1)]
         self.control_names = [f"control-{n}" for n in range(1, controls + 1)]
         self.keys: dict[str, str] = {}
+        self._operator_key, self._operator = make_key("test", "k")
         self.targets = TargetProcess(slots=SLOTS)
         self._processes: dict[str, subprocess.Popen] = {}
         self._callers: dict[str, str] = {}
@@ -184,7 +185,7 @@
             "peer-listen": self._address(name, "peer"),
         }
         if is_entry:
-            _, operator = make_key("test", "k")
+            operator = self._operator
             flags |= {
                 "caller-listen": self._address(name, "caller"),
                 "operator-listen": self._address(name, "operator"),
@@ -298,6 +299,16 @@
         finally:
             connection.close()
 
+    def ask_operator_port(self, entry: str, path: str) -> str:
+        """Return what an entry answers to an operator."""
+        connection = http.client.HTTPConnection(
+            self._address(entry, "operator"), timeout=WAIT_S
+        )
+        headers = {"Authorization": f"Bearer {self._operator_key}"}
+        with contextlib.closing(connection):
+            connection.request("GET", path, headers=headers)
+            return connection.getresponse().read().decode()
+
     def call_jobs(
         self, entry: str, team: str, path: str = "", body: dict | None = None
     ) -> dict:
--- a/tests/unit/test_control_fleet.py
+++ b/tests/unit/test_control_fleet.py
@@ -171,6 +171,14 @@
         self.steps(1)
         self.assertEqual((), self.loop.alarms)
 
+    def test_alarm_of_a_process_that_lost_the_lead_is_not_told(self):
+        self.vms.rows = {}
+        self.steps(3)
+        self.assertEqual(1, len(self.loop.alarms))
+        self.store.fault = Fault.DOWN
+        self.steps(10)
+        self.assertEqual((), self.loop.alarms)
+
     def test_record_is_never_paired_with_another_revision(self):
         # A drain paired with an older revision would count as known to
         # entries that do not know it.
--- a/tests/unit/test_metrics_and_logs.py
+++ b/tests/unit/test_metrics_and_logs.py
@@ -25,6 +25,9 @@
         self.assertEqual(2, summary.count)
         self.assertTrue(1.4 < summary.p50_ms < 1.6, summary)
         self.assertTrue(395 < summary.max_ms < 405, summary)
+        both = first.snapshot().merge(second.snapshot(), second.snapshot())
+        self.assertEqual({"refused{team=a}": 5}, both.counters)
+        self.assertEqual(3, both.summary("wait{team=a}").count)
 
     def test_invented_labels_do_not_use_up_memory(self):
         metrics = Metrics(max_counters=3, max_histograms=2)
--- a/tests/unit/test_operator_app.py
+++ b/tests/unit/test_operator_app.py
@@ -205,6 +205,22 @@
         status, answer = self.port.change("/v1/vms/s-1/undrain", 3)
         self.assertEqual(200, status)
 
+    def test_waves(self):
+        wave = '[[waves]]\nname = "w"\npools = ["settlement"]\n'
+        self.put_in_force(TOML + wave)
+        self.assertEqual({"waves": []}, self.port.call("GET", "/v1/waves")[1])
+        self.port.change("/v1/waves/w/start")
+        self.port.follow()
+        _, answer = self.port.call("GET", "/v1/waves")
+        self.assertEqual(
+            [("w", "running", 0, 2)],
+            [
+                (each["name"], each["state"], each["done_vms"], total)
+                for each in answer["waves"]
+                for total in [each["total_vms"]]
+            ],
+        )
+
     def test_store_outage_and_lost_answers_are_told_apart(self):
         self.put_in_force(TOML)
         self.port.store.fault = Fault.DOWN
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -16,15 +16,18 @@
 from rosemarynotch._internal.models import messages
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.peers import Exchange
+from rosemarynotch._internal.peers.exchange import METRICS_LIMIT_BYTES
 from rosemarynotch._internal.peers.heard import Heard
 from rosemarynotch._internal.peers.rows import HeartbeatDecoder
 from rosemarynotch._internal.peers.rows import HeartbeatEncoder
 from rosemarynotch._internal.peers.rows import ROWS_LIMIT
+from rosemarynotch._internal.peers.server import WORKERS_COUNT
 from rosemarynotch._internal.peers import Timing
 from rosemarynotch._internal.peers.wire import decode_message
 from rosemarynotch._internal.peers.wire import encode_message
 from rosemarynotch._internal.peers.wire import Kind
 from rosemarynotch._internal.peers.wire import Message
+from rosemarynotch._internal.peers.wire import MESSAGE_LIMIT_BYTES
 from rosemarynotch._internal.utils.clock import SystemClock
 from tests.lib.clocks import ManualClock
 from tests.lib.counts import Counts
@@ -224,6 +227,42 @@
         self.assertEqual(202, second.answer.status)
         self.assertEqual(1, self.counts.by_name["peer_answers_late"])
 
+    def answer_metrics(self, body):
+        def answer(message):
+            if message.kind is not Kind.METRICS_REQUEST:
+                return acknowledge(message)
+            kind = Kind.METRICS_ANSWER
+            return [encode_message(Message(kind, message.request_id, body))]
+
+        return answer
+
+    def test_metrics_that_are_silent_malformed_or_too_large(self):
+        peer = self.connected_peer(acknowledge)
+        result = self.exchange.fetch_metrics("b", 0.3)
+        self.assert_failure(result, failures.PEER_TIMEOUT, Ran.UNKNOWN)
+        large = codec.encode(
+            messages.MetricsAnswer(
+                counters={}, histograms={"h": bytes(METRICS_LIMIT_BYTES)}
+            )
+        )
+        for body, kind in (
+            (b"rubbish", failures.RECORD_MALFORMED),
+            (codec.encode({"counters": []}), failures.RECORD_MALFORMED),
+            (large, failures.BODY_TOO_LARGE),
+        ):
+            peer.answer = self.answer_metrics(body)
+            result = self.exchange.fetch_metrics("b", PATIENCE_S)
+            self.assert_failure(result, kind, Ran.UNKNOWN)
+
+    def test_message_beyond_all_limits_is_not_taken_into_memory(self):
+        peer = self.connected_peer(acknowledge)
+        peer.answer = self.answer_metrics(bytes(MESSAGE_LIMIT_BYTES))
+        result = self.exchange.fetch_metrics("b", 1)
+        self.assert_failure(result, failures.PEER_TIMEOUT, Ran.UNKNOWN)
+        answer = messages.MetricsAnswer(counters={"c": 1}, histograms={})
+        peer.answer = self.answer_metrics(codec.encode(answer))
+        wait_for(lambda: self.exchange.fetch_metrics("b", 1) == answer)
+
     def test_restarted_member_gets_a_new_link(self):
         self.connected_peer(acknowledge)
         new = self.peer(acknowledge, revision=2)
@@ -287,6 +326,32 @@
         b.set_document_source(lambda version: document)
         self.assertEqual(document, a.fetch_document("b", 3))
 
+    def test_metrics_do_not_wait_for_forwards(self):
+        a, b = self.exchanges["a"], self.exchanges["b"]
+        self.assertTrue(
+            a.fetch_metrics("b", PATIENCE_S).is_a(failures.SHUTTING_DOWN)
+        )
+        answer = messages.MetricsAnswer(counters={"c": 1}, histograms={})
+        b.set_metrics_source(lambda: answer)
+        done, entered = threading.Event(), threading.Semaphore(0)
+
+        def wait(_):
+            entered.release()
+            done.wait(PATIENCE_S)
+
+        b.set_forward_handler(wait)
+        senders = [
+            threading.Thread(target=a.forward, args=("b", forward(), 3600))
+            for _ in range(WORKERS_COUNT)
+        ]
+        self.addCleanup(done.set)
+        for sender in senders:
+            sender.daemon = True
+            sender.start()
+        for _ in senders:
+            self.assertTrue(entered.acquire(timeout=PATIENCE_S))
+        self.assertEqual(answer, a.fetch_metrics("b", PATIENCE_S))
+
     def test_error_in_a_handler_is_an_unknown_outcome(self):
         a, b = self.exchanges["a"], self.exchanges["b"]
         b.set_forward_handler(lambda _: 1 / 0)
@@ -378,6 +443,7 @@
             "running_by_vm": {"v": 2},
             "short_teams": ("s",),
             "ejected_vms": ("w",),
+            "alarms": ("list is empty",),
         }
         many = tuple(self.row(f"team-{n}", n) for n in range(45))
         data, rows = self.pass_on(*many)
@@ -391,6 +457,17 @@
             heartbeat("b", **{**fields, "store_age_s": 1e6}), decoded
         )
 
+    def test_layouts_of_earlier_and_later_programs(self):
+        # Without alarms, the layout is the one that earlier programs know.
+        data = HeartbeatEncoder().encode(heartbeat("b"))
+        fields = msgspec.msgpack.decode(data[1:])
+        self.assertEqual(14, len(fields))
+        for later in ([], [["list is empty"]], [["list is empty"], "later"]):
+            encoded = data[:1] + msgspec.msgpack.encode(fields + later)
+            decoded = HeartbeatDecoder().decode(encoded, lambda _: True)
+            alarms = tuple(later[0]) if later else ()
+            self.assertEqual(heartbeat("b", alarms=alarms), decoded)
+
 
 class HeardTest(testtools.TestCase):
     """Guards against news of a process that has been replaced."""
--- a/tests/unit/test_report.py
+++ b/tests/unit/test_report.py
@@ -67,6 +67,8 @@
     name="monthly", state="paused", done_vms=2, total_vms=6, held_by="rack r2"
 )
 
+LIST_ALARM = "the platform's VM list is empty"
+
 
 def pool(**fields):
     return {"pools": (attrs.evolve(POOL, **fields),)}
@@ -98,6 +100,7 @@
     ({"fleet_revision": 0}, "VM states are not known"),
     ({"shares": (UNDER_SHARE,)}, "market: 20% under share"),
     ({"waves": (HELD,)}, "held: rack r2"),
+    ({"control_alarms": (LIST_ALARM,)}, f"are not seen: {LIST_ALARM}"),
 )
 
 
@@ -129,6 +132,7 @@
             {"version": 0},
             {"fleet_revision": 0},
             {"store_age_s": 40.0},
+            {"control_alarms": (LIST_ALARM,)},
         ):
             text = "\n".join(report_lines(attrs.evolve(HEALTHY, **fields)))
             self.assertNotIn("No promise at risk", text)
@@ -251,9 +255,14 @@
         )
         beats = {
             "entry-2": heartbeat(
-                demand=(row,), config_version=5, running_by_vm={"s-2": 3}
+                demand=(row,),
+                config_version=5,
+                running_by_vm={"s-2": 3},
+                alarms=(LIST_ALARM,),
             )
         }
+        ages = {"entry-3": 200.0}
+        beats["entry-3"] = heartbeat("entry-3", alarms=("outdated",))
         beats["entry-7"] = heartbeat("entry-7", demand=(row,))
         observer = Observer(
             "trial",
@@ -262,7 +271,7 @@
             members,
             Freshness(clock, members, "entry-1"),
             lambda: {
-                name: HeardMember(heartbeat=beat, age_s=1.0)
+                name: HeardMember(heartbeat=beat, age_s=ages.get(name, 1.0))
                 for name, beat in beats.items()
             },
             lambda: heartbeat("entry-1", demand=(row,)),
@@ -270,6 +279,7 @@
         )
         snapshot = observer.snapshot()
         self.assertEqual(["entry-3"], [m.name for m in snapshot.silent])
+        self.assertEqual((LIST_ALARM,), snapshot.control_alarms)
         self.assertEqual(5, snapshot.version)
         self.assertEqual((1, 3), snapshot.in_force(5))
         self.assertEqual(4, snapshot.teams[0].running_requests)
