Show jobs in the demonstration, from submission to answer

The traces held requests only, so nothing that the demonstration ran showed a job. Both traces now have 20 jobs of several teams: ordinary ones, one that is submitted twice, long ones that hold or are moved by the drain of the workers, one that is too large, one that is cancelled, and two whose first task fails.

The replayer follows each job to its end. The checks compare that with the tasks in the ledger of the platform stand-in: starts, ends, repeats, tasks that were lost, starts on a worker that drains, and each team's requests and tasks together against its limit. The ledger does not show when a drain begins, so that alone is read from the fleet record in the store.

The platform stand-in can let the first tasks of a payload fail.

--- /dev/null
+++ b/demo/drain_watch.py
@@ -0,0 +1,81 @@
+"""Notes when workers are out for a wave."""
+
+import random
+import threading
+
+from demo.job_checks import Drain
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.document import Document
+from rosemarynotch._internal.models.document import PoolKind
+from rosemarynotch._internal.models.records import FleetRecord
+from rosemarynotch._internal.models.records import VmState
+from rosemarynotch._internal.platform.http_store import HttpStore
+from rosemarynotch._internal.platform.records import FLEET_KEY
+from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.utils.clock import SystemClock
+
+__all__ = ["DrainWatch"]
+
+POLL_S = 0.1
+
+
+class DrainWatch:
+    """Reads the fleet record from the store, as an operator could.
+
+    The ledger of the platform shows reboots only. A worker drains before,
+    for as long as its tasks run.
+
+    :param store: address of the store
+    """
+
+    def __init__(self, store: str, document: Document) -> None:
+        self._clock = SystemClock()
+        self._records = RecordStore(
+            HttpStore(store, self._clock), self._clock, random.Random()
+        )
+        self._workers = {
+            vm.name
+            for pool in document.pools
+            if pool.kind is PoolKind.WORKERS
+            for vm in pool.vms
+        }
+        self._open: dict[str, Drain] = {}
+        self._drains: list[Drain] = []
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Start to read."""
+        self._thread.start()
+
+    def stop(self) -> list[Drain]:
+        """Stop to read and return the times out of all workers."""
+        self._stopped.set()
+        self._thread.join()
+        return self._drains + list(self._open.values())
+
+    def missing(self, drains: list[Drain]) -> list[str]:
+        """Return a problem for each worker that was never out."""
+        seen = {drain.worker for drain in drains}
+        return [
+            f"{name}: not seen to drain"
+            for name in sorted(self._workers - seen)
+        ]
+
+    def _run(self) -> None:
+        while not self._stopped.wait(POLL_S):
+            before_s = self._clock.monotonic_s()
+            found = self._records.read(FLEET_KEY, FleetRecord, True)
+            if isinstance(found, Failure):
+                continue
+            after_s = self._clock.monotonic_s()
+            for name, vm in found.value.vms.items():
+                if name not in self._workers:
+                    continue
+                if vm.state is VmState.SERVING:
+                    if name in self._open:
+                        self._drains.append(self._open.pop(name))
+                    continue
+                known = self._open.get(name)
+                from_s = known.from_s if known else after_s
+                self._open[name] = Drain(name, from_s, before_s)
--- a/demo/run.py
+++ b/demo/run.py
@@ -2,7 +2,8 @@
 
 Starts stand-ins, three entries and three control processes, puts the example
 document in force, replays the trace during a maintenance wave, prints the
-report and stops everything. Exits with 0 only if all stated outcomes held.
+way of one job and the report, and stops everything. Exits with 0 only if all
+stated outcomes held.
 """
 
 from pathlib import Path
@@ -16,9 +17,13 @@
 
 from demo.checks import check_fleet
 from demo.checks import check_requests
+from demo.drain_watch import DrainWatch
 from demo.environment import ENTRY_VMS
 from demo.environment import Environment
 from demo.environment import prepare
+from demo.job_checks import check_jobs
+from demo.job_checks import check_limits
+from demo.job_checks import describe_job
 from demo.processes import call
 from demo.processes import free_ports
 from demo.processes import module
@@ -150,6 +155,9 @@
     def _replay(self) -> list[str]:
         results = self._directory / "results.jsonl"
         failed = []
+        document = self._environment.document
+        watch = DrainWatch(self._platform, document)
+        watch.start()
         wave = threading.Thread(target=self._start_wave, args=(failed,))
         wave.start()
         entries = (f"127.0.0.1:{port}" for port in self._caller_ports)
@@ -169,12 +177,17 @@
         ]
         missed = sum(not each["held"] for each in rows)
         problems = failed + self._wait_for_wave()
+        drains = watch.stop()
+        problems += watch.missing(drains)
         if missed:
             problems.append(f"{missed} stated outcomes did not hold")
         ledger = call(f"127.0.0.1:{self._admin_port}", "/ledger")
         events = call(self._platform, "/ledger")
-        document = self._environment.document
-        problems += check_requests(rows, ledger, document)
+        print(*describe_job(rows, events), "", sep="\n", flush=True)
+        requests = [each for each in rows if not each["job"]]
+        problems += check_requests(requests, ledger, document)
+        problems += check_jobs(rows, events, drains)
+        problems += check_limits(rows, ledger["requests"], events, document)
         return problems + check_fleet(events, document, WAVE)
 
     def _start_wave(self, failed: list[str]) -> None:
--- a/src/rosemarynotch/_internal/cli/replay.py
+++ b/src/rosemarynotch/_internal/cli/replay.py
@@ -5,13 +5,13 @@
 import msgspec
 
 from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.replay.job_sending import JobSender
 from rosemarynotch._internal.replay.load import generate_load
 from rosemarynotch._internal.replay.load import load_profile
 from rosemarynotch._internal.replay.load_summary import format_load
 from rosemarynotch._internal.replay.load_summary import summarize_load
 from rosemarynotch._internal.replay.playing import play
 from rosemarynotch._internal.replay.sending import DirectSender
-from rosemarynotch._internal.replay.sending import EntrySender
 from rosemarynotch._internal.replay.sending import Result
 from rosemarynotch._internal.replay.sending import WRONG_ANSWER
 from rosemarynotch._internal.replay.summary import format_trace
@@ -40,7 +40,8 @@
     """Replay a trace or generate load, and print what came of it.
 
     :param entries: caller addresses of entries, separated by commas
-    :param direct: addresses of targets instead, as a baseline
+    :param direct: addresses of targets instead, as a baseline; the jobs of
+        a trace are left out
     :param keys: JSON file with keys by name
     :param trace: file of JSON lines; exits with 1 unless all stated
         outcomes held
@@ -61,9 +62,12 @@
     if direct:
         sender = DirectSender(addresses, clock, timeout_s)
     else:
-        sender = EntrySender(addresses, clock, timeout_s, load_keys(keys))
+        sender = JobSender(addresses, clock, timeout_s, load_keys(keys))
     if trace:
-        found = play(load_trace(trace), sender, clock, workers)
+        rows = load_trace(trace)
+        if direct:
+            rows = [row for row in rows if row.job is None]
+        found = play(rows, sender, clock, workers)
         _write(results, [_line(result) for result in found])
         print(format_trace(found))
         held = all(result.holds() for result in found)
@@ -96,6 +100,10 @@
             "late_ms": result.late_ms,
             "idempotent": row.idempotent,
             "held": result.holds(),
+            "job": row.job is not None,
+            "job_id": result.job_id,
+            "fail_count": row.job.fail_count if row.job else 0,
+            "accepted_ms": result.accepted_ms,
         }
     )
 
--- a/src/rosemarynotch/_internal/replay/sending.py
+++ b/src/rosemarynotch/_internal/replay/sending.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.replay.trace import ENDED_PREFIX
 from rosemarynotch._internal.replay.trace import Expected
 from rosemarynotch._internal.replay.trace import TraceRow
 from rosemarynotch._internal.utils.clock import Clock
@@ -13,9 +14,16 @@
 from rosemarynotch._internal.utils.http import HttpClient
 from rosemarynotch._internal.utils.http import Reply
 
-__all__ = ["DirectSender", "EntrySender", "Result", "Sender"]
+__all__ = [
+    "DirectSender",
+    "EntrySender",
+    "Result",
+    "Sender",
+    "judge_failure",
+]
 
 ANSWERED = "answered"
+DONE = ENDED_PREFIX + "done"
 WRONG_ANSWER = "wrong-answer"
 NOT_SENT = "not-sent"
 BROKEN = "connection-broken"
@@ -29,9 +37,11 @@
 class Result:
     """What became of a request.
 
-    :ivar code: ``answered``, ``wrong-answer``, the code of a refusal, or
-        why there is neither
+    :ivar code: ``answered``, ``wrong-answer``, the code of a refusal,
+        ``ended:<state>`` for a job, or why there is none of them
     :ivar late_ms: how late it was sent
+    :ivar job_id: of an accepted job
+    :ivar accepted_ms: when its submission was answered, after it was sent
     """
 
     row: TraceRow
@@ -39,11 +49,16 @@
     ran: Ran
     latency_ms: float
     late_ms: float = 0.0
+    job_id: str = ""
+    accepted_ms: float = 0.0
 
     @property
     def is_answered(self) -> bool:
-        """Tell whether the whole answer to this request came back."""
-        return self.code == ANSWERED
+        """Tell whether the whole answer to this request came back.
+
+        That of a job is its result.
+        """
+        return self.code in (ANSWERED, DONE)
 
     @property
     def is_refused(self) -> bool:
@@ -53,6 +68,8 @@
     def holds(self) -> bool:
         """Tell whether the stated outcome held."""
         expected = Expected.parse(self.row.outcome)
+        if expected.state or self.code.startswith(ENDED_PREFIX):
+            return self.code == self.row.outcome
         if self.is_answered:
             return expected.answer
         if self.ran is Ran.UNKNOWN:
@@ -78,7 +95,7 @@
 
     def send(self, row: TraceRow) -> Result:
         """Send a request once and wait for its outcome."""
-        client = self._clients[row.entry % len(self._clients)]
+        client = self._client(row)
         start_s = self._clock.monotonic_s()
         reply = client.call(
             row.method,
@@ -94,6 +111,10 @@
             latency_ms=(self._clock.monotonic_s() - start_s) * 1000,
         )
 
+    def _client(self, row: TraceRow) -> HttpClient:
+        """Return the client of the address that gets a request."""
+        return self._clients[row.entry % len(self._clients)]
+
     @abc.abstractmethod
     def _segments(self, row: TraceRow) -> tuple[str, ...]:
         """Return the path."""
@@ -128,16 +149,20 @@
     def _segments(self, row):
         return ("s", row.service, "work")
 
-    def _headers(self, row):
-        headers = super()._headers(row)
-        headers["Rosemarynotch-Queue"] = row.queue
-        headers["Rosemarynotch-Worth"] = str(row.worth)
-        headers["Rosemarynotch-Idempotent"] = str(int(row.idempotent))
+    def _caller_headers(self, row: TraceRow) -> dict[str, str]:
+        """Return what requests and jobs have in common."""
+        headers = {"Rosemarynotch-Queue": row.queue}
         if row.key:
             key = self._keys.get(row.key, row.key)
             headers["Authorization"] = f"Bearer {key}"
         if row.idempotency_key:
             headers["Idempotency-Key"] = row.idempotency_key
+        return headers
+
+    def _headers(self, row):
+        headers = super()._headers(row) | self._caller_headers(row)
+        headers["Rosemarynotch-Worth"] = str(row.worth)
+        headers["Rosemarynotch-Idempotent"] = str(int(row.idempotent))
         if row.retry:
             headers["Rosemarynotch-Retry"] = "1"
         if row.deadline_ms:
@@ -150,6 +175,14 @@
 
 
 def _judge(row: TraceRow, reply: Reply | CallFailed) -> tuple[str, Ran]:
+    failed = judge_failure(reply)
+    if failed is not None:
+        return failed
+    return (ANSWERED if _is_own(row, reply) else WRONG_ANSWER), Ran.YES
+
+
+def judge_failure(reply: Reply | CallFailed) -> tuple[str, Ran] | None:
+    """Return code and meaning of a refusal or failure, None for neither."""
     if isinstance(reply, CallFailed):
         return (NOT_SENT if reply.ran is Ran.NO else BROKEN), reply.ran
     ran = reply.headers.get("Rosemarynotch-Ran")
@@ -159,7 +192,7 @@
         return "target-refused", Ran.NO
     if reply.status >= ERROR_STATUS:
         return f"status-{reply.status}", Ran.YES
-    return (ANSWERED if _is_own(row, reply) else WRONG_ANSWER), Ran.YES
+    return None
 
 
 def _is_own(row: TraceRow, reply: Reply) -> bool:
--- a/src/rosemarynotch/_internal/replay/summary.py
+++ b/src/rosemarynotch/_internal/replay/summary.py
@@ -10,7 +10,13 @@
 from rosemarynotch._internal.replay.playing import LATE_MS
 from rosemarynotch._internal.replay.sending import Result
 
-__all__ = ["format_trace", "Latency", "latency", "MAX_COLUMNS"]
+__all__ = [
+    "format_jobs",
+    "format_trace",
+    "Latency",
+    "latency",
+    "MAX_COLUMNS",
+]
 
 MAX_COLUMNS = 40
 NAME_COLUMNS = 20
@@ -62,6 +68,7 @@
     lines += [""] + _outcomes(results, lambda result: result.row.team, "team")
     lines += [""] + format_latency(results, lambda result: result.row.queue)
     lines += [""] + format_codes(results)
+    lines += format_jobs(results)
     broken = [result for result in results if not result.holds()]
     for result in broken[:MAX_LISTED]:
         lines.append(f"{result.row.request_id}: {result.code}"[:MAX_COLUMNS])
@@ -94,6 +101,24 @@
     return lines
 
 
+def format_jobs(results: list[Result]) -> list[str]:
+    """Return a line with what became of the jobs, none without jobs.
+
+    A repeated submission is the same job.
+    """
+    ends = {
+        result.job_id or result.row.request_id: result
+        for result in results
+        if result.row.job is not None
+    }
+    if not ends:
+        return []
+    done = sum(result.is_answered for result in ends.values())
+    refused = sum(result.is_refused for result in ends.values())
+    other = len(ends) - done - refused
+    return [f"jobs: {done} done, {refused} refused, {other} else"]
+
+
 def by_group(
     results: list[Result], group: Callable[[Result], str]
 ) -> dict[str, list[Result]]:
--- a/src/rosemarynotch/_internal/replay/trace.py
+++ b/src/rosemarynotch/_internal/replay/trace.py
@@ -7,23 +7,47 @@
 
 from rosemarynotch._internal.exceptions import SettingsError
 
-__all__ = ["Expected", "load_keys", "load_trace", "TraceRow"]
+__all__ = [
+    "ENDED_PREFIX",
+    "Expected",
+    "JobWork",
+    "load_keys",
+    "load_trace",
+    "TraceRow",
+]
 
 ANSWERED = "answered"
 ANSWERED_OR_REFUSED = "answered-or-refused"
 ANSWERED_OR_LATE = "answered-or-late"
 REFUSED_PREFIX = "refused:"
+ENDED_PREFIX = "ended:"
+
+
+@attrs.frozen(kw_only=True)
+class JobWork:
+    """What a job declares, and what its task does on the stand-in.
+
+    :ivar fail_count: tasks of the job that fail
+    :ivar cancel_ms: when it is cancelled after it was accepted, 0 for never
+    """
+
+    cores: float = 1.0
+    memory_mb: int = 0
+    fail_count: int = 0
+    cancel_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
 class TraceRow:
-    """One request.
+    """One request, or one submission of a job.
 
     :ivar offset_ms: when it is sent, after the start of the trace
     :ivar key: name of the key that is sent, empty for none
     :ivar entry: index of the entry that gets it
     :ivar outcome: what has to happen, see :class:`Expected`
     :ivar deadline_ms: 0 for no deadline
+    :ivar job: None for a request to a service; ``service`` is then the pool
+        of the workers and ``work_ms`` the run time of the task
     """
 
     request_id: str
@@ -42,6 +66,7 @@
     retry: bool = False
     deadline_ms: int = 0
     answer_bytes: int = 0
+    job: JobWork | None = None
 
 
 @attrs.frozen
@@ -52,13 +77,16 @@
     ``answered-or-refused``: also a refusal that says "not run";
     ``answered-or-late``: also, once the deadline has passed, that the
     outcome is unknown, because the request had started in time;
-    ``refused:<code>``: a refusal with this code that says "not run".
+    ``refused:<code>``: a refusal with this code that says "not run";
+    ``ended:<state>``: the job was accepted and ended in this state, with its
+    own result if the state is ``done``.
     """
 
     answer: bool
     refusal: bool
     code: str = ""
     late: bool = False
+    state: str = ""
 
     @classmethod
     def parse(cls, text: str) -> "Expected":
@@ -72,6 +100,9 @@
             return cls(True, True)
         if text == ANSWERED_OR_LATE:
             return cls(True, True, late=True)
+        state = text.removeprefix(ENDED_PREFIX)
+        if state != text and state:
+            return cls(False, False, state=state)
         code = text.removeprefix(REFUSED_PREFIX)
         if code == text or not code:
             raise SettingsError(f"unknown stated outcome {text!r}")
@@ -87,8 +118,7 @@
     for number, line in enumerate(_read(path).splitlines(), 1):
         try:
             row = msgspec.json.decode(line, type=TraceRow)
-            if Expected.parse(row.outcome).late and not row.deadline_ms:
-                raise SettingsError(f"{row.outcome} without a deadline")
+            _check(row, Expected.parse(row.outcome))
         except (msgspec.DecodeError, SettingsError) as error:
             raise SettingsError(f"{path}:{number}: {error}") from error
         rows.append(row)
@@ -97,6 +127,15 @@
     return sorted(rows, key=lambda row: row.offset_ms)
 
 
+def _check(row: TraceRow, expected: Expected) -> None:
+    if expected.late and not row.deadline_ms:
+        raise SettingsError(f"{row.outcome} without a deadline")
+    if expected.state and row.job is None:
+        raise SettingsError(f"{row.outcome} without a job")
+    if expected.answer and row.job is not None:
+        raise SettingsError(f"{row.outcome} for a job")
+
+
 def load_keys(path: str) -> dict[str, str]:
     """Read keys by name from a JSON file.
 
--- a/standins/tasks.py
+++ b/standins/tasks.py
@@ -20,12 +20,14 @@
 
     :ivar cores: what it uses
     :ivar fail: why it fails at its end, empty when it does not
+    :ivar fail_count: tasks with this very payload that fail, 0 for all
     """
 
     run_ms: float = 100.0
     cores: float = 1.0
     memory_mb: int = 0
     fail: str = ""
+    fail_count: int = 0
     result: str = ""
 
 
@@ -96,6 +98,8 @@
                 return False
             self._check_room(task)
             behaviour = _behaviour(task.payload)
+            if self._failed_enough(task, behaviour):
+                behaviour.fail = ""
             run_s = behaviour.run_ms / 1000
             if task.checkpoint:
                 run_s = max(0.0, run_s - float(task.checkpoint))
@@ -202,6 +206,14 @@
             if wanted > getattr(vm, field):
                 raise Refused(f"{vm.name}: {field} {wanted} is too much")
 
+    def _failed_enough(self, task: Task, behaviour: Behaviour) -> bool:
+        """Tell whether as many tasks with this payload failed as should."""
+        failed = sum(
+            run.task.payload == task.payload and run.task.state == "failed"
+            for run in self._runs.values()
+        )
+        return 0 < behaviour.fail_count <= failed
+
     def _worker_lost(self, worker: str, at_s: float) -> None:
         with self._lock:
             self._settle()
--- a/tests/unit/test_demo.py
+++ b/tests/unit/test_demo.py
@@ -8,6 +8,10 @@
 from demo.checks import check_requests
 from demo.environment import ENTRY_VMS
 from demo.environment import prepare
+from demo.job_checks import check_jobs
+from demo.job_checks import check_limits
+from demo.job_checks import describe_job
+from demo.job_checks import Drain
 from demo.processes import Ports
 from demo.processes import StartFailed
 from demo.run import ENVIRONMENTS
@@ -127,6 +131,107 @@
     assert check_fleet(_events(*rest), document, WAVE)
 
 
+def _job(code="ended:done", idempotent=False, fail_count=0, job_id="a1"):
+    return {
+        "request_id": "batch-0",
+        "team": "harbour",
+        "job": True,
+        "job_id": job_id,
+        "code": code,
+        "idempotent": idempotent,
+        "fail_count": fail_count,
+        "accepted_ms": 5.0,
+        "latency_ms": 900.0,
+    }
+
+
+def _tasks(*states, job_id="a1"):
+    """Return tasks of 1 s each, one after the other, by their ends."""
+    events = []
+    for number, state in enumerate(states):
+        task = {"task": f"{job_id}.{number + 1}", "worker": f"w{number}"}
+        start = {"kind": "task-start", "at_s": number * 2.0, **task}
+        end = {"kind": "task-end", "at_s": number * 2.0 + 1.0, **task}
+        events += [start, {**end, "state": state}] if state else [start]
+    return events
+
+
+REFUSED_JOB = _job("job-too-large", job_id="")
+
+
+@pytest.mark.parametrize(
+    "told,events,is_fine",
+    [
+        ([_job()], _tasks("done"), True),
+        ([_job(), _job()], _tasks("done"), True),
+        ([_job(), _job(job_id="b2")], _tasks("done"), False),
+        ([_job()], [], False),
+        ([_job()], _tasks("stopped", "done"), False),
+        ([_job()], _tasks("done", "done"), False),
+        ([_job(idempotent=True)], _tasks("stopped", "done"), True),
+        ([_job(idempotent=True)], _tasks("done", "done"), False),
+        ([_job(idempotent=True)], _tasks("lost", "done"), False),
+        ([_job(idempotent=True)], _tasks("failed", "done"), False),
+        ([_job(idempotent=True)], _tasks(None, "done"), False),
+        ([_job(idempotent=True, fail_count=1)], _tasks("done"), False),
+        (
+            [_job(idempotent=True, fail_count=1)],
+            _tasks("failed", "done"),
+            True,
+        ),
+        ([_job("ended:failed", fail_count=1)], _tasks("failed"), True),
+        ([_job("ended:cancelled")], _tasks("stopped"), True),
+        ([_job("ended:cancelled")], [], True),
+        ([_job("ended:cancelled")], _tasks("done"), False),
+        ([_job("ended:cancelled")], _tasks(None), False),
+        ([_job("job-not-ended")], _tasks("stopped"), False),
+        ([REFUSED_JOB], [], True),
+        ([REFUSED_JOB], _tasks("done"), False),
+    ],
+)
+def test_jobs_are_judged(told, events, is_fine):
+    """Guards against jobs that pass whatever their tasks did."""
+    assert (not check_jobs(told, events, [])) is is_fine
+
+
+@pytest.mark.parametrize(
+    "worker,from_s,until_s,is_fine",
+    [
+        ("w1", 1.0, 3.0, False),
+        ("w1", 1.0, 1.9, True),
+        ("w1", 2.1, 3.0, True),
+        ("w2", 1.0, 3.0, True),
+    ],
+)
+def test_drains_are_judged(worker, from_s, until_s, is_fine):
+    """Guards against work that starts on a worker that the wave drains."""
+    told = [_job(idempotent=True)]
+    drains = [Drain(worker, from_s, until_s)]
+
+    problems = check_jobs(told, _tasks("stopped", "done"), drains)
+
+    assert (not problems) is is_fine
+
+
+@pytest.mark.parametrize("requests,is_fine", [(9, True), (10, False)])
+def test_limits_count_requests_and_jobs_together(requests, is_fine):
+    """Guards against a limit that holds for each of the two alone only."""
+    row = {"team": "harbour", "start_s": 0.5, "end_s": 0.8}
+    rows = [row] * requests + [{**row, "start_s": 1.0, "end_s": 2.0}]
+
+    problems = check_limits([_job()], rows, _tasks("done"), make_document())
+
+    assert (not problems) is is_fine
+
+
+def test_the_way_of_a_job_is_told():
+    """Guards against a report that leaves out the worker or the answer."""
+    text = "\n".join(describe_job([REFUSED_JOB, _job()], _tasks("done")))
+
+    for part in ("batch-0", "a1", "started on w0", "done on w0", "ended:done"):
+        assert part in text
+
+
 def test_a_port_is_given_out_once():
     """Guards against two servers of one run that get the same port.
 
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -314,6 +314,17 @@
         self.assertIs(JobState.FAILED, status.state)
         self.assertEqual(3, len(set(self.starts(job))))
 
+    def test_first_failure_is_repeated_only_if_idempotent(self):
+        """Guards against a second run, and against a lost second attempt."""
+        behaviour = {"run_ms": 100, "fail": "bad", "fail_count": 1}
+        twice = self.submit(idempotent=True, behaviour=behaviour)
+        once = self.submit(behaviour={**behaviour, "result": "other"})
+        self.steps(8)
+        self.assertIs(JobState.DONE, self.status(twice).state)
+        self.assertEqual(2, len(set(self.starts(twice))))
+        self.assertIs(JobState.FAILED, self.status(once).state)
+        self.assertEqual(1, len(self.starts(once)))
+
     def test_failing_worker_is_avoided_and_probed_later(self):
         self.task_core.set_failing("w0", "disk")
         jobs = [self.submit(idempotent=True) for _ in range(12)]
--- a/tests/unit/test_replay.py
+++ b/tests/unit/test_replay.py
@@ -11,6 +11,7 @@
 from rosemarynotch._internal.cli.replay import replay
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.replay.job_sending import JobSender
 from rosemarynotch._internal.replay.load import generate_load
 from rosemarynotch._internal.replay.load import LoadClass
 from rosemarynotch._internal.replay.load import LoadProfile
@@ -20,14 +21,18 @@
 from rosemarynotch._internal.replay.sending import Result
 from rosemarynotch._internal.replay.shares import distance
 from rosemarynotch._internal.replay.shares import max_min
+from rosemarynotch._internal.replay.summary import format_jobs
 from rosemarynotch._internal.replay.summary import format_trace
 from rosemarynotch._internal.replay.summary import MAX_COLUMNS
+from rosemarynotch._internal.replay.trace import JobWork
 from rosemarynotch._internal.replay.trace import load_trace
 from rosemarynotch._internal.replay.trace import TraceRow
 from rosemarynotch._internal.utils.clock import SystemClock
+from rosemarynotch._internal.utils.http import Reply
 from standins.target_server import TargetProcess
 from standins.target_state import Fault
 from standins.target_state import FaultKind
+from tests.lib.clocks import ManualClock
 from traces import generate
 
 TRACES = Path(generate.__file__).parent
@@ -336,6 +341,84 @@
     assert (found.mean, found.worst) == (1.0, 1.0)
 
 
+class _Jobs:
+    """Answers job calls: accepted, then the states one after the other."""
+
+    def __init__(self, *states, result="r-1", refusal=None):
+        self.left = list(states)
+        self.result = result
+        self.refusal = refusal
+        self.calls = []
+
+    def call(self, method, segments, **fields):
+        self.calls.append((method, segments[2:]))
+        body = {"job_id": "a1"}
+        if self.refusal:
+            headers = {"Rosemarynotch-Ran": "no"}
+            body = msgspec.json.encode({"code": self.refusal})
+            return Reply(422, headers, body)
+        if method == "GET":
+            body |= {"queue": "q", "attempt": 1, "result": self.result}
+            body["state"] = self.left.pop(0)
+        return Reply(200, {}, msgspec.json.encode(body))
+
+
+def _run_job(jobs, **work) -> Result:
+    sender = JobSender(["127.0.0.1:1"], ManualClock(), 1.0, {})
+    sender._client = lambda row: jobs
+    return sender.send(_row(outcome="ended:done", job=JobWork(**work)))
+
+
+@pytest.mark.parametrize(
+    "jobs,code,holds",
+    [
+        (_Jobs("queued", "running", "done"), "ended:done", True),
+        (_Jobs("done", result="r-2"), "wrong-answer", False),
+        (_Jobs("failed"), "ended:failed", False),
+        (_Jobs("unknown"), "ended:unknown", False),
+        (_Jobs(*["running"] * 500), "job-not-ended", False),
+        (_Jobs(refusal="job-too-large"), "job-too-large", False),
+    ],
+)
+def test_job_outcomes(jobs, code, holds):
+    """Guards against a job that counts as done before or without its end."""
+    result = _run_job(jobs)
+
+    assert (result.code, result.holds()) == (code, holds)
+    assert not jobs.left or code == "job-not-ended"
+
+
+def test_stated_ends_of_jobs():
+    """Guards against an end that holds for another one."""
+    row = _row(outcome="refused:job-too-large", job=JobWork())
+    refused = _answered(row, "job-too-large", Ran.NO)
+    done = _answered(row, "ended:done")
+
+    assert refused.holds() and not done.holds()
+    cancelled = attrs.evolve(row, outcome="ended:cancelled")
+    assert _answered(cancelled, "ended:cancelled").holds()
+    assert not _answered(cancelled, "job-unknown", Ran.NO).holds()
+
+
+def test_job_is_cancelled_after_its_time():
+    """Guards against a trace whose cancelled job is never cancelled."""
+    jobs = _Jobs("cancelled")
+
+    assert _run_job(jobs, cancel_ms=500.0).code == "ended:cancelled"
+    assert ("POST", ("a1", "cancel")) in jobs.calls
+
+
+def test_repeated_submission_is_one_job():
+    """Guards against a report that counts the repeat as another job."""
+    row = _row(outcome="ended:done", job=JobWork())
+    done = attrs.evolve(_answered(row, "ended:done"), job_id="a1")
+    refused = _answered(_row(request_id="r-2", job=JobWork()), "x", Ran.NO)
+
+    lines = format_jobs([done, done, refused, _answered(_row())])
+
+    assert lines == ["jobs: 1 done, 1 refused, 0 else"]
+
+
 @pytest.mark.parametrize("name", sorted(generate.ENVIRONMENTS))
 def test_traces_match_their_generator(name):
     """Guards against traces that nobody can generate again."""
--- a/traces/generate.py
+++ b/traces/generate.py
@@ -9,6 +9,7 @@
 import attrs
 import msgspec
 
+from rosemarynotch._internal.replay.trace import JobWork
 from rosemarynotch._internal.replay.trace import TraceRow
 
 __all__ = ["ENVIRONMENTS", "generate", "to_lines"]
@@ -23,6 +24,11 @@
 REPEAT_DELAY_MS = 300.0
 SHORT_DEADLINE_PART = 0.05
 SHORT_DEADLINE_MS = 900
+ORDINARY_JOBS = 12
+LONG_JOBS = 2
+LONG_JOB_MS = 6_000.0
+# Jobs and requests end before the longest wait for the wave.
+LAST_JOB_MS = 20_000.0
 
 
 @attrs.frozen(kw_only=True)
@@ -45,10 +51,14 @@
 
 @attrs.frozen(kw_only=True)
 class Environment:
-    """An environment with the weights of its teams."""
+    """An environment with the weights of its teams.
+
+    :ivar workers: pool that runs the jobs
+    """
 
     services: tuple[Service, ...]
     teams: dict[str, int]
+    workers: str
     seed: int
 
 
@@ -81,6 +91,7 @@
             "munambam-savers": 1,
             "paravur-potters": 1,
         },
+        workers="reckoners",
         seed=11,
     ),
     "flanders": Environment(
@@ -99,6 +110,7 @@
             "dispatch": 1,
             "bookkeeping": 1,
         },
+        workers="planners",
         seed=12,
     ),
 }
@@ -116,12 +128,21 @@
             rows.append(attrs.evolve(row, offset_ms=round(offset_ms, 1)))
     rows += _repeats(rows, rng)
     rows += _refusals(environment, rng)
+    rows += _jobs(environment, random.Random(environment.seed + 100))
     return sorted(rows, key=lambda row: (row.offset_ms, row.request_id))
 
 
 def to_lines(rows: list[TraceRow]) -> bytes:
     """Return the content of a trace file."""
-    return b"".join(msgspec.json.encode(row) + b"\n" for row in rows)
+    return b"".join(msgspec.json.encode(_fields(row)) + b"\n" for row in rows)
+
+
+def _fields(row: TraceRow) -> dict:
+    """Return the fields of a row; a request has no job."""
+    fields = msgspec.to_builtins(row)
+    if row.job is None:
+        del fields["job"]
+    return fields
 
 
 def _offset_ms(turn: int, turns: int, rng: random.Random) -> float:
@@ -210,5 +231,71 @@
     return rows
 
 
+def _jobs(environment: Environment, rng: random.Random) -> list[TraceRow]:
+    """Return jobs, some of which run while the wave drains their worker.
+
+    The outcomes of the last three need a fault: a job that fails may run
+    again only if it is idempotent.
+    """
+    rows = [
+        _job(environment, rng, f"batch-{number}", idempotent=number % 2 == 1)
+        for number in range(ORDINARY_JOBS)
+    ]
+    first = attrs.evolve(rows[0], idempotency_key=f"key-{rows[0].request_id}")
+    rows[0] = first
+    rows.append(
+        attrs.evolve(
+            first,
+            offset_ms=round(first.offset_ms + REPEAT_DELAY_MS, 1),
+            entry=(first.entry + 1) % len(ENTRY_WEIGHTS),
+            retry=True,
+        )
+    )
+    # Held by the drain of both workers, and moved by it.
+    for name, idempotent in (("long", False), ("moved", True)):
+        for number in range(LONG_JOBS):
+            row = _job(environment, rng, f"{name}-{number}", idempotent)
+            at_ms = round(rng.uniform(0.0, 500.0), 1)
+            row = attrs.evolve(row, offset_ms=at_ms, work_ms=LONG_JOB_MS)
+            rows.append(row)
+    cases = (
+        ("too-large", False, "refused:job-too-large", {"cores": 1_000.0}),
+        ("cancelled", False, "ended:cancelled", {"cancel_ms": 3_000.0}),
+        ("fails-once", True, "ended:done", {"fail_count": 1}),
+        ("fails", False, "ended:failed", {"fail_count": 1}),
+    )
+    for name, idempotent, outcome, fields in cases:
+        row = _job(environment, rng, name, idempotent)
+        rows.append(
+            attrs.evolve(
+                row,
+                outcome=outcome,
+                job=attrs.evolve(row.job, **fields),
+                work_ms=60_000.0 if "cancel_ms" in fields else row.work_ms,
+            )
+        )
+    return rows
+
+
+def _job(environment, rng, request_id, idempotent) -> TraceRow:
+    names, weights = zip(*environment.teams.items(), strict=True)
+    team = rng.choices(names, weights)[0]
+    return TraceRow(
+        request_id=request_id,
+        offset_ms=round(rng.uniform(0.0, LAST_JOB_MS), 1),
+        service=environment.workers,
+        queue="batches",
+        team=team,
+        key=team,
+        method="POST",
+        idempotent=idempotent,
+        work_ms=round(rng.uniform(500.0, 2_500.0), 1),
+        worth=1.0,
+        entry=_entry(rng),
+        outcome="ended:done",
+        job=JobWork(cores=2.0, memory_mb=4_096),
+    )
+
+
 if __name__ == "__main__":
     sys.stdout.buffer.write(to_lines(generate(sys.argv[1])))
