Refuse jobs before a shard is full, and end those of removed queues

A shard of the job table over 1 MB could not be written. The write would then fail in every pass, and no job would be placed any more. Control now tells entries which shards are nearly full (700 KB), and entries refuse their jobs as job-table-full, "not run". Entries can be a pass late, so control merges batches only up to 800 KB and leaves the others, in order, in the store. Refusing at the entry alone was ruled out: in one pass all entries together may accept more than a shard holds. Results are bounded for the same reason.

A queued job whose queue or team left the document stayed queued for ever. It now ends as refused after 30 s, which is longer than a document takes to be in force everywhere, so that a leader with an older document refuses nothing that an entry has just accepted. A job that may have run ends as cancelled instead. Jobs of a removed team are no longer placed.

test_lost_answer_is_read_back submits one job more beforehand: submissions now read the room notice first, which would have used up the one lost answer. It checks in addition that the fault was used up.

--- a/src/rosemarynotch/_internal/admission/jobs.py
+++ b/src/rosemarynotch/_internal/admission/jobs.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from rosemarynotch._internal.admission.job_room import TableRoom
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
@@ -85,6 +86,7 @@
         self._unnamed = itertools.count(1)
         self._recent: OrderedDict[str, BatchedSubmission] = OrderedDict()
         self._shards: dict[int, tuple[float, JobShard]] = {}
+        self._room = TableRoom(records, clock)
 
     def submit(
         self, team: str, queue: QueueSpec, submission: JobSubmission
@@ -92,8 +94,8 @@
         """Accept a job once it is in the store.
 
         :returns: the id, JOB_TOO_LARGE, BODY_TOO_LARGE, REQUEST_MALFORMED,
-            or STORE_UNAVAILABLE, with ``ran`` unknown when the job may have
-            been accepted
+            JOB_TABLE_FULL, or STORE_UNAVAILABLE, with ``ran`` unknown when
+            the job may have been accepted
         """
         failure = _check(self._in_force.current.document, queue, submission)
         if failure is not None:
@@ -107,7 +109,7 @@
             accepted_at_s=self._clock.wall_s(),
             submission=attrs.evolve(submission, queue=queue.name),
         )
-        failure = self._commit(item)
+        failure = self._room.check(item.job_id) or self._commit(item)
         return failure or JobAccepted(job_id=item.job_id)
 
     def cancel(self, team: str, job_id: str) -> None | Failure:
--- a/src/rosemarynotch/_internal/control/job_rows.py
+++ b/src/rosemarynotch/_internal/control/job_rows.py
@@ -18,6 +18,7 @@
 __all__ = [
     "cancel_row",
     "cancel_unstarted",
+    "end_removed",
     "follow_task",
     "follow_tasks",
     "merge_batches",
@@ -32,6 +33,11 @@
 # A submission that is repeated within this time is the same job.
 FINISHED_RETENTION_S = 3_600.0
 FINISHED_PER_SHARD = 1_000
+# As for answers of requests, only the state is kept with a larger result.
+RESULT_BYTES = 16_384
+# The oldest results give way first; the rows stay, so that a repeated
+# submission is still the same job.
+RESULTS_BYTES_PER_SHARD = 200_000
 
 # (holder, sequence, batch), ascending per holder.
 NumberedBatch = tuple[str, int, JobBatch]
@@ -113,6 +119,17 @@
     return _final(row, JobState.CANCELLED, now_s, "cancelled")
 
 
+def end_removed(row: JobRow, reason: str, now_s: float) -> JobRow:
+    """End a queued job that the document no longer lets run.
+
+    One that has a permit may still start late, and one with an earlier
+    attempt has run; neither was refused.
+    """
+    unstarted = row.attempt == 1 and not row.permit_holder
+    state = JobState.REFUSED if unstarted else JobState.CANCELLED
+    return _final(row, state, now_s, reason)
+
+
 def follow_task(row: JobRow, task: Task, now_s: float) -> JobRow:
     """Take over what the platform says about the present attempt.
 
@@ -121,13 +138,17 @@
     """
     if row.state.is_final:
         return row
+    note = ""
+    if len(task.result.encode()) > RESULT_BYTES:
+        task = attrs.evolve(task, result="")
+        note = f"the result took over {RESULT_BYTES} bytes and was not kept"
     if task.state is TaskState.RUNNING:
         if row.state is JobState.RUNNING and row.worker == task.worker:
             return row
         return attrs.evolve(row, state=JobState.RUNNING, worker=task.worker)
     if task.state is TaskState.DONE:
         done = attrs.evolve(row, worker=task.worker, result=task.result)
-        return _final(done, JobState.DONE, now_s, "")
+        return _final(done, JobState.DONE, now_s, note)
     if row.cancelled:
         return _final(row, JobState.CANCELLED, now_s, "cancelled")
     if task.state is TaskState.FAILED:
@@ -188,7 +209,9 @@
 
 
 def prune(shard: JobShard, now_s: float) -> JobShard:
-    """Drop jobs that ended long ago, and marks of holders that are gone."""
+    """Drop what is old: jobs that ended, their results, and marks of holders
+    that are gone.
+    """
     oldest_s = now_s - FINISHED_RETENTION_S
     final = sorted(
         (row.finished_at_s, job_id)
@@ -206,12 +229,34 @@
         for holder, mark in shard.merged.items()
         if mark.merged_at_s >= oldest_s
     }
-    if not dropped and len(merged) == len(shard.merged):
+    kept = [job_id for _, job_id in reversed(final) if job_id not in dropped]
+    cleared = _without_results(shard, kept)
+    if not dropped and not cleared and len(merged) == len(shard.merged):
         return shard
-    jobs = {k: row for k, row in shard.jobs.items() if k not in dropped}
+    jobs = {
+        job_id: cleared.get(job_id, row)
+        for job_id, row in shard.jobs.items()
+        if job_id not in dropped
+    }
     return JobShard(jobs=jobs, merged=merged)
 
 
+def _without_results(shard: JobShard, job_ids) -> dict[str, JobRow]:
+    """Return the rows that lose their results, to bound what those take.
+
+    :param job_ids: of jobs that ended, the latest first
+    """
+    cleared = {}
+    total_bytes = 0
+    for job_id in job_ids:
+        row = shard.jobs[job_id]
+        total_bytes += len(row.result.encode())
+        if row.result and total_bytes > RESULTS_BYTES_PER_SHARD:
+            reason = "the result was dropped to make room"
+            cleared[job_id] = attrs.evolve(row, result="", reason=reason)
+    return cleared
+
+
 def follow_tasks(
     shard: JobShard, tasks: Mapping[str, Task], now_s: float
 ) -> JobShard:
--- a/src/rosemarynotch/_internal/control/job_table.py
+++ b/src/rosemarynotch/_internal/control/job_table.py
@@ -49,6 +49,11 @@
         record = self._shards.get(number)
         return record.value if record else JobShard()
 
+    def revision(self, number: int) -> int:
+        """Return the revision of a shard as it was last seen."""
+        record = self._shards.get(number)
+        return record.revision if record else 0
+
     def row(self, job_id: str) -> JobRow | None:
         """Return a job's row, or None."""
         return self.shard(shard_of(job_id)).jobs.get(job_id)
@@ -161,8 +166,8 @@
                 self._revisions[found.key] = record.revision
         return batches
 
-    def delete(self) -> None:
-        """Delete the batches of the last read, once they are merged."""
-        for key, revision in self._revisions.items():
+    def delete(self, count: int) -> None:
+        """Delete the first batches of the last read, once they are merged."""
+        for key, revision in list(self._revisions.items())[:count]:
             self._records.store.delete(key, revision)
         self._revisions = {}
--- a/src/rosemarynotch/_internal/control/jobs.py
+++ b/src/rosemarynotch/_internal/control/jobs.py
@@ -13,6 +13,9 @@
 from rosemarynotch._internal.control.job_table import JobTable
 from rosemarynotch._internal.control.placing import place_jobs
 from rosemarynotch._internal.control.placing import Placement
+from rosemarynotch._internal.control.removed_queues import RemovedQueues
+from rosemarynotch._internal.control.shard_room import count_fitting
+from rosemarynotch._internal.control.shard_room import RoomNotice
 from rosemarynotch._internal.control.task_runner import TaskRunner
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.models.jobs import JobShard
@@ -66,6 +69,8 @@
         self._holder = holder
         self._clock = clock
         self._runner = TaskRunner(tasks, policy, clock)
+        self._room = RoomNotice(records)
+        self._removed = RemovedQueues(clock)
         self._next_refresh_s = float("-inf")
         self._led = False
 
@@ -98,10 +103,13 @@
     def _lead(self, document: Document, record: FleetRecord) -> None:
         if not self._led or not self._table.complete:
             self._next_refresh_s = float("-inf")
-        self._refresh_if_due(REFRESH_INTERVAL_S)
+            self._room.forget()
+        refreshed = self._refresh_if_due(REFRESH_INTERVAL_S)
         if not self._table.complete:
             return
-        self._merge()
+        if self._merge() or refreshed:
+            self._room.tell(self._table)
+            self._removed.step(self._table, document)
         self._follow()
         if not self._table.complete:
             return
@@ -109,16 +117,22 @@
         self._runner.start_jobs(self._table, record)
         self._runner.stop_jobs(self._table, record)
 
-    def _refresh_if_due(self, interval_s: float) -> None:
+    def _refresh_if_due(self, interval_s: float) -> bool:
+        """Read the changed shards if that is due; return whether it was."""
         now_s = self._clock.monotonic_s()
-        if now_s >= self._next_refresh_s and self._table.refresh():
-            self._next_refresh_s = now_s + interval_s
+        if now_s < self._next_refresh_s or not self._table.refresh():
+            return False
+        self._next_refresh_s = now_s + interval_s
+        return True
 
-    def _merge(self) -> None:
+    def _merge(self) -> bool:
+        """Merge the batches that fit; return whether there were any."""
         batches = self._batches.read()
-        if not batches:
-            return
         now_s = self._clock.wall_s()
+        count = count_fitting(self._table, batches, now_s)
+        if not count:
+            return bool(batches)
+        batches = batches[:count]
         merged = [
             self._table.update(
                 number,
@@ -129,7 +143,8 @@
             for number in range(SHARD_COUNT)
         ]
         if all(merged):
-            self._batches.delete()
+            self._batches.delete(count)
+        return True
 
     def _follow(self) -> None:
         """Take over what the platform says about the tasks."""
@@ -141,7 +156,7 @@
             if not self._table.has_open_rows(number):
                 continue
             self._table.update(
-                number, lambda shard: follow_tasks(shard, tasks, now_s)
+                number, lambda shard: _followed(shard, tasks, now_s)
             )
 
     def _place(self, document: Document, record: FleetRecord) -> None:
@@ -170,6 +185,12 @@
             )
 
 
+def _followed(shard: JobShard, tasks, now_s: float) -> JobShard:
+    """Take over the tasks of a shard, and bound what their results take."""
+    followed = follow_tasks(shard, tasks, now_s)
+    return shard if followed is shard else prune(followed, now_s)
+
+
 def _with_placements(
     shard: JobShard, placements: list[Placement], holder: str
 ) -> JobShard:
--- a/src/rosemarynotch/_internal/control/placing.py
+++ b/src/rosemarynotch/_internal/control/placing.py
@@ -70,8 +70,9 @@
 class Waiting:
     """Queued jobs in the order in which teams are entitled to start them.
 
-    Urgent queues go first; then the team with the fewest active jobs for
-    its share; within a team the oldest job.
+    Jobs whose queue or team was removed are left out. Urgent queues go
+    first; then the team with the fewest active jobs for its share; within a
+    team the oldest job.
     """
 
     def __init__(self, document: Document, table: JobTable) -> None:
@@ -82,7 +83,7 @@
             queue = document.queue(row.queue)
             if row.state.is_active:
                 self._active[row.team] = self._active.get(row.team, 0) + 1
-            elif not row.state.is_final and queue is not None:
+            elif queue is not None and row.team in self._shares:
                 line = (not queue.urgent, row.team)
                 jobs.setdefault(line, []).append(
                     (row.accepted_at_s, job_id, row, queue.pool)
--- a/src/rosemarynotch/_internal/models/jobs.py
+++ b/src/rosemarynotch/_internal/models/jobs.py
@@ -11,12 +11,14 @@
     "BatchedSubmission",
     "JobAccepted",
     "JobBatch",
+    "JobRoom",
     "JobRow",
     "JobShard",
     "JobState",
     "JobStatus",
     "JobSubmission",
     "MergedMark",
+    "ROOM_KEY",
     "SHARD_COUNT",
     "TABLE_PREFIX",
     "batch_key",
@@ -28,6 +30,7 @@
 
 BATCHES_PREFIX = "jobs/batches/"
 TABLE_PREFIX = "jobs/table/"
+ROOM_KEY = "jobs/room"
 SHARD_COUNT = 16
 JOB_ID_LENGTH = 32
 
@@ -62,6 +65,8 @@
     """State of a job.
 
     UNKNOWN: a non-idempotent job started, and whether it ended is not known.
+    REFUSED: it never started, since the document no longer has its queue or
+    team.
     """
 
     QUEUED = "queued"
@@ -71,6 +76,7 @@
     FAILED = "failed"
     CANCELLED = "cancelled"
     UNKNOWN = "unknown"
+    REFUSED = "refused"
 
     @property
     def is_active(self) -> bool:
@@ -187,6 +193,16 @@
     merged: dict[str, MergedMark] = attrs.field(factory=dict)
 
 
+@attrs.frozen(kw_only=True)
+class JobRoom:
+    """What control tells entries about the job table.
+
+    :ivar full_shards: shards that are nearly full; new jobs are refused
+    """
+
+    full_shards: tuple[int, ...] = ()
+
+
 def job_id_of(team: str, idempotency_key: str) -> str:
     """Return the id under which a team's submission is known."""
     text = f"{len(team)}:{team}:{idempotency_key}"
--- /dev/null
+++ b/tests/unit/test_job_room.py
@@ -0,0 +1,216 @@
+"""Tests of full shards of the job table, and of removed queues and teams."""
+
+import base64
+import itertools
+import json
+import random
+
+import attrs
+
+from rosemarynotch._internal.control.job_rows import RESULT_BYTES
+from rosemarynotch._internal.control.job_rows import RESULTS_BYTES_PER_SHARD
+from rosemarynotch._internal.control.removed_queues import REMOVED_GRACE_S
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.models.jobs import job_id_of
+from rosemarynotch._internal.models.jobs import JobState
+from rosemarynotch._internal.models.jobs import JobSubmission
+from rosemarynotch._internal.models.jobs import shard_of
+from rosemarynotch._internal.models.records import VmState
+from tests.lib.job_fakes import StandinTasks
+from tests.lib.stores import MemoryStore
+from tests.unit.test_jobs import BATCH
+from tests.unit.test_jobs import JobsTestCase
+
+VALUE_BYTES = 1_000_000
+PADDING_BYTES = 12_000
+SHARD = 3
+
+
+class LimitedStore(MemoryStore):
+    """Refuses values that are too large, as the platform's store does.
+
+    :ivar too_large: keys that were refused
+    """
+
+    def __init__(self, core):
+        super().__init__(core)
+        self.too_large = []
+
+    def put(self, key, value, expected, lease=""):
+        """Write a value if it is not too large."""
+        if len(value) > VALUE_BYTES:
+            self.too_large.append(key)
+            return failures.STORE_UNAVAILABLE.because("too large")
+        return super().put(key, value, expected, lease)
+
+
+class ResultTasks(StandinTasks):
+    """Tasks whose result does not come from their payload."""
+
+    result = ""
+
+    def start(self, task, lease_ms):
+        """Start a task that ends with the result."""
+        behaviour = json.dumps({"run_ms": 100, "result": self.result})
+        return super().start(attrs.evolve(task, payload=behaviour), lease_ms)
+
+
+class RoomTestCase(JobsTestCase):
+    """Jobs with random payloads, which compression hardly shortens."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = LimitedStore(self.core)
+        self.intake._records._store = self.store
+        self.rng = random.Random(5)
+        self.keys = (
+            key
+            for key in map(str, itertools.count())
+            if shard_of(job_id_of("ann", key)) == SHARD
+        )
+        self.keeper = self.new_keeper("c1.1")
+
+    def submit_padded(self, key):
+        """Submit a job that takes some room."""
+        padding = base64.b64encode(self.rng.randbytes(PADDING_BYTES))
+        payload = json.dumps(
+            {"run_ms": 100, "result": "ok", "padding": padding.decode()}
+        )
+        return self.intake.submit(
+            "ann", BATCH, JobSubmission(payload=payload, idempotency_key=key)
+        )
+
+
+class FullShardTest(RoomTestCase):
+    """Guards against a shard that outgrows the store and stops all jobs."""
+
+    def test_jobs_of_a_full_shard_are_refused_and_later_accepted(self):
+        self.permits.limits["ann"] = 0
+        accepted = []
+        for key in itertools.islice(self.keys, 200):
+            result = self.submit_padded(key)
+            if isinstance(result, Failure):
+                break
+            accepted.append(result)
+            self.steps(1)
+        self.assertTrue(result.is_a(failures.JOB_TABLE_FULL), result)
+        self.assertIs(Ran.NO, result.ran)
+        self.assertIn("nearly full", result.reason)
+        self.assertTrue(len(accepted) > 20)
+        refused_id = job_id_of("ann", key)
+        elsewhere = next(
+            each
+            for each in map(str, itertools.count())
+            if shard_of(job_id_of("ann", each)) != SHARD
+        )
+        accepted.append(self.submit_padded(elsewhere))
+        self.permits.limits["ann"] = 100
+        self.steps(20)
+        for job in accepted:
+            self.assertEqual("ok", self.status(job).result)
+            self.assertEqual(1, len(self.starts(job)))
+        started = {e["task"] for e in self.ledger.events("task-start")}
+        self.assertNotIn(f"{refused_id}.1", started)
+        self.assertNotIsInstance(self.submit_padded(key), Failure)
+        self.assertEqual([], self.store.too_large)
+
+    def test_jobs_accepted_before_the_notice_wait_and_are_not_lost(self):
+        """Many jobs come before control can say that the shard is full."""
+        self.permits.limits["ann"] = 0
+        accepted = [
+            self.submit_padded(key) for key in itertools.islice(self.keys, 150)
+        ]
+        self.steps(5)
+        self.assertTrue(self.store.keys("jobs/batches/"))
+        # Another process takes over in between.
+        self.keeper = self.new_keeper("c2.1")
+        self.steps(5)
+        self.permits.limits["ann"] = 100
+        self.steps(60)
+        for job in accepted:
+            self.assertEqual("ok", self.status(job).result)
+            self.assertEqual(1, len(self.starts(job)))
+        self.assertEqual([], self.store.too_large)
+        self.assertEqual([], self.store.keys("jobs/batches/"))
+
+    def test_results_do_not_fill_a_shard(self):
+        tasks = ResultTasks(self.task_core)
+        tasks.result = result = "r" * RESULT_BYTES
+        self.keeper = self.new_keeper("c1.1", tasks=tasks)
+        jobs = []
+        for key in itertools.islice(self.keys, 40):
+            jobs.append(self.submit_padded(key))
+            self.steps(4)
+        states = [self.status(job) for job in jobs]
+        self.assertEqual({JobState.DONE}, {each.state for each in states})
+        kept = [each for each in states if each.result]
+        self.assertEqual(RESULTS_BYTES_PER_SHARD // len(result), len(kept))
+        self.assertEqual(states[-len(kept) :], kept)
+        self.assertIn("dropped", states[0].reason)
+        tasks.result += "r"
+        large = self.submit_padded(next(self.keys))
+        self.steps(4)
+        self.assertIs(JobState.DONE, self.status(large).state)
+        self.assertIn("not kept", self.status(large).reason)
+
+
+class RemovedTest(JobsTestCase):
+    """Guards against jobs that stay queued for a queue that is gone."""
+
+    def without(self, field, name):
+        """Take a queue or a team out of the document."""
+        rows = getattr(self.document, field)
+        kept = tuple(row for row in rows if row.name != name)
+        self.document = attrs.evolve(self.document, **{field: kept})
+
+    def check_removed(self, field, name, reason):
+        """Remove something while a job runs and another one waits."""
+        self.permits.limits["ann"] = 1
+        running = self.submit(behaviour={"run_ms": 10_000, "result": "ok"})
+        self.steps(2)
+        queued = self.submit()
+        self.steps(2)
+        self.without(field, name)
+        self.steps(int(REMOVED_GRACE_S) - 2)
+        self.assertIs(JobState.QUEUED, self.status(queued).state)
+        self.steps(12)
+        status = self.status(queued)
+        self.assertEqual(
+            (JobState.REFUSED, reason), (status.state, status.reason)
+        )
+        self.assertEqual([], self.starts(queued))
+        self.assertEqual("ok", self.status(running).result)
+        self.assertEqual(0, self.permits.running["ann"])
+
+    def test_removed_queue(self):
+        reason = "queue batch no longer takes jobs"
+        self.check_removed("queues", "batch", reason)
+
+    def test_removed_team(self):
+        self.check_removed("teams", "ann", "team ann was removed")
+
+    def test_removal_that_is_undone_in_time(self):
+        self.permits.limits["ann"] = 0
+        queued = self.submit()
+        self.steps(2)
+        before = self.document
+        self.without("queues", "batch")
+        self.steps(20)
+        self.document = before
+        self.steps(20)
+        self.without("queues", "batch")
+        self.steps(20)
+        self.assertIs(JobState.QUEUED, self.status(queued).state)
+
+    def test_job_that_has_run_does_not_count_as_refused(self):
+        """Guards against "refused" for a job whose first attempt ran."""
+        job = self.submit(idempotent=True, behaviour={"run_ms": 60_000})
+        self.steps(3)
+        self.permits.limits["ann"] = 0
+        self.set_state(self.starts(job)[0], VmState.DRAINING)
+        self.without("queues", "batch")
+        self.steps(50)
+        self.assertIs(JobState.CANCELLED, self.status(job).state)
+        self.assertEqual(1, len(self.starts(job)))
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -184,9 +184,12 @@
         self.assertEqual([], self.ledger.events("task-start"))
 
     def test_lost_answer_is_read_back(self):
+        # Reads what the table has room for, so that the write is hit.
+        self.submit()
         self.store.fault = Fault.LOST_ANSWER
         self.store.fault_calls = 1
         accepted = self.submit()
+        self.assertIs(Fault.NONE, self.store.fault)
         self.assertNotIsInstance(accepted, Failure)
         self.steps(5)
         self.assertIs(JobState.DONE, self.status(accepted).state)
