Start more jobs while the wave drains the workers

With 12 ordinary jobs over 20 s, few came during a drain: a product that places jobs on draining workers passed the demonstration in a trial (exit 0). With 30 over 16 s the same change is found: exit 1, ten starts reported on a worker that drains (trial, Kochi only). The unchanged product passes: 663 of 663 stated outcomes held in each environment.

--- a/traces/generate.py
+++ b/traces/generate.py
@@ -24,11 +24,11 @@
 REPEAT_DELAY_MS = 300.0
 SHORT_DEADLINE_PART = 0.05
 SHORT_DEADLINE_MS = 900
-ORDINARY_JOBS = 12
+ORDINARY_JOBS = 30
 LONG_JOBS = 2
 LONG_JOB_MS = 6_000.0
 # Jobs and requests end before the longest wait for the wave.
-LAST_JOB_MS = 20_000.0
+LAST_JOB_MS = 16_000.0
 
 
 @attrs.frozen(kw_only=True)
