--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -184,9 +184,12 @@
         self.assertEqual([], self.ledger.events("task-start"))
 
     def test_lost_answer_is_read_back(self):
+        # Reads what the table has room for, so that the write is hit.
+        self.submit()
         self.store.fault = Fault.LOST_ANSWER
         self.store.fault_calls = 1
         accepted = self.submit()
+        self.assertIs(Fault.NONE, self.store.fault)
         self.assertNotIsInstance(accepted, Failure)
         self.steps(5)
         self.assertIs(JobState.DONE, self.status(accepted).state)
@@ -314,6 +317,17 @@
         self.assertIs(JobState.FAILED, status.state)
         self.assertEqual(3, len(set(self.starts(job))))
 
+    def test_first_failure_is_repeated_only_if_idempotent(self):
+        """Guards against a second run, and against a lost second attempt."""
+        behaviour = {"run_ms": 100, "fail": "bad", "fail_count": 1}
+        twice = self.submit(idempotent=True, behaviour=behaviour)
+        once = self.submit(behaviour={**behaviour, "result": "other"})
+        self.steps(8)
+        self.assertIs(JobState.DONE, self.status(twice).state)
+        self.assertEqual(2, len(set(self.starts(twice))))
+        self.assertIs(JobState.FAILED, self.status(once).state)
+        self.assertEqual(1, len(self.starts(once)))
+
     def test_failing_worker_is_avoided_and_probed_later(self):
         self.task_core.set_failing("w0", "disk")
         jobs = [self.submit(idempotent=True) for _ in range(12)]
