Try operators at once through the operators' ports of real entries

Each operator is told the truth, the versions have no gaps, no change is undone, and all members end with the newest one.

Steps and judgements that two files of tests need are in tests/lib/judging.

--- a/tests/functional/test_failures.py
+++ b/tests/functional/test_failures.py
@@ -13,12 +13,17 @@
 
 from rosemarynotch._internal.control.leadership import LEADER_KEY
 from rosemarynotch._internal.control.leadership import LeaderRecord
-from rosemarynotch._internal.control import operations
 from rosemarynotch._internal.models.records import VmState
 from standins.target_state import Fault
 from standins.target_state import FaultKind
 from tests.lib.cluster import Cluster
 from tests.lib.cluster import wait_until
+from tests.lib.judging import check
+from tests.lib.judging import check_runs
+from tests.lib.judging import mixed
+from tests.lib.judging import restart
+from tests.lib.judging import serves
+from tests.lib.judging import start_wave
 
 PAUSE_S = 4.0
 # Longer than an entry may go without contact with the store (rule R6).
@@ -26,57 +31,6 @@
 LIMITS = {"bank": 5, "fund": 4}
 
 
-def mixed(entries, teams, count, work_ms, methods=("POST",)):
-    """Return requests over all entries, teams and methods in turn."""
-    return [
-        (
-            entries[i % len(entries)],
-            teams[i % len(teams)],
-            work_ms,
-            methods[i % len(methods)],
-        )
-        for i in range(count)
-    ]
-
-
-def check_runs(cluster, outcomes):
-    """Judge that nothing ran twice or after a refusal."""
-    runs = cluster.runs()
-    for outcome in outcomes:
-        count = runs.get(outcome.request_id, 0)
-        if outcome.method == "POST":
-            assert count <= 1, "ran more than once"
-        if outcome.ran == "no":
-            assert not count, f"told not run, but ran: {outcome}"
-
-
-def check(cluster, outcomes, limits):
-    """Judge what callers were told by what ran on the targets."""
-    check_runs(cluster, outcomes)
-    runs = cluster.runs()
-    for outcome in outcomes:
-        if outcome.status == 200:
-            assert outcome.is_answered, "another's answer"
-            assert outcome.request_id in runs, "answered but not run"
-    for team, limit in limits.items():
-        most = cluster.most_running().get(team, 0)
-        assert most <= limit, f"limit of {team}"
-
-
-def serves(cluster, name, team="bank"):
-    """Wait until an entry answers a team."""
-    wait_until(
-        lambda: cluster.send(name, team).is_answered, f"{name} serves {team}"
-    )
-
-
-def restart(cluster, name):
-    """Kill a process and start it again on the same VM."""
-    cluster.signal(name, signal.SIGKILL)
-    cluster.wait(name)
-    cluster.start(name)
-
-
 def restart_with_lost_answers(cluster):
     """Kill an entry while the answers to writes of portions are lost."""
     cluster.lose_answers(*cluster.names, store=20)
@@ -414,17 +368,6 @@
         assert len(down) <= len(names) - pool.min_available_vms, "budget"
 
 
-def start_wave(cluster):
-    """Start the wave and wait for its first reboot."""
-    operations.start_wave(
-        cluster.records, cluster.document, "wave", "test", "test"
-    )
-    return wait_until(
-        lambda: cluster.platform.ledger.events("reboot-start"),
-        "the first reboot",
-    )
-
-
 def test_wave_with_killed_control():
     """Each VM reboots once, the budget holds, no request is cut.
 
--- /dev/null
+++ b/tests/functional/test_operators_at_once.py
@@ -0,0 +1,194 @@
+"""Operators who change the configuration at once, through real entries."""
+
+import concurrent.futures
+import threading
+import uuid
+
+import attrs
+
+from rosemarynotch._internal.commands.exits import CommandError
+from rosemarynotch._internal.commands.exits import Exit
+from rosemarynotch._internal.configuration import document_digest
+from rosemarynotch._internal.exceptions import VERSION_CHANGED
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models.records import ConfigPointer
+from rosemarynotch._internal.operators.changes import ConfigChanges
+from rosemarynotch._internal.platform.records import CONFIG_KEY
+from rosemarynotch._internal.utils.clock import SystemClock
+from tests.lib.cluster import Cluster
+from tests.lib.cluster import wait_until
+from tests.lib.documents import to_toml
+
+CHANGES = 6
+FIRST_LIMIT = 10
+
+
+def change(session, cluster, operator, path, **fields):
+    """Send a change and return its id and what the operator is told.
+
+    After "unknown" the operator asks with the change id, until the store
+    answers. A change that is not found then counts as refused.
+    """
+    change_id = uuid.uuid4().hex
+    who = {"change_id": change_id, "operator": operator, "reason": "test"}
+    try:
+        return change_id, session.post(path, who | fields)
+    except CommandError as error:
+        if error.exit is not Exit.UNKNOWN:
+            return change_id, error.code
+    return change_id, wait_until(
+        lambda: ask(session, change_id), "the store answers"
+    )
+
+
+def ask(session, change_id):
+    """Return the change or how it is refused, None without the store."""
+    try:
+        answer = session.get(f"/v1/config/changes/{change_id}")
+    except CommandError as error:
+        return error.code if error.code == "store-key-missing" else None
+    return answer | {"was_unknown": True}
+
+
+def change_limits(cluster, operator, entry, team, has_read):
+    """Set the limit of one team until enough changes are accepted.
+
+    :param has_read: a barrier that makes the first changes conflict
+    :returns: what the operator was told, by change id
+    """
+    session = cluster.session(operator, entry)
+    changes = ConfigChanges(cluster.records, SystemClock(), "test")
+    told = {}
+    number = 0
+    while number < CHANGES:
+        current = changes.pointer().current
+        if not told:
+            has_read.wait()
+        document = changes.document(current.digest)
+        teams = tuple(
+            (
+                attrs.evolve(each, limit_requests=FIRST_LIMIT + number)
+                if each.name == team
+                else each
+            )
+            for each in document.teams
+        )
+        document = attrs.evolve(document, teams=teams)
+        digest = document_digest(codec.encode(document))
+        trial = {
+            "digest": digest,
+            "operator": operator,
+            "reason": "test",
+            "tried_at_s": 0.0,
+            "environment": "test",
+        }
+        change_id, answer = change(
+            session,
+            cluster,
+            operator,
+            "/v1/config/promote",
+            expected_version=current.version,
+            document=to_toml(document),
+            digest=digest,
+            trial=trial,
+            confirmed=True,
+        )
+        told[change_id] = answer
+        number += isinstance(answer, dict)
+    return told
+
+
+def withdraw(cluster, operator, entry, team):
+    """Withdraw the key of a team, again until that is accepted."""
+    session = cluster.session(operator, entry)
+    told = {}
+
+    def attempt():
+        change_id, answer = change(
+            session,
+            cluster,
+            operator,
+            "/v1/keys/withdraw",
+            team=team,
+            key_id="k1",
+        )
+        told[change_id] = answer
+        return isinstance(answer, dict)
+
+    wait_until(attempt, "the key is withdrawn")
+    return told
+
+
+def judge_history(cluster, written, told):
+    """Judge what operators were told by the versions in the store."""
+    pointer = cluster.records.read(CONFIG_KEY, ConfigPointer).value
+    versions = [pointer.current, *pointer.history][::-1]
+    numbers = [each.version for each in versions]
+    assert numbers == list(range(1, len(numbers) + 1)), "gaps"
+    assert written == numbers[1:], "a version was written twice"
+    by_change = {each.change_id: each.version for each in versions[1:]}
+    accepted = {
+        change_id: answer["version"]
+        for change_id, answer in told.items()
+        if isinstance(answer, dict)
+    }
+    assert by_change == accepted, "an operator was told something untrue"
+    changes = ConfigChanges(cluster.records, SystemClock(), "test")
+    documents = [changes.document(each.digest) for each in versions]
+    for before, after in zip(documents, documents[1:], strict=False):
+        differ = sum(
+            old != new
+            for old, new in zip(before.teams, after.teams, strict=True)
+        )
+        assert differ == 1, "a change of another operator was undone"
+    return pointer.current, documents[-1]
+
+
+def test_operators_at_once():
+    """Guards against lost, doubled and undone changes of operators.
+
+    Two change limits through two entries, a third withdraws a key, while
+    answers to their writes are lost and the store is cut.
+    """
+    with Cluster({"bank": 5, "fund": 5, "saver": 5}) as cluster:
+        written = cluster.disturb_config()
+        has_read = threading.Barrier(2)
+        limits = (
+            (cluster, "anna", "entry-1", "bank", has_read),
+            (cluster, "bert", "entry-2", "fund", has_read),
+        )
+        with concurrent.futures.ThreadPoolExecutor(3) as pool:
+            futures = [pool.submit(change_limits, *each) for each in limits]
+            futures.append(
+                pool.submit(withdraw, cluster, "cleo", "entry-3", "saver")
+            )
+            told = {}
+            for future in futures:
+                told |= future.result()
+        cluster.cut_store(is_cut=False)
+        current, document = judge_history(cluster, written, told)
+        assert document.team("saver").keys == (), "the key is back"
+        for name in cluster.names:
+            session = cluster.session("anna", name)
+            shown = wait_until(
+                lambda session=session: in_force(session),
+                f"{name} knows that all have the newest version in force",
+            )
+            assert shown["version"] == current.version
+            assert shown["digest"] == current.digest
+            assert cluster.send(name, "saver").ran == "no"
+            assert cluster.send(name, "bank").is_answered
+        answers = list(told.values())
+        assert VERSION_CHANGED.code in answers, "no conflict"
+        unknown = [
+            each
+            for each in answers
+            if isinstance(each, dict) and "was_unknown" in each
+        ]
+        assert unknown, "no operator was told unknown"
+
+
+def in_force(session):
+    """Return the newest version once all members have it in force."""
+    shown = session.get("/v1/config")
+    return shown if shown["in_force"] == shown["members"] else None
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -7,6 +7,7 @@
 
 import concurrent.futures
 import contextlib
+import functools
 import http.client
 import json
 import os
@@ -16,13 +17,16 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import uuid
 
 import attrs
 
 from demo.processes import free_ports
+from rosemarynotch._internal.commands.session import Session
 from rosemarynotch._internal.configuration import make_key
+from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.models.document import PoolKind
 from rosemarynotch._internal.models.document import PoolSpec
@@ -30,16 +34,20 @@
 from rosemarynotch._internal.models.document import TeamSpec
 from rosemarynotch._internal.models.document import VmSpec
 from rosemarynotch._internal.models.document import WaveSpec
+from rosemarynotch._internal.models.records import ConfigPointer
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import LimitRecord
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.operators.changes import Change
 from rosemarynotch._internal.operators.changes import ConfigChanges
+from rosemarynotch._internal.operators.keys import format_setting
+from rosemarynotch._internal.platform.records import CONFIG_KEY
 from rosemarynotch._internal.platform.records import FLEET_KEY
 from rosemarynotch._internal.platform.records import LIMITS_PREFIX
 from rosemarynotch._internal.platform.records import MEMBERS_KEY
 from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.utils.clock import SystemClock
+from standins.faults import AnswerLost
 from standins.platform import Platform
 from standins.serving import PlatformServer
 from standins.serving import serve_in_thread
@@ -60,6 +68,7 @@
 # Lets work that waits behind a fault run after it.
 DEADLINE_MS = 20_000
 SLOTS = 4
+OPERATORS = ("anna", "bert", "cleo")
 WORKERS = 2
 WORKER_CORES = 8
 WORKER_MEMORY_MB = 8_192
@@ -117,6 +126,7 @@
         self.names = [f"entry-{n}" for n in range(1, entries + 1)]
         self.control_names = [f"control-{n}" for n in range(1, controls + 1)]
         self.keys: dict[str, str] = {}
+        self._operators = {name: make_key(name, "k") for name in OPERATORS}
         self.targets = TargetProcess(slots=SLOTS)
         self._processes: dict[str, subprocess.Popen] = {}
         self._callers: dict[str, str] = {}
@@ -184,11 +194,14 @@
             "peer-listen": self._address(name, "peer"),
         }
         if is_entry:
-            _, operator = make_key("test", "k")
+            keys = [
+                format_setting(name, spec)
+                for name, (_, spec) in self._operators.items()
+            ]
             flags |= {
                 "caller-listen": self._address(name, "caller"),
                 "operator-listen": self._address(name, "operator"),
-                "operator-keys": (f"test:k:{operator.salt}:{operator.digest}"),
+                "operator-keys": ",".join(keys),
                 "caller-threads": 64,
                 "balancer-notice-s": 0.1,
             }
@@ -228,6 +241,33 @@
         for name in names:
             self.platform.faults.change(lost, self._ports[name])
 
+    def disturb_config(self, cut_ms: int = 1_500) -> list[int]:
+        """Lose answers to writes of the configuration from now on.
+
+        The answer to every second write is lost. After every sixth the
+        store is also cut for some time, so that its writer cannot find out.
+
+        :returns: a list that fills with the versions written
+        """
+        put = self.platform.store.put
+        written: list[int] = []
+
+        def put_and_disturb(key, value, expected, lease=""):
+            revision = put(key, value, expected, lease)
+            if key == CONFIG_KEY:
+                pointer = codec.decode(value, ConfigPointer)
+                written.append(pointer.current.version)
+                if len(written) % 6 == 0:
+                    self.cut_store()
+                    heal = functools.partial(self.cut_store, is_cut=False)
+                    threading.Timer(cut_ms / 1000, heal).start()
+                if len(written) % 2 == 0:
+                    raise AnswerLost
+            return revision
+
+        self.platform.store.put = put_and_disturb
+        return written
+
     def refuse_peers_of(self, name: str) -> None:
         """Let others find a port that refuses where a member listens."""
         refused = f"{HOST}:{self._port(name, 'refused')}"
@@ -298,6 +338,11 @@
         finally:
             connection.close()
 
+    def session(self, operator: str, entry: str) -> Session:
+        """Return an operator's calls to the port of one entry."""
+        key, _ = self._operators[operator]
+        return Session(self._address(entry, "operator"), key)
+
     def call_jobs(
         self, entry: str, team: str, path: str = "", body: dict | None = None
     ) -> dict:
--- a/tests/lib/documents.py
+++ b/tests/lib/documents.py
@@ -1,5 +1,9 @@
 """A small document and heartbeats, for tests of the operators' side."""
 
+import json
+
+import attrs
+
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.models.document import PoolKind
 from rosemarynotch._internal.models.document import PoolSpec
@@ -7,7 +11,7 @@
 from rosemarynotch._internal.models.document import TeamSpec
 from rosemarynotch._internal.models.document import VmSpec
 
-__all__ = ["make_document", "TOML"]
+__all__ = ["make_document", "to_toml", "TOML"]
 
 TOML = """
 teams = [
@@ -46,3 +50,18 @@
         ),
         queues=(QueueSpec(name="settle", pool="settlement"),),
     )
+
+
+def to_toml(document: Document) -> str:
+    """Write a document as operators hand it in."""
+    tables = attrs.asdict(document).items()
+    return "\n".join(f"{key} = {_inline(value)}" for key, value in tables)
+
+
+def _inline(value) -> str:
+    if isinstance(value, dict):
+        items = (f"{key} = {_inline(item)}" for key, item in value.items())
+        return "{" + ", ".join(items) + "}"
+    if isinstance(value, (list, tuple)):
+        return "[" + ", ".join(map(_inline, value)) + "]"
+    return json.dumps(value)
