--- a/tests/functional/test_failures.py
+++ b/tests/functional/test_failures.py
@@ -19,16 +19,17 @@
 from tests.lib.cluster import Cluster
 from tests.lib.cluster import wait_until
 from tests.lib.judging import check
-from tests.lib.judging import check_runs
+from tests.lib.judging import LIMITS
 from tests.lib.judging import mixed
 from tests.lib.judging import restart
+from tests.lib.judging import Row
+from tests.lib.judging import run_row
 from tests.lib.judging import serves
 from tests.lib.judging import start_wave
 
 PAUSE_S = 4.0
 # Longer than an entry may go without contact with the store (rule R6).
 STALE_S = 11.0
-LIMITS = {"bank": 5, "fund": 4}
 
 
 def restart_with_lost_answers(cluster):
@@ -148,29 +149,6 @@
     return bring_about
 
 
-@attrs.frozen(kw_only=True)
-class Row:
-    """A fault, its moment, and what is judged.
-
-    :ivar before: brought about before the requests
-    :ivar during: brought about while they run
-    :ivar after: judged once all requests have ended
-    :ivar is_graceful: nothing may be interrupted or left unclear
-    :ivar failed_count: answers with status 500 that are allowed
-    """
-
-    during: object
-    before: object = None
-    after: object = None
-    limits: dict = LIMITS
-    count: int = 120
-    work_ms: int = 100
-    workers: int = 48
-    methods: tuple = ("POST",)
-    is_graceful: bool = False
-    failed_count: int = 0
-
-
 ROWS = {
     "entry-killed": Row(
         during=lambda cluster: restart(cluster, "entry-2"),
@@ -239,32 +217,7 @@
 @pytest.mark.parametrize("row", ROWS.values(), ids=ROWS)
 def test_fault(row):
     """Guards against broken promises while processes and services fail."""
-    with Cluster(row.limits) as cluster:
-        if row.before:
-            row.before(cluster)
-        requests = mixed(
-            cluster.names,
-            list(row.limits),
-            row.count,
-            row.work_ms,
-            row.methods,
-        )
-        with cluster.load(requests, row.workers) as outcomes:
-            wait_until(lambda: len(cluster.runs()) > 10, "requests run")
-            row.during(cluster)
-        check(cluster, outcomes, row.limits)
-        if row.is_graceful:
-            unclear = [each for each in outcomes if each.ran == "unknown"]
-            assert not unclear
-            assert not cluster.interrupted()
-        for outcome in outcomes:
-            if outcome.method == "GET":
-                assert outcome.ran != "unknown", "not retried"
-        failed = sum(each.status == 500 for each in outcomes)
-        assert failed <= row.failed_count
-        if row.after:
-            row.after(cluster)
-            check_runs(cluster, outcomes)
+    run_row(row)
 
 
 def test_withdrawn_key():
--- /dev/null
+++ b/tests/functional/test_partitions.py
@@ -0,0 +1,112 @@
+"""Promises between two groups of members without contact."""
+
+import attrs
+
+from tests.lib.cluster import Cluster
+from tests.lib.cluster import wait_until
+from tests.lib.judging import check
+from tests.lib.judging import check_runs
+from tests.lib.judging import mixed
+from tests.lib.judging import serves
+
+EAST = ("entry-1", "control-1")
+WEST = ("entry-2", "entry-3")
+LIMITS = {"bank": 6, "fund": 6}
+
+
+def send_keys(cluster, entry, keys, **headers):
+    """Send a request with each idempotency key, all at once."""
+    requests = [
+        (entry, "bank", 0, "POST", "", {"Idempotency-Key": key, **headers})
+        for key in keys
+    ]
+    with cluster.load(requests) as outcomes:
+        pass
+    return outcomes
+
+
+def check_keys(cluster, outcomes):
+    """Judge that no key ran twice, nor a request that was refused."""
+    check_runs(cluster, outcomes)
+    rows = cluster.targets.ledger.show()["requests"]
+    ran = [row.idempotency_key for row in rows if row.idempotency_key]
+    assert len(ran) == len(set(ran)), "a key ran twice"
+
+
+def refuses(cluster, name, team):
+    """Tell whether an entry refuses a team for want of contact."""
+    outcome = cluster.send(name, team)
+    return outcome.ran == "no" and outcome.code == "configuration-stale"
+
+
+def judge_side_with_store(cluster):
+    """Judge that entry-1 serves with its portion, and refuses without.
+
+    No portion can be taken from entries that may still run requests.
+    """
+    if cluster.portion("entry-1", "bank"):
+        serves(cluster, "entry-1")
+    else:
+        outcome = cluster.send("entry-1", "bank")
+        assert (outcome.ran, outcome.code) == ("no", "peer-unreachable")
+
+
+def withdraw(cluster, team):
+    """Withdraw the keys of a team."""
+    teams = tuple(
+        attrs.evolve(each, keys=()) if each.name == team else each
+        for each in cluster.document.teams
+    )
+    cluster.apply(attrs.evolve(cluster.document, teams=teams))
+
+
+def test_groups_without_contact():
+    """Guards against stale keys, second runs and broken limits in a split.
+
+    At first, what the east sends to the west is lost, so that requests of
+    the west run in the east and their answers do not come back. Then
+    nothing passes. The west has no store from the start, later neither.
+    """
+    keys = [f"k{number}" for number in range(24)]
+    with Cluster(LIMITS, has_links=True) as cluster:
+        links = cluster.links
+        links.cut(EAST, WEST)
+        cluster.cut_store(*WEST)
+        told = send_keys(cluster, "entry-2", keys)
+        assert any(each.ran == "unknown" for each in told), "all have answers"
+        links.cut(WEST, EAST)
+        retry = {"Rosemarynotch-Retry": "1"}
+        for name in ("entry-1", "entry-3"):
+            told += send_keys(cluster, name, keys, **retry)
+        requests = mixed(cluster.names, list(LIMITS), 60, 100)
+        with cluster.load(requests) as outcomes:
+            withdraw(cluster, "fund")
+        check(cluster, outcomes, LIMITS)
+        check_keys(cluster, told)
+        for name in WEST:
+            wait_until(
+                lambda name=name: refuses(cluster, name, "fund"),
+                f"{name} refuses without contact",
+            )
+        judge_side_with_store(cluster)
+        cluster.cut_store()
+        wait_until(
+            lambda: refuses(cluster, "entry-1", "bank"),
+            "entry-1 refuses without contact",
+        )
+        cluster.targets.ledger.clear()
+        requests = mixed(cluster.names, list(LIMITS), 30, 0)
+        with cluster.load(requests) as outcomes:
+            pass
+        assert all(each.ran == "no" for each in outcomes)
+        assert not cluster.runs(), "ran without contact"
+        links.heal()
+        cluster.cut_store(is_cut=False)
+        for name in cluster.names:
+            serves(cluster, name)
+            assert cluster.send(name, "fund").status == 401
+        told = send_keys(cluster, "entry-3", keys, **retry)
+        check_keys(cluster, told)
+        with cluster.load(mixed(cluster.names, ["bank"], 30, 50)) as outcomes:
+            pass
+        check(cluster, outcomes, LIMITS)
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -53,6 +53,7 @@
 from standins.serving import serve_in_thread
 from standins.target_server import TargetProcess
 from standins.vms import Vm
+from tests.lib.peer_links import PeerLinks
 from tests.lib.stores import MemoryStore
 
 __all__ = ["Cluster", "Outcome", "wait_until"]
@@ -113,6 +114,8 @@
     """Some entries and controls with one pool of targets.
 
     :param teams: upper limits by team
+    :param has_links: whether members reach each other through
+        :class:`PeerLinks`
     """
 
     def __init__(
@@ -122,6 +125,7 @@
         controls: int = 1,
         vms: int = 3,
         longest_run_ms: int = LONGEST_RUN_MS,
+        has_links: bool = False,
     ) -> None:
         self.names = [f"entry-{n}" for n in range(1, entries + 1)]
         self.control_names = [f"control-{n}" for n in range(1, controls + 1)]
@@ -138,12 +142,22 @@
         self.records = RecordStore(self.store, SystemClock(), random.Random(7))
         members = self.names + self.control_names
         self._server = PlatformServer(
-            self.platform, [f"{HOST}:0"] * len(members), THREADS
+            self._answer, [f"{HOST}:0"] * len(members), THREADS
         )
         ports = [int(port) for port in self._server.ports]
         self._ports = dict(zip(members, ports, strict=True))
+        self.links = None
+        if has_links:
+            self.links = PeerLinks(
+                self.platform,
+                dict(zip(ports, members, strict=True)),
+                {name: self._address(name, "peer") for name in members},
+            )
         serve_in_thread(self._server)
 
+    def _answer(self, environ, start_response):
+        return (self.links or self.platform)(environ, start_response)
+
     def __enter__(self):
         try:
             self.apply(self.document)
@@ -162,6 +176,8 @@
                 process.kill()
             process.wait()
         self._server.close()
+        if self.links:
+            self.links.close()
         self.targets.close()
         self._own_logs.cleanup()
 
@@ -288,6 +304,11 @@
         record = self.records.read(f"{LIMITS_PREFIX}{team}", LimitRecord)
         return set(record.value.portions)
 
+    def portion(self, name: str, team: str) -> int:
+        """Return a member's portion of a team's limit in the store."""
+        record = self.records.read(f"{LIMITS_PREFIX}{team}", LimitRecord)
+        return record.value.portions.get(name, 0)
+
     def fleet(self) -> FleetRecord:
         """Return the fleet record in the store."""
         return self.records.read(FLEET_KEY, FleetRecord, compressed=True).value
--- a/tests/lib/judging.py
+++ b/tests/lib/judging.py
@@ -2,18 +2,51 @@
 
 import signal
 
+import attrs
+
 from rosemarynotch._internal.control import operations
+from tests.lib.cluster import Cluster
 from tests.lib.cluster import wait_until
 
 __all__ = [
     "check",
     "check_runs",
+    "LIMITS",
     "mixed",
     "restart",
+    "Row",
+    "run_row",
     "serves",
     "start_wave",
 ]
 
+LIMITS = {"bank": 5, "fund": 4}
+
+
+@attrs.frozen(kw_only=True)
+class Row:
+    """A fault, its moment, and what is judged.
+
+    :ivar before: brought about before the requests
+    :ivar during: brought about while they run
+    :ivar after: judged once all requests have ended
+    :ivar is_graceful: nothing may be interrupted or left unclear
+    :ivar is_entry_killed: connections of callers may break
+    :ivar failed_count: answers with status 500 that are allowed
+    """
+
+    during: object
+    before: object = None
+    after: object = None
+    limits: dict = LIMITS
+    count: int = 120
+    work_ms: int = 100
+    workers: int = 48
+    methods: tuple = ("POST",)
+    is_graceful: bool = False
+    is_entry_killed: bool = False
+    failed_count: int = 0
+
 
 def mixed(entries, teams, count, work_ms, methods=("POST",)):
     """Return requests over all entries, teams and methods in turn."""
@@ -75,3 +108,34 @@
         lambda: cluster.platform.ledger.events("reboot-start"),
         "the first reboot",
     )
+
+
+def run_row(row):
+    """Bring the fault of a row about and judge it."""
+    with Cluster(row.limits) as cluster:
+        if row.before:
+            row.before(cluster)
+        requests = mixed(
+            cluster.names,
+            list(row.limits),
+            row.count,
+            row.work_ms,
+            row.methods,
+        )
+        with cluster.load(requests, row.workers) as outcomes:
+            wait_until(lambda: len(cluster.runs()) > 10, "requests run")
+            row.during(cluster)
+        check(cluster, outcomes, row.limits)
+        if row.is_graceful:
+            unclear = [each for each in outcomes if each.ran == "unknown"]
+            assert not unclear
+            assert not cluster.interrupted()
+        for outcome in outcomes:
+            may_break = row.is_entry_killed and not outcome.status
+            if outcome.method == "GET" and not may_break:
+                assert outcome.ran != "unknown", "not retried"
+        failed = sum(each.status == 500 for each in outcomes)
+        assert failed <= row.failed_count
+        if row.after:
+            row.after(cluster)
+            check_runs(cluster, outcomes)
