--- a/tests/functional/test_partitions.py
+++ b/tests/functional/test_partitions.py
@@ -73,6 +73,7 @@
         links.cut(EAST, WEST)
         cluster.cut_store(*WEST)
         told = send_keys(cluster, "entry-2", keys)
+        check_keys(cluster, told)
         assert any(each.ran == "unknown" for each in told), "all have answers"
         links.cut(WEST, EAST)
         retry = {"Rosemarynotch-Retry": "1"}
