Try a wave that asks for every VM beside operators who drain

Two real controls run a wave whose policy ignores the budget, and two operators drain VMs through two entries. Every fleet record written is judged.

--- a/tests/functional/test_operators_at_once.py
+++ b/tests/functional/test_operators_at_once.py
@@ -1,7 +1,9 @@
-"""Operators who change the configuration at once, through real entries."""
+"""Operators who act at the same time, through the ports of real entries."""
 
+from collections import Counter
 import concurrent.futures
 import threading
+import time
 import uuid
 
 import attrs
@@ -12,15 +14,21 @@
 from rosemarynotch._internal.exceptions import VERSION_CHANGED
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models.records import ConfigPointer
+from rosemarynotch._internal.models.records import VmState
 from rosemarynotch._internal.operators.changes import ConfigChanges
 from rosemarynotch._internal.platform.records import CONFIG_KEY
 from rosemarynotch._internal.utils.clock import SystemClock
 from tests.lib.cluster import Cluster
 from tests.lib.cluster import wait_until
 from tests.lib.documents import to_toml
+from tests.lib.judging import start_wave
 
 CHANGES = 6
 FIRST_LIMIT = 10
+# Leaves time for a wave or another operator to race.
+DRAINED_S = 0.1
+# Few, since drains of operators hold up the wave.
+DRAIN_ROUNDS = 4
 
 
 def change(session, cluster, operator, path, **fields):
@@ -188,6 +196,70 @@
         assert unknown, "no operator was told unknown"
 
 
+def drain_and_undrain(cluster, operator, entry):
+    """Drain one VM after another, and let each serve again at once.
+
+    :returns: how often a drain was accepted and refused
+    """
+    session = cluster.session(operator, entry)
+    names = [vm.name for vm in cluster.document.pools[0].vms]
+    counts = Counter()
+    for name in names * DRAIN_ROUNDS:
+        path = f"/v1/vms/{name}/drain"
+        _, answer = change(session, cluster, operator, path)
+        if isinstance(answer, dict):
+            counts["accepted"] += 1
+            time.sleep(DRAINED_S)
+            change(session, cluster, operator, f"/v1/vms/{name}/undrain")
+        else:
+            counts[answer] += 1
+    return counts
+
+
+def test_greedy_wave_and_operators_drain_at_once():
+    """Guards against budgets that hold only while a wave asks for little.
+
+    Two controls run a wave whose policy asks for every VM, and two
+    operators drain VMs. Two VMs are spare, and three share a rack.
+    """
+    racks = ("r0", "r0", "r0", "r1")
+    with Cluster(
+        {"bank": 12},
+        controls=2,
+        racks=racks,
+        spare_vms=2,
+        control="tests.lib.greedy_control",
+    ) as cluster:
+        rack_of = dict(
+            zip([vm.name for vm in cluster.document.pools[0].vms], racks)
+        )
+        records = cluster.watch_fleet()
+        with concurrent.futures.ThreadPoolExecutor(2) as pool:
+            futures = [
+                pool.submit(drain_and_undrain, cluster, *each)
+                for each in (("anna", "entry-1"), ("bert", "entry-2"))
+            ]
+            start_wave(cluster)
+            counts = sum((each.result() for each in futures), Counter())
+        events = cluster.platform.ledger.events
+        wait_until(
+            lambda: len(events("reboot-end")) >= len(racks),
+            "the wave ends",
+        )
+        rebooted = sorted(each["vm"] for each in events("reboot-start"))
+        assert rebooted == sorted(rack_of)
+        for record in records:
+            out = {
+                name
+                for name in rack_of
+                if record.vms[name].state is not VmState.SERVING
+            }
+            assert len(out) <= 2, "beyond the budget"
+            assert len({rack_of[name] for name in out}) <= 1, "two racks"
+        assert counts["accepted"], "no operator drained"
+        assert counts["budget-would-break"], "no operator was refused"
+
+
 def in_force(session):
     """Return the newest version once all members have it in force."""
     shown = session.get("/v1/config")
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -114,6 +114,9 @@
     """Some entries and controls with one pool of targets.
 
     :param teams: upper limits by team
+    :param racks: racks of the targets, by default one each
+    :param spare_vms: targets beyond the availability budget
+    :param control: module that runs as control
     :param has_links: whether members reach each other through
         :class:`PeerLinks`
     """
@@ -125,6 +128,9 @@
         controls: int = 1,
         vms: int = 3,
         longest_run_ms: int = LONGEST_RUN_MS,
+        racks: tuple[str, ...] = (),
+        spare_vms: int = 1,
+        control: str = "rosemarynotch._internal.cli.control",
         has_links: bool = False,
     ) -> None:
         self.names = [f"entry-{n}" for n in range(1, entries + 1)]
@@ -136,7 +142,11 @@
         self._callers: dict[str, str] = {}
         self._own_logs = tempfile.TemporaryDirectory()
         self._logs = Path(os.environ.get("CLUSTER_LOGS", self._own_logs.name))
-        self.document = self._make_document(teams, vms, longest_run_ms)
+        self._control = control
+        racks = racks or tuple(f"r{number}" for number in range(vms))
+        self.document = self._make_document(
+            teams, racks, spare_vms, longest_run_ms
+        )
         self.platform = Platform(self._make_vms(), reboot_ms=100)
         self.store = MemoryStore(self.platform.store)
         self.records = RecordStore(self.store, SystemClock(), random.Random(7))
@@ -198,7 +208,7 @@
     def start(self, name: str) -> None:
         """Start a process, which may have run before."""
         is_entry = name in self.names
-        program = "entry" if is_entry else "control"
+        entry = "rosemarynotch._internal.cli.entry"
         platform = f"{HOST}:{self._ports[name]}"
         flags = {
             "name": name,
@@ -227,10 +237,10 @@
                 [
                     sys.executable,
                     "-m",
-                    f"rosemarynotch._internal.cli.{program}",
+                    entry if is_entry else self._control,
                     *arguments,
                 ],
-                env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+                env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"},
                 stdout=log,
                 stderr=log,
             )
@@ -284,6 +294,21 @@
         self.platform.store.put = put_and_disturb
         return written
 
+    def watch_fleet(self) -> list[FleetRecord]:
+        """Return a list that fills with every fleet record written."""
+        put = self.platform.store.put
+        written: list[FleetRecord] = []
+
+        def put_and_note(key, value, expected, lease=""):
+            revision = put(key, value, expected, lease)
+            if key == FLEET_KEY:
+                record = codec.decode_compressed(value, FleetRecord)
+                written.append(record)
+            return revision
+
+        self.platform.store.put = put_and_note
+        return written
+
     def refuse_peers_of(self, name: str) -> None:
         """Let others find a port that refuses where a member listens."""
         refused = f"{HOST}:{self._port(name, 'refused')}"
@@ -409,7 +434,11 @@
         return sum(row.interrupted for row in rows)
 
     def _make_document(
-        self, teams: dict[str, int], vms: int, longest_run_ms: int
+        self,
+        teams: dict[str, int],
+        racks: tuple[str, ...],
+        spare_vms: int,
+        longest_run_ms: int,
     ) -> Document:
         specs = []
         for name, limit in teams.items():
@@ -422,15 +451,15 @@
         pool = PoolSpec(
             name="pool",
             kind=PoolKind.SERVICE,
-            min_available_vms=vms - 1,
+            min_available_vms=len(racks) - spare_vms,
             vms=tuple(
                 VmSpec(
                     name=f"target-{number}",
                     data_centre="Gent",
-                    rack=f"r{number}",
+                    rack=rack,
                     slots=SLOTS,
                 )
-                for number in range(vms)
+                for number, rack in enumerate(racks)
             ),
         )
         workers = PoolSpec(
