Do not take contact for fresh before the newest document is in force

Cause: the follower noted contact with the store as soon as the pointer or the head record was read, before it had read the document. An entry that had refused keyed work for want of contact then accepted it under its old document for a moment, so a key withdrawn during a split worked again. A heartbeat that shows a newer version counted as contact in the same way.

Contact now counts once the version that it shows is in force. Reads of the fleet and members records no longer count, since they say nothing about the configuration.

Ruled out: accepted work that was still queued, as the entry had refused everything before contact returned.

--- a/src/rosemarynotch/_internal/configuration/follower.py
+++ b/src/rosemarynotch/_internal/configuration/follower.py
@@ -94,10 +94,10 @@
         )
         if isinstance(found, Failure):
             return self._note(found)
-        self._freshness.note_store_contact()
         head = codec.decode(found.value, Head)
         if isinstance(head, Failure) or not self._take_head(head):
             return False
+        self._freshness.note_store_contact()
         self._head_revision = found.revision
         return True
 
@@ -120,12 +120,14 @@
     def refresh_config(self) -> bool:
         """Read the configuration in force.
 
+        The contact counts once the newest document is in force. Otherwise a
+        key that was withdrawn during an outage would work again meanwhile.
+
         :returns: whether the store answered each call
         """
         read = self._records.read(CONFIG_KEY, ConfigPointer)
         if isinstance(read, Failure):
             return self._note(read)
-        self._freshness.note_store_contact()
         pointer = read.value
         if pointer.current.version > self._in_force.current.version:
             stored = read_document(self._records.store, pointer.current.digest)
@@ -134,6 +136,7 @@
                 return self._note(stored)
             self._in_force.apply(pointer, stored.document, stored.encoded)
         self._config_revision = max(self._config_revision, read.revision)
+        self._freshness.note_store_contact()
         return True
 
     def _take_head(self, head: Head) -> bool:
@@ -151,7 +154,6 @@
         listed = self._records.store.keys(key)
         if isinstance(listed, Failure):
             return self._note(listed)
-        self._freshness.note_store_contact()
         if any(
             item.key == key and item.revision > view.revision
             for item in listed
@@ -163,7 +165,6 @@
         read = self._records.read(key, kind, compressed)
         if isinstance(read, Failure):
             return self._note(read)
-        self._freshness.note_store_contact()
         view.apply(read.value, read.revision)
         return True
 
--- a/src/rosemarynotch/_internal/wiring/process.py
+++ b/src/rosemarynotch/_internal/wiring/process.py
@@ -18,6 +18,7 @@
 from rosemarynotch._internal.configuration import PauseGuard
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import VM_UNKNOWN
+from rosemarynotch._internal.models.messages import Heartbeat
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.peers import Exchange
@@ -171,7 +172,7 @@
         )
         self.exchange.set_document_source(self.catch_up.document_answer)
         self.exchange.add_heartbeat_listener(self.catch_up.note_heartbeat)
-        self.exchange.add_heartbeat_listener(self.freshness.note_heartbeat)
+        self.exchange.add_heartbeat_listener(self._note_contact)
         self.guard.add_revalidation(self.membership.revalidate)
         self.guard.set_removal_check(self.membership.is_removed)
         return me
@@ -192,6 +193,14 @@
         self.guard.start()
         self.exchange.start()
 
+    def _note_contact(self, heartbeat: Heartbeat) -> None:
+        """Note a heartbeat for rule R6 unless this process is behind.
+
+        Contact that was heard does not make an older document fresh.
+        """
+        if heartbeat.config_version <= self.in_force.current.version:
+            self.freshness.note_heartbeat(heartbeat)
+
     def _pass_on(self, stopping: threading.Event) -> None:
         """End a start that waits for the platform."""
         stopping.wait()
--- a/tests/functional/test_partitions.py
+++ b/tests/functional/test_partitions.py
@@ -1,5 +1,9 @@
 """Promises between two groups of members without contact."""
 
+import concurrent.futures
+import contextlib
+import threading
+
 import attrs
 
 from tests.lib.cluster import Cluster
@@ -39,6 +43,26 @@
     return outcome.ran == "no" and outcome.code == "configuration-stale"
 
 
+@contextlib.contextmanager
+def sending(cluster, entries, team):
+    """Send requests of a team without a pause; yield the outcomes."""
+    stopped = threading.Event()
+    outcomes = []
+
+    def send(entry):
+        while not stopped.is_set():
+            outcomes.append(cluster.send(entry, team))
+
+    with concurrent.futures.ThreadPoolExecutor(2 * len(entries)) as pool:
+        futures = [pool.submit(send, each) for each in 2 * entries]
+        try:
+            yield outcomes
+        finally:
+            stopped.set()
+    for future in futures:
+        future.result()
+
+
 def judge_side_with_store(cluster):
     """Judge that entry-1 serves with its portion, and refuses without.
 
@@ -101,10 +125,13 @@
             pass
         assert all(each.ran == "no" for each in outcomes)
         assert not cluster.runs(), "ran without contact"
-        links.heal()
-        cluster.cut_store(is_cut=False)
+        with sending(cluster, WEST, "fund") as sent:
+            links.heal()
+            cluster.cut_store(is_cut=False)
+            for name in cluster.names:
+                serves(cluster, name)
+        assert not any(each.is_answered for each in sent), "withdrawn key"
         for name in cluster.names:
-            serves(cluster, name)
             assert cluster.send(name, "fund").status == 401
         told = send_keys(cluster, "entry-3", keys, **retry)
         check_keys(cluster, told)
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -1,6 +1,7 @@
 """Tests of the views, keys, freshness and membership."""
 
 import random
+from unittest import mock
 
 import attrs
 import testtools
@@ -11,10 +12,14 @@
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.models.document import TeamSpec
 from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.operators.changes import Change
+from rosemarynotch._internal.operators.changes import ConfigChanges
 from rosemarynotch._internal.platform.records import MEMBERS_KEY
 from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.wiring.process import MemberProcess
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
+from tests.lib.documents import make_document
 from tests.lib.fleet import heartbeat
 from tests.lib.fleet import member
 from tests.lib.fleet import pointer
@@ -95,6 +100,50 @@
         self.assertIsNotNone(freshness.check())
 
 
+class ContactTest(testtools.TestCase):
+    """Guards against a withdrawn key that works again after an outage."""
+
+    def test_contact_counts_with_the_newest_document_only(self):
+        core, clock = KeyValue(), ManualClock()
+        view = configuration.MembersView()
+        freshness = configuration.Freshness(clock, view, "a")
+        seen = []
+
+        class Store(MemoryStore):
+            def get(self, key):
+                seen.append(freshness.check())
+                return super().get(key)
+
+        records = RecordStore(Store(core), clock, random.Random(1))
+        change = Change(
+            change_id="c", operator="anna", reason="test", expected_version=0
+        )
+        ConfigChanges(records, clock, "test").apply(make_document(), change)
+        seen.clear()
+        configuration.Follower(
+            records,
+            configuration.InForce(),
+            configuration.FleetView(),
+            view,
+            freshness,
+            clock,
+        ).refresh_config()
+        self.assertEqual(2, len(seen))
+        self.assertNotIn(None, seen, "fresh before the document was read")
+        self.assertIsNone(freshness.check())
+
+    def test_heard_contact_counts_only_with_the_version_in_force(self):
+        process = mock.Mock()
+        process.in_force.current.version = 3
+        noted = process.freshness.note_heartbeat
+        newer = attrs.evolve(heartbeat("b", store_age_s=0), config_version=4)
+        MemberProcess._note_contact(process, newer)
+        noted.assert_not_called()
+        same = attrs.evolve(newer, config_version=3)
+        MemberProcess._note_contact(process, same)
+        noted.assert_called_once_with(same)
+
+
 class MembershipTest(testtools.TestCase):
     """Guards against a member that is lost or taken for another (R2)."""
 
