--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -7,6 +7,7 @@
 
 import concurrent.futures
 import contextlib
+import functools
 import http.client
 import json
 import os
@@ -16,13 +17,16 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import uuid
 
 import attrs
 
 from demo.processes import free_ports
+from rosemarynotch._internal.commands.session import Session
 from rosemarynotch._internal.configuration import make_key
+from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.models.document import PoolKind
 from rosemarynotch._internal.models.document import PoolSpec
@@ -30,21 +34,26 @@
 from rosemarynotch._internal.models.document import TeamSpec
 from rosemarynotch._internal.models.document import VmSpec
 from rosemarynotch._internal.models.document import WaveSpec
+from rosemarynotch._internal.models.records import ConfigPointer
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import LimitRecord
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.operators.changes import Change
 from rosemarynotch._internal.operators.changes import ConfigChanges
+from rosemarynotch._internal.operators.keys import format_setting
+from rosemarynotch._internal.platform.records import CONFIG_KEY
 from rosemarynotch._internal.platform.records import FLEET_KEY
 from rosemarynotch._internal.platform.records import LIMITS_PREFIX
 from rosemarynotch._internal.platform.records import MEMBERS_KEY
 from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.utils.clock import SystemClock
+from standins.faults import AnswerLost
 from standins.platform import Platform
 from standins.serving import PlatformServer
 from standins.serving import serve_in_thread
 from standins.target_server import TargetProcess
 from standins.vms import Vm
+from tests.lib.peer_links import PeerLinks
 from tests.lib.stores import MemoryStore
 
 __all__ = ["Cluster", "Outcome", "wait_until"]
@@ -60,6 +69,7 @@
 # Lets work that waits behind a fault run after it.
 DEADLINE_MS = 20_000
 SLOTS = 4
+OPERATORS = ("anna", "bert", "cleo")
 WORKERS = 2
 WORKER_CORES = 8
 WORKER_MEMORY_MB = 8_192
@@ -104,6 +114,11 @@
     """Some entries and controls with one pool of targets.
 
     :param teams: upper limits by team
+    :param racks: racks of the targets, by default one each
+    :param spare_vms: targets beyond the availability budget
+    :param control: module that runs as control
+    :param has_links: whether members reach each other through
+        :class:`PeerLinks`
     """
 
     def __init__(
@@ -113,28 +128,46 @@
         controls: int = 1,
         vms: int = 3,
         longest_run_ms: int = LONGEST_RUN_MS,
+        racks: tuple[str, ...] = (),
+        spare_vms: int = 1,
+        control: str = "rosemarynotch._internal.cli.control",
+        has_links: bool = False,
     ) -> None:
         self.names = [f"entry-{n}" for n in range(1, entries + 1)]
         self.control_names = [f"control-{n}" for n in range(1, controls + 1)]
         self.keys: dict[str, str] = {}
-        self._operator_key, self._operator = make_key("test", "k")
+        self._operators = {name: make_key(name, "k") for name in OPERATORS}
         self.targets = TargetProcess(slots=SLOTS)
         self._processes: dict[str, subprocess.Popen] = {}
         self._callers: dict[str, str] = {}
         self._own_logs = tempfile.TemporaryDirectory()
         self._logs = Path(os.environ.get("CLUSTER_LOGS", self._own_logs.name))
-        self.document = self._make_document(teams, vms, longest_run_ms)
+        self._control = control
+        racks = racks or tuple(f"r{number}" for number in range(vms))
+        self.document = self._make_document(
+            teams, racks, spare_vms, longest_run_ms
+        )
         self.platform = Platform(self._make_vms(), reboot_ms=100)
         self.store = MemoryStore(self.platform.store)
         self.records = RecordStore(self.store, SystemClock(), random.Random(7))
         members = self.names + self.control_names
         self._server = PlatformServer(
-            self.platform, [f"{HOST}:0"] * len(members), THREADS
+            self._answer, [f"{HOST}:0"] * len(members), THREADS
         )
         ports = [int(port) for port in self._server.ports]
         self._ports = dict(zip(members, ports, strict=True))
+        self.links = None
+        if has_links:
+            self.links = PeerLinks(
+                self.platform,
+                dict(zip(ports, members, strict=True)),
+                {name: self._address(name, "peer") for name in members},
+            )
         serve_in_thread(self._server)
 
+    def _answer(self, environ, start_response):
+        return (self.links or self.platform)(environ, start_response)
+
     def __enter__(self):
         try:
             self.apply(self.document)
@@ -153,6 +186,8 @@
                 process.kill()
             process.wait()
         self._server.close()
+        if self.links:
+            self.links.close()
         self.targets.close()
         self._own_logs.cleanup()
 
@@ -173,7 +208,7 @@
     def start(self, name: str) -> None:
         """Start a process, which may have run before."""
         is_entry = name in self.names
-        program = "entry" if is_entry else "control"
+        entry = "rosemarynotch._internal.cli.entry"
         platform = f"{HOST}:{self._ports[name]}"
         flags = {
             "name": name,
@@ -185,11 +220,14 @@
             "peer-listen": self._address(name, "peer"),
         }
         if is_entry:
-            operator = self._operator
+            keys = [
+                format_setting(name, spec)
+                for name, (_, spec) in self._operators.items()
+            ]
             flags |= {
                 "caller-listen": self._address(name, "caller"),
                 "operator-listen": self._address(name, "operator"),
-                "operator-keys": (f"test:k:{operator.salt}:{operator.digest}"),
+                "operator-keys": ",".join(keys),
                 "caller-threads": 64,
                 "balancer-notice-s": 0.1,
             }
@@ -199,10 +237,10 @@
                 [
                     sys.executable,
                     "-m",
-                    f"rosemarynotch._internal.cli.{program}",
+                    entry if is_entry else self._control,
                     *arguments,
                 ],
-                env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+                env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"},
                 stdout=log,
                 stderr=log,
             )
@@ -229,6 +267,48 @@
         for name in names:
             self.platform.faults.change(lost, self._ports[name])
 
+    def disturb_config(self, cut_ms: int = 1_500) -> list[int]:
+        """Lose answers to writes of the configuration from now on.
+
+        The answer to every second write is lost. After every sixth the
+        store is also cut for some time, so that its writer cannot find out.
+
+        :returns: a list that fills with the versions written
+        """
+        put = self.platform.store.put
+        written: list[int] = []
+
+        def put_and_disturb(key, value, expected, lease=""):
+            revision = put(key, value, expected, lease)
+            if key == CONFIG_KEY:
+                pointer = codec.decode(value, ConfigPointer)
+                written.append(pointer.current.version)
+                if len(written) % 6 == 0:
+                    self.cut_store()
+                    heal = functools.partial(self.cut_store, is_cut=False)
+                    threading.Timer(cut_ms / 1000, heal).start()
+                if len(written) % 2 == 0:
+                    raise AnswerLost
+            return revision
+
+        self.platform.store.put = put_and_disturb
+        return written
+
+    def watch_fleet(self) -> list[FleetRecord]:
+        """Return a list that fills with every fleet record written."""
+        put = self.platform.store.put
+        written: list[FleetRecord] = []
+
+        def put_and_note(key, value, expected, lease=""):
+            revision = put(key, value, expected, lease)
+            if key == FLEET_KEY:
+                record = codec.decode_compressed(value, FleetRecord)
+                written.append(record)
+            return revision
+
+        self.platform.store.put = put_and_note
+        return written
+
     def refuse_peers_of(self, name: str) -> None:
         """Let others find a port that refuses where a member listens."""
         refused = f"{HOST}:{self._port(name, 'refused')}"
@@ -249,6 +329,11 @@
         record = self.records.read(f"{LIMITS_PREFIX}{team}", LimitRecord)
         return set(record.value.portions)
 
+    def portion(self, name: str, team: str) -> int:
+        """Return a member's portion of a team's limit in the store."""
+        record = self.records.read(f"{LIMITS_PREFIX}{team}", LimitRecord)
+        return record.value.portions.get(name, 0)
+
     def fleet(self) -> FleetRecord:
         """Return the fleet record in the store."""
         return self.records.read(FLEET_KEY, FleetRecord, compressed=True).value
@@ -304,11 +389,17 @@
         connection = http.client.HTTPConnection(
             self._address(entry, "operator"), timeout=WAIT_S
         )
-        headers = {"Authorization": f"Bearer {self._operator_key}"}
+        key, _ = self._operators[OPERATORS[0]]
+        headers = {"Authorization": f"Bearer {key}"}
         with contextlib.closing(connection):
             connection.request("GET", path, headers=headers)
             return connection.getresponse().read().decode()
 
+    def session(self, operator: str, entry: str) -> Session:
+        """Return an operator's calls to the port of one entry."""
+        key, _ = self._operators[operator]
+        return Session(self._address(entry, "operator"), key)
+
     def call_jobs(
         self, entry: str, team: str, path: str = "", body: dict | None = None
     ) -> dict:
@@ -354,7 +445,11 @@
         return sum(row.interrupted for row in rows)
 
     def _make_document(
-        self, teams: dict[str, int], vms: int, longest_run_ms: int
+        self,
+        teams: dict[str, int],
+        racks: tuple[str, ...],
+        spare_vms: int,
+        longest_run_ms: int,
     ) -> Document:
         specs = []
         for name, limit in teams.items():
@@ -367,15 +462,15 @@
         pool = PoolSpec(
             name="pool",
             kind=PoolKind.SERVICE,
-            min_available_vms=vms - 1,
+            min_available_vms=len(racks) - spare_vms,
             vms=tuple(
                 VmSpec(
                     name=f"target-{number}",
                     data_centre="Gent",
-                    rack=f"r{number}",
+                    rack=rack,
                     slots=SLOTS,
                 )
-                for number in range(vms)
+                for number, rack in enumerate(racks)
             ),
         )
         workers = PoolSpec(
