Search for work once when a request ends

Permits.release called the dispatcher's listener, which searched all pools, and the dispatcher then searched the pool of the request again. Each search also ran over all teams for each waiting team to add up what they use beyond their slots.

Now a release calls no listener. The dispatcher releases the permit, takes its lock once, frees the slot and searches the pool of the slot and the pools in which the team was refused a permit. Finished requests, late answers and ended holds share this end. Which pools are short is kept by pool and ends with the start of the request, so a team that waits for slots does not count as short of permits any more. wait_idle now covers the release of the last permit.

The order of the pools matters when a team has few permits: before, the pool that was used first got all of them, and requests elsewhere timed out. The urgent or oldest request goes first now.

--- /dev/null
+++ b/src/rosemarynotch/_internal/admission/deadlines.py
@@ -0,0 +1,40 @@
+"""Refuses requests whose answer would come after their deadline."""
+
+from rosemarynotch._internal.admission.pools import PoolState
+from rosemarynotch._internal.admission.waiting import Waiter
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.exceptions import Failure
+
+__all__ = ["check_arrival", "check_waiting"]
+
+
+def check_arrival(waiter: Waiter, pool: PoolState) -> Failure | None:
+    """Check the estimated wait and run of a request that arrives.
+
+    :returns: None, or why the request is refused, with ``ran`` no
+    """
+    team = waiter.request.team
+    ahead = pool.queues.length(team, waiter.queue.urgent)
+    wait_s = pool.slots.estimated_wait_s(team, ahead)
+    run_s = pool.slots.expected_run_s(team)
+    if waiter.arrived_s + wait_s + run_s <= waiter.deadline_s:
+        return None
+    reason = f"estimated wait and run {(wait_s + run_s) * 1000:.0f} ms"
+    return failures.DEADLINE_UNREACHABLE.because(reason)
+
+
+def check_waiting(
+    waiter: Waiter, pool: PoolState, now_s: float
+) -> Failure | None:
+    """Check a queued request again.
+
+    :returns: None, or why the request is refused, with ``ran`` no
+    """
+    if now_s >= waiter.deadline_s:
+        return failures.DEADLINE_PASSED.because("while queued")
+    run_s = pool.slots.expected_run_s(waiter.request.team)
+    if now_s + run_s > waiter.deadline_s:
+        # It would use a slot for an answer that comes too late.
+        reason = f"runs for about {run_s * 1000:.0f} ms"
+        return failures.DEADLINE_UNREACHABLE.because(reason)
+    return None
--- a/src/rosemarynotch/_internal/admission/dispatch.py
+++ b/src/rosemarynotch/_internal/admission/dispatch.py
@@ -4,9 +4,11 @@
 import time
 from typing import Callable
 
+from rosemarynotch._internal.admission.deadlines import check_arrival
+from rosemarynotch._internal.admission.deadlines import check_waiting
 from rosemarynotch._internal.admission.grants import Grant
-from rosemarynotch._internal.admission.holds import Holds
-from rosemarynotch._internal.admission.pools import PoolState
+from rosemarynotch._internal.admission.in_flight import InFlight
+from rosemarynotch._internal.admission.pools import PoolTable
 from rosemarynotch._internal.admission.pools import untried_targets
 from rosemarynotch._internal.admission.recheck import recheck
 from rosemarynotch._internal.admission.waiting import Waiter
@@ -15,7 +17,6 @@
 from rosemarynotch._internal.models.document import QueueSpec
 from rosemarynotch._internal.models.messages import CallerRequest
 from rosemarynotch._internal.models.messages import DemandRow
-from rosemarynotch._internal.models.records import VmState
 from rosemarynotch._internal.policy.ordering import OrderPolicy
 from rosemarynotch._internal.policy.routing import Router
 from rosemarynotch._internal.utils.clock import Clock
@@ -33,8 +34,9 @@
 class Dispatcher:
     """Admits requests (rules R1, R3, R6).
 
-    One lock guards all queues. Permits are released, and their listeners
-    called, outside of it.
+    :meth:`enter` queues a request, :meth:`_start` takes it out and grants
+    it. One lock guards all queues. Permits are released, and their
+    listeners called, outside of it.
 
     :param in_force: the configuration
     :param fleet: serving VMs by pool
@@ -68,14 +70,12 @@
         self._shares = shares
         self._health = health
         self._router = router
-        self._order = order
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
-        self._pools: dict[str, PoolState] = {}
-        self._in_flight: dict[str, int] = {}
-        self._holds = Holds()
-        self._short: set[str] = set()
+        self._pools = PoolTable(shares, order, clock)
+        self._in_flight = InFlight()
+        # Requests that are queued, run or are held.
         self._inside = 0
         self._shutting_down = False
         self._stopped = threading.Event()
@@ -120,16 +120,13 @@
         )
         with self._lock:
             refusal = self._queue_up(waiter)
-            if refusal is None:
-                self._pump(self._pools[queue.pool])
-                if waiter.result is None:
-                    waiter.signal = threading.Lock()
-                    waiter.signal.acquire()
-        if refusal is not None:
-            self._metrics.count(
-                "refused", team=request.team, code=refusal.code
-            )
-            return refusal
+            if refusal is not None:
+                waiter.settle(refusal)
+            else:
+                self._pump(self._pools.get(queue.pool))
+            if waiter.result is None:
+                waiter.signal = threading.Lock()
+                waiter.signal.acquire()
         while waiter.result is None:
             self._block(waiter)
         return self._account(waiter)
@@ -137,24 +134,17 @@
     def demand(self) -> tuple[DemandRow, ...]:
         """Return demand and service by pool and team since the start."""
         with self._lock:
-            return tuple(
-                row for pool in self._pools.values() for row in pool.demand()
-            )
+            return tuple(row for pool in self._pools for row in pool.demand())
 
     def running_by_vm(self) -> dict[str, int]:
         """Return requests in flight on VMs that do not serve."""
         with self._lock:
-            vms = self._fleet.record.vms
-            return {
-                vm: count
-                for vm, count in self._in_flight.items()
-                if vm not in vms or vms[vm].state is not VmState.SERVING
-            }
+            return self._in_flight.on_leaving_vms(self._fleet.record.vms)
 
     def short_teams(self) -> tuple[str, ...]:
         """Return teams whose requests wait for a permit."""
         with self._lock:
-            return tuple(sorted(self._short))
+            return self._pools.short_teams()
 
     def begin_shutdown(self) -> None:
         """Refuse new requests; queued ones still run."""
@@ -166,7 +156,7 @@
         end_s = time.monotonic() + timeout_s
         while time.monotonic() < end_s:
             with self._lock:
-                if not self._inside and not self._holds:
+                if not self._inside:
                     return True
             time.sleep(IDLE_POLL_S)
         return False
@@ -174,18 +164,16 @@
     def pump(self, *_changed) -> None:
         """Start what can start after something has changed."""
         with self._lock:
-            for pool in self._pools.values():
+            for pool in self._pools:
                 self._pump(pool)
 
     def tick(self) -> None:
         """End holds that are over and start what can start."""
         now_s = self._clock.monotonic_s()
         with self._lock:
-            ended = self._holds.take_ended(now_s)
-            for grant in ended:
-                self._free(grant, now_s - grant.started_s)
+            ended = self._in_flight.take_ended_holds(now_s)
         for grant in ended:
-            self._permits.release(grant.team)
+            self._end(grant, now_s - grant.started_s)
         self.pump()
 
     def _run_ticks(self):
@@ -199,23 +187,16 @@
             self.tick()
 
     def _queue_up(self, waiter):
-        queue, team = waiter.queue, waiter.request.team
+        """Queue a request, or return why it is refused on arrival."""
+        queue = waiter.queue
         if self._shutting_down:
             return failures.SHUTTING_DOWN
         if not self._fleet.serving(queue.pool):
             return failures.NO_TARGET.because(queue.pool)
         pool = self._pools.get(queue.pool)
-        if pool is None:
-            pool = PoolState(
-                queue.pool, self._shares, self._order, self._clock
-            )
-            self._pools[queue.pool] = pool
-        ahead = pool.queues.length(team, queue.urgent)
-        wait_s = pool.slots.estimated_wait_s(team, ahead)
-        run_s = pool.slots.expected_run_s(team)
-        if waiter.arrived_s + wait_s + run_s > waiter.deadline_s:
-            reason = f"estimated wait and run {(wait_s + run_s) * 1000:.0f} ms"
-            return failures.DEADLINE_UNREACHABLE.because(reason)
+        refusal = check_arrival(waiter, pool)
+        if refusal is not None:
+            return refusal
         if not pool.queues.add(waiter):
             return failures.QUEUE_FULL.because(queue.name)
         self._inside += 1
@@ -246,42 +227,41 @@
         """Return why a waiting request must not start any more, if so."""
         if waiter.gone():
             return failures.CALLER_GONE
-        now_s = self._clock.monotonic_s()
-        if now_s >= waiter.deadline_s:
-            return failures.DEADLINE_PASSED.because("while queued")
-        run_s = self._pools[waiter.queue.pool].slots.expected_run_s(
-            waiter.request.team
+        late = check_waiting(
+            waiter,
+            self._pools.get(waiter.queue.pool),
+            self._clock.monotonic_s(),
         )
-        if now_s + run_s > waiter.deadline_s:
-            # It would use a slot for an answer that comes too late.
-            reason = f"runs for about {run_s * 1000:.0f} ms"
-            return failures.DEADLINE_UNREACHABLE.because(reason)
+        if late is not None:
+            return late
         return recheck(waiter, self._in_force.current, self._freshness)
 
     def _drop(self, waiter, refusal):
-        self._pools[waiter.queue.pool].queues.remove(waiter)
+        self._pools.get(waiter.queue.pool).drop(waiter)
         self._inside -= 1
-        self._note_not_short(waiter.request.team)
         waiter.settle(refusal)
 
     def _pump(self, pool):
         """Start requests of a pool until slots, permits or work run out."""
         while pool.queues:
+            serving = self._fleet.serving(pool.name)
+            targets = self._health.usable(
+                pool.name, serving, self._in_flight.by_vm
+            )
+            if not targets:
+                return
+            pool.note_own_slots(serving, targets)
             for urgent in (True, False):
-                if self._start_one(pool, urgent):
+                if self._start_one(pool, urgent, serving, targets):
                     break
             else:
                 return
 
-    def _start_one(self, pool, urgent):
+    def _start_one(self, pool, urgent, serving, targets):
+        """Start the first request that may; return whether there was one."""
         heads = pool.valid_heads(urgent, self._refusal, self._drop)
         if not heads:
             return False
-        serving = self._fleet.serving(pool.name)
-        targets = self._health.usable(pool.name, serving, self._in_flight)
-        if not targets:
-            return False
-        pool.note_own_slots(serving, targets)
         document = self._in_force.current.document
         entries_count = len(self._members.entries())
         startable = pool.startable(heads, document, entries_count)
@@ -293,15 +273,15 @@
         return False
 
     def _start(self, pool, waiter, targets):
+        """Take a request out of its queue and grant it a target."""
         request, urgent = waiter.request, waiter.queue.urgent
         if not self._permits.try_acquire(request.team):
-            self._short.add(request.team)
+            pool.short_teams.add(request.team)
             return False
         target = self._router.pick(targets)
-        pool.queues.remove(waiter)
-        self._note_not_short(request.team)
+        pool.take(waiter)
         pool.slots.start(request.team, urgent, request.worth)
-        self._in_flight[target.vm] = self._in_flight.get(target.vm, 0) + 1
+        self._in_flight.start(target.vm)
         waiter.settle(
             Grant(
                 vm=target.vm,
@@ -318,45 +298,34 @@
         )
         return True
 
-    def _note_not_short(self, team):
-        if team not in self._short:
-            return
-        if not any(p.queues.queued(team) for p in self._pools.values()):
-            self._short.discard(team)
-
     def _finish(self, grant, outcome, run_ms):
         served = not isinstance(outcome, Failure) and outcome.status < 500
-        with self._lock:
-            self._inside -= 1
-            self._free(grant, run_ms / 1000, served, ended=served)
-        self._permits.release(grant.team)
-        with self._lock:
-            self._pump(self._pools[grant.pool])
+        self._end(grant, run_ms / 1000, served, ended=served)
 
     def _hold(self, grant, duration_ms):
         now_s = self._clock.monotonic_s()
         with self._lock:
-            self._inside -= 1
-            # The late answer may have come since the time-out.
-            wait_s = 0.0 if grant.has_ended else duration_ms / 1000
-            self._holds.add(grant, now_s + wait_s)
+            self._in_flight.hold(grant, now_s, duration_ms / 1000)
 
     def _end_hold(self, grant):
-        now_s = self._clock.monotonic_s()
         with self._lock:
-            if not self._holds.end(grant):
-                grant.has_ended = True
+            if not self._in_flight.end_hold(grant):
                 return
-            self._free(grant, now_s - grant.started_s, ended=True)
+        run_s = self._clock.monotonic_s() - grant.started_s
+        self._end(grant, run_s, ended=True)
+
+    def _end(self, grant, run_s, served=False, ended=False):
+        """Free slot and permit of a request; start what waited for them.
+
+        The permit is released before the lock is taken: whoever was refused
+        it is queued by then, and whoever asks later gets it.
+        """
         self._permits.release(grant.team)
         with self._lock:
-            self._pump(self._pools[grant.pool])
-
-    def _free(self, grant, run_s, served=False, ended=False):
-        slots = self._pools[grant.pool].slots
-        slots.stop(grant.team, grant.urgent, grant.worth, run_s, served, ended)
-        left = self._in_flight[grant.vm] - 1
-        if left:
-            self._in_flight[grant.vm] = left
-        else:
-            del self._in_flight[grant.vm]
+            self._inside -= 1
+            self._in_flight.stop(grant.vm)
+            self._pools.get(grant.pool).slots.stop(
+                grant.team, grant.urgent, grant.worth, run_s, served, ended
+            )
+            for pool in self._pools.freed_by(grant):
+                self._pump(pool)
--- a/src/rosemarynotch/_internal/admission/permits.py
+++ b/src/rosemarynotch/_internal/admission/permits.py
@@ -101,10 +101,12 @@
         return False
 
     def release(self, team: str) -> None:
-        """Give a permit back after its request has ended."""
+        """Give a permit back after its request has ended.
+
+        Listeners are not called: the one who releases knows of it.
+        """
         if self._ledger.give_back(team):
             self._schedule.add(team, LOWER_DELAY_S)
-        self._call_listeners()
 
     def running(self, team: str) -> int:
         """Return the number of permits that are taken."""
@@ -130,7 +132,7 @@
         return max(held, key=lambda name: (held[name], name), default="")
 
     def add_listener(self, callback: Callable[[], None]) -> None:
-        """Call back, without arguments, when permits became free."""
+        """Call back, without arguments, when a portion has grown."""
         self._listeners += (callback,)
 
     def set_short_source(self, source: Callable[[], tuple[str, ...]]) -> None:
--- a/src/rosemarynotch/_internal/admission/pools.py
+++ b/src/rosemarynotch/_internal/admission/pools.py
@@ -2,7 +2,9 @@
 
 import math
 from typing import Callable
+from typing import Iterator
 
+from rosemarynotch._internal.admission.grants import Grant
 from rosemarynotch._internal.admission.slots import PoolSlots
 from rosemarynotch._internal.admission.waiting import PoolQueues
 from rosemarynotch._internal.admission.waiting import Waiter
@@ -15,7 +17,7 @@
 from rosemarynotch._internal.policy.routing import own_slots
 from rosemarynotch._internal.utils.clock import Clock
 
-__all__ = ["PoolState", "untried_targets"]
+__all__ = ["PoolState", "PoolTable", "untried_targets"]
 
 
 def shareable_slots(fleet, document: Document, pool: str) -> int:
@@ -33,6 +35,8 @@
     """What waits for a pool and what uses it, at this entry.
 
     The dispatcher's lock guards it.
+
+    :ivar short_teams: teams whose next request here waits for a permit
     """
 
     def __init__(
@@ -41,9 +45,28 @@
         self.name = name
         self.queues = PoolQueues()
         self.slots = PoolSlots(name, shares, clock)
+        self.short_teams: set[str] = set()
         self._order = order
         self._shares = shares
 
+    def take(self, waiter: Waiter) -> None:
+        """Take a request that starts out of its queue.
+
+        The next one of its team is short only if it is refused a permit too,
+        which the search for the next start shows.
+        """
+        self.queues.remove(waiter)
+        self.short_teams.discard(waiter.request.team)
+
+    def drop(self, waiter: Waiter) -> None:
+        """Take a refused request out of its queue.
+
+        Others of its team may still wait for a permit.
+        """
+        self.queues.remove(waiter)
+        if not self.queues.queued(waiter.request.team):
+            self.short_teams.discard(waiter.request.team)
+
     def note_own_slots(self, serving, targets: list[Candidate]) -> None:
         """Tell the targets how many of their slots are this entry's own.
 
@@ -86,11 +109,12 @@
         spec = document.pool(self.name)
         reserve = spec.urgent_reserve_slots if spec else 0
         reserve = math.ceil(reserve / max(1, entries_count))
+        spare = self.slots.spare_left(reserve)
         return {
             head.request.team: head
             for head in heads
             if self.slots.may_start(
-                head.request.team, head.queue.urgent, reserve
+                head.request.team, head.queue.urgent, reserve, spare
             )
         }
 
@@ -122,6 +146,56 @@
         ]
 
 
+class PoolTable:
+    """The pools that this entry has used.
+
+    The dispatcher's lock guards it.
+    """
+
+    def __init__(self, shares, order: OrderPolicy, clock: Clock) -> None:
+        self._shares = shares
+        self._order = order
+        self._clock = clock
+        self._pools: dict[str, PoolState] = {}
+
+    def __iter__(self) -> Iterator[PoolState]:
+        return iter(self._pools.values())
+
+    def get(self, name: str) -> PoolState:
+        """Return a pool, a new one at its first use."""
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = PoolState(name, self._shares, self._order, self._clock)
+            self._pools[name] = pool
+        return pool
+
+    def freed_by(self, grant: Grant) -> list[PoolState]:
+        """Return the pools that may start a request after one has ended.
+
+        Its slot is free in its own pool, its permit in all where the team
+        waits for one. The pool whose request is urgent or has waited for
+        longest comes first; with the own pool always first, a team with few
+        permits would never get to its requests in other pools.
+        """
+        team = grant.team
+        own = self._pools[grant.pool]
+        others = [
+            pool
+            for pool in self._pools.values()
+            if pool is not own and team in pool.short_teams
+        ]
+        if not others:
+            return [own]
+        if not own.queues.queued(team):
+            return [*others, own]
+        return sorted([*others, own], key=lambda pool: pool.queues.rank(team))
+
+    def short_teams(self) -> tuple[str, ...]:
+        """Return the teams with a request that waits for a permit."""
+        short = set().union(*(pool.short_teams for pool in self))
+        return tuple(sorted(short))
+
+
 def untried_targets(tried, serving, targets):
     """Return the targets to choose from for a request.
 
--- a/src/rosemarynotch/_internal/admission/slots.py
+++ b/src/rosemarynotch/_internal/admission/slots.py
@@ -72,11 +72,14 @@
             use.recent_worth *= math.exp(-passed_s / WORTH_MEMORY_S)
         return use
 
-    def may_start(self, team: str, urgent: bool, reserve: int) -> bool:
+    def may_start(
+        self, team: str, urgent: bool, reserve: int, spare: float
+    ) -> bool:
         """Tell whether a slot is there for one more request of a team.
 
         :param reserve: slots that urgent work may use here at once; the
             pool's reserve is not part of the shares
+        :param spare: from :meth:`spare_left`, which is the same for all teams
         """
         use = self.use(team)
         if urgent:
@@ -88,8 +91,12 @@
         running = use.running - min(use.urgent_running, reserve)
         if running + 1 <= self._slots_of(team) + EPSILON:
             return True
+        return spare + EPSILON >= 1
+
+    def spare_left(self, reserve: int) -> float:
+        """Return the spare slots that no team uses beyond its own."""
         spare = self._shares.spare_slots(self._pool)
-        return self._over_share(reserve) + 1 <= spare + EPSILON
+        return spare - self._over_share(reserve)
 
     def start(self, team: str, urgent: bool, worth: float) -> None:
         """Count a request that starts."""
--- a/src/rosemarynotch/_internal/admission/waiting.py
+++ b/src/rosemarynotch/_internal/admission/waiting.py
@@ -106,6 +106,14 @@
         """Return how many requests of a team wait."""
         return self.length(team, True) + self.length(team, False)
 
+    def rank(self, team: str) -> tuple[bool, float]:
+        """Return what sorts a team that waits: urgent first, then oldest."""
+        tier = self._tiers[True]
+        is_urgent = team in tier
+        if not is_urgent:
+            tier = self._tiers[False]
+        return not is_urgent, tier[team][0].arrived_s
+
     def teams(self) -> set[str]:
         """Return the teams that have requests waiting."""
         return set(self._tiers[True]) | set(self._tiers[False])
--- a/tests/lib/entries.py
+++ b/tests/lib/entries.py
@@ -202,6 +202,9 @@
         slots=8,
         current=None,
         max_requests=200,
+        permits=None,
+        metrics=None,
+        seed=1,
     ):
         self.clock = clock or SystemClock()
         self.stale = None
@@ -230,9 +233,9 @@
             owner=lambda team, key: key.partition("@")[2] or name,
         )
         freshness = SimpleNamespace(check=lambda: self.stale)
-        self.permits = FakePermits()
+        self.permits = permits or FakePermits()
         self.shares = FakeShares()
-        self.metrics = FakeMetrics()
+        self.metrics = metrics or FakeMetrics()
         self.exchange = FakeExchange()
         self.health = HealthTable(self.clock)
         self.client = TargetClient(self.clock)
@@ -244,7 +247,7 @@
             permits=self.permits,
             shares=self.shares,
             health=self.health,
-            router=router or TwoChoicesRouter(random.Random(1)),
+            router=router or TwoChoicesRouter(random.Random(seed)),
             order=order or WorthOverShareOrder(),
             clock=self.clock,
             metrics=self.metrics,
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -20,6 +20,7 @@
 from rosemarynotch._internal.platform.interface import VmService
 from rosemarynotch._internal.platform.records import MEMBERS_KEY
 from rosemarynotch._internal.platform.records import RecordStore
+from standins.kv import KeyValue
 from tests.lib.stores import MemoryStore
 
 __all__ = [
@@ -30,6 +31,7 @@
     "member",
     "pointer",
     "Process",
+    "start_process",
     "VmList",
 ]
 
@@ -188,3 +190,14 @@
         return heartbeat(
             me.name, me.incarnation, short_teams=self.permits.short_teams()
         )
+
+
+def start_process(clock, document, name="entry-1"):
+    """Return a registered process that holds all limits of a document."""
+    core = KeyValue(clock.monotonic_s)
+    process = Process(core, clock, VmList([name]), member(name))
+    process.membership.register()
+    process.follow_members()
+    process.in_force.apply(pointer(1), document)
+    process.permits.revalidate()
+    return process
