--- a/tests/bench/request_path.py
+++ b/tests/bench/request_path.py
@@ -14,14 +14,18 @@
 import threading
 import time
 
+import attrs
 import defopt
 
 from rosemarynotch._internal.callers.server import CallerServer
+from rosemarynotch._internal.utils.clock import SystemClock
+from rosemarynotch._internal.utils.metrics import Metrics
+from tests.lib.entries import document
 from tests.lib.entries import EntryUnderTest
 from tests.lib.entries import KEY
+from tests.lib.fleet import start_process
 
 CALLER_PROCESSES = 3
-CALLERS = (1, 8, 64)
 REQUEST = (
     "GET {path}?work_ms={work_ms} HTTP/1.1\r\nHost: measured\r\n"
     "Authorization: Bearer {key}\r\nAccept: */*\r\n"
@@ -118,16 +122,44 @@
     }
 
 
-def run_entry(addresses, profile_file, cpu, connection):
+@attrs.frozen(kw_only=True)
+class Plan:
+    """What is measured.
+
+    :ivar callers: numbers of callers, in the order of the measurements
+    :ivar real: use real permits and metrics instead of fakes
+    """
+
+    callers: tuple[int, ...]
+    seconds: float
+    work_ms: float
+    slots: int
+    real: bool
+    seed: int
+    profile_file: str
+
+
+def real_parts():
+    """Return permits on a store in this process, and metrics."""
+    process = start_process(SystemClock(), document())
+    process.guard.start()
+    process.permits.start()
+    return {"permits": process.permits, "metrics": Metrics()}
+
+
+def run_entry(addresses, plan, cpu, connection):
     """Serve one entry until told to stop."""
     if cpu is not None:
         os.sched_setaffinity(0, {cpu})
-    if profile_file:
+    if plan.profile_file:
         from tests.bench.sampling import Sampler
 
         sampler = Sampler()
         sampler.start()
-    entry = EntryUnderTest(addresses)
+    parts = real_parts() if plan.real else {}
+    entry = EntryUnderTest(
+        addresses, slots=plan.slots, seed=plan.seed, **parts
+    )
     entry.dispatcher.start()
     server = CallerServer(entry.app, "127.0.0.1", 0, THREADS)
     server.start()
@@ -138,8 +170,8 @@
             connection.send(sum(os.times()[:2]))
         else:
             break
-    if profile_file:
-        with open(profile_file, "w") as report:
+    if plan.profile_file:
+        with open(plan.profile_file, "w") as report:
             report.write(sampler.report())
     os._exit(0)
 
@@ -160,12 +192,12 @@
     return processes, addresses
 
 
-def measure_entry(addresses, cpu, profile_file, seconds, work_ms):
+def measure_entry(addresses, cpu, plan):
     """Print measurements of one entry, each next to a direct one."""
     context = multiprocessing.get_context("spawn")
     ours, theirs = context.Pipe()
     entry = context.Process(
-        target=run_entry, args=(addresses, profile_file, cpu, theirs)
+        target=run_entry, args=(addresses, plan, cpu, theirs)
     )
     entry.start()
     address, key = ours.recv()
@@ -179,15 +211,21 @@
     def compare(title, callers, rate):
         for way, where, path in ways:
             before_s = entry_cpu_s()
-            row = measure(where, path, callers, seconds, work_ms, rate, key)
-            row["entry_cpu_s"] = round(entry_cpu_s() - before_s, 2)
+            row = measure(
+                where, path, callers, plan.seconds, plan.work_ms, rate, key
+            )
+            used_s = entry_cpu_s() - before_s
+            if way == name:
+                requests = row["per_s"] * plan.seconds
+                row["entry_cpu_us"] = round(1_000_000 * used_s / requests)
             print(title, way, json.dumps(row), flush=True)
         return row["per_s"]
 
     try:
-        best = {n: compare("full", n, 0) for n in CALLERS}
-        for callers in CALLERS[1:]:
-            compare("half", callers, best[callers] / 2)
+        best = {n: compare("full", n, 0) for n in plan.callers}
+        for callers in plan.callers:
+            if callers > 1:
+                compare("half", callers, best[callers] / 2)
     finally:
         ours.send("stop")
         entry.join()
@@ -200,6 +238,10 @@
     work_ms: float = 0.0,
     profile_file: str = "",
     cpu: int = -1,
+    callers: str = "1,8,64",
+    slots: int = 8,
+    real: bool = False,
+    seed: int = 1,
 ) -> None:
     """Print one line of JSON per measurement.
 
@@ -208,11 +250,25 @@
     :param work_ms: time for which a target works on a request
     :param profile_file: where the entry writes samples of its threads
     :param cpu: measure also an entry that is bound to this processor
+    :param callers: numbers of callers
+    :param slots: requests that the entry sends to a target at once
+    :param real: give the entry real permits, on a store in its process, and
+        real metrics instead of fakes
+    :param seed: of the choice of targets
     """
+    plan = Plan(
+        callers=tuple(int(number) for number in callers.split(",")),
+        seconds=seconds,
+        work_ms=work_ms,
+        slots=slots,
+        real=real,
+        seed=seed,
+        profile_file=profile_file,
+    )
     processes, addresses = start_targets(targets)
     try:
         for bound in (None,) if cpu < 0 else (None, cpu):
-            measure_entry(addresses, bound, profile_file, seconds, work_ms)
+            measure_entry(addresses, bound, plan)
     finally:
         for process in processes:
             process.terminate()
