--- a/src/rosemarynotch/_internal/admission/dispatch.py
+++ b/src/rosemarynotch/_internal/admission/dispatch.py
@@ -4,18 +4,21 @@
 import time
 from typing import Callable
 
+from rosemarynotch._internal.admission.deadlines import check_arrival
+from rosemarynotch._internal.admission.deadlines import check_waiting
+from rosemarynotch._internal.admission.ends import GrantEnds
 from rosemarynotch._internal.admission.grants import Grant
-from rosemarynotch._internal.admission.holds import Holds
-from rosemarynotch._internal.admission.pools import PoolState
+from rosemarynotch._internal.admission.in_flight import InFlight
+from rosemarynotch._internal.admission.pools import PoolTable
 from rosemarynotch._internal.admission.pools import untried_targets
 from rosemarynotch._internal.admission.recheck import recheck
+from rosemarynotch._internal.admission.ticks import Ticks
 from rosemarynotch._internal.admission.waiting import Waiter
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.document import QueueSpec
 from rosemarynotch._internal.models.messages import CallerRequest
 from rosemarynotch._internal.models.messages import DemandRow
-from rosemarynotch._internal.models.records import VmState
 from rosemarynotch._internal.policy.ordering import OrderPolicy
 from rosemarynotch._internal.policy.routing import Router
 from rosemarynotch._internal.utils.clock import Clock
@@ -24,17 +27,15 @@
 
 # A blocked thread looks this often whether its caller has hung up.
 WAIT_SLICE_S = 0.5
-# Warm-up, probes and the ends of holds become due as time passes.
-TICK_S = 0.025
-SHARES_S = 0.2
 IDLE_POLL_S = 0.02
 
 
 class Dispatcher:
     """Admits requests (rules R1, R3, R6).
 
-    One lock guards all queues. Permits are released, and their listeners
-    called, outside of it.
+    :meth:`enter` queues a request, :meth:`_start` takes it out and grants
+    it. One lock guards all queues. Permits are released, and their
+    listeners called, outside of it.
 
     :param in_force: the configuration
     :param fleet: serving VMs by pool
@@ -68,33 +69,31 @@
         self._shares = shares
         self._health = health
         self._router = router
-        self._order = order
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
-        self._pools: dict[str, PoolState] = {}
-        self._in_flight: dict[str, int] = {}
-        self._holds = Holds()
-        self._short: set[str] = set()
-        self._inside = 0
+        self._pools = PoolTable(shares, order, clock)
+        self._in_flight = InFlight()
+        self._ends = GrantEnds(
+            self._lock,
+            permits,
+            self._pools,
+            self._in_flight,
+            clock,
+            self._pump,
+        )
+        self._ticks = Ticks(self.tick, self._renew_shares, clock)
         self._shutting_down = False
-        self._stopped = threading.Event()
-        self._thread: threading.Thread | None = None
         permits.add_listener(self.pump)
         fleet.add_listener(self.pump)
 
     def start(self) -> None:
         """Start the thread that follows the passing of time."""
-        self._thread = threading.Thread(
-            target=self._run_ticks, name="dispatch-ticks", daemon=True
-        )
-        self._thread.start()
+        self._ticks.start()
 
     def stop(self) -> None:
         """Stop the thread; call after :meth:`wait_idle`."""
-        self._stopped.set()
-        if self._thread is not None:
-            self._thread.join()
+        self._ticks.stop()
 
     def enter(
         self,
@@ -120,16 +119,13 @@
         )
         with self._lock:
             refusal = self._queue_up(waiter)
-            if refusal is None:
-                self._pump(self._pools[queue.pool])
-                if waiter.result is None:
-                    waiter.signal = threading.Lock()
-                    waiter.signal.acquire()
-        if refusal is not None:
-            self._metrics.count(
-                "refused", team=request.team, code=refusal.code
-            )
-            return refusal
+            if refusal is not None:
+                waiter.settle(refusal)
+            else:
+                self._pump(self._pools.get(queue.pool))
+            if waiter.result is None:
+                waiter.signal = threading.Lock()
+                waiter.signal.acquire()
         while waiter.result is None:
             self._block(waiter)
         return self._account(waiter)
@@ -137,24 +133,17 @@
     def demand(self) -> tuple[DemandRow, ...]:
         """Return demand and service by pool and team since the start."""
         with self._lock:
-            return tuple(
-                row for pool in self._pools.values() for row in pool.demand()
-            )
+            return tuple(row for pool in self._pools for row in pool.demand())
 
     def running_by_vm(self) -> dict[str, int]:
         """Return requests in flight on VMs that do not serve."""
         with self._lock:
-            vms = self._fleet.record.vms
-            return {
-                vm: count
-                for vm, count in self._in_flight.items()
-                if vm not in vms or vms[vm].state is not VmState.SERVING
-            }
+            return self._in_flight.on_leaving_vms(self._fleet.record.vms)
 
     def short_teams(self) -> tuple[str, ...]:
         """Return teams whose requests wait for a permit."""
         with self._lock:
-            return tuple(sorted(self._short))
+            return self._pools.short_teams()
 
     def begin_shutdown(self) -> None:
         """Refuse new requests; queued ones still run."""
@@ -166,7 +155,8 @@
         end_s = time.monotonic() + timeout_s
         while time.monotonic() < end_s:
             with self._lock:
-                if not self._inside and not self._holds:
+                queued = any(pool.queues for pool in self._pools)
+                if not queued and not self._in_flight.by_vm:
                     return True
             time.sleep(IDLE_POLL_S)
         return False
@@ -174,51 +164,31 @@
     def pump(self, *_changed) -> None:
         """Start what can start after something has changed."""
         with self._lock:
-            for pool in self._pools.values():
+            for pool in self._pools:
                 self._pump(pool)
 
     def tick(self) -> None:
         """End holds that are over and start what can start."""
-        now_s = self._clock.monotonic_s()
-        with self._lock:
-            ended = self._holds.take_ended(now_s)
-            for grant in ended:
-                self._free(grant, now_s - grant.started_s)
-        for grant in ended:
-            self._permits.release(grant.team)
+        self._ends.end_overdue()
         self.pump()
 
-    def _run_ticks(self):
-        due_s = 0.0
-        while not self._stopped.wait(TICK_S):
-            now_s = self._clock.monotonic_s()
-            if now_s >= due_s:
-                due_s = now_s + SHARES_S
-                self._shares.update(self.demand())
-                self._health.forget_missing()
-            self.tick()
+    def _renew_shares(self):
+        self._shares.update(self.demand())
+        self._health.forget_missing()
 
     def _queue_up(self, waiter):
-        queue, team = waiter.queue, waiter.request.team
+        """Queue a request, or return why it is refused on arrival."""
+        queue = waiter.queue
         if self._shutting_down:
             return failures.SHUTTING_DOWN
         if not self._fleet.serving(queue.pool):
             return failures.NO_TARGET.because(queue.pool)
         pool = self._pools.get(queue.pool)
-        if pool is None:
-            pool = PoolState(
-                queue.pool, self._shares, self._order, self._clock
-            )
-            self._pools[queue.pool] = pool
-        ahead = pool.queues.length(team, queue.urgent)
-        wait_s = pool.slots.estimated_wait_s(team, ahead)
-        run_s = pool.slots.expected_run_s(team)
-        if waiter.arrived_s + wait_s + run_s > waiter.deadline_s:
-            reason = f"estimated wait and run {(wait_s + run_s) * 1000:.0f} ms"
-            return failures.DEADLINE_UNREACHABLE.because(reason)
+        refusal = check_arrival(waiter, pool)
+        if refusal is not None:
+            return refusal
         if not pool.queues.add(waiter):
             return failures.QUEUE_FULL.because(queue.name)
-        self._inside += 1
         return None
 
     def _block(self, waiter):
@@ -246,42 +216,40 @@
         """Return why a waiting request must not start any more, if so."""
         if waiter.gone():
             return failures.CALLER_GONE
-        now_s = self._clock.monotonic_s()
-        if now_s >= waiter.deadline_s:
-            return failures.DEADLINE_PASSED.because("while queued")
-        run_s = self._pools[waiter.queue.pool].slots.expected_run_s(
-            waiter.request.team
+        late = check_waiting(
+            waiter,
+            self._pools.get(waiter.queue.pool),
+            self._clock.monotonic_s(),
         )
-        if now_s + run_s > waiter.deadline_s:
-            # It would use a slot for an answer that comes too late.
-            reason = f"runs for about {run_s * 1000:.0f} ms"
-            return failures.DEADLINE_UNREACHABLE.because(reason)
+        if late is not None:
+            return late
         return recheck(waiter, self._in_force.current, self._freshness)
 
     def _drop(self, waiter, refusal):
-        self._pools[waiter.queue.pool].queues.remove(waiter)
-        self._inside -= 1
-        self._note_not_short(waiter.request.team)
+        self._pools.get(waiter.queue.pool).drop(waiter)
         waiter.settle(refusal)
 
     def _pump(self, pool):
         """Start requests of a pool until slots, permits or work run out."""
         while pool.queues:
+            serving = self._fleet.serving(pool.name)
+            targets = self._health.usable(
+                pool.name, serving, self._in_flight.by_vm
+            )
+            if not targets:
+                return
+            pool.note_own_slots(serving, targets)
             for urgent in (True, False):
-                if self._start_one(pool, urgent):
+                if self._start_one(pool, urgent, serving, targets):
                     break
             else:
                 return
 
-    def _start_one(self, pool, urgent):
+    def _start_one(self, pool, urgent, serving, targets):
+        """Start the first request that may; return whether there was one."""
         heads = pool.valid_heads(urgent, self._refusal, self._drop)
         if not heads:
             return False
-        serving = self._fleet.serving(pool.name)
-        targets = self._health.usable(pool.name, serving, self._in_flight)
-        if not targets:
-            return False
-        pool.note_own_slots(serving, targets)
         document = self._in_force.current.document
         entries_count = len(self._members.entries())
         startable = pool.startable(heads, document, entries_count)
@@ -293,15 +261,15 @@
         return False
 
     def _start(self, pool, waiter, targets):
+        """Take a request out of its queue and grant it a target."""
         request, urgent = waiter.request, waiter.queue.urgent
         if not self._permits.try_acquire(request.team):
-            self._short.add(request.team)
+            pool.short_teams.add(request.team)
             return False
         target = self._router.pick(targets)
-        pool.queues.remove(waiter)
-        self._note_not_short(request.team)
+        pool.take(waiter)
         pool.slots.start(request.team, urgent, request.worth)
-        self._in_flight[target.vm] = self._in_flight.get(target.vm, 0) + 1
+        self._in_flight.start(target.vm)
         waiter.settle(
             Grant(
                 vm=target.vm,
@@ -311,52 +279,7 @@
                 urgent=urgent,
                 worth=request.worth,
                 started_s=self._clock.monotonic_s(),
-                finish=self._finish,
-                hold=self._hold,
-                end_hold=self._end_hold,
+                ends=self._ends,
             )
         )
         return True
-
-    def _note_not_short(self, team):
-        if team not in self._short:
-            return
-        if not any(p.queues.queued(team) for p in self._pools.values()):
-            self._short.discard(team)
-
-    def _finish(self, grant, outcome, run_ms):
-        served = not isinstance(outcome, Failure) and outcome.status < 500
-        with self._lock:
-            self._inside -= 1
-            self._free(grant, run_ms / 1000, served, ended=served)
-        self._permits.release(grant.team)
-        with self._lock:
-            self._pump(self._pools[grant.pool])
-
-    def _hold(self, grant, duration_ms):
-        now_s = self._clock.monotonic_s()
-        with self._lock:
-            self._inside -= 1
-            # The late answer may have come since the time-out.
-            wait_s = 0.0 if grant.has_ended else duration_ms / 1000
-            self._holds.add(grant, now_s + wait_s)
-
-    def _end_hold(self, grant):
-        now_s = self._clock.monotonic_s()
-        with self._lock:
-            if not self._holds.end(grant):
-                grant.has_ended = True
-                return
-            self._free(grant, now_s - grant.started_s, ended=True)
-        self._permits.release(grant.team)
-        with self._lock:
-            self._pump(self._pools[grant.pool])
-
-    def _free(self, grant, run_s, served=False, ended=False):
-        slots = self._pools[grant.pool].slots
-        slots.stop(grant.team, grant.urgent, grant.worth, run_s, served, ended)
-        left = self._in_flight[grant.vm] - 1
-        if left:
-            self._in_flight[grant.vm] = left
-        else:
-            del self._in_flight[grant.vm]
