Leave the evidence of dead members to the leading control

Every process read the members record and the platform's VM list every 10 s to find holders of portions that are gone. By calculation the list of 1,300 VMs costs each process 13 KB/s, and a node may use 3 KB/s.

A holder is now gone if the members record lacks it, or has a newer incarnation, or if its key was set aside. The record is read from the store only if the followed view lacks a holder. The wait of the longest run time plus 2 s is unchanged. The VM list is fetched early when only a newer one is missing.

The pointer to the configuration is read only if its revision is newer, as the fleet and members records are.

The stateful test of limits runs GoneMembers with faulty lists.

--- a/src/rosemarynotch/_internal/admission/gone.py
+++ b/src/rosemarynotch/_internal/admission/gone.py
@@ -1,18 +1,20 @@
 """Evidence that a holder of portions is gone (rule R2)."""
 
+from typing import TYPE_CHECKING
+
 import attrs
 
 from rosemarynotch._internal.admission.portions import is_set_aside
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
-from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.models.records import MembersRecord
-from rosemarynotch._internal.platform.interface import VmService
-from rosemarynotch._internal.platform.lost_vms import LostVms
 from rosemarynotch._internal.platform.records import MEMBERS_KEY
 from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
+if TYPE_CHECKING:
+    from rosemarynotch._internal.configuration import MembersView
+
 __all__ = ["GoneWatch", "HolderKey"]
 
 # Beyond the longest run time; covers the gap after which a paused process
@@ -34,16 +36,18 @@
     The evidence is looked at again in each call; the wait starts anew when
     it vanishes. A holder that is not in the members record is gone: it
     registers before it holds portions, and it is removed only after a
-    graceful stop or on the evidence of rule R2.
+    graceful stop or by the leading control process (``GoneMembers``), which
+    alone compares the members with the platform's VM list.
 
-    :param me: this member, which a credible VM list contains
+    :param view: the followed members record. A holder that it lists is not
+        gone, which saves reading the record in each call
     """
 
     def __init__(
-        self, records: RecordStore, vms: VmService, me: Member, clock: Clock
+        self, records: RecordStore, view: "MembersView", clock: Clock
     ) -> None:
         self._records = records
-        self._lost_vms = LostVms(vms, me.vm, clock)
+        self._view = view
         self._clock = clock
         self._since_s: dict[HolderKey, float] = {}
 
@@ -58,17 +62,10 @@
 
         :param holders: from limit records that were read before this call
         """
-        members = self._members()
-        if isinstance(members, Failure):
+        suspects = self._suspects(holders)
+        if isinstance(suspects, Failure):
             return frozenset()
-        lost_vms = self._lost_vms.among(members)
         now_s = self._clock.monotonic_s()
-        suspects = {
-            holder
-            for holder in holders
-            if _is_replaced(holder, members)
-            or _vm_of(holder, members) in lost_vms
-        }
         self._since_s = {
             holder: self._since_s.get(holder, now_s) for holder in suspects
         }
@@ -79,6 +76,16 @@
             if now_s - since_s >= wait_s
         )
 
+    def _suspects(self, holders: set[HolderKey]) -> set[HolderKey] | Failure:
+        listed = self._view.record
+        suspects = {each for each in holders if _is_replaced(each, listed)}
+        if all(is_set_aside(holder.key) for holder in suspects):
+            return suspects
+        members = self._members()
+        if isinstance(members, Failure):
+            return members
+        return {each for each in suspects if _is_replaced(each, members)}
+
     def _members(self) -> MembersRecord | Failure:
         """Read the record anew, as the view may be older than a portion."""
         read = self._records.read(MEMBERS_KEY, MembersRecord)
@@ -94,8 +101,3 @@
         return True
     member = members.members.get(holder.key)
     return member is None or member.incarnation != holder.incarnation
-
-
-def _vm_of(holder: HolderKey, members: MembersRecord):
-    member = members.members.get(holder.key)
-    return (member.vm, member.vm_instance) if member is not None else None
--- a/src/rosemarynotch/_internal/admission/ledger.py
+++ b/src/rosemarynotch/_internal/admission/ledger.py
@@ -41,6 +41,7 @@
         self._version = 0
         self._entries: tuple[str, ...] = ()
         self._closing = False
+        self._resting = False
 
     def names(self) -> list[str]:
         """Return all teams."""
@@ -51,7 +52,7 @@
         """Take a permit."""
         with self._lock:
             holding = self._teams.get(team)
-            if holding is None or self._closing:
+            if holding is None or self._lets_go():
                 return False
             if holding.running < holding.usable:
                 holding.running += 1
@@ -64,7 +65,7 @@
         with self._lock:
             holding = self._teams[team]
             holding.running -= 1
-            return holding.is_above() or self._closing
+            return holding.is_above() or self._lets_go()
 
     def is_claimable(self, team: str) -> bool:
         """Tell whether a part of the limit is assigned to no holder."""
@@ -198,6 +199,11 @@
         with self._lock:
             self._closing = True
 
+    def set_resting(self, resting: bool) -> None:
+        """Admit nothing for now and let portions go, or stop doing so."""
+        with self._lock:
+            self._resting = resting
+
     def plan(
         self, team: str, short: bool, gone: frozenset[tuple[str, str]]
     ) -> Callable[[LimitRecord], LimitRecord]:
@@ -226,7 +232,7 @@
                         fair=self._fair(limit.requests),
                         short=short,
                         trim=trim,
-                        closing=self._closing,
+                        closing=self._lets_go(),
                         asks=asks,
                         gone=gone,
                     ),
@@ -260,6 +266,9 @@
             outdated = holding.is_outdated(self._limit(team))
             return not outdated and not holding.is_above()
 
+    def _lets_go(self) -> bool:
+        return self._closing or self._resting
+
     def _limit(self, team: str) -> Limit:
         return Limit(self._limits.get(team, 0), self._version)
 
--- a/src/rosemarynotch/_internal/admission/permits.py
+++ b/src/rosemarynotch/_internal/admission/permits.py
@@ -13,7 +13,6 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.messages import Heartbeat
 from rosemarynotch._internal.models.records import Member
-from rosemarynotch._internal.platform.interface import VmService
 from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
@@ -53,7 +52,6 @@
     def __init__(
         self,
         records: RecordStore,
-        vms: VmService,
         me: Member,
         in_force: "InForce",
         members: "MembersView",
@@ -78,7 +76,7 @@
         self._settler = Settler(
             self._ledger,
             PortionStore(records, clock, rng),
-            GoneWatch(records, vms, me, clock),
+            GoneWatch(records, members, clock),
             self._schedule,
             rng,
             self.short_teams,
@@ -173,6 +171,16 @@
         """Read a limit record again soon."""
         self._schedule.add(team)
 
+    def set_resting(self, resting: bool) -> None:
+        """Give up what is idle, or hold portions again.
+
+        A process that takes part in no heartbeats is not asked for what it
+        does not use.
+        """
+        self._ledger.set_resting(resting)
+        if resting:
+            self._settle_soon(self._ledger.names())
+
     def start(self) -> None:
         """Start the thread that settles with the store."""
         threading.Thread(target=self._run, name="permits", daemon=True).start()
--- a/src/rosemarynotch/_internal/configuration/follower.py
+++ b/src/rosemarynotch/_internal/configuration/follower.py
@@ -104,14 +104,15 @@
     def refresh(self) -> bool:
         """Read all records that have a newer revision.
 
-        The fleet record of 1,300 VMs is 13 to 17 KB; reading it every 10 s
-        would take half of the traffic that a node may use for control.
+        The fleet record of 1,300 VMs is 13 to 17 KB, and the pointer to the
+        configuration carries 20 versions; reading them every 10 s would take
+        over half of the traffic that a node may use for control.
 
         :returns: whether the store answered each call
         """
         return all(
             [
-                self.refresh_config(),
+                self._follow_config(),
                 self._follow(self._fleet, FLEET_KEY, FleetRecord, True),
                 self._follow(self._members, MEMBERS_KEY, MembersRecord),
             ]
@@ -148,16 +149,25 @@
 
     def _follow(self, view, key, kind, compressed=False) -> bool:
         """Read a record if its revision in the list of keys is newer."""
+        newer = self._is_newer(key, view.revision)
+        if isinstance(newer, Failure):
+            return self._note(newer)
+        return not newer or self._refresh(view, key, kind, compressed)
+
+    def _follow_config(self) -> bool:
+        newer = self._is_newer(CONFIG_KEY, self._config_revision)
+        if isinstance(newer, Failure):
+            return self._note(newer)
+        return not newer or self.refresh_config()
+
+    def _is_newer(self, key: str, revision: int) -> bool | Failure:
         listed = self._records.store.keys(key)
         if isinstance(listed, Failure):
-            return self._note(listed)
+            return listed
         self._freshness.note_store_contact()
-        if any(
-            item.key == key and item.revision > view.revision
-            for item in listed
-        ):
-            return self._refresh(view, key, kind, compressed)
-        return True
+        return any(
+            item.key == key and item.revision > revision for item in listed
+        )
 
     def _refresh(self, view, key, kind, compressed=False) -> bool:
         read = self._records.read(key, kind, compressed)
--- a/src/rosemarynotch/_internal/control/fleet_change.py
+++ b/src/rosemarynotch/_internal/control/fleet_change.py
@@ -22,6 +22,7 @@
     """All changes of one pass, applied to whatever value is current.
 
     :param record: the record as this process knows it
+    :param may_drain: whether drains may begin
     :ivar used_list: whether the last call was given a record to which the
         VM list may be applied
     """
@@ -34,6 +35,7 @@
         wave_policy: WavePolicy,
         inputs: WaveInputs,
         moves: list[Move],
+        may_drain: bool = True,
     ) -> None:
         self._record = record
         self._document = document
@@ -41,6 +43,7 @@
         self._wave_policy = wave_policy
         self._inputs = inputs
         self._moves = moves
+        self._may_drain = may_drain
         self._rows = vm_list.rows
         self.used_list = False
 
@@ -56,6 +59,7 @@
             idle._record is self._record
             and idle._rows is self._rows
             and idle._document is self._document
+            and idle._may_drain is self._may_drain
             and idle._inputs.ejected == self._inputs.ejected
             and idle._inputs.settled == self._inputs.settled
         )
@@ -75,6 +79,8 @@
         self.used_list = bool(listed)
         if listed and is_list_plausible(record, listed):
             record = follow_list(record, listed)
+        if not self._may_drain:
+            return advance_drained(finish_moves(record), inputs)
         record = follow_document(
             record, self._document, inputs.token, inputs.ejected
         )
--- a/src/rosemarynotch/_internal/control/loop.py
+++ b/src/rosemarynotch/_internal/control/loop.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+from typing import Callable
 
 import attrs
 import logbook
@@ -38,6 +39,10 @@
 # 15 us of CPU and a write of 13 bytes for each VM during a wave.
 VMS_PER_S = 260
 TOKEN_BITS = 48
+# A new leader begins no drains until it has heard all entries, since it does
+# not know their demand and which VMs they have ejected. It waits for this
+# time at most, as an entry may be dead.
+HEAR_S = 10.0
 
 _log = logbook.Logger(__name__)
 
@@ -104,6 +109,9 @@
         self._next_fleet_s = float("-inf")
         self._last_idle: FleetChange | None = None
         self._told: set[tuple[str, str]] = set()
+        self._leads = False
+        self._led_since_s = float("-inf")
+        self._on_lead: tuple[Callable[[bool], None], ...] = ()
         self._stopped = threading.Event()
         self._thread: threading.Thread | None = None
 
@@ -112,6 +120,13 @@
         """Return what an operator has to look at, for the report."""
         return (self._list.alarm,) if self._list.alarm else ()
 
+    def add_lead_listener(self, callback: Callable[[bool], None]) -> None:
+        """Call back when this process begins or ceases to lead.
+
+        It runs on the thread that runs passes.
+        """
+        self._on_lead += (callback,)
+
     def start(self) -> None:
         """Start the thread that runs passes."""
         self._thread = threading.Thread(
@@ -137,6 +152,8 @@
     def step(self) -> None:
         """Run one pass without sleeping."""
         leads = self._leadership.hold()
+        if leads != self._leads:
+            self._note_lead(leads)
         current = self._sources.in_force.current
         if not current.version:
             return
@@ -144,6 +161,14 @@
             self._step_fleet(current.document)
         self._jobs.step(leads, current.document, self._sources.fleet.record)
 
+    def _note_lead(self, leads: bool) -> None:
+        self._leads = leads
+        if leads:
+            self._led_since_s = self._clock.monotonic_s()
+            self._gone.begin()
+        for callback in self._on_lead:
+            callback(leads)
+
     def _step_fleet(self, document: Document) -> None:
         now_s = self._clock.monotonic_s()
         if now_s < self._next_fleet_s:
@@ -155,7 +180,7 @@
             # are needed together.
             return
         self._next_fleet_s = now_s + len(record.vms) / VMS_PER_S
-        self._list.refresh(record)
+        self._list.refresh(record, self._gone.needs_list())
         change = self._change(document, record, revision)
         if not revision:
             self._update(change)
@@ -169,6 +194,7 @@
                 self._sources.members.record,
                 self._sources.heard(),
                 self._list.rows,
+                self._list.read_s,
             )
 
     def _change(self, document: Document, record: FleetRecord, revision: int):
@@ -190,9 +216,22 @@
             demand_slots=demand,
         )
         loads = pool_loads(record, document, demand, ejected)
-        moves = self._policies.moves.choose(loads, self._clock.monotonic_s())
+        now_s = self._clock.monotonic_s()
+        may_drain = (
+            len(heartbeats) == len(entries)
+            or now_s - self._led_since_s >= HEAR_S
+        )
+        moves = []
+        if may_drain:
+            moves = self._policies.moves.choose(loads, now_s)
         return FleetChange(
-            record, document, self._list, self._policies.waves, inputs, moves
+            record,
+            document,
+            self._list,
+            self._policies.waves,
+            inputs,
+            moves,
+            may_drain,
         )
 
     def _apply(
--- a/src/rosemarynotch/_internal/control/vm_list.py
+++ b/src/rosemarynotch/_internal/control/vm_list.py
@@ -29,6 +29,7 @@
     the record says about an instance, and a new one is fetched.
 
     :ivar rows: the last list
+    :ivar read_s: monotonic time at which the last list was requested
     :ivar alarm: why the last list was not used, empty when it was
     """
 
@@ -36,21 +37,23 @@
         self._vms = vms
         self._clock = clock
         self.rows: list[PlatformVm] = []
+        self.read_s = float("-inf")
         self._base: FleetRecord | None = None
         self._fetched_s = float("-inf")
         self._next_s = float("-inf")
         self.alarm = ""
 
-    def refresh(self, record: FleetRecord) -> None:
+    def refresh(self, record: FleetRecord, needed: bool = False) -> None:
         """Fetch the list if that is due.
 
         :param record: the fleet record before the call
+        :param needed: whether to fetch it before the budget allows it
         """
         now_s = self._clock.monotonic_s()
         if record is not self._base and record == self._base:
             self._base = record
         due_s = self._next_s
-        if record is not self._base:
+        if needed or record is not self._base:
             due_s = self._fetched_s + SHORTEST_INTERVAL_S
         if now_s < due_s:
             return
@@ -64,6 +67,7 @@
             SHORTEST_INTERVAL_S, size_bytes / LIST_BYTES_PER_S
         )
         self.rows = rows
+        self.read_s = now_s
         self._base = record
         self._set_alarm(record, rows)
 
--- a/src/rosemarynotch/_internal/wiring/process.py
+++ b/src/rosemarynotch/_internal/wiring/process.py
@@ -122,7 +122,6 @@
         """
         permits = Permits(
             self.records,
-            self.vms,
             me,
             self.in_force,
             self.members,
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -150,7 +150,7 @@
 class Process:
     """The views, membership and permits of one entry, without threads."""
 
-    def __init__(self, core, clock, vms, me, seed=1, notify=None):
+    def __init__(self, core, clock, me, seed=1, notify=None):
         rng = random.Random(seed)
         self.store = DelayingStore(core)
         self.records = RecordStore(self.store, clock, rng)
@@ -162,7 +162,6 @@
         self.guard = configuration.PauseGuard(clock)
         self.permits = Permits(
             self.records,
-            vms,
             me,
             self.in_force,
             self.members,
--- a/tests/unit/test_limits_stateful.py
+++ b/tests/unit/test_limits_stateful.py
@@ -5,9 +5,11 @@
 from hypothesis import strategies
 
 from rosemarynotch._internal.admission.portions import assigned
+from rosemarynotch._internal.control.gone_members import GoneMembers
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models.records import LimitRecord
 from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.peers import HeardMember
 from rosemarynotch._internal.platform.records import LIMITS_PREFIX
 from rosemarynotch._internal.platform.records import MEMBERS_KEY
 from standins.kv import KeyValue
@@ -67,7 +69,11 @@
         super().__init__()
         self.clock = ManualClock()
         self.core = JudgedCore(lambda: self.clock.now_s)
-        self.vms = VmList(NAMES)
+        self.vms = VmList((*NAMES, "control"))
+        self.control = Process(self.core, self.clock, member("control"), 99)
+        self.leader = GoneMembers(
+            self.control.records, "vm-control", self.clock
+        )
         self.documents = [limit_document({TEAM: 5})]
         self.incarnations = 0
         self.holders = {}
@@ -84,9 +90,7 @@
             f"i{self.incarnations}",
             instance=self.vms.instances[f"vm-{name}"],
         )
-        process = Process(
-            self.core, self.clock, self.vms, me, self.incarnations
-        )
+        process = Process(self.core, self.clock, me, self.incarnations)
         process.membership.register()
         self.holders[name] = Holder(process)
         self.follow(name)
@@ -157,6 +161,14 @@
         if self.live(name):
             self.live(name).process.permits.poll()
 
+    @stateful.rule()
+    def poll_all(self):
+        """Let all learn of the members, look for the gone and settle."""
+        self.learn_members(NAMES)
+        for name in NAMES:
+            self.poll(name)
+        self.settle_all()
+
     @stateful.rule(sender=names, receiver=names)
     def beat(self, sender, receiver):
         if sender != receiver and self.live(sender) and self.live(receiver):
@@ -241,6 +253,15 @@
         if holder is None or at_once:
             self.start(name)
 
+    @stateful.rule(name=names)
+    def restart_under_load(self, name):
+        """Let others look for portions whose requests still run."""
+        self.fill()
+        self.crash(name, False, True)
+        for _ in range(2):
+            self.poll_all()
+        self.fill()
+
     @stateful.rule(name=names)
     def stop(self, name):
         holder = self.live(name)
@@ -251,31 +272,35 @@
         del self.holders[name]
         self.start(name)
 
-    @stateful.rule(name=names)
-    def control_removes(self, name):
+    @stateful.rule(name=names, followers=strategies.sets(names))
+    def control_removes(self, name, followers):
         """Remove a member that is dead, or paused and taken for dead."""
         holder = self.holders.get(name)
         if holder is not None:
             self.pause(name)
             self.advance(2.5)
-        remover = Process(
-            self.core, self.clock, self.vms, member("control"), 99
-        )
 
         def drop(record):
             others = {k: v for k, v in record.members.items() if k != name}
             return MembersRecord(members=others)
 
-        remover.records.update(
+        self.control.records.update(
             MEMBERS_KEY, MembersRecord, MembersRecord(), drop
         )
+        self.learn_members(followers)
+
+    def learn_members(self, followers):
+        """Let processes read the members record, as a watch makes them."""
+        for name in followers:
+            if self.live(name):
+                self.live(name).process.follow_members()
 
     @stateful.rule(name=names)
     def reclaim_from_paused(self, name):
         """Let others take the portion of a paused holder, then resume it."""
         if self.live(name) is None:
             return
-        self.control_removes(name)
+        self.control_removes(name, set(NAMES))
         for _ in range(2):
             for other in NAMES:
                 self.poll(other)
@@ -285,6 +310,47 @@
         self.pause_or_resume(name)
         self.acquire(name, 6)
 
+    @stateful.rule(silent=strategies.sets(names))
+    def leader_reads_list(self, silent):
+        """Let the leader look at the list; some members are not heard."""
+        heard = {
+            name: HeardMember(
+                heartbeat=self.live(name).process.heartbeat(), age_s=0.0
+            )
+            for name in NAMES
+            if name not in silent and self.live(name)
+        }
+        self.control.follow_members()
+        self.leader.step(
+            self.control.members.record,
+            heard,
+            self.vms.vms(),
+            self.clock.monotonic_s(),
+        )
+
+    @stateful.rule(silent=strategies.sets(names))
+    def leader_reads_lists(self, silent):
+        """Let the leader look at lists until it may remove the absent."""
+        for _ in range(4):
+            self.leader_reads_list(silent)
+            self.advance(8.0)
+
+    @stateful.rule(
+        name=names, delay_s=strategies.sampled_from([0.5, 8.0, 12.0])
+    )
+    def one_faulty_list(self, name, delay_s):
+        """Show one list that lacks a VM, to a leader that hears nobody."""
+        self.advance(delay_s)
+        before, self.vms.shown = self.vms.shown, [
+            vm
+            for vm in VmList((*NAMES, "control")).vms()
+            if vm.name != f"vm-{name}"
+        ]
+        self.leader_reads_list(set(NAMES))
+        self.vms.shown = None
+        self.leader_reads_list(set(NAMES))
+        self.vms.shown = before
+
     @stateful.rule(kind=strategies.sampled_from(["all", "empty", "others"]))
     def vm_list(self, kind):
         """Show the list, nothing, or only VMs of somewhere else."""
--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -4,7 +4,7 @@
 
 from rosemarynotch._internal.admission.gone import GoneWatch
 from rosemarynotch._internal.admission.gone import HolderKey
-from rosemarynotch._internal.exceptions import PLATFORM_UNAVAILABLE
+from rosemarynotch._internal.control.gone_members import GoneMembers
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models.records import LimitRecord
 from standins.kv import KeyValue
@@ -32,7 +32,6 @@
         self.version = 0
 
     def start(self, names, limit):
-        self.vms = VmList(names)
         self.processes = [self.process(name) for name in names]
         self.change_limit(limit)
         return self.processes
@@ -41,7 +40,6 @@
         process = Process(
             self.core,
             self.clock,
-            self.vms,
             member(name, incarnation),
             notify=self.hint,
         )
@@ -174,7 +172,6 @@
 
     def test_new_entry_gets_its_part_of_what_is_idle(self):
         self.start("ab", 9)
-        self.vms.instances["vm-c"] = "1"
         self.processes.append(self.process("c"))
         c = self.processes[-1]
         c.in_force.apply(pointer(self.version), self.document)
@@ -232,38 +229,114 @@
         self.assertEqual(0, a.permits.portion(TEAM))
         self.assertNotEqual("i1", a.membership.me.incarnation)
 
+    def test_paused_process_that_was_removed_holds_nothing_later(self):
+        a, b = self.processes = [self.process("a"), self.process("b", "i5")]
+        self.change_limit(8)
+        vms = VmList("b")
+        leader = GoneMembers(b.records, "vm-b", self.clock)
+        self.processes = [b]
+        for _ in range(25):
+            self.clock.advance(1)
+            leader.step(
+                b.members.record, {}, vms.vms(), self.clock.monotonic_s()
+            )
+            b.follow_members()
+        self.assertEqual({"b"}, set(b.members.record.members))
+        self.poll()
+        self.assertEqual(4, b.permits.portion(TEAM))
+        for _ in range(7):
+            self.clock.advance(1)
+            self.poll()
+        self.settle()
+        self.assertEqual(8, b.permits.portion(TEAM))
+        self.assertEqual(8, self.fill(b))
+        self.assertEqual(0, self.fill(a))
+        a.guard.tick()
+        self.assertEqual(0, self.fill(a))
+        self.assertNotEqual("i1", a.membership.me.incarnation)
+
+    def test_resting_process_gives_up_what_is_idle_only(self):
+        a, b = self.start("ab", 8)
+        a.permits.try_acquire(TEAM)
+        a.permits.set_resting(True)
+        self.settle()
+        self.assertFalse(a.permits.try_acquire(TEAM))
+        self.assertEqual(1, self.record().portions["a"].requests)
+        a.permits.release(TEAM)
+        self.settle()
+        self.assertNotIn("a", self.record().portions)
+        a.permits.set_resting(False)
+        a.permits.note_limit_changed(TEAM)
+        self.settle()
+        self.assertEqual(4, a.permits.portion(TEAM))
+
 
 class GoneWatchTest(testtools.TestCase):
     """Guards against the reclaim of a portion that is still used (R2)."""
 
-    def test_table_of_lists(self):
-        table = [
-            (["a", "b"], False, "listed"),
-            ([], False, "empty list"),
-            (["x"], False, "list without the observer"),
-            (None, False, "no list"),
-            (["a"], True, "instance has disappeared"),
-        ]
-        for shown, gone, reason in table:
-            clock = ManualClock()
-            vms = VmList("ab")
-            core = KeyValue(lambda: clock.now_s)
-            processes = [
-                Process(core, clock, vms, member(name)) for name in "ab"
-            ]
-            for process in processes:
-                process.membership.register()
-            watch = GoneWatch(processes[0].records, vms, member("a"), clock)
-            holders = {HolderKey("b", "i1")}
-            self.assertFalse(watch.gone(holders, LONGEST_RUN_S))
-            vms.shown = PLATFORM_UNAVAILABLE
-            if shown is not None:
-                vms.shown = VmList(shown).vms()
-            watch.gone(holders, LONGEST_RUN_S)
-            clock.advance(LONGEST_RUN_S + 1.9)
-            self.assertFalse(watch.gone(holders, LONGEST_RUN_S), reason)
-            clock.advance(0.2)
-            result = watch.gone(holders, LONGEST_RUN_S)
-            self.assertEqual(gone, bool(result), reason)
-            vms.shown = None
-            self.assertFalse(watch.gone(holders, LONGEST_RUN_S), reason)
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        core = KeyValue(lambda: self.clock.now_s)
+        self.a, self.b = (
+            Process(core, self.clock, member(name)) for name in "ab"
+        )
+        self.again = Process(core, self.clock, member("b", "i2"))
+        for process in (self.a, self.b):
+            process.membership.register()
+        self.a.follow_members()
+        self.watch = GoneWatch(self.a.records, self.a.members, self.clock)
+
+    def gone(self, *holders):
+        """Return which (key, incarnation) pairs may be reclaimed."""
+        keys = {HolderKey(*holder) for holder in holders}
+        return self.watch.gone(keys, LONGEST_RUN_S)
+
+    def assert_waits(self, holder, is_gone, reason):
+        """Look now, just before the end of the wait, and after it."""
+        self.gone(holder)
+        self.clock.advance(LONGEST_RUN_S + 1.9)
+        self.assertFalse(self.gone(holder), reason)
+        self.clock.advance(0.2)
+        self.assertEqual(is_gone, bool(self.gone(holder)), reason)
+
+    def test_table_of_evidence(self):
+        mine = ("b", "i1")
+        self.assert_waits(mine, False, "listed")
+        self.assert_waits(("b#i0", "i0"), True, "key set aside")
+        self.b.membership.remove()
+        self.assert_waits(mine, False, "removed, but the view lists it")
+        self.a.follow_members()
+        self.assert_waits(mine, True, "removed")
+        self.again.membership.register()
+        self.assertTrue(self.gone(mine))
+        self.a.follow_members()
+        self.assertTrue(self.gone(mine), "newer incarnation")
+        self.assert_waits(("b", "i2"), False, "listed again")
+        self.assert_waits(mine, True, "newer incarnation")
+
+    def test_wait_starts_anew_when_the_evidence_vanishes(self):
+        holder = ("b", "i1")
+        self.b.membership.remove()
+        self.a.follow_members()
+        self.assertFalse(self.gone(holder))
+        self.clock.advance(LONGEST_RUN_S + 1)
+        self.b.membership.register()
+        self.assertFalse(self.gone(holder))
+        self.b.membership.remove()
+        self.assert_waits(holder, True, "removed again")
+
+    def test_view_older_than_a_portion_is_no_evidence(self):
+        self.again.membership.register()
+        self.assert_waits(("b", "i2"), False, "view older than the holder")
+
+    def test_nobody_is_gone_while_the_record_cannot_be_read(self):
+        self.b.membership.remove()
+        self.a.follow_members()
+        self.a.store.fault = Fault.DOWN
+        self.assert_waits(("b", "i1"), False, "store down")
+
+    def test_listed_holders_cost_no_calls(self):
+        self.a.store.fault = Fault.DOWN
+        self.a.store.get = None
+        self.assertFalse(self.gone(("a", "i1"), ("b", "i1")))
--- a/tests/unit/test_versions_stateful.py
+++ b/tests/unit/test_versions_stateful.py
@@ -15,7 +15,6 @@
 from tests.lib.fleet import member
 from tests.lib.fleet import pointer
 from tests.lib.fleet import Process
-from tests.lib.fleet import VmList
 from tests.lib.stores import Fault
 
 NAMES = ("a", "b", "c")
@@ -50,7 +49,7 @@
         self.followers = {}
         self.catch_ups = {}
         for name in NAMES:
-            process = Process(core, clock, VmList(NAMES), member(name))
+            process = Process(core, clock, member(name))
             process.records.store = OlderStore(process.store)
             follower = configuration.Follower(
                 process.records,
