Take controls that do not lead out of the heartbeats

A node runs an entry and a control, and each spent up to 2.7 KB/s on heartbeats, although a control that does not lead uses none of them.

The leading control opens links to all entries; entries open links back to a control that they hear and close them when it falls silent. The period follows the number of entries plus one, so with 30 entries it is 6.2 s instead of 12 s, below the 10 s in which an entry counts as heard. The majority of rule R6 counts entries only, as only they write configuration. A control that has lost the lead gives up idle portions, since it is not asked for them any more. The report expects entries and heard controls, and says when no control is heard.

--- a/src/rosemarynotch/_internal/commands/state.py
+++ b/src/rosemarynotch/_internal/commands/state.py
@@ -79,6 +79,10 @@
     for member in snapshot["members"]:
         age_s = member["heard_age_s"]
         age = "never heard" if age_s is None else f"heard {age_s:.1f} s ago"
+        if member["kind"] != "entry":
+            # Other controls send no heartbeats.
+            leads = age_s is not None and age_s <= snapshot["silent_after_s"]
+            age = f"leads, {age}" if leads else "control, on standby or gone"
         lines.append(
             f"member {member['name']}: v{member['config_version']}, {age}"
         )
--- a/src/rosemarynotch/_internal/configuration/freshness.py
+++ b/src/rosemarynotch/_internal/configuration/freshness.py
@@ -23,6 +23,11 @@
     heartbeat can be delayed in a connection, and because a process that was
     paused revalidates with the store (rule R2).
 
+    When the store answers nobody, no entry can change the configuration;
+    hearing most entries shows that. Only entries write it, so only they
+    count: an entry that had contact would tell of it. Controls that do not
+    lead are never heard.
+
     :param members: members that could be heard
     :param name: this member
     """
@@ -60,18 +65,18 @@
             return None
         return CONFIGURATION_STALE.because(
             f"no contact with the store for over {STALE_AFTER_S:.0f} s, "
-            "and most members are not heard"
+            "and most entries are not heard"
         )
 
     def _hears_majority(self) -> bool:
-        members = self._members.record.members
+        entries = [member.name for member in self._members.entries()]
         since_s = self._clock.monotonic_s() - STALE_AFTER_S
         with self._lock:
             heard = sum(
                 1
-                for name in members
+                for name in entries
                 if name != self._name
                 and self._heard_s.get(name, -float("inf")) >= since_s
             )
-        others = len(members) - (self._name in members)
+        others = len(entries) - (self._name in entries)
         return heard * 2 > others
--- a/src/rosemarynotch/_internal/operators/findings.py
+++ b/src/rosemarynotch/_internal/operators/findings.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from rosemarynotch._internal.operators.snapshot import ENTRY
 from rosemarynotch._internal.operators.snapshot import FleetSnapshot
 
 __all__ = ["Alarm", "duration", "find", "Finding", "last_seen", "Level"]
@@ -105,6 +106,13 @@
             alarm=Alarm.MEMBER_SILENT,
             text=f"{member.name}: {when}",
         )
+    has_control = any(member.kind != ENTRY for member in snapshot.members)
+    if has_control and not snapshot.hears_control:
+        yield Finding(
+            level=Level.NOT_KNOWN,
+            alarm=Alarm.MEMBER_SILENT,
+            text="No control is heard, none may lead",
+        )
 
 
 def _store(snapshot: FleetSnapshot) -> Iterator[Finding]:
@@ -118,7 +126,7 @@
         )
         return
     silent = {member.name for member in snapshot.silent}
-    for member in snapshot.members:
+    for member in snapshot.expected:
         if member.name in silent or member.store_age_s <= STORE_OLD_S:
             continue
         yield Finding(
@@ -131,7 +139,7 @@
 def _versions(snapshot: FleetSnapshot) -> Iterator[Finding]:
     silent = {member.name for member in snapshot.silent}
     is_late = snapshot.time_s - snapshot.accepted_at_s > SPREAD_S
-    for member in snapshot.members:
+    for member in snapshot.expected:
         if member.name in silent:
             continue
         if member.config_version < snapshot.version:
--- a/src/rosemarynotch/_internal/operators/observer.py
+++ b/src/rosemarynotch/_internal/operators/observer.py
@@ -146,7 +146,7 @@
         return found
 
     def _silent_after_s(self) -> float:
-        return Timing().silence_for(len(self._members.record.members))
+        return Timing().silence_for(len(self._members.entries()))
 
     def _member_states(self, recent) -> tuple[MemberState, ...]:
         states = []
--- a/src/rosemarynotch/_internal/operators/report.py
+++ b/src/rosemarynotch/_internal/operators/report.py
@@ -72,14 +72,15 @@
 
 
 def _facts(snapshot: FleetSnapshot):
-    heard = len(snapshot.members) - len(snapshot.silent)
+    expected = snapshot.expected
+    heard = len(expected) - len(snapshot.silent)
     ages = [
         member.heard_age_s
-        for member in snapshot.members
+        for member in expected
         if member.heard_age_s is not None
     ]
     oldest = f", oldest {duration(max(ages))}" if ages else ""
-    yield f"Heard: {heard} of {len(snapshot.members)}{oldest}"
+    yield f"Heard: {heard} of {len(expected)}{oldest}"
     yield f"Store: {last_seen(snapshot.store_age_s)}"
     count, total = snapshot.in_force(snapshot.version)
     if snapshot.version:
--- a/src/rosemarynotch/_internal/operators/snapshot.py
+++ b/src/rosemarynotch/_internal/operators/snapshot.py
@@ -2,7 +2,10 @@
 
 import attrs
 
+from rosemarynotch._internal.models.records import MemberKind
+
 __all__ = [
+    "ENTRY",
     "FleetSnapshot",
     "MemberState",
     "PoolState",
@@ -13,12 +16,14 @@
     "WaveProgress",
 ]
 
+ENTRY = str(MemberKind.ENTRY)
+
 
 @attrs.frozen(kw_only=True)
 class Usage:
     """What runs at the moment, as far as members were heard.
 
-    :ivar complete: all members were heard recently
+    :ivar complete: all entries were heard recently
     """
 
     complete: bool
@@ -143,27 +148,47 @@
 
     @property
     def silent(self) -> tuple[MemberState, ...]:
-        """Return the members without a recent heartbeat."""
+        """Return the entries without a recent heartbeat.
+
+        Controls that do not lead send none, so their silence tells nothing.
+        """
         return tuple(
             member
             for member in self.members
-            if member.heard_age_s is None
-            or member.heard_age_s > self.silent_after_s
+            if member.kind == ENTRY and not self._is_heard(member)
         )
 
+    @property
+    def expected(self) -> tuple[MemberState, ...]:
+        """Return the entries, and the controls that are heard."""
+        return tuple(
+            member
+            for member in self.members
+            if member.kind == ENTRY or self._is_heard(member)
+        )
+
+    @property
+    def hears_control(self) -> bool:
+        """Tell whether a control is heard, which then leads."""
+        return any(member.kind != ENTRY for member in self.expected)
+
+    def _is_heard(self, member: MemberState) -> bool:
+        age_s = member.heard_age_s
+        return age_s is not None and age_s <= self.silent_after_s
+
     def in_force(self, version: int) -> tuple[int, int]:
-        """Return how many of how many members have a version in force."""
+        """Return how many of the expected members have a version."""
         return self._count("config_version", version)
 
     def fleet_in_force(self, revision: int) -> tuple[int, int]:
-        """Return how many of how many members have a fleet revision."""
+        """Return how many of the expected members have a revision."""
         return self._count("fleet_revision", revision)
 
     def _count(self, field: str, least: int) -> tuple[int, int]:
-        silent = {member.name for member in self.silent}
+        expected = self.expected
         count = sum(
             getattr(member, field) >= least
-            for member in self.members
-            if member.name not in silent
+            for member in expected
+            if self._is_heard(member)
         )
-        return count, len(self.members)
+        return count, len(expected)
--- a/src/rosemarynotch/_internal/peers/exchange.py
+++ b/src/rosemarynotch/_internal/peers/exchange.py
@@ -20,10 +20,9 @@
 from rosemarynotch._internal.models.messages import Heartbeat
 from rosemarynotch._internal.models.messages import LimitChanged
 from rosemarynotch._internal.models.records import Member
-from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.peers.heard import HeardMember
 from rosemarynotch._internal.peers.inbox import Inbox
-from rosemarynotch._internal.peers.link import Link
+from rosemarynotch._internal.peers.links import Links
 from rosemarynotch._internal.peers.rows import HeartbeatEncoder
 from rosemarynotch._internal.peers.server import Server
 from rosemarynotch._internal.peers.timing import LinkTiming
@@ -68,14 +67,27 @@
         self._metrics = metrics
         self._timing = timing or Timing()
         self._link_timing = LinkTiming(self._timing, members)
-        self._inbox = Inbox(members, clock, metrics, self._note_echo)
+        self._inbox = Inbox(
+            members,
+            clock,
+            metrics,
+            lambda name, beat: self._links.note_echo(name, beat),
+        )
         self._context = zmq.Context()
         self._server = Server(
             self._context, metrics, self._inbox.take, self._inbox.answer
         )
         self._address = ""
-        self._lock = threading.Lock()
-        self._links: dict[str, Link] = {}
+        self._links = Links(
+            self._context,
+            me,
+            members,
+            self._inbox,
+            clock,
+            metrics,
+            self._link_timing,
+            self._on_connected,
+        )
         self._running = False
         self._request_ids = itertools.count(1)
         self._beat = threading.Event()
@@ -103,6 +115,7 @@
         """Start the threads."""
         self.bind()
         self._running = True
+        self._links.start()
         self._server.start()
         self._ticker.start()
         self._members.add_listener(self._follow_members)
@@ -110,19 +123,18 @@
 
     def stop(self) -> None:
         """End the threads and close the sockets."""
-        with self._lock:
-            self._running = False
-            links, self._links = list(self._links.values()), {}
+        self._running = False
         self._beat.set()
-        for link in links:
-            link.stop()
-        for link in links:
-            link.join()
+        self._links.stop()
         if self._ticker.ident is not None:
             self._ticker.join()
         self._server.stop()
         self._context.destroy(linger=0)
 
+    def set_leading(self, leads: bool) -> None:
+        """Let a control take part while it leads."""
+        self._links.set_leading(leads)
+
     def set_heartbeat_source(self, callback: Callable[[], Heartbeat]) -> None:
         """Set what builds the heartbeats of this member."""
         self._source = callback
@@ -198,8 +210,7 @@
 
     def connected(self) -> list[str]:
         """Return the members that acknowledge heartbeats."""
-        with self._lock:
-            links = list(self._links.values())
+        links = self._links.all()
         return sorted(link.peer.name for link in links if link.is_connected())
 
     def _request(self, entry, kind, request, answer_kind, timeout_s):
@@ -219,7 +230,9 @@
     def _tick(self) -> None:
         hasten_s = self._timing.hasten_s
         while self._running:
-            self._send_heartbeat()
+            if self._links.takes_part:
+                self._send_heartbeat()
+                self._links.follow()
             # The least time between heartbeats is waited out first, so that
             # requests for one in the meantime lead to one heartbeat.
             self._clock.sleep(hasten_s)
@@ -240,60 +253,15 @@
             _log.exception("error in the source of heartbeats")
             return
         self._beat_number += 1
-        with self._lock:
-            links = list(self._links.values())
-        for link in links:
+        for link in self._links.all():
             echo = self._inbox.last_beat(link.peer.name)
             request_id = join_beat(self._beat_number, echo)
             link.send(Message(Kind.HEARTBEAT, request_id, body))
 
     def _follow_members(self) -> None:
-        """Open, replace and close links as the members record says."""
-        wanted = {
-            name: member
-            for name, member in self._members.record.members.items()
-            if name != self._me.name and self._needs(member)
-        }
-        with self._lock:
-            if not self._running:
-                return
-            outdated = [
-                link
-                for name, link in self._links.items()
-                if wanted.get(name) != link.peer
-            ]
-            for link in outdated:
-                del self._links[link.peer.name]
-            for name, member in wanted.items():
-                if name not in self._links:
-                    self._open(member)
-        for link in outdated:
-            link.stop()
+        self._links.follow()
         self._inbox.follow_members()
 
-    def _needs(self, member: Member) -> bool:
-        """Tell whether to send to a member; controls do not need controls."""
-        kinds = (self._me.kind, member.kind)
-        return kinds != (MemberKind.CONTROL, MemberKind.CONTROL)
-
-    def _note_echo(self, name: str, beat: int) -> None:
-        link = self._links.get(name)
-        if link is not None:
-            link.note_echo(beat)
-
     def _on_connected(self) -> None:
         self._encoder.send_complete()
         self.hasten()
-
-    def _open(self, member: Member) -> None:
-        self._inbox.forget(member.name)
-        link = Link(
-            self._context,
-            member,
-            self._clock,
-            self._metrics,
-            self._link_timing,
-            self._on_connected,
-        )
-        self._links[member.name] = link
-        link.start()
--- a/src/rosemarynotch/_internal/peers/timing.py
+++ b/src/rosemarynotch/_internal/peers/timing.py
@@ -14,12 +14,14 @@
 class Timing:
     """Periods and limits of heartbeats.
 
-    The period grows with the number of members, so that the number of
-    messages that a process handles per second stays constant.
+    The period grows with the number of participants, the entries and the
+    leading control, so that the number of messages that a process handles
+    per second stays constant.
 
-    With 0.15 s for each member, 60 members spent over 3 KB/s on heartbeats.
-    Much more than 0.2 s would let a member be silent for the 10 s after
-    which it no longer counts as heard for the freshness of keys.
+    With 0.15 s for each of 60 participants, a process spent over 3 KB/s on
+    heartbeats. With 0.3 s, the period of 30 entries would come close to the
+    10 s after which an entry no longer counts as heard for the freshness of
+    keys.
 
     :ivar hasten_s: least time between a heartbeat and one sent on request
     :ivar missed_heartbeats: a link that was silent for so many periods is
@@ -27,30 +29,31 @@
     """
 
     period_s: float = 1.0
-    per_member_s: float = 0.2
+    per_participant_s: float = 0.2
     hasten_s: float = 0.2
     missed_heartbeats: int = 3
 
-    def period_for(self, members_count: int) -> float:
+    def period_for(self, entries_count: int) -> float:
         """Return the time between two heartbeats."""
-        return max(self.period_s, self.per_member_s * members_count)
+        participants_count = entries_count + 1
+        return max(self.period_s, self.per_participant_s * participants_count)
 
-    def silence_for(self, members_count: int) -> float:
+    def silence_for(self, entries_count: int) -> float:
         """Return the silence after which a link is not trusted."""
-        return self.missed_heartbeats * self.period_for(members_count)
+        return self.missed_heartbeats * self.period_for(entries_count)
 
 
 @attrs.frozen
 class LinkTiming:
-    """The times of a link, which follow the number of members."""
+    """The times of a link, which follow the number of entries."""
 
     timing: Timing
     members: "MembersView"
 
     def beat_s(self) -> float:
         """Return the time between two heartbeats."""
-        return self.timing.period_for(len(self.members.record.members))
+        return self.timing.period_for(len(self.members.entries()))
 
     def silence_s(self) -> float:
         """Return the silence after which the link is not trusted."""
-        return self.timing.silence_for(len(self.members.record.members))
+        return self.timing.silence_for(len(self.members.entries()))
--- a/src/rosemarynotch/_internal/replay/heartbeat_trial.py
+++ b/src/rosemarynotch/_internal/replay/heartbeat_trial.py
@@ -117,7 +117,7 @@
 
 
 def _run_peers(pipe, names, teams_count, period_s) -> None:
-    timing = Timing(period_s=period_s, per_member_s=0.0)
+    timing = Timing(period_s=period_s, per_participant_s=0.0)
     made = [_make(name, teams_count, timing) for name in names]
     pipe.send([exchange.bind() for exchange, _ in made])
     measured = _member("measured", pipe.recv())
--- a/src/rosemarynotch/_internal/wiring/control.py
+++ b/src/rosemarynotch/_internal/wiring/control.py
@@ -115,6 +115,10 @@
     def _connect(self, jobs: JobKeeper) -> None:
         process = self.process
         exchange = process.exchange
+        self._loop.add_lead_listener(exchange.set_leading)
+        self._loop.add_lead_listener(
+            lambda leads: self._permits.set_resting(not leads)
+        )
         exchange.set_heartbeat_source(
             HeartbeatSource(
                 process, tuple, dict, self._permits.short_teams, tuple
--- a/tests/functional/test_entry_state.py
+++ b/tests/functional/test_entry_state.py
@@ -41,7 +41,7 @@
         self.sequence = 0
         # The exchange is made after the permits that it sends hints for.
         super().__init__(core, clock, vms, member(name), notify=self.notify)
-        timing = Timing(period_s=0.2, per_member_s=0.0, hasten_s=0.05)
+        timing = Timing(period_s=0.2, per_participant_s=0.0, hasten_s=0.05)
         me = member(name, address="127.0.0.1:0")
         self.exchange = Exchange(me, self.members, clock, Counts(), timing)
         me = member(name, address=self.exchange.bind())
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from rosemarynotch._internal.admission.permits import Permits
 from rosemarynotch._internal import configuration
 from rosemarynotch._internal import exceptions as failures
@@ -23,6 +25,7 @@
 from tests.lib.stores import MemoryStore
 
 __all__ = [
+    "control",
     "DelayingStore",
     "heartbeat",
     "limit_document",
@@ -49,6 +52,12 @@
     )
 
 
+def control(name, incarnation="i1", instance="1", address=""):
+    """Build a control process."""
+    entry = member(name, incarnation, instance, address)
+    return attrs.evolve(entry, kind=MemberKind.CONTROL)
+
+
 def heartbeat(sender, incarnation="i1", sequence=1, **fields):
     """Build a heartbeat."""
     values = {
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -15,6 +15,7 @@
 from rosemarynotch._internal.platform.records import RecordStore
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
+from tests.lib.fleet import control
 from tests.lib.fleet import heartbeat
 from tests.lib.fleet import member
 from tests.lib.fleet import pointer
@@ -94,6 +95,25 @@
         clock.advance(10.1)
         self.assertIsNotNone(freshness.check())
 
+    def test_only_entries_make_a_majority(self):
+        clock = ManualClock()
+        view = configuration.MembersView()
+        members = [member(name) for name in "abc"]
+        members += [control(name) for name in "xyz"]
+        record = MembersRecord(members={each.name: each for each in members})
+        view.apply(record, 1)
+        freshness = configuration.Freshness(clock, view, "a")
+        for heard, fresh in (("b", False), ("bxyz", False), ("bc", True)):
+            clock.advance(11)
+            for name in heard:
+                freshness.note_heartbeat(heartbeat(name, store_age_s=99))
+            self.assertEqual(fresh, freshness.check() is None, heard)
+
+    def test_lone_entry_hears_no_majority(self):
+        view = members_view(["a"])
+        freshness = configuration.Freshness(ManualClock(), view, "a")
+        self.assertIsNotNone(freshness.check())
+
 
 class MembershipTest(testtools.TestCase):
     """Guards against a member that is lost or taken for another (R2)."""
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -1,12 +1,15 @@
 """Tests of the exchange against peers that fail in different ways."""
 
+import itertools
 import threading
 import time
 
+import attrs
 import msgspec
 import testtools
 import zmq
 
+from rosemarynotch._internal.configuration.freshness import STALE_AFTER_S
 from rosemarynotch._internal.configuration import MembersView
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
@@ -28,10 +31,12 @@
 from rosemarynotch._internal.utils.clock import SystemClock
 from tests.lib.clocks import ManualClock
 from tests.lib.counts import Counts
+from tests.lib.fleet import control
 from tests.lib.fleet import heartbeat
 from tests.lib.fleet import member
 
-FAST = Timing(period_s=0.1, per_member_s=0.0, hasten_s=0.02)
+FAST = Timing(period_s=0.1, per_participant_s=0.0, hasten_s=0.02)
+# Bound of a hang, not of a measured time.
 PATIENCE_S = 20
 FREE = "127.0.0.1:0"
 
@@ -308,6 +313,83 @@
         self.assertIn(b.heard()["a"].heartbeat, sent)
 
 
+class ParticipantsTest(testtools.TestCase):
+    """Guards against heartbeats of controls that do not lead, and against
+    a leader that entries do not answer.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.members = {
+            "a": member("a", address=FREE),
+            "b": member("b", address=FREE),
+            "x": control("x", address=FREE),
+            "y": control("y", address=FREE),
+        }
+        self.exchanges = {}
+        views = []
+        for name, me in self.members.items():
+            view = MembersView()
+            exchange = Exchange(me, view, SystemClock(), Counts(), FAST)
+            numbers = itertools.count(1)
+            exchange.set_heartbeat_source(
+                lambda name=name, numbers=numbers: heartbeat(
+                    name, sequence=next(numbers)
+                )
+            )
+            exchange.start()
+            self.addCleanup(exchange.stop)
+            self.exchanges[name] = exchange
+            views.append(view)
+        record = MembersRecord(
+            members={
+                name: attrs.evolve(
+                    me, peer_address=self.exchanges[name].bind()
+                )
+                for name, me in self.members.items()
+            }
+        )
+        for view in views:
+            view.apply(record, 1)
+        self.wait_for_links(a="b", b="a", x="", y="")
+
+    def wait_for_links(self, **links):
+        """Wait until each has acknowledged links to these peers only."""
+        for name, peers in links.items():
+            wait_for(
+                lambda: "".join(self.exchanges[name].connected()) == peers
+            )
+
+    def test_leader_and_entries_hear_each_other_until_it_changes(self):
+        x, y = self.exchanges["x"], self.exchanges["y"]
+        x.set_leading(True)
+        self.wait_for_links(a="bx", b="ax", x="ab", y="")
+        wait_for(lambda: sorted(x.heard()) == ["a", "b"])
+        self.assertEqual({}, y.heard())
+        x.set_leading(False)
+        y.set_leading(True)
+        self.wait_for_links(a="by", b="ay", x="", y="ab")
+        wait_for(lambda: sorted(y.heard()) == ["a", "b"])
+        y.set_leading(False)
+        x.set_leading(True)
+        self.wait_for_links(a="bx", b="ax", x="ab", y="")
+        wait_for(lambda: x.heard()["a"].age_s < 1)
+
+    def test_entry_can_ask_the_leader_for_a_document(self):
+        x = self.exchanges["x"]
+        document = messages.DocumentAnswer(pointer=b"p", document=b"d")
+        x.set_document_source(lambda version: document)
+        x.set_leading(True)
+        self.wait_for_links(a="bx")
+        found = self.exchanges["a"].fetch_document("x", 1)
+        self.assertEqual(document, found)
+
+    def test_period_of_30_entries_stays_below_the_window_of_freshness(self):
+        timing = Timing()
+        self.assertLess(timing.period_for(30), STALE_AFTER_S)
+        self.assertLess(timing.period_for(6), timing.period_for(30))
+
+
 class RowsTest(testtools.TestCase):
     """Guards against demand that differs between sender and receiver."""
 
--- a/tests/unit/test_report.py
+++ b/tests/unit/test_report.py
@@ -122,6 +122,29 @@
             self.assertIn(text, joined)
             self.assertNotEqual("No promise at risk", lines[1], fields)
 
+    def test_only_the_leading_control_is_expected_to_be_heard(self):
+        leader = attrs.evolve(MEMBER, name="control-1", kind="control")
+        standby = attrs.evolve(
+            leader, name="control-2", heard_age_s=None, config_version=0
+        )
+        former = attrs.evolve(
+            leader, name="control-3", heard_age_s=99, config_version=2
+        )
+        members = (*HEALTHY.members, leader, standby, former)
+        healthy = attrs.evolve(HEALTHY, members=members)
+        lines = report_lines(healthy)
+        self.assertEqual("No promise at risk", lines[1])
+        self.assertIn("Config: v7 on 3 of 3", lines)
+        self.assertIn("Heard: 3 of 3, oldest 0 s", lines)
+        members = (*HEALTHY.members, standby, former)
+        lines = report_lines(attrs.evolve(HEALTHY, members=members))
+        self.assertIn("! No control is heard, none may lead", lines)
+        self.assertEqual("NOT KNOWN: 1 gap in the data", lines[1])
+        behind = attrs.evolve(leader, config_version=6)
+        members = (*HEALTHY.members, behind)
+        lines = report_lines(attrs.evolve(HEALTHY, members=members))
+        self.assertIn("Config: v7 on 2 of 3", lines)
+
     def test_missing_data_is_never_all_well(self):
         for fields in (
             {"members": (MEMBER, OLD)},
