--- a/src/rosemarynotch/_internal/admission/permits.py
+++ b/src/rosemarynotch/_internal/admission/permits.py
@@ -13,7 +13,6 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.messages import Heartbeat
 from rosemarynotch._internal.models.records import Member
-from rosemarynotch._internal.platform.interface import VmService
 from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
@@ -26,6 +25,9 @@
 
 # One listing of revisions; records are read only if they have changed.
 POLL_S = 10.0
+# Time between polls of a resting process that holds nothing. It finds what
+# another holder gave it just before it began to rest.
+RESTING_POLL_S = 60.0
 # Time between polls while a holder seems gone.
 WATCH_POLL_S = 2.0
 # Processes that learn the same news settle after a random delay, so that
@@ -53,7 +55,6 @@
     def __init__(
         self,
         records: RecordStore,
-        vms: VmService,
         me: Member,
         in_force: "InForce",
         members: "MembersView",
@@ -78,7 +79,7 @@
         self._settler = Settler(
             self._ledger,
             PortionStore(records, clock, rng),
-            GoneWatch(records, vms, me, clock),
+            GoneWatch(records, members, clock),
             self._schedule,
             rng,
             self.short_teams,
@@ -175,6 +176,15 @@
         """Read a limit record again soon."""
         self._schedule.add(team)
 
+    def set_resting(self, resting: bool) -> None:
+        """Give up what is idle, or hold portions again.
+
+        A process that takes part in no heartbeats is not asked for what it
+        does not use.
+        """
+        self._ledger.set_resting(resting)
+        self._settle_soon(self._ledger.names())
+
     def start(self) -> None:
         """Start the thread that settles with the store."""
         threading.Thread(target=self._run, name="permits", daemon=True).start()
@@ -213,6 +223,12 @@
         """
         return self._settler.poll(self._longest_run_s)
 
+    def poll_wait_s(self) -> float:
+        """Return the time until the next poll."""
+        if self._settler.waiting():
+            return WATCH_POLL_S
+        return RESTING_POLL_S if self._ledger.rests_idle() else POLL_S
+
     def step(self) -> None:
         """Settle the teams that are due."""
         self._settler.step()
@@ -235,6 +251,5 @@
         while self._schedule.wait(poll_due_s):
             if self._clock.monotonic_s() >= poll_due_s:
                 self.poll()
-                wait_s = WATCH_POLL_S if self._settler.waiting() else POLL_S
-                poll_due_s = self._clock.monotonic_s() + wait_s
+                poll_due_s = self._clock.monotonic_s() + self.poll_wait_s()
             self.step()
--- a/src/rosemarynotch/_internal/wiring/control.py
+++ b/src/rosemarynotch/_internal/wiring/control.py
@@ -75,6 +75,7 @@
     def _build(self, me: Member) -> None:
         process = self.process
         self._permits = process.make_permits(me, claims=False)
+        self._permits.set_resting(True)
         holder = f"{me.name}.{me.incarnation}"
         jobs = JobKeeper(
             process.records,
@@ -115,6 +116,10 @@
     def _connect(self, jobs: JobKeeper) -> None:
         process = self.process
         exchange = process.exchange
+        self._loop.add_lead_listener(exchange.set_leading)
+        self._loop.add_lead_listener(
+            lambda leads: self._permits.set_resting(not leads)
+        )
         exchange.set_heartbeat_source(
             HeartbeatSource(
                 process,
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from rosemarynotch._internal.admission.permits import Permits
 from rosemarynotch._internal import configuration
 from rosemarynotch._internal import exceptions as failures
@@ -24,6 +26,7 @@
 from tests.lib.stores import MemoryStore
 
 __all__ = [
+    "control",
     "DelayingStore",
     "heartbeat",
     "limit_document",
@@ -51,6 +54,12 @@
     )
 
 
+def control(name, incarnation="i1", instance="1", address=""):
+    """Build a control process."""
+    entry = member(name, incarnation, instance, address)
+    return attrs.evolve(entry, kind=MemberKind.CONTROL)
+
+
 def heartbeat(sender, incarnation="i1", sequence=1, **fields):
     """Build a heartbeat."""
     values = {
@@ -152,7 +161,7 @@
 class Process:
     """The views, membership and permits of one entry, without threads."""
 
-    def __init__(self, core, clock, vms, me, seed=1, notify=None):
+    def __init__(self, core, clock, me, seed=1, notify=None):
         rng = random.Random(seed)
         self.store = DelayingStore(core)
         self.records = RecordStore(self.store, clock, rng)
@@ -164,7 +173,6 @@
         self.guard = configuration.PauseGuard(clock)
         self.permits = Permits(
             self.records,
-            vms,
             me,
             self.in_force,
             self.members,
