--- a/tests/functional/test_entry_state.py
+++ b/tests/functional/test_entry_state.py
@@ -17,7 +17,6 @@
 from tests.lib.fleet import member
 from tests.lib.fleet import pointer
 from tests.lib.fleet import Process
-from tests.lib.fleet import VmList
 from tests.lib.stores import Fault
 
 PATIENCE_S = 30
@@ -36,11 +35,11 @@
 class Entry(Process):
     """A process with its threads."""
 
-    def __init__(self, core, vms, name):
+    def __init__(self, core, name):
         clock = SystemClock()
         self.sequence = 0
         # The exchange is made after the permits that it sends hints for.
-        super().__init__(core, clock, vms, member(name), notify=self.notify)
+        super().__init__(core, clock, member(name), notify=self.notify)
         timing = Timing(period_s=0.2, per_participant_s=0.0, hasten_s=0.05)
         me = member(name, address="127.0.0.1:0")
         self.exchange = Exchange(me, self.members, clock, Counts(), timing)
@@ -125,8 +124,7 @@
 
     def test_documents_and_portions_reach_both_entries(self):
         self.core = KeyValue()
-        vms = VmList("ab")
-        self.entries = [Entry(self.core, vms, name) for name in "ab"]
+        self.entries = [Entry(self.core, name) for name in "ab"]
         for entry in self.entries:
             entry.start()
             self.addCleanup(entry.stop)
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -203,7 +203,7 @@
 def start_process(clock, document, name="entry-1"):
     """Return a registered process that holds all limits of a document."""
     core = KeyValue(clock.monotonic_s)
-    process = Process(core, clock, VmList([name]), member(name))
+    process = Process(core, clock, member(name))
     process.membership.register()
     process.follow_members()
     process.in_force.apply(pointer(1), document)
