Keep the rows of non-idempotent jobs for the whole retention time

A shard of the job table dropped its oldest finished jobs beyond 1,000, whatever their age. Only idempotent jobs are now dropped before the hour is over. The size of a shard stays bounded, since one that is nearly full refuses jobs.

--- a/src/rosemarynotch/_internal/control/job_rows.py
+++ b/src/rosemarynotch/_internal/control/job_rows.py
@@ -211,6 +211,9 @@
 def prune(shard: JobShard, now_s: float) -> JobShard:
     """Drop what is old: jobs that ended, their results, and marks of holders
     that are gone.
+
+    A non-idempotent job is kept for the whole time, since it would run again
+    if it were submitted again. Shards that this fills refuse new jobs.
     """
     oldest_s = now_s - FINISHED_RETENTION_S
     final = sorted(
@@ -219,11 +222,9 @@
         if row.state.is_final
     )
     surplus = max(0, len(final) - FINISHED_PER_SHARD)
-    dropped = {
-        job_id
-        for index, (finished_s, job_id) in enumerate(final)
-        if finished_s < oldest_s or index < surplus
-    }
+    repeatable = [i for _, i in final if shard.jobs[i].idempotent]
+    dropped = {i for finished_s, i in final if finished_s < oldest_s}
+    dropped.update(repeatable[:surplus])
     merged = {
         holder: mark
         for holder, mark in shard.merged.items()
--- a/tests/unit/test_job_room.py
+++ b/tests/unit/test_job_room.py
@@ -6,7 +6,11 @@
 import random
 
 import attrs
+import testtools
 
+from rosemarynotch._internal.control.job_rows import FINISHED_PER_SHARD
+from rosemarynotch._internal.control.job_rows import FINISHED_RETENTION_S
+from rosemarynotch._internal.control.job_rows import prune
 from rosemarynotch._internal.control.job_rows import RESULT_BYTES
 from rosemarynotch._internal.control.job_rows import RESULTS_BYTES_PER_SHARD
 from rosemarynotch._internal.control.removed_queues import REMOVED_GRACE_S
@@ -14,6 +18,8 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.models.jobs import job_id_of
+from rosemarynotch._internal.models.jobs import JobRow
+from rosemarynotch._internal.models.jobs import JobShard
 from rosemarynotch._internal.models.jobs import JobState
 from rosemarynotch._internal.models.jobs import JobSubmission
 from rosemarynotch._internal.models.jobs import shard_of
@@ -214,3 +220,46 @@
         self.steps(50)
         self.assertIs(JobState.CANCELLED, self.status(job).state)
         self.assertEqual(1, len(self.starts(job)))
+
+
+class RetentionTest(testtools.TestCase):
+    """Guards against a finished job that is forgotten and runs again."""
+
+    def shard(self, count):
+        """Return finished jobs, every second one idempotent."""
+        row = JobRow(
+            team="bank",
+            queue="batch",
+            cores=1.0,
+            memory_mb=100,
+            accelerators=0,
+            payload="",
+            idempotent=False,
+            accepted_at_s=0.0,
+            state=JobState.DONE,
+        )
+        return JobShard(
+            jobs={
+                str(n): attrs.evolve(
+                    row, idempotent=n % 2 == 0, finished_at_s=float(n)
+                )
+                for n in range(count)
+            }
+        )
+
+    def test_only_idempotent_jobs_are_dropped_early(self):
+        shard = self.shard(4 * FINISHED_PER_SHARD)
+        left = prune(shard, 4.0 * FINISHED_PER_SHARD - 1000.0).jobs
+        non_idempotent = {n for n, row in shard.jobs.items() if int(n) % 2}
+        self.assertEqual(non_idempotent, set(left))
+
+    def test_oldest_idempotent_jobs_are_dropped_first(self):
+        left = prune(self.shard(FINISHED_PER_SHARD + 10), 0.0).jobs
+        self.assertEqual(FINISHED_PER_SHARD, len(left))
+        self.assertNotIn("18", left)
+        self.assertIn("17", left)
+        self.assertIn("20", left)
+
+    def test_all_are_dropped_after_the_retention(self):
+        left = prune(self.shard(10), FINISHED_RETENTION_S + 5).jobs
+        self.assertEqual({"5", "6", "7", "8", "9"}, set(left))
