--- a/src/rosemarynotch/_internal/admission/ticks.py
+++ b/src/rosemarynotch/_internal/admission/ticks.py
@@ -11,7 +11,7 @@
 # passes.
 TICK_S = 0.025
 # Also the delay after which holds end while no request waits. At 40 ticks a
-# second an idle entry spent a third of its CPU time on them.
+# second an idle entry spent two fifths of its CPU time on them.
 SHARES_S = 0.2
 
 
