--- a/src/rosemarynotch/_internal/peers/exchange.py
+++ b/src/rosemarynotch/_internal/peers/exchange.py
@@ -1,13 +1,9 @@
 """Messages between the members."""
 
 import itertools
-import secrets
-import threading
 from typing import Callable
 from typing import TYPE_CHECKING
 
-import attrs
-import logbook
 import zmq
 
 from rosemarynotch._internal.exceptions import BODY_TOO_LARGE
@@ -24,13 +20,12 @@
 from rosemarynotch._internal.models.messages import MetricsRequest
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.peers.heard import HeardMember
+from rosemarynotch._internal.peers.heartbeats import HeartbeatSender
 from rosemarynotch._internal.peers.inbox import Inbox
 from rosemarynotch._internal.peers.links import Links
-from rosemarynotch._internal.peers.rows import HeartbeatEncoder
 from rosemarynotch._internal.peers.server import Server
 from rosemarynotch._internal.peers.timing import LinkTiming
 from rosemarynotch._internal.peers.timing import Timing
-from rosemarynotch._internal.peers.wire import join_beat
 from rosemarynotch._internal.peers.wire import Kind
 from rosemarynotch._internal.peers.wire import Message
 from rosemarynotch._internal.peers.wire import MESSAGE_LIMIT_BYTES
@@ -44,10 +39,6 @@
 # A histogram of 300,000 widely spread values takes 3.5 KB, 2,048 counters
 # 136 KB; so a process with 256 such histograms stays below this.
 METRICS_LIMIT_BYTES = 2 * 1024 * 1024
-# Leaves room for 30 years of heartbeats below 32 bits.
-FIRST_BEAT_LIMIT = 2**31
-
-_log = logbook.Logger(__name__)
 
 
 class Exchange:
@@ -72,8 +63,7 @@
         self._members = members
         self._clock = clock
         self._metrics = metrics
-        self._timing = timing or Timing()
-        self._link_timing = LinkTiming(self._timing, members)
+        timing = LinkTiming(timing or Timing(), members)
         self._inbox = Inbox(
             members,
             clock,
@@ -92,21 +82,13 @@
             self._inbox,
             clock,
             metrics,
-            self._link_timing,
-            self._on_connected,
+            timing,
+            lambda: self._heartbeats.send_complete(),
         )
-        self._running = False
-        self._request_ids = itertools.count(1)
-        self._beat = threading.Event()
-        self._ticker = threading.Thread(
-            target=self._tick, name="heartbeats", daemon=True
+        self._heartbeats = HeartbeatSender(
+            self._links, self._inbox, timing, clock, metrics
         )
-        self._encoder = HeartbeatEncoder()
-        # Numbers start at random, so that a peer does not acknowledge those
-        # of this start of the process with one of an earlier start.
-        self._beat_number = 1 + secrets.randbelow(FIRST_BEAT_LIMIT)
-        self._source: Callable[[], Heartbeat] | None = None
-        self._on_sent: tuple[Callable[[Heartbeat], None], ...] = ()
+        self._request_ids = itertools.count(1)
 
     def bind(self) -> str:
         """Bind the peer address, before this member is registered.
@@ -121,20 +103,17 @@
     def start(self) -> None:
         """Start the threads."""
         self.bind()
-        self._running = True
         self._links.start()
         self._server.start()
-        self._ticker.start()
+        self._heartbeats.start()
         self._members.add_listener(self._follow_members)
         self._follow_members()
 
     def stop(self) -> None:
         """End the threads and close the sockets."""
-        self._running = False
-        self._beat.set()
+        self._heartbeats.stop()
         self._links.stop()
-        if self._ticker.ident is not None:
-            self._ticker.join()
+        self._heartbeats.join()
         self._server.stop()
         self._context.destroy(linger=0)
 
@@ -144,7 +123,7 @@
 
     def set_heartbeat_source(self, callback: Callable[[], Heartbeat]) -> None:
         """Set what builds the heartbeats of this member."""
-        self._source = callback
+        self._heartbeats.source = callback
 
     def add_heartbeat_listener(
         self, callback: Callable[[Heartbeat], None]
@@ -157,7 +136,7 @@
 
         It runs on the thread that sends heartbeats.
         """
-        self._on_sent += (callback,)
+        self._heartbeats.on_sent += (callback,)
 
     def set_forward_handler(
         self, callback: Callable[[Forward], ForwardAnswer]
@@ -183,7 +162,7 @@
 
     def hasten(self) -> None:
         """Send a heartbeat at once, or soon after the previous one."""
-        self._beat.set()
+        self._heartbeats.hasten()
 
     def forward(
         self, entry: str, forward: Forward, timeout_s: float
@@ -269,41 +248,6 @@
             return decoded.after_start()
         return decoded
 
-    def _tick(self) -> None:
-        hasten_s = self._timing.hasten_s
-        while self._running:
-            if self._links.takes_part:
-                self._send_heartbeat()
-                self._links.follow()
-            # The least time between heartbeats is waited out first, so that
-            # requests for one in the meantime lead to one heartbeat.
-            self._clock.sleep(hasten_s)
-            self._beat.wait(self._link_timing.beat_s() - hasten_s)
-            self._beat.clear()
-
-    def _send_heartbeat(self) -> None:
-        if self._source is None:
-            return
-        try:
-            heartbeat = self._source()
-            body = self._encoder.encode(heartbeat)
-            rows = self._encoder.sent_rows()
-            for callback in self._on_sent:
-                callback(attrs.evolve(heartbeat, demand=rows))
-        except Exception:
-            self._metrics.count("peer_handler_errors")
-            _log.exception("error in the source of heartbeats")
-            return
-        self._beat_number += 1
-        for link in self._links.all():
-            echo = self._inbox.last_beat(link.peer.name)
-            request_id = join_beat(self._beat_number, echo)
-            link.send(Message(Kind.HEARTBEAT, request_id, body))
-
     def _follow_members(self) -> None:
         self._links.follow()
         self._inbox.follow_members()
-
-    def _on_connected(self) -> None:
-        self._encoder.send_complete()
-        self.hasten()
