Tell a new leader of the permits that it was given

After the leader was killed, the next one had the whole limit of the team in the record within 13 s, but started no task for over 30 s. Cause: hints of a changed limit record went to entries only, and the poll that finds it had been planned 60 s ahead while that control rested. Ruled out: the reclaim of the dead leader's portion (7 s), and the portions that entries hand over (13 s).

Whoever gets a larger portion is now told, also a control, and a process that rests no longer polls as often as others. A check of the limit record by the clock is not needed: the new unit test fails without the hint.

--- a/src/rosemarynotch/_internal/admission/permits.py
+++ b/src/rosemarynotch/_internal/admission/permits.py
@@ -253,3 +253,7 @@
                 self.poll()
                 poll_due_s = self._clock.monotonic_s() + self.poll_wait_s()
             self.step()
+            # A process that rests no longer does not wait for a poll that
+            # was due late.
+            due_s = self._clock.monotonic_s() + self.poll_wait_s()
+            poll_due_s = min(poll_due_s, due_s)
--- a/src/rosemarynotch/_internal/admission/settler.py
+++ b/src/rosemarynotch/_internal/admission/settler.py
@@ -107,13 +107,15 @@
     def _send_hints(
         self, team: str, before: LimitRecord, after: LimitRecord
     ) -> None:
-        """Hint to holders that got more, and to entries that may claim."""
+        """Hint to holders that got more, and to entries that may claim.
+
+        A control that leads gets hints too: it would find what it was given
+        only with its next poll.
+        """
         entries = self._ledger.entries()
         for name, portion in after.portions.items():
             old = before.portions.get(name)
-            if name in entries and (
-                old is None or old.requests < portion.requests
-            ):
+            if old is None or old.requests < portion.requests:
                 self._notify(name, team)
         if after.unassigned_requests > before.unassigned_requests:
             for name in entries:
--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -9,6 +9,7 @@
 from rosemarynotch._internal.models.records import LimitRecord
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
+from tests.lib.fleet import control
 from tests.lib.fleet import limit_document
 from tests.lib.fleet import LONGEST_RUN_S
 from tests.lib.fleet import member
@@ -37,12 +38,10 @@
         return self.processes
 
     def process(self, name, incarnation="i1"):
-        process = Process(
-            self.core,
-            self.clock,
-            member(name, incarnation),
-            notify=self.hint,
-        )
+        return self.register(member(name, incarnation))
+
+    def register(self, me):
+        process = Process(self.core, self.clock, me, notify=self.hint)
         process.membership.register()
         return process
 
@@ -255,6 +254,31 @@
         self.assertEqual(0, self.fill(a))
         self.assertNotEqual("i1", a.membership.me.incarnation)
 
+    def test_control_is_told_what_it_was_given(self):
+        """Guards against jobs that wait for the next poll of the control."""
+        a = self.process("a")
+        leader = self.register(control("c"))
+        self.processes = [a]
+        self.change_limit(4)
+        self.assertEqual(4, a.permits.portion(TEAM))
+        leader.in_force.apply(pointer(self.version), self.document)
+        leader.permits.step()
+        self.processes.append(leader)
+        self.ask(leader, a)
+        self.settle()
+        self.assertIn("c", self.hints)
+        self.assertEqual(2, leader.permits.portion(TEAM))
+
+    def test_process_that_leads_again_polls_as_often_as_others(self):
+        a = self.process("a")
+        self.processes = [a]
+        self.change_limit(4)
+        a.permits.set_resting(True)
+        self.settle()
+        resting_s = a.permits.poll_wait_s()
+        a.permits.set_resting(False)
+        self.assertLess(a.permits.poll_wait_s(), resting_s)
+
     def test_resting_process_gives_up_what_is_idle_only(self):
         a, b = self.start("ab", 8)
         a.permits.try_acquire(TEAM)
