Write the first fleet record before all entries are heard

Cause: a new leader begins no drains until it has heard all entries, and the pass that it cut short also adds the VMs of the document, so no target was known for up to 10 s after the first start. Ruled out: the targets and the configuration, which was in force at all entries.

Without any VM in the record there is nothing to drain, so the first record is now written at once; the new test fails without this. The demonstration also waits until every entry knows that all VMs serve, as an operator would before callers arrive.

--- a/demo/run.py
+++ b/demo/run.py
@@ -40,6 +40,8 @@
 WAVE_DELAY_S = 2.0
 WAVE_TIMEOUT_S = 90.0
 WAVE_POLL_S = 1.0
+FLEET_TIMEOUT_S = 30.0
+FLEET_POLL_S = 0.2
 MAX_TARGETS = 64
 SLOTS = 3
 REBOOT_MS = 500
@@ -151,6 +153,23 @@
         given = self._change("key give", team, "old")
         self._environment.add_key("withdrawn", given["key"])
         self._change("key withdraw", team, "old")
+        self._wait_for_fleet()
+
+    def _wait_for_fleet(self) -> None:
+        """Wait until every entry knows that all VMs serve."""
+        end_s = time.monotonic() + FLEET_TIMEOUT_S
+        while time.monotonic() < end_s:
+            if all(self._all_serve(port) for port in self._operator_ports):
+                return
+            time.sleep(FLEET_POLL_S)
+        raise RuntimeError("not all VMs serve")
+
+    def _all_serve(self, port: int) -> bool:
+        snapshot = self._command("status", entry_port=port)["snapshot"]
+        return bool(snapshot["pools"]) and all(
+            pool["serving_vms"] == pool["total_vms"]
+            for pool in snapshot["pools"]
+        )
 
     def _replay(self) -> list[str]:
         results = self._directory / "results.jsonl"
@@ -207,8 +226,9 @@
             time.sleep(WAVE_POLL_S)
         return [f"wave not done: {waves}"]
 
-    def _session(self) -> list[str]:
-        entries = (f"127.0.0.1:{port}" for port in self._operator_ports)
+    def _session(self, entry_port: int = 0) -> list[str]:
+        ports = [entry_port] if entry_port else self._operator_ports
+        entries = (f"127.0.0.1:{port}" for port in ports)
         return [
             f"--entry={','.join(entries)}",
             f"--operator-key={self._operator_key}",
@@ -218,10 +238,15 @@
         who = (f"--operator={OPERATOR}", f"--reason={REASON}")
         return self._command(command, *arguments, *who)
 
-    def _command(self, command: str, *arguments: str, session=True) -> dict:
-        """Run ``rosemarynotch`` and return what it prints as JSON."""
+    def _command(
+        self, command: str, *arguments: str, session=True, entry_port=0
+    ) -> dict:
+        """Run ``rosemarynotch`` and return what it prints as JSON.
+
+        :param entry_port: the operators' port to ask, 0 for any entry
+        """
         words = [*command.split(), *arguments, "--output=json"]
-        words += self._session() if session else []
+        words += self._session(entry_port) if session else []
         return msgspec.json.decode(run_program("rosemarynotch", *words))
 
     def _show(self, command: str) -> None:
--- a/src/rosemarynotch/_internal/control/fleet_change.py
+++ b/src/rosemarynotch/_internal/control/fleet_change.py
@@ -22,7 +22,8 @@
     """All changes of one pass, applied to whatever value is current.
 
     :param record: the record as this process knows it
-    :param may_drain: whether drains may begin
+    :param may_drain: whether drains may begin. Without any VM there is
+        nothing to drain, so a first record is written at once
     :ivar used_list: whether the last call was given a record to which the
         VM list may be applied
     """
@@ -79,7 +80,7 @@
         self.used_list = bool(listed)
         if listed and is_list_plausible(record, listed):
             record = follow_list(record, listed)
-        if not self._may_drain:
+        if record.vms and not self._may_drain:
             return advance_drained(finish_moves(record), inputs)
         record = follow_document(
             record, self._document, inputs.token, inputs.ejected
--- a/tests/unit/test_leader.py
+++ b/tests/unit/test_leader.py
@@ -8,6 +8,7 @@
 from rosemarynotch._internal.models.records import VmState
 from rosemarynotch._internal.platform.interface import PlatformVm
 from rosemarynotch._internal.platform.interface import PlatformVmState
+from rosemarynotch._internal.platform.records import FLEET_KEY
 from rosemarynotch._internal.platform.records import MEMBERS_KEY
 from tests.lib import control_fakes as fakes
 from tests.lib.stores import Fault
@@ -186,6 +187,15 @@
         self.steps(1)
         self.assertEqual(3, len(self.states()) - self.count(VmState.DRAINING))
 
+    def test_first_record_is_written_before_the_entries_are_heard(self):
+        """Guards against a start at which no target is known for 10 s."""
+        self.names = ()
+        self.core.delete(FLEET_KEY, self.fleet.revision)
+        self.follow(self.document)
+        self.steps(1)
+        states = set(self.states().values())
+        self.assertEqual({VmState.SERVING}, states)
+
     def test_dead_entry_delays_new_drains_for_a_while_only(self):
         self.lose_lead()
         self.names = ("e1",)
