Add declared VMs in every pass, whoever was heard

A new leader begins no drains until it has heard all entries. The pass that it cut short for this also skipped the VMs of the document; the last change made an exception for an empty record. follow_document did two things, so it is now add_declared, which each pass calls, and drain_undeclared, which waits. The exception is gone, and a VM that is declared right after a change of the leader no longer waits up to 10 s either; the new test fails with the exception in its place.

--- a/src/rosemarynotch/_internal/control/fleet.py
+++ b/src/rosemarynotch/_internal/control/fleet.py
@@ -12,8 +12,9 @@
 from rosemarynotch._internal.platform.interface import PlatformVmState
 
 __all__ = [
+    "add_declared",
     "begin_drain",
-    "follow_document",
+    "drain_undeclared",
     "follow_list",
     "is_list_plausible",
     "is_operator_drain",
@@ -78,24 +79,21 @@
     )
 
 
-def follow_document(
-    record: FleetRecord,
-    document: Document,
-    token: str,
-    failed: frozenset[str] = frozenset(),
-) -> FleetRecord:
-    """Add declared VMs, and drain and drop what is no longer declared.
-
-    A VM keeps the pool that the record gives it, since moves change it; the
-    declared pool is used when a VM is new or its pool was removed.
-
-    :param token: makes the operation ids of new drains unique
-    """
-    declared = {
+def _declared_vms(document: Document) -> dict[str, tuple[str, VmSpec]]:
+    return {
         spec.name: (pool.name, spec)
         for pool in document.pools
         for spec in pool.vms
     }
+
+
+def add_declared(record: FleetRecord, document: Document) -> FleetRecord:
+    """Add declared VMs, and drop idle ones that are no longer declared.
+
+    A VM keeps the pool that the record gives it, since moves change it; the
+    declared pool is used when a VM is new or its pool was removed.
+    """
+    declared = _declared_vms(document)
     pools = {pool.name for pool in document.pools}
     vms = {}
     for name, vm in record.vms.items():
@@ -106,8 +104,7 @@
     for name, (pool, spec) in declared.items():
         if name not in vms:
             vms[name] = _new_vm(pool, spec)
-    record = with_vms(record, vms)
-    return _drain_undeclared(record, document, declared, token, failed)
+    return with_vms(record, vms)
 
 
 def _new_vm(pool: str, spec: VmSpec) -> VmRecord:
@@ -142,7 +139,17 @@
     return vm
 
 
-def _drain_undeclared(record, document, declared, token, failed):
+def drain_undeclared(
+    record: FleetRecord,
+    document: Document,
+    token: str,
+    failed: frozenset[str] = frozenset(),
+) -> FleetRecord:
+    """Drain what is no longer declared, as far as the budgets allow.
+
+    :param token: makes the operation ids of new drains unique
+    """
+    declared = _declared_vms(document)
     pools = {pool.name for pool in document.pools}
     leaving = [
         name
--- a/src/rosemarynotch/_internal/control/fleet_change.py
+++ b/src/rosemarynotch/_internal/control/fleet_change.py
@@ -1,6 +1,7 @@
 """All changes of one control pass."""
 
-from rosemarynotch._internal.control.fleet import follow_document
+from rosemarynotch._internal.control.fleet import add_declared
+from rosemarynotch._internal.control.fleet import drain_undeclared
 from rosemarynotch._internal.control.fleet import follow_list
 from rosemarynotch._internal.control.fleet import is_list_plausible
 from rosemarynotch._internal.control.moves import begin_moves
@@ -22,8 +23,8 @@
     """All changes of one pass, applied to whatever value is current.
 
     :param record: the record as this process knows it
-    :param may_drain: whether drains may begin. Without any VM there is
-        nothing to drain, so a first record is written at once
+    :param may_drain: whether drains may begin; declared VMs are added in
+        any case
     :ivar used_list: whether the last call was given a record to which the
         VM list may be applied
     """
@@ -80,9 +81,10 @@
         self.used_list = bool(listed)
         if listed and is_list_plausible(record, listed):
             record = follow_list(record, listed)
-        if record.vms and not self._may_drain:
+        record = add_declared(record, self._document)
+        if not self._may_drain:
             return advance_drained(finish_moves(record), inputs)
-        record = follow_document(
+        record = drain_undeclared(
             record, self._document, inputs.token, inputs.ejected
         )
         record = finish_moves(record)
--- a/tests/unit/test_leader.py
+++ b/tests/unit/test_leader.py
@@ -162,16 +162,17 @@
         self.steps(8)
         self.store.fault = Fault.NONE
 
-    def remove_vm(self):
-        """Put a document in force that lacks a VM."""
-        pool = self.document.pools[0]
-        smaller = attrs.evolve(pool, vms=pool.vms[:-1])
+    def declare(self, vms):
+        """Put a document in force with these VMs in its pool."""
+        pool = attrs.evolve(self.document.pools[0], vms=tuple(vms))
         self.in_force.current = attrs.evolve(
-            self.in_force.current,
-            document=fakes.document_of(smaller),
-            version=2,
+            self.in_force.current, document=fakes.document_of(pool), version=2
         )
 
+    def remove_vm(self):
+        """Put a document in force that lacks a VM."""
+        self.declare(self.document.pools[0].vms[:-1])
+
     def test_listeners_learn_who_leads(self):
         self.lose_lead()
         self.steps(3)
@@ -196,6 +197,15 @@
         states = set(self.states().values())
         self.assertEqual({VmState.SERVING}, states)
 
+    def test_declared_vm_is_added_before_the_entries_are_heard(self):
+        """Guards against a wait for all entries that holds up new VMs."""
+        self.lose_lead()
+        self.names = ()
+        vms = self.document.pools[0].vms
+        self.declare((*vms, attrs.evolve(vms[0], name="new")))
+        self.steps(9)
+        self.assertEqual(VmState.JOINING, self.states()["new"])
+
     def test_dead_entry_delays_new_drains_for_a_while_only(self):
         self.lose_lead()
         self.names = ("e1",)
