--- a/demo/processes.py
+++ b/demo/processes.py
@@ -69,11 +69,17 @@
     return [_ports.take_free() for _ in range(count)]
 
 
-def call(address: str, path: str):
-    """Return the JSON answer of a stand-in."""
+def call(address: str, path: str, body: object = None):
+    """Return the JSON answer of a stand-in.
+
+    :param body: sent as JSON by a POST, None for a GET
+    """
     connection = http.client.HTTPConnection(address, timeout=CALL_S)
     try:
-        connection.request("GET", path)
+        if body is None:
+            connection.request("GET", path)
+        else:
+            connection.request("POST", path, msgspec.json.encode(body))
         return msgspec.json.decode(connection.getresponse().read())
     finally:
         connection.close()
--- a/experiments/setting.py
+++ b/experiments/setting.py
@@ -1,7 +1,6 @@
 """Starts entries and control on stand-ins for an experiment."""
 
 import contextlib
-import http.client
 from pathlib import Path
 import random
 import tempfile
@@ -112,13 +111,7 @@
         :param outage: ``up``, or an outage that the stand-in knows
         """
         port = self.cut_platform.rpartition(":")[2]
-        connection = http.client.HTTPConnection(self.platform)
-        try:
-            body = msgspec.json.encode({"store": outage})
-            connection.request("POST", f"/faults?port={port}", body)
-            connection.getresponse().read()
-        finally:
-            connection.close()
+        call(self.platform, f"/faults?port={port}", {"store": outage})
 
     def stats(self) -> dict:
         """Return what the platform counted."""
--- a/src/rosemarynotch/_internal/admission/dispatch.py
+++ b/src/rosemarynotch/_internal/admission/dispatch.py
@@ -156,8 +156,8 @@
         end_s = time.monotonic() + timeout_s
         while time.monotonic() < end_s:
             with self._lock:
-                queued = any(pool.queues for pool in self._pools)
-                if not queued and not self._in_flight.by_vm:
+                waiting = self._pools.has_waiting()
+                if not waiting and not self._in_flight.by_vm:
                     return True
             time.sleep(IDLE_POLL_S)
         return False
@@ -176,7 +176,7 @@
         self._ends.end_overdue()
         self.pump()
         with self._lock:
-            return any(pool.queues for pool in self._pools)
+            return self._pools.has_waiting()
 
     def _renew_shares(self):
         self._shares.update(self.demand())
--- a/src/rosemarynotch/_internal/admission/pools.py
+++ b/src/rosemarynotch/_internal/admission/pools.py
@@ -170,6 +170,10 @@
             self._pools[name] = pool
         return pool
 
+    def has_waiting(self) -> bool:
+        """Tell whether a request waits in any pool."""
+        return any(pool.queues for pool in self)
+
     def freed_by(self, grant: Grant) -> list[PoolState]:
         """Return the pools that may start a request after one has ended.
 
--- a/src/rosemarynotch/_internal/cli/control.py
+++ b/src/rosemarynotch/_internal/cli/control.py
@@ -1,8 +1,7 @@
 """Main function of ``rosemarynotch-control``."""
 
-from rosemarynotch._internal.cli.programs import check_addresses
 from rosemarynotch._internal.cli.programs import check_choice
-from rosemarynotch._internal.cli.programs import set_up_program_logs
+from rosemarynotch._internal.cli.programs import set_up_member
 from rosemarynotch._internal.cli.programs import stop_event
 from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.utils.settings import run_program
@@ -40,21 +39,13 @@
     """
     # Imported here, so that --help and bad settings answer at once.
     from rosemarynotch._internal.wiring import control
-    from rosemarynotch._internal.wiring.process import MemberSettings
 
-    check_addresses(
-        store=store,
-        vm_service=vm_service,
-        task_service=task_service,
-        peer_listen=peer_listen,
-    )
     check_choice("move-policy", move_policy, control.MOVE_POLICIES)
     check_choice("wave-policy", wave_policy, control.WAVE_POLICIES)
-    incarnation = set_up_program_logs("control", name, log_level)
-    member = MemberSettings(
+    member = set_up_member(
+        MemberKind.CONTROL,
+        log_level,
         name=name,
-        incarnation=incarnation,
-        kind=MemberKind.CONTROL,
         vm=vm,
         vm_instance=vm_instance,
         data_centre=data_centre,
--- a/src/rosemarynotch/_internal/cli/entry.py
+++ b/src/rosemarynotch/_internal/cli/entry.py
@@ -1,8 +1,7 @@
 """Main function of ``rosemarynotch-entry``."""
 
-from rosemarynotch._internal.cli.programs import check_addresses
 from rosemarynotch._internal.cli.programs import check_choice
-from rosemarynotch._internal.cli.programs import set_up_program_logs
+from rosemarynotch._internal.cli.programs import set_up_member
 from rosemarynotch._internal.cli.programs import stop_event
 from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.models.records import MemberKind
@@ -62,14 +61,7 @@
     """
     # Imported here, so that --help and bad settings answer at once.
     from rosemarynotch._internal.wiring import entry
-    from rosemarynotch._internal.wiring.process import MemberSettings
 
-    check_addresses(
-        store=store,
-        vm_service=vm_service,
-        task_service=task_service,
-        peer_listen=peer_listen,
-    )
     check_choice("share-policy", share_policy, entry.SHARE_POLICIES)
     check_choice("order", order, entry.ORDERS)
     check_choice("router", router, entry.ROUTERS)
@@ -80,11 +72,10 @@
         )
     if balancer_notice_s < 0:
         raise SettingsError("balancer-notice-s: must not be negative")
-    incarnation = set_up_program_logs("entry", name, log_level)
-    member = MemberSettings(
+    member = set_up_member(
+        MemberKind.ENTRY,
+        log_level,
         name=name,
-        incarnation=incarnation,
-        kind=MemberKind.ENTRY,
         vm=vm,
         vm_instance=vm_instance,
         data_centre=data_centre,
--- a/src/rosemarynotch/_internal/cli/programs.py
+++ b/src/rosemarynotch/_internal/cli/programs.py
@@ -2,27 +2,24 @@
 
 import signal
 import threading
+from typing import TYPE_CHECKING
 
 from rosemarynotch._internal.configuration import new_incarnation
 from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.utils.addresses import parse_address
 from rosemarynotch._internal.utils.logs import set_up_logs
 
+if TYPE_CHECKING:
+    from rosemarynotch._internal.wiring.process import MemberSettings
+
 __all__ = [
-    "check_addresses",
     "check_choice",
-    "set_up_program_logs",
+    "set_up_member",
     "stop_event",
 ]
 
-
-def check_addresses(**settings: str) -> None:
-    """Check settings that are addresses.
-
-    :raises SettingsError: if one is not HOST:PORT
-    """
-    for name, value in settings.items():
-        parse_address(name.replace("_", "-"), value)
+ADDRESSES = ("store", "vm_service", "task_service", "peer_listen")
 
 
 def check_choice(setting: str, value: str, choices: dict) -> None:
@@ -35,18 +32,28 @@
         raise SettingsError(f"{setting}: {value!r} is not one of {known}")
 
 
-def set_up_program_logs(component: str, name: str, level: str) -> str:
-    """Send log lines to standard error.
+def set_up_member(
+    kind: MemberKind, log_level: str, **settings: str
+) -> "MemberSettings":
+    """Check the settings that all members have, and set up log lines.
+
+    The lines go to standard error and carry the incarnation.
 
-    :returns: the incarnation of this process, which each line carries
-    :raises SettingsError: if the level is unknown
+    :param settings: those of ``MemberSettings``
+    :raises SettingsError: if an address is not HOST:PORT, or the level is
+        unknown
     """
+    # Imported here, so that --help and bad settings answer at once.
+    from rosemarynotch._internal.wiring.process import MemberSettings
+
+    for name in ADDRESSES:
+        parse_address(name.replace("_", "-"), settings[name])
     incarnation = new_incarnation()
     try:
-        set_up_logs(component, f"{name}.{incarnation}", level)
+        set_up_logs(kind, f"{settings['name']}.{incarnation}", log_level)
     except LookupError:
-        raise SettingsError(f"log-level: {level!r} is unknown") from None
-    return incarnation
+        raise SettingsError(f"log-level: {log_level!r} is unknown") from None
+    return MemberSettings(kind=kind, incarnation=incarnation, **settings)
 
 
 def stop_event() -> threading.Event:
--- a/src/rosemarynotch/_internal/commands/documents.py
+++ b/src/rosemarynotch/_internal/commands/documents.py
@@ -10,7 +10,7 @@
 from rosemarynotch._internal.commands.options import Output
 from rosemarynotch._internal.commands.options import reads
 from rosemarynotch._internal.commands.session import Session
-from rosemarynotch._internal.commands.waiting import follow
+from rosemarynotch._internal.commands.waiting import follow_version
 from rosemarynotch._internal.configuration import document_digest
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models.document import Document
@@ -65,13 +65,15 @@
     :param expected_version: refuse if another version is the newest
     :param confirm: accept the consequences that were listed
     """
-    body = options.body(
+    return _change(
+        session,
+        output,
+        options,
+        "/v1/config/try",
+        expected_version,
         document=_read(file)[0],
-        expected_version=_expected(session, expected_version),
         confirmed=confirm,
     )
-    answer = session.post("/v1/config/try", body)
-    return _follow(session, output, options, answer)
 
 
 @changes
@@ -102,15 +104,17 @@
     if trial_entry:
         key = trial_operator_key or session.key
         trial = Session(trial_entry, key).get(f"/v1/config/tried/{digest}")
-    body = options.body(
+    return _change(
+        session,
+        output,
+        options,
+        "/v1/config/promote",
+        expected_version,
         document=document,
         digest=digest,
         trial=trial,
-        expected_version=_expected(session, expected_version),
         confirmed=confirm,
     )
-    answer = session.post("/v1/config/promote", body)
-    return _follow(session, output, options, answer)
 
 
 @changes
@@ -129,13 +133,15 @@
     :param expected_version: refuse if another version is the newest
     :param confirm: accept the consequences that were listed
     """
-    body = options.body(
+    return _change(
+        session,
+        output,
+        options,
+        "/v1/config/rollback",
+        expected_version,
         to_version=version,
-        expected_version=_expected(session, expected_version),
         confirmed=confirm,
     )
-    answer = session.post("/v1/config/rollback", body)
-    return _follow(session, output, options, answer)
 
 
 def _read(file: str) -> tuple[str, Document]:
@@ -152,19 +158,11 @@
     return text, document
 
 
-def _expected(session: Session, version: int) -> int:
-    if version != ANY_VERSION:
-        return version
-    return session.get("/v1/config")["version"]
-
-
-def _follow(session, output, options, answer):
-    return follow(
-        session,
-        output,
-        options,
-        answer,
-        f"/v1/config/changes/{options.change_id}",
-        f"version {answer['version']}",
-        f"digest {answer['digest']}",
-    )
+def _change(session, output, options, path, expected_version, **fields):
+    """Send a change of the document and follow it."""
+    if expected_version == ANY_VERSION:
+        expected_version = session.get("/v1/config")["version"]
+    body = options.body(expected_version=expected_version, **fields)
+    answer = session.post(path, body)
+    more = f"digest {answer['digest']}"
+    return follow_version(session, output, options, answer, more)
--- a/src/rosemarynotch/_internal/commands/keys.py
+++ b/src/rosemarynotch/_internal/commands/keys.py
@@ -9,7 +9,7 @@
 from rosemarynotch._internal.commands.options import local
 from rosemarynotch._internal.commands.options import Output
 from rosemarynotch._internal.commands.session import Session
-from rosemarynotch._internal.commands.waiting import follow
+from rosemarynotch._internal.commands.waiting import follow_version
 from rosemarynotch._internal.configuration import make_key
 from rosemarynotch._internal.models.rules import NAME
 from rosemarynotch._internal.models.rules import NAME_VALID
@@ -50,13 +50,11 @@
             error.code,
         ) from error
     answer = {**answer, "key": text, "line": line}
-    return follow(
+    return follow_version(
         session,
         output,
         options,
         answer,
-        f"/v1/config/changes/{answer['change_id']}",
-        f"version {answer['version']}",
         f"key, not shown again:\n{text}\nfor the team's keys in your file:\n"
         f"{line}",
     )
@@ -77,13 +75,11 @@
     """
     body = options.body(team=team, key_id=key_id)
     answer = session.post("/v1/keys/withdraw", body)
-    return follow(
+    return follow_version(
         session,
         output,
         options,
         answer,
-        f"/v1/config/changes/{answer['change_id']}",
-        f"version {answer['version']}",
         "remove the key from your file as well",
     )
 
--- a/src/rosemarynotch/_internal/commands/waiting.py
+++ b/src/rosemarynotch/_internal/commands/waiting.py
@@ -9,7 +9,7 @@
 from rosemarynotch._internal.commands.options import Output
 from rosemarynotch._internal.commands.session import Session
 
-__all__ = ["follow"]
+__all__ = ["follow", "follow_version"]
 
 POLL_S = 0.2
 
@@ -49,5 +49,27 @@
     return Exit.NOT_YET_EVERYWHERE
 
 
+def follow_version(
+    session: Session,
+    output: Output,
+    options: ChangeOptions,
+    answer: dict[str, Any],
+    more: str,
+) -> Exit:
+    """Wait until a new version is in force everywhere and show it.
+
+    :param more: further text
+    """
+    return follow(
+        session,
+        output,
+        options,
+        answer,
+        f"/v1/config/changes/{options.change_id}",
+        f"version {answer['version']}",
+        more,
+    )
+
+
 def _is_everywhere(answer: dict[str, Any]) -> bool:
     return answer["members"] > 0 and answer["in_force"] >= answer["members"]
--- a/src/rosemarynotch/_internal/configuration/follower.py
+++ b/src/rosemarynotch/_internal/configuration/follower.py
@@ -151,28 +151,31 @@
         return done
 
     def _follow(self, view, key, kind, compressed=False) -> bool:
-        """Read a record if its revision in the list of keys is newer."""
-        newer = self._is_newer(key, view.revision)
-        if isinstance(newer, Failure):
-            return self._note(newer)
-        return not newer or self._refresh(view, key, kind, compressed)
+        return self._read_if_newer(
+            key,
+            view.revision,
+            lambda: self._refresh(view, key, kind, compressed),
+        )
 
     def _follow_config(self) -> bool:
-        newer = self._is_newer(CONFIG_KEY, self._config_revision)
-        if isinstance(newer, Failure):
-            return self._note(newer)
-        if newer:
-            return self.refresh_config()
-        self._freshness.note_store_contact()
-        return True
+        done = self._read_if_newer(
+            CONFIG_KEY, self._config_revision, self.refresh_config
+        )
+        if done:
+            self._freshness.note_store_contact()
+        return done
 
-    def _is_newer(self, key: str, revision: int) -> bool | Failure:
+    def _read_if_newer(
+        self, key: str, revision: int, read: Callable[[], bool]
+    ) -> bool:
+        """Read a record if its revision in the list of keys is newer."""
         listed = self._records.store.keys(key)
         if isinstance(listed, Failure):
-            return listed
-        return any(
+            return self._note(listed)
+        newer = any(
             item.key == key and item.revision > revision for item in listed
         )
+        return not newer or read()
 
     def _refresh(self, view, key, kind, compressed=False) -> bool:
         read = self._records.read(key, kind, compressed)
--- a/tests/functional/test_environment_metrics.py
+++ b/tests/functional/test_environment_metrics.py
@@ -1,18 +1,22 @@
 """Metrics and alarms of all members, as one entry tells them."""
 
-import json
 import signal
 
 from tests.lib.cluster import Cluster
+from tests.lib.cluster import OPERATORS
 from tests.lib.cluster import wait_until
 
 REQUESTS_PER_ENTRY = 4
 
 
+def ask(cluster, entry, path):
+    """Return what an entry answers to an operator."""
+    return cluster.session(OPERATORS[0], entry).get(path)
+
+
 def metrics(cluster, query=""):
     """Return the metrics that entry-1 tells."""
-    text = cluster.ask_operator_port("entry-1", f"/v1/metrics{query}")
-    return json.loads(text)
+    return ask(cluster, "entry-1", f"/v1/metrics{query}")
 
 
 def runs(answer):
@@ -62,7 +66,7 @@
         cluster.signal("entry-3", signal.SIGSTOP)
         wait_until(lambda: missing(cluster) == ["entry-3"], "only it misses")
         path = "/v1/report?format=html"
-        assert "Not complete" in cluster.ask_operator_port("entry-1", path)
+        assert "Not complete" in ask(cluster, "entry-1", path)
         cluster.signal("entry-3", signal.SIGCONT)
         wait_until(lambda: not missing(cluster), "entry-3 answers again")
 
@@ -72,13 +76,13 @@
     with Cluster({"bank": 6}, entries=2) as cluster:
 
         def alarms():
-            status = cluster.ask_operator_port("entry-2", "/v1/status")
-            return [each["alarm"] for each in json.loads(status)["findings"]]
+            status = ask(cluster, "entry-2", "/v1/status")
+            return [each["alarm"] for each in status["findings"]]
 
         assert "vm-list" not in alarms()
         cluster.platform.faults.change({"vm_list": "empty"})
         wait_until(lambda: "vm-list" in alarms(), "the alarm arrives")
-        report = cluster.ask_operator_port("entry-2", "/v1/report")
+        report = ask(cluster, "entry-2", "/v1/report")
         assert "NOT KNOWN" in report
         cluster.platform.faults.change({"vm_list": "live"})
         wait_until(lambda: "vm-list" not in alarms(), "the alarm ends")
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -56,7 +56,7 @@
 from tests.lib.peer_links import PeerLinks
 from tests.lib.stores import MemoryStore
 
-__all__ = ["Cluster", "Outcome", "wait_until"]
+__all__ = ["Cluster", "OPERATORS", "Outcome", "wait_until"]
 
 ROOT = Path(__file__).parent.parent.parent
 HOST = "127.0.0.1"
@@ -384,17 +384,6 @@
         finally:
             connection.close()
 
-    def ask_operator_port(self, entry: str, path: str) -> str:
-        """Return what an entry answers to an operator."""
-        connection = http.client.HTTPConnection(
-            self._address(entry, "operator"), timeout=WAIT_S
-        )
-        key, _ = self._operators[OPERATORS[0]]
-        headers = {"Authorization": f"Bearer {key}"}
-        with contextlib.closing(connection):
-            connection.request("GET", path, headers=headers)
-            return connection.getresponse().read().decode()
-
     def session(self, operator: str, entry: str) -> Session:
         """Return an operator's calls to the port of one entry."""
         key, _ = self._operators[operator]
