--- a/demo/drain_watch.py
+++ b/demo/drain_watch.py
@@ -9,9 +9,9 @@
 from rosemarynotch._internal.models.document import PoolKind
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import VmState
-from rosemarynotch._internal.platform.http_store import HttpStore
-from rosemarynotch._internal.platform.records import FLEET_KEY
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.http_store import HttpStore
+from rosemarynotch._internal.reference.records import FLEET_KEY
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import SystemClock
 
 __all__ = ["DrainWatch"]
--- /dev/null
+++ b/deploy/node.py
@@ -0,0 +1,10 @@
+"""Starts a node from a checkout."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "src"))
+
+from rosemarynotch._internal.cli.node import main  # noqa: E402
+
+sys.exit(main())
--- a/experiments/setting.py
+++ b/experiments/setting.py
@@ -28,8 +28,8 @@
 from rosemarynotch._internal.operators.changes import Change
 from rosemarynotch._internal.operators.changes import ConfigChanges
 from rosemarynotch._internal.operators.keys import format_setting
-from rosemarynotch._internal.platform import HttpStore
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference import HttpStore
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.replay.load import LoadProfile
 from rosemarynotch._internal.utils.clock import SystemClock
 
--- a/src/rosemarynotch/_internal/admission/gone.py
+++ b/src/rosemarynotch/_internal/admission/gone.py
@@ -8,8 +8,8 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.models.records import MembersRecord
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
 if TYPE_CHECKING:
--- a/src/rosemarynotch/_internal/admission/job_room.py
+++ b/src/rosemarynotch/_internal/admission/job_room.py
@@ -5,7 +5,7 @@
 from rosemarynotch._internal.models.jobs import JobRoom
 from rosemarynotch._internal.models.jobs import ROOM_KEY
 from rosemarynotch._internal.models.jobs import shard_of
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["TableRoom"]
--- a/src/rosemarynotch/_internal/admission/jobs.py
+++ b/src/rosemarynotch/_internal/admission/jobs.py
@@ -28,7 +28,7 @@
 from rosemarynotch._internal.models.jobs import JobSubmission
 from rosemarynotch._internal.models.jobs import shard_of
 from rosemarynotch._internal.models.jobs import table_key
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["JobIntake"]
--- a/src/rosemarynotch/_internal/admission/ledger.py
+++ b/src/rosemarynotch/_internal/admission/ledger.py
@@ -14,7 +14,7 @@
 from rosemarynotch._internal.models.messages import Heartbeat
 from rosemarynotch._internal.models.records import LimitRecord
 from rosemarynotch._internal.models.records import Member
-from rosemarynotch._internal.platform.records import Record
+from rosemarynotch._internal.reference.records import Record
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["Ledger"]
--- a/src/rosemarynotch/_internal/admission/permits.py
+++ b/src/rosemarynotch/_internal/admission/permits.py
@@ -13,7 +13,7 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.messages import Heartbeat
 from rosemarynotch._internal.models.records import Member
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
 if TYPE_CHECKING:
--- a/src/rosemarynotch/_internal/admission/portions.py
+++ b/src/rosemarynotch/_internal/admission/portions.py
@@ -12,9 +12,9 @@
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models.records import LimitRecord
 from rosemarynotch._internal.models.records import Portion
-from rosemarynotch._internal.platform.records import LIMITS_PREFIX
-from rosemarynotch._internal.platform.records import Record
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import LIMITS_PREFIX
+from rosemarynotch._internal.reference.records import Record
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = [
--- a/src/rosemarynotch/_internal/admission/settler.py
+++ b/src/rosemarynotch/_internal/admission/settler.py
@@ -11,7 +11,7 @@
 from rosemarynotch._internal.admission.schedule import Schedule
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.records import LimitRecord
-from rosemarynotch._internal.platform.records import Record
+from rosemarynotch._internal.reference.records import Record
 
 __all__ = ["Settler"]
 
--- a/src/rosemarynotch/_internal/callers/server.py
+++ b/src/rosemarynotch/_internal/callers/server.py
@@ -1,37 +1,16 @@
-"""The HTTP server for callers, and its graceful stop."""
+"""The HTTP server for callers."""
 
-import logging
-import threading
-import time
-
-from waitress.channel import HTTPChannel
-from waitress.server import create_server
 from waitress.task import ErrorTask
-from waitress.task import WSGITask
-from waitress import wasyncore
 
 from rosemarynotch._internal.callers.answers import failure_body
 from rosemarynotch._internal.callers.answers import RAN_HEADER
 from rosemarynotch._internal.callers.app import CallerApp
 from rosemarynotch._internal.callers.parsing import MAX_BODY_BYTES
 from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.utils.graceful_server import GracefulServer
 
 __all__ = ["CallerServer"]
 
-# The server logs a line for each request that finds no free thread.
-logging.getLogger("waitress.queue").setLevel(logging.ERROR)
-
-MEGABYTE = 1024 * 1024
-MAX_HEADER_BYTES = 32 * 1024
-# A caller that stops in the middle of a request frees its connection.
-CHANNEL_TIMEOUT_S = 60
-CLEANUP_INTERVAL_S = 10
-# Connections beyond the threads are idle ones, kept by callers.
-CONNECTIONS_PER_THREAD = 4
-# A kept connection may carry a request that was sent before its caller
-# could learn of the stop.
-IDLE_BEFORE_CLOSE_S = 1.0
-POLL_S = 0.02
 REFUSAL_BY_STATUS = {
     400: failures.REQUEST_MALFORMED,
     413: failures.BODY_TOO_LARGE,
@@ -59,129 +38,12 @@
         self.write(body)
 
 
-class _AnswerTask(WSGITask):
-    """Closes connections after their answer once the server is leaving."""
-
-    def build_response_header(self):
-        if self.channel.server.leaving:
-            self.set_close_on_finish()
-        return super().build_response_header()
-
-    def write(self, data):
-        """Write the head and a whole body at once.
-
-        Apart, each would be a system call and a packet.
-        """
-        whole = self.complete and self.content_length == len(data)
-        if self.wrote_header or not data or not whole or not self.has_body:
-            super().write(data)
-            return
-        head = self.build_response_header()
-        self.wrote_header = True
-        self.content_bytes_written = len(data)
-        self.channel.write_soon(head + data)
-
-
-class _Channel(HTTPChannel):
-    task_class = _AnswerTask
-    error_task_class = _RefusalTask
-
-
-class CallerServer:
-    """Serves callers with waitress.
-
-    :param threads: requests that are queued or run at the same time; a
-        request beyond them waits inside of the server, without order
-    :ivar address: host and port that it listens on
-    """
+class CallerServer(GracefulServer):
+    """Serves callers; its own refusals are those of this project."""
 
     def __init__(
         self, app: CallerApp, host: str, port: int, threads: int
     ) -> None:
-        self._app = app
-        self._server = create_server(
-            app,
-            host=host,
-            port=port,
-            threads=threads,
-            connection_limit=threads * CONNECTIONS_PER_THREAD,
-            channel_timeout=CHANNEL_TIMEOUT_S,
-            cleanup_interval=CLEANUP_INTERVAL_S,
-            # The server refuses a body of exactly the limit.
-            max_request_body_size=MAX_BODY_BYTES + 1,
-            max_request_header_size=MAX_HEADER_BYTES,
-            # Bodies are below these sizes, so none spills to a file.
-            inbuf_overflow=MEGABYTE,
-            outbuf_overflow=4 * MEGABYTE,
-            # select() cannot watch descriptors from 1024 on.
-            asyncore_use_poll=True,
-            # A connection is read while its request runs, which is how a
-            # caller that hangs up is noticed.
-            channel_request_lookahead=1,
-            log_socket_errors=False,
-            ident=None,
+        super().__init__(
+            app, host, port, threads, _RefusalTask, MAX_BODY_BYTES
         )
-        self._server.channel_class = _Channel
-        self._server.leaving = False
-        host, port = self._server.effective_host, self._server.effective_port
-        self.address = f"{host}:{port}"
-        self._thread = threading.Thread(
-            target=self._server.run, name="caller-server", daemon=True
-        )
-
-    def start(self) -> None:
-        """Serve in a thread of its own."""
-        self._thread.start()
-
-    def stop(self, notice_s: float) -> None:
-        """Finish all requests, then close.
-
-        There is no bound on the time: a planned stop interrupts no request.
-
-        :param notice_s: time during which the probe fails and connections
-            are still accepted, so that the load balancer moves away first
-        """
-        self._app.announce_leaving()
-        self._server.leaving = True
-        time.sleep(notice_s)
-        self._call(self._stop_listening)
-        while not self._call(self._close_idle):
-            time.sleep(POLL_S)
-        # Its time-out of 5 s does not matter: no request is left.
-        self._server.task_dispatcher.shutdown()
-        self._call(self._server.trigger.close)
-        self._thread.join()
-
-    def _call(self, function):
-        """Run a function in the thread that owns the connections."""
-        done = threading.Event()
-        results = []
-
-        def run():
-            try:
-                results.append(function())
-            finally:
-                done.set()
-
-        self._server.trigger.pull_trigger(run)
-        done.wait()
-        return results[0]
-
-    def _stop_listening(self):
-        # Connections that the kernel has already accepted are served.
-        self._server.socket.setblocking(False)
-        before = -1
-        while len(self._server.active_channels) != before:
-            before = len(self._server.active_channels)
-            self._server.handle_accept()
-        wasyncore.dispatcher.close(self._server)
-
-    def _close_idle(self):
-        """Close idle connections; return whether none is left."""
-        before_s = time.time() - IDLE_BEFORE_CLOSE_S
-        channels = list(self._server.active_channels.values())
-        for channel in channels:
-            busy = channel.requests or channel.total_outbufs_len
-            if not busy and channel.last_activity < before_s:
-                channel.handle_close()
-        return not channels
--- /dev/null
+++ b/src/rosemarynotch/_internal/cli/node.py
@@ -0,0 +1,24 @@
+"""Main function of ``rosemarynotch-node``."""
+
+import sys
+
+from rosemarynotch._internal.exceptions import SettingsError
+
+__all__ = ["main"]
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> int:
+    """Run a node; a bad setting ends it with one line and status 2."""
+    from rosemarynotch._internal.wiring.node import run_node
+
+    try:
+        return run_node()
+    except SettingsError as error:
+        print(f"rosemarynotch-node: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/rosemarynotch/_internal/configuration/documents.py
+++ b/src/rosemarynotch/_internal/configuration/documents.py
@@ -10,7 +10,7 @@
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.models.messages import DocumentAnswer
 from rosemarynotch._internal.models.records import ConfigPointer
-from rosemarynotch._internal.platform.interface import Store
+from rosemarynotch._internal.reference.interface import Store
 
 __all__ = [
     "decode_document",
--- a/src/rosemarynotch/_internal/configuration/follower.py
+++ b/src/rosemarynotch/_internal/configuration/follower.py
@@ -21,11 +21,11 @@
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import Head
 from rosemarynotch._internal.models.records import MembersRecord
-from rosemarynotch._internal.platform.records import CONFIG_KEY
-from rosemarynotch._internal.platform.records import FLEET_KEY
-from rosemarynotch._internal.platform.records import HEAD_KEY
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import CONFIG_KEY
+from rosemarynotch._internal.reference.records import FLEET_KEY
+from rosemarynotch._internal.reference.records import HEAD_KEY
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["CatchUp", "Follower"]
--- a/src/rosemarynotch/_internal/configuration/membership.py
+++ b/src/rosemarynotch/_internal/configuration/membership.py
@@ -13,9 +13,9 @@
 from rosemarynotch._internal.exceptions import STORE_CONFLICT
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.models.records import MembersRecord
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
-from rosemarynotch._internal.platform.records import Record
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.records import Record
+from rosemarynotch._internal.reference.records import RecordStore
 
 __all__ = ["Membership", "new_incarnation"]
 
--- a/src/rosemarynotch/_internal/control/fleet.py
+++ b/src/rosemarynotch/_internal/control/fleet.py
@@ -8,8 +8,8 @@
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import VmRecord
 from rosemarynotch._internal.models.records import VmState
-from rosemarynotch._internal.platform.interface import PlatformVm
-from rosemarynotch._internal.platform.interface import PlatformVmState
+from rosemarynotch._internal.reference.interface import PlatformVm
+from rosemarynotch._internal.reference.interface import PlatformVmState
 
 __all__ = [
     "add_declared",
--- a/src/rosemarynotch/_internal/control/gone_members.py
+++ b/src/rosemarynotch/_internal/control/gone_members.py
@@ -8,9 +8,9 @@
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.models.records import MembersRecord
-from rosemarynotch._internal.platform.interface import PlatformVm
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.interface import PlatformVm
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["GoneMembers"]
--- a/src/rosemarynotch/_internal/control/job_rows.py
+++ b/src/rosemarynotch/_internal/control/job_rows.py
@@ -12,8 +12,8 @@
 from rosemarynotch._internal.models.jobs import JobState
 from rosemarynotch._internal.models.jobs import MergedMark
 from rosemarynotch._internal.models.jobs import shard_of
-from rosemarynotch._internal.platform.interface import Task
-from rosemarynotch._internal.platform.interface import TaskState
+from rosemarynotch._internal.reference.interface import Task
+from rosemarynotch._internal.reference.interface import TaskState
 
 __all__ = [
     "cancel_row",
--- a/src/rosemarynotch/_internal/control/job_table.py
+++ b/src/rosemarynotch/_internal/control/job_table.py
@@ -15,8 +15,8 @@
 from rosemarynotch._internal.models.jobs import shard_of
 from rosemarynotch._internal.models.jobs import table_key
 from rosemarynotch._internal.models.jobs import TABLE_PREFIX
-from rosemarynotch._internal.platform.records import Record
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import Record
+from rosemarynotch._internal.reference.records import RecordStore
 
 __all__ = ["BatchReader", "JobTable"]
 
--- a/src/rosemarynotch/_internal/control/jobs.py
+++ b/src/rosemarynotch/_internal/control/jobs.py
@@ -23,9 +23,9 @@
 from rosemarynotch._internal.models.jobs import SHARD_COUNT
 from rosemarynotch._internal.models.jobs import shard_of
 from rosemarynotch._internal.models.records import FleetRecord
-from rosemarynotch._internal.platform.interface import TaskService
-from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.policy.placement import PlacementPolicy
+from rosemarynotch._internal.reference.interface import TaskService
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["JobKeeper"]
--- a/src/rosemarynotch/_internal/control/leadership.py
+++ b/src/rosemarynotch/_internal/control/leadership.py
@@ -6,7 +6,7 @@
 from rosemarynotch._internal.exceptions import LEASE_LOST
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.models import codec
-from rosemarynotch._internal.platform.interface import Store
+from rosemarynotch._internal.reference.interface import Store
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["LEADER_KEY", "LEASE_S", "Leadership"]
--- a/src/rosemarynotch/_internal/control/loop.py
+++ b/src/rosemarynotch/_internal/control/loop.py
@@ -24,12 +24,12 @@
 from rosemarynotch._internal.models.document import Document
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import VmState
-from rosemarynotch._internal.platform.interface import VmService
-from rosemarynotch._internal.platform.records import FLEET_KEY
-from rosemarynotch._internal.platform.records import Record
-from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.policy.moves import MovePolicy
 from rosemarynotch._internal.policy.waves import WavePolicy
+from rosemarynotch._internal.reference.interface import VmService
+from rosemarynotch._internal.reference.records import FLEET_KEY
+from rosemarynotch._internal.reference.records import Record
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["ControlLoop", "FleetSources", "Policies"]
--- a/src/rosemarynotch/_internal/control/observation.py
+++ b/src/rosemarynotch/_internal/control/observation.py
@@ -10,8 +10,8 @@
 from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.models.records import VmState
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.records import RecordStore
 
 __all__ = ["DrainProgress", "demand_by_pool", "ejected_by_most"]
 
--- a/src/rosemarynotch/_internal/control/operations.py
+++ b/src/rosemarynotch/_internal/control/operations.py
@@ -24,9 +24,9 @@
 from rosemarynotch._internal.models.records import VmState
 from rosemarynotch._internal.models.records import WaveRecord
 from rosemarynotch._internal.models.records import WaveState
-from rosemarynotch._internal.platform.records import FLEET_KEY
-from rosemarynotch._internal.platform.records import Record
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import FLEET_KEY
+from rosemarynotch._internal.reference.records import Record
+from rosemarynotch._internal.reference.records import RecordStore
 
 __all__ = [
     "abort_wave",
--- a/src/rosemarynotch/_internal/control/shard_room.py
+++ b/src/rosemarynotch/_internal/control/shard_room.py
@@ -12,7 +12,7 @@
 from rosemarynotch._internal.models.jobs import JobShard
 from rosemarynotch._internal.models.jobs import ROOM_KEY
 from rosemarynotch._internal.models.jobs import SHARD_COUNT
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import RecordStore
 
 __all__ = ["count_fitting", "RoomNotice"]
 
--- a/src/rosemarynotch/_internal/control/task_runner.py
+++ b/src/rosemarynotch/_internal/control/task_runner.py
@@ -16,11 +16,11 @@
 from rosemarynotch._internal.models.jobs import shard_of
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import VmState
-from rosemarynotch._internal.platform.interface import Task
-from rosemarynotch._internal.platform.interface import TaskService
-from rosemarynotch._internal.platform.interface import TaskState
 from rosemarynotch._internal.policy.placement import JobSize
 from rosemarynotch._internal.policy.placement import PlacementPolicy
+from rosemarynotch._internal.reference.interface import Task
+from rosemarynotch._internal.reference.interface import TaskService
+from rosemarynotch._internal.reference.interface import TaskState
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["TaskRunner"]
--- a/src/rosemarynotch/_internal/control/vm_list.py
+++ b/src/rosemarynotch/_internal/control/vm_list.py
@@ -5,8 +5,8 @@
 from rosemarynotch._internal.control.fleet import is_list_plausible
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.models.records import FleetRecord
-from rosemarynotch._internal.platform.interface import PlatformVm
-from rosemarynotch._internal.platform.interface import VmService
+from rosemarynotch._internal.reference.interface import PlatformVm
+from rosemarynotch._internal.reference.interface import VmService
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["VmList"]
--- a/src/rosemarynotch/_internal/exceptions.py
+++ b/src/rosemarynotch/_internal/exceptions.py
@@ -63,6 +63,9 @@
 
 
 # Requests of callers.
+CONFIGURATION_MISSING = Failure("configuration-missing", 503)
+OVERLOADED = Failure("overloaded", 503)
+ACCEPTANCE_UNKNOWN = Failure("acceptance-unknown", 504, Ran.UNKNOWN)
 KEY_MISSING = Failure("key-missing", 401)
 KEY_INVALID = Failure("key-invalid", 401)
 KEY_WITHDRAWN = Failure("key-withdrawn", 401)
@@ -104,6 +107,17 @@
 PLATFORM_UNAVAILABLE = Failure("platform-unavailable", 503)
 PLATFORM_REFUSED = Failure("platform-refused", 409)
 RECORD_MALFORMED = Failure("record-malformed", 500)
+STORE_HISTORY_LOST = Failure("store-history-lost", 410)
+
+# Workers.
+RUN_FENCED = Failure("run-fenced", 409)
+RUN_SUPERSEDED = Failure("run-superseded", 409)
+RUN_LATE = Failure("run-late", 409)
+RUN_NO_ROOM = Failure("run-no-room", 409)
+RUN_NO_TICKET = Failure("run-no-ticket", 409)
+WORKER_REPLACED = Failure("worker-replaced", 421)
+WORKER_BUSY = Failure("worker-busy", 503)
+WORKER_UNREACHABLE = Failure("worker-unreachable", 503)
 
 # Operators.
 OPERATOR_KEY_INVALID = Failure("operator-key-invalid", 401)
--- a/src/rosemarynotch/_internal/operators/app.py
+++ b/src/rosemarynotch/_internal/operators/app.py
@@ -17,7 +17,7 @@
 from rosemarynotch._internal.operators.keys import OperatorKeys
 from rosemarynotch._internal.operators.observer import Observer
 from rosemarynotch._internal.operators.report_calls import ReportCalls
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.metrics import Metrics
 
 __all__ = ["OperatorApp"]
--- a/src/rosemarynotch/_internal/operators/changes.py
+++ b/src/rosemarynotch/_internal/operators/changes.py
@@ -20,9 +20,9 @@
 from rosemarynotch._internal.models.records import ConfigVersion
 from rosemarynotch._internal.operators.trials import Trial
 from rosemarynotch._internal.operators.trials import Trials
-from rosemarynotch._internal.platform.records import CONFIG_KEY
-from rosemarynotch._internal.platform.records import Record
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import CONFIG_KEY
+from rosemarynotch._internal.reference.records import Record
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["Change", "ConfigChanges", "MAX_HISTORY"]
--- a/src/rosemarynotch/_internal/operators/fleet_calls.py
+++ b/src/rosemarynotch/_internal/operators/fleet_calls.py
@@ -18,8 +18,8 @@
 from rosemarynotch._internal.operators.jobs import OperatorJobs
 from rosemarynotch._internal.operators.observer import Observer
 from rosemarynotch._internal.operators import requests
-from rosemarynotch._internal.platform.records import Record
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import Record
+from rosemarynotch._internal.reference.records import RecordStore
 
 __all__ = ["FleetCalls", "Operations"]
 
--- a/src/rosemarynotch/_internal/operators/jobs.py
+++ b/src/rosemarynotch/_internal/operators/jobs.py
@@ -12,7 +12,7 @@
 from rosemarynotch._internal.models.jobs import JobStatus
 from rosemarynotch._internal.models.jobs import SHARD_COUNT
 from rosemarynotch._internal.models.jobs import table_key
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import RecordStore
 
 __all__ = ["Intake", "JobSummary", "OperatorJobs"]
 
--- a/src/rosemarynotch/_internal/operators/trials.py
+++ b/src/rosemarynotch/_internal/operators/trials.py
@@ -6,7 +6,7 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import RecordStore
 
 __all__ = ["Trial", "TrialRecord", "Trials", "TRIED_KEY"]
 
--- /dev/null
+++ b/src/rosemarynotch/_internal/platform/settings.py
@@ -0,0 +1,137 @@
+"""The settings file that the platform gives to a process."""
+
+import os
+
+import attrs
+import yaml
+
+from rosemarynotch._internal.exceptions import SettingsError
+
+__all__ = ["NodeSettings", "SETTINGS_VARIABLE", "load_settings"]
+
+SETTINGS_VARIABLE = "ROSEMARYNOTCH_CONFIG"
+
+
+@attrs.frozen(kw_only=True)
+class NodeSettings:
+    """What a node learns from its settings file.
+
+    :ivar callers_address: where callers connect, HOST:PORT
+    :ivar probe_address: where the load balancer asks for readiness
+    :ivar metrics_port: first port that is free on every node
+    :ivar max_lease_ms: longest lease that a worker grants
+    :ivar ack_timeout_ms: longest time that a caller waits for the answer to
+        a cancellation
+    :ivar stop_timeout_ms: longest time that a worker takes to stop a run
+    :ivar grace_s: time between SIGTERM and SIGKILL
+    :ivar remote_factor: how much slower tasks are away from their data
+    :ivar move_s: time that a VM needs to change its pool
+    :ivar holder_interval_ms: pause between orders of two holders to a VM
+    """
+
+    node: str
+    ip: str
+    data_centre: str
+    callers_address: str
+    probe_address: str
+    metrics_port: int
+    store_address: str
+    vm_service_address: str
+    advisor_address: str
+    max_lease_ms: int
+    ack_timeout_ms: int
+    stop_timeout_ms: int
+    gang_timeout_ms: int
+    grace_s: float
+    remote_factor: float
+    move_s: float
+    maintenance_s: float
+    holder_interval_ms: int
+
+
+def load_settings(path: str | None = None) -> NodeSettings:
+    """Read the settings file.
+
+    :param path: file to read; from the environment when not given
+    :raises SettingsError: naming everything that is missing or malformed
+    """
+    path = path or os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f"{SETTINGS_VARIABLE} is not set")
+    try:
+        with open(path, encoding="utf-8") as stream:
+            fields = yaml.load(stream, Loader=yaml.CSafeLoader)
+    except (OSError, yaml.YAMLError) as error:
+        raise SettingsError(f"{path}: {error}") from None
+    if not isinstance(fields, dict):
+        raise SettingsError(f"{path}: not a table")
+    reader = _Reader(fields)
+    values = {
+        "node": reader.read(str, "node"),
+        "ip": reader.read(str, "ip"),
+        "data_centre": reader.read(str, "zone"),
+        "callers_address": reader.address("listen-addrs", "frontend"),
+        "probe_address": reader.address("listen-addrs", "ready"),
+        "metrics_port": reader.read(int, "internal-port-range", 0),
+        "store_address": reader.address("platform", "address"),
+        "vm_service_address": reader.address(
+            "cloud-api", "address", default=""
+        ),
+        "advisor_address": reader.address("advisor", default=""),
+        "max_lease_ms": reader.bound(int, "max-hold-ms", 10_000),
+        "ack_timeout_ms": reader.bound(int, "ack-timeout-ms", 4_000),
+        "stop_timeout_ms": reader.bound(int, "stop-timeout-ms", 200),
+        "gang_timeout_ms": reader.bound(int, "gang-timeout-ms", 3_000),
+        "grace_s": reader.bound(float, "grace-s", 6.0),
+        "remote_factor": reader.bound(float, "remote-factor", 1.0),
+        "move_s": reader.bound(float, "migrate-s", 1.5),
+        "maintenance_s": reader.bound(float, "maintenance-s", 2.0),
+        "holder_interval_ms": reader.bound(int, "lease-ms", 3_000),
+    }
+    if reader.problems:
+        raise SettingsError(f"{path}: " + "; ".join(reader.problems))
+    return NodeSettings(**values)
+
+
+_REQUIRED = object()
+
+
+class _Reader:
+    """Reads fields and collects everything that is wrong with them."""
+
+    def __init__(self, fields: dict) -> None:
+        self._fields = fields
+        self.problems: list[str] = []
+
+    def read(self, kind: type, *path, default=_REQUIRED):
+        """Return a field of a type, or its default."""
+        value = self._fields
+        for part in path:
+            try:
+                value = value[part]
+            except (KeyError, IndexError, TypeError):
+                value = None
+            if value is None:
+                break
+        name = ".".join(str(part) for part in path)
+        if value is None:
+            if default is _REQUIRED:
+                self.problems.append(f"{name} is missing")
+                return None
+            return default
+        try:
+            return kind(value)
+        except (TypeError, ValueError):
+            self.problems.append(f"{name}: {value!r} is no {kind.__name__}")
+            return None
+
+    def bound(self, kind: type, name: str, default):
+        """Return one of the platform's bounds."""
+        return self.read(kind, "bounds", name, default=default)
+
+    def address(self, *path, default=_REQUIRED) -> str:
+        """Return a HOST:PORT."""
+        value = self.read(str, *path, default=default)
+        if value and not value.rpartition(":")[2].isdecimal():
+            self.problems.append(f"{'.'.join(path)}: no HOST:PORT")
+        return value
--- /dev/null
+++ b/src/rosemarynotch/_internal/platform/vms.py
@@ -0,0 +1,100 @@
+"""Client of the service that moves and maintains VMs."""
+
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import PLATFORM_REFUSED
+from rosemarynotch._internal.exceptions import PLATFORM_UNAVAILABLE
+from rosemarynotch._internal.platform.calls import call_json
+from rosemarynotch._internal.platform.calls import resource_fields
+from rosemarynotch._internal.scheduling.ports import FleetService
+from rosemarynotch._internal.scheduling.ports import FleetVm
+from rosemarynotch._internal.scheduling.ports import VmPhase
+from rosemarynotch._internal.utils.http import HttpClient
+
+__all__ = ["HttpFleetService"]
+
+PHASES = {
+    "up": VmPhase.UP,
+    "moving": VmPhase.MOVING,
+    "upkeep": VmPhase.MAINTENANCE,
+    "down": VmPhase.DOWN,
+}
+
+
+class HttpFleetService(FleetService):
+    """The VM service over HTTP.
+
+    :param http: connections to the service
+    :param node: name of this node, sent as the holder of the fence
+    """
+
+    def __init__(self, http: HttpClient, node: str) -> None:
+        self._http = http
+        self._node = node
+
+    def vms(self):
+        """List all VMs, page by page."""
+        found: list[FleetVm] = []
+        token = None
+        while True:
+            query = {} if token is None else {"page-token": token}
+            answer = call_json(
+                self._http,
+                "GET",
+                ("machines",),
+                PLATFORM_UNAVAILABLE,
+                query=query,
+            )
+            if isinstance(answer, Failure):
+                return answer
+            status, body = answer
+            if status != 200:
+                return PLATFORM_UNAVAILABLE.because(f"status {status}")
+            found += [_decode_vm(row) for row in body.get("machines", [])]
+            token = body.get("next-token")
+            if not token:
+                return found
+
+    def move(self, fence, vm, pool):
+        """Move a VM."""
+        return self._order("machine-move", fence, machine=vm, pool=pool)
+
+    def maintain(self, fence, vm, wave):
+        """Maintain a VM."""
+        return self._order("machine-upkeep", fence, machine=vm, wave=wave)
+
+    def _order(self, name: str, fence: int, **body) -> None | Failure:
+        headers = {
+            "Rosemarynotch-Lease-Holder": self._node,
+            "Rosemarynotch-Fencing-Token": str(fence),
+        }
+        answer = call_json(
+            self._http,
+            "POST",
+            (name,),
+            PLATFORM_UNAVAILABLE,
+            body=body,
+            headers=headers,
+            # The caller checks its leadership before each order.
+            repeatable=False,
+        )
+        if isinstance(answer, Failure):
+            return answer
+        status, fields = answer
+        if status == 200:
+            return None
+        if status == 409:
+            return PLATFORM_REFUSED.because(str(fields.get("reason", "")))
+        return PLATFORM_UNAVAILABLE.because(f"{name}: status {status}")
+
+
+def _decode_vm(row: dict) -> FleetVm:
+    return FleetVm(
+        name=row["machine"],
+        pool=row["pool"],
+        phase=PHASES.get(row["state"], VmPhase.DOWN),
+        data_centre=row.get("zone", ""),
+        labels=tuple(row.get("labels", ())),
+        capacity=resource_fields(row.get("capacity", {})),
+        # Names the worker that lives on the VM now.
+        worker_id=row.get("id") or "",
+    )
--- a/src/rosemarynotch/_internal/platform/http_store.py
+++ b/src/rosemarynotch/_internal/reference/http_store.py
@@ -5,9 +5,9 @@
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
-from rosemarynotch._internal.platform.interface import KeyRevision
-from rosemarynotch._internal.platform.interface import Store
-from rosemarynotch._internal.platform.interface import Versioned
+from rosemarynotch._internal.reference.interface import KeyRevision
+from rosemarynotch._internal.reference.interface import Store
+from rosemarynotch._internal.reference.interface import Versioned
 from rosemarynotch._internal.utils.clock import Clock
 from rosemarynotch._internal.utils.http import CALL_TIMEOUT_S
 from rosemarynotch._internal.utils.http import CallFailed
--- a/src/rosemarynotch/_internal/platform/http_tasks.py
+++ b/src/rosemarynotch/_internal/reference/http_tasks.py
@@ -1,8 +1,8 @@
 """The platform's task service over HTTP."""
 
-from rosemarynotch._internal.platform.interface import Task
-from rosemarynotch._internal.platform.interface import TaskService
-from rosemarynotch._internal.platform.service_call import ServiceClient
+from rosemarynotch._internal.reference.interface import Task
+from rosemarynotch._internal.reference.interface import TaskService
+from rosemarynotch._internal.reference.service_call import ServiceClient
 from rosemarynotch._internal.utils.clock import Clock
 from rosemarynotch._internal.utils.http import CALL_TIMEOUT_S
 
--- a/src/rosemarynotch/_internal/platform/http_vms.py
+++ b/src/rosemarynotch/_internal/reference/http_vms.py
@@ -1,8 +1,8 @@
 """The platform's VM service over HTTP."""
 
-from rosemarynotch._internal.platform.interface import PlatformVm
-from rosemarynotch._internal.platform.interface import VmService
-from rosemarynotch._internal.platform.service_call import ServiceClient
+from rosemarynotch._internal.reference.interface import PlatformVm
+from rosemarynotch._internal.reference.interface import VmService
+from rosemarynotch._internal.reference.service_call import ServiceClient
 from rosemarynotch._internal.utils.clock import Clock
 from rosemarynotch._internal.utils.http import CALL_TIMEOUT_S
 
--- a/src/rosemarynotch/_internal/platform/records.py
+++ b/src/rosemarynotch/_internal/reference/records.py
@@ -11,7 +11,7 @@
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models.records import Head
-from rosemarynotch._internal.platform.interface import Store
+from rosemarynotch._internal.reference.interface import Store
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = [
--- a/src/rosemarynotch/_internal/replay/fleet_simulation.py
+++ b/src/rosemarynotch/_internal/replay/fleet_simulation.py
@@ -26,10 +26,10 @@
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.models.records import VmState
 from rosemarynotch._internal.peers.heard import HeardMember
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
-from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.policy.moves import MovePolicy
 from rosemarynotch._internal.policy.waves import WavePolicy
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.replay.simulated_platform import SimulatedClock
 from rosemarynotch._internal.replay.simulated_platform import SimulatedStore
 from rosemarynotch._internal.replay.simulated_platform import SimulatedVms
--- a/src/rosemarynotch/_internal/replay/job_pass_cost.py
+++ b/src/rosemarynotch/_internal/replay/job_pass_cost.py
@@ -16,12 +16,12 @@
 from rosemarynotch._internal.models.document import VmSpec
 from rosemarynotch._internal.models.jobs import JobSubmission
 from rosemarynotch._internal.models.jobs import TABLE_PREFIX
-from rosemarynotch._internal.platform.interface import Task
-from rosemarynotch._internal.platform.interface import TaskService
-from rosemarynotch._internal.platform.interface import TaskState
 from rosemarynotch._internal.policy.moves import NoMoves
 from rosemarynotch._internal.policy.placement import LearntSpread
 from rosemarynotch._internal.policy.waves import AsManyAsAllowed
+from rosemarynotch._internal.reference.interface import Task
+from rosemarynotch._internal.reference.interface import TaskService
+from rosemarynotch._internal.reference.interface import TaskState
 from rosemarynotch._internal.replay.fleet_simulation import FleetSimulation
 
 __all__ = ["job_pass_cost", "print_job_pass_costs"]
--- a/src/rosemarynotch/_internal/replay/simulated_platform.py
+++ b/src/rosemarynotch/_internal/replay/simulated_platform.py
@@ -3,12 +3,12 @@
 import attrs
 
 from rosemarynotch._internal import exceptions as failures
-from rosemarynotch._internal.platform.interface import KeyRevision
-from rosemarynotch._internal.platform.interface import PlatformVm
-from rosemarynotch._internal.platform.interface import PlatformVmState
-from rosemarynotch._internal.platform.interface import Store
-from rosemarynotch._internal.platform.interface import Versioned
-from rosemarynotch._internal.platform.interface import VmService
+from rosemarynotch._internal.reference.interface import KeyRevision
+from rosemarynotch._internal.reference.interface import PlatformVm
+from rosemarynotch._internal.reference.interface import PlatformVmState
+from rosemarynotch._internal.reference.interface import Store
+from rosemarynotch._internal.reference.interface import Versioned
+from rosemarynotch._internal.reference.interface import VmService
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["SimulatedClock", "SimulatedStore", "SimulatedVms"]
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/config_feed.py
@@ -0,0 +1,115 @@
+"""The newest configuration, followed in the store."""
+
+from collections.abc import Callable
+import threading
+
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import STORE_HISTORY_LOST
+from rosemarynotch._internal.scheduling.model import Configuration
+from rosemarynotch._internal.scheduling.ports import CoordinationStore
+from rosemarynotch._internal.scheduling.ports import Item
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["ConfigFeed"]
+
+# A watch whose connection went silent is noticed after this time and the
+# time-out of a call; both are within the bound for new versions (2 s).
+WATCH_MS = 800
+RETRY_S = 0.2
+
+
+class ConfigFeed:
+    """Keeps the newest version that the store has.
+
+    :param key: where the operator writes it
+    :param decode: turns the operator's document into our type
+    """
+
+    def __init__(
+        self,
+        store: CoordinationStore,
+        clock: Clock,
+        key: str,
+        decode: Callable[[Item], Configuration | Failure],
+        log: Callable[..., None],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._key = key
+        self._decode = decode
+        self._log = log
+        self._lock = threading.Lock()
+        self._current: Configuration | None = None
+        self._contact_at_s = -1e9
+        self._failing = False
+
+    @property
+    def current(self) -> Configuration | None:
+        """Return the newest version known, None before the first."""
+        return self._current
+
+    def contact_age_s(self) -> float:
+        """Return how long ago the store confirmed the version."""
+        return self._clock.monotonic_s() - self._contact_at_s
+
+    def run(self, stop: threading.Event) -> None:
+        """Follow the key until the process stops."""
+        while not stop.is_set():
+            revision = self.refresh()
+            while revision and not stop.is_set():
+                revision = self._follow(revision)
+            stop.wait(RETRY_S)
+
+    def refresh(self) -> int:
+        """Read the key; return its revision, 0 if that failed."""
+        asked_at_s = self._clock.monotonic_s()
+        item = self._store.get(self._key)
+        if isinstance(item, Failure):
+            self._note_failure(item)
+            return 0
+        self._note_contact(asked_at_s)
+        self._apply(item)
+        return item.revision
+
+    def _follow(self, revision: int) -> int:
+        asked_at_s = self._clock.monotonic_s()
+        changes = self._store.watch(self._key, revision, WATCH_MS)
+        if isinstance(changes, Failure):
+            if not changes.is_a(STORE_HISTORY_LOST):
+                self._note_failure(changes)
+            return 0
+        self._note_contact(asked_at_s)
+        for item in changes.items:
+            if item.key == self._key and item.value is not None:
+                self._apply(item)
+        return max(revision, changes.revision)
+
+    def _apply(self, item: Item) -> None:
+        known = self._current
+        if known is not None and item.revision <= known.revision:
+            return
+        decoded = self._decode(item)
+        if isinstance(decoded, Failure):
+            self._log("configuration refused", why=decoded.reason)
+            return
+        with self._lock:
+            # Answers of two connections may overtake each other.
+            known = self._current
+            if known is None or decoded.revision > known.revision:
+                self._current = decoded
+        self._log(
+            "configuration in force",
+            version=decoded.version,
+            revision=decoded.revision,
+        )
+
+    def _note_contact(self, asked_at_s: float) -> None:
+        self._contact_at_s = asked_at_s
+        if self._failing:
+            self._failing = False
+            self._log("store regained")
+
+    def _note_failure(self, failure: Failure) -> None:
+        if not self._failing:
+            self._failing = True
+            self._log("store lost", why=failure.reason)
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -0,0 +1,355 @@
+"""The leader at work: threads around the scheduler's state."""
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+import queue
+import threading
+
+import attrs
+
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import RUN_FENCED
+from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
+from rosemarynotch._internal.models.codec import decode
+from rosemarynotch._internal.scheduling.advice import AdviceBook
+from rosemarynotch._internal.scheduling.intake_feed import IntakeFeed
+from rosemarynotch._internal.scheduling.leadership import Grant
+from rosemarynotch._internal.scheduling.leadership import Leadership
+from rosemarynotch._internal.scheduling.model import Configuration
+from rosemarynotch._internal.scheduling.ordering import ObjectiveOrder
+from rosemarynotch._internal.scheduling.placement import BestFit
+from rosemarynotch._internal.scheduling.planner import Planner
+from rosemarynotch._internal.scheduling.planner import StartCommand
+from rosemarynotch._internal.scheduling.planner import StopCommand
+from rosemarynotch._internal.scheduling.ports import Advisor
+from rosemarynotch._internal.scheduling.ports import CoordinationStore
+from rosemarynotch._internal.scheduling.ports import Item
+from rosemarynotch._internal.scheduling.ports import StartOrder
+from rosemarynotch._internal.scheduling.ports import WorkerChannel
+from rosemarynotch._internal.scheduling.ports import WorkerEntry
+from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
+from rosemarynotch._internal.scheduling.records import ROSTER_KEY
+from rosemarynotch._internal.scheduling.records import RosterRecord
+from rosemarynotch._internal.scheduling.scheduler import Scheduler
+from rosemarynotch._internal.scheduling.worker_link import WorkerLink
+from rosemarynotch._internal.scheduling.workers import Worker
+from rosemarynotch._internal.utils.clock import Clock
+from rosemarynotch._internal.utils.metrics import Metrics
+
+__all__ = ["Controller", "ControllerPorts"]
+
+# Lease on the runs of a worker: longer than it takes to change the leader
+# (LEASE_TTL_MS of the leadership and a start), and short, since the tasks of
+# a worker that cannot be reached start elsewhere only after it.
+LEASE_S = 6.0
+# Calls that give orders at the same time.
+ORDER_THREADS = 24
+# A pass is made at least this often and at most this often.
+PASS_INTERVAL_S = 0.05
+MIN_PASS_INTERVAL_S = 0.008
+# Workers write their entries about every 1.5 s.
+LIST_INTERVAL_S = 0.5
+RETRY_S = 0.1
+ADVICE_WAIT_S = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class ControllerPorts:
+    """What the leader talks to.
+
+    :ivar workers_prefix: prefix of the workers' entries in the store
+    :ivar decode_worker: turns an entry into our type
+    :ivar connect_worker: opens a channel to a worker
+    :ivar advisor: None where there is no advice service
+    """
+
+    store: CoordinationStore
+    workers_prefix: str
+    decode_worker: Callable[[Item], WorkerEntry | Failure]
+    connect_worker: Callable[[WorkerEntry], WorkerChannel]
+    advisor: Advisor | None = None
+
+
+class Controller:
+    """Runs one term of a leader.
+
+    :param configuration: returns the newest version
+    :param longest_lease_s: longest lease that a worker may have been given
+    """
+
+    def __init__(
+        self,
+        grant: Grant,
+        leadership: Leadership,
+        ports: ControllerPorts,
+        configuration: Callable[[], Configuration | None],
+        clock: Clock,
+        metrics: Metrics,
+        log: Callable[..., None],
+        longest_lease_s: float = LEASE_S,
+    ) -> None:
+        self.grant = grant
+        self.leadership = leadership
+        self.ports = ports
+        self.clock = clock
+        self.metrics = metrics
+        self.log = log
+        self.lock = threading.RLock()
+        self.stop = threading.Event()
+        self.scheduler = Scheduler(
+            grant.term, grant.fence, longest_lease_s, log
+        )
+        self.advice = AdviceBook()
+        self.planner = Planner(
+            self.scheduler, ObjectiveOrder(), BestFit(), self.advice, log
+        )
+        self.writer = ProgressWriter(self)
+        self._configuration = configuration
+        self._events: queue.SimpleQueue[Callable[[float], None]] = (
+            queue.SimpleQueue()
+        )
+        self._links: dict[str, WorkerLink] = {}
+        self._orders = ThreadPoolExecutor(ORDER_THREADS, "orders")
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether orders may be given."""
+        return not self.stop.is_set() and self.leadership.holds(self.grant)
+
+    def post(self, event: Callable[[float], None]) -> None:
+        """Run something in the thread of the state, with the time."""
+        self._events.put(event)
+
+    def run(self) -> None:
+        """Lead until the grant ends."""
+        feed = IntakeFeed(self)
+        if not self._retry(self._load_roster) or not self._retry(feed.load):
+            self._close()
+            return
+        self.log(
+            "leading",
+            term=self.grant.term,
+            jobs=len(self.scheduler.jobs),
+            active=len(self.scheduler.active),
+        )
+        self._start_thread(feed.run, "intake-feed")
+        self._start_thread(self._follow_workers, "worker-list")
+        self._start_thread(self.writer.run, "progress-writer")
+        if self.ports.advisor is not None:
+            self._start_thread(self._ask_advice, "advice")
+        try:
+            while self.is_running:
+                self._pass()
+        finally:
+            self._close()
+
+    def _start_thread(self, target: Callable[[], None], name: str) -> None:
+        threading.Thread(target=target, name=name, daemon=True).start()
+
+    def _retry(self, load: Callable[[], bool]) -> bool:
+        while self.is_running:
+            if load():
+                return True
+            self.clock.sleep(RETRY_S)
+        return False
+
+    def _close(self) -> None:
+        self.stop.set()
+        self._orders.shutdown(wait=False, cancel_futures=True)
+        self.log("not leading", term=self.grant.term)
+
+    # The thread of the state.
+
+    def _pass(self) -> None:
+        started_s = self.clock.monotonic_s()
+        try:
+            events = [self._events.get(timeout=PASS_INTERVAL_S)]
+        except queue.Empty:
+            events = []
+        while True:
+            try:
+                events.append(self._events.get_nowait())
+            except queue.Empty:
+                break
+        with self.lock:
+            now_s = self.clock.monotonic_s()
+            for event in events:
+                event(now_s)
+            commands = self._plan(now_s)
+        for command in commands:
+            self._orders.submit(self._send, command)
+        self.writer.wake()
+        left_s = MIN_PASS_INTERVAL_S - (self.clock.monotonic_s() - started_s)
+        if left_s > 0:
+            self.clock.sleep(left_s)
+
+    def _plan(self, now_s: float) -> list[StartCommand | StopCommand]:
+        scheduler = self.scheduler
+        scheduler.configuration = (
+            self._configuration() or scheduler.configuration
+        )
+        for worker_id in scheduler.expire_workers(now_s):
+            link = self._links.pop(worker_id, None)
+            if link is not None:
+                link.close()
+        if not self.is_running:
+            return []
+        commands = self.planner.follow_up(now_s)
+        wall_ms = self.clock.wall_s() * 1000
+        commands += self.planner.place(now_s, wall_ms)
+        return commands
+
+    # Orders.
+
+    def _send(self, command: StartCommand | StopCommand) -> None:
+        if isinstance(command, StartCommand):
+            self._send_start(command)
+        else:
+            self._send_stop(command)
+
+    def extend_lease(self, worker: Worker) -> int:
+        """Return the end of a lease from now on, on the worker's clock."""
+        now_s = self.clock.monotonic_s()
+        until_ms = worker.lease_end_ms(now_s, LEASE_S)
+        # Counted before it is sent: an order without an answer may be
+        # carried out as well.
+        worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+        return until_ms
+
+    def _send_start(self, command: StartCommand) -> None:
+        run, worker = command.run, command.worker
+        link = self._links.get(worker.worker_id)
+        if link is None or not self.is_running:
+            return
+        task = run.task
+        job = task.step.occurrence.job
+        order = StartOrder(
+            task=task.task_id,
+            run=run.number,
+            payload=job.submission.spec.payload,
+            lease_until_worker_ms=self.extend_lease(worker),
+            checkpoint=task.checkpoint,
+            ticket=command.ticket,
+        )
+        started_s = self.clock.monotonic_s()
+        answer = link.channel.start(self.grant.fence, order)
+        now_s = self.clock.monotonic_s()
+        how = answer.code if isinstance(answer, Failure) else "started"
+        self.metrics.count("starts", queue=job.submission.queue, how=how)
+        self.metrics.record_ms("start_call", (now_s - started_s) * 1000)
+        self.log(
+            "run ordered",
+            job=job.job_id,
+            task=str(order.task),
+            run=order.run,
+            worker=worker.worker_id,
+            outcome=how,
+        )
+        self.check_fence(answer)
+        self.post(
+            lambda now_s: self.scheduler.on_start_answer(run, answer, now_s)
+        )
+
+    def _send_stop(self, command: StopCommand) -> None:
+        run = command.run
+        link = self._links.get(command.worker.worker_id)
+        if link is None or not self.is_running:
+            return
+        answer = link.channel.stop(
+            self.grant.fence, run.task.task_id, run.number
+        )
+        self.log(
+            "run stop ordered",
+            task=str(run.task.task_id),
+            run=run.number,
+            worker=command.worker.worker_id,
+            outcome=answer.code if answer else "stopping",
+        )
+        self.check_fence(answer)
+        self.post(
+            lambda now_s: self.scheduler.on_stop_answer(run, answer, now_s)
+        )
+
+    def check_fence(self, answer: object) -> None:
+        """End the term if a worker has seen a later leader."""
+        if isinstance(answer, Failure) and answer.is_a(RUN_FENCED):
+            self.leadership.give_up(self.grant, "a worker has a higher fence")
+
+    # Workers.
+
+    def _load_roster(self) -> bool:
+        """Learn which workers may hold runs of earlier leaders."""
+        item = self.ports.store.get(ROSTER_KEY)
+        if isinstance(item, Failure):
+            return item.is_a(STORE_KEY_MISSING)
+        roster = decode(item.value, RosterRecord)
+        if isinstance(roster, Failure):
+            self.log("roster refused", why=roster.reason)
+            return True
+        entries = [
+            WorkerEntry(
+                worker_id=worker_id,
+                started_unix_ms=0,
+                pool=pool,
+                address=address,
+            )
+            for worker_id, (pool, address) in roster.workers.items()
+        ]
+        with self.lock:
+            now_s = self.clock.monotonic_s()
+            self._add_links(self.scheduler.set_workers(entries, now_s))
+        return True
+
+    def _follow_workers(self) -> None:
+        while self.is_running:
+            listing = self.ports.store.list_prefix(self.ports.workers_prefix)
+            if not isinstance(listing, Failure):
+                entries = []
+                for item in listing.items:
+                    entry = self.ports.decode_worker(item)
+                    if not isinstance(entry, Failure):
+                        entries.append(entry)
+                self.post(
+                    lambda now_s, entries=entries: self._set_workers(
+                        entries, now_s
+                    )
+                )
+            self.stop.wait(LIST_INTERVAL_S)
+
+    def _set_workers(self, entries: list[WorkerEntry], now_s: float) -> None:
+        added = self.scheduler.set_workers(entries, now_s)
+        if added:
+            self.writer.roster_is_old = True
+        self._add_links(added)
+
+    def _add_links(self, added: list[Worker]) -> None:
+        for worker in added:
+            channel = self.ports.connect_worker(worker.entry)
+            link = WorkerLink(self, worker, channel)
+            self._links[worker.worker_id] = link
+            self._start_thread(link.run, f"worker-{worker.worker_id}")
+
+    def notify_links(self) -> None:
+        """Wake the links whose ends have been written."""
+        for link in list(self._links.values()):
+            link.notify()
+
+    # Advice.
+
+    def _ask_advice(self) -> None:
+        while self.is_running:
+            if not self.advice.has_requests.wait(ADVICE_WAIT_S):
+                continue
+            request = self.advice.next_request()
+            if request is None:
+                continue
+            asked_at_s = self.clock.monotonic_s()
+            job_id, occurrence, step = request.key
+            answer = self.ports.advisor.advise(
+                job_id, occurrence, step, list(request.workers)
+            )
+            if isinstance(answer, Failure):
+                self.log("advice failed", job=job_id, why=answer.reason)
+                continue
+            self.advice.note_answer(request, answer, asked_at_s)
+            self.post(lambda now_s: None)
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/desk.py
@@ -0,0 +1,198 @@
+"""What a node does for callers."""
+
+from collections.abc import Callable
+import uuid
+
+import attrs
+
+from rosemarynotch._internal.exceptions import CONFIGURATION_MISSING
+from rosemarynotch._internal.exceptions import CONFIGURATION_STALE
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import KEY_INVALID
+from rosemarynotch._internal.exceptions import KEY_MISSING
+from rosemarynotch._internal.exceptions import OVERLOADED
+from rosemarynotch._internal.exceptions import QUEUE_UNKNOWN
+from rosemarynotch._internal.scheduling.config_feed import ConfigFeed
+from rosemarynotch._internal.scheduling.intake import JobIntake
+from rosemarynotch._internal.scheduling.model import Configuration
+from rosemarynotch._internal.scheduling.model import JobSpec
+from rosemarynotch._internal.scheduling.model import QueuePolicy
+from rosemarynotch._internal.scheduling.ports import Change
+from rosemarynotch._internal.scheduling.records import Phase
+from rosemarynotch._internal.scheduling.records import SubmissionRecord
+from rosemarynotch._internal.utils.clock import Clock
+from rosemarynotch._internal.utils.metrics import Metrics
+
+__all__ = ["CallerRequest", "JobDesk"]
+
+# A node that has not reached the store for this time takes no work: other
+# nodes may know a newer configuration. Below the bound for new versions.
+MAX_CONTACT_AGE_S = 2.5
+# Attempts to accept a job while configurations come in quick succession.
+MAX_ATTEMPTS = 4
+RETRY_AFTER_S = 1
+
+
+@attrs.frozen(kw_only=True)
+class CallerRequest:
+    """A request whose queue and key are valid.
+
+    :ivar organisation: None for a call without a key to a public queue
+    :ivar wait_ms: how long the caller waits, 0 if unsaid
+    """
+
+    configuration: Configuration
+    queue: QueuePolicy
+    host: str
+    path: str
+    key: str
+    organisation: str | None
+    wait_ms: int
+
+
+class JobDesk:
+    """Checks callers and hands their jobs to the intake."""
+
+    def __init__(
+        self,
+        follower: ConfigFeed,
+        intake: JobIntake,
+        clock: Clock,
+        metrics: Metrics,
+        log: Callable[..., None],
+    ) -> None:
+        self._follower = follower
+        self._intake = intake
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._is_leaving = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the node can accept jobs."""
+        return (
+            not self._is_leaving
+            and self._follower.current is not None
+            and self._follower.contact_age_s() < MAX_CONTACT_AGE_S
+        )
+
+    def announce_leaving(self) -> None:
+        """Report the node as not ready."""
+        self._is_leaving = True
+
+    def retry_after_s(self, failure: Failure) -> int:
+        """Return when a refused caller should come back."""
+        return RETRY_AFTER_S
+
+    def open_request(
+        self, *, host: str, path: str, key: str, wait_ms: int
+    ) -> CallerRequest | Failure:
+        """Find the queue and check the key of a request."""
+        configuration = self._follower.current
+        if configuration is None:
+            return CONFIGURATION_MISSING
+        queue = configuration.find_queue(host, path)
+        if queue is None:
+            return QUEUE_UNKNOWN.because(f"{host}{path}")
+        organisation = configuration.organisation_of(key) if key else None
+        if organisation is None and not queue.is_public:
+            return KEY_INVALID if key else KEY_MISSING
+        return CallerRequest(
+            configuration=configuration,
+            queue=queue,
+            host=host,
+            path=path,
+            key=key,
+            organisation=organisation,
+            wait_ms=wait_ms,
+        )
+
+    def submit(
+        self, request: CallerRequest, job_id: str, spec: JobSpec
+    ) -> None | Failure:
+        """Accept a job, or refuse it."""
+        started_s = self._clock.monotonic_s()
+        result = self._submit(request, job_id, spec)
+        took_ms = (self._clock.monotonic_s() - started_s) * 1000
+        outcome = result.code if result else "accepted"
+        queue = request.queue.name
+        self._metrics.count("submissions", queue=queue, outcome=outcome)
+        self._metrics.record_ms("submission", took_ms, queue=queue)
+        self._log(
+            "job submitted",
+            job=job_id,
+            queue=queue,
+            organisation=request.organisation,
+            configuration=request.configuration.version,
+            outcome=outcome,
+            why=result.reason if result else "",
+            took_ms=round(took_ms, 1),
+        )
+        return result
+
+    def _submit(
+        self, request: CallerRequest, job_id: str, spec: JobSpec
+    ) -> None | Failure:
+        if not self._is_in_contact():
+            return CONFIGURATION_STALE
+        for _ in range(MAX_ATTEMPTS):
+            record = SubmissionRecord(
+                queue=request.queue.name,
+                pool=request.queue.pool,
+                organisation=request.organisation or "",
+                spec=spec,
+                accepted_unix_ms=round(self._clock.wall_s() * 1000),
+                attempt_id=uuid.uuid4().hex,
+            )
+            answer = self._intake.submit(
+                job_id,
+                record,
+                request.configuration.revision,
+                request.wait_ms,
+            )
+            if not isinstance(answer, Change):
+                return answer
+            self._follower.refresh()
+            renewed = self.open_request(
+                host=request.host,
+                path=request.path,
+                key=request.key,
+                wait_ms=request.wait_ms,
+            )
+            if isinstance(renewed, Failure):
+                return renewed
+            request = renewed
+        return OVERLOADED.because("the configuration keeps changing")
+
+    def _is_in_contact(self) -> bool:
+        return self._follower.contact_age_s() < MAX_CONTACT_AGE_S
+
+    def phase(self, request: CallerRequest, job_id: str) -> Phase | Failure:
+        """Return where a job is."""
+        phase = self._intake.phase(job_id, request.organisation)
+        self._note("state", request, phase)
+        return phase
+
+    def cancel(self, request: CallerRequest, job_id: str) -> None | Failure:
+        """Cancel a job."""
+        failure = self._intake.cancel(job_id, request.organisation)
+        self._note("cancel", request, failure)
+        self._log(
+            "job cancelled by its caller",
+            job=job_id,
+            outcome=failure.code if failure else "recorded",
+        )
+        return failure
+
+    def waiting_count(self, request: CallerRequest) -> int | Failure:
+        """Return the number of waiting jobs of a queue."""
+        count = self._intake.waiting_count(request.queue.name)
+        self._note("waiting", request, count)
+        return count
+
+    def _note(self, call: str, request: CallerRequest, result) -> None:
+        outcome = result.code if isinstance(result, Failure) else "ok"
+        self._metrics.count(
+            "calls", call=call, queue=request.queue.name, outcome=outcome
+        )
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/intake.py
@@ -0,0 +1,273 @@
+"""Acceptance, state and cancellation of jobs; every node does this."""
+
+from collections.abc import Callable
+from concurrent.futures import Future
+import queue
+import threading
+
+import attrs
+
+from rosemarynotch._internal.exceptions import ACCEPTANCE_UNKNOWN
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import JOB_UNKNOWN
+from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
+from rosemarynotch._internal.models.codec import decode
+from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.ports import Change
+from rosemarynotch._internal.scheduling.ports import Condition
+from rosemarynotch._internal.scheduling.ports import CoordinationStore
+from rosemarynotch._internal.scheduling.ports import Write
+from rosemarynotch._internal.scheduling.records import CANCELLATIONS_PREFIX
+from rosemarynotch._internal.scheduling.records import JOBS_PREFIX
+from rosemarynotch._internal.scheduling.records import LOAD_KEY
+from rosemarynotch._internal.scheduling.records import LoadRecord
+from rosemarynotch._internal.scheduling.records import Phase
+from rosemarynotch._internal.scheduling.records import PROGRESS_PREFIX
+from rosemarynotch._internal.scheduling.records import ProgressRecord
+from rosemarynotch._internal.scheduling.records import SubmissionRecord
+from rosemarynotch._internal.utils.clock import Clock
+
+__all__ = ["JobIntake"]
+
+# A transaction takes 32 entries in all, and a job needs two of them.
+MAX_BATCH = 15
+# The counts of the leader are used while they are this young; the platform
+# allows counts to be 2 s old.
+MAX_LOAD_AGE_MS = 1500
+# Without an answer of the store, a write is tried again until this time.
+GIVE_UP_S = 1.2
+RETRY_S = 0.05
+# A writer without work looks this often whether it has to stop.
+IDLE_S = 0.5
+# Part of the caller's deadline that may pass without an answer.
+DEADLINE_SHARE = 0.7
+
+
+@attrs.define
+class _Pending:
+    job_id: str
+    record: SubmissionRecord
+    configuration_revision: int
+    give_up_at_s: float
+    result: Future
+    is_unknown: bool = False
+
+
+class JobIntake:
+    """Writes accepted jobs to the store and reads their state.
+
+    :param configuration_key: key whose revision must be unchanged when a job
+        is accepted, so that no job is accepted under an older version
+    """
+
+    def __init__(
+        self,
+        store: CoordinationStore,
+        clock: Clock,
+        configuration_key: str,
+        log: Callable[..., None],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._configuration_key = configuration_key
+        self._log = log
+        self._queue: queue.SimpleQueue[_Pending] = queue.SimpleQueue()
+
+    def submit(
+        self,
+        job_id: str,
+        record: SubmissionRecord,
+        configuration_revision: int,
+        wait_ms: int = 0,
+    ) -> None | Failure | Change:
+        """Store a job once.
+
+        :param wait_ms: how long the caller waits, 0 if unsaid
+        :returns: None when the job is stored, also by an earlier attempt; a
+            Change when the configuration has changed meanwhile; a failure
+            with ``ran`` NO only if this attempt can never be stored
+        """
+        give_up_s = GIVE_UP_S
+        if wait_ms:
+            give_up_s = min(give_up_s, wait_ms / 1000 * DEADLINE_SHARE)
+        pending = _Pending(
+            job_id,
+            record,
+            configuration_revision,
+            self._clock.monotonic_s() + give_up_s,
+            Future(),
+        )
+        self._queue.put(pending)
+        return pending.result.result()
+
+    def run(self, stop: threading.Event) -> None:
+        """Write batches until the process stops."""
+        while not stop.is_set():
+            batch = self._next_batch()
+            if batch:
+                self._write(batch)
+
+    def _next_batch(self) -> list[_Pending]:
+        batch: list[_Pending] = []
+        try:
+            batch.append(self._queue.get(timeout=IDLE_S))
+            while len(batch) < MAX_BATCH:
+                batch.append(self._queue.get_nowait())
+        except queue.Empty:
+            pass
+        revisions = {each.configuration_revision for each in batch}
+        newest = max(revisions, default=0)
+        # One transaction has one condition on the configuration; a job id
+        # may occur once in it.
+        chosen: dict[str, _Pending] = {}
+        for each in batch:
+            if each.configuration_revision != newest or (
+                each.job_id in chosen
+            ):
+                self._queue.put(each)
+            else:
+                chosen[each.job_id] = each
+        return list(chosen.values())
+
+    def _write(self, batch: list[_Pending]) -> None:
+        conditions = [
+            Condition(self._configuration_key, batch[0].configuration_revision)
+        ]
+        conditions += [
+            Condition(JOBS_PREFIX + each.job_id, 0) for each in batch
+        ]
+        writes = [
+            Write(JOBS_PREFIX + each.job_id, encode(each.record))
+            for each in batch
+        ]
+        answer = self._store.commit(conditions, writes)
+        if isinstance(answer, int):
+            for each in batch:
+                each.result.set_result(None)
+        elif isinstance(answer, Change):
+            self._settle_conflict(batch, answer)
+        else:
+            self._settle_failure(batch, answer)
+
+    def _settle_conflict(self, batch: list[_Pending], change: Change) -> None:
+        found = {item.key: item for item in change.items}
+        configuration = found.get(self._configuration_key)
+        for each in batch:
+            if JOBS_PREFIX + each.job_id in found:
+                each.result.set_result(None)
+            elif (
+                configuration is None
+                or configuration.revision != each.configuration_revision
+            ):
+                # An attempt without an answer has failed for good: its
+                # condition on the configuration can never hold again.
+                each.result.set_result(change)
+            else:
+                self._queue.put(each)
+
+    def _settle_failure(self, batch: list[_Pending], failure: Failure) -> None:
+        now_s = self._clock.monotonic_s()
+        for each in batch:
+            each.is_unknown |= failure.ran is not Ran.NO
+            if not each.is_unknown:
+                each.result.set_result(failure)
+            elif now_s >= each.give_up_at_s:
+                reason = failure.reason
+                each.result.set_result(ACCEPTANCE_UNKNOWN.because(reason))
+            else:
+                self._queue.put(each)
+        self._clock.sleep(RETRY_S)
+
+    def is_known(self, job_id: str) -> bool | Failure:
+        """Tell whether a job is stored."""
+        item = self._store.get(JOBS_PREFIX + job_id)
+        if not isinstance(item, Failure):
+            return True
+        return False if item.is_a(STORE_KEY_MISSING) else item
+
+    def phase(self, job_id: str, organisation: str | None) -> Phase | Failure:
+        """Return where a job is.
+
+        :param organisation: who asks; None for calls without a key
+        :returns: the phase, JOB_UNKNOWN or STORE_UNAVAILABLE
+        """
+        item = self._store.get(PROGRESS_PREFIX + job_id)
+        if not isinstance(item, Failure):
+            progress = decode(item.value, ProgressRecord)
+            if isinstance(progress, Failure):
+                return progress
+            if not _may_see(organisation, progress.organisation):
+                return JOB_UNKNOWN
+            return progress.phase
+        if not item.is_a(STORE_KEY_MISSING):
+            return item
+        found = self._submission(job_id, organisation)
+        return found if isinstance(found, Failure) else Phase.QUEUED
+
+    def _submission(
+        self, job_id: str, organisation: str | None
+    ) -> SubmissionRecord | Failure:
+        item = self._store.get(JOBS_PREFIX + job_id)
+        if isinstance(item, Failure):
+            if item.is_a(STORE_KEY_MISSING):
+                return JOB_UNKNOWN.because(job_id)
+            return item
+        record = decode(item.value, SubmissionRecord)
+        if isinstance(record, Failure):
+            return record
+        if not _may_see(organisation, record.organisation):
+            return JOB_UNKNOWN.because(job_id)
+        return record
+
+    def cancel(self, job_id: str, organisation: str | None) -> None | Failure:
+        """Record that a job is cancelled; repeating it is harmless."""
+        found = self._submission(job_id, organisation)
+        if isinstance(found, Failure):
+            return found
+        key = CANCELLATIONS_PREFIX + job_id
+        give_up_at_s = self._clock.monotonic_s() + GIVE_UP_S
+        while True:
+            answer = self._store.commit([Condition(key, 0)], [Write(key, b"")])
+            if not isinstance(answer, Failure):
+                return None
+            if self._clock.monotonic_s() >= give_up_at_s:
+                return answer
+            self._clock.sleep(RETRY_S)
+
+    def waiting_count(self, queue_name: str) -> int | Failure:
+        """Return the number of jobs of a queue that no task has started."""
+        item = self._store.get(LOAD_KEY)
+        if not isinstance(item, Failure):
+            load = decode(item.value, LoadRecord)
+            now_ms = self._clock.wall_s() * 1000
+            if (
+                not isinstance(load, Failure)
+                and abs(now_ms - load.written_unix_ms) < MAX_LOAD_AGE_MS
+            ):
+                return load.waiting.get(queue_name, 0)
+        return self._count_waiting(queue_name)
+
+    def _count_waiting(self, queue_name: str) -> int | Failure:
+        """Count in the store while there is no leader that counts."""
+        jobs = self._store.list_prefix(JOBS_PREFIX)
+        if isinstance(jobs, Failure):
+            return jobs
+        progress = self._store.list_prefix(PROGRESS_PREFIX)
+        if isinstance(progress, Failure):
+            return progress
+        started = {
+            item.key.removeprefix(PROGRESS_PREFIX) for item in progress.items
+        }
+        count = 0
+        for item in jobs.items:
+            if item.key.removeprefix(JOBS_PREFIX) in started:
+                continue
+            record = decode(item.value, SubmissionRecord)
+            if not isinstance(record, Failure):
+                count += record.queue == queue_name
+        return count
+
+
+def _may_see(organisation: str | None, owner: str) -> bool:
+    return organisation is None or not owner or organisation == owner
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -0,0 +1,170 @@
+"""Writes the progress of jobs to the store, in batches."""
+
+import threading
+from typing import TYPE_CHECKING
+
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.jobs import Job
+from rosemarynotch._internal.scheduling.ports import Change
+from rosemarynotch._internal.scheduling.ports import Condition
+from rosemarynotch._internal.scheduling.ports import Write
+from rosemarynotch._internal.scheduling.records import LEADER_KEY
+from rosemarynotch._internal.scheduling.records import LOAD_KEY
+from rosemarynotch._internal.scheduling.records import LoadRecord
+from rosemarynotch._internal.scheduling.records import Phase
+from rosemarynotch._internal.scheduling.records import PROGRESS_PREFIX
+from rosemarynotch._internal.scheduling.records import ROSTER_KEY
+from rosemarynotch._internal.scheduling.records import RosterRecord
+
+if TYPE_CHECKING:
+    from rosemarynotch._internal.scheduling.controller import Controller
+
+__all__ = ["ProgressWriter"]
+
+# A transaction takes 32 entries in all: two for each job, and one each for
+# the leader and the load.
+MAX_JOBS = 14
+# Changes that come within this time are written together.
+GATHER_S = 0.02
+LOAD_INTERVAL_S = 0.5
+RETRY_S = 0.05
+
+
+class ProgressWriter:
+    """Makes the changes of the scheduler durable, under the leader's key.
+
+    Every write expects the leader's key unchanged, so that a write of an
+    earlier leader that is carried out late does nothing.
+
+    :ivar roster_is_old: workers were added since the roster was written
+    """
+
+    def __init__(self, controller: "Controller") -> None:
+        self._controller = controller
+        self._wake = threading.Event()
+        self._load_written_at_s = -1e9
+        self.roster_is_old = True
+
+    def wake(self) -> None:
+        """Write soon if something has changed."""
+        if self._controller.scheduler.dirty:
+            self._wake.set()
+
+    def run(self) -> None:
+        """Write until the term ends."""
+        controller = self._controller
+        while controller.is_running:
+            self._wake.wait(LOAD_INTERVAL_S / 2)
+            controller.stop.wait(GATHER_S)
+            self._wake.clear()
+            if not self._write():
+                controller.stop.wait(RETRY_S)
+                self._wake.set()
+
+    def flush(self) -> None:
+        """Write everything, before a planned stop."""
+        while self._controller.is_running and (
+            self._controller.scheduler.dirty
+        ):
+            if not self._write():
+                return
+
+    def _write(self) -> bool:
+        controller = self._controller
+        with controller.lock:
+            batch = self._batch()
+            now_s = controller.clock.monotonic_s()
+            load_is_due = now_s - self._load_written_at_s > LOAD_INTERVAL_S
+            extra = self._extra_writes(load_is_due)
+            enrolled = list(controller.scheduler.workers.values())
+            self.roster_is_old = False
+        if not batch and not extra:
+            return True
+        conditions = [Condition(LEADER_KEY, controller.grant.fence)]
+        conditions += [
+            Condition(PROGRESS_PREFIX + job.job_id, job.progress_revision)
+            for job, _, _ in batch
+        ]
+        writes = [
+            Write(PROGRESS_PREFIX + job.job_id, value)
+            for job, _, value in batch
+        ]
+        answer = controller.ports.store.commit(conditions, writes + extra)
+        if not isinstance(answer, int):
+            self.roster_is_old = True
+        if isinstance(answer, Failure):
+            controller.log("progress not written", why=answer.reason)
+            return False
+        if isinstance(answer, Change):
+            return self._note_conflict(batch, answer)
+        if len(extra) > load_is_due:
+            for worker in enrolled:
+                worker.is_enrolled = True
+        self._note_written(batch, answer, load_is_due)
+        return True
+
+    def _batch(self) -> list[tuple[Job, int, bytes]]:
+        dirty = list(self._controller.scheduler.dirty.values())[:MAX_JOBS]
+        wall_ms = round(self._controller.clock.wall_s() * 1000)
+        for job in dirty:
+            if job.phase.is_final and not job.finished_unix_ms:
+                job.finished_unix_ms = wall_ms
+        return [(job, job.change, encode(job.progress())) for job in dirty]
+
+    def _extra_writes(self, load_is_due: bool) -> list[Write]:
+        writes = []
+        if load_is_due:
+            writes.append(Write(LOAD_KEY, encode(self._load())))
+        if self.roster_is_old:
+            writes.append(Write(ROSTER_KEY, encode(self._roster())))
+        return writes
+
+    def _load(self) -> LoadRecord:
+        waiting: dict[str, int] = {}
+        for job in self._controller.scheduler.active.values():
+            if job.phase is Phase.QUEUED:
+                name = job.submission.queue
+                waiting[name] = waiting.get(name, 0) + 1
+        wall_ms = round(self._controller.clock.wall_s() * 1000)
+        return LoadRecord(written_unix_ms=wall_ms, waiting=waiting)
+
+    def _roster(self) -> RosterRecord:
+        workers = self._controller.scheduler.workers.values()
+        return RosterRecord(
+            term=self._controller.grant.term,
+            workers={
+                worker.worker_id: (worker.entry.pool, worker.entry.address)
+                for worker in workers
+            },
+        )
+
+    def _note_written(self, batch, revision: int, load_is_due: bool) -> None:
+        controller = self._controller
+        if load_is_due:
+            self._load_written_at_s = controller.clock.monotonic_s()
+        with controller.lock:
+            for job, change, _ in batch:
+                controller.scheduler.note_written(job, change, revision)
+            controller.scheduler.settle_acks()
+        controller.notify_links()
+
+    def _note_conflict(self, batch, change: Change) -> bool:
+        """Take over the revisions of writes whose answers were lost."""
+        controller = self._controller
+        found = {item.key: item for item in change.items}
+        leader = found.get(LEADER_KEY)
+        if leader is None or leader.revision != controller.grant.fence:
+            controller.leadership.give_up(
+                controller.grant, "the leader's key has changed"
+            )
+            return False
+        with controller.lock:
+            for job, written, value in batch:
+                item = found.get(PROGRESS_PREFIX + job.job_id)
+                job.progress_revision = item.revision if item else 0
+                if item is not None and item.value == value:
+                    controller.scheduler.note_written(
+                        job, written, item.revision
+                    )
+        return True
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -0,0 +1,448 @@
+"""State of all jobs and workers of the leader, without input and output."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.exceptions import RUN_SUPERSEDED
+from rosemarynotch._internal.exceptions import WORKER_REPLACED
+from rosemarynotch._internal.scheduling.durations import LearntDurations
+from rosemarynotch._internal.scheduling.jobs import Job
+from rosemarynotch._internal.scheduling.jobs import Run
+from rosemarynotch._internal.scheduling.jobs import RunPhase
+from rosemarynotch._internal.scheduling.jobs import Task
+from rosemarynotch._internal.scheduling.model import Configuration
+from rosemarynotch._internal.scheduling.model import QueuePolicy
+from rosemarynotch._internal.scheduling.model import Resources
+from rosemarynotch._internal.scheduling.ports import EndKind
+from rosemarynotch._internal.scheduling.ports import RunEnd
+from rosemarynotch._internal.scheduling.ports import RunStatus
+from rosemarynotch._internal.scheduling.ports import WorkerEntry
+from rosemarynotch._internal.scheduling.ports import WorkerReport
+from rosemarynotch._internal.scheduling.records import Phase
+from rosemarynotch._internal.scheduling.records import ProgressRecord
+from rosemarynotch._internal.scheduling.records import SubmissionRecord
+from rosemarynotch._internal.scheduling.workers import PendingAck
+from rosemarynotch._internal.scheduling.workers import Worker
+
+__all__ = ["Scheduler"]
+
+# Pause of a worker that refused a start or could not be reached.
+REFUSED_PAUSE_S = 0.3
+# Runs of one task that a leader numbers before the numbers of the next.
+RUNS_PER_TERM = 1000
+# Added to the calculated end of a lease for the accuracy of clocks.
+LEASE_MARGIN_S = 0.3
+
+
+class Scheduler:
+    """What the leader knows. One thread uses it at a time.
+
+    :param term: counts the leaders; run numbers of later leaders are higher
+    :param started_revision: jobs created later were never started before
+    :param longest_lease_s: longest lease that an earlier leader may have
+        given
+    :param log: receives the name of an event and its fields
+    """
+
+    def __init__(
+        self,
+        term: int,
+        started_revision: int,
+        longest_lease_s: float,
+        log: Callable[..., None] = lambda event, **fields: None,
+    ) -> None:
+        self._term = term
+        self._started_revision = started_revision
+        self._longest_lease_s = longest_lease_s
+        self._log = log
+        self._changes = 0
+        self.jobs: dict[str, Job] = {}
+        self.active: dict[str, Job] = {}
+        self.cancelled_ids: set[str] = set()
+        self.workers: dict[str, Worker] = {}
+        self.configuration = Configuration(version=0, revision=0)
+        self.durations = LearntDurations()
+        self.dirty: dict[str, Job] = {}
+        self.usage: dict[str, Resources] = {}
+
+    # Jobs.
+
+    def add_job(
+        self,
+        job_id: str,
+        submission: SubmissionRecord,
+        created_revision: int,
+        progress: ProgressRecord | None = None,
+        progress_revision: int = 0,
+    ) -> Job:
+        """Take an accepted job into account; repeating it is harmless."""
+        known = self.jobs.get(job_id)
+        if known is not None:
+            return known
+        job = Job.from_submission(job_id, submission, created_revision)
+        job.is_inherited = created_revision <= self._started_revision
+        if progress is not None:
+            job.restore(progress)
+            job.progress_revision = progress_revision
+        if job.is_inherited:
+            floor = (self._term - 1) * RUNS_PER_TERM
+            job.run_floor = max(floor, job.highest_run)
+        self.jobs[job_id] = job
+        if not job.phase.is_final:
+            self.active[job_id] = job
+        if job_id in self.cancelled_ids:
+            self.cancel(job_id)
+        return job
+
+    def cancel(self, job_id: str) -> None:
+        """End a job; its runs are stopped by the next pass."""
+        self.cancelled_ids.add(job_id)
+        job = self.jobs.get(job_id)
+        if job is not None and not job.phase.is_final:
+            self._finish(job, Phase.CANCELLED)
+
+    def queue_of(self, job: Job) -> QueuePolicy:
+        """Return the policy of a job's queue, also of a removed queue."""
+        submission = job.submission
+        return self.configuration.queues_by_name.get(
+            submission.queue
+        ) or QueuePolicy(
+            name=submission.queue, host="", prefix="", pool=submission.pool
+        )
+
+    def touch(self, job: Job) -> int:
+        """Note that a job has to be written; return the change's number."""
+        self._changes += 1
+        job.change = self._changes
+        self.dirty[job.job_id] = job
+        return self._changes
+
+    def note_written(self, job: Job, change: int, revision: int) -> None:
+        """Note that a change is safe in the store."""
+        job.durable_change = max(job.durable_change, change)
+        job.progress_revision = revision
+        if job.change <= change:
+            self.dirty.pop(job.job_id, None)
+
+    def settle_acks(self) -> None:
+        """Acknowledge what has been written."""
+        for worker in self.workers.values():
+            worker.settle_acks()
+
+    # Workers.
+
+    def set_workers(
+        self, entries: Iterable[WorkerEntry], now_s: float
+    ) -> list[Worker]:
+        """Take the platform's list into account; return new workers."""
+        listed = {entry.worker_id: entry for entry in entries}
+        added = []
+        for worker_id, entry in listed.items():
+            worker = self.workers.get(worker_id)
+            if worker is None:
+                worker = Worker(
+                    entry=entry,
+                    known_since_s=now_s,
+                    started_unix_ms=entry.started_unix_ms,
+                )
+                self.workers[worker_id] = worker
+                added.append(worker)
+            elif entry != worker.entry:
+                if entry.is_draining and not worker.entry.is_draining:
+                    self._log("worker draining", worker=worker_id)
+                self._note_start(worker, entry.started_unix_ms, now_s)
+                worker.entry = entry
+            worker.is_listed = True
+        for worker_id, worker in self.workers.items():
+            if worker_id not in listed and worker.is_listed:
+                worker.is_listed = False
+                self._log("worker unlisted", worker=worker_id)
+        return added
+
+    def expire_workers(self, now_s: float) -> list[str]:
+        """Drop the runs of workers whose leases have lapsed.
+
+        :returns: workers that are gone for good
+        """
+        gone = []
+        for worker_id, worker in list(self.workers.items()):
+            if not worker.is_replaced and now_s < self._gone_at_s(worker):
+                continue
+            if worker.lease_until_ms or worker.is_replaced:
+                for run in list(worker.runs.values()):
+                    self._lose(worker, run, now_s, "lease lapsed")
+                worker.lease_until_ms = 0
+                worker.is_learnt = False
+            if worker.is_replaced or not worker.is_listed:
+                del self.workers[worker_id]
+                gone.append(worker_id)
+                self._log("worker gone", worker=worker_id)
+        return gone
+
+    def _gone_at_s(self, worker: Worker) -> float:
+        return worker.lease_bound_s(self._longest_lease_s) + LEASE_MARGIN_S
+
+    def unheard_pools(self, now_s: float) -> set[str]:
+        """Return pools in which runs of an earlier leader may be hidden."""
+        return {
+            worker.entry.pool
+            for worker in self.workers.values()
+            if not worker.is_learnt
+            and not worker.is_replaced
+            and not worker.clock_heard_at_s
+            and now_s < self._gone_at_s(worker)
+        }
+
+    def on_report(
+        self,
+        worker: Worker,
+        report: WorkerReport,
+        asked_at_s: float,
+        heard_at_s: float,
+    ) -> None:
+        """Take a report into account."""
+        born = report.started_unix_ms
+        if born and born < worker.started_unix_ms:
+            return
+        self._note_start(worker, born, heard_at_s)
+        worker.note_report(report, asked_at_s, heard_at_s)
+        worker.is_learnt = True
+        for end in report.ends:
+            if end.sequence > worker.seen_sequence:
+                worker.seen_sequence = end.sequence
+                self._on_end(worker, end, heard_at_s)
+        present = set()
+        for status in report.running:
+            present.add((status.task, status.run))
+            self._on_status(worker, status, heard_at_s)
+        self._drop_absent(worker, present, asked_at_s, heard_at_s)
+
+    def _note_start(self, worker, started_unix_ms: int, now_s: float) -> None:
+        """Release the runs of a worker that has started again."""
+        if started_unix_ms <= worker.started_unix_ms:
+            return
+        if worker.started_unix_ms:
+            lost = worker.restart(started_unix_ms)
+            for run in lost:
+                self._release(run, now_s)
+            self._log(
+                "worker restarted", worker=worker.worker_id, lost=len(lost)
+            )
+        worker.started_unix_ms = started_unix_ms
+
+    def _drop_absent(self, worker, present, asked_at_s, now_s) -> None:
+        """Release runs that the worker should have named but did not."""
+        for run in list(worker.runs.values()):
+            is_confirmed = run.phase is RunPhase.ACTIVE or (
+                run.phase is RunPhase.STOPPING
+            )
+            if run.key in present or not is_confirmed:
+                continue
+            if run.confirmed_at_s and asked_at_s > run.confirmed_at_s:
+                self._lose(worker, run, now_s, "not on its worker")
+
+    def _on_status(
+        self, worker: Worker, status: RunStatus, now_s: float
+    ) -> None:
+        run = worker.runs.get((status.task, status.run))
+        if run is None:
+            run = self._adopt(worker, status, now_s)
+        if run is None:
+            return
+        if run.phase in (RunPhase.ORDERED, RunPhase.UNCONFIRMED):
+            run.phase = RunPhase.ACTIVE
+            run.confirmed_at_s = now_s
+        if status.percent > run.percent or not run.progressed_at_s:
+            run.progressed_at_s = now_s
+        run.percent = status.percent
+        run.load = status.load
+        if status.checkpoint:
+            run.task.checkpoint = status.checkpoint
+
+    def _adopt(
+        self, worker: Worker, status: RunStatus, now_s: float
+    ) -> Run | None:
+        """Count a run that an earlier leader has started."""
+        job = self.jobs.get(status.task.job_id)
+        task = job.task(status.task) if job else None
+        if task is None:
+            return None
+        run = Run(
+            task=task,
+            number=status.run,
+            worker_id=worker.worker_id,
+            phase=RunPhase.ACTIVE,
+            ordered_at_s=now_s,
+            confirmed_at_s=now_s,
+            progressed_at_s=now_s,
+        )
+        worker.add_run(run)
+        task.last_run = max(task.last_run, status.run)
+        self._count(run, 1)
+        if job.phase is Phase.QUEUED:
+            job.phase = Phase.RUNNING
+            self.touch(job)
+        return run
+
+    def _on_end(self, worker: Worker, end: RunEnd, now_s: float) -> None:
+        job = self.jobs.get(end.task.job_id)
+        task = job.task(end.task) if job else None
+        if task is None:
+            self._log("end of unknown task", task=str(end.task))
+            return
+        run = worker.runs.get((end.task, end.run))
+        if run is not None:
+            worker.drop_run(run)
+            self._count(run, -1)
+        task.last_run = max(task.last_run, end.run)
+        is_fault = end.kind is EndKind.FAILED
+        if is_fault or end.kind is EndKind.DONE:
+            if worker.note_outcome(now_s, is_fault):
+                self._log("worker quarantined", worker=worker.worker_id)
+        if not job.phase.is_final:
+            self._apply_end(job, task, run, end, now_s)
+            change = self.touch(job)
+        else:
+            change = job.change
+        worker.pending_acks.append(PendingAck(end.sequence, job, change))
+
+    def _apply_end(self, job, task, run, end: RunEnd, now_s) -> None:
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        task.waiting_since_s = now_s
+        if end.kind is EndKind.DONE and not task.step.spec.long_running:
+            if run is not None:
+                took_ms = (now_s - run.ordered_at_s) * 1000
+                self.durations.observe(job.submission.queue, took_ms)
+            job.mark_done(task)
+            self._complete_if_done(job)
+        elif end.kind is EndKind.FAILED:
+            task.failures += 1
+            task.failed_workers.add(run.worker_id if run else "")
+            most = self.queue_of(job).max_failures
+            if task.failures >= most and not task.step.spec.long_running:
+                self._finish(job, Phase.FAILED)
+        self._log(
+            "run ended",
+            job=job.job_id,
+            task=str(end.task),
+            run=end.run,
+            how=end.kind.value,
+            phase=job.phase.value,
+        )
+
+    def _complete_if_done(self, job: Job) -> None:
+        if all(occurrence.is_done for occurrence in job.occurrences):
+            self._finish(job, Phase.COMPLETED)
+
+    def _finish(self, job: Job, phase: Phase) -> None:
+        job.phase = phase
+        self.active.pop(job.job_id, None)
+        self.touch(job)
+        self._log("job ended", job=job.job_id, phase=phase.value)
+
+    def _lose(self, worker, run: Run, now_s: float, why: str) -> None:
+        worker.drop_run(run)
+        self._release(run, now_s)
+        self._log(
+            "run lost",
+            job=run.task.task_id.job_id,
+            task=str(run.task.task_id),
+            run=run.number,
+            worker=worker.worker_id,
+            why=why,
+        )
+
+    def _release(self, run: Run, now_s: float) -> None:
+        self._count(run, -1)
+        run.task.waiting_since_s = now_s
+
+    def _count(self, run: Run, sign: int) -> None:
+        """Add a run to what its organisation has running, or remove it."""
+        submission = run.task.step.occurrence.job.submission
+        name, size = submission.organisation, run.task.step.spec.size
+        used = self.usage.get(name, Resources())
+        self.usage[name] = used.plus(size) if sign > 0 else used.minus(size)
+
+    # Orders.
+
+    @staticmethod
+    def next_run_number(tasks: list[Task]) -> int:
+        """Return a run number above all earlier ones of the tasks."""
+        floor = tasks[0].step.occurrence.job.run_floor
+        return max(floor, *(task.last_run for task in tasks)) + 1
+
+    def new_run(
+        self, task: Task, worker: Worker, now_s: float, number: int = 0
+    ) -> Run:
+        """Count a run that is about to be ordered.
+
+        :param number: of all members of a gang, 0 for the task's next one
+        """
+        job = task.step.occurrence.job
+        task.last_run = number or self.next_run_number([task])
+        run = Run(
+            task=task,
+            number=task.last_run,
+            worker_id=worker.worker_id,
+            ordered_at_s=now_s,
+            progressed_at_s=now_s,
+        )
+        worker.add_run(run)
+        self._count(run, 1)
+        job.highest_run = max(job.highest_run, run.number)
+        if job.phase is Phase.QUEUED:
+            job.phase = Phase.RUNNING
+            self.touch(job)
+        return run
+
+    def on_start_answer(
+        self, run: Run, answer: int | Failure, now_s: float
+    ) -> None:
+        """Take the answer to a start into account."""
+        worker = self.workers.get(run.worker_id)
+        if worker is None or run.key not in worker.runs:
+            return
+        if not isinstance(answer, Failure):
+            if run.phase in (RunPhase.ORDERED, RunPhase.UNCONFIRMED):
+                run.phase = RunPhase.ACTIVE
+            run.confirmed_at_s = run.confirmed_at_s or now_s
+            return
+        self._log(
+            "start refused",
+            task=str(run.task.task_id),
+            run=run.number,
+            worker=run.worker_id,
+            why=answer.code,
+        )
+        if answer.is_a(WORKER_REPLACED):
+            worker.is_replaced = True
+        elif answer.is_a(RUN_SUPERSEDED):
+            # It ran and ended; the end is in the next report.
+            run.phase = RunPhase.ACTIVE
+            run.confirmed_at_s = run.confirmed_at_s or now_s
+        elif answer.ran is Ran.NO and not run.is_reordered:
+            worker.drop_run(run)
+            self._release(run, now_s)
+            pause_until_s = now_s + REFUSED_PAUSE_S
+            worker.quarantined_until_s = max(
+                worker.quarantined_until_s, pause_until_s
+            )
+        else:
+            # This order or an earlier one may still be carried out.
+            run.phase = RunPhase.UNCONFIRMED
+
+    def on_stop_answer(
+        self, run: Run, answer: None | Failure, now_s: float
+    ) -> None:
+        """Take the answer to a stop into account.
+
+        A run that a worker was told to stop, and that a later report does
+        not name, has ended or can never start there.
+        """
+        if answer is None and not run.confirmed_at_s:
+            run.confirmed_at_s = now_s
+        if answer is not None:
+            run.stop_sent_at_s = 0.0
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/worker_link.py
@@ -0,0 +1,105 @@
+"""The conversation with one worker: leases, reports, acknowledgements."""
+
+import threading
+from typing import TYPE_CHECKING
+
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import RUN_FENCED
+from rosemarynotch._internal.exceptions import WORKER_REPLACED
+from rosemarynotch._internal.scheduling.ports import WorkerChannel
+from rosemarynotch._internal.scheduling.ports import WorkerReport
+from rosemarynotch._internal.scheduling.workers import Worker
+
+if TYPE_CHECKING:
+    from rosemarynotch._internal.scheduling.controller import Controller
+
+__all__ = ["WorkerLink"]
+
+# A report is awaited so long while nothing ends; it also extends the lease.
+BUSY_WAIT_MS = 1000
+IDLE_WAIT_MS = 2000
+# Ends that are not yet safe in the store would be answered at once again.
+SETTLE_WAIT_S = 0.15
+RETRY_S = 0.25
+
+
+class WorkerLink:
+    """Asks one worker for reports as long as it is known."""
+
+    def __init__(
+        self, controller: "Controller", worker: Worker, channel: WorkerChannel
+    ) -> None:
+        self.channel = channel
+        self._controller = controller
+        self._worker = worker
+        self._settled = threading.Event()
+        self._closed = False
+        self._is_reachable = True
+
+    def close(self) -> None:
+        """End the conversation."""
+        self._closed = True
+        self._settled.set()
+
+    def notify(self) -> None:
+        """Wake the link after its report was applied or written."""
+        self._settled.set()
+
+    def run(self) -> None:
+        """Ask for reports until the worker or the term is gone."""
+        while self._controller.is_running and not self._closed:
+            self._ask()
+        self.channel.close()
+
+    def _ask(self) -> None:
+        controller, worker = self._controller, self._worker
+        asked_at_s = controller.clock.monotonic_s()
+        lease_ms = wait_ms = 0
+        if worker.clock_heard_at_s:
+            lease_ms = controller.extend_lease(worker)
+            if worker.acked_sequence == worker.seen_sequence:
+                wait_ms = BUSY_WAIT_MS if worker.runs else IDLE_WAIT_MS
+        report = self.channel.report(
+            controller.grant.fence, worker.acked_sequence, lease_ms, wait_ms
+        )
+        if isinstance(report, Failure):
+            self._note_failure(report)
+            return
+        if not self._is_reachable:
+            self._is_reachable = True
+            controller.log("worker regained", worker=worker.worker_id)
+        self._settled.clear()
+        heard_at_s = controller.clock.monotonic_s()
+        controller.post(
+            lambda now_s: self._apply(report, asked_at_s, heard_at_s)
+        )
+        self._settled.wait(SETTLE_WAIT_S)
+        if worker.acked_sequence != worker.seen_sequence:
+            self._settled.clear()
+            self._settled.wait(SETTLE_WAIT_S)
+
+    def _apply(
+        self, report: WorkerReport, asked_at_s: float, heard_at_s: float
+    ) -> None:
+        self._controller.scheduler.on_report(
+            self._worker, report, asked_at_s, heard_at_s
+        )
+        if not self._worker.pending_acks:
+            self._settled.set()
+
+    def _note_failure(self, failure: Failure) -> None:
+        controller, worker = self._controller, self._worker
+        controller.check_fence(failure)
+        if failure.is_a(WORKER_REPLACED):
+            controller.post(lambda now_s: self._replace())
+            self.close()
+            return
+        if self._is_reachable and not failure.is_a(RUN_FENCED):
+            self._is_reachable = False
+            controller.log(
+                "worker lost", worker=worker.worker_id, why=failure.reason
+            )
+        controller.stop.wait(RETRY_S)
+
+    def _replace(self) -> None:
+        self._worker.is_replaced = True
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -0,0 +1,159 @@
+"""Workers as the leader sees them: room, runs, leases and health."""
+
+from collections import deque
+
+import attrs
+
+from rosemarynotch._internal.scheduling.jobs import Job
+from rosemarynotch._internal.scheduling.jobs import Run
+from rosemarynotch._internal.scheduling.model import Resources
+from rosemarynotch._internal.scheduling.model import TaskId
+from rosemarynotch._internal.scheduling.ports import WorkerEntry
+from rosemarynotch._internal.scheduling.ports import WorkerReport
+
+__all__ = ["PendingAck", "Worker"]
+
+# The platform allows the clock of a worker to be 2 % slow.
+SLOW_CLOCK_FACTOR = 0.98
+# Ends by the worker's fault within the window that keep new work away from
+# it, and for how long. Two workers' worth of bad luck is told apart from a
+# worker that fails everything by the share of its runs that fail.
+FAULT_WINDOW_S = 6.0
+MIN_FAULTS = 2
+MAX_FAULT_SHARE = 0.34
+QUARANTINE_S = 8.0
+
+
+@attrs.frozen
+class PendingAck:
+    """An end that the worker repeats until it is acknowledged."""
+
+    sequence: int
+    job: Job
+    change: int
+
+
+@attrs.define(kw_only=True, eq=False)
+class Worker:
+    """A life of a worker.
+
+    :ivar is_listed: the platform lists it now
+    :ivar is_learnt: it has reported under the fence of this leader
+    :ivar is_enrolled: the roster in the store names it, so that a later
+        leader asks it for runs
+    :ivar clock_ms: its clock in the newest report
+    :ivar clock_asked_at_s: when that report was asked for
+    :ivar clock_heard_at_s: when that report came
+    :ivar lease_until_ms: end of the longest lease on its clock
+    :ivar seen_sequence: last end that was taken into account
+    :ivar acked_sequence: last end that is safe in the store
+    :ivar is_cordoned: it is to be emptied
+    """
+
+    entry: WorkerEntry
+    is_listed: bool = True
+    is_learnt: bool = False
+    is_enrolled: bool = False
+    is_cordoned: bool = False
+    is_replaced: bool = False
+    started_unix_ms: int = 0
+    clock_ms: int = 0
+    clock_asked_at_s: float = 0.0
+    clock_heard_at_s: float = 0.0
+    lease_until_ms: int = 0
+    known_since_s: float = 0.0
+    seen_sequence: int = 0
+    acked_sequence: int = 0
+    pending_acks: deque[PendingAck] = attrs.field(factory=deque)
+    runs: dict[tuple[TaskId, int], Run] = attrs.field(factory=dict)
+    reserved: Resources = Resources()
+    quarantined_until_s: float = 0.0
+    outcomes: deque[tuple[float, bool]] = attrs.field(
+        factory=lambda: deque(maxlen=64)
+    )
+
+    @property
+    def worker_id(self) -> str:
+        """Return the identifier of this life."""
+        return self.entry.worker_id
+
+    @property
+    def free(self) -> Resources:
+        """Return the room that is left."""
+        return self.entry.capacity.minus(self.reserved)
+
+    def accepts_work(self, now_s: float) -> bool:
+        """Tell whether new runs may be placed here."""
+        return (
+            self.is_listed
+            and self.is_learnt
+            and self.is_enrolled
+            and not self.is_replaced
+            and not self.is_cordoned
+            and not self.entry.is_draining
+            and now_s >= self.quarantined_until_s
+        )
+
+    def add_run(self, run: Run) -> None:
+        """Count a run."""
+        self.runs[run.key] = run
+        self.reserved = self.reserved.plus(run.task.step.spec.reserved)
+        run.task.runs.append(run)
+
+    def drop_run(self, run: Run) -> None:
+        """Count a run no longer."""
+        if self.runs.pop(run.key, None) is not None:
+            self.reserved = self.reserved.minus(run.task.step.spec.reserved)
+            run.task.runs.remove(run)
+
+    def lease_end_ms(self, now_s: float, lease_s: float) -> int:
+        """Return a time on the worker's clock for a lease from now on."""
+        since_ms = (now_s - self.clock_asked_at_s) * 1000
+        return round(self.clock_ms + since_ms + lease_s * 1000)
+
+    def lease_bound_s(self, longest_lease_s: float) -> float:
+        """Return when every run has lapsed if no order reaches the worker.
+
+        :param longest_lease_s: assumed for a worker that never reported
+        """
+        if not self.clock_heard_at_s:
+            return self.known_since_s + longest_lease_s / SLOW_CLOCK_FACTOR
+        left_s = max(0, self.lease_until_ms - self.clock_ms) / 1000
+        return self.clock_heard_at_s + left_s / SLOW_CLOCK_FACTOR
+
+    def note_report(
+        self, report: WorkerReport, asked_at_s: float, heard_at_s: float
+    ) -> None:
+        """Take the clock of a report if it is newer than the last."""
+        if asked_at_s >= self.clock_asked_at_s:
+            self.clock_ms = report.clock_ms
+            self.clock_asked_at_s = asked_at_s
+            self.clock_heard_at_s = heard_at_s
+
+    def note_outcome(self, now_s: float, is_fault: bool) -> bool:
+        """Count an end; return whether the worker is now quarantined."""
+        self.outcomes.append((now_s, is_fault))
+        recent = [o for o in self.outcomes if o[0] > now_s - FAULT_WINDOW_S]
+        faults = sum(fault for _, fault in recent)
+        if faults < MIN_FAULTS or faults < MAX_FAULT_SHARE * len(recent):
+            return False
+        self.quarantined_until_s = now_s + QUARANTINE_S
+        self.outcomes.clear()
+        return True
+
+    def settle_acks(self) -> None:
+        """Acknowledge the ends that are safe in the store, in order."""
+        pending = self.pending_acks
+        while pending and pending[0].job.durable_change >= pending[0].change:
+            self.acked_sequence = pending.popleft().sequence
+
+    def restart(self, started_unix_ms: int) -> list[Run]:
+        """Begin a new life under the same identifier; return lost runs."""
+        lost = list(self.runs.values())
+        for run in lost:
+            self.drop_run(run)
+        self.started_unix_ms = started_unix_ms
+        self.seen_sequence = self.acked_sequence = 0
+        self.pending_acks.clear()
+        self.lease_until_ms = 0
+        return lost
--- /dev/null
+++ b/src/rosemarynotch/_internal/utils/json_logs.py
@@ -0,0 +1,97 @@
+"""Log lines as JSON on standard output, without waiting for the reader."""
+
+import json
+import queue
+import sys
+import threading
+import time
+from typing import TextIO
+
+from rosemarynotch._internal.utils.logs import MAX_VALUE_LENGTH
+from rosemarynotch._internal.utils.logs import REMOVED
+from rosemarynotch._internal.utils.logs import SECRET_FIELDS
+
+__all__ = ["JsonLog"]
+
+# Lines that wait for a slow reader; more are dropped and counted.
+MAX_WAITING_LINES = 4000
+# Most lines a second of one event; the rest is counted in one line.
+MAX_LINES_PER_S = 200
+
+
+class JsonLog:
+    """Writes one line for each event, from a thread of its own.
+
+    :param fixed: fields of every line, such as the node
+    :ivar dropped: lines that no reader took in time
+    """
+
+    def __init__(self, fixed: dict[str, str], stream: TextIO | None = None):
+        self._fixed = fixed
+        self._stream = stream or sys.stdout
+        self._lines: queue.Queue[str | None] = queue.Queue(MAX_WAITING_LINES)
+        self._lock = threading.Lock()
+        self._second = 0
+        self._counts: dict[str, int] = {}
+        self.dropped = 0
+        self._thread = threading.Thread(
+            target=self._run, name="log", daemon=True
+        )
+        self._thread.start()
+
+    def __call__(self, event: str, **fields: object) -> None:
+        """Queue a line; never waits."""
+        now_s = time.time()
+        if not self._admit(event, int(now_s)):
+            return
+        self._put(event, now_s, fields)
+
+    def close(self, timeout_s: float = 1.0) -> None:
+        """Write what is queued, as far as the reader takes it."""
+        try:
+            self._lines.put(None, timeout=timeout_s)
+        except queue.Full:
+            return
+        self._thread.join(timeout_s)
+
+    def _admit(self, event: str, second: int) -> bool:
+        with self._lock:
+            ended, counts = self._second, self._counts
+            if second != ended:
+                self._second, self._counts = second, {}
+            count = self._counts[event] = self._counts.get(event, 0) + 1
+        if second != ended:
+            for name, total in counts.items():
+                if total > MAX_LINES_PER_S:
+                    left_out = total - MAX_LINES_PER_S
+                    self._put(
+                        "lines left out",
+                        float(second),
+                        {"of_event": name, "count": left_out},
+                    )
+        return count <= MAX_LINES_PER_S
+
+    def _put(self, event: str, now_s: float, fields: dict) -> None:
+        line = {"time_s": round(now_s, 3), "event": event, **self._fixed}
+        for name, value in fields.items():
+            line[name] = REMOVED if name in SECRET_FIELDS else _plain(value)
+        try:
+            self._lines.put_nowait(json.dumps(line))
+        except queue.Full:
+            self.dropped += 1
+
+    def _run(self) -> None:
+        while (line := self._lines.get()) is not None:
+            try:
+                self._stream.write(line + "\n")
+                if self._lines.empty():
+                    self._stream.flush()
+            except (OSError, ValueError):
+                # The reader is gone; there is nowhere to report it.
+                self.dropped += 1
+
+
+def _plain(value: object) -> object:
+    if value is None or isinstance(value, (bool, int, float)):
+        return value
+    return str(value)[:MAX_VALUE_LENGTH]
--- /dev/null
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -0,0 +1,203 @@
+"""Composition root of a node on the users' platform."""
+
+import signal
+import threading
+import traceback
+import uuid
+
+from rosemarynotch._internal.platform import CallerInterface
+from rosemarynotch._internal.platform import decode_configuration
+from rosemarynotch._internal.platform import decode_worker
+from rosemarynotch._internal.platform import HttpAdvisor
+from rosemarynotch._internal.platform import HttpCoordinationStore
+from rosemarynotch._internal.platform import HttpWorkerChannel
+from rosemarynotch._internal.platform import KEYS
+from rosemarynotch._internal.platform import load_settings
+from rosemarynotch._internal.platform.settings import NodeSettings
+from rosemarynotch._internal.scheduling.config_feed import ConfigFeed
+from rosemarynotch._internal.scheduling.controller import Controller
+from rosemarynotch._internal.scheduling.controller import ControllerPorts
+from rosemarynotch._internal.scheduling.desk import JobDesk
+from rosemarynotch._internal.scheduling.intake import JobIntake
+from rosemarynotch._internal.scheduling.leadership import Leadership
+from rosemarynotch._internal.scheduling.ports import WorkerEntry
+from rosemarynotch._internal.scheduling.probes import MetricsApp
+from rosemarynotch._internal.scheduling.probes import ReadinessApp
+from rosemarynotch._internal.utils.addresses import parse_address
+from rosemarynotch._internal.utils.graceful_server import GracefulServer
+from rosemarynotch._internal.utils.http import HttpClient
+from rosemarynotch._internal.utils.json_logs import JsonLog
+from rosemarynotch._internal.utils.metrics import Metrics
+from rosemarynotch._internal.utils.suspension import SuspensionClock
+
+__all__ = ["Node", "run_node"]
+
+# The store answers in 4 ms; one that is 100 times slower is still used.
+STORE_TIMEOUT_S = 0.8
+# Renewals that come later than this would not save the lease.
+LEASE_CALL_TIMEOUT_S = 0.6
+WORKER_TIMEOUT_S = 0.5
+ADVICE_TIMEOUT_S = 1.5
+CALLER_THREADS = 24
+PROBE_THREADS = 2
+INTAKE_THREADS = 3
+# The load balancer needs two failed probes, one a second.
+LEAVE_NOTICE_S = 2.5
+FOLLOW_INTERVAL_S = 0.05
+
+
+class Node:
+    """All parts of one process."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._stop = threading.Event()
+        self._clock = SuspensionClock()
+        self._metrics = Metrics()
+        incarnation = uuid.uuid4().hex[:12]
+        self._log = JsonLog(
+            {"node": settings.node, "incarnation": incarnation}
+        )
+        self._log("starting")
+        self._follower = ConfigFeed(
+            self._store(STORE_TIMEOUT_S),
+            self._clock,
+            KEYS.configuration,
+            decode_configuration,
+            self._log,
+        )
+        self._intake = JobIntake(
+            self._store(STORE_TIMEOUT_S),
+            self._clock,
+            KEYS.configuration,
+            self._log,
+        )
+        self._desk = JobDesk(
+            self._follower,
+            self._intake,
+            self._clock,
+            self._metrics,
+            self._log,
+        )
+        self._leadership = Leadership(
+            self._store(LEASE_CALL_TIMEOUT_S),
+            self._clock,
+            settings.node,
+            settings.ip,
+            incarnation,
+            self._log,
+        )
+        self._callers = self._server(
+            CallerInterface(self._desk),
+            settings.callers_address,
+            CALLER_THREADS,
+        )
+        self._probes = self._server(
+            ReadinessApp(self._desk), settings.probe_address, PROBE_THREADS
+        )
+        self._exposition = self._server(
+            MetricsApp(self._metrics, self._log),
+            f"{settings.ip}:{settings.metrics_port}",
+            PROBE_THREADS,
+        )
+        self._controller: Controller | None = None
+
+    def run(self) -> int:
+        """Serve until SIGTERM; return the exit status."""
+        threading.excepthook = self._note_crash
+        signal.signal(signal.SIGTERM, lambda *_: self._stop.set())
+        signal.signal(signal.SIGINT, lambda *_: self._stop.set())
+        signal.signal(signal.SIGHUP, lambda *_: self._log("settings kept"))
+        self._callers.start()
+        self._probes.start()
+        self._exposition.start()
+        self._start_thread(self._follower.run, "configuration")
+        for number in range(INTAKE_THREADS):
+            self._start_thread(self._intake.run, f"intake-{number}")
+        self._start_thread(self._leadership.run, "leadership")
+        threading.Thread(target=self._lead, daemon=True).start()
+        self._log("serving")
+        self._stop.wait()
+        self._leave()
+        return 0
+
+    def _note_crash(self, args: threading.ExceptHookArgs) -> None:
+        """Log an unexpected exception; without it the thread ends unseen."""
+        lines = traceback.format_exception(args.exc_value)
+        self._log(
+            "thread crashed",
+            thread=args.thread.name if args.thread else "",
+            error=lines[-1].strip(),
+            where=" ".join(lines[-2].split()),
+        )
+
+    def _start_thread(self, target, name: str) -> None:
+        thread = threading.Thread(
+            target=target,
+            args=(threading.Event(),),
+            name=name,
+            daemon=True,
+        )
+        thread.start()
+
+    def _lead(self) -> None:
+        """Run a controller for each term that this node leads."""
+        while not self._stop.is_set():
+            grant = self._leadership.grant
+            if grant is None:
+                self._clock.sleep(FOLLOW_INTERVAL_S)
+                continue
+            self._controller = Controller(
+                grant,
+                self._leadership,
+                ControllerPorts(
+                    store=self._store(STORE_TIMEOUT_S),
+                    workers_prefix=KEYS.workers,
+                    decode_worker=decode_worker,
+                    connect_worker=self._connect_worker,
+                    advisor=self._advisor(),
+                ),
+                lambda: self._follower.current,
+                self._clock,
+                self._metrics,
+                self._log,
+            )
+            self._controller.run()
+
+    def _leave(self) -> None:
+        """Hand over, finish all requests and stop."""
+        self._log("stopping")
+        self._desk.announce_leaving()
+        if self._controller is not None:
+            self._controller.writer.flush()
+        self._leadership.resign()
+        self._callers.stop(LEAVE_NOTICE_S)
+        self._log("stopped")
+        self._log.close()
+
+    def _store(self, timeout_s: float) -> HttpCoordinationStore:
+        return HttpCoordinationStore(
+            HttpClient(self._settings.store_address, self._clock, timeout_s)
+        )
+
+    def _connect_worker(self, entry: WorkerEntry) -> HttpWorkerChannel:
+        return HttpWorkerChannel(
+            lambda: HttpClient(entry.address, self._clock, WORKER_TIMEOUT_S),
+            entry.worker_id,
+        )
+
+    def _advisor(self) -> HttpAdvisor | None:
+        address = self._settings.advisor_address
+        if not address:
+            return None
+        return HttpAdvisor(HttpClient(address, self._clock, ADVICE_TIMEOUT_S))
+
+    @staticmethod
+    def _server(app, address: str, threads: int) -> GracefulServer:
+        host, port = parse_address("listen address", address)
+        return GracefulServer(app, host, port, threads)
+
+
+def run_node() -> int:
+    """Run a node with the settings of its file."""
+    return Node(load_settings()).run()
--- a/src/rosemarynotch/_internal/wiring/process.py
+++ b/src/rosemarynotch/_internal/wiring/process.py
@@ -22,10 +22,10 @@
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.peers import Exchange
-from rosemarynotch._internal.platform import HttpStore
-from rosemarynotch._internal.platform import HttpTaskService
-from rosemarynotch._internal.platform import HttpVmService
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference import HttpStore
+from rosemarynotch._internal.reference import HttpTaskService
+from rosemarynotch._internal.reference import HttpVmService
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import SystemClock
 from rosemarynotch._internal.utils.metrics import Metrics
 
--- a/tests/functional/test_entry_state.py
+++ b/tests/functional/test_entry_state.py
@@ -8,7 +8,7 @@
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.peers import Exchange
 from rosemarynotch._internal.peers import Timing
-from rosemarynotch._internal.platform.records import CONFIG_KEY
+from rosemarynotch._internal.reference.records import CONFIG_KEY
 from rosemarynotch._internal.utils.clock import SystemClock
 from standins.kv import KeyValue
 from tests.lib.counts import Counts
--- a/tests/functional/test_operators_at_once.py
+++ b/tests/functional/test_operators_at_once.py
@@ -16,7 +16,7 @@
 from rosemarynotch._internal.models.records import ConfigPointer
 from rosemarynotch._internal.models.records import VmState
 from rosemarynotch._internal.operators.changes import ConfigChanges
-from rosemarynotch._internal.platform.records import CONFIG_KEY
+from rosemarynotch._internal.reference.records import CONFIG_KEY
 from rosemarynotch._internal.utils.clock import SystemClock
 from tests.lib.cluster import Cluster
 from tests.lib.cluster import wait_until
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -41,11 +41,11 @@
 from rosemarynotch._internal.operators.changes import Change
 from rosemarynotch._internal.operators.changes import ConfigChanges
 from rosemarynotch._internal.operators.keys import format_setting
-from rosemarynotch._internal.platform.records import CONFIG_KEY
-from rosemarynotch._internal.platform.records import FLEET_KEY
-from rosemarynotch._internal.platform.records import LIMITS_PREFIX
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import CONFIG_KEY
+from rosemarynotch._internal.reference.records import FLEET_KEY
+from rosemarynotch._internal.reference.records import LIMITS_PREFIX
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import SystemClock
 from standins.faults import AnswerLost
 from standins.platform import Platform
--- a/tests/lib/control_fakes.py
+++ b/tests/lib/control_fakes.py
@@ -12,9 +12,9 @@
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.models.records import MembersRecord
-from rosemarynotch._internal.platform.interface import PlatformVm
-from rosemarynotch._internal.platform.interface import PlatformVmState
-from rosemarynotch._internal.platform.interface import VmService
+from rosemarynotch._internal.reference.interface import PlatformVm
+from rosemarynotch._internal.reference.interface import PlatformVmState
+from rosemarynotch._internal.reference.interface import VmService
 
 __all__ = [
     "entry_member",
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -17,11 +17,11 @@
 from rosemarynotch._internal.models.records import Member
 from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.models.records import MembersRecord
-from rosemarynotch._internal.platform.interface import PlatformVm
-from rosemarynotch._internal.platform.interface import PlatformVmState
-from rosemarynotch._internal.platform.interface import VmService
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.interface import PlatformVm
+from rosemarynotch._internal.reference.interface import PlatformVmState
+from rosemarynotch._internal.reference.interface import VmService
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.records import RecordStore
 from standins.kv import KeyValue
 from tests.lib.stores import MemoryStore
 
--- a/tests/lib/job_fakes.py
+++ b/tests/lib/job_fakes.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from rosemarynotch._internal import exceptions as failures
-from rosemarynotch._internal.platform.interface import Task
-from rosemarynotch._internal.platform.interface import TaskService
+from rosemarynotch._internal.reference.interface import Task
+from rosemarynotch._internal.reference.interface import TaskService
 from standins.ledger import Ledger
 from standins import tasks as standin
 from standins import vms as standin_vms
--- a/tests/lib/operators.py
+++ b/tests/lib/operators.py
@@ -32,9 +32,9 @@
 from rosemarynotch._internal.operators import Observer
 from rosemarynotch._internal.operators import OperatorApp
 from rosemarynotch._internal.operators import OperatorKeys
-from rosemarynotch._internal.platform.records import FLEET_KEY
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import FLEET_KEY
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.metrics import Metrics
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
--- a/tests/lib/stores.py
+++ b/tests/lib/stores.py
@@ -5,9 +5,9 @@
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
-from rosemarynotch._internal.platform.interface import KeyRevision
-from rosemarynotch._internal.platform.interface import Store
-from rosemarynotch._internal.platform.interface import Versioned
+from rosemarynotch._internal.reference.interface import KeyRevision
+from rosemarynotch._internal.reference.interface import Store
+from rosemarynotch._internal.reference.interface import Versioned
 from standins import kv
 
 __all__ = ["Fault", "MemoryStore"]
--- a/tests/unit/test_changes.py
+++ b/tests/unit/test_changes.py
@@ -16,7 +16,7 @@
 from rosemarynotch._internal.operators.differences import consequences
 from rosemarynotch._internal.operators.differences import differences
 from rosemarynotch._internal.operators.snapshot import Usage
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import RecordStore
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
 from tests.lib.documents import make_document
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -14,8 +14,8 @@
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.operators.changes import Change
 from rosemarynotch._internal.operators.changes import ConfigChanges
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.wiring.process import MemberProcess
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
--- a/tests/unit/test_control_fleet.py
+++ b/tests/unit/test_control_fleet.py
@@ -19,12 +19,12 @@
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.models.records import VmState
 from rosemarynotch._internal.models.records import WaveState
-from rosemarynotch._internal.platform.interface import PlatformVmState
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
-from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.policy.moves import NoMoves
 from rosemarynotch._internal.policy.waves import AsManyAsAllowed
 from rosemarynotch._internal.policy.waves import WavePolicy
+from rosemarynotch._internal.reference.interface import PlatformVmState
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.records import RecordStore
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
 from tests.lib import control_fakes as fakes
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -25,9 +25,9 @@
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import VmRecord
 from rosemarynotch._internal.models.records import VmState
-from rosemarynotch._internal.platform.records import RecordStore
 from rosemarynotch._internal.policy.placement import FirstFitDeclared
 from rosemarynotch._internal.policy.placement import LearntSpread
+from rosemarynotch._internal.reference.records import RecordStore
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
 from tests.lib.control_fakes import InForce
--- a/tests/unit/test_leader.py
+++ b/tests/unit/test_leader.py
@@ -6,10 +6,10 @@
 from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.models.records import VmState
-from rosemarynotch._internal.platform.interface import PlatformVm
-from rosemarynotch._internal.platform.interface import PlatformVmState
-from rosemarynotch._internal.platform.records import FLEET_KEY
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.interface import PlatformVm
+from rosemarynotch._internal.reference.interface import PlatformVmState
+from rosemarynotch._internal.reference.records import FLEET_KEY
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
 from tests.lib import control_fakes as fakes
 from tests.lib.stores import Fault
 from tests.unit.test_control_fleet import ControlTestCase
--- a/tests/unit/test_limits_stateful.py
+++ b/tests/unit/test_limits_stateful.py
@@ -10,8 +10,8 @@
 from rosemarynotch._internal.models.records import LimitRecord
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.peers import HeardMember
-from rosemarynotch._internal.platform.records import LIMITS_PREFIX
-from rosemarynotch._internal.platform.records import MEMBERS_KEY
+from rosemarynotch._internal.reference.records import LIMITS_PREFIX
+from rosemarynotch._internal.reference.records import MEMBERS_KEY
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
 from tests.lib.fleet import limit_document
--- a/tests/unit/test_platform_contract.py
+++ b/tests/unit/test_platform_contract.py
@@ -12,11 +12,11 @@
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
-from rosemarynotch._internal.platform import HttpStore
-from rosemarynotch._internal.platform import HttpTaskService
-from rosemarynotch._internal.platform import HttpVmService
-from rosemarynotch._internal.platform.interface import Task
-from rosemarynotch._internal.platform.interface import TaskState
+from rosemarynotch._internal.reference import HttpStore
+from rosemarynotch._internal.reference import HttpTaskService
+from rosemarynotch._internal.reference import HttpVmService
+from rosemarynotch._internal.reference.interface import Task
+from rosemarynotch._internal.reference.interface import TaskState
 from standins import kv
 from standins.vms import Vm
 from tests.lib.platforms import served_platform
--- a/tests/unit/test_records.py
+++ b/tests/unit/test_records.py
@@ -8,7 +8,7 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.models.records import Head
-from rosemarynotch._internal.platform.records import RecordStore
+from rosemarynotch._internal.reference.records import RecordStore
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
 from tests.lib.stores import Fault
--- a/tests/unit/test_versions_stateful.py
+++ b/tests/unit/test_versions_stateful.py
@@ -7,7 +7,7 @@
 from rosemarynotch._internal import configuration
 from rosemarynotch._internal.exceptions import PEER_UNREACHABLE
 from rosemarynotch._internal.models import codec
-from rosemarynotch._internal.platform.records import CONFIG_KEY
+from rosemarynotch._internal.reference.records import CONFIG_KEY
 from standins.kv import KeyValue
 from tests.lib.clocks import ManualClock
 from tests.lib.fleet import heartbeat
