Maintain waves and move VMs with demand

Ruled out: the VM service's list as the sign that a VM in standby was maintained (such a VM has no worker whose life could change); the time of the confirmed order is used instead.

Job records keep the policy of their queue.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -12,17 +12,22 @@
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.scheduling.advice import AdviceBook
+from rosemarynotch._internal.scheduling.fleet_manager import FleetManager
+from rosemarynotch._internal.scheduling.fleet_manager import FleetTiming
 from rosemarynotch._internal.scheduling.intake_feed import IntakeFeed
 from rosemarynotch._internal.scheduling.leadership import Grant
 from rosemarynotch._internal.scheduling.leadership import Leadership
+from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.model import Configuration
 from rosemarynotch._internal.scheduling.ordering import ObjectiveOrder
 from rosemarynotch._internal.scheduling.placement import BestFit
 from rosemarynotch._internal.scheduling.planner import Planner
 from rosemarynotch._internal.scheduling.planner import StartCommand
 from rosemarynotch._internal.scheduling.planner import StopCommand
+from rosemarynotch._internal.scheduling.pool_sizing import DemandSizer
 from rosemarynotch._internal.scheduling.ports import Advisor
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
+from rosemarynotch._internal.scheduling.ports import FleetService
 from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import StartOrder
 from rosemarynotch._internal.scheduling.ports import WorkerChannel
@@ -60,6 +65,7 @@
     :ivar workers_prefix: prefix of the workers' entries in the store
     :ivar decode_worker: turns an entry into our type
     :ivar connect_worker: opens a channel to a worker
+    :ivar fleet: None where there is no VM service
     :ivar advisor: None where there is no advice service
     """
 
@@ -67,6 +73,11 @@
     workers_prefix: str
     decode_worker: Callable[[Item], WorkerEntry | Failure]
     connect_worker: Callable[[WorkerEntry], WorkerChannel]
+    waves_prefix: str
+    wave_status_prefix: str
+    decode_wave: Callable[[Item], Wave | Failure]
+    encode_wave_status: Callable[[bool], bytes]
+    fleet: FleetService | None = None
     advisor: Advisor | None = None
 
 
@@ -86,6 +97,7 @@
         clock: Clock,
         metrics: Metrics,
         log: Callable[..., None],
+        fleet_timing: FleetTiming,
         longest_lease_s: float = LEASE_S,
     ) -> None:
         self.grant = grant
@@ -105,6 +117,7 @@
         )
         self.writer = ProgressWriter(self)
         self._configuration = configuration
+        self._fleet_timing = fleet_timing
         self._events: queue.SimpleQueue[Callable[[float], None]] = (
             queue.SimpleQueue()
         )
@@ -135,6 +148,9 @@
         self._start_thread(feed.run, "intake-feed")
         self._start_thread(self._follow_workers, "worker-list")
         self._start_thread(self.writer.run, "progress-writer")
+        if self.ports.fleet is not None:
+            manager = FleetManager(self, DemandSizer(), self._fleet_timing)
+            self._start_thread(manager.run, "fleet")
         if self.ports.advisor is not None:
             self._start_thread(self._ask_advice, "advice")
         try:
@@ -173,6 +189,9 @@
                 break
         with self.lock:
             now_s = self.clock.monotonic_s()
+            self.scheduler.configuration = (
+                self._configuration() or self.scheduler.configuration
+            )
             for event in events:
                 event(now_s)
             commands = self._plan(now_s)
@@ -185,9 +204,6 @@
 
     def _plan(self, now_s: float) -> list[StartCommand | StopCommand]:
         scheduler = self.scheduler
-        scheduler.configuration = (
-            self._configuration() or scheduler.configuration
-        )
         for worker_id in scheduler.expire_workers(now_s):
             link = self._links.pop(worker_id, None)
             if link is not None:
--- a/src/rosemarynotch/_internal/scheduling/desk.py
+++ b/src/rosemarynotch/_internal/scheduling/desk.py
@@ -138,8 +138,7 @@
             return CONFIGURATION_STALE
         for _ in range(MAX_ATTEMPTS):
             record = SubmissionRecord(
-                queue=request.queue.name,
-                pool=request.queue.pool,
+                policy=request.queue,
                 organisation=request.organisation or "",
                 spec=spec,
                 accepted_unix_ms=round(self._clock.wall_s() * 1000),
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -0,0 +1,227 @@
+"""Maintenance and moves of VMs, ordered by the leader."""
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import PLATFORM_REFUSED
+from rosemarynotch._internal.scheduling.evacuation import Evacuation
+from rosemarynotch._internal.scheduling.pool_sizing import Move
+from rosemarynotch._internal.scheduling.pool_sizing import PoolLoad
+from rosemarynotch._internal.scheduling.pool_sizing import PoolSizer
+from rosemarynotch._internal.scheduling.ports import FleetVm
+from rosemarynotch._internal.scheduling.ports import VmPhase
+from rosemarynotch._internal.scheduling.wave_runner import WaveRunner
+from rosemarynotch._internal.scheduling.workers import Worker
+
+if TYPE_CHECKING:
+    from rosemarynotch._internal.scheduling.controller import Controller
+
+__all__ = ["FleetManager", "FleetTiming"]
+
+INTERVAL_S = 0.3
+# A move whose effect does not show is considered void after this time.
+MOVE_TIMEOUT_S = 8.0
+
+
+@attrs.frozen(kw_only=True)
+class FleetTiming:
+    """Times of the VM service.
+
+    :ivar quiet_s: time after taking over without orders, since orders of two
+        holders for one VM must not alternate
+    :ivar maintenance_s: time that the maintenance of a VM takes
+    """
+
+    quiet_s: float
+    maintenance_s: float
+
+
+@attrs.define
+class _PendingMove:
+    """A move that was ordered.
+
+    :ivar worker_id: the worker that lived on the VM before
+    """
+
+    target: str
+    worker_id: str
+    ordered_at_s: float
+
+
+class FleetManager:
+    """Lists VMs, and orders what waves and the sizer want.
+
+    :param sizer: chooses moves
+    """
+
+    def __init__(
+        self,
+        controller: "Controller",
+        sizer: PoolSizer,
+        timing: "FleetTiming",
+    ) -> None:
+        self._controller = controller
+        self._sizer = sizer
+        self._quiet_until_s = controller.clock.monotonic_s() + timing.quiet_s
+        self._moves: dict[str, _PendingMove] = {}
+        self._reachable = True
+        self._waves = WaveRunner(controller, self.order, timing.maintenance_s)
+        self._evacuation = Evacuation(controller)
+
+    def run(self) -> None:
+        """Look at the fleet until the term ends."""
+        controller = self._controller
+        while controller.is_running:
+            vms = controller.ports.fleet.vms()
+            if isinstance(vms, Failure):
+                self._note_contact(vms)
+            else:
+                self._note_contact(None)
+                self._step({vm.name: vm for vm in vms})
+            controller.stop.wait(INTERVAL_S)
+
+    def order(self, what: str, vm: FleetVm, *arguments) -> None | Failure:
+        """Give an order for a VM, right after checking the leadership."""
+        controller = self._controller
+        if not controller.is_running:
+            return PLATFORM_REFUSED.because("not leading")
+        method = getattr(controller.ports.fleet, what)
+        answer = method(controller.grant.fence, vm.name, *arguments)
+        outcome = answer.code if answer else "begun"
+        controller.metrics.count("vm_orders", what=what, outcome=outcome)
+        controller.log(
+            "vm ordered",
+            what=what,
+            vm=vm.name,
+            pool=vm.pool,
+            to=arguments[0],
+            outcome=outcome,
+            why=answer.reason if answer else "",
+        )
+        if answer is None:
+            controller.post(lambda now_s: self._end_worker(vm.worker_id))
+        return answer
+
+    def _end_worker(self, worker_id: str) -> None:
+        worker = self._controller.scheduler.workers.get(worker_id)
+        if worker is not None:
+            worker.is_replaced = True
+
+    def _note_contact(self, failure: Failure | None) -> None:
+        if self._reachable == (failure is None):
+            return
+        self._reachable = failure is None
+        if failure is None:
+            self._controller.log("vm service regained")
+        else:
+            self._controller.log("vm service lost", why=failure.reason)
+
+    def _step(self, vms: dict[str, FleetVm]) -> None:
+        controller = self._controller
+        now_s = controller.clock.monotonic_s()
+        self._settle_moves(vms, now_s)
+        if now_s < self._quiet_until_s:
+            return
+        self._waves.step(vms, set(self._moves), now_s)
+        self._evacuation.step(now_s)
+        with controller.lock:
+            loads = self._pool_loads(vms)
+        for move in self._sizer.plan(loads, now_s):
+            self._move(vms[move.vm], move, now_s)
+
+    # Moves.
+
+    def _settle_moves(self, vms: dict[str, FleetVm], now_s: float) -> None:
+        for name, move in list(self._moves.items()):
+            vm = vms.get(name)
+            arrived = (
+                vm is not None
+                and vm.phase is VmPhase.UP
+                and vm.pool == move.target
+            )
+            is_void = now_s - move.ordered_at_s > MOVE_TIMEOUT_S
+            if vm is None or arrived or is_void:
+                del self._moves[name]
+                if is_void and not arrived:
+                    self._uncordon(move.worker_id)
+
+    def _uncordon(self, worker_id: str) -> None:
+        with self._controller.lock:
+            worker = self._controller.scheduler.workers.get(worker_id)
+            if worker is not None:
+                worker.is_cordoned = False
+
+    def _move(self, vm: FleetVm, move: Move, now_s: float) -> None:
+        controller = self._controller
+        with controller.lock:
+            worker = controller.scheduler.workers.get(vm.worker_id)
+            if worker is not None:
+                if worker.runs or worker.is_cordoned:
+                    return
+                worker.is_cordoned = True
+        self._moves[vm.name] = _PendingMove(move.target, vm.worker_id, now_s)
+        answer = self.order("move", vm, move.target)
+        if answer is not None and answer.is_a(PLATFORM_REFUSED):
+            del self._moves[vm.name]
+            self._uncordon(vm.worker_id)
+
+    def _pool_loads(self, vms: dict[str, FleetVm]) -> list[PoolLoad]:
+        scheduler = self._controller.scheduler
+        demand = self._demand_cores()
+        counts: dict[str, int] = {}
+        idle: dict[str, list[str]] = {}
+        cores: dict[str, float] = {}
+        in_wave = self._waves.pending_vms()
+        for vm in vms.values():
+            moving = self._moves.get(vm.name)
+            pool = moving.target if moving else vm.pool
+            if vm.phase is VmPhase.DOWN:
+                continue
+            worker = scheduler.workers.get(vm.worker_id)
+            counts[pool] = counts.get(pool, 0) + (
+                vm.phase is not VmPhase.MAINTENANCE
+            )
+            cores[pool] = vm.capacity.cpu_millicores / 1000
+            if moving or vm.phase is not VmPhase.UP or vm.name in in_wave:
+                continue
+            # VMs of a standby pool are off and have no worker.
+            if not vm.worker_id or (worker and self._is_idle(worker)):
+                idle.setdefault(pool, []).append(vm.name)
+        pools = scheduler.configuration.pools
+        return [
+            PoolLoad(
+                name=name,
+                is_standby=policy.is_standby,
+                vm_count=counts.get(name, 0),
+                idle_vms=tuple(sorted(idle.get(name, ()))),
+                demand_cores=demand.get(name, 0.0),
+                vm_cores=cores.get(name) or max(cores.values(), default=1.0),
+            )
+            for name, policy in pools.items()
+        ]
+
+    @staticmethod
+    def _is_idle(worker: Worker) -> bool:
+        return not (
+            worker.runs or worker.is_cordoned or worker.entry.is_draining
+        )
+
+    def _demand_cores(self) -> dict[str, float]:
+        """Return the processors that running and waiting tasks want."""
+        scheduler = self._controller.scheduler
+        wall_ms = self._controller.clock.wall_s() * 1000
+        demand: dict[str, float] = {}
+        for job in scheduler.active.values():
+            pool = scheduler.queue_of(job).pool
+            for occurrence in job.occurrences:
+                if job.is_scheduled and wall_ms < occurrence.due_unix_ms:
+                    continue
+                for step in occurrence.steps:
+                    if step.is_done or not step.is_ready:
+                        continue
+                    count = len(step.tasks) - step.done_count
+                    millicores = count * step.spec.reserved.cpu_millicores
+                    demand[pool] = demand.get(pool, 0.0) + millicores / 1000
+        return demand
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -5,6 +5,7 @@
 import attrs
 
 from rosemarynotch._internal.scheduling.model import JobSpec
+from rosemarynotch._internal.scheduling.model import QueuePolicy
 
 __all__ = [
     "CANCELLATIONS_PREFIX",
@@ -52,16 +53,22 @@
 class SubmissionRecord:
     """An accepted job; never changed.
 
+    :ivar policy: of its queue when it was accepted; it holds for a job whose
+        queue is removed later
     :ivar attempt_id: tells a repeated write from that of another node
     """
 
-    queue: str
-    pool: str
+    policy: QueuePolicy
     organisation: str
     spec: JobSpec
     accepted_unix_ms: int
     attempt_id: str
 
+    @property
+    def queue(self) -> str:
+        """Return the name of the queue."""
+        return self.policy.name
+
 
 @attrs.frozen(kw_only=True)
 class StepRecord:
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -105,12 +105,8 @@
 
     def queue_of(self, job: Job) -> QueuePolicy:
         """Return the policy of a job's queue, also of a removed queue."""
-        submission = job.submission
-        return self.configuration.queues_by_name.get(
-            submission.queue
-        ) or QueuePolicy(
-            name=submission.queue, host="", prefix="", pool=submission.pool
-        )
+        policy = job.submission.policy
+        return self.configuration.queues_by_name.get(policy.name, policy)
 
     def touch(self, job: Job) -> int:
         """Note that a job has to be written; return the change's number."""
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -7,9 +7,12 @@
 
 from rosemarynotch._internal.platform import CallerInterface
 from rosemarynotch._internal.platform import decode_configuration
+from rosemarynotch._internal.platform import decode_wave
 from rosemarynotch._internal.platform import decode_worker
+from rosemarynotch._internal.platform import encode_wave_status
 from rosemarynotch._internal.platform import HttpAdvisor
 from rosemarynotch._internal.platform import HttpCoordinationStore
+from rosemarynotch._internal.platform import HttpFleetService
 from rosemarynotch._internal.platform import HttpWorkerChannel
 from rosemarynotch._internal.platform import KEYS
 from rosemarynotch._internal.platform import load_settings
@@ -18,6 +21,7 @@
 from rosemarynotch._internal.scheduling.controller import Controller
 from rosemarynotch._internal.scheduling.controller import ControllerPorts
 from rosemarynotch._internal.scheduling.desk import JobDesk
+from rosemarynotch._internal.scheduling.fleet_manager import FleetTiming
 from rosemarynotch._internal.scheduling.intake import JobIntake
 from rosemarynotch._internal.scheduling.leadership import Leadership
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
@@ -38,6 +42,9 @@
 LEASE_CALL_TIMEOUT_S = 0.6
 WORKER_TIMEOUT_S = 0.5
 ADVICE_TIMEOUT_S = 1.5
+VM_SERVICE_TIMEOUT_S = 1.0
+# Added to the time between the orders of two holders for one VM.
+QUIET_MARGIN_S = 0.3
 CALLER_THREADS = 24
 PROBE_THREADS = 2
 INTAKE_THREADS = 3
@@ -155,12 +162,22 @@
                     workers_prefix=KEYS.workers,
                     decode_worker=decode_worker,
                     connect_worker=self._connect_worker,
+                    waves_prefix=KEYS.waves,
+                    wave_status_prefix=KEYS.wave_status,
+                    decode_wave=decode_wave,
+                    encode_wave_status=encode_wave_status,
+                    fleet=self._fleet(),
                     advisor=self._advisor(),
                 ),
                 lambda: self._follower.current,
                 self._clock,
                 self._metrics,
                 self._log,
+                FleetTiming(
+                    quiet_s=self._settings.holder_interval_ms / 1000
+                    + QUIET_MARGIN_S,
+                    maintenance_s=self._settings.maintenance_s,
+                ),
             )
             self._controller.run()
 
@@ -186,6 +203,13 @@
             entry.worker_id,
         )
 
+    def _fleet(self) -> HttpFleetService | None:
+        address = self._settings.vm_service_address
+        if not address:
+            return None
+        http = HttpClient(address, self._clock, VM_SERVICE_TIMEOUT_S)
+        return HttpFleetService(http, self._settings.node)
+
     def _advisor(self) -> HttpAdvisor | None:
         address = self._settings.advisor_address
         if not address:
