Repeat maintenance orders without ending the VM's next worker

Cause: a new leader repeats orders whose answers it does not know.

Ruled out: the worker's lease (the hold of 20.3 s was valid until 26 s).

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -313,7 +313,10 @@
         ]
         with self.lock:
             now_s = self.clock.monotonic_s()
-            self._add_links(self.scheduler.set_workers(entries, now_s))
+            added = self.scheduler.set_workers(
+                entries, now_s, are_inherited=True
+            )
+            self._add_links(added)
         return True
 
     def _follow_workers(self) -> None:
--- a/src/rosemarynotch/_internal/scheduling/evacuation.py
+++ b/src/rosemarynotch/_internal/scheduling/evacuation.py
@@ -33,9 +33,10 @@
 
 
 class Evacuation:
-    """Stops serving tasks on cordoned workers, one of a step at a time.
+    """Stops serving tasks on workers that are to be empty.
 
-    Other tasks end by themselves.
+    On cordoned workers one of a step at a time; a draining worker ends its
+    tasks anyhow, so they leave it at once. Other tasks end by themselves.
     """
 
     def __init__(self, controller: "Controller") -> None:
@@ -46,16 +47,17 @@
         controller = self._controller
         with controller.lock:
             for worker in controller.scheduler.workers.values():
-                if not worker.is_cordoned:
+                is_leaving = worker.entry.is_draining
+                if not worker.is_cordoned and not is_leaving:
                     continue
                 for run in worker.runs.values():
-                    self._consider(run)
+                    self._consider(run, is_leaving)
 
-    def _consider(self, run: Run) -> None:
+    def _consider(self, run: Run, is_leaving: bool) -> None:
         spec = run.task.step.spec
         if not spec.long_running or run.phase is not RunPhase.ACTIVE:
             return
-        if may_interrupt(run.task.step) or _is_away([run]):
+        if is_leaving or may_interrupt(run.task.step) or _is_away([run]):
             run.phase = RunPhase.STOPPING
             self._controller.log(
                 "serving task evacuated",
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -67,7 +67,9 @@
         self._quiet_until_s = controller.clock.monotonic_s() + timing.quiet_s
         self._moves: dict[str, _PendingMove] = {}
         self._reachable = True
-        self._waves = WaveRunner(controller, self.order, timing.maintenance_s)
+        self._waves = WaveRunner(
+            controller, self.order, self.end_worker, timing.maintenance_s
+        )
         self._evacuation = Evacuation(controller)
 
     def run(self) -> None:
@@ -100,14 +102,14 @@
             outcome=outcome,
             why=answer.reason if answer else "",
         )
-        if answer is None:
-            controller.post(lambda now_s: self._end_worker(vm.worker_id))
         return answer
 
-    def _end_worker(self, worker_id: str) -> None:
-        worker = self._controller.scheduler.workers.get(worker_id)
-        if worker is not None:
-            worker.is_replaced = True
+    def end_worker(self, worker_id: str) -> None:
+        """Take note that the VM service has ended a worker."""
+        with self._controller.lock:
+            worker = self._controller.scheduler.workers.get(worker_id)
+            if worker is not None:
+                worker.is_replaced = True
 
     def _note_contact(self, failure: Failure | None) -> None:
         if self._reachable == (failure is None):
@@ -158,12 +160,16 @@
         with controller.lock:
             worker = controller.scheduler.workers.get(vm.worker_id)
             if worker is not None:
-                if worker.runs or worker.is_cordoned:
+                if not self._is_idle(worker):
                     return
                 worker.is_cordoned = True
+            elif vm.worker_id:
+                return
         self._moves[vm.name] = _PendingMove(move.target, vm.worker_id, now_s)
         answer = self.order("move", vm, move.target)
-        if answer is not None and answer.is_a(PLATFORM_REFUSED):
+        if answer is None:
+            self.end_worker(vm.worker_id)
+        elif answer.is_a(PLATFORM_REFUSED):
             del self._moves[vm.name]
             self._uncordon(vm.worker_id)
 
@@ -204,8 +210,8 @@
 
     @staticmethod
     def _is_idle(worker: Worker) -> bool:
-        return not (
-            worker.runs or worker.is_cordoned or worker.entry.is_draining
+        return worker.is_empty and not (
+            worker.is_cordoned or worker.entry.is_draining
         )
 
     def _demand_cores(self) -> dict[str, float]:
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -66,6 +66,7 @@
         self.durations = LearntDurations()
         self.dirty: dict[str, Job] = {}
         self.usage: dict[str, Resources] = {}
+        self._ended: dict[str, int] = {}
 
     # Jobs.
 
@@ -130,17 +131,27 @@
     # Workers.
 
     def set_workers(
-        self, entries: Iterable[WorkerEntry], now_s: float
+        self,
+        entries: Iterable[WorkerEntry],
+        now_s: float,
+        are_inherited: bool = False,
     ) -> list[Worker]:
-        """Take the platform's list into account; return new workers."""
+        """Take the platform's list into account; return new workers.
+
+        :param are_inherited: earlier leaders may have started runs on them
+        """
         listed = {entry.worker_id: entry for entry in entries}
         added = []
         for worker_id, entry in listed.items():
             worker = self.workers.get(worker_id)
             if worker is None:
+                if entry.started_unix_ms <= self._ended.get(worker_id, -1):
+                    # The list lags behind a move or a maintenance.
+                    continue
                 worker = Worker(
                     entry=entry,
                     known_since_s=now_s,
+                    is_inherited=are_inherited,
                     started_unix_ms=entry.started_unix_ms,
                 )
                 self.workers[worker_id] = worker
@@ -173,6 +184,8 @@
                 worker.is_learnt = False
             if worker.is_replaced or not worker.is_listed:
                 del self.workers[worker_id]
+                if worker.is_replaced:
+                    self._ended[worker_id] = worker.started_unix_ms
                 gone.append(worker_id)
                 self._log("worker gone", worker=worker_id)
         return gone
@@ -181,13 +194,17 @@
         return worker.lease_bound_s(self._longest_lease_s) + LEASE_MARGIN_S
 
     def unheard_pools(self, now_s: float) -> set[str]:
-        """Return pools in which runs of an earlier leader may be hidden."""
+        """Return pools in which runs of an earlier leader may be hidden.
+
+        A worker is enrolled in the roster before its first run, so workers
+        outside of the roster that this leader found hide nothing.
+        """
         return {
             worker.entry.pool
             for worker in self.workers.values()
-            if not worker.is_learnt
-            and not worker.is_replaced
+            if worker.is_inherited
             and not worker.clock_heard_at_s
+            and not worker.is_replaced
             and now_s < self._gone_at_s(worker)
         }
 
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -29,6 +29,8 @@
 LIST_INTERVAL_S = 1.0
 # Added to the declared time of a maintenance.
 MAINTENANCE_MARGIN_S = 0.5
+# A VM that was just ordered may still be listed as it was before.
+LIST_LAG_S = 0.7
 
 
 @attrs.define
@@ -61,6 +63,7 @@
     leader counts the VM as down.
 
     :param order: gives an order for a VM
+    :param end_worker: takes note that a worker has ended
     :param maintenance_s: time that the maintenance of a VM takes
     """
 
@@ -68,10 +71,12 @@
         self,
         controller: "Controller",
         order: Callable[..., None | Failure],
+        end_worker: Callable[[str], None],
         maintenance_s: float,
     ) -> None:
         self._controller = controller
         self._order = order
+        self._end_worker = end_worker
         self._maintenance_s = maintenance_s + MAINTENANCE_MARGIN_S
         self._policy = SpreadOverPools()
         self._waves: dict[int, _RunningWave] = {}
@@ -134,7 +139,7 @@
         self, each: _RunningWave, vms, moving: set[str], now_s: float
     ) -> None:
         self._note_back(each, vms, now_s)
-        self._repeat_unanswered(each, vms, now_s)
+        self._repeat_unanswered(each, vms)
         self._maintain_empty(each, vms, now_s)
         self._choose(each, vms, moving, now_s)
         left = [
@@ -160,6 +165,8 @@
                 self._controller.log(
                     "vm maintained", wave=each.wave.number, vm=name
                 )
+                if vm is not None:
+                    self._uncordon(vm.worker_id)
         if len(back) != len(each.record.back):
             each.record = attrs.evolve(each.record, back=tuple(sorted(back)))
             each.is_written = False
@@ -170,26 +177,31 @@
         begun_at_s = each.begun_at_s.get(vm.name)
         if begun_at_s is None or vm.phase is not VmPhase.UP:
             return False
+        since_s = now_s - begun_at_s
         if vm.worker_id:
-            return vm.worker_id != worker_id
+            # An order that was done before answers alike and ends nothing.
+            return vm.worker_id != worker_id and since_s > LIST_LAG_S
         # A VM that is off has no worker; its maintenance takes a known time.
-        return now_s - begun_at_s > self._maintenance_s
+        return since_s > self._maintenance_s
 
-    def _repeat_unanswered(self, each: _RunningWave, vms, now_s) -> None:
-        """Repeat orders without an answer; a done one is not done again."""
+    def _repeat_unanswered(self, each: _RunningWave, vms) -> None:
+        """Empty VMs again whose order had no answer, to repeat it."""
         for name in each.record.ordered:
             vm = vms.get(name)
-            is_open = name not in each.begun_at_s and vm is not None
-            if is_open and name not in each.record.back:
-                self._maintain(each, vm, now_s)
+            if vm is None or name in each.begun_at_s:
+                continue
+            if name in each.record.back or name in each.cordoned:
+                continue
+            if vm.phase is VmPhase.UP:
+                self._cordon(each, vm)
 
-    def _maintain(
-        self, each: _RunningWave, vm: FleetVm, now_s: float
-    ) -> None | Failure:
-        answer = self._order("maintain", vm, each.wave.number)
-        if answer is None:
-            each.begun_at_s[vm.name] = now_s
-        return answer
+    def _cordon(self, each: _RunningWave, vm: FleetVm) -> None:
+        """Keep new runs from a VM."""
+        with self._controller.lock:
+            worker = self._controller.scheduler.workers.get(vm.worker_id)
+            if worker is not None:
+                worker.is_cordoned = True
+            each.cordoned[vm.name] = vm.worker_id
 
     def _maintain_empty(self, each: _RunningWave, vms, now_s) -> None:
         controller = self._controller
@@ -200,24 +212,40 @@
                 continue
             with controller.lock:
                 worker = controller.scheduler.workers.get(worker_id)
-                if worker is not None and worker.runs:
-                    continue
-            if each.down_count >= each.wave.max_down:
-                continue
-            ordered = {**each.record.ordered, name: worker_id}
-            before = each.record
-            each.record = attrs.evolve(before, ordered=ordered)
-            if not self._write(each):
-                # It may have been written; then it only counts as down
-                # until the next write.
-                each.record = before
-                continue
-            del each.cordoned[name]
-            answer = self._maintain(each, vm, now_s)
-            if answer is not None and answer.is_a(PLATFORM_REFUSED):
-                each.record = before
-                each.is_written = False
-                self._uncordon(worker_id)
+                is_empty = worker.is_empty if worker else not worker_id
+            if is_empty and self._record_order(each, name, worker_id):
+                del each.cordoned[name]
+                self._maintain(each, vm, now_s)
+
+    def _record_order(
+        self, each: _RunningWave, name: str, worker_id: str
+    ) -> bool:
+        """Write that a VM is about to be maintained, if that is allowed."""
+        if name in each.record.ordered:
+            return True
+        if each.down_count >= each.wave.max_down:
+            return False
+        before = each.record
+        ordered = {**before.ordered, name: worker_id}
+        each.record = attrs.evolve(before, ordered=ordered)
+        if self._write(each):
+            return True
+        # If it was written all the same, the next write removes it.
+        each.record = before
+        return False
+
+    def _maintain(self, each: _RunningWave, vm: FleetVm, now_s: float) -> None:
+        answer = self._order("maintain", vm, each.wave.number)
+        if answer is None:
+            each.begun_at_s[vm.name] = now_s
+            if vm.worker_id == each.record.ordered[vm.name]:
+                self._end_worker(vm.worker_id)
+        elif answer.is_a(PLATFORM_REFUSED):
+            ordered = dict(each.record.ordered)
+            del ordered[vm.name]
+            each.record = attrs.evolve(each.record, ordered=ordered)
+            each.is_written = False
+            self._uncordon(vm.worker_id)
 
     def _uncordon(self, worker_id: str) -> None:
         with self._controller.lock:
@@ -237,11 +265,7 @@
             elapsed = (now_s - each.seen_at_s) / max(each.wave.duration_s, 1)
             chosen = self._policy.choose(candidates, limit, elapsed)
             for name in chosen:
-                worker_id = vms[name].worker_id
-                worker = controller.scheduler.workers.get(worker_id)
-                if worker is not None:
-                    worker.is_cordoned = True
-                each.cordoned[name] = worker_id
+                self._cordon(each, vms[name])
 
     def _candidates(self, each, vms, moving: set[str]) -> list[WaveVm]:
         scheduler = self._controller.scheduler
--- a/src/rosemarynotch/_internal/scheduling/worker_link.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_link.py
@@ -54,9 +54,12 @@
     def _ask(self) -> None:
         controller, worker = self._controller, self._worker
         asked_at_s = controller.clock.monotonic_s()
+        # A call that may never arrive must not keep the runs of a lost worker
+        # from being counted as lapsed, so it extends no lease.
         lease_ms = wait_ms = 0
         if worker.clock_heard_at_s:
-            lease_ms = controller.extend_lease(worker)
+            if self._is_reachable:
+                lease_ms = controller.extend_lease(worker)
             if worker.acked_sequence == worker.seen_sequence:
                 wait_ms = BUSY_WAIT_MS if worker.runs else IDLE_WAIT_MS
         report = self.channel.report(
@@ -94,8 +97,8 @@
             controller.post(lambda now_s: self._replace())
             self.close()
             return
-        if self._is_reachable and not failure.is_a(RUN_FENCED):
-            self._is_reachable = False
+        was_reachable, self._is_reachable = self._is_reachable, False
+        if was_reachable and not failure.is_a(RUN_FENCED):
             controller.log(
                 "worker lost", worker=worker.worker_id, why=failure.reason
             )
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -41,6 +41,7 @@
     :ivar is_learnt: it has reported under the fence of this leader
     :ivar is_enrolled: the roster in the store names it, so that a later
         leader asks it for runs
+    :ivar is_inherited: an earlier leader may have started runs on it
     :ivar clock_ms: its clock in the newest report
     :ivar clock_asked_at_s: when that report was asked for
     :ivar clock_heard_at_s: when that report came
@@ -56,6 +57,7 @@
     is_enrolled: bool = False
     is_cordoned: bool = False
     is_replaced: bool = False
+    is_inherited: bool = False
     started_unix_ms: int = 0
     clock_ms: int = 0
     clock_asked_at_s: float = 0.0
@@ -94,6 +96,11 @@
             and now_s >= self.quarantined_until_s
         )
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether it certainly has no runs."""
+        return self.is_learnt and not self.runs
+
     def add_run(self, run: Run) -> None:
         """Count a run."""
         self.runs[run.key] = run
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -1,5 +1,6 @@
 """Composition root of a node on the users' platform."""
 
+import os
 import signal
 import threading
 import traceback
@@ -50,6 +51,8 @@
 INTAKE_THREADS = 3
 # The load balancer needs two failed probes, one a second.
 LEAVE_NOTICE_S = 2.5
+# The process ends by itself this long before it would be killed.
+EXIT_MARGIN_S = 0.4
 FOLLOW_INTERVAL_S = 0.05
 
 
@@ -184,6 +187,11 @@
     def _leave(self) -> None:
         """Hand over, finish all requests and stop."""
         self._log("stopping")
+        guard = threading.Timer(
+            self._settings.grace_s - EXIT_MARGIN_S, self._exit
+        )
+        guard.daemon = True
+        guard.start()
         self._desk.announce_leaving()
         if self._controller is not None:
             self._controller.writer.flush()
@@ -192,6 +200,12 @@
         self._log("stopped")
         self._log.close()
 
+    def _exit(self) -> None:
+        """End before SIGKILL when a connection does not."""
+        self._log("stopped", why="the grace time is over")
+        self._log.close()
+        os._exit(0)
+
     def _store(self, timeout_s: float) -> HttpCoordinationStore:
         return HttpCoordinationStore(
             HttpClient(self._settings.store_address, self._clock, timeout_s)
