--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -186,9 +186,7 @@
             if vm.phase is VmPhase.DOWN:
                 continue
             worker = scheduler.workers.get(vm.worker_id)
-            counts[pool] = counts.get(pool, 0) + (
-                vm.phase is not VmPhase.MAINTENANCE
-            )
+            counts[pool] = counts.get(pool, 0) + (vm.name not in in_wave)
             cores[pool] = vm.capacity.cpu_millicores / 1000
             if moving or vm.phase is not VmPhase.UP or vm.name in in_wave:
                 continue
