--- a/src/rosemarynotch/_internal/platform/documents.py
+++ b/src/rosemarynotch/_internal/platform/documents.py
@@ -13,6 +13,7 @@
 from rosemarynotch._internal.scheduling.model import Organisation
 from rosemarynotch._internal.scheduling.model import PoolPolicy
 from rosemarynotch._internal.scheduling.model import QueuePolicy
+from rosemarynotch._internal.scheduling.model import RequestLimits
 from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
 
@@ -58,6 +59,7 @@
                 row["name"]: _organisation(row)
                 for row in fields.get("tenants", [])
             },
+            limits=_limits(fields.get("limits") or {}),
         )
     except (KeyError, TypeError, ValueError) as error:
         return RECORD_MALFORMED.because(f"{item.key}: {error!r}")
@@ -84,6 +86,16 @@
     )
 
 
+def _limits(row: dict) -> RequestLimits:
+    known = RequestLimits()
+    return RequestLimits(
+        header_timeout_ms=int(
+            row.get("header-timeout-ms", known.header_timeout_ms)
+        ),
+        idle_timeout_ms=int(row.get("idle-timeout-ms", known.idle_timeout_ms)),
+    )
+
+
 def _organisation(row: dict) -> Organisation:
     return Organisation(
         name=row["name"],
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -20,6 +20,8 @@
 from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.model import Configuration
 from rosemarynotch._internal.scheduling.ordering import ObjectiveOrder
+from rosemarynotch._internal.scheduling.pacing import PaceChange
+from rosemarynotch._internal.scheduling.pacing import TailPacer
 from rosemarynotch._internal.scheduling.placement import BestFit
 from rosemarynotch._internal.scheduling.planner import Planner
 from rosemarynotch._internal.scheduling.planner import StartCommand
@@ -29,6 +31,7 @@
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
 from rosemarynotch._internal.scheduling.ports import FleetService
 from rosemarynotch._internal.scheduling.ports import Item
+from rosemarynotch._internal.scheduling.ports import Pacing
 from rosemarynotch._internal.scheduling.ports import StartOrder
 from rosemarynotch._internal.scheduling.ports import WorkerChannel
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
@@ -43,6 +46,8 @@
 
 __all__ = ["Controller", "ControllerPorts"]
 
+Command = StartCommand | StopCommand | PaceChange
+
 # Lease on the runs of a worker: longer than it takes to change the leader
 # (LEASE_TTL_MS of the leadership and a start), and short, since the tasks of
 # a worker that cannot be reached start elsewhere only after it.
@@ -115,6 +120,7 @@
         self.planner = Planner(
             self.scheduler, ObjectiveOrder(), BestFit(), self.advice, log
         )
+        self._pacer = TailPacer()
         self.writer = ProgressWriter(self)
         self._configuration = configuration
         self._fleet_timing = fleet_timing
@@ -202,7 +208,7 @@
         if left_s > 0:
             self.clock.sleep(left_s)
 
-    def _plan(self, now_s: float) -> list[StartCommand | StopCommand]:
+    def _plan(self, now_s: float) -> list[Command]:
         scheduler = self.scheduler
         for worker_id in scheduler.expire_workers(now_s):
             link = self._links.pop(worker_id, None)
@@ -213,15 +219,24 @@
         commands = self.planner.follow_up(now_s)
         wall_ms = self.clock.wall_s() * 1000
         commands += self.planner.place(now_s, wall_ms)
+        workers = list(scheduler.workers.values())
+        for change in self._pacer.plan(workers, now_s):
+            change.run.pace_percent = change.percent
+            commands.append(change)
         return commands
 
     # Orders.
 
-    def _send(self, command: StartCommand | StopCommand) -> None:
+    def _send(self, command: Command) -> None:
+        link = self._links.get(command.worker.worker_id)
+        if link is None or not self.is_running:
+            return
         if isinstance(command, StartCommand):
-            self._send_start(command)
+            self._send_start(command, link)
+        elif isinstance(command, StopCommand):
+            self._send_stop(command, link)
         else:
-            self._send_stop(command)
+            self._send_pace(command, link)
 
     def extend_lease(self, worker: Worker) -> int:
         """Return the end of a lease from now on, on the worker's clock."""
@@ -232,11 +247,8 @@
         worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
         return until_ms
 
-    def _send_start(self, command: StartCommand) -> None:
+    def _send_start(self, command: StartCommand, link: WorkerLink) -> None:
         run, worker = command.run, command.worker
-        link = self._links.get(worker.worker_id)
-        if link is None or not self.is_running:
-            return
         task = run.task
         job = task.step.occurrence.job
         order = StartOrder(
@@ -266,11 +278,23 @@
             lambda now_s: self.scheduler.on_start_answer(run, answer, now_s)
         )
 
-    def _send_stop(self, command: StopCommand) -> None:
+    def _send_pace(self, change: PaceChange, link: WorkerLink) -> None:
+        run = change.run
+        pacing = Pacing(
+            task=run.task.task_id, run=run.number, percent=change.percent
+        )
+        answer = link.channel.pace(self.grant.fence, pacing)
+        self.log(
+            "run paced",
+            task=str(pacing.task),
+            worker=run.worker_id,
+            percent=change.percent,
+            outcome=answer.code if answer else "paced",
+        )
+        self.check_fence(answer)
+
+    def _send_stop(self, command: StopCommand, link: WorkerLink) -> None:
         run = command.run
-        link = self._links.get(command.worker.worker_id)
-        if link is None or not self.is_running:
-            return
         answer = link.channel.stop(
             self.grant.fence, run.task.task_id, run.number
         )
--- a/src/rosemarynotch/_internal/scheduling/model.py
+++ b/src/rosemarynotch/_internal/scheduling/model.py
@@ -9,6 +9,7 @@
     "Organisation",
     "PoolPolicy",
     "QueuePolicy",
+    "RequestLimits",
     "Resources",
     "StepSpec",
     "TaskId",
@@ -196,6 +197,18 @@
     cap: Resources = Resources()
 
 
+@attrs.frozen(kw_only=True)
+class RequestLimits:
+    """Limits of callers' connections.
+
+    :ivar header_timeout_ms: time for a request to arrive
+    :ivar idle_timeout_ms: time that a connection may be idle
+    """
+
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
 @attrs.frozen(kw_only=True)
 class Configuration:
     """One version of what the operators declare.
@@ -208,6 +221,7 @@
     queues: tuple[QueuePolicy, ...] = ()
     pools: dict[str, PoolPolicy] = attrs.field(factory=dict)
     organisations: dict[str, Organisation] = attrs.field(factory=dict)
+    limits: RequestLimits = RequestLimits()
     queues_by_name: dict[str, QueuePolicy] = attrs.field(init=False)
     _keys: dict[str, str] = attrs.field(init=False)
     _prefixes: dict[tuple[str, str], QueuePolicy] = attrs.field(init=False)
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -9,6 +9,8 @@
 from rosemarynotch._internal.scheduling.ports import Change
 from rosemarynotch._internal.scheduling.ports import Condition
 from rosemarynotch._internal.scheduling.ports import Write
+from rosemarynotch._internal.scheduling.records import CANCELLATIONS_PREFIX
+from rosemarynotch._internal.scheduling.records import JOBS_PREFIX
 from rosemarynotch._internal.scheduling.records import LEADER_KEY
 from rosemarynotch._internal.scheduling.records import LOAD_KEY
 from rosemarynotch._internal.scheduling.records import LoadRecord
@@ -28,6 +30,12 @@
 # Changes that come within this time are written together.
 GATHER_S = 0.02
 LOAD_INTERVAL_S = 0.5
+# The platform promises callers the state of a job for 120 s after its end; a
+# repeated submission that is under way may still arrive after that.
+RETENTION_MS = 180_000
+REMOVAL_INTERVAL_S = 5.0
+# Three keys of each job, and the condition, in one transaction.
+MAX_REMOVED = 10
 RETRY_S = 0.05
 
 
@@ -44,6 +52,7 @@
         self._controller = controller
         self._wake = threading.Event()
         self._load_written_at_s = -1e9
+        self._next_removal_s = 0.0
         self.roster_is_old = True
 
     def wake(self) -> None:
@@ -61,6 +70,36 @@
             if not self._write():
                 controller.stop.wait(RETRY_S)
                 self._wake.set()
+            elif controller.clock.monotonic_s() > self._next_removal_s:
+                self._remove_expired()
+
+    def _remove_expired(self) -> None:
+        """Remove jobs that nobody needs to ask for any more."""
+        controller = self._controller
+        now_s = controller.clock.monotonic_s()
+        self._next_removal_s = now_s + REMOVAL_INTERVAL_S
+        wall_ms = controller.clock.wall_s() * 1000
+        with controller.lock:
+            jobs = controller.scheduler.expired_jobs(wall_ms, RETENTION_MS)
+        for start in range(0, len(jobs), MAX_REMOVED):
+            batch = jobs[start : start + MAX_REMOVED]
+            keys = [
+                prefix + job.job_id
+                for job in batch
+                for prefix in (
+                    JOBS_PREFIX,
+                    PROGRESS_PREFIX,
+                    CANCELLATIONS_PREFIX,
+                )
+            ]
+            condition = Condition(LEADER_KEY, controller.grant.fence)
+            answer = controller.ports.store.commit([condition], [], keys)
+            if not isinstance(answer, int):
+                return
+            with controller.lock:
+                for job in batch:
+                    controller.scheduler.forget(job)
+                    controller.advice.forget(job.job_id)
 
     def flush(self) -> None:
         """Write everything, before a planned stop."""
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -123,6 +123,21 @@
         if job.change <= change:
             self.dirty.pop(job.job_id, None)
 
+    def expired_jobs(self, wall_ms: float, retention_ms: float) -> list[Job]:
+        """Return jobs whose state has been shown long enough."""
+        return [
+            job
+            for job in self.jobs.values()
+            if job.finished_unix_ms
+            and job.durable_change >= job.change
+            and wall_ms - job.finished_unix_ms > retention_ms
+        ]
+
+    def forget(self, job: Job) -> None:
+        """Drop a job that was removed from the store."""
+        self.jobs.pop(job.job_id, None)
+        self.cancelled_ids.discard(job.job_id)
+
     def settle_acks(self) -> None:
         """Acknowledge what has been written."""
         for worker in self.workers.values():
--- a/src/rosemarynotch/_internal/utils/graceful_server.py
+++ b/src/rosemarynotch/_internal/utils/graceful_server.py
@@ -1,16 +1,18 @@
 """A graceful HTTP server for WSGI applications."""
 
+from collections.abc import Callable
 import logging
 import threading
 import time
 
+import attrs
 from waitress.channel import HTTPChannel
 from waitress.server import create_server
 from waitress.task import ErrorTask
 from waitress.task import WSGITask
 from waitress import wasyncore
 
-__all__ = ["GracefulServer"]
+__all__ = ["GracefulServer", "ServerLimits"]
 
 # The server logs a line for each request that finds no free thread.
 logging.getLogger("waitress.queue").setLevel(logging.ERROR)
@@ -18,9 +20,11 @@
 MEGABYTE = 1024 * 1024
 MAX_HEADER_BYTES = 32 * 1024
 MAX_BODY_BYTES = MEGABYTE
-# A caller that stops in the middle of a request frees its connection.
-CHANNEL_TIMEOUT_S = 60
-CLEANUP_INTERVAL_S = 10
+IDLE_TIMEOUT_S = 60.0
+# The time within which a request has to arrive whole. A caller that stops in
+# the middle of one would keep its connection from others.
+REQUEST_TIMEOUT_S = 10.0
+CLEANUP_INTERVAL_S = 1
 # Connections beyond the threads are idle ones, kept by callers.
 CONNECTIONS_PER_THREAD = 4
 # A kept connection may carry a request that was sent before its caller
@@ -29,6 +33,18 @@
 POLL_S = 0.02
 
 
+@attrs.frozen(kw_only=True)
+class ServerLimits:
+    """Times after which connections are closed.
+
+    :ivar idle_timeout_s: without a request
+    :ivar request_timeout_s: between the first and the last byte of one
+    """
+
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+    request_timeout_s: float = REQUEST_TIMEOUT_S
+
+
 class _AnswerTask(WSGITask):
     """Closes connections after their answer once the server is leaving."""
 
@@ -52,6 +68,27 @@
         self.channel.write_soon(head + data)
 
 
+class _TimedChannel(HTTPChannel):
+    """Notes when the request that is arriving has begun."""
+
+    task_class = _AnswerTask
+    request_began_s = 0.0
+
+    def received(self, data):
+        """Take bytes of a request."""
+        if self.request is None:
+            self.request_began_s = time.time()
+        return super().received(data)
+
+    def is_overdue(self, limits: ServerLimits, now_s: float) -> bool:
+        """Tell whether the connection is to be closed."""
+        if self.requests or self.total_outbufs_len:
+            return False
+        if self.request is not None:
+            return now_s - self.request_began_s > limits.request_timeout_s
+        return now_s - self.last_activity > limits.idle_timeout_s
+
+
 class GracefulServer:
     """Serves an application with waitress and stops without cutting work.
 
@@ -59,6 +96,8 @@
     :param threads: requests that are queued or run at the same time; a
         request beyond them waits inside of the server, without order
     :param error_task: answers what the server itself refuses
+    :param connections: open connections; more wait in the listen queue
+    :param limits: returns the present limits
     :ivar address: host and port that it listens on
     """
 
@@ -70,6 +109,8 @@
         threads: int,
         error_task: type[ErrorTask] = ErrorTask,
         max_body_bytes: int = MAX_BODY_BYTES,
+        connections: int = 0,
+        limits: Callable[[], ServerLimits] = ServerLimits,
     ) -> None:
         self._app = app
         self._server = create_server(
@@ -77,8 +118,7 @@
             host=host,
             port=port,
             threads=threads,
-            connection_limit=threads * CONNECTIONS_PER_THREAD,
-            channel_timeout=CHANNEL_TIMEOUT_S,
+            connection_limit=connections or threads * CONNECTIONS_PER_THREAD,
             cleanup_interval=CLEANUP_INTERVAL_S,
             # The server refuses a body of exactly the limit.
             max_request_body_size=max_body_bytes + 1,
@@ -95,10 +135,10 @@
             ident=None,
         )
         self._server.channel_class = type(
-            "_Channel",
-            (HTTPChannel,),
-            {"task_class": _AnswerTask, "error_task_class": error_task},
+            "_Channel", (_TimedChannel,), {"error_task_class": error_task}
         )
+        self._limits = limits
+        self._server.maintenance = self._close_overdue
         self._server.leaving = False
         host, port = self._server.effective_host, self._server.effective_port
         self.address = f"{host}:{port}"
@@ -129,6 +169,13 @@
         self._call(self._server.trigger.close)
         self._thread.join()
 
+    def _close_overdue(self, now_s: float) -> None:
+        """Close idle and stalled connections."""
+        limits = self._limits()
+        for channel in list(self._server.active_channels.values()):
+            if channel.is_overdue(limits, now_s):
+                channel.will_close = True
+
     def _call(self, function):
         """Run a function in the thread that owns the connections."""
         done = threading.Event()
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -30,6 +30,7 @@
 from rosemarynotch._internal.scheduling.probes import ReadinessApp
 from rosemarynotch._internal.utils.addresses import parse_address
 from rosemarynotch._internal.utils.graceful_server import GracefulServer
+from rosemarynotch._internal.utils.graceful_server import ServerLimits
 from rosemarynotch._internal.utils.http import HttpClient
 from rosemarynotch._internal.utils.json_logs import JsonLog
 from rosemarynotch._internal.utils.metrics import Metrics
@@ -47,6 +48,8 @@
 # Added to the time between the orders of two holders for one VM.
 QUIET_MARGIN_S = 0.3
 CALLER_THREADS = 24
+# Of the 3,900 descriptors that a node may use for connections.
+CALLER_CONNECTIONS = 2000
 PROBE_THREADS = 2
 INTAKE_THREADS = 3
 # The load balancer needs two failed probes, one a second.
@@ -101,6 +104,8 @@
             CallerInterface(self._desk),
             settings.callers_address,
             CALLER_THREADS,
+            connections=CALLER_CONNECTIONS,
+            limits=self._limits,
         )
         self._probes = self._server(
             ReadinessApp(self._desk), settings.probe_address, PROBE_THREADS
@@ -230,10 +235,22 @@
             return None
         return HttpAdvisor(HttpClient(address, self._clock, ADVICE_TIMEOUT_S))
 
+    def _limits(self) -> ServerLimits:
+        """Return the limits of the newest configuration."""
+        configuration = self._follower.current
+        if configuration is None:
+            return ServerLimits()
+        limits = configuration.limits
+        # Bodies arrive within the same time again.
+        return ServerLimits(
+            idle_timeout_s=limits.idle_timeout_ms / 1000,
+            request_timeout_s=2 * limits.header_timeout_ms / 1000,
+        )
+
     @staticmethod
-    def _server(app, address: str, threads: int) -> GracefulServer:
+    def _server(app, address: str, threads: int, **options) -> GracefulServer:
         host, port = parse_address("listen address", address)
-        return GracefulServer(app, host, port, threads)
+        return GracefulServer(app, host, port, threads, **options)
 
 
 def run_node() -> int:
