Repeat a start with the lease of its first order

Ruled out: a blocked pool (other jobs of the pool went on).

A worker that has not reported for 1.6 s (2.6 s idle) gets no new runs.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -249,13 +249,14 @@
 
     def _send_start(self, command: StartCommand, link: WorkerLink) -> None:
         run, worker = command.run, command.worker
+        run.lease_until_ms = run.lease_until_ms or self.extend_lease(worker)
         task = run.task
         job = task.step.occurrence.job
         order = StartOrder(
             task=task.task_id,
             run=run.number,
             payload=job.submission.spec.payload,
-            lease_until_worker_ms=self.extend_lease(worker),
+            lease_until_worker_ms=run.lease_until_ms,
             checkpoint=task.checkpoint,
             ticket=command.ticket,
         )
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -33,6 +33,9 @@
     """A run of a task on a worker.
 
     :ivar ordered_at_s: when the start was first ordered
+    :ivar lease_until_ms: end of the lease that was ordered with the start, on
+        the worker's clock; a repeated order carries the same, so that it
+        cannot keep a lost run from lapsing
     :ivar confirmed_at_s: when its answer came; a report that was asked for
         later has to name the run
     :ivar stop_sent_at_s: when it was last told to stop
@@ -44,6 +47,7 @@
     worker_id: str
     phase: RunPhase = RunPhase.ORDERED
     ordered_at_s: float = 0.0
+    lease_until_ms: int = 0
     confirmed_at_s: float = 0.0
     stop_sent_at_s: float = 0.0
     percent: int = 0
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -454,13 +454,11 @@
         elif answer.ran is Ran.NO and not run.is_reordered:
             worker.drop_run(run)
             self._release(run, now_s)
-            pause_until_s = now_s + REFUSED_PAUSE_S
-            worker.quarantined_until_s = max(
-                worker.quarantined_until_s, pause_until_s
-            )
+            worker.pause_until(now_s + REFUSED_PAUSE_S)
         else:
             # This order or an earlier one may still be carried out.
             run.phase = RunPhase.UNCONFIRMED
+            worker.pause_until(now_s + REFUSED_PAUSE_S)
 
     def on_stop_answer(
         self, run: Run, answer: None | Failure, now_s: float
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -22,6 +22,10 @@
 MIN_FAULTS = 2
 MAX_FAULT_SHARE = 0.34
 QUARANTINE_S = 8.0
+# A worker that has not reported for so long gets no new runs. It is asked
+# for reports that take up to 1 s with runs on it, and up to 2 s without.
+BUSY_SILENCE_S = 1.6
+IDLE_SILENCE_S = 2.6
 
 
 @attrs.frozen
@@ -93,9 +97,18 @@
             and not self.is_replaced
             and not self.is_cordoned
             and not self.entry.is_draining
+            and now_s - self.clock_heard_at_s < self._silence_limit_s
             and now_s >= self.quarantined_until_s
         )
 
+    @property
+    def _silence_limit_s(self) -> float:
+        return BUSY_SILENCE_S if self.runs else IDLE_SILENCE_S
+
+    def pause_until(self, time_s: float) -> None:
+        """Place nothing here before a time."""
+        self.quarantined_until_s = max(self.quarantined_until_s, time_s)
+
     @property
     def is_empty(self) -> bool:
         """Tell whether it certainly has no runs."""
