Test nodes as processes against an emulator of the platform

The emulator (standins/fleet) speaks the users' protocol: store with leases, watches, history and faults; workers with leases, fences and ends; VM service. Its ledger holds what really ran. 24 tests kill, stop and suspend nodes, lose and delay writes and orders, crash and silence workers, run a wave, and stall callers and the reader of the log.

Tests run in parallel, with a range of ports for each process.

--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,11 @@
 	$(BIN)/isort -q $(SOURCES)
 	$(BIN)/black -q $(SOURCES)
 
+# Tests mostly wait; each parallel process has ports of its own.
+TEST_PROCESSES ?= 5
+
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES)
 
 demo: $(VENV)/.installed
 	$(BIN)/python -m demo.run
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -26,7 +26,9 @@
 
 ROOT = Path(__file__).parent.parent
 PROGRAMS = Path(sys.executable).parent
-PORTS = range(20_000, 32_000)
+FIRST_PORT = 12_000
+PORTS_PER_TEST_PROCESS = 2_500
+MAX_TEST_PROCESSES = 8
 START_S = 20.0
 STOP_S = 40.0
 POLL_S = 0.05
@@ -55,7 +57,15 @@
         raise StartFailed("no port is free")
 
 
-_ports = Ports(PORTS)
+def _own_ports() -> range:
+    """Return ports that no other process of a parallel test run takes."""
+    name = os.environ.get("PYTEST_XDIST_WORKER", "gw0")
+    number = int(name.removeprefix("gw")) % MAX_TEST_PROCESSES
+    first = FIRST_PORT + number * PORTS_PER_TEST_PROCESS
+    return range(first, first + PORTS_PER_TEST_PROCESS)
+
+
+_ports = Ports(_own_ports())
 
 
 def free_ports(count: int) -> list[int]:
--- /dev/null
+++ b/standins/fleet/__init__.py
@@ -0,0 +1,19 @@
+"""Emulator of the users' platform: store, workers and VM service.
+
+It speaks the platform's protocol over HTTP and keeps a ledger of every run,
+from which tests judge the promises. Its faults are switches.
+"""
+
+from standins.fleet.emulator import Emulator
+from standins.fleet.ledger import Ledger
+from standins.fleet.ledger import RunEntry
+from standins.fleet.store import EmulatedStore
+from standins.fleet.worker import EmulatedWorker
+
+__all__ = [
+    "EmulatedStore",
+    "EmulatedWorker",
+    "Emulator",
+    "Ledger",
+    "RunEntry",
+]
--- /dev/null
+++ b/standins/fleet/worker.py
@@ -0,0 +1,242 @@
+"""A worker that runs tasks as timers."""
+
+import contextlib
+import enum
+import random
+import threading
+import time
+
+import attrs
+
+from standins.fleet.http import Answer
+from standins.fleet.http import Call
+from standins.fleet.http import JsonServer
+from standins.fleet.http import LostAnswer
+from standins.fleet.ledger import Ledger
+from standins.fleet.ledger import RunEntry
+
+__all__ = ["EmulatedWorker", "WorkerFault"]
+
+MAX_LEASE_MS = 10_000
+TICK_S = 0.02
+LATE_S = (0.3, 2.0)
+
+
+class WorkerFault(enum.Enum):
+    """What happens to orders, or to tasks."""
+
+    NONE = "none"
+    LOST = "lost"
+    LATE = "late"
+    SILENT = "silent"
+    FAILING = "failing"
+    STUCK = "stuck"
+
+
+@attrs.define
+class _Run:
+    entry: RunEntry
+    number: int
+    work_s: float
+    is_lasting: bool
+    is_failing: bool
+    began_at_s: float
+
+
+class EmulatedWorker:
+    """One life of a worker.
+
+    The payload of a task says what it does: ``work=SECONDS``, ``lasting`` or
+    ``failing``, separated by spaces.
+    """
+
+    def __init__(
+        self, worker_id: str, ledger: Ledger, rng: random.Random
+    ) -> None:
+        self.worker_id = worker_id
+        self.fault = WorkerFault.NONE
+        self.fault_share = 1.0
+        self.is_alive = True
+        self._ledger = ledger
+        self._random = rng
+        self._changed = threading.Condition()
+        self._born_s = time.monotonic()
+        self.born_unix_ms = round(time.time() * 1000)
+        self._fence = 0
+        self._lease_until_ms = 0.0
+        self._runs: dict[str, _Run] = {}
+        self._ended_runs: dict[str, int] = {}
+        self._ends: list[list] = []
+        self._sequence = 0
+        self.server = JsonServer(self._respond)
+        threading.Thread(target=self._tick_until_dead, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """Return HOST:PORT of the worker."""
+        return self.server.address
+
+    @property
+    def running_count(self) -> int:
+        """Return the number of runs."""
+        return len(self._runs)
+
+    def kill(self) -> None:
+        """End the worker with everything on it."""
+        with self._changed:
+            self.is_alive = False
+            for run in self._runs.values():
+                self._ledger.end(run.entry, "killed")
+            self._runs.clear()
+            self._changed.notify_all()
+        self.server.close()
+
+    def _clock_ms(self) -> float:
+        return (time.monotonic() - self._born_s) * 1000
+
+    def _respond(self, call: Call) -> Answer:
+        expected = call.headers.get("Rosemarynotch-Expected-Instance")
+        if not self.is_alive:
+            raise LostAnswer
+        if expected not in (None, self.worker_id):
+            return Answer(421)
+        fault = self.fault
+        if self._random.random() > self.fault_share:
+            fault = WorkerFault.NONE
+        if fault is WorkerFault.SILENT:
+            time.sleep(1.5)
+            raise LostAnswer
+        if fault is WorkerFault.LATE:
+            delay_s = self._random.uniform(*LATE_S)
+            threading.Timer(delay_s, self._apply_late, [call]).start()
+            raise LostAnswer
+        answer = self._apply(call)
+        if fault is WorkerFault.LOST:
+            raise LostAnswer
+        return answer
+
+    def _apply(self, call: Call) -> Answer:
+        body = call.body
+        with self._changed:
+            if not self.is_alive:
+                raise LostAnswer
+            self._tick()
+            if body.get("fencing-token", 0) < self._fence:
+                return self._refuse("fence")
+            self._fence = body.get("fencing-token", 0)
+            if call.path == "run-start":
+                return self._start(body)
+            if call.path == "run-stop":
+                return self._stop(body)
+            if call.path == "hold":
+                return self._hold(body)
+            if call.path == "pace":
+                return self._ok()
+        return Answer(400)
+
+    def _apply_late(self, call: Call) -> None:
+        if self.is_alive:
+            with contextlib.suppress(LostAnswer):
+                self._apply(call)
+
+    def _ok(self, **fields) -> Answer:
+        return Answer(
+            200,
+            {
+                "clock-ms": round(self._clock_ms()),
+                "born": self.born_unix_ms,
+                **fields,
+            },
+        )
+
+    def _refuse(self, reason: str) -> Answer:
+        return Answer(
+            409, {"clock-ms": round(self._clock_ms()), "reason": reason}
+        )
+
+    def _extend(self, body: dict) -> None:
+        wanted = body.get("deadline-ms", 0)
+        longest = self._clock_ms() + MAX_LEASE_MS
+        self._lease_until_ms = max(self._lease_until_ms, min(wanted, longest))
+
+    def _start(self, body: dict) -> Answer:
+        task, number = body["task"], body["run"]
+        known = self._runs.get(task)
+        if known is not None and known.number == number:
+            self._extend(body)
+            return self._ok()
+        if known is not None or number <= self._ended_runs.get(task, 0):
+            return self._refuse("old")
+        if body["deadline-ms"] <= self._clock_ms():
+            return self._refuse("late")
+        self._extend(body)
+        words = body["spec"].split()
+        work_s = next(
+            (float(w[5:]) for w in words if w.startswith("work=")), 0.1
+        )
+        entry = self._ledger.start(task, number, self.worker_id, body["spec"])
+        self._runs[task] = _Run(
+            entry=entry,
+            number=number,
+            work_s=work_s,
+            is_lasting="lasting" in words,
+            is_failing="failing" in words or self.fault is WorkerFault.FAILING,
+            began_at_s=time.monotonic(),
+        )
+        return self._ok()
+
+    def _stop(self, body: dict) -> Answer:
+        task, number = body["task"], body["run"]
+        run = self._runs.get(task)
+        self._ended_runs[task] = max(self._ended_runs.get(task, 0), number)
+        if run is not None and run.number <= number:
+            self._end(task, "stopped")
+        return self._ok()
+
+    def _hold(self, body: dict) -> Answer:
+        if "deadline-ms" in body:
+            self._extend(body)
+        seen = body.get("last-seen", 0)
+        self._ends = [end for end in self._ends if end[0] > seen]
+        until_s = time.monotonic() + body.get("wait-ms", 0) / 1000
+        while not self._ends and self.is_alive:
+            left_s = until_s - time.monotonic()
+            if left_s <= 0:
+                break
+            self._changed.wait(min(left_s, 0.1))
+        running = [
+            [task, run.number, "", self._percent(run), 1.0]
+            for task, run in self._runs.items()
+        ]
+        return self._ok(running=running, finished=self._ends[:500])
+
+    def _percent(self, run: _Run) -> int:
+        if run.is_lasting:
+            return 100
+        since_s = time.monotonic() - run.began_at_s
+        return min(99, int(100 * since_s / max(run.work_s, 0.01)))
+
+    def _tick_until_dead(self) -> None:
+        while self.is_alive:
+            with self._changed:
+                self._tick()
+            time.sleep(TICK_S)
+
+    def _tick(self) -> None:
+        now_s = time.monotonic()
+        is_lapsed = self._clock_ms() >= self._lease_until_ms
+        for task, run in list(self._runs.items()):
+            if is_lapsed:
+                self._end(task, "lapsed")
+            elif self.fault is WorkerFault.STUCK or run.is_lasting:
+                continue
+            elif now_s - run.began_at_s >= run.work_s:
+                self._end(task, "failed" if run.is_failing else "done")
+
+    def _end(self, task: str, how: str) -> None:
+        run = self._runs.pop(task)
+        self._ledger.end(run.entry, how)
+        self._ended_runs[task] = max(self._ended_runs.get(task, 0), run.number)
+        self._sequence += 1
+        self._ends.append([self._sequence, task, run.number, how, ""])
+        self._changed.notify_all()
--- /dev/null
+++ b/tests/functional/test_platform_path.py
@@ -0,0 +1,445 @@
+"""Nodes as real processes against the emulator of the users' platform."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import time
+
+import testtools
+
+from standins.fleet import Emulator
+from standins.fleet.store import StoreFault
+from standins.fleet.worker import WorkerFault
+from tests.lib.nodes import configuration
+from tests.lib.nodes import Nodes
+from tests.lib.nodes import wait_until
+
+START_S = 15.0
+# Three times the lease of a leader, and the lease of a worker.
+RECOVERY_S = 20.0
+
+
+class PlatformCase(testtools.TestCase):
+    """Starts an emulator and nodes."""
+
+    NODES = 2
+    POOLS = {"one": 3, "two": 2, "spare": 2}
+
+    def setUp(self):
+        super().setUp()
+        self.emulator = Emulator(dict(self.POOLS), standby="spare")
+        self.addCleanup(self.emulator.close)
+        self.emulator.put_configuration(configuration())
+        self.nodes = Nodes(self.emulator, self.NODES)
+        self.addCleanup(self.nodes.close)
+        wait_until(
+            lambda: all(map(self.nodes.is_ready, range(self.NODES))),
+            START_S,
+            "all nodes are ready",
+        )
+        wait_until(
+            lambda: self.nodes.leader() is not None, START_S, "a leader"
+        )
+
+    def assert_completed(self, job_ids, timeout_s=RECOVERY_S, node=0):
+        for job_id in job_ids:
+            wait_until(
+                lambda: self.nodes.state(node, job_id) == "completed",
+                timeout_s,
+                f"{job_id} is completed",
+            )
+
+    def assert_each_task_once(self, job_ids, tasks=3):
+        """Every task ended as done once, and never ran twice at a time."""
+        done = self.emulator.ledger.done_tasks()
+        for job_id in job_ids:
+            for index in range(tasks):
+                self.assertEqual(1, done.get(f"{job_id}.0.0.{index}"))
+        self.assertEqual([], self.emulator.ledger.overlaps())
+
+    def follower(self):
+        """Return a node that does not lead."""
+        return next(n for n in range(self.NODES) if n != self.nodes.leader())
+
+
+class TestJobs(PlatformCase):
+    """The interface for callers."""
+
+    def test_job_is_run_and_shown(self):
+        """A job that is accepted by one node is shown by all."""
+        job_id, status = self.nodes.submit(0)
+        self.assertEqual(200, status)
+        self.assert_completed([job_id], node=1)
+        self.assert_each_task_once([job_id])
+
+    def test_repeated_submission_is_one_job(self):
+        """A repeated id, also at another node, starts nothing again."""
+        job_id, _ = self.nodes.submit(0)
+        body = {"spec": "work=0.1", "steps": [{"count": 3, "cpu": 500}]}
+        for node in (0, 1, 1):
+            status, _ = self.nodes.call(node, "POST", f"/one/{job_id}", body)
+            self.assertEqual(200, status)
+        self.assert_completed([job_id])
+        self.assert_each_task_once([job_id])
+
+    def test_callers_are_told_what_is_wrong(self):
+        """Unknown keys, queues and jobs, and malformed jobs."""
+        job = "/one/0123456789abcdef"
+        call = self.nodes.call
+        self.assertEqual(401, call(0, "GET", job, key="no-key")[0])
+        self.assertEqual(404, call(0, "GET", "/three/" + job[5:])[0])
+        self.assertEqual(410, call(0, "GET", job)[0])
+        self.assertEqual(410, call(0, "DELETE", job)[0])
+        for body in ({}, {"steps": []}, {"steps": [{"count": 0}]}):
+            status, answer = call(0, "POST", job, body)
+            self.assertEqual(400, status)
+            self.assertNotEqual("", answer["reason"])
+        step = {"count": 1, "after": [0]}
+        self.assertEqual(400, call(0, "POST", job, {"steps": [step]})[0])
+        self.assertEqual(410, call(0, "GET", job)[0])
+
+    def test_jobs_of_others_are_not_shown(self):
+        """A key shows and cancels only the jobs of its organisation."""
+        job_id, _ = self.nodes.submit(0, "lasting", 1, **{"long-running": 1})
+        path = f"/one/{job_id}"
+        for method in ("GET", "DELETE"):
+            status, _ = self.nodes.call(0, method, path, key="key-b")
+            self.assertEqual(410, status)
+        self.assertIn(self.nodes.state(0, job_id), ("queued", "running"))
+
+    def test_cancelled_job_stops(self):
+        """A cancelled job ends and its tasks are stopped."""
+        job_id, _ = self.nodes.submit(0, "lasting", 2, **{"long-running": 1})
+        wait_until(
+            lambda: self.nodes.state(0, job_id) == "running",
+            RECOVERY_S,
+            "it runs",
+        )
+        self.assertEqual(
+            200, self.nodes.call(1, "DELETE", f"/one/{job_id}")[0]
+        )
+        wait_until(
+            lambda: all(
+                entry.ended_at_s for entry in self.emulator.ledger.entries
+            ),
+            3.0,
+            "its tasks have ended",
+        )
+        wait_until(
+            lambda: self.nodes.state(0, job_id) == "cancelled", 3.0, "shown"
+        )
+
+    def test_failing_job_is_shown_as_failed(self):
+        """A task is run as often as its queue allows, and not more."""
+        job_id, _ = self.nodes.submit(0, "work=0.05 failing", 1)
+        wait_until(
+            lambda: self.nodes.state(0, job_id) == "failed",
+            RECOVERY_S,
+            "it has failed",
+        )
+        runs = self.emulator.ledger.of_task(f"{job_id}.0.0.0")
+        self.assertEqual(3, len(runs))
+
+    def test_withdrawn_key_stops_working(self):
+        """A new configuration is in force on all nodes within 2 s."""
+        document = configuration(version=2)
+        document["tenants"][0]["api-keys"] = ["key-c"]
+        self.emulator.put_configuration(document)
+        time.sleep(2.0)
+        for node in range(self.NODES):
+            self.assertEqual(401, self.nodes.call(node, "GET", "/one/")[0])
+            status, _ = self.nodes.call(node, "GET", "/one/", key="key-c")
+            self.assertEqual(200, status)
+
+    def test_stalled_callers_do_not_block_others(self):
+        """300 callers that send half a request are disconnected."""
+        host, port = self.nodes.addresses[0].split(":")
+        stalled = []
+        for _ in range(300):
+            sock = socket.create_connection((host, int(port)), 5.0)
+            self.addCleanup(sock.close)
+            sock.sendall(b"POST /one/0123456789abcdef HTTP/1.1\r\nHost: q")
+            stalled.append(sock)
+        started_s = time.monotonic()
+        job_id, status = self.nodes.submit(0)
+        self.assertEqual(200, status)
+        self.assertLess(time.monotonic() - started_s, 2.0)
+        # The limit for headers is 0.5 s, and as much again for bodies.
+        time.sleep(3.0)
+        for sock in stalled:
+            sock.settimeout(1.0)
+            self.assertEqual(b"", sock.recv(1))
+
+
+class TestFaults(PlatformCase):
+    """Accepted work completes once, whatever fails."""
+
+    NODES = 3
+
+    def _submit_many(self, count, spec="work=0.4"):
+        accepted = []
+        for number in range(count):
+            job_id, status = self.nodes.submit(number % self.NODES, spec)
+            if status == 200:
+                accepted.append(job_id)
+        return accepted
+
+    def test_killed_leader_loses_and_repeats_nothing(self):
+        """Another node takes over with the runs that exist."""
+        jobs = self._submit_many(6, "work=2.0")
+        leader = self.nodes.leader()
+        self.nodes.signal(leader, signal.SIGKILL)
+        self.nodes.wait(leader)
+        node = (leader + 1) % self.NODES
+        self.assert_completed(jobs, node=node)
+        self.assert_each_task_once(jobs)
+
+    def test_stopped_leader_hands_over(self):
+        """A leader that is stopped gracefully is replaced at once."""
+        jobs = self._submit_many(6)
+        leader = self.nodes.leader()
+        self.nodes.signal(leader, signal.SIGTERM)
+        wait_until(
+            lambda: self.nodes.leader() not in (leader, None),
+            1.5,
+            "another leader",
+        )
+        self.assertEqual(0, self.nodes.wait(leader))
+        self.assert_completed(jobs, node=(leader + 1) % self.NODES)
+        self.assert_each_task_once(jobs)
+
+    def test_suspended_leader_gives_no_orders_after_its_lease(self):
+        """A leader that wakes up after its lease finds a higher fence."""
+        jobs = self._submit_many(3, "work=1.0")
+        leader = self.nodes.leader()
+        self.nodes.signal(leader, signal.SIGSTOP)
+        wait_until(
+            lambda: self.nodes.leader() not in (leader, None),
+            RECOVERY_S,
+            "another leader",
+        )
+        more = []
+        for number in range(3):
+            if number != leader:
+                more.append(self.nodes.submit(number)[0])
+        self.nodes.signal(leader, signal.SIGCONT)
+        self.assert_completed(jobs + more)
+        self.assert_each_task_once(jobs + more)
+
+    def test_all_nodes_killed(self):
+        """What was accepted is in the store, and nowhere else."""
+        jobs = self._submit_many(6, "work=1.0")
+        for node in range(self.NODES):
+            self.nodes.signal(node, signal.SIGKILL)
+            self.nodes.wait(node)
+        for node in range(self.NODES):
+            self.nodes.start(node)
+        self.assert_completed(jobs, timeout_s=30.0)
+        self.assert_each_task_once(jobs)
+
+    def test_busy_store_means_true_refusals(self):
+        """A job refused with 503 never runs, and the answer is quick."""
+        self.emulator.store.fault = StoreFault.BUSY
+        started_s = time.monotonic()
+        refused = [self.nodes.submit(n) for n in range(self.NODES)]
+        self.assertLess(time.monotonic() - started_s, 2.0)
+        self.emulator.store.fault = StoreFault.NONE
+        self.assertEqual([503] * self.NODES, [each[1] for each in refused])
+        job_id = None
+        wait_until(
+            lambda: self.nodes.submit(0)[1] == 200, RECOVERY_S, "accepted"
+        )
+        for job_id, _ in refused:
+            self.assertEqual("410", self.nodes.state(0, job_id))
+
+    def test_lost_and_late_writes(self):
+        """Writes whose answers are lost, or that happen late, act once."""
+        jobs = []
+        for fault in (StoreFault.LOST, StoreFault.LATE):
+            self.emulator.store.fault = fault
+            self.emulator.store.fault_share = 0.4
+            jobs += self._submit_many(8, "work=0.1")
+        self.emulator.store.fault = StoreFault.NONE
+        self.assertNotEqual([], jobs)
+        self.assert_completed(jobs)
+        self.assert_each_task_once(jobs)
+
+    def test_lost_and_late_orders(self):
+        """Orders whose answers are lost, or that come late, act once."""
+        jobs = []
+        for fault in (WorkerFault.LOST, WorkerFault.LATE):
+            for worker in self.emulator.workers():
+                worker.fault = fault
+                worker.fault_share = 0.3
+            jobs += self._submit_many(6, "work=0.2")
+            time.sleep(1.0)
+        for worker in self.emulator.workers():
+            worker.fault = WorkerFault.NONE
+        self.assert_completed(jobs, timeout_s=30.0)
+        self.assert_each_task_once(jobs)
+
+    def test_silent_worker(self):
+        """Tasks of a silent worker start elsewhere after its lease.
+
+        Repeated orders to it once extended its lease without end.
+        """
+        silent = [
+            vm.worker for vm in self.emulator.vms.values() if vm.pool == "one"
+        ][0]
+        silent.fault = WorkerFault.SILENT
+        jobs = self._submit_many(6, "work=0.3")
+        self.assert_completed(jobs, timeout_s=25.0)
+        self.assertEqual([], self.emulator.ledger.overlaps())
+
+    def test_crashed_worker(self):
+        """Tasks of a worker that crashed start elsewhere."""
+        jobs = self._submit_many(6, "work=0.6")
+        wait_until(lambda: self.emulator.ledger.entries, RECOVERY_S, "a start")
+        vm = next(v for v in self.emulator.vms.values() if v.pool == "one")
+        self.emulator.crash(vm, down_s=3.0)
+        self.assert_completed(jobs, timeout_s=25.0)
+        self.assert_each_task_once(jobs)
+
+    def test_forgotten_history(self):
+        """A store without history is listed again."""
+        jobs = self._submit_many(3)
+        self.emulator.store.compact()
+        jobs += self._submit_many(3)
+        self.assert_completed(jobs)
+        self.assert_each_task_once(jobs)
+
+
+class TestFleet(PlatformCase):
+    """Waves and moves."""
+
+    def test_wave_within_its_limits(self):
+        """Every VM is maintained once, and serving tasks move before."""
+        job_id, _ = self.nodes.submit(
+            0, "lasting", 2, **{"long-running": 1, "max-unavailable": 1}
+        )
+        wait_until(
+            lambda: self.nodes.state(0, job_id) == "running",
+            RECOVERY_S,
+            "it runs",
+        )
+        names = sorted(self.emulator.vms)
+        self.emulator.put_wave(1, names, cap=2)
+        wait_until(
+            lambda: b"completed"
+            in (self.emulator.store.value("status/wave/1") or b""),
+            30.0,
+            "the wave is completed",
+        )
+        for vm in self.emulator.vms.values():
+            self.assertEqual({1}, vm.waves)
+        hows = {entry.how for entry in self.emulator.ledger.entries}
+        self.assertNotIn("killed", hows)
+
+    def test_demand_brings_vms_and_idle_ones_leave(self):
+        """VMs leave idle pools, and come where work waits."""
+
+        def count(pool):
+            vms = self.emulator.vms.values()
+            return sum(vm.pool == pool for vm in vms)
+
+        wait_until(lambda: count("spare") >= 3, RECOVERY_S, "VMs are off")
+        before = count("one")
+        jobs = [
+            self.nodes.submit(0, "work=4.0", 8, cpu=4000)[0] for _ in range(2)
+        ]
+        wait_until(lambda: count("one") > before, RECOVERY_S, "VMs come")
+        self.assert_completed(jobs, timeout_s=40.0)
+        self.assert_each_task_once(jobs, tasks=8)
+        wait_until(lambda: count("one") == before, RECOVERY_S, "VMs leave")
+
+
+class TestProcess(testtools.TestCase):
+    """One process and its surroundings."""
+
+    def setUp(self):
+        super().setUp()
+        self.emulator = Emulator({"one": 2, "two": 1})
+        self.addCleanup(self.emulator.close)
+        self.emulator.put_configuration(configuration())
+
+    def test_log_reader_that_stalls_changes_no_answer(self):
+        """A full pipe loses log lines, not requests."""
+        nodes = Nodes(self.emulator, 1)
+        self.addCleanup(nodes.close)
+        nodes.signal(0, signal.SIGKILL)
+        nodes.wait(0)
+        read_end, write_end = os.pipe()
+        self.addCleanup(os.close, read_end)
+        process = subprocess.Popen(
+            nodes.command(), env=nodes.environment(0), stdout=write_end
+        )
+        os.close(write_end)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        wait_until(lambda: nodes.is_ready(0), START_S, "it is ready")
+        for _ in range(400):
+            self.assertEqual(410, nodes.call(0, "DELETE", JOB)[0])
+        job_id, status = nodes.submit(0)
+        self.assertEqual(200, status)
+        wait_until(
+            lambda: nodes.state(0, job_id) == "completed", 10.0, "it is done"
+        )
+
+    def test_metrics_and_logs_tell_of_a_job(self):
+        """Metrics count submissions; the log has a job's whole story."""
+        nodes = Nodes(self.emulator, 1)
+        self.addCleanup(nodes.close)
+        wait_until(lambda: nodes.is_ready(0), START_S, "it is ready")
+        job_id, _ = nodes.submit(0, count=1)
+        wait_until(
+            lambda: nodes.state(0, job_id) == "completed", 10.0, "it is done"
+        )
+        text = nodes.metrics(0)
+        self.assertIn('submissions_total{outcome="accepted"', text)
+        self.assertIn("submission_ms_p99", text)
+        events = [
+            line["event"]
+            for line in nodes.log_lines(0)
+            if line.get("job") == job_id
+        ]
+        for event in ("job submitted", "run ordered", "run ended"):
+            self.assertIn(event, events)
+
+    def test_bad_settings_are_all_named(self):
+        """A settings file with several faults ends the node with all."""
+        nodes = Nodes(self.emulator, 0)
+        self.addCleanup(nodes.close)
+        path = nodes.write_settings("bad", {"node": "x", "zone": 1})
+        result = subprocess.run(
+            nodes.command(),
+            env={"ROSEMARYNOTCH_CONFIG": str(path)},
+            capture_output=True,
+            text=True,
+            timeout=10,
+        )
+        self.assertEqual(2, result.returncode)
+        for name in ("ip", "listen-addrs.frontend", "platform.address"):
+            self.assertIn(f"{name} is missing", result.stderr)
+
+
+JOB = "/one/0123456789abcdef"
+
+
+def test_settings_ignore_unknown_fields(tmp_path):
+    """New fields of the platform must not stop a node."""
+    from rosemarynotch._internal.platform import load_settings
+
+    fields = {
+        "node": "n",
+        "ip": "127.0.0.1",
+        "zone": "z",
+        "listen-addrs": {"frontend": "a:1", "ready": "a:2"},
+        "internal-port-range": [7000, 7015],
+        "platform": {"address": "a:3", "new": [1]},
+        "unknown": {"deep": True},
+    }
+    path = tmp_path / "settings.yaml"
+    path.write_text(json.dumps(fields), encoding="utf-8")
+    assert load_settings(str(path)).store_address == "a:3"
