--- a/src/rosemarynotch/_internal/cli/operator.py
+++ b/src/rosemarynotch/_internal/cli/operator.py
@@ -32,6 +32,7 @@
     "key withdraw": ("keys", "withdraw_key"),
     "job list": ("jobs", "list_jobs"),
     "job cancel": ("jobs", "cancel_job"),
+    "explain": ("explain", "explain"),
     "operator-key": ("keys", "make_operator_key"),
 }
 USAGE = """usage: rosemarynotch COMMAND [OPTION ...]
--- /dev/null
+++ b/src/rosemarynotch/_internal/commands/explain.py
@@ -0,0 +1,122 @@
+"""The story of a request or job, from log lines."""
+
+import fnmatch
+import json
+from pathlib import Path
+import sys
+
+from rosemarynotch._internal.exceptions import SettingsError
+
+__all__ = ["explain", "story"]
+
+# Fields that name a job or a task of it.
+ID_FIELDS = ("job", "task")
+# Events without an id that changed what a process could do, with the fields
+# of theirs that can tie them to the job.
+CONTEXT_EVENTS = frozenset(
+    (
+        "leadership taken",
+        "leadership lost",
+        "leadership handed over",
+        "leading",
+        "not leading",
+        "starting",
+        "stopping",
+        "stopped",
+        "store lost",
+        "store regained",
+        "thread crashed",
+        "vm service lost",
+        "vm service regained",
+        "lines left out",
+    )
+)
+WORKER_EVENTS = "worker *"
+LEFT_OUT = frozenset(("time_s", "event", "node", "incarnation", "job"))
+
+
+def explain(job: str, *logs: str) -> int:
+    """Print what the logs of the nodes tell of a job, in order of time.
+
+    Beside the job's own lines it prints what happened meanwhile to the
+    leadership, the store, and the workers that its tasks ran on.
+
+    :param job: identifier of the job
+    :param logs: log files of all nodes; standard input when none is given
+    """
+    lines: list[str] = []
+    for name in logs:
+        try:
+            lines += Path(name).read_text(encoding="utf-8").splitlines()
+        except OSError as error:
+            raise SettingsError(f"{name}: {error.strerror}") from None
+    if not logs:
+        lines = sys.stdin.read().splitlines()
+    found = story(job, lines)
+    if not found:
+        print(f"no line names {job}", file=sys.stderr)
+        return 1
+    print("\n".join(found))
+    return 0
+
+
+def story(job: str, lines: list[str]) -> list[str]:
+    """Return the lines that concern a job, in order of time.
+
+    :param lines: log lines; what is before the JSON object is ignored, and
+        so are lines without one
+    """
+    records = [record for line in lines if (record := _parse(line))]
+    records.sort(key=lambda record: record.get("time_s", 0.0))
+    own = [record for record in records if _concerns(record, job)]
+    if not own:
+        return []
+    begin_s, end_s = own[0]["time_s"], own[-1]["time_s"]
+    workers = {record["worker"] for record in own if "worker" in record}
+    chosen = [
+        record
+        for record in records
+        if _concerns(record, job)
+        or (
+            begin_s <= record.get("time_s", 0.0) <= end_s
+            and _is_context(record, workers)
+        )
+    ]
+    return [_format(record, begin_s) for record in chosen]
+
+
+def _parse(line: str) -> dict | None:
+    start = line.find("{")
+    if start < 0:
+        return None
+    try:
+        record = json.loads(line[start:])
+    except ValueError:
+        return None
+    return record if isinstance(record, dict) and "event" in record else None
+
+
+def _concerns(record: dict, job: str) -> bool:
+    return any(
+        str(record.get(field, "")).partition(".")[0] == job
+        for field in ID_FIELDS
+    )
+
+
+def _is_context(record: dict, workers: set[str]) -> bool:
+    event = record["event"]
+    if event in CONTEXT_EVENTS:
+        return True
+    is_of_worker = fnmatch.fnmatch(event, WORKER_EVENTS)
+    return is_of_worker and record.get("worker") in workers
+
+
+def _format(record: dict, begin_s: float) -> str:
+    since_s = record.get("time_s", 0.0) - begin_s
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in record.items()
+        if name not in LEFT_OUT and value not in ("", None)
+    )
+    node = record.get("node", "")
+    return f"{since_s:+9.3f} s  {node:20} {record['event']}  {fields}"
