Start small jobs first among those that can be on time

Cause: when a queue asks for more than its pool holds, jobs in the order of their objectives all start at the last moment, and what takes longer than expected is late.

--- a/src/rosemarynotch/_internal/scheduling/ordering.py
+++ b/src/rosemarynotch/_internal/scheduling/ordering.py
@@ -86,19 +86,22 @@
     It answers a queue that asks for several times what its pool holds: in
     order of arrival every job would wait until it is too late, and none
     would be on time. Started jobs go before others of their urgency, since
-    their work is lost otherwise.
+    their work is lost otherwise. Then small jobs go first: each of them has
+    the same objective beside its run time, so the same room serves more of
+    them. By the earliest objective, jobs start at the last moment, and those
+    that take longer than expected are late.
     """
 
     def sort(self, candidates, now_ms):
-        """Sort by urgency, priority, start, share and objective."""
+        """Sort by urgency, priority, start, work left and share."""
 
         def key(candidate: Candidate):
             return (
                 candidate.urgency(now_ms),
                 candidate.priority,
                 not candidate.is_started,
+                candidate.remaining_core_ms,
                 candidate.usage_share,
-                candidate.objective_ms - candidate.remaining_ms,
                 candidate.job_id,
             )
 
