--- a/src/rosemarynotch/_internal/platform/settings.py
+++ b/src/rosemarynotch/_internal/platform/settings.py
@@ -18,6 +18,7 @@
 
     :ivar callers_address: where callers connect, HOST:PORT
     :ivar probe_address: where the load balancer asks for readiness
+    :ivar cores: processor time of the node, in cores
     :ivar metrics_port: first port that is free on every node
     :ivar max_lease_ms: longest lease that a worker grants
     :ivar ack_timeout_ms: longest time that a caller waits for the answer to
@@ -34,6 +35,7 @@
     data_centre: str
     callers_address: str
     probe_address: str
+    cores: float
     metrics_port: int
     store_address: str
     vm_service_address: str
@@ -72,6 +74,8 @@
         "data_centre": reader.read(str, "zone"),
         "callers_address": reader.address("listen-addrs", "frontend"),
         "probe_address": reader.address("listen-addrs", "ready"),
+        "cores": reader.read(float, "limits", "cpu-share", default=1.0)
+        * reader.read(float, "limits", "cores", default=1.0),
         "metrics_port": reader.read(int, "internal-port-range", 0),
         "store_address": reader.address("platform", "address"),
         "vm_service_address": reader.address(
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -6,6 +6,9 @@
 
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import PLATFORM_REFUSED
+from rosemarynotch._internal.scheduling.demand import measure_demand
+from rosemarynotch._internal.scheduling.demand import NO_DEMAND
+from rosemarynotch._internal.scheduling.demand import vm_sizes
 from rosemarynotch._internal.scheduling.evacuation import Evacuation
 from rosemarynotch._internal.scheduling.pool_sizing import Move
 from rosemarynotch._internal.scheduling.pool_sizing import PoolLoad
@@ -175,10 +178,10 @@
 
     def _pool_loads(self, vms: dict[str, FleetVm]) -> list[PoolLoad]:
         scheduler = self._controller.scheduler
-        demand = self._demand_cores()
+        wall_ms = self._controller.clock.wall_s() * 1000
+        demand = measure_demand(scheduler, vm_sizes(vms.values()), wall_ms)
         counts: dict[str, int] = {}
         idle: dict[str, list[str]] = {}
-        cores: dict[str, float] = {}
         in_wave = self._waves.pending_vms()
         for vm in vms.values():
             moving = self._moves.get(vm.name)
@@ -187,7 +190,6 @@
                 continue
             worker = scheduler.workers.get(vm.worker_id)
             counts[pool] = counts.get(pool, 0) + (vm.name not in in_wave)
-            cores[pool] = vm.capacity.cpu_millicores / 1000
             if moving or vm.phase is not VmPhase.UP or vm.name in in_wave:
                 continue
             # VMs of a standby pool are off and have no worker.
@@ -200,8 +202,8 @@
                 is_standby=policy.is_standby,
                 vm_count=counts.get(name, 0),
                 idle_vms=tuple(sorted(idle.get(name, ()))),
-                demand_cores=demand.get(name, 0.0),
-                vm_cores=cores.get(name) or max(cores.values(), default=1.0),
+                demand_vms=demand.get(name, NO_DEMAND).vms,
+                spread_vms=demand.get(name, NO_DEMAND).spread_vms,
             )
             for name, policy in pools.items()
         ]
@@ -211,21 +213,3 @@
         return worker.is_empty and not (
             worker.is_cordoned or worker.entry.is_draining
         )
-
-    def _demand_cores(self) -> dict[str, float]:
-        """Return the processors that running and waiting tasks want."""
-        scheduler = self._controller.scheduler
-        wall_ms = self._controller.clock.wall_s() * 1000
-        demand: dict[str, float] = {}
-        for job in scheduler.active.values():
-            pool = scheduler.queue_of(job).pool
-            for occurrence in job.occurrences:
-                if job.is_scheduled and wall_ms < occurrence.due_unix_ms:
-                    continue
-                for step in occurrence.steps:
-                    if step.is_done or not step.is_ready:
-                        continue
-                    count = len(step.tasks) - step.done_count
-                    millicores = count * step.spec.reserved.cpu_millicores
-                    demand[pool] = demand.get(pool, 0.0) + millicores / 1000
-        return demand
--- a/src/rosemarynotch/_internal/scheduling/leadership.py
+++ b/src/rosemarynotch/_internal/scheduling/leadership.py
@@ -45,6 +45,7 @@
 class Leadership:
     """Takes and keeps leadership through a lease in the store.
 
+    :param handicap_s: time by which this node waits for better ones
     :param clock: must count the time during which the machine is suspended
     """
 
@@ -56,6 +57,7 @@
         ip: str,
         incarnation: str,
         log: Callable[..., None],
+        handicap_s: float = 0.0,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -63,6 +65,7 @@
         self._ip = ip
         self._incarnation = incarnation
         self._log = log
+        self._handicap_s = handicap_s
         self._valid_until_s = 0.0
         self._grant: Grant | None = None
         self._resigned = threading.Event()
@@ -123,6 +126,7 @@
         """
         item = self._store.get(LEADER_KEY)
         if isinstance(item, Failure) and item.is_a(STORE_KEY_MISSING):
+            self._clock.sleep(self._handicap_s)
             return self._take(None)
         if isinstance(item, Failure):
             return False
--- a/src/rosemarynotch/_internal/scheduling/pool_sizing.py
+++ b/src/rosemarynotch/_internal/scheduling/pool_sizing.py
@@ -25,16 +25,18 @@
 
     :ivar vm_count: VMs that serve it or are on the way to it
     :ivar idle_vms: VMs that could leave now
-    :ivar demand_cores: what runs and what could start now
-    :ivar vm_cores: processors of a typical VM
+    :ivar demand_vms: VMs that would be filled by what runs and what could
+        start now
+    :ivar spread_vms: VMs that the tasks of one step need because few of them
+        may share a VM
     """
 
     name: str
     is_standby: bool
     vm_count: int
     idle_vms: tuple[str, ...]
-    demand_cores: float
-    vm_cores: float
+    demand_vms: float
+    spread_vms: int = 0
 
 
 @attrs.frozen
@@ -75,9 +77,8 @@
     @staticmethod
     def wanted_vms(pool: PoolLoad) -> int:
         """Return the number of VMs that a pool should have."""
-        cores = pool.demand_cores * HEADROOM_FACTOR
-        vms = math.ceil(cores / max(pool.vm_cores, 1.0)) + SPARE_VMS
-        return max(MIN_VMS, vms)
+        vms = math.ceil(pool.demand_vms * HEADROOM_FACTOR)
+        return max(MIN_VMS, max(vms, pool.spread_vms) + SPARE_VMS)
 
     def plan(self, pools, now_s):
         """Serve shortages first from standby, then from surpluses."""
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -54,6 +54,9 @@
 INTAKE_THREADS = 3
 # The load balancer needs two failed probes, one a second.
 LEAVE_NOTICE_S = 2.5
+# A node with fewer cores lets others lead first, if there are any.
+AMPLE_CORES = 2.0
+HANDICAP_S_PER_CORE = 0.2
 # The process ends by itself this long before it would be killed.
 EXIT_MARGIN_S = 0.4
 FOLLOW_INTERVAL_S = 0.05
@@ -99,6 +102,7 @@
             settings.ip,
             incarnation,
             self._log,
+            max(0.0, AMPLE_CORES - settings.cores) * HANDICAP_S_PER_CORE,
         )
         self._callers = self._server(
             CallerInterface(self._desk),
