Refuse jobs that would end when their result is worth nothing

A new job is refused at once, with the time to come back, when even with the processors of the whole fleet its pool's work would take longer than three objectives. A job that was accepted before is never refused.

The scheduler is split (job_book). Settings are read again on SIGHUP and every 5 s.

--- a/src/rosemarynotch/_internal/exceptions.py
+++ b/src/rosemarynotch/_internal/exceptions.py
@@ -42,17 +42,23 @@
     :ivar status: HTTP status that callers and operators get
     :ivar ran: whether the request may have run
     :ivar reason: what happened, for a person
+    :ivar retry_after_s: when it makes sense to try again, 0 if unknown
     """
 
     code: str
     status: int
     ran: Ran = Ran.NO
     reason: str = ""
+    retry_after_s: int = 0
 
     def because(self, reason: str) -> "Failure":
         """Return this failure with a reason."""
         return attrs.evolve(self, reason=reason)
 
+    def retry_in(self, delay_s: int) -> "Failure":
+        """Return this failure with the time to come back after."""
+        return attrs.evolve(self, retry_after_s=delay_s)
+
     def after_start(self) -> "Failure":
         """Return this failure for a request that may have run."""
         return attrs.evolve(self, ran=Ran.UNKNOWN)
--- a/src/rosemarynotch/_internal/platform/requests.py
+++ b/src/rosemarynotch/_internal/platform/requests.py
@@ -19,6 +19,9 @@
 KEY_SCHEME = "Token "
 DEADLINE_VARIABLE = "HTTP_ROSEMARYNOTCH_DEADLINE_MS"
 MAX_PAYLOAD_BYTES = 4000
+# A node without contact to the store may have it again after this time, and
+# other nodes may have it now.
+RETRY_AFTER_S = 1
 # A larger job could not be followed within the memory of a node.
 MAX_TASKS = 5000
 
@@ -45,7 +48,7 @@
             status = 410 if result.is_a(JOB_UNKNOWN) else result.status
             body = {"error": result.code, "reason": result.reason}
             if status in (429, 503):
-                retry_s = self._desk.retry_after_s(result)
+                retry_s = result.retry_after_s or RETRY_AFTER_S
                 headers.append(("Retry-After", str(retry_s)))
         else:
             body = result
--- a/src/rosemarynotch/_internal/scheduling/demand.py
+++ b/src/rosemarynotch/_internal/scheduling/demand.py
@@ -19,8 +19,8 @@
     """Work of one pool.
 
     :ivar vms: VMs that running and waiting tasks would fill
-    :ivar spread_vms: VMs that one step needs because few of its tasks may
-        share a VM
+    :ivar spread_vms: VMs that one lasting step needs because few of its
+        tasks may share a VM
     """
 
     vms: float = 0.0
@@ -55,7 +55,9 @@
         for step in _open_steps(job, wall_ms):
             count = len(step.tasks) - step.done_count
             total.vms += count * _vm_share(step.spec.reserved, size)
-            if step.spec.max_per_worker:
+            # Other steps end soon; VMs that come for their spread alone
+            # would be missing in other pools.
+            if step.spec.max_per_worker and step.spec.long_running:
                 spread = math.ceil(count / step.spec.max_per_worker)
                 total.spread_vms = max(total.spread_vms, spread)
     return demand
--- a/src/rosemarynotch/_internal/scheduling/desk.py
+++ b/src/rosemarynotch/_internal/scheduling/desk.py
@@ -12,6 +12,7 @@
 from rosemarynotch._internal.exceptions import KEY_MISSING
 from rosemarynotch._internal.exceptions import OVERLOADED
 from rosemarynotch._internal.exceptions import QUEUE_UNKNOWN
+from rosemarynotch._internal.scheduling.admission import judge
 from rosemarynotch._internal.scheduling.config_feed import ConfigFeed
 from rosemarynotch._internal.scheduling.intake import JobIntake
 from rosemarynotch._internal.scheduling.model import Configuration
@@ -30,7 +31,6 @@
 MAX_CONTACT_AGE_S = 2.5
 # Attempts to accept a job while configurations come in quick succession.
 MAX_ATTEMPTS = 4
-RETRY_AFTER_S = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -81,10 +81,6 @@
         """Report the node as not ready."""
         self._is_leaving = True
 
-    def retry_after_s(self, failure: Failure) -> int:
-        """Return when a refused caller should come back."""
-        return RETRY_AFTER_S
-
     def open_request(
         self, *, host: str, path: str, key: str, wait_ms: int
     ) -> CallerRequest | Failure:
@@ -136,6 +132,9 @@
     ) -> None | Failure:
         if not self._is_in_contact():
             return CONFIGURATION_STALE
+        refusal = self._refuse_hopeless(request, job_id, spec)
+        if refusal is not None:
+            return refusal
         for _ in range(MAX_ATTEMPTS):
             record = SubmissionRecord(
                 policy=request.queue,
@@ -164,6 +163,20 @@
             request = renewed
         return OVERLOADED.because("the configuration keeps changing")
 
+    def _refuse_hopeless(
+        self, request: CallerRequest, job_id: str, spec: JobSpec
+    ) -> Failure | None:
+        """Refuse a job that would end too late to be of use.
+
+        A job that was accepted before is not refused, since it will run.
+        """
+        delay_ms = self._intake.start_delay_ms(request.queue.name)
+        verdict = judge(request.queue, spec, delay_ms)
+        if verdict.is_accepted or self._intake.is_known(job_id) is True:
+            return None
+        reason = f"a start in {delay_ms} ms would be too late"
+        return OVERLOADED.because(reason).retry_in(verdict.retry_after_s)
+
     def _is_in_contact(self) -> bool:
         return self._follower.contact_age_s() < MAX_CONTACT_AGE_S
 
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -126,6 +126,9 @@
     def _step(self, vms: dict[str, FleetVm]) -> None:
         controller = self._controller
         now_s = controller.clock.monotonic_s()
+        controller.scheduler.fleet_millicores = sum(
+            vm.capacity.cpu_millicores for vm in vms.values()
+        )
         self._settle_moves(vms, now_s)
         if now_s < self._quiet_until_s:
             return
--- a/src/rosemarynotch/_internal/scheduling/intake.py
+++ b/src/rosemarynotch/_internal/scheduling/intake.py
@@ -35,6 +35,7 @@
 # The counts of the leader are used while they are this young; the platform
 # allows counts to be 2 s old.
 MAX_LOAD_AGE_MS = 1500
+LOAD_READ_INTERVAL_S = 0.5
 # Without an answer of the store, a write is tried again until this time.
 GIVE_UP_S = 1.2
 RETRY_S = 0.05
@@ -72,6 +73,8 @@
         self._clock = clock
         self._configuration_key = configuration_key
         self._log = log
+        self._load: LoadRecord | None = None
+        self._load_read_at_s = -1e9
         self._queue: queue.SimpleQueue[_Pending] = queue.SimpleQueue()
 
     def submit(
@@ -237,16 +240,32 @@
 
     def waiting_count(self, queue_name: str) -> int | Failure:
         """Return the number of jobs of a queue that no task has started."""
+        load = self._read_load()
+        if load is None:
+            return self._count_waiting(queue_name)
+        return load.waiting.get(queue_name, 0)
+
+    def start_delay_ms(self, queue_name: str) -> int:
+        """Return how long a new job would wait, 0 if that is not known."""
+        now_s = self._clock.monotonic_s()
+        if now_s - self._load_read_at_s > LOAD_READ_INTERVAL_S:
+            self._load_read_at_s = now_s
+            self._load = self._read_load()
+        if self._load is None:
+            return 0
+        return self._load.start_delay_ms.get(queue_name, 0)
+
+    def _read_load(self) -> LoadRecord | None:
+        """Return what the leader wrote, None if it is too old."""
         item = self._store.get(LOAD_KEY)
-        if not isinstance(item, Failure):
-            load = decode(item.value, LoadRecord)
-            now_ms = self._clock.wall_s() * 1000
-            if (
-                not isinstance(load, Failure)
-                and abs(now_ms - load.written_unix_ms) < MAX_LOAD_AGE_MS
-            ):
-                return load.waiting.get(queue_name, 0)
-        return self._count_waiting(queue_name)
+        if isinstance(item, Failure):
+            return None
+        load = decode(item.value, LoadRecord)
+        if isinstance(load, Failure):
+            self._log("load refused", why=load.reason)
+            return None
+        age_ms = self._clock.wall_s() * 1000 - load.written_unix_ms
+        return load if abs(age_ms) < MAX_LOAD_AGE_MS else None
 
     def _count_waiting(self, queue_name: str) -> int | Failure:
         """Count in the store while there is no leader that counts."""
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -16,6 +16,7 @@
 from rosemarynotch._internal.scheduling.ordering import Candidate
 from rosemarynotch._internal.scheduling.ordering import JobOrder
 from rosemarynotch._internal.scheduling.ordering import LATE_FACTOR
+from rosemarynotch._internal.scheduling.ordering import Urgency
 from rosemarynotch._internal.scheduling.placement import Room
 from rosemarynotch._internal.scheduling.placement import StepPlacer
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
@@ -179,7 +180,6 @@
     def candidate(self, job: Job, wall_ms: float) -> Candidate:
         """Describe a job for the order of starts."""
         queue = self._scheduler.queue_of(job)
-        spec = job.submission.spec
         accepted_ms = job.submission.accepted_unix_ms
         occurrence = next(
             (o for o in job.occurrences if not o.is_done), job.occurrences[-1]
@@ -198,11 +198,11 @@
             accepted_ms=accepted_ms,
             remaining_ms=left_ms,
             remaining_core_ms=sum(
-                step.task_count
-                * step.size.cpu_millicores
+                (len(step.tasks) - step.done_count)
+                * step.spec.size.cpu_millicores
                 / 1000
-                * step.estimated_ms
-                for step in spec.steps
+                * step.spec.estimated_ms
+                for step in occurrence.steps
             ),
             objective_ms=accepted_ms + limit_ms,
             late_ms=accepted_ms + LATE_FACTOR * limit_ms,
@@ -226,6 +226,30 @@
             ends.append(before + own_ms)
         return max(ends, default=0.0)
 
+    def start_delays_ms(self, wall_ms: float) -> dict[str, int]:
+        """Return how long a new job waits at least, by queue.
+
+        VMs of all pools may come to the queue's pool, so this is a lower
+        bound: a refusal must be certain. Work counts as long as it can still
+        be of use.
+        """
+        work: dict[str, float] = {}
+        for job in self._scheduler.active.values():
+            if job.is_long_running or job.is_scheduled:
+                continue
+            candidate = self.candidate(job, wall_ms)
+            if candidate.urgency(wall_ms) is not Urgency.TOO_LATE:
+                pool = self._scheduler.queue_of(job).pool
+                work[pool] = work.get(pool, 0) + candidate.remaining_core_ms
+        cores = self._scheduler.fleet_millicores / 1000
+        if not cores:
+            return {}
+        return {
+            queue.name: round(work[queue.pool] / cores)
+            for queue in self._scheduler.configuration.queues
+            if queue.pool in work
+        }
+
     def _usage_share(self, job: Job) -> float:
         name = job.submission.organisation
         used = self._scheduler.usage.get(name)
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -166,7 +166,11 @@
                 name = job.submission.queue
                 waiting[name] = waiting.get(name, 0) + 1
         wall_ms = round(self._controller.clock.wall_s() * 1000)
-        return LoadRecord(written_unix_ms=wall_ms, waiting=waiting)
+        return LoadRecord(
+            written_unix_ms=wall_ms,
+            waiting=waiting,
+            start_delay_ms=self._controller.planner.start_delays_ms(wall_ms),
+        )
 
     def _roster(self) -> RosterRecord:
         workers = self._controller.scheduler.workers.values()
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -1,4 +1,4 @@
-"""State of all jobs and workers of the leader, without input and output."""
+"""Workers, their runs, and what their reports change; no input or output."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -8,21 +8,16 @@
 from rosemarynotch._internal.exceptions import RUN_SUPERSEDED
 from rosemarynotch._internal.exceptions import WORKER_REPLACED
 from rosemarynotch._internal.scheduling.durations import LearntDurations
-from rosemarynotch._internal.scheduling.jobs import Job
+from rosemarynotch._internal.scheduling.job_book import JobBook
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.jobs import Task
-from rosemarynotch._internal.scheduling.model import Configuration
-from rosemarynotch._internal.scheduling.model import QueuePolicy
-from rosemarynotch._internal.scheduling.model import Resources
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import RunEnd
 from rosemarynotch._internal.scheduling.ports import RunStatus
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.ports import WorkerReport
 from rosemarynotch._internal.scheduling.records import Phase
-from rosemarynotch._internal.scheduling.records import ProgressRecord
-from rosemarynotch._internal.scheduling.records import SubmissionRecord
 from rosemarynotch._internal.scheduling.workers import PendingAck
 from rosemarynotch._internal.scheduling.workers import Worker
 
@@ -30,13 +25,11 @@
 
 # Pause of a worker that refused a start or could not be reached.
 REFUSED_PAUSE_S = 0.3
-# Runs of one task that a leader numbers before the numbers of the next.
-RUNS_PER_TERM = 1000
 # Added to the calculated end of a lease for the accuracy of clocks.
 LEASE_MARGIN_S = 0.3
 
 
-class Scheduler:
+class Scheduler(JobBook):
     """What the leader knows. One thread uses it at a time.
 
     :param term: counts the leaders; run numbers of later leaders are higher
@@ -53,98 +46,21 @@
         longest_lease_s: float,
         log: Callable[..., None] = lambda event, **fields: None,
     ) -> None:
-        self._term = term
-        self._started_revision = started_revision
+        super().__init__(term, started_revision, log)
         self._longest_lease_s = longest_lease_s
-        self._log = log
-        self._changes = 0
-        self.jobs: dict[str, Job] = {}
-        self.active: dict[str, Job] = {}
-        self.cancelled_ids: set[str] = set()
         self.workers: dict[str, Worker] = {}
-        self.configuration = Configuration(version=0, revision=0)
         self.durations = LearntDurations()
-        self.dirty: dict[str, Job] = {}
-        self.usage: dict[str, Resources] = {}
+        # Processors of all VMs, also of those that are off.
+        self.fleet_millicores = 0
         self._ended: dict[str, int] = {}
 
-    # Jobs.
-
-    def add_job(
-        self,
-        job_id: str,
-        submission: SubmissionRecord,
-        created_revision: int,
-        progress: ProgressRecord | None = None,
-        progress_revision: int = 0,
-    ) -> Job:
-        """Take an accepted job into account; repeating it is harmless."""
-        known = self.jobs.get(job_id)
-        if known is not None:
-            return known
-        job = Job.from_submission(job_id, submission, created_revision)
-        job.is_inherited = created_revision <= self._started_revision
-        if progress is not None:
-            job.restore(progress)
-            job.progress_revision = progress_revision
-        if job.is_inherited:
-            floor = (self._term - 1) * RUNS_PER_TERM
-            job.run_floor = max(floor, job.highest_run)
-        self.jobs[job_id] = job
-        if not job.phase.is_final:
-            self.active[job_id] = job
-        if job_id in self.cancelled_ids:
-            self.cancel(job_id)
-        return job
-
-    def cancel(self, job_id: str) -> None:
-        """End a job; its runs are stopped by the next pass."""
-        self.cancelled_ids.add(job_id)
-        job = self.jobs.get(job_id)
-        if job is not None and not job.phase.is_final:
-            self._finish(job, Phase.CANCELLED)
-
-    def queue_of(self, job: Job) -> QueuePolicy:
-        """Return the policy of a job's queue, also of a removed queue."""
-        policy = job.submission.policy
-        return self.configuration.queues_by_name.get(policy.name, policy)
-
-    def touch(self, job: Job) -> int:
-        """Note that a job has to be written; return the change's number."""
-        self._changes += 1
-        job.change = self._changes
-        self.dirty[job.job_id] = job
-        return self._changes
-
-    def note_written(self, job: Job, change: int, revision: int) -> None:
-        """Note that a change is safe in the store."""
-        job.durable_change = max(job.durable_change, change)
-        job.progress_revision = revision
-        if job.change <= change:
-            self.dirty.pop(job.job_id, None)
-
-    def expired_jobs(self, wall_ms: float, retention_ms: float) -> list[Job]:
-        """Return jobs whose state has been shown long enough."""
-        return [
-            job
-            for job in self.jobs.values()
-            if job.finished_unix_ms
-            and job.durable_change >= job.change
-            and wall_ms - job.finished_unix_ms > retention_ms
-        ]
-
-    def forget(self, job: Job) -> None:
-        """Drop a job that was removed from the store."""
-        self.jobs.pop(job.job_id, None)
-        self.cancelled_ids.discard(job.job_id)
+    # Workers.
 
     def settle_acks(self) -> None:
         """Acknowledge what has been written."""
         for worker in self.workers.values():
             worker.settle_acks()
 
-    # Workers.
-
     def set_workers(
         self,
         entries: Iterable[WorkerEntry],
@@ -308,7 +224,7 @@
         )
         worker.add_run(run)
         task.last_run = max(task.last_run, status.run)
-        self._count(run, 1)
+        self.count(run, 1)
         if job.phase is Phase.QUEUED:
             job.phase = Phase.RUNNING
             self.touch(job)
@@ -323,7 +239,7 @@
         run = worker.runs.get((end.task, end.run))
         if run is not None:
             worker.drop_run(run)
-            self._count(run, -1)
+            self.count(run, -1)
         task.last_run = max(task.last_run, end.run)
         is_fault = end.kind is EndKind.FAILED
         if is_fault or end.kind is EndKind.DONE:
@@ -345,13 +261,13 @@
                 took_ms = (now_s - run.ordered_at_s) * 1000
                 self.durations.observe(job.submission.queue, took_ms)
             job.mark_done(task)
-            self._complete_if_done(job)
+            self.complete_if_done(job)
         elif end.kind is EndKind.FAILED:
             task.failures += 1
             task.failed_workers.add(run.worker_id if run else "")
             most = self.queue_of(job).max_failures
             if task.failures >= most and not task.step.spec.long_running:
-                self._finish(job, Phase.FAILED)
+                self.finish(job, Phase.FAILED)
         self._log(
             "run ended",
             job=job.job_id,
@@ -361,16 +277,6 @@
             phase=job.phase.value,
         )
 
-    def _complete_if_done(self, job: Job) -> None:
-        if all(occurrence.is_done for occurrence in job.occurrences):
-            self._finish(job, Phase.COMPLETED)
-
-    def _finish(self, job: Job, phase: Phase) -> None:
-        job.phase = phase
-        self.active.pop(job.job_id, None)
-        self.touch(job)
-        self._log("job ended", job=job.job_id, phase=phase.value)
-
     def _lose(self, worker, run: Run, now_s: float, why: str) -> None:
         worker.drop_run(run)
         self._release(run, now_s)
@@ -384,16 +290,9 @@
         )
 
     def _release(self, run: Run, now_s: float) -> None:
-        self._count(run, -1)
+        self.count(run, -1)
         run.task.waiting_since_s = now_s
 
-    def _count(self, run: Run, sign: int) -> None:
-        """Add a run to what its organisation has running, or remove it."""
-        submission = run.task.step.occurrence.job.submission
-        name, size = submission.organisation, run.task.step.spec.size
-        used = self.usage.get(name, Resources())
-        self.usage[name] = used.plus(size) if sign > 0 else used.minus(size)
-
     # Orders.
 
     @staticmethod
@@ -419,7 +318,7 @@
             progressed_at_s=now_s,
         )
         worker.add_run(run)
-        self._count(run, 1)
+        self.count(run, 1)
         job.highest_run = max(job.highest_run, run.number)
         if job.phase is Phase.QUEUED:
             job.phase = Phase.RUNNING
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -6,6 +6,9 @@
 import traceback
 import uuid
 
+import attrs
+
+from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.platform import CallerInterface
 from rosemarynotch._internal.platform import decode_configuration
 from rosemarynotch._internal.platform import decode_wave
@@ -54,6 +57,8 @@
 INTAKE_THREADS = 3
 # The load balancer needs two failed probes, one a second.
 LEAVE_NOTICE_S = 2.5
+# The file may change without a signal.
+SETTINGS_INTERVAL_S = 5.0
 # A node with fewer cores lets others lead first, if there are any.
 AMPLE_CORES = 2.0
 HANDICAP_S_PER_CORE = 0.2
@@ -68,6 +73,7 @@
     def __init__(self, settings: NodeSettings) -> None:
         self._settings = settings
         self._stop = threading.Event()
+        self._settings_event = threading.Event()
         self._clock = SuspensionClock()
         self._metrics = Metrics()
         incarnation = uuid.uuid4().hex[:12]
@@ -126,7 +132,7 @@
         threading.excepthook = self._note_crash
         signal.signal(signal.SIGTERM, lambda *_: self._stop.set())
         signal.signal(signal.SIGINT, lambda *_: self._stop.set())
-        signal.signal(signal.SIGHUP, lambda *_: self._log("settings kept"))
+        signal.signal(signal.SIGHUP, lambda *_: self._settings_event.set())
         self._callers.start()
         self._probes.start()
         self._exposition.start()
@@ -135,11 +141,37 @@
             self._start_thread(self._intake.run, f"intake-{number}")
         self._start_thread(self._leadership.run, "leadership")
         threading.Thread(target=self._lead, daemon=True).start()
+        threading.Thread(target=self._watch_settings, daemon=True).start()
         self._log("serving")
         self._stop.wait()
         self._leave()
         return 0
 
+    def _watch_settings(self) -> None:
+        """Read the settings again after SIGHUP, and from time to time.
+
+        Addresses and bounds hold for what is created from then on, such as
+        the connections of the next term; ports stay as they are.
+        """
+        while True:
+            self._settings_event.wait(SETTINGS_INTERVAL_S)
+            is_asked = self._settings_event.is_set()
+            self._settings_event.clear()
+            try:
+                settings = load_settings()
+            except SettingsError as error:
+                self._log("settings refused", why=str(error))
+                continue
+            before = attrs.asdict(self._settings)
+            changed = [
+                name
+                for name, value in attrs.asdict(settings).items()
+                if value != before[name]
+            ]
+            self._settings = settings
+            if changed or is_asked:
+                self._log("settings reloaded", changed=",".join(changed))
+
     def _note_crash(self, args: threading.ExceptHookArgs) -> None:
         """Log an unexpected exception; without it the thread ends unseen."""
         lines = traceback.format_exception(args.exc_value)
