--- /dev/null
+++ b/tests/lib/scheduling.py
@@ -0,0 +1,160 @@
+"""Jobs and workers for tests of the scheduler."""
+
+from rosemarynotch._internal.scheduling.advice import AdviceBook
+from rosemarynotch._internal.scheduling.model import Configuration
+from rosemarynotch._internal.scheduling.model import JobSpec
+from rosemarynotch._internal.scheduling.model import Organisation
+from rosemarynotch._internal.scheduling.model import QueuePolicy
+from rosemarynotch._internal.scheduling.model import Resources
+from rosemarynotch._internal.scheduling.model import StepSpec
+from rosemarynotch._internal.scheduling.ordering import ObjectiveOrder
+from rosemarynotch._internal.scheduling.placement import BestFit
+from rosemarynotch._internal.scheduling.planner import Planner
+from rosemarynotch._internal.scheduling.ports import EndKind
+from rosemarynotch._internal.scheduling.ports import RunEnd
+from rosemarynotch._internal.scheduling.ports import RunStatus
+from rosemarynotch._internal.scheduling.ports import WorkerEntry
+from rosemarynotch._internal.scheduling.ports import WorkerReport
+from rosemarynotch._internal.scheduling.records import SubmissionRecord
+from rosemarynotch._internal.scheduling.scheduler import Scheduler
+
+__all__ = ["LEASE_S", "Leader", "QUEUE", "job_spec", "step"]
+
+LEASE_S = 6.0
+CAPACITY = Resources(cpu_millicores=8000, memory_mb=8000)
+QUEUE = QueuePolicy(
+    name="q",
+    host="h",
+    prefix="/q/",
+    pool="p",
+    max_failures=3,
+    stretch=2.0,
+    target_latency_ms=500,
+)
+
+
+def step(count: int = 1, cpu: int = 1000, **fields) -> StepSpec:
+    """Return a step."""
+    size = Resources(cpu_millicores=cpu, memory_mb=100)
+    fields.setdefault("estimated_ms", 1000)
+    return StepSpec(task_count=count, size=size, **fields)
+
+
+def job_spec(*steps: StepSpec, **fields) -> JobSpec:
+    """Return a job of the steps, of one task when none is given."""
+    return JobSpec(payload="", steps=steps or (step(),), **fields)
+
+
+class Leader:
+    """A scheduler with its planner and a clock that tests move."""
+
+    def __init__(self, term: int = 1, started_revision: int = 0) -> None:
+        self.now_s = 1000.0
+        self.scheduler = Scheduler(term, started_revision, LEASE_S)
+        self.scheduler.configuration = Configuration(
+            version=1,
+            revision=1,
+            queues=(QUEUE,),
+            organisations={
+                "o": Organisation(name="o", keys=frozenset(), weight=1.0)
+            },
+        )
+        self.advice = AdviceBook()
+        self.planner = Planner(
+            self.scheduler, ObjectiveOrder(), BestFit(), self.advice
+        )
+        self._sequences: dict[str, int] = {}
+
+    def set_cap(self, cap: Resources) -> None:
+        """Limit what the organisation may have running."""
+        organisations = self.scheduler.configuration.organisations
+        organisations["o"] = Organisation(name="o", keys=frozenset(), cap=cap)
+
+    def submit(self, job_id, spec=None, revision=10, progress=None):
+        """Add an accepted job."""
+        record = SubmissionRecord(
+            policy=QUEUE,
+            organisation="o",
+            spec=spec or job_spec(),
+            accepted_unix_ms=round(self.now_s * 1000),
+            attempt_id="a",
+        )
+        return self.scheduler.add_job(job_id, record, revision, progress)
+
+    def add_workers(self, *names: str, **fields) -> None:
+        """Add workers that have reported."""
+        known = [w.entry for w in self.scheduler.workers.values()]
+        entries = [self.entry(name, **fields) for name in names]
+        for worker in self.scheduler.set_workers(known + entries, self.now_s):
+            worker.is_enrolled = True
+            self.report(worker.worker_id)
+
+    @staticmethod
+    def entry(name: str, **fields) -> WorkerEntry:
+        """Return the entry of a worker."""
+        fields.setdefault("labels", ("a", "rack-1"))
+        return WorkerEntry(
+            worker_id=name,
+            started_unix_ms=1,
+            pool="p",
+            address="h:1",
+            capacity=CAPACITY,
+            **fields,
+        )
+
+    def report(self, name, running=(), ends=(), asked_before_s=0.0):
+        """Let a worker report runs and ends."""
+        worker = self.scheduler.workers[name]
+        self.scheduler.on_report(
+            worker,
+            WorkerReport(
+                clock_ms=round(self.now_s * 1000),
+                started_unix_ms=1,
+                running=tuple(
+                    RunStatus(task=task, run=run, percent=percent)
+                    for task, run, percent in running
+                ),
+                ends=tuple(ends),
+            ),
+            self.now_s - asked_before_s,
+            self.now_s,
+        )
+
+    def report_runs(self, name, percent=50):
+        """Let a worker report all runs that it was given."""
+        runs = list(self.scheduler.workers[name].runs.values())
+        self.report(
+            name,
+            [(run.task.task_id, run.number, percent) for run in runs],
+        )
+
+    def end(self, run, kind=EndKind.DONE):
+        """Let a worker report the end of a run."""
+        name = run.worker_id
+        sequence = self._sequences.get(name, 0) + 1
+        self._sequences[name] = sequence
+        end = RunEnd(
+            sequence=sequence,
+            task=run.task.task_id,
+            run=run.number,
+            kind=kind,
+        )
+        others = [
+            (each.task.task_id, each.number, 50)
+            for each in self.scheduler.workers[name].runs.values()
+            if each is not run
+        ]
+        self.report(name, others, [end])
+
+    def place(self):
+        """Return the starts of one pass; all are answered as started."""
+        commands = self.planner.place(self.now_s, self.now_s * 1000)
+        for command in commands:
+            self.scheduler.on_start_answer(command.run, 1, self.now_s)
+        return [command.run for command in commands]
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass, with reports of all workers."""
+        self.now_s += seconds
+        for name in list(self.scheduler.workers):
+            self.report_runs(name)
--- /dev/null
+++ b/tests/unit/test_scheduling.py
@@ -0,0 +1,345 @@
+"""The scheduler's decisions, each with the failure that it prevents."""
+
+import testtools
+
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.scheduling.evacuation import may_interrupt
+from rosemarynotch._internal.scheduling.jobs import RunPhase
+from rosemarynotch._internal.scheduling.model import Resources
+from rosemarynotch._internal.scheduling.planner import StartCommand
+from rosemarynotch._internal.scheduling.planner import StopCommand
+from rosemarynotch._internal.scheduling.ports import EndKind
+from rosemarynotch._internal.scheduling.records import Phase
+from tests.lib.scheduling import job_spec
+from tests.lib.scheduling import Leader
+from tests.lib.scheduling import LEASE_S
+from tests.lib.scheduling import step
+
+LOST = failures.WORKER_UNREACHABLE.after_start()
+
+
+class TestRuns(testtools.TestCase):
+    """A task has at most one run, and ends once."""
+
+    def setUp(self):
+        super().setUp()
+        self.leader = Leader()
+        self.leader.add_workers("w1", "w2")
+
+    def test_done_task_completes_its_job(self):
+        """The end is acknowledged only after it was written."""
+        job = self.leader.submit("j1")
+        (run,) = self.leader.place()
+        self.leader.end(run)
+        self.assertIs(Phase.COMPLETED, job.phase)
+        worker = self.leader.scheduler.workers[run.worker_id]
+        worker.settle_acks()
+        self.assertEqual(0, worker.acked_sequence)
+        self.leader.scheduler.note_written(job, job.change, 11)
+        worker.settle_acks()
+        self.assertEqual(1, worker.acked_sequence)
+        self.assertEqual([], self.leader.place())
+
+    def test_unanswered_start_is_repeated_with_its_lease(self):
+        """A repeated order once kept a lost run from lapsing (LOST)."""
+        self.leader.submit("j1")
+        command = self.leader.planner.place(1000.0, 1e6)[0]
+        run = command.run
+        run.lease_until_ms = 7
+        self.leader.scheduler.on_start_answer(run, LOST, 1000.0)
+        self.assertIs(RunPhase.UNCONFIRMED, run.phase)
+        again = self.leader.planner.follow_up(1001.0)
+        self.assertEqual([run], [each.run for each in again])
+        self.assertIsInstance(again[0], StartCommand)
+        self.assertEqual(7, run.lease_until_ms)
+        self.assertTrue(run.is_reordered)
+
+    def test_refused_repetition_does_not_free_the_task(self):
+        """The first order may still be carried out elsewhere in time."""
+        self.leader.submit("j1")
+        run = self.leader.planner.place(1000.0, 1e6)[0].run
+        self.leader.scheduler.on_start_answer(run, LOST, 1000.0)
+        self.leader.planner.follow_up(1001.0)
+        refused = failures.RUN_NO_ROOM
+        self.leader.scheduler.on_start_answer(run, refused, 1001.0)
+        self.assertIs(RunPhase.UNCONFIRMED, run.phase)
+        self.assertEqual([run], run.task.runs)
+
+    def test_refused_start_goes_elsewhere(self):
+        """A worker without room gets a short pause."""
+        self.leader.submit("j1")
+        run = self.leader.planner.place(1000.0, 1e6)[0].run
+        refused = failures.RUN_NO_ROOM
+        self.leader.scheduler.on_start_answer(run, refused, 1000.0)
+        (other,) = self.leader.place()
+        self.assertNotEqual(run.worker_id, other.worker_id)
+        self.assertGreater(other.number, run.number)
+
+    def test_silent_worker_keeps_its_tasks_until_the_lease_ends(self):
+        """An earlier start elsewhere would be a second run (TWICE)."""
+        self.leader.submit("j1")
+        (run,) = self.leader.place()
+        worker = self.leader.scheduler.workers[run.worker_id]
+        worker.lease_until_ms = worker.lease_end_ms(1000.0, LEASE_S)
+        other = "w2" if run.worker_id == "w1" else "w1"
+        for after_s, is_free in ((5.9, False), (6.1, False), (6.6, True)):
+            self.leader.now_s = 1000.0 + after_s
+            self.leader.report(other)
+            self.leader.scheduler.expire_workers(self.leader.now_s)
+            self.assertEqual(is_free, bool(self.leader.place()))
+
+    def test_worker_that_restarted_has_lost_its_runs(self):
+        """A new life under the same identifier is recognised."""
+        self.leader.submit("j1")
+        (run,) = self.leader.place()
+        worker = self.leader.scheduler.workers[run.worker_id]
+        entries = [w.entry for w in self.leader.scheduler.workers.values()]
+        entries.remove(worker.entry)
+        entries.append(
+            self.leader.entry(run.worker_id).__class__(
+                worker_id=run.worker_id,
+                started_unix_ms=2,
+                pool="p",
+                address="h:1",
+                capacity=worker.entry.capacity,
+            )
+        )
+        self.leader.scheduler.set_workers(entries, 1000.0)
+        self.assertTrue(run.task.is_waiting)
+
+    def test_ended_worker_is_not_listed_again(self):
+        """The list lags behind a move; the dead worker came back (LOST)."""
+        scheduler = self.leader.scheduler
+        scheduler.workers["w1"].is_replaced = True
+        self.assertEqual(["w1"], scheduler.expire_workers(1000.0))
+        entries = [self.leader.entry("w1"), self.leader.entry("w2")]
+        self.assertEqual([], scheduler.set_workers(entries, 1000.0))
+
+    def test_failures_end_a_job_as_its_queue_says(self):
+        """The policy holds for a job whose queue has been removed.
+
+        A missing policy once ended jobs at the first failure (LOST).
+        """
+        job = self.leader.submit("j1")
+        configuration = self.leader.scheduler.configuration
+        self.leader.scheduler.configuration = type(configuration)(
+            version=2, revision=2
+        )
+        for attempt in range(3):
+            self.assertFalse(job.phase.is_final)
+            (run,) = self.leader.place()
+            self.leader.end(run, EndKind.FAILED)
+        self.assertIs(Phase.FAILED, job.phase)
+
+    def test_run_that_is_not_on_its_worker_is_lost(self):
+        """Only a report that was asked for after the answer counts."""
+        self.leader.submit("j1")
+        (run,) = self.leader.place()
+        self.leader.now_s += 1.0
+        self.leader.report(run.worker_id, asked_before_s=1.5)
+        self.assertEqual([run], run.task.runs)
+        self.leader.report(run.worker_id)
+        self.assertTrue(run.task.is_waiting)
+
+    def test_cancelled_job_is_stopped(self):
+        """Runs of a job that has ended are stopped, again if need be."""
+        self.leader.submit("j1")
+        (run,) = self.leader.place()
+        self.leader.scheduler.cancel("j1")
+        commands = self.leader.planner.follow_up(1000.0)
+        self.assertIsInstance(commands[0], StopCommand)
+        self.assertEqual([], self.leader.planner.follow_up(1000.5))
+        self.assertEqual(1, len(self.leader.planner.follow_up(1001.5)))
+
+    def test_cancellation_that_comes_before_its_job(self):
+        """Cancellation and job may be read in any order."""
+        self.leader.scheduler.cancel("j1")
+        job = self.leader.submit("j1")
+        self.assertIs(Phase.CANCELLED, job.phase)
+        self.assertEqual([], self.leader.place())
+
+    def test_task_that_stands_still_is_stopped(self):
+        """A worker that hangs loses its tasks to others."""
+        self.leader.submit("j1")
+        (run,) = self.leader.place()
+        for _ in range(4):
+            self.leader.advance(1.0)
+        commands = self.leader.planner.follow_up(self.leader.now_s)
+        self.assertEqual([run], [each.run for each in commands])
+        self.assertIn(run.worker_id, run.task.failed_workers)
+
+    def test_worker_that_fails_everything_is_avoided(self):
+        """Failures of several jobs on one worker are its own."""
+        for number in range(4):
+            self.leader.submit(f"j{number}", job_spec(step(cpu=4000)))
+        runs = self.leader.place()
+        bad = runs[0].worker_id
+        for run in runs:
+            if run.worker_id == bad:
+                self.leader.end(run, EndKind.FAILED)
+        again = self.leader.place()
+        self.assertNotIn(bad, {run.worker_id for run in again})
+
+
+class TestOrder(testtools.TestCase):
+    """Steps, caps, gangs and limits."""
+
+    def setUp(self):
+        super().setUp()
+        self.leader = Leader()
+        self.leader.add_workers("w1", "w2")
+
+    def test_step_waits_for_those_before(self):
+        """A start before is a broken order."""
+        spec = job_spec(step(2), step(1, after=(0,)))
+        self.leader.submit("j1", spec)
+        first = self.leader.place()
+        self.assertEqual(2, len(first))
+        self.leader.end(first[0])
+        self.assertEqual([], self.leader.place())
+        self.leader.end(first[1])
+        self.assertEqual(1, self.leader.place()[0].task.step.number)
+
+    def test_cap_of_an_organisation(self):
+        """Nothing is started above it, also across jobs."""
+        self.leader.set_cap(Resources(cpu_millicores=2500))
+        self.leader.submit("j1", job_spec(step(2)))
+        self.leader.submit("j2", job_spec(step(2)))
+        runs = self.leader.place()
+        self.assertEqual(2, len(runs))
+        self.leader.end(runs[0])
+        self.assertEqual(1, len(self.leader.place()))
+
+    def test_gang_starts_whole_or_not(self):
+        """All members carry one run number."""
+        self.leader.submit("j1", job_spec(step(20, is_gang=True)))
+        self.assertEqual([], self.leader.place())
+        self.leader.submit("j2", job_spec(step(16, is_gang=True)))
+        runs = self.leader.place()
+        self.assertEqual(16, len(runs))
+        self.assertEqual({1}, {run.number for run in runs})
+
+    def test_limit_per_worker_and_label(self):
+        """A worker gets no more tasks of a step than it may."""
+        self.leader.submit("j1", job_spec(step(4, max_per_worker=1)))
+        self.assertEqual(2, len(self.leader.place()))
+        self.leader.submit("j2", job_spec(step(1, required_label="b")))
+        self.assertEqual([], self.leader.place())
+
+    def test_occurrences_start_when_they_are_due(self):
+        """A scheduled job does not start early."""
+        spec = job_spec(
+            step(),
+            repeat_count=2,
+            first_run_unix_ms=1_001_000,
+            interval_ms=1000,
+        )
+        self.leader.submit("j1", spec)
+        self.assertEqual([], self.leader.place())
+        self.leader.now_s = 1001.0
+        self.leader.report_runs("w1")
+        self.leader.report_runs("w2")
+        self.assertEqual(1, len(self.leader.place()))
+
+    def test_nothing_on_workers_that_are_leaving(self):
+        """Draining and cordoned workers get no new runs."""
+        workers = self.leader.scheduler.workers
+        workers["w1"].is_cordoned = True
+        entry = self.leader.entry("w2", is_draining=True)
+        self.leader.scheduler.set_workers([workers["w1"].entry, entry], 1000.0)
+        self.leader.submit("j1")
+        self.assertEqual([], self.leader.place())
+
+    def test_data_rack_is_preferred(self):
+        """A task runs where its data is, if there is room."""
+        self.leader.add_workers("w3", labels=("a", "rack-9"))
+        self.leader.submit("j1", job_spec(step(1, data_rack="rack-9")))
+        self.assertEqual("w3", self.leader.place()[0].worker_id)
+
+
+class TestTakeover(testtools.TestCase):
+    """What a new leader does with the work of earlier ones."""
+
+    def test_run_numbers_rise_over_terms(self):
+        """A late order of an earlier leader has a lower number."""
+        leader = Leader(term=3, started_revision=50)
+        leader.add_workers("w1")
+        leader.submit("old", revision=40)
+        leader.submit("new", revision=60)
+        numbers = {
+            run.task.task_id.job_id: run.number for run in leader.place()
+        }
+        self.assertEqual({"old": 2001, "new": 1}, numbers)
+
+    def test_hidden_runs_block_inherited_tasks(self):
+        """A worker of the roster that was not heard may run them."""
+        leader = Leader(term=2, started_revision=50)
+        entries = [leader.entry("w1"), leader.entry("w2")]
+        leader.scheduler.set_workers(entries, 1000.0, are_inherited=True)
+        for worker in leader.scheduler.workers.values():
+            worker.is_enrolled = True
+        leader.report("w1")
+        leader.submit("old", revision=40)
+        leader.submit("new", revision=60)
+        runs = leader.place()
+        self.assertEqual(["new"], [run.task.task_id.job_id for run in runs])
+        leader.report("w2")
+        self.assertEqual(1, len(leader.place()))
+
+    def test_reported_runs_are_adopted(self):
+        """They are not started again."""
+        leader = Leader(term=2, started_revision=50)
+        job = leader.submit("old", revision=40)
+        entries = [leader.entry("w1")]
+        leader.scheduler.set_workers(entries, 1000.0, are_inherited=True)
+        task_id = job.all_tasks()[0].task_id
+        leader.report("w1", [(task_id, 1, 30)])
+        leader.scheduler.workers["w1"].is_enrolled = True
+        self.assertEqual([], leader.place())
+        self.assertIs(Phase.RUNNING, job.phase)
+
+    def test_progress_is_restored(self):
+        """Tasks that are recorded as done do not run again."""
+        first = Leader()
+        first.add_workers("w1")
+        job = first.submit("j1", job_spec(step(2)))
+        first.end(first.place()[0])
+        second = Leader(term=2, started_revision=50)
+        second.add_workers("w1")
+        restored = second.submit("j1", job_spec(step(2)), 10, job.progress())
+        self.assertEqual(1, restored.occurrences[0].steps[0].done_count)
+        self.assertEqual(1, len(second.place()))
+
+
+class TestAvailability(testtools.TestCase):
+    """Serving tasks are interrupted one at a time."""
+
+    def setUp(self):
+        super().setUp()
+        self.leader = Leader()
+        self.leader.add_workers("w1", "w2")
+        spec = job_spec(
+            step(2, max_per_worker=1, long_running=True, max_unavailable=1)
+        )
+        self.job = self.leader.submit("j1", spec)
+        self.leader.place()
+        self.step = self.job.occurrences[0].steps[0]
+
+    def may(self):
+        workers = self.leader.scheduler.workers
+        return may_interrupt(self.step, workers, self.leader.now_s)
+
+    def test_only_while_the_others_are_at_work(self):
+        """Tasks at 100 % in recent reports are at work."""
+        self.leader.report_runs("w1", percent=100)
+        self.assertFalse(self.may())
+        self.leader.report_runs("w2", percent=100)
+        self.assertTrue(self.may())
+
+    def test_task_of_a_silent_worker_counts_as_away(self):
+        """A crashed worker still seemed to run its task (AVAIL)."""
+        self.leader.report_runs("w1", percent=100)
+        self.leader.report_runs("w2", percent=100)
+        self.leader.now_s += 2.0
+        self.leader.report_runs("w1", percent=100)
+        self.assertFalse(self.may())
