--- /dev/null
+++ b/tests/unit/test_scheduling_stateful.py
@@ -0,0 +1,267 @@
+"""Random series of faults against a model of workers and store.
+
+The model carries out orders late or twice, loses answers, and changes the
+leader at any moment. No task may run twice at a time, none may start after
+an end that was acknowledged, and no worker may hold more than its room.
+"""
+
+import attrs
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.scheduling.jobs import Run
+from rosemarynotch._internal.scheduling.planner import StartCommand
+from rosemarynotch._internal.scheduling.ports import EndKind
+from rosemarynotch._internal.scheduling.ports import RunEnd
+from rosemarynotch._internal.scheduling.ports import RunStatus
+from rosemarynotch._internal.scheduling.ports import WorkerReport
+from tests.lib.scheduling import CAPACITY
+from tests.lib.scheduling import job_spec
+from tests.lib.scheduling import Leader
+from tests.lib.scheduling import LEASE_S
+from tests.lib.scheduling import step
+
+WORKERS = ("w1", "w2", "w3")
+UNKNOWN = failures.WORKER_UNREACHABLE.after_start()
+DELIVERIES = st.sampled_from(("answered", "lost", "late", "never"))
+
+
+@attrs.define
+class ModelWorker:
+    """A worker as the platform's pages describe it."""
+
+    fence: int = 0
+    lease_until_ms: float = 0.0
+    runs: dict = attrs.field(factory=dict)
+    ended: dict = attrs.field(factory=dict)
+    ends: list = attrs.field(factory=list)
+    sequence: int = 0
+
+    def lapse(self, now_ms: float) -> None:
+        """End everything whose lease is over."""
+        if now_ms >= self.lease_until_ms:
+            for task in list(self.runs):
+                self.end(task, EndKind.LAPSED)
+
+    def end(self, task, kind: EndKind) -> None:
+        """End a run."""
+        number = self.runs.pop(task)
+        self.ended[task] = max(self.ended.get(task, 0), number)
+        self.sequence += 1
+        self.ends.append(
+            RunEnd(sequence=self.sequence, task=task, run=number, kind=kind)
+        )
+
+    def start(self, fence, task, number, until_ms, now_ms):
+        """Carry out a start."""
+        self.lapse(now_ms)
+        if fence < self.fence:
+            return failures.RUN_FENCED
+        self.fence = fence
+        if self.runs.get(task) == number:
+            return 1
+        if task in self.runs or number <= self.ended.get(task, 0):
+            return failures.RUN_SUPERSEDED
+        if until_ms <= now_ms:
+            return failures.RUN_LATE
+        used = len(self.runs) * 1000
+        if used + 1000 > CAPACITY.cpu_millicores:
+            return failures.RUN_NO_ROOM
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        self.runs[task] = number
+        return 1
+
+
+class PlatformMachine(stateful.RuleBasedStateMachine):
+    """Leaders come and go; the store keeps jobs and progress."""
+
+    def __init__(self):
+        super().__init__()
+        self.models = {name: ModelWorker() for name in WORKERS}
+        self.jobs: dict[str, int] = {}
+        self.progress: dict = {}
+        self.late: list = []
+        self.done: set = set()
+        self.revision = 1
+        self.term = 0
+        self.now_s = 1000.0
+        self.lead()
+
+    @property
+    def now_ms(self):
+        return self.now_s * 1000
+
+    @stateful.rule()
+    def lead(self):
+        """A new leader reads the store; the earlier one is gone."""
+        self.term += 1
+        self.revision += 1
+        self.leader = Leader(self.term, self.revision)
+        self.leader.now_s = self.now_s
+        entries = [self.leader.entry(name) for name in WORKERS]
+        scheduler = self.leader.scheduler
+        scheduler.set_workers(entries, self.now_s, are_inherited=True)
+        for worker in scheduler.workers.values():
+            worker.is_enrolled = True
+        for job_id, revision in self.jobs.items():
+            self.leader.submit(
+                job_id, self.spec(), revision, self.progress.get(job_id)
+            )
+
+    @stateful.initialize()
+    def first_job(self):
+        """Begin with work and with workers that have reported."""
+        self.submit()
+        self.report_all()
+
+    @stateful.rule()
+    def report_all(self):
+        """All workers are reached, as on a calm day."""
+        for name in WORKERS:
+            self.report(name, True)
+
+    @staticmethod
+    def spec():
+        return job_spec(step(3), step(2, after=(0,)))
+
+    @stateful.rule()
+    def submit(self):
+        """An entry has stored a job."""
+        self.revision += 1
+        job_id = f"j{len(self.jobs)}"
+        self.jobs[job_id] = self.revision
+        self.leader.now_s = self.now_s
+        self.leader.submit(job_id, self.spec(), self.revision)
+
+    @stateful.rule(data=st.data())
+    def plan(self, data):
+        """One pass of the leader; each order may be lost or late."""
+        scheduler = self.leader.scheduler
+        scheduler.expire_workers(self.now_s)
+        commands = self.leader.planner.follow_up(self.now_s)
+        commands += self.leader.planner.place(self.now_s, self.now_ms)
+        for command in commands:
+            if isinstance(command, StartCommand):
+                self.send(command, data.draw(DELIVERIES))
+
+    def send(self, command: StartCommand, delivery: str):
+        run, worker = command.run, command.worker
+        if not run.lease_until_ms:
+            run.lease_until_ms = worker.lease_end_ms(self.now_s, LEASE_S)
+            worker.lease_until_ms = max(
+                worker.lease_until_ms, run.lease_until_ms
+            )
+        order = (self.term, worker.worker_id, run)
+        answer = UNKNOWN
+        if delivery in ("answered", "lost"):
+            answer = self.carry_out(order)
+        elif delivery == "late":
+            self.late.append(order)
+        if delivery != "answered":
+            answer = UNKNOWN
+        self.leader.scheduler.on_start_answer(run, answer, self.now_s)
+
+    def carry_out(self, order):
+        fence, name, run = order
+        task = run.task.task_id
+        before = task in self.models[name].runs
+        answer = self.models[name].start(
+            fence, task, run.number, run.lease_until_ms, self.now_ms
+        )
+        if not before and task in self.models[name].runs:
+            assert task not in self.done, f"{task} started after its end"
+        return answer
+
+    @stateful.rule(data=st.data())
+    def late_order(self, data):
+        """An order is carried out long after it was sent."""
+        if self.late:
+            index = data.draw(st.integers(0, len(self.late) - 1))
+            self.carry_out(self.late.pop(index))
+
+    @stateful.rule(name=st.sampled_from(WORKERS), data=st.data())
+    def work(self, name, data):
+        """A run ends by itself."""
+        model = self.models[name]
+        model.lapse(self.now_ms)
+        if model.runs:
+            task = data.draw(st.sampled_from(sorted(model.runs, key=str)))
+            model.end(task, EndKind.DONE)
+
+    @stateful.rule(name=st.sampled_from(WORKERS), answered=st.booleans())
+    def report(self, name, answered):
+        """A report, which extends the lease even without an answer."""
+        scheduler = self.leader.scheduler
+        worker = scheduler.workers.get(name)
+        if worker is None:
+            return
+        model = self.models[name]
+        model.lapse(self.now_ms)
+        model.fence = max(model.fence, self.term)
+        if worker.clock_heard_at_s:
+            until_ms = worker.lease_end_ms(self.now_s, LEASE_S)
+            worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+            model.lease_until_ms = max(model.lease_until_ms, until_ms)
+        acked = worker.acked_sequence
+        for end in model.ends:
+            if end.sequence <= acked and end.kind is EndKind.DONE:
+                self.done.add(end.task)
+        model.ends = [end for end in model.ends if end.sequence > acked]
+        if answered:
+            self.answer(worker, model)
+
+    def answer(self, worker, model):
+        self.leader.scheduler.on_report(
+            worker,
+            WorkerReport(
+                clock_ms=round(self.now_ms),
+                started_unix_ms=1,
+                running=tuple(
+                    RunStatus(task=task, run=number, percent=50)
+                    for task, number in model.runs.items()
+                ),
+                ends=tuple(model.ends),
+            ),
+            self.now_s,
+            self.now_s,
+        )
+
+    @stateful.rule()
+    def write(self):
+        """The progress of all changed jobs reaches the store."""
+        scheduler = self.leader.scheduler
+        for job in list(scheduler.dirty.values()):
+            self.progress[job.job_id] = job.progress()
+            scheduler.note_written(job, job.change, 1)
+        scheduler.settle_acks()
+
+    @stateful.rule(seconds=st.sampled_from((0.1, 0.4, 1.0, 7.0)))
+    def wait(self, seconds):
+        """Time passes for everybody."""
+        self.now_s += seconds
+        self.leader.now_s = self.now_s
+
+    @stateful.invariant()
+    def no_task_runs_twice(self):
+        running: set = set()
+        for model in self.models.values():
+            model.lapse(self.now_ms)
+            for task in model.runs:
+                assert task not in running, f"{task} runs twice"
+                running.add(task)
+
+    @stateful.invariant()
+    def counts_cover_what_runs(self):
+        """What the leader counts is never below what it has started."""
+        for worker in self.leader.scheduler.workers.values():
+            run: Run
+            for run in worker.runs.values():
+                assert run in run.task.runs
+
+
+TestPlatform = PlatformMachine.TestCase
+TestPlatform.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None
+)
