--- a/src/rosemarynotch/_internal/commands/exits.py
+++ b/src/rosemarynotch/_internal/commands/exits.py
@@ -8,7 +8,7 @@
 
 
 class Exit(enum.IntEnum):
-    """How a command ended; docs/operations.md explains each."""
+    """How a command ended; docs/OPERATIONS.md explains each."""
 
     DONE = 0
     REFUSED = 1
--- a/src/rosemarynotch/_internal/operators/findings.py
+++ b/src/rosemarynotch/_internal/operators/findings.py
@@ -30,7 +30,7 @@
 
 
 class Alarm(enum.StrEnum):
-    """Alarms, explained in docs/operations.md."""
+    """Alarms, explained in docs/OPERATIONS.md."""
 
     BUDGET_BROKEN = "budget-broken"
     LIMIT_EXCEEDED = "limit-exceeded"
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -4,6 +4,7 @@
 from concurrent.futures import ThreadPoolExecutor
 import queue
 import threading
+import traceback
 
 import attrs
 
@@ -19,20 +20,17 @@
 from rosemarynotch._internal.scheduling.leadership import Leadership
 from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.model import Configuration
+from rosemarynotch._internal.scheduling.order_sender import Command
+from rosemarynotch._internal.scheduling.order_sender import OrderSender
 from rosemarynotch._internal.scheduling.ordering import ObjectiveOrder
-from rosemarynotch._internal.scheduling.pacing import PaceChange
 from rosemarynotch._internal.scheduling.pacing import TailPacer
 from rosemarynotch._internal.scheduling.placement import BestFit
 from rosemarynotch._internal.scheduling.planner import Planner
-from rosemarynotch._internal.scheduling.planner import StartCommand
-from rosemarynotch._internal.scheduling.planner import StopCommand
 from rosemarynotch._internal.scheduling.pool_sizing import DemandSizer
 from rosemarynotch._internal.scheduling.ports import Advisor
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
 from rosemarynotch._internal.scheduling.ports import FleetService
 from rosemarynotch._internal.scheduling.ports import Item
-from rosemarynotch._internal.scheduling.ports import Pacing
-from rosemarynotch._internal.scheduling.ports import StartOrder
 from rosemarynotch._internal.scheduling.ports import WorkerChannel
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
@@ -45,9 +43,6 @@
 from rosemarynotch._internal.utils.metrics import Metrics
 
 __all__ = ["Controller", "ControllerPorts"]
-
-Command = StartCommand | StopCommand | PaceChange
-
 # Lease on the runs of a worker: longer than it takes to change the leader
 # (LEASE_TTL_MS of the leadership and a start), and short, since the tasks of
 # a worker that cannot be reached start elsewhere only after it.
@@ -122,6 +117,7 @@
         )
         self._pacer = TailPacer()
         self.writer = ProgressWriter(self)
+        self._sender = OrderSender(self)
         self._configuration = configuration
         self._fleet_timing = fleet_timing
         self._events: queue.SimpleQueue[Callable[[float], None]] = (
@@ -159,14 +155,33 @@
             self._start_thread(manager.run, "fleet")
         if self.ports.advisor is not None:
             self._start_thread(self._ask_advice, "advice")
+        self._guard(self._pass_until_end)
+        self._close()
+
+    def _pass_until_end(self) -> None:
+        while self.is_running:
+            self._pass()
+
+    def _guard(self, target: Callable[[], None]) -> None:
+        """Run a part of the leader; an unexpected error ends the term.
+
+        A leader that has lost a part would keep others from leading.
+        """
         try:
-            while self.is_running:
-                self._pass()
-        finally:
-            self._close()
+            target()
+        except Exception as error:
+            where = traceback.extract_tb(error.__traceback__)[-1]
+            self.log(
+                "leading failed",
+                error=repr(error),
+                where=f"{where.filename}:{where.lineno}",
+            )
+            self.leadership.give_up(self.grant, "unexpected error")
 
     def _start_thread(self, target: Callable[[], None], name: str) -> None:
-        threading.Thread(target=target, name=name, daemon=True).start()
+        threading.Thread(
+            target=self._guard, args=(target,), name=name, daemon=True
+        ).start()
 
     def _retry(self, load: Callable[[], bool]) -> bool:
         while self.is_running:
@@ -202,7 +217,7 @@
                 event(now_s)
             commands = self._plan(now_s)
         for command in commands:
-            self._orders.submit(self._send, command)
+            self._orders.submit(self._sender.send, command)
         self.writer.wake()
         left_s = MIN_PASS_INTERVAL_S - (self.clock.monotonic_s() - started_s)
         if left_s > 0:
@@ -227,17 +242,6 @@
 
     # Orders.
 
-    def _send(self, command: Command) -> None:
-        link = self._links.get(command.worker.worker_id)
-        if link is None or not self.is_running:
-            return
-        if isinstance(command, StartCommand):
-            self._send_start(command, link)
-        elif isinstance(command, StopCommand):
-            self._send_stop(command, link)
-        else:
-            self._send_pace(command, link)
-
     def extend_lease(self, worker: Worker) -> int:
         """Return the end of a lease from now on, on the worker's clock."""
         now_s = self.clock.monotonic_s()
@@ -247,70 +251,6 @@
         worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
         return until_ms
 
-    def _send_start(self, command: StartCommand, link: WorkerLink) -> None:
-        run, worker = command.run, command.worker
-        run.lease_until_ms = run.lease_until_ms or self.extend_lease(worker)
-        task = run.task
-        job = task.step.occurrence.job
-        order = StartOrder(
-            task=task.task_id,
-            run=run.number,
-            payload=job.submission.spec.payload,
-            lease_until_worker_ms=run.lease_until_ms,
-            checkpoint=task.checkpoint,
-            ticket=command.ticket,
-        )
-        started_s = self.clock.monotonic_s()
-        answer = link.channel.start(self.grant.fence, order)
-        now_s = self.clock.monotonic_s()
-        how = answer.code if isinstance(answer, Failure) else "started"
-        self.metrics.count("starts", queue=job.submission.queue, how=how)
-        self.metrics.record_ms("start_call", (now_s - started_s) * 1000)
-        self.log(
-            "run ordered",
-            job=job.job_id,
-            task=str(order.task),
-            run=order.run,
-            worker=worker.worker_id,
-            outcome=how,
-        )
-        self.check_fence(answer)
-        self.post(
-            lambda now_s: self.scheduler.on_start_answer(run, answer, now_s)
-        )
-
-    def _send_pace(self, change: PaceChange, link: WorkerLink) -> None:
-        run = change.run
-        pacing = Pacing(
-            task=run.task.task_id, run=run.number, percent=change.percent
-        )
-        answer = link.channel.pace(self.grant.fence, pacing)
-        self.log(
-            "run paced",
-            task=str(pacing.task),
-            worker=run.worker_id,
-            percent=change.percent,
-            outcome=answer.code if answer else "paced",
-        )
-        self.check_fence(answer)
-
-    def _send_stop(self, command: StopCommand, link: WorkerLink) -> None:
-        run = command.run
-        answer = link.channel.stop(
-            self.grant.fence, run.task.task_id, run.number
-        )
-        self.log(
-            "run stop ordered",
-            task=str(run.task.task_id),
-            run=run.number,
-            worker=command.worker.worker_id,
-            outcome=answer.code if answer else "stopping",
-        )
-        self.check_fence(answer)
-        self.post(
-            lambda now_s: self.scheduler.on_stop_answer(run, answer, now_s)
-        )
-
     def check_fence(self, answer: object) -> None:
         """End the term if a worker has seen a later leader."""
         if isinstance(answer, Failure) and answer.is_a(RUN_FENCED):
@@ -373,6 +313,10 @@
             self._links[worker.worker_id] = link
             self._start_thread(link.run, f"worker-{worker.worker_id}")
 
+    def link(self, worker_id: str) -> WorkerLink | None:
+        """Return the conversation with a worker."""
+        return self._links.get(worker_id)
+
     def notify_links(self) -> None:
         """Wake the links whose ends have been written."""
         for link in list(self._links.values()):
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -0,0 +1,111 @@
+"""Sends the leader's orders to workers."""
+
+from typing import TYPE_CHECKING
+
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.scheduling.pacing import PaceChange
+from rosemarynotch._internal.scheduling.planner import StartCommand
+from rosemarynotch._internal.scheduling.planner import StopCommand
+from rosemarynotch._internal.scheduling.ports import Pacing
+from rosemarynotch._internal.scheduling.ports import StartOrder
+from rosemarynotch._internal.scheduling.worker_link import WorkerLink
+
+if TYPE_CHECKING:
+    from rosemarynotch._internal.scheduling.controller import Controller
+
+__all__ = ["Command", "OrderSender"]
+
+Command = StartCommand | StopCommand | PaceChange
+
+
+class OrderSender:
+    """Carries out commands and posts their answers to the leader."""
+
+    def __init__(self, controller: "Controller") -> None:
+        self._controller = controller
+
+    def send(self, command: Command) -> None:
+        """Send a command unless the term has ended."""
+        link = self._controller.link(command.worker.worker_id)
+        if link is None or not self._controller.is_running:
+            return
+        if isinstance(command, StartCommand):
+            self._send_start(command, link)
+        elif isinstance(command, StopCommand):
+            self._send_stop(command, link)
+        else:
+            self._send_pace(command, link)
+
+    def _send_start(self, command: StartCommand, link: WorkerLink) -> None:
+        run, worker = command.run, command.worker
+        run.lease_until_ms = (
+            run.lease_until_ms or self._controller.extend_lease(worker)
+        )
+        task = run.task
+        job = task.step.occurrence.job
+        order = StartOrder(
+            task=task.task_id,
+            run=run.number,
+            payload=job.submission.spec.payload,
+            lease_until_worker_ms=run.lease_until_ms,
+            checkpoint=task.checkpoint,
+            ticket=command.ticket,
+        )
+        started_s = self._controller.clock.monotonic_s()
+        answer = link.channel.start(self._controller.grant.fence, order)
+        now_s = self._controller.clock.monotonic_s()
+        how = answer.code if isinstance(answer, Failure) else "started"
+        self._controller.metrics.count(
+            "starts", queue=job.submission.queue, how=how
+        )
+        self._controller.metrics.record_ms(
+            "start_call", (now_s - started_s) * 1000
+        )
+        self._controller.log(
+            "run ordered",
+            job=job.job_id,
+            task=str(order.task),
+            run=order.run,
+            worker=worker.worker_id,
+            outcome=how,
+        )
+        self._controller.check_fence(answer)
+        self._controller.post(
+            lambda now_s: self._controller.scheduler.on_start_answer(
+                run, answer, now_s
+            )
+        )
+
+    def _send_pace(self, change: PaceChange, link: WorkerLink) -> None:
+        run = change.run
+        pacing = Pacing(
+            task=run.task.task_id, run=run.number, percent=change.percent
+        )
+        answer = link.channel.pace(self._controller.grant.fence, pacing)
+        self._controller.log(
+            "run paced",
+            task=str(pacing.task),
+            worker=run.worker_id,
+            percent=change.percent,
+            outcome=answer.code if answer else "paced",
+        )
+        self._controller.check_fence(answer)
+
+    def _send_stop(self, command: StopCommand, link: WorkerLink) -> None:
+        run = command.run
+        answer = link.channel.stop(
+            self._controller.grant.fence, run.task.task_id, run.number
+        )
+        self._controller.log(
+            "run stop ordered",
+            task=str(run.task.task_id),
+            run=run.number,
+            worker=command.worker.worker_id,
+            outcome=answer.code if answer else "stopping",
+        )
+        self._controller.check_fence(answer)
+        self._controller.post(
+            lambda now_s: self._controller.scheduler.on_stop_answer(
+                run, answer, now_s
+            )
+        )
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -79,7 +79,7 @@
     """Guards against alarms, exit statuses and commands without help."""
 
     def test_alarms_exit_statuses_and_commands(self):
-        text = (ROOT / "docs/operations.md").read_text()
+        text = (ROOT / "docs/OPERATIONS.md").read_text()
         for alarm in Alarm:
             self.assertIn(f"| `{alarm}` |", text)
         for status in Exit:
