Leave no run behind when an order fails or its worker is gone

Cause: a run whose order raised an unexpected error stayed ordered, and a worker without a lease that was no longer listed was dropped with its runs counted. In both cases the task kept a run that did not exist, so it never started again, and the organisation's usage stayed too high.

Two tests failed before and pass now.

--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import WORKER_UNREACHABLE
 from rosemarynotch._internal.scheduling.pacing import PaceChange
 from rosemarynotch._internal.scheduling.planner import StartCommand
 from rosemarynotch._internal.scheduling.planner import StopCommand
@@ -29,6 +30,20 @@
         link = self._controller.link(command.worker.worker_id)
         if link is None or not self._controller.is_running:
             return
+        try:
+            self._send(command, link)
+        except Exception as error:
+            # An answer that cannot be read tells nothing of the order.
+            self._controller.log(
+                "order failed",
+                task=str(command.run.task.task_id),
+                worker=command.worker.worker_id,
+                error=repr(error),
+            )
+            failure = WORKER_UNREACHABLE.because(repr(error)).after_start()
+            self._post_failure(command, failure)
+
+    def _send(self, command: Command, link: WorkerLink) -> None:
         if isinstance(command, StartCommand):
             self._send_start(command, link)
         elif isinstance(command, StopCommand):
@@ -36,6 +51,17 @@
         else:
             self._send_pace(command, link)
 
+    def _post_failure(self, command: Command, failure: Failure) -> None:
+        scheduler, run = self._controller.scheduler, command.run
+        if isinstance(command, StartCommand):
+            self._controller.post(
+                lambda now_s: scheduler.on_start_answer(run, failure, now_s)
+            )
+        elif isinstance(command, StopCommand):
+            self._controller.post(
+                lambda now_s: scheduler.on_stop_answer(run, failure, now_s)
+            )
+
     def _send_start(self, command: StartCommand, link: WorkerLink) -> None:
         run, worker = command.run, command.worker
         run.lease_until_ms = (
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -108,12 +108,13 @@
         for worker_id, worker in list(self.workers.items()):
             if not worker.is_replaced and now_s < self._gone_at_s(worker):
                 continue
-            if worker.lease_until_ms or worker.is_replaced:
+            is_ending = worker.is_replaced or not worker.is_listed
+            if worker.lease_until_ms or is_ending:
                 for run in list(worker.runs.values()):
                     self._lose(worker, run, now_s, "lease lapsed")
                 worker.lease_until_ms = 0
                 worker.is_learnt = False
-            if worker.is_replaced or not worker.is_listed:
+            if is_ending:
                 del self.workers[worker_id]
                 if worker.is_replaced:
                     self._ended[worker_id] = worker.started_unix_ms
--- a/tests/unit/test_leading.py
+++ b/tests/unit/test_leading.py
@@ -9,11 +9,14 @@
 from rosemarynotch._internal.scheduling.controller import Controller
 from rosemarynotch._internal.scheduling.controller import ControllerPorts
 from rosemarynotch._internal.scheduling.fleet_manager import FleetTiming
+from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.leadership import Leadership
+from rosemarynotch._internal.scheduling.order_sender import OrderSender
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
 from rosemarynotch._internal.scheduling.ports import Listing
 from rosemarynotch._internal.utils.clock import SystemClock
 from rosemarynotch._internal.utils.metrics import Metrics
+from tests.lib.scheduling import Leader
 
 
 class EmptyStore(CoordinationStore):
@@ -115,6 +118,21 @@
     def fail_to_list(self):
         raise ValueError("malformed")
 
+    def test_order_that_fails_is_in_doubt(self):
+        """An unexpected error once left a run as ordered for good."""
+        controller = self.controller()
+        leader = Leader()
+        leader.add_workers("w1")
+        leader.submit("j1")
+        command = leader.planner.place(1000.0, 1e6)[0]
+        controller.scheduler = leader.scheduler
+        posted = []
+        controller.post = posted.append
+        controller.link = lambda worker_id: object()
+        OrderSender(controller).send(command)
+        posted[0](1000.0)
+        self.assertIs(RunPhase.UNCONFIRMED, command.run.phase)
+
     def test_no_renewal_ends_the_term_before_the_lease(self):
         """Its holder may not know that the lease has ended."""
         grant = self.leadership.grant
--- a/tests/unit/test_scheduling.py
+++ b/tests/unit/test_scheduling.py
@@ -115,6 +115,17 @@
         entries = [self.leader.entry("w1"), self.leader.entry("w2")]
         self.assertEqual([], scheduler.set_workers(entries, 1000.0))
 
+    def test_worker_without_a_lease_leaves_no_runs_behind(self):
+        """A run that was not ordered yet once kept its task for good."""
+        self.leader.submit("j1")
+        run = self.leader.planner.place(1000.0, 1e6)[0].run
+        scheduler = self.leader.scheduler
+        scheduler.set_workers([], 1000.0)
+        scheduler.expire_workers(1001.0)
+        self.assertNotIn(run.worker_id, scheduler.workers)
+        self.assertTrue(run.task.is_waiting)
+        self.assertEqual(0, scheduler.usage["o"].cpu_millicores)
+
     def test_failures_end_a_job_as_its_queue_says(self):
         """The policy holds for a job whose queue has been removed.
 
