Bring VMs sooner, hold callers shorter, and keep budgets while VMs leave

Cause: (1) a new VM's worker was listed up to 0.5 s and enrolled up to 0.25 s late. (3) Surplus VMs went to standby just before the next queue's turn, and a surplus served a shortage only if its pool was named later. (4) What large tasks leave over of a VM was not counted.

Change: workers are listed when the VM service names a new one, and the roster is written at once; maintenance orders are recorded and given together; surplus serves shortages first and leaves after 3 s; arrivals are divided by the time since the oldest of them; tasks per VM are counted whole, with less headroom; no try to store a job begins after 0.6 s, and a job that was never sent is refused as not run; a node whose last call to the store failed refuses after 1 s; the leader's lease is 1.5 s; tasks on leaving workers use the budget first.

--- a/src/rosemarynotch/_internal/scheduling/config_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/config_feed.py
@@ -48,6 +48,11 @@
         """Return the newest version known, None before the first."""
         return self._current
 
+    @property
+    def is_failing(self) -> bool:
+        """Tell whether the last call to the store failed."""
+        return self._failing
+
     def contact_age_s(self) -> float:
         """Return how long ago the store confirmed the version."""
         return self._clock.monotonic_s() - self._contact_at_s
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -62,8 +62,10 @@
 PASS_PAUSE_FACTOR = 1.0
 # Runs in doubt are looked at so often.
 FOLLOW_UP_INTERVAL_S = 0.05
-# Workers write their entries about every 1.5 s.
+# Workers are listed so often, and at once when the VM service names a new
+# one, but not more often than the second figure says.
 LIST_INTERVAL_S = 0.5
+MIN_LIST_INTERVAL_S = 0.1
 RETRY_S = 0.1
 ADVICE_WAIT_S = 0.5
 
@@ -118,6 +120,7 @@
         self.log = log
         self.lock = threading.RLock()
         self.stop = threading.Event()
+        self.list_workers = threading.Event()
         self.scheduler = Scheduler(
             grant.term, grant.fence, longest_lease_s, log
         )
@@ -213,6 +216,7 @@
 
     def _close(self) -> None:
         self.stop.set()
+        self.list_workers.set()
         self._orders.shutdown(wait=False, cancel_futures=True)
         self.log("not leading", term=self.grant.term)
 
@@ -340,12 +344,14 @@
                         entries, now_s
                     )
                 )
-            self.stop.wait(LIST_INTERVAL_S)
+            self.stop.wait(MIN_LIST_INTERVAL_S)
+            self.list_workers.wait(LIST_INTERVAL_S - MIN_LIST_INTERVAL_S)
+            self.list_workers.clear()
 
     def _set_workers(self, entries: list[WorkerEntry], now_s: float) -> None:
         added = self.scheduler.set_workers(entries, now_s)
         if added:
-            self.writer.roster_is_old = True
+            self.writer.enroll()
         self._add_links(added)
 
     def _add_links(self, added: list[Worker]) -> None:
--- a/src/rosemarynotch/_internal/scheduling/demand.py
+++ b/src/rosemarynotch/_internal/scheduling/demand.py
@@ -19,7 +19,8 @@
     """Work of one pool.
 
     :ivar vms: VMs that running and waiting tasks would fill
-    :ivar arriving_vms: VMs that the work arriving now would keep busy
+    :ivar arriving_vms: VMs that a lasting stream of the work arriving now
+        would keep busy
     :ivar spread_vms: VMs that one lasting step needs because few of its
         tasks may share a VM
     """
@@ -33,6 +34,11 @@
 # Arrivals of this time tell the rate of a queue. A move takes 1.5 s, so the
 # window has to be short for VMs to come before the queue's peak is over.
 ARRIVAL_WINDOW_MS = 600
+# The first arrivals of a rise are divided by the time since the oldest of
+# them, but not by less than this.
+MIN_ARRIVAL_WINDOW_MS = 250
+# Tasks of which more fit on a VM fill it well, together with larger ones.
+SMALL_TASKS = 12
 
 
 def vm_sizes(vms: Iterable[FleetVm]) -> dict[str, Resources]:
@@ -51,13 +57,17 @@
     :param sizes: capacity of a VM by pool
     """
     demand: dict[str, Demand] = {}
+    ages_ms: dict[str, list[float]] = {}
     for job in scheduler.active.values():
         pool = scheduler.queue_of(job).pool
         size = sizes.get(pool) or sizes.get("")
         if size is None:
             continue
         total = demand.setdefault(pool, Demand())
-        total.arriving_vms += _arriving_vms(job, size, wall_ms)
+        age_ms = wall_ms - job.submission.accepted_unix_ms
+        if _is_arriving(job, age_ms):
+            total.arriving_vms += _work_vm_ms(job, size)
+            ages_ms.setdefault(pool, []).append(age_ms)
         for step in _open_steps(job, wall_ms):
             count = len(step.tasks) - step.done_count
             total.vms += count * _vm_share(step.spec.reserved, size)
@@ -66,25 +76,28 @@
             if step.spec.max_per_worker and step.spec.long_running:
                 spread = math.ceil(count / step.spec.max_per_worker)
                 total.spread_vms = max(total.spread_vms, spread)
+    for pool, ages in ages_ms.items():
+        # The oldest arrival begins the time that is measured, so it does not
+        # count; one job alone is no stream.
+        counted = (len(ages) - 1) / len(ages)
+        window_ms = max(max(ages), MIN_ARRIVAL_WINDOW_MS)
+        demand[pool].arriving_vms *= counted / window_ms
     return demand
 
 
-def _arriving_vms(job: Job, vm: Resources, wall_ms: float) -> float:
-    """Return the VMs that a stream of jobs like this one keeps busy.
+def _is_arriving(job: Job, age_ms: float) -> bool:
+    is_batch = not (job.is_long_running or job.is_scheduled)
+    return is_batch and age_ms <= ARRIVAL_WINDOW_MS
 
-    The work of a job that has just come, divided by the time in which such
-    jobs are counted.
-    """
-    age_ms = wall_ms - job.submission.accepted_unix_ms
-    if job.is_long_running or job.is_scheduled or age_ms > ARRIVAL_WINDOW_MS:
-        return 0.0
-    work_ms = sum(
+
+def _work_vm_ms(job: Job, vm: Resources) -> float:
+    """Return the time that the whole job would take of a VM."""
+    return sum(
         len(step.tasks)
         * _vm_share(step.spec.reserved, vm)
         * step.spec.estimated_ms
         for step in job.occurrences[0].steps
     )
-    return work_ms / ARRIVAL_WINDOW_MS
 
 
 def _open_steps(job: Job, wall_ms: float) -> list[Step]:
@@ -98,9 +111,15 @@
 
 
 def _vm_share(task: Resources, vm: Resources) -> float:
-    """Return the part of a VM that a task takes."""
-    return max(
+    """Return the part of a VM that a task takes, with what is left over.
+
+    Four tasks of 13 cores fill a VM of 64, although a fifth of it is free.
+    """
+    share = max(
         task.cpu_millicores / max(1, vm.cpu_millicores),
         task.memory_mb / max(1, vm.memory_mb),
         task.gpu_count / max(1, vm.gpu_count),
     )
+    if share > 1 or share * SMALL_TASKS < 1:
+        return share
+    return 1 / math.floor(1 / share)
--- a/src/rosemarynotch/_internal/scheduling/desk.py
+++ b/src/rosemarynotch/_internal/scheduling/desk.py
@@ -29,6 +29,9 @@
 # A node that has not reached the store for this time takes no work: other
 # nodes may know a newer configuration. Below the bound for new versions.
 MAX_CONTACT_AGE_S = 2.5
+# A node whose last call to the store failed refuses work already after this
+# time: the store would most likely not take it, and another node may.
+MAX_FAILING_AGE_S = 1.0
 # Attempts to accept a job while configurations come in quick succession.
 MAX_ATTEMPTS = 4
 
@@ -74,7 +77,7 @@
         return (
             not self._is_leaving
             and self._follower.current is not None
-            and self._follower.contact_age_s() < MAX_CONTACT_AGE_S
+            and self._is_in_contact()
         )
 
     def announce_leaving(self) -> None:
@@ -178,7 +181,9 @@
         return OVERLOADED.because(reason).retry_in(verdict.retry_after_s)
 
     def _is_in_contact(self) -> bool:
-        return self._follower.contact_age_s() < MAX_CONTACT_AGE_S
+        is_failing = self._follower.is_failing
+        longest_s = MAX_FAILING_AGE_S if is_failing else MAX_CONTACT_AGE_S
+        return self._follower.contact_age_s() < longest_s
 
     def phase(self, request: CallerRequest, job_id: str) -> Phase | Failure:
         """Return where a job is."""
--- a/src/rosemarynotch/_internal/scheduling/evacuation.py
+++ b/src/rosemarynotch/_internal/scheduling/evacuation.py
@@ -61,12 +61,15 @@
         """Order the next stops."""
         controller = self._controller
         with controller.lock:
-            for worker in controller.scheduler.workers.values():
-                is_leaving = worker.entry.is_draining
-                if not worker.is_cordoned and not is_leaving:
-                    continue
+            workers = list(controller.scheduler.workers.values())
+            leaving = [w for w in workers if w.entry.is_draining]
+            cordoned = [
+                w for w in workers if w.is_cordoned and not w.entry.is_draining
+            ]
+            # Tasks that leave anyhow use the budget first.
+            for worker in leaving + cordoned:
                 for run in worker.runs.values():
-                    self._consider(run, is_leaving, now_s)
+                    self._consider(run, worker.entry.is_draining, now_s)
 
     def _consider(self, run: Run, is_leaving: bool, now_s: float) -> None:
         spec = run.task.step.spec
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -100,13 +100,18 @@
         self._orders.shutdown(wait=False, cancel_futures=True)
 
     def _order_recorded(
-        self, what: str, vm: FleetVm, *arguments
-    ) -> None | Failure:
-        """Record a VM and give an order for it."""
+        self, what: str, vms: list[FleetVm], *arguments
+    ) -> list[None | Failure]:
+        """Record VMs and give an order for each; return the answers."""
         now_s = self._controller.clock.monotonic_s()
-        if not self._book.announce([vm.name], now_s):
-            return PLATFORM_UNAVAILABLE.because("the order is not recorded")
-        return self.order(what, vm, *arguments)
+        if not vms:
+            return []
+        if not self._book.announce([vm.name for vm in vms], now_s):
+            why = PLATFORM_UNAVAILABLE.because("the order is not recorded")
+            return [why] * len(vms)
+        return list(
+            self._orders.map(lambda vm: self.order(what, vm, *arguments), vms)
+        )
 
     def order(self, what: str, vm: FleetVm, *arguments) -> None | Failure:
         """Give an order for a VM, right after checking the leadership."""
@@ -151,6 +156,12 @@
             vm.capacity.cpu_millicores for vm in vms.values()
         )
         self._settle_moves(vms, now_s)
+        if any(
+            vm.worker_id not in controller.scheduler.workers
+            for vm in vms.values()
+            if vm.worker_id and vm.phase is VmPhase.UP
+        ):
+            controller.list_workers.set()
         if now_s >= self._quiet_until_s:
             self._waves.step(vms, set(self._moves), now_s)
             self._evacuation.step(now_s)
--- a/src/rosemarynotch/_internal/scheduling/intake.py
+++ b/src/rosemarynotch/_internal/scheduling/intake.py
@@ -12,6 +12,7 @@
 from rosemarynotch._internal.exceptions import JOB_UNKNOWN
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
+from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.models.codec import encode
 from rosemarynotch._internal.scheduling.ports import Change
@@ -36,13 +37,17 @@
 # allows counts to be 2 s old.
 MAX_LOAD_AGE_MS = 1500
 LOAD_READ_INTERVAL_S = 0.5
-# Without an answer of the store, a write is tried again until this time.
-GIVE_UP_S = 1.2
+# Without an answer of the store, a write is tried again until this time. The
+# last try may take a time-out of the store more (0.8 s), and a caller should
+# have its answer within half of the 3 s that it waits.
+GIVE_UP_S = 0.6
+# The platform allows 4 s for the answer to a cancellation.
+CANCEL_GIVE_UP_S = 1.2
 RETRY_S = 0.05
 # A writer without work looks this often whether it has to stop.
 IDLE_S = 0.5
-# Part of the caller's deadline that may pass without an answer.
-DEADLINE_SHARE = 0.7
+# Part of the caller's deadline after which no try begins.
+DEADLINE_SHARE = 0.2
 
 
 @attrs.define
@@ -110,7 +115,7 @@
     def run(self, stop: threading.Event) -> None:
         """Write batches until the process stops."""
         while not stop.is_set():
-            batch = self._next_batch()
+            batch = self._refuse_overdue(self._next_batch())
             if batch:
                 self._write(batch)
 
@@ -136,6 +141,18 @@
                 chosen[each.job_id] = each
         return list(chosen.values())
 
+    def _refuse_overdue(self, batch: list[_Pending]) -> list[_Pending]:
+        """Refuse jobs that waited too long and were never sent."""
+        now_s = self._clock.monotonic_s()
+        left = []
+        for each in batch:
+            if each.is_unknown or now_s < each.give_up_at_s:
+                left.append(each)
+            else:
+                why = STORE_UNAVAILABLE.because("writes wait for the store")
+                each.result.set_result(why)
+        return left
+
     def _write(self, batch: list[_Pending]) -> None:
         conditions = [
             Condition(self._configuration_key, batch[0].configuration_revision)
@@ -242,7 +259,7 @@
         if isinstance(found, Failure):
             return found
         key = CANCELLATIONS_PREFIX + job_id
-        give_up_at_s = self._clock.monotonic_s() + GIVE_UP_S
+        give_up_at_s = self._clock.monotonic_s() + CANCEL_GIVE_UP_S
         while True:
             answer = self._store.commit([Condition(key, 0)], [Write(key, b"")])
             if not isinstance(answer, Failure):
--- a/src/rosemarynotch/_internal/scheduling/leadership.py
+++ b/src/rosemarynotch/_internal/scheduling/leadership.py
@@ -22,10 +22,10 @@
 
 # The lease has to be shorter than the leases on workers (LEASE_S of the
 # controller), so that a new leader takes over before their runs lapse.
-LEASE_TTL_MS = 1800
-RENEW_INTERVAL_S = 0.3
+LEASE_TTL_MS = 1500
+RENEW_INTERVAL_S = 0.25
 # The leader stops by itself this long before its lease can end.
-SAFETY_S = 0.3
+SAFETY_S = 0.2
 WATCH_MS = 2000
 RETRY_S = 0.2
 
--- a/src/rosemarynotch/_internal/scheduling/pool_sizing.py
+++ b/src/rosemarynotch/_internal/scheduling/pool_sizing.py
@@ -13,10 +13,11 @@
 SPARE_VMS = 1
 MIN_VMS = 2
 # Room for demand beside what is known: steps that follow, and new jobs.
-HEADROOM_FACTOR = 1.3
-# A surplus has to last so long before VMs leave. A VM that leaves and comes
-# back costs two moves, which is about 2.3 s of a VM in a pool.
-SURPLUS_HOLD_S = 1.5
+HEADROOM_FACTOR = 1.2
+# A surplus has to last so long before VMs go to standby. A VM that goes and
+# comes back costs two moves, which is about 2.3 s of a VM in a pool, and is
+# away for two times 1.5 s while the next queue has its turn.
+SURPLUS_HOLD_S = 3.0
 
 
 @attrs.frozen(kw_only=True)
@@ -96,6 +97,7 @@
         serving = [pool for pool in pools if not pool.is_standby]
         shortages: list[tuple[int, PoolLoad]] = []
         surplus: list[tuple[str, str]] = []
+        leaving: list[tuple[str, str]] = []
         for pool in serving:
             excess = pool.vm_count - self.wanted_vms(pool)
             if excess < 0:
@@ -103,19 +105,22 @@
             if excess <= 0:
                 self._needed_at_s[pool.name] = now_s
                 continue
+            idle = [(vm, pool.name) for vm in pool.idle_vms[:excess]]
+            surplus += idle
             unknown_s = -math.inf if self._is_first else now_s
             since_s = self._needed_at_s.setdefault(pool.name, unknown_s)
-            if now_s - since_s >= SURPLUS_HOLD_S or shortages:
-                surplus += [(vm, pool.name) for vm in pool.idle_vms[:excess]]
+            if now_s - since_s >= SURPLUS_HOLD_S:
+                leaving += idle
         if standby is None:
             spare = []
         else:
             spare = [(vm, standby.name) for vm in standby.idle_vms]
-        return self._match(shortages, surplus, spare, standby)
+        return self._match(shortages, surplus + spare, leaving, standby)
 
     @staticmethod
-    def _match(shortages, surplus, spare, standby) -> list[Move]:
-        sources = surplus + spare
+    def _match(shortages, sources, leaving, standby) -> list[Move]:
+        """Serve shortages, then send to standby what has been idle long."""
+        sources = list(sources)
         moves = []
         for count, pool in sorted(
             shortages, key=lambda each: (-each[0], each[1].name)
@@ -129,7 +134,7 @@
             used = {move.vm for move in moves}
             moves += [
                 Move(vm, source, standby.name)
-                for vm, source in surplus
+                for vm, source in leaving
                 if vm not in used
             ]
         return moves
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -60,6 +60,11 @@
         if self._controller.scheduler.dirty:
             self._wake.set()
 
+    def enroll(self) -> None:
+        """Write the roster soon; new workers get no runs before."""
+        self.roster_is_old = True
+        self._wake.set()
+
     def run(self) -> None:
         """Write until the term ends."""
         controller = self._controller
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -62,7 +62,7 @@
     An order is recorded in the store before it is given, so that a later
     leader counts the VM as down.
 
-    :param order: gives an order for a VM
+    :param order: gives orders for VMs; returns an answer for each
     :param end_worker: takes note that a worker has ended
     :param maintenance_s: time that the maintenance of a VM takes
     """
@@ -70,7 +70,7 @@
     def __init__(
         self,
         controller: "Controller",
-        order: Callable[..., None | Failure],
+        order: Callable[..., list[None | Failure]],
         end_worker: Callable[[str], None],
         maintenance_s: float,
     ) -> None:
@@ -205,6 +205,7 @@
 
     def _maintain_empty(self, each: _RunningWave, vms, now_s) -> None:
         controller = self._controller
+        empty = []
         for name, worker_id in list(each.cordoned.items()):
             vm = vms.get(name)
             if vm is None or vm.worker_id != worker_id:
@@ -213,29 +214,44 @@
             with controller.lock:
                 worker = controller.scheduler.workers.get(worker_id)
                 is_empty = worker.is_empty if worker else not worker_id
-            if is_empty and self._record_order(each, name, worker_id):
-                del each.cordoned[name]
-                self._maintain(each, vm, now_s)
-
-    def _record_order(
-        self, each: _RunningWave, name: str, worker_id: str
-    ) -> bool:
-        """Write that a VM is about to be maintained, if that is allowed."""
-        if name in each.record.ordered:
-            return True
-        if each.down_count >= each.wave.max_down:
-            return False
+            if is_empty:
+                empty.append(vm)
+        chosen = self._record_orders(each, empty)
+        for vm in chosen:
+            del each.cordoned[vm.name]
+        # All at once: pools wait for VMs meanwhile.
+        answers = self._order("maintain", chosen, each.wave.number)
+        for vm, answer in zip(chosen, answers):
+            self._note_answer(each, vm, answer, now_s)
+
+    def _record_orders(
+        self, each: _RunningWave, vms: list[FleetVm]
+    ) -> list[FleetVm]:
+        """Write which VMs are about to be maintained.
+
+        :returns: those of them that may be, and are recorded
+        """
         before = each.record
-        ordered = {**before.ordered, name: worker_id}
-        each.record = attrs.evolve(before, ordered=ordered)
+        again = [vm for vm in vms if vm.name in before.ordered]
+        fresh = [vm for vm in vms if vm.name not in before.ordered]
+        fresh = fresh[: max(0, each.wave.max_down - each.down_count)]
+        if not fresh:
+            return again
+        added = {vm.name: vm.worker_id for vm in fresh}
+        each.record = attrs.evolve(before, ordered=before.ordered | added)
         if self._write(each):
-            return True
-        # If it was written all the same, the next write removes it.
+            return again + fresh
+        # If it was written all the same, the next write removes them.
         each.record = before
-        return False
+        return again
 
-    def _maintain(self, each: _RunningWave, vm: FleetVm, now_s: float) -> None:
-        answer = self._order("maintain", vm, each.wave.number)
+    def _note_answer(
+        self,
+        each: _RunningWave,
+        vm: FleetVm,
+        answer: None | Failure,
+        now_s: float,
+    ) -> None:
         if answer is None:
             each.begun_at_s[vm.name] = now_s
             if vm.worker_id == each.record.ordered[vm.name]:
--- a/src/rosemarynotch/_internal/utils/http.py
+++ b/src/rosemarynotch/_internal/utils/http.py
@@ -144,7 +144,9 @@
                 return connection
             connection.close()
         connection = http.client.HTTPConnection(
-            self._host, self._port, timeout=CONNECT_TIMEOUT_S
+            self._host,
+            self._port,
+            timeout=min(CONNECT_TIMEOUT_S, self._timeout_s),
         )
         connection.connect()
         return connection
