--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against real nodes, checked from outside."""
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,155 @@
+"""A loopback TCP proxy that disturbs what passes through it."""
+
+import contextlib
+import enum
+import select
+import socket
+import struct
+import threading
+import time
+
+__all__ = ["LinkFault", "Proxy"]
+
+CHUNK_BYTES = 65536
+CONNECT_TIMEOUT_S = 2.0
+# A pump looks this often whether its connection was reset.
+POLL_MS = 200
+# Makes close() send a reset instead of an orderly end.
+RESET_LINGER = struct.pack("ii", 1, 0)
+
+
+class LinkFault(enum.Enum):
+    """What happens to the bytes of connections.
+
+    DELAY: they arrive late. ANSWERS_LOST: what the server sends is lost.
+    SILENT: nothing arrives in either direction, new connections included.
+    """
+
+    NONE = "none"
+    DELAY = "delay"
+    ANSWERS_LOST = "answers lost"
+    SILENT = "silent"
+
+
+class _Link:
+    """A connection of a client and the one to the server."""
+
+    def __init__(self, client: socket.socket, server: socket.socket) -> None:
+        self.client = client
+        self.server = server
+        self.is_silenced = False
+        self.is_closed = False
+
+    def close(self, is_reset: bool = False) -> None:
+        """Close both ends."""
+        self.is_closed = True
+        for each in (self.client, self.server):
+            with contextlib.suppress(OSError):
+                if is_reset:
+                    each.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER
+                    )
+                each.close()
+
+
+class Proxy:
+    """Forwards connections to one server.
+
+    :param target: HOST:PORT of the server
+    :ivar fault: what happens to bytes now
+    :ivar delay_s: how late they arrive under DELAY
+    """
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self._links: set[_Link] = set()
+        self._lock = threading.Lock()
+        self._is_closed = False
+        self.fault = LinkFault.NONE
+        self.delay_s = 0.1
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def silence_open(self) -> None:
+        """Silence the open connections for good; new ones work."""
+        with self._lock:
+            for link in self._links:
+                link.is_silenced = True
+
+    def reset_open(self) -> None:
+        """Reset the open connections."""
+        with self._lock:
+            links, self._links = self._links, set()
+        for link in links:
+            link.close(is_reset=True)
+
+    def close(self) -> None:
+        """Stop listening and reset all connections."""
+        self._is_closed = True
+        self._listener.close()
+        self.reset_open()
+
+    def _accept(self) -> None:
+        while not self._is_closed:
+            try:
+                client, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._open, args=(client,), daemon=True
+            ).start()
+
+    def _open(self, client: socket.socket) -> None:
+        try:
+            server = socket.create_connection(self._target, CONNECT_TIMEOUT_S)
+        except OSError:
+            client.close()
+            return
+        for each in (client, server):
+            each.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            each.settimeout(None)
+        link = _Link(client, server)
+        with self._lock:
+            self._links.add(link)
+        for source, sink in ((client, server), (server, client)):
+            threading.Thread(
+                target=self._pump, args=(link, source, sink), daemon=True
+            ).start()
+
+    def _pump(
+        self, link: _Link, source: socket.socket, sink: socket.socket
+    ) -> None:
+        is_answer = source is link.server
+        readable = select.poll()
+        readable.register(source, select.POLLIN)
+        with contextlib.suppress(OSError):
+            while not link.is_closed:
+                # A blocking read would keep a closed connection open.
+                if not readable.poll(POLL_MS):
+                    continue
+                data = source.recv(CHUNK_BYTES)
+                if not data:
+                    break
+                if self._passes(link, is_answer):
+                    sink.sendall(data)
+        with self._lock:
+            self._links.discard(link)
+        if not link.is_closed:
+            link.close()
+
+    def _passes(self, link: _Link, is_answer: bool) -> bool:
+        """Wait as long as the fault asks; tell whether bytes go on.
+
+        Bytes that are dropped would garble what follows on the connection,
+        so it stays silent from then on.
+        """
+        fault = self.fault
+        if fault is LinkFault.DELAY:
+            time.sleep(self.delay_s)
+        is_lost = fault is LinkFault.SILENT or (
+            fault is LinkFault.ANSWERS_LOST and is_answer
+        )
+        link.is_silenced |= is_lost
+        return not link.is_silenced
--- a/standins/fleet/ledger.py
+++ b/standins/fleet/ledger.py
@@ -14,6 +14,7 @@
 
     :ivar ended_at_s: None while it runs
     :ivar how: how it ended
+    :ivar noted_at_s: when its end was acknowledged, None before
     """
 
     task: str
@@ -23,6 +24,7 @@
     started_at_s: float
     ended_at_s: float | None = None
     how: str = ""
+    noted_at_s: float | None = None
 
 
 class Ledger:
@@ -46,6 +48,17 @@
                 entry.ended_at_s = time.monotonic()
                 entry.how = how
 
+    def note(self, entry: RunEntry) -> None:
+        """Note that the end of a run was acknowledged."""
+        with self._lock:
+            if entry.noted_at_s is None:
+                entry.noted_at_s = time.monotonic()
+
+    def snapshot(self) -> list[RunEntry]:
+        """Return copies of all entries."""
+        with self._lock:
+            return [attrs.evolve(entry) for entry in self.entries]
+
     def of_task(self, task: str) -> list[RunEntry]:
         """Return the runs of a task."""
         with self._lock:
--- a/standins/fleet/worker.py
+++ b/standins/fleet/worker.py
@@ -67,6 +67,7 @@
         self._runs: dict[str, _Run] = {}
         self._ended_runs: dict[str, int] = {}
         self._ends: list[list] = []
+        self._unnoted: dict[int, RunEntry] = {}
         self._sequence = 0
         self.server = JsonServer(self._respond)
         threading.Thread(target=self._tick_until_dead, daemon=True).start()
@@ -198,6 +199,8 @@
             self._extend(body)
         seen = body.get("last-seen", 0)
         self._ends = [end for end in self._ends if end[0] > seen]
+        for sequence in [n for n in self._unnoted if n <= seen]:
+            self._ledger.note(self._unnoted.pop(sequence))
         until_s = time.monotonic() + body.get("wait-ms", 0) / 1000
         while not self._ends and self.is_alive:
             left_s = until_s - time.monotonic()
@@ -238,5 +241,6 @@
         self._ledger.end(run.entry, how)
         self._ended_runs[task] = max(self._ended_runs.get(task, 0), run.number)
         self._sequence += 1
+        self._unnoted[self._sequence] = run.entry
         self._ends.append([self._sequence, task, run.number, how, ""])
         self._changed.notify_all()
--- /dev/null
+++ b/tests/unit/test_soak_checks.py
@@ -0,0 +1,146 @@
+"""The soak finds each kind of broken promise in what was seen."""
+
+import time
+import types
+
+import testtools
+
+from rosemarynotch._internal.utils.clock import SystemClock
+from rosemarynotch._internal.utils.http import CallFailed
+from rosemarynotch._internal.utils.http import HttpClient
+from soak.checks import Checker
+from soak.checks import WORKER_MILLICORES
+from soak.history import History
+from soak.history import JobHistory
+from soak.proxy import LinkFault
+from soak.proxy import Proxy
+from standins.fleet.http import Answer
+from standins.fleet.http import JsonServer
+from standins.fleet.ledger import Ledger
+
+JOB_ID = "0123456789abcdef"
+TASK = f"{JOB_ID}.0.0.0"
+
+
+class CheckerTest(testtools.TestCase):
+    """What callers and workers saw, and what is wrong with it."""
+
+    def setUp(self):
+        super().setUp()
+        self.ledger = Ledger()
+        self.orders = []
+        self.history = History()
+        emulator = types.SimpleNamespace(
+            ledger=self.ledger, orders=self.orders
+        )
+        self.checker = Checker(emulator, self.history, {"team-b": 2000})
+        self.job = JobHistory(
+            job_id=JOB_ID,
+            spec="work=1",
+            team="team-b",
+            task_count=1,
+            cpu_millicores=1000,
+            is_lasting=False,
+            sent_at_s=time.monotonic(),
+            accepted_at_s=time.monotonic(),
+        )
+        self.history.add(self.job)
+
+    def start(self, task=TASK, run=1, worker="w", spec="work=1"):
+        return self.ledger.start(task, run, worker, spec)
+
+    def finish(self, entry, how="done", noted=True):
+        self.ledger.end(entry, how)
+        if noted:
+            self.ledger.note(entry)
+
+    def assert_found(self, words):
+        found = [*self.checker.violations(), *self.checker.unfinished()]
+        self.assertTrue(any(words in line for line in found), found)
+
+    def test_nothing_is_wrong(self):
+        self.finish(self.start())
+        self.assertEqual([], self.checker.violations())
+        self.assertEqual([], self.checker.unfinished())
+
+    def test_two_runs_at_once(self):
+        self.start(worker="a")
+        self.start(run=2, worker="b")
+        self.assert_found("overlap")
+
+    def test_start_after_a_noted_end(self):
+        first = self.start()
+        self.finish(first)
+        self.ledger.entries[0].noted_at_s -= 5
+        self.start(run=2)
+        self.assert_found("after its end was noted")
+
+    def test_repeated_run_of_an_unnoted_end_is_allowed(self):
+        self.finish(self.start(), noted=False)
+        self.finish(self.start(run=2))
+        self.assertEqual([], self.checker.violations())
+
+    def test_unknown_and_changed_work(self):
+        self.start(task="f" * 16 + ".0.0.0")
+        self.assert_found("never submitted")
+        self.start(run=2, spec="work=9")
+        self.assert_found(f"{TASK}: started but never submitted")
+
+    def test_refused_job_runs(self):
+        self.job.is_refused = True
+        self.start()
+        self.assert_found("started but refused")
+
+    def test_start_after_cancellation(self):
+        self.job.cancel_sent_at_s = self.job.cancelled_at_s = (
+            time.monotonic() - 6
+        )
+        self.start()
+        self.assert_found("too late")
+        self.assert_found("runs after cancellation")
+
+    def test_too_many_failures(self):
+        for run in range(1, 5):
+            self.finish(self.start(run=run), how="failed")
+        self.assert_found("4 failed runs")
+
+    def test_lost_job(self):
+        self.assert_found("not served")
+
+    def test_full_worker_and_cap(self):
+        for number in range(WORKER_MILLICORES // 1000 + 1):
+            self.start(task=f"{JOB_ID}.0.0.{number}")
+        self.assert_found("w: 9000 of 8000")
+        self.assert_found("team-b:")
+
+    def test_old_fence(self):
+        self.orders += [("vm", "machine-move", "a", 5)]
+        self.orders += [("vm", "machine-move", "b", 4)]
+        self.assert_found("old fence")
+
+
+class ProxyTest(testtools.TestCase):
+    """Faults of a link show at its client, and end."""
+
+    def setUp(self):
+        super().setUp()
+        self.server = JsonServer(lambda call: Answer(200, {"ok": 1}))
+        self.addCleanup(self.server.close)
+        self.proxy = Proxy(self.server.address)
+        self.addCleanup(self.proxy.close)
+
+    def get(self):
+        client = HttpClient(self.proxy.address, SystemClock(), timeout_s=0.6)
+        reply = client.call("GET", ("x",))
+        client.close()
+        return 0 if isinstance(reply, CallFailed) else reply.status
+
+    def test_passes_bytes(self):
+        self.assertEqual(200, self.get())
+
+    def test_lost_answers_and_silence(self):
+        for fault in (LinkFault.ANSWERS_LOST, LinkFault.SILENT):
+            self.proxy.fault = fault
+            self.assertEqual(0, self.get())
+        self.proxy.fault = LinkFault.NONE
+        self.assertEqual(200, self.get())
