--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from concurrent.futures import ThreadPoolExecutor
 import queue
 import threading
 import traceback
@@ -51,9 +50,7 @@
 # Lease on the runs of a worker: longer than it takes to change the leader
 # (LEASE_TTL_MS of the leadership and a start), and short, since the tasks of
 # a worker that cannot be reached start elsewhere only after it.
-LEASE_S = 6.0
-# Calls that give orders at the same time.
-ORDER_THREADS = 24
+LEASE_S = 5.0
 # A pass is made at least this often and at most this often.
 PASS_INTERVAL_S = 0.05
 MIN_PASS_INTERVAL_S = 0.008
@@ -141,7 +138,6 @@
             queue.SimpleQueue()
         )
         self._links: dict[str, WorkerLink] = {}
-        self._orders = ThreadPoolExecutor(ORDER_THREADS, "orders")
 
     @property
     def is_running(self) -> bool:
@@ -217,7 +213,7 @@
     def _close(self) -> None:
         self.stop.set()
         self.list_workers.set()
-        self._orders.shutdown(wait=False, cancel_futures=True)
+        self._sender.close()
         self.log("not leading", term=self.grant.term)
 
     # The thread of the state.
@@ -234,12 +230,13 @@
                 event(now_s)
             commands = self._plan(now_s)
         for command in commands:
-            self._orders.submit(self._sender.send, command)
+            self._sender.submit(command)
         self.writer.wake()
         took_s = self.clock.monotonic_s() - started_s
         self._load_report.note_pass(took_s, len(events), len(commands))
-        waiting = self._orders._work_queue.qsize()
-        self._load_report.write(self.scheduler, waiting, started_s + took_s)
+        self._load_report.write(
+            self.scheduler, self._sender.waiting, started_s + took_s
+        )
         self.clock.sleep(
             max(MIN_PASS_INTERVAL_S - took_s, took_s * PASS_PAUSE_FACTOR)
         )
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -238,7 +238,10 @@
             if vm.phase is VmPhase.DOWN:
                 continue
             worker = scheduler.workers.get(vm.worker_id)
-            counts[pool] = counts.get(pool, 0) + (vm.name not in in_wave)
+            is_out = vm.name in in_wave or (
+                worker is not None and worker.is_out(now_s)
+            )
+            counts[pool] = counts.get(pool, 0) + (not is_out)
             if moving or vm.phase is not VmPhase.UP or vm.name in in_wave:
                 continue
             if not self._book.may_order(vm.name, now_s):
--- a/src/rosemarynotch/_internal/scheduling/intake.py
+++ b/src/rosemarynotch/_internal/scheduling/intake.py
@@ -116,8 +116,17 @@
         """Write batches until the process stops."""
         while not stop.is_set():
             batch = self._refuse_overdue(self._next_batch())
-            if batch:
+            if not batch:
+                continue
+            try:
                 self._write(batch)
+            except Exception as error:
+                # The answer tells nothing of the write, and callers wait.
+                why = ACCEPTANCE_UNKNOWN.because(repr(error))
+                self._log("intake failed", jobs=len(batch), why=why.reason)
+                for each in batch:
+                    if not each.result.done():
+                        each.result.set_result(why)
 
     def _next_batch(self) -> list[_Pending]:
         batch: list[_Pending] = []
--- a/src/rosemarynotch/_internal/scheduling/job_book.py
+++ b/src/rosemarynotch/_internal/scheduling/job_book.py
@@ -41,6 +41,8 @@
         self.configuration = Configuration(version=0, revision=0)
         self.dirty: dict[str, Job] = {}
         self.usage: dict[str, Resources] = {}
+        # Processors of runs that are not lasting, by organisation.
+        self.batch_millicores: dict[str, int] = {}
 
     def add_job(
         self,
@@ -126,5 +128,8 @@
         """Add a run to what its organisation has running, or remove it."""
         submission = run.task.step.occurrence.job.submission
         name, size = submission.organisation, run.task.step.spec.size
+        if not run.task.step.spec.long_running:
+            known = self.batch_millicores.get(name, 0)
+            self.batch_millicores[name] = known + sign * size.cpu_millicores
         used = self.usage.get(name, Resources())
         self.usage[name] = used.plus(size) if sign > 0 else used.minus(size)
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -1,5 +1,7 @@
 """Sends the leader's orders to workers."""
 
+from concurrent.futures import ThreadPoolExecutor
+import threading
 from typing import TYPE_CHECKING
 
 from rosemarynotch._internal.exceptions import Failure
@@ -16,6 +18,9 @@
 
 __all__ = ["Command", "OrderSender"]
 
+# Calls that give orders at the same time.
+ORDER_THREADS = 24
+
 Command = StartCommand | StopCommand | PaceChange
 
 
@@ -24,6 +29,29 @@
 
     def __init__(self, controller: "Controller") -> None:
         self._controller = controller
+        self._threads = ThreadPoolExecutor(ORDER_THREADS, "orders")
+        self._lock = threading.Lock()
+        self._waiting = 0
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of commands that wait for a thread."""
+        return self._waiting
+
+    def submit(self, command: Command) -> None:
+        """Send a command as soon as a thread is free."""
+        with self._lock:
+            self._waiting += 1
+        self._threads.submit(self._send_next, command)
+
+    def close(self) -> None:
+        """Drop the commands that wait."""
+        self._threads.shutdown(wait=False, cancel_futures=True)
+
+    def _send_next(self, command: Command) -> None:
+        with self._lock:
+            self._waiting -= 1
+        self.send(command)
 
     def send(self, command: Command) -> None:
         """Send a command unless the term has ended."""
--- a/src/rosemarynotch/_internal/scheduling/ordering.py
+++ b/src/rosemarynotch/_internal/scheduling/ordering.py
@@ -33,6 +33,7 @@
     """A job with tasks that could start.
 
     :ivar usage_share: what its organisation has running by its weight
+    :ivar is_over_share: its organisation uses more than its fair part
     :ivar remaining_ms: longest chain of work that is left
     :ivar remaining_core_ms: processor time that is left
     :ivar objective_ms: when it has to be done to be on time
@@ -49,6 +50,7 @@
     remaining_core_ms: float
     objective_ms: float
     late_ms: float
+    is_over_share: bool = False
 
     def urgency(self, now_ms: float) -> Urgency:
         """Return what a start now can achieve."""
@@ -86,20 +88,23 @@
     It answers a queue that asks for several times what its pool holds: in
     order of arrival every job would wait until it is too late, and none
     would be on time. Started jobs go before others of their urgency, since
-    their work is lost otherwise. Then small jobs go first: each of them has
-    the same objective beside its run time, so the same room serves more of
-    them. By the earliest objective, jobs start at the last moment, and those
+    their work is lost otherwise. An organisation that uses more than its fair
+    part comes after the others, so that one that sends many times its usual
+    does not take their room. Then small jobs go first: each of them has the
+    same objective beside its run time, so the same room serves more of them.
+    By the earliest objective, jobs start at the last moment, and those
     that take longer than expected are late.
     """
 
     def sort(self, candidates, now_ms):
-        """Sort by urgency, priority, start, work left and share."""
+        """Sort by urgency, priority, start, share and work left."""
 
         def key(candidate: Candidate):
             return (
                 candidate.urgency(now_ms),
                 candidate.priority,
                 not candidate.is_started,
+                candidate.is_over_share,
                 candidate.remaining_core_ms,
                 candidate.usage_share,
                 candidate.job_id,
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -27,6 +27,9 @@
 
 # A start without an answer is repeated after this time.
 REORDER_AFTER_S = 0.3
+# An organisation is over its share from this multiple of the fair part on.
+# Below it, the order would follow every small difference.
+OVER_SHARE_FACTOR = 1.5
 # A stop that has not ended its run is repeated after this time.
 STOP_AGAIN_S = 1.0
 # A task whose percentage has not grown for this long stands still. Workers
@@ -87,6 +90,7 @@
         self._advice = advice
         self._log = log
         self._work: dict[str, _Work] = {}
+        self._fair_millicores = 0.0
 
     # Runs that have to end or are in doubt.
 
@@ -147,6 +151,7 @@
         for job in self._scheduler.active.values():
             pool = self._scheduler.queue_of(job).pool
             pools.setdefault(pool, []).append(job)
+        self._fair_millicores = self._fair_share()
         hidden = self._scheduler.unheard_pools(now_s)
         commands: list[StartCommand] = []
         for pool, jobs in pools.items():
@@ -214,6 +219,7 @@
             remaining_core_ms=work.left_core_ms,
             objective_ms=accepted_ms + limit_ms,
             late_ms=accepted_ms + LATE_FACTOR * limit_ms,
+            is_over_share=self._is_over_share(job.submission.organisation),
         )
 
     def _remaining_work(
@@ -285,6 +291,29 @@
             if queue.pool in work
         }
 
+    def _fair_share(self) -> float:
+        """Return the processors in use for each unit of weight."""
+        names = {
+            job.submission.organisation
+            for job in self._scheduler.active.values()
+            if not job.is_long_running
+        }
+        weights = [
+            organisation.weight
+            for name in names
+            if (organisation := self._organisation(name)) is not None
+        ]
+        used = sum(self._scheduler.batch_millicores.values())
+        return used / max(sum(weights), 1e-9)
+
+    def _is_over_share(self, name: str) -> bool:
+        organisation = self._organisation(name)
+        if organisation is None:
+            return False
+        used = self._scheduler.batch_millicores.get(name, 0)
+        fair = self._fair_millicores * organisation.weight
+        return used > OVER_SHARE_FACTOR * fair
+
     def _usage_share(self, job: Job) -> float:
         name = job.submission.organisation
         used = self._scheduler.usage.get(name)
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -26,6 +26,8 @@
 # for reports that take up to 1 s with runs on it, and up to 2 s without.
 BUSY_SILENCE_S = 1.6
 IDLE_SILENCE_S = 2.6
+# A worker that is avoided for longer than a move takes is to be replaced.
+MIN_OUT_S = 2.0
 
 
 @attrs.frozen
@@ -101,6 +103,18 @@
             and now_s >= self.quarantined_until_s
         )
 
+    def is_out(self, now_s: float) -> bool:
+        """Tell whether no run can be placed here for a while.
+
+        Its pool needs another VM in its place. A pause after a refused start
+        is short, and does not count.
+        """
+        is_silent = (
+            self.clock_heard_at_s > 0
+            and now_s - self.clock_heard_at_s > 2 * IDLE_SILENCE_S
+        )
+        return is_silent or self.quarantined_until_s - now_s > MIN_OUT_S
+
     @property
     def _silence_limit_s(self) -> float:
         return BUSY_SILENCE_S if self.runs else IDLE_SILENCE_S
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import os
 import signal
+import sys
 import threading
 import traceback
 import uuid
@@ -68,6 +69,8 @@
 # The process ends by itself this long before it would be killed.
 EXIT_MARGIN_S = 0.4
 FOLLOW_INTERVAL_S = 0.05
+# A part that has failed begins again after this time.
+RESTART_S = 0.5
 
 
 class Node:
@@ -203,13 +206,27 @@
         )
 
     def _start_thread(self, target, name: str) -> None:
-        thread = threading.Thread(
-            target=target,
-            args=(threading.Event(),),
-            name=name,
-            daemon=True,
-        )
-        thread.start()
+        """Run a part until the process ends, again after an error.
+
+        A node that has lost its configuration feed, its intake or its
+        election would stand in the way of others.
+        """
+
+        def run():
+            # They go on after SIGTERM: requests under way need them.
+            while True:
+                try:
+                    target(threading.Event())
+                    return
+                except Exception:
+                    self._note_crash(
+                        threading.ExceptHookArgs(
+                            (*sys.exc_info(), threading.current_thread())
+                        )
+                    )
+                    self._clock.sleep(RESTART_S)
+
+        threading.Thread(target=run, name=name, daemon=True).start()
 
     def _lead(self) -> None:
         """Run a controller for each term that this node leads."""
--- a/tests/unit/test_intake_waits.py
+++ b/tests/unit/test_intake_waits.py
@@ -86,3 +86,14 @@
         clock.advance(0.7)
         threads[0].join(5)
         self.assertTrue(results[0].is_a(ACCEPTANCE_UNKNOWN))
+
+    def test_answer_that_cannot_be_read_ends_the_wait(self):
+        """The writer ended, and its callers waited for ever."""
+        store = SilentStore(0.01)
+        store.commit = lambda *arguments: {}["revision"]
+        intake, clock, stop, threads, results = self.submit(store, 1)
+        writer = threading.Thread(target=intake.run, args=(stop,), daemon=True)
+        writer.start()
+        threads[0].join(5)
+        self.assertTrue(results[0].is_a(ACCEPTANCE_UNKNOWN))
+        self.assertTrue(writer.is_alive())
--- a/tests/unit/test_worst_load.py
+++ b/tests/unit/test_worst_load.py
@@ -2,10 +2,12 @@
 
 import random
 
+import attrs
 import testtools
 
 from rosemarynotch._internal.scheduling.demand import measure_demand
 from rosemarynotch._internal.scheduling.demand import NO_DEMAND
+from rosemarynotch._internal.scheduling.model import Organisation
 from rosemarynotch._internal.scheduling.placement import BestFit
 from rosemarynotch._internal.scheduling.planner import Planner
 from rosemarynotch._internal.scheduling.pool_sizing import DemandSizer
@@ -226,3 +228,58 @@
         started = {run.task.task_id.job_id for run in leader.place()}
         self.assertIn("3" * 16, started)
         self.assertEqual(2, len(started))
+
+
+class TestOutOfService(testtools.TestCase):
+    """Workers that take no work are replaced in their pool."""
+
+    def test_avoided_and_silent_workers_do_not_count(self):
+        """A pool that had just enough VMs for the spread of its lasting
+        tasks, and one worker that fails everything, could not place one.
+        """
+        leader = Leader()
+        leader.add_workers("w1")
+        worker = leader.scheduler.workers["w1"]
+        now_s = leader.now_s
+        self.assertFalse(worker.is_out(now_s))
+        worker.pause_until(now_s + 0.3)
+        self.assertFalse(worker.is_out(now_s))
+        worker.pause_until(now_s + 8.0)
+        self.assertTrue(worker.is_out(now_s))
+        leader.advance(6.5)
+        self.assertFalse(worker.is_out(leader.now_s))
+        self.assertTrue(worker.is_out(leader.now_s + 6.0))
+
+
+class TestShares(testtools.TestCase):
+    """One organisation sends many times its usual while the pool is full."""
+
+    def test_flooding_organisation_waits_behind_others(self):
+        """Its small jobs took the room of all others."""
+        leader = Leader()
+        leader.add_workers("w1")
+        organisations = leader.scheduler.configuration.organisations
+        for name in ("hot", "calm"):
+            organisations[name] = Organisation(
+                name=name, keys=frozenset(), weight=1.0
+            )
+
+        def submit(name, number, spec):
+            job = leader.submit(f"{number:016x}", spec)
+            job.submission = attrs.evolve(job.submission, organisation=name)
+
+        for number in range(8):
+            submit("hot", number, job_spec(step(1)))
+        first = leader.place()
+        self.assertEqual(8, len(first))
+        for number in range(8, 28):
+            submit("hot", number, job_spec(step(1, cpu=900)))
+        for number in range(28, 30):
+            submit("calm", number, job_spec(step(2)))
+        for run in first[:4]:
+            leader.end(run)
+        started = [
+            run.task.step.occurrence.job.submission.organisation
+            for run in leader.place()
+        ]
+        self.assertEqual(["calm"] * 4, started)
