Keep a spare VM beside those that are there for spread

Cause: left the spare VM out where lasting tasks spread over VMs, to save the dearest price.

Conclusion: reverted; the first arrivals of a rise use that room.

--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -27,9 +27,9 @@
 __all__ = ["FleetManager", "FleetTiming"]
 
 INTERVAL_S = 0.15
-# Moves that are ordered at the same time. A queue's turn needs tens of VMs
-# at once, and each order takes a call.
-MOVE_THREADS = 8
+# Orders for VMs that are given at the same time. A queue's turn needs tens
+# of VMs at once, and each order takes a call.
+VM_ORDER_THREADS = 8
 # A move whose effect does not show is considered void after this time.
 MOVE_TIMEOUT_S = 8.0
 
@@ -75,7 +75,7 @@
         self._quiet_until_s = controller.clock.monotonic_s() + timing.quiet_s
         self._book = VmOrderBook(controller, timing.quiet_s)
         self._moves: dict[str, _PendingMove] = {}
-        self._orders = ThreadPoolExecutor(MOVE_THREADS, "vm-orders")
+        self._orders = ThreadPoolExecutor(VM_ORDER_THREADS, "vm-orders")
         self._reachable = True
         self._waves = WaveRunner(
             controller,
--- a/src/rosemarynotch/_internal/scheduling/pool_sizing.py
+++ b/src/rosemarynotch/_internal/scheduling/pool_sizing.py
@@ -88,14 +88,8 @@
         """Return the number of VMs that a pool should have."""
         demand_vms = max(pool.demand_vms, pool.arriving_vms)
         vms = math.ceil(demand_vms * HEADROOM_FACTOR)
-        # VMs that are there for spread have room for the first tasks of a
-        # rise, so that they need no spare one.
-        return max(
-            MIN_VMS,
-            vms + SPARE_VMS,
-            pool.spread_vms,
-            math.ceil(pool.expected_vms),
-        )
+        needed = max(vms, pool.spread_vms, math.ceil(pool.expected_vms))
+        return max(MIN_VMS, needed + SPARE_VMS)
 
     def plan(self, pools, now_s):
         """Serve shortages first from standby, then from surpluses."""
--- a/src/rosemarynotch/_internal/scheduling/turn_forecast.py
+++ b/src/rosemarynotch/_internal/scheduling/turn_forecast.py
@@ -16,8 +16,8 @@
 # A pool whose arriving work keeps fewer VMs busy has no peak.
 MIN_PEAK_VMS = 3.0
 # A pool has its turn when its arriving work is so many times that of each
-# other pool; the pages of the users speak of a hundred times, and the window
-# over which arrivals are counted still shows the pool before.
+# other pool. Peaks are far higher than what comes in between, but the window
+# of arrivals still shows the pool whose turn ends.
 DOMINANCE = 1.3
 # VMs are ordered this long before a rise is expected: a move takes 1.5 s, and
 # the worker has to be listed and to report.
--- a/tests/unit/test_scheduling_policies.py
+++ b/tests/unit/test_scheduling_policies.py
@@ -203,8 +203,8 @@
     def test_spread_of_lasting_tasks(self):
         """25 tasks, few to a VM, had too few VMs (LOST on grown site)."""
         pool = self._pool("a", 2, 3.0, spread=9)
-        self.assertEqual(9, DemandSizer.wanted_vms(pool))
-        # Work that fills more VMs than the spread keeps its spare one.
+        self.assertEqual(10, DemandSizer.wanted_vms(pool))
+        # Work that fills more VMs than the spread has a spare one too.
         pool = self._pool("a", 2, 10.0, spread=9)
         self.assertEqual(13, DemandSizer.wanted_vms(pool))
 
