Free a task whose unanswered start has outlived its lease

Its start had no answer and was repeated with the lease of the first order, as it must be. By then the lease was over, and the worker refused each repetition as late, 14 times a second; the worker lived on, so that the run never lapsed.

Ruled out: that the run existed (the worker's reports did not name it).

Change: such a refusal shows that no order with this lease can be carried out any more. The next report frees the task, or brings the end of the run.

--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -21,6 +21,12 @@
         cause="a leader that was paused for most of its lease led on without "
         "the threads that had seen it end; jobs were not started",
     ),
+    Regression(
+        seed=24,
+        duration_s=10.0,
+        cause="a start without an answer was repeated for ever after its "
+        "lease had ended on a worker that lived on",
+    ),
     Regression(
         seed=23,
         duration_s=10.0,
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -5,6 +5,7 @@
 
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.exceptions import RUN_LATE
 from rosemarynotch._internal.exceptions import RUN_SUPERSEDED
 from rosemarynotch._internal.exceptions import WORKER_REPLACED
 from rosemarynotch._internal.scheduling.durations import LearntDurations
@@ -347,8 +348,11 @@
         )
         if answer.is_a(WORKER_REPLACED):
             worker.is_replaced = True
-        elif answer.is_a(RUN_SUPERSEDED):
-            # It ran and ended; the end is in the next report.
+        elif answer.is_a(RUN_SUPERSEDED) or (
+            answer.is_a(RUN_LATE) and run.is_reordered
+        ):
+            # It ran and ended, or its lease is over: no order with this lease
+            # can be carried out any more. The next report tells which.
             run.phase = RunPhase.ACTIVE
             run.confirmed_at_s = run.confirmed_at_s or now_s
         elif answer.ran is Ran.NO and not run.is_reordered:
--- a/tests/unit/test_scheduling.py
+++ b/tests/unit/test_scheduling.py
@@ -65,6 +65,23 @@
         self.assertIs(RunPhase.UNCONFIRMED, run.phase)
         self.assertEqual([run], run.task.runs)
 
+    def test_start_whose_lease_is_over_frees_its_task(self):
+        """Soak, seed 24: it was repeated for ever (LOST), since the worker
+        lived on and the repetition carries the lease of the first order.
+        """
+        self.leader.submit("j1")
+        run = self.leader.planner.place(1000.0, 1e6)[0].run
+        self.leader.scheduler.on_start_answer(run, LOST, 1000.0)
+        self.leader.planner.follow_up(1001.0)
+        self.leader.now_s = 1006.0
+        late = failures.RUN_LATE
+        self.leader.scheduler.on_start_answer(run, late, 1006.0)
+        # The worker may still list the end of the run.
+        self.assertEqual([run], run.task.runs)
+        self.leader.now_s = 1006.1
+        self.leader.report(run.worker_id)
+        self.assertEqual([], run.task.runs)
+
     def test_refused_start_goes_elsewhere(self):
         """A worker without room gets a short pause."""
         self.leader.submit("j1")
