Lock the hints of new jobs while they are taken over

Hints come from the threads of callers and of the hint socket. One that came while the keys were taken over could change the dictionary that is gone through; the error would have ended the term.

--- a/src/rosemarynotch/_internal/scheduling/intake_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/intake_feed.py
@@ -38,6 +38,8 @@
     def __init__(self, controller: "Controller") -> None:
         self._controller = controller
         self._revision = 0
+        # Hints come from several threads.
+        self._lock = threading.Lock()
         self._hinted: dict[str, None] = {}
         self._is_hinted = threading.Event()
 
@@ -60,9 +62,10 @@
 
     def note_hint(self, keys: Iterable[str]) -> None:
         """Take note of keys that another node has written."""
-        if len(self._hinted) < MAX_HINTED:
-            self._hinted.update(dict.fromkeys(keys))
-            self._is_hinted.set()
+        with self._lock:
+            if len(self._hinted) < MAX_HINTED:
+                self._hinted.update(dict.fromkeys(keys))
+                self._is_hinted.set()
 
     def run_hints(self) -> None:
         """Read what the watch does not show, until the term ends."""
@@ -70,8 +73,9 @@
         while controller.is_running:
             if not self._is_hinted.wait(WATCH_MS / 1000):
                 continue
-            self._is_hinted.clear()
-            keys, self._hinted = self._hinted, {}
+            with self._lock:
+                self._is_hinted.clear()
+                keys, self._hinted = self._hinted, {}
             controller.stop.wait(HINT_GRACE_S)
             for key in keys:
                 self._read_hinted(key)
