Let events decide when a late answer arrives in its test

The test gave up 10 ms before the target answered, so a busy machine made the answer arrive in time and the verdict depended on the load. Events now order the late answer before, while and after another request, each with one more request after it. The answer that arrives at about the time-out is a test of its own, which accepts either outcome for its own caller and no other for the next one. Both fail when a connection that timed out is reused.

--- a/tests/unit/test_targets.py
+++ b/tests/unit/test_targets.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP client with targets that violate the protocol."""
 
+import threading
 import time
 
 import testtools
@@ -26,6 +27,8 @@
         time.sleep(0.02)
 
 
+# Bound of waits that a correct run never reaches.
+ANSWER_WAIT_S = 30.0
 # What a target does with a connection, and the expected failure.
 VIOLATIONS = {
     "closes before the first byte": (b"", failures.ANSWER_TRUNCATED),
@@ -94,28 +97,74 @@
     def test_late_answer_never_reaches_another_caller(self):
         """Guards against an answer to an earlier request.
 
-        A connection with an outstanding answer must not be reused.
+        A connection with an outstanding answer must not be reused. The target
+        sends the late answer before, while or after another request waits for
+        its answer.
         """
+        for moment in ("before", "while", "after"):
+            with self.subTest(moment):
+                self._check_late_answer(moment)
+
+    def _check_late_answer(self, moment):
+        release, sent = threading.Event(), threading.Event()
+
+        def behave(connection, request):
+            name = request.split()[1][1:]
+            if name == b"late":
+                release.wait(ANSWER_WAIT_S)
+                try:
+                    connection.sendall(answer_bytes(name))
+                finally:
+                    sent.set()
+                return
+            if moment == "while":
+                release.set()
+                sent.wait(ANSWER_WAIT_S)
+            connection.sendall(answer_bytes(name))
+
+        target = self.start(behave)
+        client = TargetClient(SystemClock())
+        late = caller_request(path="/late")
+        result = client.send(target.address, late, 0.05)
+        self.assertEqual("target-timeout", result.code)
+        if moment == "before":
+            release.set()
+            self.assertTrue(sent.wait(ANSWER_WAIT_S))
+        self._check_other_answer(client, target)
+        if moment == "after":
+            release.set()
+            self.assertTrue(sent.wait(ANSWER_WAIT_S))
+        self._check_other_answer(client, target)
+
+    def _check_other_answer(self, client, target):
+        other = caller_request(path="/other")
+        result = client.send(target.address, other, ANSWER_WAIT_S)
+        self.assertEqual(b"other", result.body)
+
+    def test_answer_at_the_timeout_goes_to_its_own_caller(self):
+        """Guards against a timed-out answer that is read by the next request.
+
+        The target answers about when the client gives up. Either the caller
+        gets its own answer or a timeout; the next caller gets its own answer.
+        """
+        timeout_s = 0.05
 
         def behave(connection, request):
             name = request.split()[1][1:]
             if name == b"late":
-                time.sleep(0.2)
+                time.sleep(timeout_s)
             connection.sendall(answer_bytes(name))
 
         target = self.start(behave)
         client = TargetClient(SystemClock())
         late = caller_request(path="/late")
-        # The late answer arrives before, while or after another request waits
-        # for its answer.
-        for timeout_s, pause_s in ((0.05, 0.2), (0.19, 0.15), (0.05, 0.0)):
+        for _ in range(10):
             result = client.send(target.address, late, timeout_s)
-            self.assertEqual("target-timeout", result.code)
-            time.sleep(pause_s)
-            other = caller_request(path="/other")
-            self.assertEqual(
-                b"other", client.send(target.address, other, 1.0).body
-            )
+            if isinstance(result, Failure):
+                self.assertEqual("target-timeout", result.code)
+            else:
+                self.assertEqual(b"late", result.body)
+            self._check_other_answer(client, target)
 
     def test_bytes_after_an_answer_never_reach_another_caller(self):
         """Guards against surplus bytes that are read as the next answer."""
