Lend a spare VM to a pool whose wave is blocked by its budget

A move by an operator may leave a pool with as many VMs as its availability budget requires. No VM of it could drain then, and its wave waited for ever, since the spare pool lent VMs only for demand. A pool with unfinished VMs of a running wave now borrows one VM when it has none beyond its budget, and keeps it until the wave is done.

Document, budgets and the checks of the state machine are as before.

--- a/src/rosemarynotch/_internal/control/moves.py
+++ b/src/rosemarynotch/_internal/control/moves.py
@@ -1,5 +1,6 @@
 """Pure functions on the fleet record that move VMs between pools."""
 
+from collections import Counter
 from collections.abc import Sequence
 
 import attrs
@@ -12,6 +13,7 @@
 from rosemarynotch._internal.models.document import PoolKind
 from rosemarynotch._internal.models.records import FleetRecord
 from rosemarynotch._internal.models.records import VmState
+from rosemarynotch._internal.models.records import WaveState
 from rosemarynotch._internal.policy.moves import Move
 from rosemarynotch._internal.policy.moves import PoolLoad
 
@@ -34,19 +36,26 @@
     """Return the loads of the spare and service pools for a move policy."""
     homes = home_pools(document)
     spares = {p.name for p in document.pools if p.kind is PoolKind.SPARE}
+    in_wave = _pools_in_waves(record, document)
     serving: dict[str, list[str]] = {}
     incoming_slots: dict[str, int] = {}
+    members: Counter[str] = Counter()
     for name, vm in record.vms.items():
         if vm.state is VmState.SERVING and name not in failed:
             serving.setdefault(vm.pool, []).append(name)
         if vm.destination:
             slots = incoming_slots.get(vm.destination, 0)
             incoming_slots[vm.destination] = slots + vm.slots
+        if vm.state is not VmState.FAILED and name not in failed:
+            members[vm.destination or vm.pool] += 1
     loads = []
     for pool in document.pools:
         if pool.kind is PoolKind.WORKERS:
             continue
         names = serving.get(pool.name, [])
+        minimum = pool.min_available_vms
+        # A wave needs one VM beyond the budget to drain another.
+        is_guarded = minimum > 0 and pool.name in in_wave
         slots = [record.vms[name].slots for name in names]
         loads.append(
             PoolLoad(
@@ -55,13 +64,29 @@
                 demand_slots=demand_slots.get(pool.name, 0.0),
                 slots=sum(slots) + incoming_slots.get(pool.name, 0),
                 vm_slots=max(slots, default=1),
-                available_vms=max(0, len(names) - pool.min_available_vms),
+                available_vms=max(0, len(names) - minimum - is_guarded),
                 borrowed_vms=sum(homes.get(name) in spares for name in names),
+                is_wave_blocked=is_guarded and members[pool.name] <= minimum,
             )
         )
     return loads
 
 
+def _pools_in_waves(record: FleetRecord, document: Document) -> set[str]:
+    """Return the pools in which running waves have unfinished VMs."""
+    pools = set()
+    for name, wave in record.waves.items():
+        spec = document.wave(name)
+        if spec is None or wave.state is not WaveState.RUNNING:
+            continue
+        pools |= {
+            vm.pool
+            for vm_name, vm in record.vms.items()
+            if vm.pool in spec.pools and vm_name not in wave.done_vms
+        }
+    return pools
+
+
 def begin_moves(
     record: FleetRecord,
     document: Document,
--- a/src/rosemarynotch/_internal/policy/moves.py
+++ b/src/rosemarynotch/_internal/policy/moves.py
@@ -36,6 +36,8 @@
     :ivar vm_slots: slots of a typical VM
     :ivar available_vms: serving VMs beyond the availability budget
     :ivar borrowed_vms: serving VMs of the pool that belong to a spare pool
+    :ivar is_wave_blocked: whether a wave cannot drain any of its VMs, since
+        the pool has no more VMs than its availability budget requires
     """
 
     name: str
@@ -45,6 +47,7 @@
     vm_slots: int
     available_vms: int
     borrowed_vms: int = 0
+    is_wave_blocked: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -106,7 +109,8 @@
     Demand that reverses earlier causes no move, and the total cost is at
     most about twice that of an optimal policy that knows future demand. If
     the spare pool is empty, an idle borrowed VM moves directly to a pool
-    that needs one.
+    that needs one. A pool whose wave is blocked borrows a VM at once, as no
+    demand would ever bring one.
 
     :param cost_slot_s: cost of a move
     :param return_factor: a VM is returned at this multiple of the cost,
@@ -138,6 +142,9 @@
             if not load.spare:
                 self._accumulate(load, interval_s)
         moves = []
+        for load in loads:
+            if load.is_wave_blocked:
+                moves += available.borrow(load.name)
         for load in loads:
             moves += [] if load.spare else self._borrow(load, available)
         for load in loads:
--- a/tests/unit/test_control_races.py
+++ b/tests/unit/test_control_races.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis import strategies as st
+import testtools
 
 from rosemarynotch._internal.control import ControlLoop
 from rosemarynotch._internal.control import FleetSources
@@ -375,3 +376,23 @@
     suppress_health_check=list(HealthCheck),
 )
 FleetRacesTest = FleetRaces.TestCase
+
+
+class BlockedWaveTest(testtools.TestCase):
+    """Guards against a wave that a move of a VM blocks for good."""
+
+    def test_pool_at_its_budget_borrows_a_vm(self):
+        """Guards against a wave in a pool without a VM beyond its budget.
+
+        An operator's move left such a pool, and the wave waited for ever.
+        """
+        races = FleetRaces()
+        busy = {f"quotes-{number}" for number in (0, 1, 3, 5)}
+        races.begin(
+            vms=busy | {"desk-1", "desk-2", "orders-0", "orders-3"},
+        )
+        races.operate(pool="quotes", undrain=True, vm="orders-2")
+        races.interleave_passes(
+            count=2, finishing=set(), following={"e1", "e2"}, index=0
+        )
+        races.teardown()
--- a/tests/unit/test_policies_fleet.py
+++ b/tests/unit/test_policies_fleet.py
@@ -33,7 +33,15 @@
     return WavePool(name=name, **values)
 
 
-def load(name, demand, slots=48, borrowed=0, spare=False, available=2):
+def load(
+    name,
+    demand,
+    slots=48,
+    borrowed=0,
+    spare=False,
+    available=2,
+    is_wave_blocked=False,
+):
     """Return the load of a pool of VMs with 8 slots."""
     return PoolLoad(
         name=name,
@@ -43,6 +51,7 @@
         vm_slots=8,
         available_vms=available,
         borrowed_vms=borrowed,
+        is_wave_blocked=is_wave_blocked,
     )
 
 
@@ -105,6 +114,15 @@
         back = sum(self.choose(HysteresisMoves(), [2.0] * 9, borrowed=1), [])
         self.assertEqual([Move(source="quotes", destination="desk")], back)
 
+    def test_blocked_wave_borrows_at_once(self):
+        """Guards against a wave that waits for demand to bring a VM."""
+        loads = [
+            load("quotes", 0.0, available=0, is_wave_blocked=True),
+            load("desk", 0.0, spare=True),
+        ]
+        borrow = [Move(source="desk", destination="quotes")]
+        self.assertEqual(borrow, HysteresisMoves().choose(loads, 0.0))
+
     def test_idle_borrowed_vm_moves_to_the_pool_that_needs_it(self):
         """Guards against returning a VM that another pool needs."""
         policy = HysteresisMoves()
