--- a/src/rosemarynotch/_internal/control/moves.py
+++ b/src/rosemarynotch/_internal/control/moves.py
@@ -1,7 +1,7 @@
 """Pure functions on the fleet record that move VMs between pools."""
 
-from collections import Counter
 from collections.abc import Sequence
+from collections import Counter
 
 import attrs
 
