Put the decisions about jobs and VMs into a package of their own

The modules that decide without I/O (ordering, admission, placement, demand, rates, sizing, forecast, pacing) stood beside the leader's threads in one folder of 35 files. They are now scheduling/policy/, which re-exports its names; none of them knows the controller. Turn is a stored record and moves to records.py, which ends the import of a policy by a record.

--- a/src/rosemarynotch/_internal/scheduling/advice.py
+++ b/src/rosemarynotch/_internal/scheduling/advice.py
@@ -8,7 +8,7 @@
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import Step
 from rosemarynotch._internal.scheduling.model import AdvicePolicy
-from rosemarynotch._internal.scheduling.placement import FreeCapacity
+from rosemarynotch._internal.scheduling.policy import FreeCapacity
 from rosemarynotch._internal.scheduling.ports import Ticket
 
 __all__ = ["AdviceCache", "AdviceRequest"]
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -24,11 +24,12 @@
 from rosemarynotch._internal.scheduling.model import Configuration
 from rosemarynotch._internal.scheduling.order_sender import Command
 from rosemarynotch._internal.scheduling.order_sender import OrderSender
-from rosemarynotch._internal.scheduling.ordering import ObjectiveOrder
-from rosemarynotch._internal.scheduling.pacing import TailLatencyPacer
-from rosemarynotch._internal.scheduling.placement import BestFit
 from rosemarynotch._internal.scheduling.planner import Planner
-from rosemarynotch._internal.scheduling.pool_sizing import DemandSizer
+from rosemarynotch._internal.scheduling.policy import BestFit
+from rosemarynotch._internal.scheduling.policy import CycleForecast
+from rosemarynotch._internal.scheduling.policy import DemandSizer
+from rosemarynotch._internal.scheduling.policy import ObjectiveOrder
+from rosemarynotch._internal.scheduling.policy import TailLatencyPacer
 from rosemarynotch._internal.scheduling.ports import Advisor
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
 from rosemarynotch._internal.scheduling.ports import FleetService
@@ -41,7 +42,6 @@
 from rosemarynotch._internal.scheduling.records import ROSTER_KEY
 from rosemarynotch._internal.scheduling.records import RosterRecord
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
-from rosemarynotch._internal.scheduling.turn_forecast import CycleForecast
 from rosemarynotch._internal.scheduling.worker_link import WorkerLink
 from rosemarynotch._internal.scheduling.workers import Worker
 from rosemarynotch._internal.scheduling.workers import WorkerClock
--- a/src/rosemarynotch/_internal/scheduling/evacuation.py
+++ b/src/rosemarynotch/_internal/scheduling/evacuation.py
@@ -9,7 +9,7 @@
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.jobs import Step
-from rosemarynotch._internal.scheduling.placement import FreeCapacity
+from rosemarynotch._internal.scheduling.policy import FreeCapacity
 from rosemarynotch._internal.scheduling.workers import Worker
 
 if TYPE_CHECKING:
--- a/src/rosemarynotch/_internal/scheduling/job_api.py
+++ b/src/rosemarynotch/_internal/scheduling/job_api.py
@@ -12,12 +12,12 @@
 from rosemarynotch._internal.exceptions import KEY_MISSING
 from rosemarynotch._internal.exceptions import OVERLOADED
 from rosemarynotch._internal.exceptions import QUEUE_UNKNOWN
-from rosemarynotch._internal.scheduling.admission import decide_admission
 from rosemarynotch._internal.scheduling.config_feed import ConfigFeed
 from rosemarynotch._internal.scheduling.intake import JobIntake
 from rosemarynotch._internal.scheduling.model import Configuration
 from rosemarynotch._internal.scheduling.model import JobSpec
 from rosemarynotch._internal.scheduling.model import QueuePolicy
+from rosemarynotch._internal.scheduling.policy import decide_admission
 from rosemarynotch._internal.scheduling.ports import CommitConflict
 from rosemarynotch._internal.scheduling.records import Phase
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from rosemarynotch._internal.scheduling.job_times import measure_chain
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.model import Configuration
@@ -154,7 +155,17 @@
         job.phase = phase
         self.active.pop(job.job_id, None)
         self.mark_dirty(job)
-        self._log("job ended", job=job.job_id, phase=phase.value)
+        times = measure_chain(job) if phase is Phase.COMPLETED else None
+        self._log(
+            "job ended",
+            job=job.job_id,
+            phase=phase.value,
+            queue=job.submission.queue,
+            started_ms=times.started_ms if times else None,
+            step_wait_ms=times.step_wait_ms if times else None,
+            run_ms=times.run_ms if times else None,
+            lost_runs=job.lost_runs,
+        )
 
     def adjust_usage(self, run: Run, sign: int) -> None:
         """Add a run to the usage of its organisation, or subtract it.
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -113,13 +113,24 @@
 
 @attrs.define(eq=False)
 class Step:
-    """A step of an occurrence."""
+    """A step of an occurrence.
+
+    :ivar first_ordered_at_s: when a task was first ordered to start, 0 if
+        this leader has ordered none
+    :ivar last_ordered_at_s: when a task was last ordered to start
+    :ivar longest_run_s: longest run that ended as done
+    :ivar done_at_s: when the last task ended, 0 if it has not
+    """
 
     occurrence: "Occurrence"
     number: int
     spec: StepSpec
     tasks: list[Task] = attrs.field(factory=list)
     done_count: int = 0
+    first_ordered_at_s: float = 0.0
+    last_ordered_at_s: float = 0.0
+    longest_run_s: float = 0.0
+    done_at_s: float = 0.0
 
     @property
     def is_done(self) -> bool:
@@ -164,6 +175,7 @@
     :ivar durable_change: number of the last change that is persisted
     :ivar is_inherited: whether the job existed when this leader's term began,
         so that an earlier leader may have started it
+    :ivar lost_runs: number of runs that ended without an end being reported
     """
 
     job_id: str
@@ -178,6 +190,7 @@
     durable_change: int = 0
     finished_unix_ms: int = 0
     is_inherited: bool = False
+    lost_runs: int = 0
 
     @classmethod
     def from_submission(
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -7,9 +7,9 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.exceptions import WORKER_UNREACHABLE
-from rosemarynotch._internal.scheduling.pacing import PaceChange
 from rosemarynotch._internal.scheduling.planner import StartCommand
 from rosemarynotch._internal.scheduling.planner import StopCommand
+from rosemarynotch._internal.scheduling.policy import PaceChange
 from rosemarynotch._internal.scheduling.ports import Pacing
 from rosemarynotch._internal.scheduling.ports import StartOrder
 from rosemarynotch._internal.scheduling.worker_link import WorkerLink
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -13,13 +13,13 @@
 from rosemarynotch._internal.scheduling.jobs import Task
 from rosemarynotch._internal.scheduling.model import Organisation
 from rosemarynotch._internal.scheduling.model import Resources
-from rosemarynotch._internal.scheduling.ordering import Candidate
-from rosemarynotch._internal.scheduling.ordering import CUTOFF_FACTOR
-from rosemarynotch._internal.scheduling.ordering import JobOrder
-from rosemarynotch._internal.scheduling.ordering import Urgency
-from rosemarynotch._internal.scheduling.placement import FreeCapacity
-from rosemarynotch._internal.scheduling.placement import PoolCapacity
-from rosemarynotch._internal.scheduling.placement import StepPlacer
+from rosemarynotch._internal.scheduling.policy import Candidate
+from rosemarynotch._internal.scheduling.policy import CUTOFF_FACTOR
+from rosemarynotch._internal.scheduling.policy import FreeCapacity
+from rosemarynotch._internal.scheduling.policy import JobOrder
+from rosemarynotch._internal.scheduling.policy import PoolCapacity
+from rosemarynotch._internal.scheduling.policy import StepPlacer
+from rosemarynotch._internal.scheduling.policy import Urgency
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
 from rosemarynotch._internal.scheduling.workers import Worker
 
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -0,0 +1,77 @@
+"""Decisions of the leader and the nodes about jobs and VMs.
+
+The modules perform no I/O and do not know the controller. Each one states the
+load that it answers.
+"""
+
+from rosemarynotch._internal.scheduling.policy.admit import AdmissionDecision
+from rosemarynotch._internal.scheduling.policy.admit import critical_path_ms
+from rosemarynotch._internal.scheduling.policy.admit import decide_admission
+from rosemarynotch._internal.scheduling.policy.demand import Demand
+from rosemarynotch._internal.scheduling.policy.demand import measure_demand
+from rosemarynotch._internal.scheduling.policy.demand import NO_DEMAND
+from rosemarynotch._internal.scheduling.policy.demand import vm_sizes
+from rosemarynotch._internal.scheduling.policy.forecast import CycleForecast
+from rosemarynotch._internal.scheduling.policy.forecast import ExpectedTurn
+from rosemarynotch._internal.scheduling.policy.forecast import NoForecast
+from rosemarynotch._internal.scheduling.policy.forecast import TurnForecast
+from rosemarynotch._internal.scheduling.policy.ordering import ArrivalOrder
+from rosemarynotch._internal.scheduling.policy.ordering import Candidate
+from rosemarynotch._internal.scheduling.policy.ordering import CUTOFF_FACTOR
+from rosemarynotch._internal.scheduling.policy.ordering import JobOrder
+from rosemarynotch._internal.scheduling.policy.ordering import ObjectiveOrder
+from rosemarynotch._internal.scheduling.policy.ordering import Urgency
+from rosemarynotch._internal.scheduling.policy.pacing import NoPacing
+from rosemarynotch._internal.scheduling.policy.pacing import PaceChange
+from rosemarynotch._internal.scheduling.policy.pacing import PacePolicy
+from rosemarynotch._internal.scheduling.policy.pacing import TailLatencyPacer
+from rosemarynotch._internal.scheduling.policy.placement import BestFit
+from rosemarynotch._internal.scheduling.policy.placement import FirstFit
+from rosemarynotch._internal.scheduling.policy.placement import FreeCapacity
+from rosemarynotch._internal.scheduling.policy.placement import Placement
+from rosemarynotch._internal.scheduling.policy.placement import PoolCapacity
+from rosemarynotch._internal.scheduling.policy.placement import StepPlacer
+from rosemarynotch._internal.scheduling.policy.rates import Arrival
+from rosemarynotch._internal.scheduling.policy.rates import ArrivalRates
+from rosemarynotch._internal.scheduling.policy.sizing import DemandSizer
+from rosemarynotch._internal.scheduling.policy.sizing import Move
+from rosemarynotch._internal.scheduling.policy.sizing import PoolLoad
+from rosemarynotch._internal.scheduling.policy.sizing import PoolSizer
+from rosemarynotch._internal.scheduling.policy.sizing import StaticSizer
+
+__all__ = [
+    "AdmissionDecision",
+    "Arrival",
+    "ArrivalOrder",
+    "ArrivalRates",
+    "BestFit",
+    "Candidate",
+    "critical_path_ms",
+    "CUTOFF_FACTOR",
+    "CycleForecast",
+    "decide_admission",
+    "Demand",
+    "DemandSizer",
+    "ExpectedTurn",
+    "FirstFit",
+    "FreeCapacity",
+    "JobOrder",
+    "measure_demand",
+    "Move",
+    "NO_DEMAND",
+    "NoForecast",
+    "NoPacing",
+    "ObjectiveOrder",
+    "PaceChange",
+    "PacePolicy",
+    "Placement",
+    "PoolCapacity",
+    "PoolLoad",
+    "PoolSizer",
+    "StaticSizer",
+    "StepPlacer",
+    "TailLatencyPacer",
+    "TurnForecast",
+    "Urgency",
+    "vm_sizes",
+]
--- a/src/rosemarynotch/_internal/scheduling/admission.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/admit.py
@@ -6,7 +6,7 @@
 
 from rosemarynotch._internal.scheduling.model import JobSpec
 from rosemarynotch._internal.scheduling.model import QueuePolicy
-from rosemarynotch._internal.scheduling.ordering import CUTOFF_FACTOR
+from rosemarynotch._internal.scheduling.policy.ordering import CUTOFF_FACTOR
 
 __all__ = ["AdmissionDecision", "critical_path_ms", "decide_admission"]
 
--- a/src/rosemarynotch/_internal/scheduling/turn_forecast.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/forecast.py
@@ -9,11 +9,12 @@
 
 import attrs
 
+from rosemarynotch._internal.scheduling.records import Turn
+
 __all__ = [
     "CycleForecast",
     "ExpectedTurn",
     "NoForecast",
-    "Turn",
     "TurnForecast",
 ]
 
@@ -37,18 +38,6 @@
 MAX_TURNS = 24
 
 
-@attrs.frozen(kw_only=True)
-class Turn:
-    """A period in which one pool had most of the arriving work.
-
-    :ivar peak_vms: most VMs that its arriving work would have kept busy
-    """
-
-    pool: str
-    started_ms: float
-    peak_vms: float
-
-
 @attrs.frozen(kw_only=True)
 class ExpectedTurn:
     """A forecast turn.
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -6,7 +6,6 @@
 
 from rosemarynotch._internal.scheduling.model import JobSpec
 from rosemarynotch._internal.scheduling.model import QueuePolicy
-from rosemarynotch._internal.scheduling.turn_forecast import Turn
 
 __all__ = [
     "CANCELLATIONS_PREFIX",
@@ -23,6 +22,7 @@
     "RosterRecord",
     "StepRecord",
     "SubmissionRecord",
+    "Turn",
 ]
 
 # Jobs and cancellations share a prefix so that one watch covers both.
@@ -135,6 +135,18 @@
     term: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class Turn:
+    """A period in which one pool had most of the arriving work.
+
+    :ivar peak_vms: most VMs that its arriving work would have kept busy
+    """
+
+    pool: str
+    started_ms: float
+    peak_vms: float
+
+
 @attrs.frozen(kw_only=True)
 class LoadRecord:
     """Load of the queues, published for nodes that accept jobs.
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -70,6 +70,9 @@
             progressed_at_s=now_s,
         )
         worker.add_run(run)
+        step = task.step
+        step.first_ordered_at_s = step.first_ordered_at_s or now_s
+        step.last_ordered_at_s = now_s
         self.adjust_usage(run, 1)
         job.highest_run = max(job.highest_run, run.number)
         return run
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -313,9 +313,12 @@
         task.waiting_since_s = now_s
         if end.kind is EndKind.DONE and not task.step.spec.long_running:
             if run is not None:
-                took_ms = (now_s - run.ordered_at_s) * 1000
-                self.durations.observe(job.submission.queue, took_ms)
+                took_s = now_s - run.ordered_at_s
+                task.step.longest_run_s = max(task.step.longest_run_s, took_s)
+                self.durations.observe(job.submission.queue, took_s * 1000)
             job.mark_done(task)
+            if task.step.is_done:
+                task.step.done_at_s = now_s
             self.complete_if_done(job)
         elif end.kind is EndKind.FAILED:
             task.failed_runs.add(end.run)
@@ -335,6 +338,7 @@
     def _drop_lost_run(self, worker, run: Run, now_s: float, why: str) -> None:
         worker.drop_run(run)
         self._release(run, now_s)
+        run.task.step.occurrence.job.lost_runs += 1
         self._log(
             "run lost",
             job=run.task.task_id.job_id,
--- a/tests/lib/scheduling.py
+++ b/tests/lib/scheduling.py
@@ -7,9 +7,9 @@
 from rosemarynotch._internal.scheduling.model import QueuePolicy
 from rosemarynotch._internal.scheduling.model import Resources
 from rosemarynotch._internal.scheduling.model import StepSpec
-from rosemarynotch._internal.scheduling.ordering import ObjectiveOrder
-from rosemarynotch._internal.scheduling.placement import BestFit
 from rosemarynotch._internal.scheduling.planner import Planner
+from rosemarynotch._internal.scheduling.policy import BestFit
+from rosemarynotch._internal.scheduling.policy import ObjectiveOrder
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import RunEnd
 from rosemarynotch._internal.scheduling.ports import RunStatus
--- a/tests/unit/test_scheduling_policies.py
+++ b/tests/unit/test_scheduling_policies.py
@@ -5,19 +5,19 @@
 
 import testtools
 
-from rosemarynotch._internal.scheduling.admission import decide_admission
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.maintenance import OneAtATime
 from rosemarynotch._internal.scheduling.maintenance import SpreadOverPools
 from rosemarynotch._internal.scheduling.maintenance import WaveVm
-from rosemarynotch._internal.scheduling.ordering import ArrivalOrder
-from rosemarynotch._internal.scheduling.ordering import Candidate
-from rosemarynotch._internal.scheduling.ordering import ObjectiveOrder
-from rosemarynotch._internal.scheduling.pacing import TailLatencyPacer
-from rosemarynotch._internal.scheduling.pool_sizing import DemandSizer
-from rosemarynotch._internal.scheduling.pool_sizing import Move
-from rosemarynotch._internal.scheduling.pool_sizing import PoolLoad
+from rosemarynotch._internal.scheduling.policy import ArrivalOrder
+from rosemarynotch._internal.scheduling.policy import Candidate
+from rosemarynotch._internal.scheduling.policy import decide_admission
+from rosemarynotch._internal.scheduling.policy import DemandSizer
+from rosemarynotch._internal.scheduling.policy import Move
+from rosemarynotch._internal.scheduling.policy import ObjectiveOrder
+from rosemarynotch._internal.scheduling.policy import PoolLoad
+from rosemarynotch._internal.scheduling.policy import TailLatencyPacer
 from tests.lib.scheduling import job_spec
 from tests.lib.scheduling import Leader
 from tests.lib.scheduling import QUEUE
--- a/tests/unit/test_vm_orders.py
+++ b/tests/unit/test_vm_orders.py
@@ -9,7 +9,7 @@
 from rosemarynotch._internal.scheduling.fleet_manager import FleetManager
 from rosemarynotch._internal.scheduling.leadership import Grant
 from rosemarynotch._internal.scheduling.model import Resources
-from rosemarynotch._internal.scheduling.pool_sizing import PoolLoad
+from rosemarynotch._internal.scheduling.policy import PoolLoad
 from rosemarynotch._internal.scheduling.ports import CommitConflict
 from rosemarynotch._internal.scheduling.ports import FleetVm
 from rosemarynotch._internal.scheduling.ports import Item
--- a/tests/unit/test_worst_load.py
+++ b/tests/unit/test_worst_load.py
@@ -5,18 +5,18 @@
 import attrs
 import testtools
 
-from rosemarynotch._internal.scheduling.arrival_rates import Arrival
-from rosemarynotch._internal.scheduling.arrival_rates import ArrivalRates
-from rosemarynotch._internal.scheduling.demand import measure_demand
-from rosemarynotch._internal.scheduling.demand import NO_DEMAND
 from rosemarynotch._internal.scheduling.model import Organisation
-from rosemarynotch._internal.scheduling.placement import BestFit
 from rosemarynotch._internal.scheduling.planner import Planner
-from rosemarynotch._internal.scheduling.pool_sizing import DemandSizer
-from rosemarynotch._internal.scheduling.pool_sizing import PoolLoad
-from rosemarynotch._internal.scheduling.turn_forecast import CycleForecast
-from rosemarynotch._internal.scheduling.turn_forecast import NoForecast
-from rosemarynotch._internal.scheduling.turn_forecast import TurnForecast
+from rosemarynotch._internal.scheduling.policy import Arrival
+from rosemarynotch._internal.scheduling.policy import ArrivalRates
+from rosemarynotch._internal.scheduling.policy import BestFit
+from rosemarynotch._internal.scheduling.policy import CycleForecast
+from rosemarynotch._internal.scheduling.policy import DemandSizer
+from rosemarynotch._internal.scheduling.policy import measure_demand
+from rosemarynotch._internal.scheduling.policy import NO_DEMAND
+from rosemarynotch._internal.scheduling.policy import NoForecast
+from rosemarynotch._internal.scheduling.policy import PoolLoad
+from rosemarynotch._internal.scheduling.policy import TurnForecast
 from tests.lib.scheduling import job_spec
 from tests.lib.scheduling import Leader
 from tests.lib.scheduling import step
