--- a/experiments/paired_days.py
+++ b/experiments/paired_days.py
@@ -119,7 +119,7 @@
     :param jobs: number of days played at a time
     :param no_cpu: do not charge processor time, so that plays mostly repeat
     :param results: file to which the figures are appended as JSON lines;
-        earlier lines of the file are part of the comparison
+        what it already has is compared, but not played again
     """
     folders = dict(_parse_variant(each) for each in variants)
     parsed = [parse_play(each) for each in plays]
@@ -135,8 +135,14 @@
         )
         return Result(variant, str(play), figures)
 
-    tasks = [(variant, play) for play in parsed for variant in folders]
     found = _read_results(results)
+    known = {(each.variant, each.play) for each in found}
+    tasks = [
+        (variant, play)
+        for play in parsed
+        for variant in folders
+        if (variant, str(play)) not in known
+    ]
     with ThreadPoolExecutor(jobs) as threads:
         for result in threads.map(run, tasks):
             found.append(result)
--- a/src/rosemarynotch/_internal/cli/replay.py
+++ b/src/rosemarynotch/_internal/cli/replay.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.replay.day_account import format_account
+from rosemarynotch._internal.replay.day_log import read_day
 from rosemarynotch._internal.replay.job_sending import JobSender
 from rosemarynotch._internal.replay.load import generate_load
 from rosemarynotch._internal.replay.load import load_profile
@@ -36,9 +38,13 @@
     seed: int = 1,
     workers: int = 256,
     timeout_s: float = 60.0,
+    account: str = "",
 ) -> int:
     """Replay a trace or generate load, and print a summary of the results.
 
+    With ``account``, it reads the log of a day instead and prints why jobs
+    were late and what the VMs were used for.
+
     :param entries: caller addresses of entries, separated by commas
     :param direct: addresses of targets to send to without entries, as a
         baseline; jobs of a trace are skipped
@@ -52,7 +58,10 @@
     :param seed: random seed of generated load
     :param workers: number of requests of a trace that can wait at a time
     :param timeout_s: longest wait for an answer, in seconds
+    :param account: log lines of all nodes of a day; no other setting applies
     """
+    if account:
+        return _print_account(account)
     if bool(entries) == bool(direct):
         raise SettingsError("exactly one of --entries and --direct is needed")
     if bool(trace) == bool(load):
@@ -81,6 +90,18 @@
     return 0 if all_held else EXIT_FAILED
 
 
+def _print_account(path: str) -> int:
+    try:
+        lines = Path(path).read_text(encoding="utf-8").splitlines()
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    try:
+        print(format_account(read_day(lines)))
+    except SettingsError as error:
+        raise SettingsError(f"{path}: {error}") from None
+    return 0
+
+
 def main() -> None:
     """Run the program ``rosemarynotch-replay``."""
     run_program(replay)
--- /dev/null
+++ b/src/rosemarynotch/_internal/replay/day_account.py
@@ -0,0 +1,219 @@
+"""Says why jobs of a day were late, and what its VMs were used for."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import math
+import statistics
+from collections import Counter
+
+from rosemarynotch._internal.replay.day_log import DayLog
+from rosemarynotch._internal.replay.day_log import JobTrace
+from rosemarynotch._internal.replay.day_log import PoolSample
+
+__all__ = ["format_account", "late_causes", "turned_moves", "vm_seconds"]
+
+# A sample is valid until the next one, but no longer than this.
+MAX_SAMPLE_S = 2.5
+# Share of a wait that an outage has to cover to count as its cause.
+OUTAGE_SHARE = 0.4
+# A move that is undone within this time served nobody.
+TURNED_WITHIN_S = 6.0
+
+Period = tuple[float, float]
+
+
+def late_causes(day: DayLog) -> dict[str, str]:
+    """Return the cause by job for all jobs that were not in time.
+
+    Jobs that were cancelled or had not ended are left out. A job that several
+    leaders ran is compared with the usual objective of its queue.
+    """
+    causes = {}
+    objectives_s = _objectives_s(day)
+    for job in day.jobs.values():
+        cause = _cause(job, day, objectives_s.get(job.queue, math.inf))
+        if cause:
+            causes[job.job_id] = cause
+    return causes
+
+
+def _objectives_s(day: DayLog) -> dict[str, float]:
+    """Return the median objective of the jobs of each queue."""
+    known: dict[str, list[float]] = {}
+    for job in day.jobs.values():
+        if job.objective_s is not None:
+            known.setdefault(job.queue, []).append(job.objective_s)
+    return {queue: statistics.median(each) for queue, each in known.items()}
+
+
+def _cause(job: JobTrace, day: DayLog, usual_objective_s: float) -> str:
+    if job.accepted_s is None:
+        return f"refused: {job.refusals[-1]}"
+    if job.phase == "failed":
+        return "failed"
+    if job.phase != "completed":
+        return ""
+    took_s = job.ended_s - job.submitted_s
+    if job.objective_s is None:
+        # Parts of it were run by an earlier leader.
+        return "change of the leader" if took_s > usual_objective_s else ""
+    if took_s <= job.objective_s:
+        return ""
+    start_wait_s = took_s - job.started_s
+    unwritten_s = job.started_s - job.step_wait_s - job.run_s
+    if job.refusals and job.accepted_s - job.submitted_s > took_s / 3:
+        return "refused at first"
+    waits = {
+        "start": start_wait_s,
+        "later steps": job.step_wait_s,
+        "runs lost" if job.lost_runs else "slow runs": max(0.0, unwritten_s),
+    }
+    longest = max(waits, key=waits.__getitem__)
+    period = (job.submitted_s, job.ended_s - job.run_s)
+    if longest == "start":
+        period = (job.submitted_s, job.ended_s - job.started_s)
+    if _covered(period, day.store_gaps) > OUTAGE_SHARE:
+        return "store away"
+    if _covered(period, day.leader_gaps) > OUTAGE_SHARE:
+        return "no leader"
+    if longest in ("start", "later steps"):
+        return f"{longest}: {_pool_state(job, period, day)}"
+    return longest
+
+
+def _covered(period: Period, gaps: Iterable[Period]) -> float:
+    """Return the largest share of a period that one of the gaps covers."""
+    begin_s, end_s = period
+    length_s = max(end_s - begin_s, 1e-3)
+    return max(
+        (
+            (min(end_s, gap_end_s) - max(begin_s, gap_begin_s)) / length_s
+            for gap_begin_s, gap_end_s in gaps
+        ),
+        default=0.0,
+    )
+
+
+def _pool_state(job: JobTrace, period: Period, day: DayLog) -> str:
+    """Say what kept a job's tasks from starting during a period."""
+    pool = day.pool_by_queue.get(job.queue)
+    samples = [
+        sample
+        for sample in day.pools
+        if period[0] - 1 <= sample.time_s <= period[1] + 1
+    ]
+    own = [sample for sample in samples if sample.pool == pool]
+    if not own:
+        return "no VM known"
+    if any(sample.moving for sample in own):
+        return "VMs under way"
+    if any(sample.idle for sample in own):
+        return "idle VMs in the pool"
+    idle = sum(
+        sample.idle
+        for sample in samples
+        if sample.pool != pool and not sample.is_standby
+    )
+    if idle:
+        return "full, VMs idle elsewhere"
+    if any(sample.idle for sample in samples if sample.is_standby):
+        return "full, VMs on standby"
+    return "all VMs full"
+
+
+def vm_seconds(day: DayLog) -> dict[str, float]:
+    """Return the VM-seconds outside of standby by their use.
+
+    A VM is counted for the first use that explains it: work, the spread of
+    long-running tasks, work that waits, moving, a forecast rise, the spare
+    VMs that the size includes, and surplus.
+    """
+    uses: Counter[str] = Counter()
+    by_pool: dict[str, list[PoolSample]] = {}
+    for sample in day.pools:
+        if not sample.is_standby:
+            by_pool.setdefault(sample.pool, []).append(sample)
+    for samples in by_pool.values():
+        for sample, following in zip(samples, samples[1:]):
+            length_s = min(following.time_s - sample.time_s, MAX_SAMPLE_S)
+            for use, vms in _uses(sample):
+                uses[use] += vms * length_s
+    return dict(uses)
+
+
+def _uses(sample: PoolSample) -> list[tuple[str, float]]:
+    left = float(sample.vms)
+    uses = []
+
+    def take(use: str, vms: float) -> None:
+        nonlocal left
+        taken = max(0.0, min(left, vms))
+        left -= taken
+        uses.append((use, taken))
+
+    take("moving", sample.moving)
+    take("work", sample.running_vms)
+    take("spread", sample.spread_vms - sample.running_vms)
+    take("waiting work", sample.demand_vms - sample.running_vms)
+    used = max(sample.demand_vms, sample.spread_vms)
+    take("forecast", sample.expected_vms - used)
+    take("spare", sample.wanted_vms - max(used, sample.expected_vms))
+    take("surplus", left)
+    return uses
+
+
+def turned_moves(day: DayLog) -> int:
+    """Return the number of moves that were undone within a short time."""
+    turned = 0
+    last: dict[str, tuple[float, str]] = {}
+    for time_s, vm, source, target in day.moves:
+        moved_s, origin = last.get(vm, (float("-inf"), ""))
+        turned += target == origin and time_s - moved_s < TURNED_WITHIN_S
+        last[vm] = (time_s, source)
+    return turned
+
+
+def format_account(day: DayLog) -> str:
+    """Return the account of a day as text."""
+    causes = late_causes(day)
+    lines = [f"{len(day.jobs)} jobs, {len(causes)} not in time"]
+    if day.lost_lines:
+        lines.append(f"the log left out {day.lost_lines} lines of events")
+    lines += _table("cause", causes, lambda job: causes[job.job_id], day)
+    lines += _table("queue", causes, lambda job: job.queue, day)
+    lines += _table("organisation", causes, lambda job: job.organisation, day)
+    lines += _table(
+        "from second",
+        causes,
+        lambda job: f"{2 * int(job.submitted_s // 2):3d}",
+        day,
+    )
+    uses = vm_seconds(day)
+    lines.append(f"VM-seconds in pools: {sum(uses.values()):.0f}")
+    lines += [
+        f"  {use:14} {uses[use]:7.0f}"
+        for use in sorted(uses, key=lambda each: -uses[each])
+    ]
+    lines.append(
+        f"moves: {len(day.moves)}, undone within {TURNED_WITHIN_S:.0f} s:"
+        f" {turned_moves(day)}"
+    )
+    lines += [
+        f"wave {wave}: {length_s:.1f} s"
+        for wave, length_s in sorted(day.wave_s.items())
+    ]
+    return "\n".join(lines)
+
+
+def _table(
+    title: str,
+    causes: dict[str, str],
+    name: Callable[[JobTrace], str],
+    day: DayLog,
+) -> list[str]:
+    jobs = [day.jobs[job_id] for job_id in causes]
+    counts = Counter(name(job) for job in jobs)
+    rows = sorted(counts.items(), key=lambda row: (-row[1], row[0]))
+    if title == "from second":
+        rows = sorted(counts.items())
+    return [title, *(f"  {key:40} {count:5d}" for key, count in rows)]
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -216,8 +216,12 @@
             self._controller.log(
                 "pool size",
                 pool=load.name,
+                standby=load.is_standby,
                 vms=load.vm_count,
                 idle=len(load.idle_vms),
+                moving=load.moving_count,
+                wanted_vms=self._sizer.desired_vms(load),
+                running_vms=round(load.running_vms, 1),
                 demand_vms=round(load.demand_vms, 1),
                 arriving_vms=round(load.arriving_vms, 1),
                 expected_vms=round(load.expected_vms, 1),
@@ -290,6 +294,7 @@
             for arrival in each.arrivals:
                 self._rates.note(pool, arrival)
         counts: dict[str, int] = {}
+        moving_counts: dict[str, int] = {}
         idle: dict[str, list[str]] = {}
         in_wave = self._waves.pending_vms()
         for vm in vms.values():
@@ -297,6 +302,8 @@
             pool = moving.target if moving else vm.pool
             if vm.phase is VmPhase.DOWN:
                 continue
+            if moving:
+                moving_counts[pool] = moving_counts.get(pool, 0) + 1
             worker = scheduler.workers.get(vm.worker_id)
             is_unavailable = vm.name in in_wave or (
                 worker is not None and worker.is_unavailable(now_s)
@@ -316,7 +323,9 @@
                 is_standby=policy.is_standby,
                 vm_count=counts.get(name, 0),
                 idle_vms=tuple(sorted(idle.get(name, ()))),
+                moving_count=moving_counts.get(name, 0),
                 demand_vms=demand.get(name, NO_DEMAND).vms,
+                running_vms=demand.get(name, NO_DEMAND).running_vms,
                 arriving_vms=self._rates.vms(name, wall_ms),
                 expected_vms=expected.get(name, 0.0),
                 spread_vms=demand.get(name, NO_DEMAND).spread_vms,
--- a/src/rosemarynotch/_internal/scheduling/job_api.py
+++ b/src/rosemarynotch/_internal/scheduling/job_api.py
@@ -130,6 +130,7 @@
             "job submitted",
             job=job_id,
             queue=queue,
+            pool=request.queue.pool,
             organisation=request.organisation,
             configuration=request.configuration.version,
             outcome=outcome,
--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -156,11 +156,13 @@
         self.active.pop(job.job_id, None)
         self.mark_dirty(job)
         times = measure_chain(job) if phase is Phase.COMPLETED else None
+        queue = self.queue_of(job)
         self._log(
             "job ended",
             job=job.job_id,
             phase=phase.value,
-            queue=job.submission.queue,
+            queue=queue.name,
+            objective_ms=queue.objective_ms(times.run_ms) if times else None,
             started_ms=times.started_ms if times else None,
             step_wait_ms=times.step_wait_ms if times else None,
             run_ms=times.run_ms if times else None,
--- a/src/rosemarynotch/_internal/scheduling/model.py
+++ b/src/rosemarynotch/_internal/scheduling/model.py
@@ -185,6 +185,13 @@
     target_latency_ms: int = 0
     advice: AdvicePolicy | None = None
 
+    def objective_ms(self, path_ms: float) -> float:
+        """Return the time in which a job should end.
+
+        :param path_ms: run time of its longest chain of steps
+        """
+        return self.stretch * path_ms + self.target_latency_ms
+
 
 @attrs.frozen(kw_only=True)
 class PoolPolicy:
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -213,7 +213,7 @@
         if job.is_scheduled:
             accepted_ms = max(accepted_ms, occurrence.due_unix_ms)
         work = self._remaining_work(job, queue.name, occurrence)
-        limit_ms = queue.stretch * work.path_ms + queue.target_latency_ms
+        limit_ms = queue.objective_ms(work.path_ms)
         return Candidate(
             job_id=job.job_id,
             priority=queue.priority,
--- a/src/rosemarynotch/_internal/scheduling/policy/admit.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/admit.py
@@ -45,7 +45,7 @@
     if spec.repeat_count or any(step.long_running for step in spec.steps):
         return AdmissionDecision(True)
     path_ms = critical_path_ms(spec)
-    objective_ms = queue.stretch * path_ms + queue.target_latency_ms
+    objective_ms = queue.objective_ms(path_ms)
     max_delay_ms = CUTOFF_FACTOR * objective_ms - path_ms
     if delay_ms <= max_delay_ms:
         return AdmissionDecision(True)
--- a/src/rosemarynotch/_internal/scheduling/policy/demand.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/demand.py
@@ -21,6 +21,7 @@
     """Demand of one pool.
 
     :ivar vms: VMs that running and waiting tasks would fill
+    :ivar running_vms: VMs that the running tasks fill
     :ivar arriving_vms: VMs that work would keep busy if it went on arriving
         at the present rate
     :ivar arrivals: the recent jobs from which that rate is calculated
@@ -29,6 +30,7 @@
     """
 
     vms: float = 0.0
+    running_vms: float = 0.0
     arriving_vms: float = 0.0
     arrivals: list[Arrival] = attrs.field(factory=list)
     spread_vms: int = 0
@@ -88,7 +90,11 @@
             ages_ms.setdefault(pool, []).append(age_ms)
         for step in _ready_steps(job, wall_ms):
             count = len(step.tasks) - step.done_count
-            total.vms += count * _vm_share(step.spec.reserved, size)
+            share = _vm_share(step.spec.reserved, size)
+            total.vms += count * share
+            total.running_vms += share * sum(
+                bool(task.runs) for task in step.tasks
+            )
             # Other steps end soon, and VMs moved only to spread their tasks
             # would be missing in other pools.
             if step.spec.max_per_worker and step.spec.long_running:
--- a/src/rosemarynotch/_internal/scheduling/policy/sizing.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/sizing.py
@@ -29,9 +29,11 @@
 
     :ivar is_standby: whether its VMs are powered off and cost nothing
     :ivar vm_count: VMs that serve the pool or are moving to it
+    :ivar moving_count: VMs that are moving to it
     :ivar idle_vms: VMs that could leave the pool now
     :ivar demand_vms: VMs filled by the running tasks and those that could
         start now
+    :ivar running_vms: VMs filled by the running tasks
     :ivar arriving_vms: VMs kept busy by work at the present rate of arrivals
     :ivar expected_vms: VMs to provide ahead of a forecast rise in demand
     :ivar spread_vms: VMs that the tasks of one step need because only a few
@@ -43,6 +45,8 @@
     vm_count: int
     idle_vms: tuple[str, ...]
     demand_vms: float
+    moving_count: int = 0
+    running_vms: float = 0.0
     arriving_vms: float = 0.0
     expected_vms: float = 0.0
     spread_vms: int = 0
@@ -60,6 +64,10 @@
 class PoolSizer(abc.ABC):
     """Chooses which VMs move between pools."""
 
+    @abc.abstractmethod
+    def desired_vms(self, pool: PoolLoad) -> int:
+        """Return the number of VMs that a pool should have."""
+
     @abc.abstractmethod
     def plan(self, pools: Sequence[PoolLoad], now_s: float) -> list[Move]:
         """Return the moves to order now."""
@@ -68,6 +76,10 @@
 class StaticSizer(PoolSizer):
     """Leaves every VM in its pool (baseline)."""
 
+    def desired_vms(self, pool):
+        """Return the present number of VMs."""
+        return pool.vm_count
+
     def plan(self, pools, now_s):
         """Return no moves."""
         return []
@@ -88,9 +100,8 @@
         self._is_first = is_first
         self._needed_at_s: dict[str, float] = {}
 
-    @staticmethod
-    def desired_vms(pool: PoolLoad) -> int:
-        """Return the number of VMs that a pool should have."""
+    def desired_vms(self, pool):
+        """Return the VMs for the demand, a forecast rise and some spare."""
         demand_vms = max(pool.demand_vms, pool.arriving_vms)
         vms = math.ceil(demand_vms * HEADROOM_FACTOR)
         needed = max(vms, pool.spread_vms, math.ceil(pool.expected_vms))
