Send orders to workers in lanes, and only while they are needed

A start that had waited in the queue was sent after an earlier run of its task had ended as done: the check asked only whether the run was still registered. Orders waited because 48 threads with a time-out of 0.25 s carry about 190 unanswered orders a second, first in first out.

Each worker now has a lane with a bounded number of orders under way; a worker that left its last order unanswered gets one at a time, and all such workers together 16 of the 48 threads. Stops go first and repetitions after first orders. Right before an order is sent, under the leader's lock, a start is checked against the present state of its task, run, job and worker. A start that is withheld frees its task at once if no order of its run was ever sent, and is stopped otherwise. The time in the queue is a histogram (order_wait) and a field of the line "leader load".

--- a/src/rosemarynotch/_internal/replay/day_account.py
+++ b/src/rosemarynotch/_internal/replay/day_account.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections import Counter
 import math
 import statistics
-from collections import Counter
 
 from rosemarynotch._internal.replay.day_log import DayLog
 from rosemarynotch._internal.replay.day_log import JobTrace
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -244,7 +244,10 @@
         took_s = self.clock.monotonic_s() - started_s
         self._load_report.record_pass(took_s, len(events), len(commands))
         self._load_report.write(
-            self.scheduler, self._sender.waiting, started_s + took_s
+            self.scheduler,
+            self._sender.waiting,
+            self._sender.take_longest_wait_s,
+            started_s + took_s,
         )
         self.clock.sleep(
             max(MIN_PASS_INTERVAL_S - took_s, took_s * PASS_PAUSE_FACTOR)
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -44,6 +44,8 @@
     :ivar pace_percent: share of its full speed that it was ordered to use
     :ivar load: latest load reported by the worker: the latency tail in
         milliseconds of a serving task, otherwise the processors in use
+    :ivar is_sent: whether a start order was sent; until then the worker
+        cannot have the run
     :ivar is_resent: whether the start order was sent more than once
     """
 
@@ -59,6 +61,7 @@
     progressed_at_s: float = 0.0
     pace_percent: int = 100
     load: float = 0.0
+    is_sent: bool = False
     is_resent: bool = False
 
     @property
--- a/src/rosemarynotch/_internal/scheduling/load_report.py
+++ b/src/rosemarynotch/_internal/scheduling/load_report.py
@@ -41,9 +41,17 @@
         self._longest_s = max(self._longest_s, took_s)
 
     def write(
-        self, scheduler: Scheduler, orders_waiting: int, now_s: float
+        self,
+        scheduler: Scheduler,
+        orders_waiting: int,
+        take_longest_wait_s: Callable[[], float],
+        now_s: float,
     ) -> None:
-        """Write the log line if it is due, and start a new interval."""
+        """Write the log line if it is due, and start a new interval.
+
+        :param take_longest_wait_s: returns the longest time of an order in
+            the queue since the last call
+        """
         since_s = now_s - self._reported_at_s
         if since_s < REPORT_INTERVAL_S:
             return
@@ -62,6 +70,7 @@
             events=self._events,
             orders=self._orders,
             orders_waiting=orders_waiting,
+            longest_order_wait_ms=round(take_longest_wait_s() * 1000),
             active_jobs=len(scheduler.active),
             unwritten_jobs=len(scheduler.dirty),
             running=_by_pool(running),
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -7,6 +7,9 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.exceptions import WORKER_UNREACHABLE
+from rosemarynotch._internal.scheduling.order_queue import OrderKind
+from rosemarynotch._internal.scheduling.order_queue import OrderQueue
+from rosemarynotch._internal.scheduling.order_queue import QueuedOrder
 from rosemarynotch._internal.scheduling.planner import StartCommand
 from rosemarynotch._internal.scheduling.planner import StopCommand
 from rosemarynotch._internal.scheduling.policy import PaceChange
@@ -33,39 +36,74 @@
         self._controller = controller
         self._threads = ThreadPoolExecutor(ORDER_THREADS, "orders")
         self._lock = threading.Lock()
-        self._waiting = 0
+        self._queue: OrderQueue[Command] = OrderQueue()
+        self._busy_count = 0
+        self._longest_wait_s = 0.0
 
     @property
     def waiting(self) -> int:
         """Return the number of queued commands."""
-        return self._waiting
+        return self._queue.waiting_count
+
+    def take_longest_wait_s(self) -> float:
+        """Return the longest time in the queue since the last call."""
+        with self._lock:
+            longest_s, self._longest_wait_s = self._longest_wait_s, 0.0
+        return longest_s
 
     def submit(self, command: Command) -> None:
-        """Queue a command to be sent by the next free thread."""
+        """Queue a command to be sent as soon as its worker's lane is free."""
+        now_s = self._controller.clock.monotonic_s()
+        worker_id = command.worker.worker_id
         with self._lock:
-            self._waiting += 1
-        self._threads.submit(self._send_next, command)
+            self._queue.put(worker_id, _kind(command), command, now_s)
+        self._start_threads()
 
     def close(self) -> None:
         """Discard the queued commands."""
         self._threads.shutdown(wait=False, cancel_futures=True)
 
-    def _send_next(self, command: Command) -> None:
+    def _start_threads(self) -> None:
         with self._lock:
-            self._waiting -= 1
-        self.send(command)
+            while self._busy_count < ORDER_THREADS:
+                queued = self._queue.take()
+                if queued is None:
+                    return
+                try:
+                    self._threads.submit(self._send_queued, queued)
+                except RuntimeError:
+                    # The term has ended, which discards all commands.
+                    return
+                self._busy_count += 1
+
+    def _send_queued(self, queued: QueuedOrder[Command]) -> None:
+        is_unanswered = False
+        try:
+            waited_s = self._controller.clock.monotonic_s() - (
+                queued.queued_at_s
+            )
+            self._controller.metrics.record_ms("order_wait", waited_s * 1000)
+            with self._lock:
+                self._longest_wait_s = max(self._longest_wait_s, waited_s)
+            is_unanswered = self.send(queued.order)
+        finally:
+            with self._lock:
+                self._busy_count -= 1
+                self._queue.release(queued.worker_id, is_unanswered)
+            self._start_threads()
 
-    def send(self, command: Command) -> None:
-        """Send a command unless the term or the run to start has ended."""
+    def send(self, command: Command) -> bool:
+        """Send a command unless the term has ended or it is needless.
+
+        :returns: whether it was sent and had no answer
+        """
         link = self._controller.link(command.worker.worker_id)
         if link is None or not self._controller.is_running:
-            return
-        if isinstance(command, StartCommand) and not command.is_current:
-            # A repeated start may be queued until after its run has ended. A
-            # worker that has restarted meanwhile would execute the run again.
-            return
+            return False
+        if not self._is_needed(command):
+            return False
         try:
-            self._send(command, link)
+            return self._send(command, link)
         except Exception as error:
             # An answer that cannot be decoded does not tell whether the
             # command took effect.
@@ -79,14 +117,39 @@
                 repr(error)
             ).with_ran_unknown()
             self._post_failure(command, failure)
+            return True
+
+    def _is_needed(self, command: Command) -> bool:
+        """Check a command against the present state, right before it is sent.
+
+        The lock excludes the scheduling thread. A run counts as sent from
+        here on, so whatever that thread decides later is followed by a stop.
+        """
+        controller, run = self._controller, command.run
+        with controller.lock:
+            now_s = controller.clock.monotonic_s()
+            if isinstance(command, StartCommand):
+                is_needed = command.is_current(now_s)
+                run.is_sent |= is_needed
+            else:
+                is_needed = run.is_sent
+        if not is_needed:
+            controller.metrics.count("orders_withheld")
+            controller.post(
+                lambda now_s: controller.scheduler.on_start_withheld(
+                    run, now_s
+                )
+            )
+        return is_needed
 
-    def _send(self, command: Command, link: WorkerLink) -> None:
+    def _send(self, command: Command, link: WorkerLink) -> bool:
         if isinstance(command, StartCommand):
-            self._send_start(command, link)
+            answer = self._send_start(command, link)
         elif isinstance(command, StopCommand):
-            self._send_stop(command, link)
+            answer = self._send_stop(command, link)
         else:
-            self._send_pace(command, link)
+            answer = self._send_pace(command, link)
+        return isinstance(answer, Failure) and answer.ran is not Ran.NO
 
     def _post_failure(self, command: Command, failure: Failure) -> None:
         scheduler, run = self._controller.scheduler, command.run
@@ -99,7 +162,9 @@
                 lambda now_s: scheduler.on_stop_answer(run, failure, now_s)
             )
 
-    def _send_start(self, command: StartCommand, link: WorkerLink) -> None:
+    def _send_start(
+        self, command: StartCommand, link: WorkerLink
+    ) -> int | Failure:
         run, worker = command.run, command.worker
         run.lease_until_ms = (
             run.lease_until_ms
@@ -143,8 +208,11 @@
                 run, answer, now_s
             )
         )
+        return answer
 
-    def _send_pace(self, change: PaceChange, link: WorkerLink) -> None:
+    def _send_pace(
+        self, change: PaceChange, link: WorkerLink
+    ) -> None | Failure:
         run = change.run
         pacing = Pacing(
             task=run.task.task_id, run=run.number, percent=change.percent
@@ -158,8 +226,11 @@
             outcome=answer.code if answer else "paced",
         )
         self._controller.check_fence(answer)
+        return answer
 
-    def _send_stop(self, command: StopCommand, link: WorkerLink) -> None:
+    def _send_stop(
+        self, command: StopCommand, link: WorkerLink
+    ) -> None | Failure:
         run = command.run
         answer = link.channel.stop(
             self._controller.grant.fence, run.task.task_id, run.number
@@ -177,3 +248,12 @@
                 run, answer, now_s
             )
         )
+        return answer
+
+
+def _kind(command: Command) -> OrderKind:
+    if isinstance(command, StopCommand):
+        return OrderKind.STOP
+    if isinstance(command, StartCommand):
+        return OrderKind.REPEAT if command.run.is_resent else OrderKind.START
+    return OrderKind.PACE
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -47,10 +47,27 @@
     worker: Worker
     ticket: str = ""
 
-    @property
-    def is_current(self) -> bool:
-        """Tell whether the worker is still expected to have the run."""
-        return self.run.key in self.worker.runs
+    def is_current(self, now_s: float) -> bool:
+        """Tell whether the run is still wanted on the worker.
+
+        The order may have waited while its task was done or moved elsewhere,
+        its job ended, its run was marked to stop, or its worker was about to
+        leave. A worker that does not accept work at present gets no first
+        order, so that the task starts on another one.
+        """
+        run, worker, task = self.run, self.worker, self.run.task
+        is_newest = run.number == task.last_run or task.step.spec.speculative
+        if (
+            worker.runs.get(run.key) is not run
+            or run.phase is not RunPhase.ORDERED
+            or task.is_done
+            or task.step.occurrence.job.phase.is_final
+            or not is_newest
+        ):
+            return False
+        if run.is_sent:
+            return not (worker.entry.is_draining or worker.is_replaced)
+        return worker.accepts_work(now_s)
 
 
 @attrs.frozen
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -128,6 +128,23 @@
             self._release(run, now_s)
             worker.pause_until(now_s + REFUSED_PAUSE_S)
 
+    def on_start_withheld(self, run: Run, now_s: float) -> None:
+        """Handle a start order that was not sent as it had become needless.
+
+        A run that was never sent cannot exist, so its task is free at once.
+        Otherwise an earlier order may still be carried out; an answered stop
+        makes that harmless.
+        """
+        worker = self.workers.get(run.worker_id)
+        if worker is None or worker.runs.get(run.key) is not run:
+            return
+        if not run.is_sent:
+            worker.drop_run(run)
+            self._release(run, now_s)
+        elif run.phase is RunPhase.ORDERED:
+            run.phase = RunPhase.STOPPING
+            run.stop_sent_at_s = 0.0
+
     def on_stop_answer(
         self, run: Run, answer: None | Failure, now_s: float
     ) -> None:
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -277,6 +277,7 @@
             ordered_at_s=now_s,
             confirmed_at_s=now_s,
             progressed_at_s=now_s,
+            is_sent=True,
         )
         worker.add_run(run)
         task.last_run = max(task.last_run, status.run)
--- a/tests/unit/test_leading.py
+++ b/tests/unit/test_leading.py
@@ -132,9 +132,10 @@
         """
         controller = self.controller()
         leader = Leader()
+        leader.now_s = controller.clock.monotonic_s()
         leader.add_workers("w1")
         leader.submit("j1")
-        command = leader.planner.place(1000.0, 1e6)[0]
+        command = leader.planner.place(leader.now_s, 1e6)[0]
         controller.scheduler = leader.scheduler
         posted = []
         controller.post = posted.append
--- a/tests/unit/test_scheduling_policies.py
+++ b/tests/unit/test_scheduling_policies.py
@@ -229,10 +229,10 @@
         On the users' grown site, 25 such tasks had too few VMs (LOST).
         """
         pool = self._pool("a", 2, 3.0, spread=9)
-        self.assertEqual(10, DemandSizer.desired_vms(pool))
+        self.assertEqual(10, DemandSizer().desired_vms(pool))
         # Demand for more VMs than the spread also adds a spare VM.
         pool = self._pool("a", 2, 10.0, spread=9)
-        self.assertEqual(12, DemandSizer.desired_vms(pool))
+        self.assertEqual(12, DemandSizer().desired_vms(pool))
 
     def test_spare_vms_grow_with_the_pool(self):
         """Guards against late jobs of a peak in a large pool.
@@ -241,7 +241,7 @@
         """
         for demand, wanted in ((0.0, 2), (7.0, 9), (20.0, 23), (72.0, 84)):
             pool = self._pool("a", 2, demand)
-            self.assertEqual(wanted, DemandSizer.desired_vms(pool))
+            self.assertEqual(wanted, DemandSizer().desired_vms(pool))
 
 
 class TestWaves(testtools.TestCase):
--- a/tests/unit/test_vm_orders.py
+++ b/tests/unit/test_vm_orders.py
@@ -9,6 +9,7 @@
 from rosemarynotch._internal.scheduling.fleet_manager import FleetManager
 from rosemarynotch._internal.scheduling.leadership import Grant
 from rosemarynotch._internal.scheduling.model import Resources
+from rosemarynotch._internal.scheduling.policy import DemandSizer
 from rosemarynotch._internal.scheduling.policy import PoolLoad
 from rosemarynotch._internal.scheduling.ports import CommitConflict
 from rosemarynotch._internal.scheduling.ports import FleetVm
@@ -215,6 +216,7 @@
         lines = []
         manager = types.SimpleNamespace(
             _reported_at_s=0.0,
+            _sizer=DemandSizer(),
             _controller=types.SimpleNamespace(
                 log=lambda event, **fields: lines.append((event, fields))
             ),
