Repeat unanswered orders after the usual time of an answer

What bound was the wait for each lost answer: 0.25 s, then 0.3 s until the repetition, of about a second that a short job may lose, and pauses of workers that answered no order though they reported.

The time-out of an order follows the answers that were observed (mean and deviation, 30 ms to 0.25 s), a start without an answer is repeated at once, and a worker is paused only if it does not report either. Three orders may be under way to a silent worker. The repetition carries the same run and lease, so the worker starts it once.

--- a/src/rosemarynotch/_internal/platform/workers.py
+++ b/src/rosemarynotch/_internal/platform/workers.py
@@ -23,10 +23,6 @@
 
 INSTANCE_HEADER = "Rosemarynotch-Expected-Instance"
 REPORT_TIMEOUT_S = 0.5
-# Workers answer orders within milliseconds. An order without an answer is
-# repeated as the same run; until it is answered, its task cannot start
-# elsewhere.
-ORDER_TIMEOUT_S = 0.25
 FAILURES_BY_REASON = {
     "fence": failures.RUN_FENCED,
     "old": failures.RUN_SUPERSEDED,
@@ -39,16 +35,21 @@
 class HttpWorkerChannel(WorkerChannel):
     """Calls a worker over HTTP.
 
-    :param connect: returns a client with a time-out in seconds
+    :param connect: returns a client with a time-out in seconds, or with a
+        function that returns it for each call
     :param worker_id: identifier of the worker instance that is called; a
         later instance at the same address refuses the calls
+    :param order_timeout: returns how long an answer to an order is awaited
     """
 
     def __init__(
-        self, connect: Callable[[float], HttpClient], worker_id: str
+        self,
+        connect: Callable[[float | Callable[[], float]], HttpClient],
+        worker_id: str,
+        order_timeout: Callable[[], float],
     ) -> None:
         self._report_client = connect(REPORT_TIMEOUT_S)
-        self._order_client = connect(ORDER_TIMEOUT_S)
+        self._order_client = connect(order_timeout)
         self._headers = {INSTANCE_HEADER: worker_id}
 
     def report(self, fence, acked_sequence, lease_ms, wait_ms):
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -29,6 +29,7 @@
 from rosemarynotch._internal.scheduling.policy import CycleForecast
 from rosemarynotch._internal.scheduling.policy import DemandSizer
 from rosemarynotch._internal.scheduling.policy import ObjectiveOrder
+from rosemarynotch._internal.scheduling.policy import OrderTimeout
 from rosemarynotch._internal.scheduling.policy import TailLatencyPacer
 from rosemarynotch._internal.scheduling.ports import Advisor
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
@@ -77,7 +78,8 @@
 
     :ivar workers_prefix: prefix of the workers' entries in the store
     :ivar decode_worker: decodes a worker's entry
-    :ivar connect_worker: opens a channel to a worker
+    :ivar connect_worker: opens a channel to a worker; its second argument
+        returns how long an answer to an order is awaited
     :ivar waves_prefix: prefix of maintenance waves in the store
     :ivar wave_status_prefix: prefix of their status in the store
     :ivar fleet: None if there is no VM service
@@ -87,7 +89,7 @@
     store: CoordinationStore
     workers_prefix: str
     decode_worker: Callable[[Item], WorkerEntry | Failure]
-    connect_worker: Callable[[WorkerEntry], WorkerChannel]
+    connect_worker: Callable[[WorkerEntry, Callable[[], float]], WorkerChannel]
     waves_prefix: str
     wave_status_prefix: str
     decode_wave: Callable[[Item], Wave | Failure]
@@ -132,6 +134,7 @@
         )
         self.advice = AdviceCache()
         self.answer_losses = AnswerLosses()
+        self.order_timeout = OrderTimeout()
         self.planner = Planner(
             self.scheduler, ObjectiveOrder(), BestFit(), self.advice, log
         )
@@ -368,7 +371,9 @@
 
     def _add_links(self, added: list[Worker]) -> None:
         for worker in added:
-            channel = self.ports.connect_worker(worker.entry)
+            channel = self.ports.connect_worker(
+                worker.entry, self.order_timeout
+            )
             link = WorkerLink(self, worker, channel)
             self._links[worker.worker_id] = link
             self._start_thread(link.run, f"worker-{worker.worker_id}")
--- a/src/rosemarynotch/_internal/scheduling/order_queue.py
+++ b/src/rosemarynotch/_internal/scheduling/order_queue.py
@@ -17,9 +17,9 @@
 # Orders to one worker that may be under way at a time.
 MAX_IN_FLIGHT = 6
 # The same limit for a worker that has left its last order unanswered.
-MAX_IN_FLIGHT_SILENT = 1
+MAX_SILENT_EACH = 3
 # Orders under way to all such workers together.
-MAX_SILENT_TOTAL = 16
+MAX_SILENT_TOTAL = 36
 
 T = TypeVar("T")
 
@@ -99,7 +99,7 @@
     def _admit(self, worker_id: str, kind: OrderKind) -> bool:
         """Tell whether a worker may get an order, and park it if not."""
         lane = self._lanes[worker_id]
-        limit = MAX_IN_FLIGHT_SILENT if lane.is_silent else MAX_IN_FLIGHT
+        limit = MAX_SILENT_EACH if lane.is_silent else MAX_IN_FLIGHT
         if lane.in_flight >= limit:
             lane.parked.append(kind)
             return False
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -187,6 +187,8 @@
         self._controller.answer_losses.note(
             worker.worker_id, is_answered, now_s
         )
+        if is_answered:
+            self._controller.order_timeout.record(now_s - started_s)
         outcome = answer.code if isinstance(answer, Failure) else "started"
         self._controller.metrics.count(
             "starts", queue=job.submission.queue, how=outcome
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -25,8 +25,6 @@
 
 __all__ = ["Planner", "StartCommand", "StopCommand"]
 
-# An unanswered start order is sent again after this time.
-START_RETRY_S = 0.3
 # An organisation counts as over its share when it uses more than this multiple
 # of its fair share. A lower factor would reorder jobs on small differences.
 OVER_SHARE_FACTOR = 1.5
@@ -132,8 +130,6 @@
         if run.phase is RunPhase.STOPPING or job.phase.is_final:
             return self._stop(run, worker, now_s)
         if run.phase is RunPhase.UNCONFIRMED:
-            if now_s - run.ordered_at_s < START_RETRY_S:
-                return None
             run.phase = RunPhase.ORDERED
             run.is_resent = True
             return StartCommand(run, worker, self._advice.ticket(run))
--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -38,6 +38,7 @@
 from rosemarynotch._internal.scheduling.policy.sizing import PoolLoad
 from rosemarynotch._internal.scheduling.policy.sizing import PoolSizer
 from rosemarynotch._internal.scheduling.policy.sizing import StaticSizer
+from rosemarynotch._internal.scheduling.policy.timeouts import OrderTimeout
 
 __all__ = [
     "AdmissionDecision",
@@ -62,6 +63,7 @@
     "NoForecast",
     "NoPacing",
     "ObjectiveOrder",
+    "OrderTimeout",
     "PaceChange",
     "PacePolicy",
     "Placement",
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -17,10 +17,12 @@
 
 # Pause of a worker that refused a start or could not be reached.
 REFUSED_PAUSE_S = 0.3
-# A worker is also paused after this many consecutive orders without an
-# answer. With a lower limit, the loss of every second order on the network
+# A worker is also paused after this many consecutive orders without an answer,
+# unless it still reports. Otherwise the loss of most orders on the network
 # would pause all workers of a pool and delay all of its tasks.
 MAX_UNANSWERED = 3
+# Busy workers report at least once a second.
+MAX_REPORT_AGE_S = 1.2
 
 
 class RunRegistry(JobRegistry):
@@ -115,7 +117,10 @@
         elif is_unanswered:
             # This order or an earlier one may still be carried out.
             run.phase = RunPhase.UNCONFIRMED
-            if worker.unanswered_orders >= MAX_UNANSWERED:
+            if (
+                worker.unanswered_orders >= MAX_UNANSWERED
+                and now_s - worker.clock_received_at_s > MAX_REPORT_AGE_S
+            ):
                 worker.pause_until(now_s + REFUSED_PAUSE_S)
         elif run.is_resent:
             # An earlier order may still be carried out. An answered stop
--- a/src/rosemarynotch/_internal/utils/http.py
+++ b/src/rosemarynotch/_internal/utils/http.py
@@ -51,7 +51,8 @@
 
     :param address: host and port of the server
     :param clock: measures the idle time of connections
-    :param timeout_s: longest wait for the next part of a response
+    :param timeout_s: longest wait for the next part of a response, or a
+        function that returns it for each call
     :param max_idle: most idle connections that are kept for reuse
     :param max_idle_unrepeatable_s: longest idle time of a connection that is
         reused for a call that must not be repeated
@@ -61,7 +62,7 @@
         self,
         address: str,
         clock: Clock,
-        timeout_s: float = CALL_TIMEOUT_S,
+        timeout_s: float | Callable[[], float] = CALL_TIMEOUT_S,
         max_idle: int = MAX_IDLE_CONNECTIONS,
         max_idle_unrepeatable_s: float = MAX_IDLE_UNREPEATABLE_S,
     ) -> None:
@@ -69,7 +70,7 @@
         self._host = host.strip("[]")
         self._port = int(port)
         self._clock = clock
-        self._timeout_s = timeout_s
+        self._timeout = timeout_s if callable(timeout_s) else lambda: timeout_s
         self._max_idle = max_idle
         self._max_idle_unrepeatable_s = max_idle_unrepeatable_s
         self._lock = threading.Lock()
@@ -101,7 +102,7 @@
         path = "/" + "/".join(quote(part) for part in segments)
         if query:
             path += "?" + urlencode(query)
-        timeout_s = self._timeout_s + wait_s
+        timeout_s = self._timeout() + wait_s
         message = (method, path, body, headers or {})
         result = self._once(message, timeout_s, repeatable, may_send)
         if not isinstance(result, CallFailed):
@@ -167,7 +168,7 @@
         connection = http.client.HTTPConnection(
             self._host,
             self._port,
-            timeout=min(CONNECT_TIMEOUT_S, self._timeout_s),
+            timeout=min(CONNECT_TIMEOUT_S, self._timeout()),
         )
         connection.connect()
         return connection
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -1,5 +1,6 @@
 """Composition root of a node on the users' platform."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import os
 import signal
@@ -310,7 +311,9 @@
             HttpClient(self._settings.store_address, self._clock, timeout_s)
         )
 
-    def _connect_worker(self, entry: WorkerEntry) -> HttpWorkerChannel:
+    def _connect_worker(
+        self, entry: WorkerEntry, order_timeout: Callable[[], float]
+    ) -> HttpWorkerChannel:
         return HttpWorkerChannel(
             lambda timeout_s: HttpClient(
                 entry.address,
@@ -319,6 +322,7 @@
                 max_idle_unrepeatable_s=MAX_ORDER_IDLE_S,
             ),
             entry.worker_id,
+            order_timeout,
         )
 
     def _fleet_service(self, grant: Grant) -> HttpFleetService | None:
