Move VMs ahead of a peak only after a peak was forecast

CycleForecast expected 37 to 70 VMs for pools without arrivals, in a fleet of 40, and moved 14 to 33 VMs there while another pool peaked: peaks were the highest of many rate estimates, and every new order of turns was trusted. A forecast now provides VMs only while the turns before the newest one predict that one, pool and time, and a peak is the demand that was seen. An empty pool without demand waits 2 s for its own VMs at the first start, which cost 8 moves to pools whose VMs were starting.

--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -287,7 +287,9 @@
         )
         forecast = self._controller.forecast
         forecast.observe(
-            {pool: each.arriving_vms for pool, each in demand.items()}, wall_ms
+            {pool: each.arriving_vms for pool, each in demand.items()},
+            {pool: each.vms for pool, each in demand.items()},
+            wall_ms,
         )
         expected = forecast.expected_vms(wall_ms)
         for pool, each in demand.items():
@@ -335,6 +337,9 @@
 
     @staticmethod
     def _is_idle(worker: Worker) -> bool:
+        # Ends that are not persisted exist only on the worker.
         return worker.is_empty and not (
-            worker.is_cordoned or worker.entry.is_draining
+            worker.is_cordoned
+            or worker.entry.is_draining
+            or worker.pending_acks
         )
--- a/src/rosemarynotch/_internal/scheduling/policy/forecast.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/forecast.py
@@ -6,6 +6,7 @@
 
 import abc
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 import attrs
 
@@ -27,13 +28,11 @@
 # VMs are ordered this long before an expected rise: a move takes 1.5 s, and
 # the worker then has to be listed and to report.
 LEAD_TIME_MS = 2300
-# An expected rise that is later than this counts as a wrong forecast.
+# An expected rise that is earlier or later by more than this was not forecast.
 GRACE_MS = 1200
 # Share of the last peak for which VMs are provided ahead of a rise. The rest
 # follows the measured demand.
 PROVISIONED_SHARE = 0.8
-# Consecutive wrong forecasts after which no VMs are moved ahead.
-MAX_MISSES = 2
 # Turns that are kept; the users have four queues that peak.
 MAX_TURNS = 24
 
@@ -52,15 +51,25 @@
 
 
 class TurnForecast(abc.ABC):
-    """Forecasts rises in demand from the arriving work of the pools."""
+    """Forecasts rises in demand from the arriving work of the pools.
+
+    :ivar turns: observed turns, the newest last
+    """
+
+    def __init__(self) -> None:
+        self.turns: list[Turn] = []
 
     @abc.abstractmethod
     def observe(
-        self, arriving_vms: Mapping[str, float], now_ms: float
+        self,
+        arriving_vms: Mapping[str, float],
+        demand_vms: Mapping[str, float],
+        now_ms: float,
     ) -> None:
-        """Record the arriving work of each pool.
+        """Record the work of each pool.
 
-        :param arriving_vms: VMs that it would keep busy, by pool
+        :param arriving_vms: VMs that the arriving work would keep busy
+        :param demand_vms: VMs that the accepted work fills
         """
 
     @abc.abstractmethod
@@ -69,9 +78,15 @@
 
 
 class NoForecast(TurnForecast):
-    """Forecasts no rises, so that VMs follow the demand (baseline)."""
+    """Forecasts no rises, so that VMs follow the demand (baseline).
+
+    :param turns: ignored
+    """
+
+    def __init__(self, turns: tuple[Turn, ...] = ()) -> None:
+        super().__init__()
 
-    def observe(self, arriving_vms, now_ms):
+    def observe(self, arriving_vms, demand_vms, now_ms):
         """Record nothing."""
 
     def expected_vms(self, now_ms):
@@ -90,25 +105,21 @@
     is not known yet, it is the only pool that had no turn so far, or else the
     one whose last turn started first.
 
-    :ivar turns: observed turns, the newest last
+    VMs are provided only while the newest turn had been forecast: a wrong
+    forecast moves VMs in vain, and takes them from the pool that does peak.
     """
 
     def __init__(self, turns: tuple[Turn, ...] = ()) -> None:
+        super().__init__()
         self.turns = list(turns)
         self._pools: set[str] = {turn.pool for turn in turns}
-        self._consecutive_misses = 0
-        self._pending: ExpectedTurn | None = None
 
-    def observe(self, arriving_vms, now_ms):
+    def observe(self, arriving_vms, demand_vms, now_ms):
         """Record the starts and the peaks of turns."""
         self._pools |= {pool for pool, vms in arriving_vms.items() if vms > 0}
         pool = self._dominant(arriving_vms)
         if pool is not None:
-            self._record_turn(pool, arriving_vms[pool], now_ms)
-        pending = self._pending
-        if pending is not None and now_ms > pending.at_ms + GRACE_MS:
-            self._pending = None
-            self._consecutive_misses += 1
+            self._record_turn(pool, demand_vms.get(pool, 0.0), now_ms)
 
     @staticmethod
     def _dominant(arriving_vms: Mapping[str, float]) -> str | None:
@@ -126,53 +137,67 @@
             if vms > last.peak_vms:
                 self.turns[-1] = attrs.evolve(last, peak_vms=vms)
             return
-        if self._pending is not None and self._pending.pool == pool:
-            self._consecutive_misses = 0
-            self._pending = None
         self.turns.append(Turn(pool=pool, started_ms=now_ms, peak_vms=vms))
         del self.turns[:-MAX_TURNS]
 
     def expected_vms(self, now_ms):
         """Return the VMs for the next turn if it is imminent."""
-        expected = self._next_turn()
-        if expected is None or self._consecutive_misses >= MAX_MISSES:
+        expected = _next_turn(self.turns, self._pools)
+        if expected is None or not self._was_last_turn_forecast():
             return {}
         remaining_ms = expected.at_ms - now_ms
         if not -GRACE_MS <= remaining_ms <= LEAD_TIME_MS:
             return {}
-        self._pending = self._pending or expected
         return {expected.pool: expected.vms * PROVISIONED_SHARE}
 
-    def _next_turn(self) -> ExpectedTurn | None:
-        """Return the turn that should follow the present one."""
-        if len(self.turns) < 2:
-            return None
-        current = self.turns[-1]
-        successor = self._successor(current.pool)
-        if successor is None:
-            return None
-        known = [turn for turn in self.turns if turn.pool == successor]
-        peaks = known or self.turns[:-1]
-        return ExpectedTurn(
-            pool=successor,
-            at_ms=current.started_ms + self._length_ms(),
-            vms=max(turn.peak_vms for turn in peaks[-4:]),
+    def _was_last_turn_forecast(self) -> bool:
+        """Tell whether the turns before the newest one predict it."""
+        expected = _next_turn(self.turns[:-1], self._pools)
+        last = self.turns[-1]
+        return (
+            expected is not None
+            and expected.pool == last.pool
+            and abs(expected.at_ms - last.started_ms) <= GRACE_MS
         )
 
-    def _successor(self, pool: str) -> str | None:
-        for earlier, later in reversed(list(zip(self.turns, self.turns[1:]))):
-            if earlier.pool == pool:
-                return later.pool
-        seen = {turn.pool: turn.started_ms for turn in self.turns}
-        unseen = self._pools - set(seen)
-        if len(unseen) == 1:
-            return unseen.pop()
-        if unseen or len(seen) < 2:
-            return None
-        return min(seen, key=seen.__getitem__)
 
-    def _length_ms(self) -> float:
-        """Return the median length of the turns that have ended."""
-        starts = [turn.started_ms for turn in self.turns]
-        lengths = sorted(b - a for a, b in zip(starts, starts[1:]))
-        return lengths[len(lengths) // 2]
+def _next_turn(turns: Sequence[Turn], pools: set[str]) -> ExpectedTurn | None:
+    """Return the turn that should follow the newest one.
+
+    :param pools: all pools that had arriving work
+    """
+    if len(turns) < 2:
+        return None
+    current = turns[-1]
+    successor = _successor(turns, current.pool, pools)
+    if successor is None:
+        return None
+    known = [turn for turn in turns if turn.pool == successor]
+    peaks = known or turns[:-1]
+    return ExpectedTurn(
+        pool=successor,
+        at_ms=current.started_ms + _length_ms(turns),
+        vms=max(turn.peak_vms for turn in peaks[-4:]),
+    )
+
+
+def _successor(
+    turns: Sequence[Turn], pool: str, pools: set[str]
+) -> str | None:
+    for earlier, later in reversed(list(zip(turns, turns[1:]))):
+        if earlier.pool == pool:
+            return later.pool
+    seen = {turn.pool: turn.started_ms for turn in turns}
+    unseen = pools - set(seen)
+    if len(unseen) == 1:
+        return unseen.pop()
+    if unseen or len(seen) < 2:
+        return None
+    return min(seen, key=seen.__getitem__)
+
+
+def _length_ms(turns: Sequence[Turn]) -> float:
+    """Return the median length of the turns that have ended."""
+    starts = [turn.started_ms for turn in turns]
+    lengths = sorted(b - a for a, b in zip(starts, starts[1:]))
+    return lengths[len(lengths) // 2]
--- a/src/rosemarynotch/_internal/scheduling/policy/sizing.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/sizing.py
@@ -17,6 +17,9 @@
 # Headroom for demand that is not known yet: later steps and new jobs. It is
 # small because the estimate of arrivals is already on the high side.
 HEADROOM_FACTOR = 1.05
+# A pool without demand waits this long before it gets VMs up to its minimum:
+# at the first start its own VMs appear within this time.
+EMPTY_HOLD_S = 2.0
 # A surplus has to last this long before VMs move to the standby pool. Moving a
 # VM there and back costs as much as about 2.3 s of a VM in a pool. A queue
 # whose peak is over peaks again only after several other queues.
@@ -74,7 +77,13 @@
 
 
 class StaticSizer(PoolSizer):
-    """Leaves every VM in its pool (baseline)."""
+    """Leaves every VM in its pool (baseline).
+
+    :param is_first: ignored
+    """
+
+    def __init__(self, is_first: bool = False) -> None:
+        super().__init__()
 
     def desired_vms(self, pool):
         """Return the present number of VMs."""
@@ -99,6 +108,7 @@
     def __init__(self, is_first: bool = False) -> None:
         self._is_first = is_first
         self._needed_at_s: dict[str, float] = {}
+        self._empty_since_s: dict[str, float] = {}
 
     def desired_vms(self, pool):
         """Return the VMs for the demand, a forecast rise and some spare."""
@@ -121,7 +131,7 @@
         releasable: list[tuple[str, str]] = []
         for pool in serving:
             excess = pool.vm_count - self.desired_vms(pool)
-            if excess < 0:
+            if excess < 0 and not self._awaits_own_vms(pool, now_s):
                 shortages.append((-excess, pool))
             if excess <= 0:
                 self._needed_at_s[pool.name] = now_s
@@ -138,6 +148,14 @@
             spare = [(vm, standby.name) for vm in standby.idle_vms]
         return self._match(shortages, surplus + spare, releasable, standby)
 
+    def _awaits_own_vms(self, pool: PoolLoad, now_s: float) -> bool:
+        """Tell whether an empty pool without demand may wait for its VMs."""
+        if pool.vm_count or pool.demand_vms or pool.expected_vms:
+            self._empty_since_s.pop(pool.name, None)
+            return False
+        since_s = self._empty_since_s.setdefault(pool.name, now_s)
+        return now_s - since_s < EMPTY_HOLD_S
+
     @staticmethod
     def _match(shortages, sources, releasable, standby) -> list[Move]:
         """Fill the largest shortages first, then move VMs to standby.
--- a/tests/unit/test_scheduling_policies.py
+++ b/tests/unit/test_scheduling_policies.py
@@ -244,6 +244,27 @@
             self.assertEqual(wanted, DemandSizer().desired_vms(pool))
 
 
+class TestFirstStart(testtools.TestCase):
+    """Guards against moves that the first start of a fleet makes needless."""
+
+    def test_empty_pool_waits_for_its_own_vms(self):
+        """Guards against moves to pools whose VMs are just starting."""
+        pools = [
+            PoolLoad(
+                name=name,
+                is_standby=name == "s",
+                vm_count=count,
+                idle_vms=tuple(f"{name}{n}" for n in range(count)),
+                demand_vms=0.0,
+            )
+            for name, count in (("a", 0), ("s", 8))
+        ]
+        sizer = DemandSizer(is_first=True)
+        self.assertEqual([], sizer.plan(pools, 0.0))
+        self.assertEqual([], sizer.plan(pools, 1.0))
+        self.assertEqual(2, len(sizer.plan(pools, 2.0)))
+
+
 class TestWaves(testtools.TestCase):
     """Guards against maintenance that takes VMs with work needlessly."""
 
--- a/tests/unit/test_worst_load.py
+++ b/tests/unit/test_worst_load.py
@@ -59,7 +59,7 @@
                 now_ms = number * TURN_MS + tick
                 self._finish_moves(now_ms)
                 wanted = self._wanted(pool)
-                self._forecast.observe(wanted, now_ms)
+                self._forecast.observe(wanted, wanted, now_ms)
                 self._move(wanted, now_ms)
                 missing += max(0.0, wanted[pool] - self._vms[pool]) * TICK_MS
                 serving = FLEET_VMS - self._vms["s"]
