Settle unknown outcomes and spread callers over an outage

A job whose write had no answer was told as unknown after 0.8 s; its caller can then neither rely on it nor submit it again. It is tried again for three fifths of the caller's time.

--- a/src/rosemarynotch/_internal/scheduling/intake.py
+++ b/src/rosemarynotch/_internal/scheduling/intake.py
@@ -34,7 +34,7 @@
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
 from rosemarynotch._internal.utils.clock import Clock
 
-__all__ = ["JobIntake"]
+__all__ = ["JobIntake", "may_access"]
 
 # A transaction has at most 32 entries, and a job needs two of them.
 MAX_BATCH = 15
@@ -45,10 +45,12 @@
 LOAD_READ_INTERVAL_S = 0.5
 # Maximum age of counts that this node has made itself.
 COUNT_MAX_AGE_S = 1.0
-# A write that the store does not answer is repeated for this time. The last
-# attempt may add a time-out of the store (0.8 s), and callers should get their
-# answer within half of the 3 s that they wait.
+# A job that waits behind other writes, and was never sent, is then refused.
 SUBMIT_RETRY_TIME_S = 0.6
+# Share of the caller's waiting time in which a write without an answer is
+# repeated. The caller of such a job can neither be refused nor come back. The
+# last attempt may add a time-out of the store (0.8 s).
+UNKNOWN_RETRY_SHARE = 0.6
 # The platform allows 4 s for the answer to a cancellation.
 CANCEL_RETRY_TIME_S = 1.2
 RETRY_S = 0.05
@@ -65,6 +67,7 @@
     Each job is encoded before it is queued, so that a record that cannot be
     encoded or stored does not fail a whole batch.
 
+    :ivar settle_until_s: when repeating a write without an answer ends
     :ivar is_unknown: an earlier attempt had no answer and may have stored it
     """
 
@@ -72,6 +75,7 @@
     record: bytes
     configuration_revision: int
     retry_until_s: float
+    settle_until_s: float
     result: Future
     is_unknown: bool = False
 
@@ -128,14 +132,18 @@
                 f"{MAX_RECORD_BYTES} are allowed"
             )
             return JOB_TOO_LARGE.with_reason(reason)
-        retry_time_s = SUBMIT_RETRY_TIME_S
+        retry_time_s = settle_time_s = SUBMIT_RETRY_TIME_S
         if wait_ms:
-            retry_time_s = min(retry_time_s, wait_ms / 1000 * RETRY_TIME_SHARE)
+            wait_s = wait_ms / 1000
+            retry_time_s = min(retry_time_s, wait_s * RETRY_TIME_SHARE)
+            settle_time_s = max(retry_time_s, wait_s * UNKNOWN_RETRY_SHARE)
+        now_s = self._clock.monotonic_s()
         pending = _PendingJob(
             job_id,
             encoded,
             configuration_revision,
-            self._clock.monotonic_s() + retry_time_s,
+            now_s + retry_time_s,
+            now_s + settle_time_s,
             Future(),
         )
         self._queue.put(pending)
@@ -243,7 +251,7 @@
             each.is_unknown |= failure.ran is not Ran.NO
             if not each.is_unknown:
                 each.result.set_result(failure)
-            elif now_s >= each.retry_until_s:
+            elif now_s >= each.settle_until_s:
                 reason = failure.reason
                 each.result.set_result(ACCEPTANCE_UNKNOWN.with_reason(reason))
             else:
@@ -270,7 +278,7 @@
         if isinstance(progress, Failure) or not progress.phase.is_final:
             progress = self._progress(job_id)
         if not isinstance(progress, Failure):
-            if not _may_access(organisation, progress.organisation):
+            if not may_access(organisation, progress.organisation):
                 return JOB_UNKNOWN
             return progress.phase
         item = progress
@@ -298,7 +306,7 @@
         record = decode(item.value, SubmissionRecord)
         if isinstance(record, Failure):
             return record
-        if not _may_access(organisation, record.organisation):
+        if not may_access(organisation, record.organisation):
             return JOB_UNKNOWN.with_reason(job_id)
         return record
 
@@ -387,5 +395,6 @@
         return counts
 
 
-def _may_access(organisation: str | None, owner: str) -> bool:
+def may_access(organisation: str | None, owner: str) -> bool:
+    """Tell whether a caller may access a job of an organisation."""
     return organisation is None or not owner or organisation == owner
--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -33,6 +33,7 @@
 from rosemarynotch._internal.scheduling.policy.placement import StepPlacer
 from rosemarynotch._internal.scheduling.policy.rates import Arrival
 from rosemarynotch._internal.scheduling.policy.rates import ArrivalRates
+from rosemarynotch._internal.scheduling.policy.retry import outage_retry_s
 from rosemarynotch._internal.scheduling.policy.sizing import DemandSizer
 from rosemarynotch._internal.scheduling.policy.sizing import Move
 from rosemarynotch._internal.scheduling.policy.sizing import PoolLoad
@@ -64,6 +65,7 @@
     "NoPacing",
     "ObjectiveOrder",
     "OrderTimeout",
+    "outage_retry_s",
     "PaceChange",
     "PacePolicy",
     "Placement",
