Go on with known jobs while the store is away

The leader now goes on to start tasks of the jobs that it knows for at most 4 s, on workers whose lease lasts, if the store does not answer and the process was not suspended. It extends no lease, so that the next leader's count holds, stops nothing and orders no VM; a higher fence or an answer of the store ends it. Nodes that the store does not answer ask the leader by datagram whether a job is completed, while their list of keys is at most 2.5 s old.

A stopping leader writes changes for at most 0.3 s before it hands over. It wrote as long as there were any, and tasks that end bring new ones.

The policies of a leader are put together in wiring/policies.py and chosen by name for experiments (ROSEMARYNOTCH_POLICIES); the estimates of work and the requests for advice leave planner.py and controller.py.

--- a/src/rosemarynotch/_internal/scheduling/advice.py
+++ b/src/rosemarynotch/_internal/scheduling/advice.py
@@ -1,17 +1,21 @@
 """Caches tickets of the advice service, which are requested ahead."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import threading
 
 import attrs
 
+from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import Step
 from rosemarynotch._internal.scheduling.model import AdvicePolicy
 from rosemarynotch._internal.scheduling.policy import FreeCapacity
+from rosemarynotch._internal.scheduling.ports import Advisor
 from rosemarynotch._internal.scheduling.ports import Ticket
+from rosemarynotch._internal.utils.clock import Clock
 
-__all__ = ["AdviceCache", "AdviceRequest"]
+__all__ = ["AdviceCache", "AdviceRequest", "AdviceRequester"]
 
 # Most workers named in one call; each of them adds to the time of the call.
 MAX_WORKERS_PER_REQUEST = 30
@@ -21,6 +25,8 @@
 # Shortest time between two requests for the same step. It also delays the
 # retry of a refused or failed call.
 RETRY_S = 0.3
+# Interval at which an idle requester checks whether its term has ended.
+REQUEST_WAIT_S = 0.5
 
 StepKey = tuple[str, int, int]
 
@@ -135,3 +141,46 @@
 def _key(step: Step) -> StepKey:
     occurrence = step.occurrence
     return occurrence.job.job_id, occurrence.number, step.number
+
+
+class AdviceRequester:
+    """Asks the advice service for what the cache is missing.
+
+    :param is_running: returns whether the term lasts
+    :param post: queues a callback for the scheduling thread
+    """
+
+    def __init__(
+        self,
+        cache: AdviceCache,
+        advisor: Advisor,
+        clock: Clock,
+        is_running: Callable[[], bool],
+        post: Callable[[Callable[[float], None]], None],
+        log: Callable[..., None],
+    ) -> None:
+        self._cache = cache
+        self._advisor = advisor
+        self._clock = clock
+        self._is_running = is_running
+        self._post = post
+        self._log = log
+
+    def run(self) -> None:
+        """Send requests until the term ends."""
+        while self._is_running():
+            if not self._cache.has_requests.wait(REQUEST_WAIT_S):
+                continue
+            request = self._cache.next_request()
+            if request is None:
+                continue
+            requested_at_s = self._clock.monotonic_s()
+            job_id, occurrence, step = request.key
+            answer = self._advisor.advise(
+                job_id, occurrence, step, list(request.workers)
+            )
+            if isinstance(answer, Failure):
+                self._log("advice failed", job=job_id, why=answer.reason)
+                continue
+            self._cache.record_answer(request, answer, requested_at_s)
+            self._post(lambda now_s: None)
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -6,40 +6,32 @@
 import threading
 import traceback
 
-import attrs
-
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import RUN_FENCED
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.scheduling.advice import AdviceCache
+from rosemarynotch._internal.scheduling.advice import AdviceRequester
 from rosemarynotch._internal.scheduling.answer_losses import AnswerLosses
 from rosemarynotch._internal.scheduling.fleet_manager import FleetManager
 from rosemarynotch._internal.scheduling.fleet_manager import FleetTiming
 from rosemarynotch._internal.scheduling.intake_feed import IntakeFeed
+from rosemarynotch._internal.scheduling.leader_query import CompletedJob
 from rosemarynotch._internal.scheduling.leadership import Grant
 from rosemarynotch._internal.scheduling.leadership import Leadership
 from rosemarynotch._internal.scheduling.load_report import LoadReport
-from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.model import Configuration
 from rosemarynotch._internal.scheduling.order_sender import Command
 from rosemarynotch._internal.scheduling.order_sender import OrderSender
 from rosemarynotch._internal.scheduling.planner import Planner
-from rosemarynotch._internal.scheduling.policy import BestFit
-from rosemarynotch._internal.scheduling.policy import CycleForecast
-from rosemarynotch._internal.scheduling.policy import DemandSizer
-from rosemarynotch._internal.scheduling.policy import ObjectiveOrder
+from rosemarynotch._internal.scheduling.policies import ControllerPorts
+from rosemarynotch._internal.scheduling.policies import SchedulingPolicies
 from rosemarynotch._internal.scheduling.policy import OrderTimeout
-from rosemarynotch._internal.scheduling.policy import TailLatencyPacer
-from rosemarynotch._internal.scheduling.ports import Advisor
-from rosemarynotch._internal.scheduling.ports import CoordinationStore
-from rosemarynotch._internal.scheduling.ports import FleetService
-from rosemarynotch._internal.scheduling.ports import Item
-from rosemarynotch._internal.scheduling.ports import WorkerChannel
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
 from rosemarynotch._internal.scheduling.records import LOAD_KEY
 from rosemarynotch._internal.scheduling.records import LoadRecord
+from rosemarynotch._internal.scheduling.records import Phase
 from rosemarynotch._internal.scheduling.records import ROSTER_KEY
 from rosemarynotch._internal.scheduling.records import RosterRecord
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
@@ -49,12 +41,14 @@
 from rosemarynotch._internal.utils.clock import Clock
 from rosemarynotch._internal.utils.metrics import Metrics
 
-__all__ = ["Controller", "ControllerPorts"]
+__all__ = ["Controller"]
 
 # Lease on the runs of a worker. It must exceed the time of a leader change
 # (LEASE_TTL_MS of the leadership plus the start of the new leader), but be
 # short, as the tasks of an unreachable worker start elsewhere only after it.
 LEASE_S = 5.0
+# Without the store, tasks start only on workers whose lease lasts this long.
+MIN_DETACHED_LEASE_S = 2.0
 # A scheduling pass waits for events at most PASS_INTERVAL_S, and passes are at
 # least MIN_PASS_INTERVAL_S apart.
 PASS_INTERVAL_S = 0.05
@@ -69,33 +63,6 @@
 LIST_INTERVAL_S = 0.5
 MIN_LIST_INTERVAL_S = 0.1
 RETRY_S = 0.1
-ADVICE_WAIT_S = 0.5
-
-
-@attrs.frozen(kw_only=True)
-class ControllerPorts:
-    """External services of the leader, and codecs of their data.
-
-    :ivar workers_prefix: prefix of the workers' entries in the store
-    :ivar decode_worker: decodes a worker's entry
-    :ivar connect_worker: opens a channel to a worker; its second argument
-        returns how long an answer to an order is awaited
-    :ivar waves_prefix: prefix of maintenance waves in the store
-    :ivar wave_status_prefix: prefix of their status in the store
-    :ivar fleet: None if there is no VM service
-    :ivar advisor: None if there is no advice service
-    """
-
-    store: CoordinationStore
-    workers_prefix: str
-    decode_worker: Callable[[Item], WorkerEntry | Failure]
-    connect_worker: Callable[[WorkerEntry, Callable[[], float]], WorkerChannel]
-    waves_prefix: str
-    wave_status_prefix: str
-    decode_wave: Callable[[Item], Wave | Failure]
-    encode_wave_status: Callable[[bool], bytes]
-    fleet: FleetService | None = None
-    advisor: Advisor | None = None
 
 
 class Controller:
@@ -118,6 +85,7 @@
         metrics: Metrics,
         log: Callable[..., None],
         fleet_timing: FleetTiming,
+        policies: SchedulingPolicies,
         longest_lease_s: float = LEASE_S,
     ) -> None:
         self.grant = grant
@@ -136,10 +104,10 @@
         self.answer_losses = AnswerLosses()
         self.order_timeout = OrderTimeout()
         self.planner = Planner(
-            self.scheduler, ObjectiveOrder(), BestFit(), self.advice, log
+            self.scheduler, policies.order, policies.placer, self.advice, log
         )
-        self.forecast = CycleForecast()
-        self._pacer = TailLatencyPacer()
+        self._policies = policies
+        self.forecast = policies.make_forecast(())
         self._load_report = LoadReport(log)
         self._reconciled_at_s = 0.0
         self._feed: IntakeFeed | None = None
@@ -157,6 +125,28 @@
         """Return whether the term lasts, so that orders may be given."""
         return not self.stop.is_set() and self.leadership.holds(self.grant)
 
+    @property
+    def is_detached(self) -> bool:
+        """Return whether the term has ended as the store does not answer.
+
+        Then tasks may still be started, but nothing else may be ordered.
+        """
+        return not self.stop.is_set() and self.leadership.is_detached(
+            self.grant
+        )
+
+    @property
+    def may_start(self) -> bool:
+        """Return whether tasks may be started."""
+        return self.is_running or self.is_detached
+
+    def find_completed(self, job_id: str) -> CompletedJob | None:
+        """Return a job if all its tasks are done, written or not."""
+        job = self.scheduler.jobs.get(job_id)
+        if job is None or job.phase is not Phase.COMPLETED:
+            return None
+        return CompletedJob(job_id, job.submission.organisation)
+
     def record_hint(self, keys: Iterable[str]) -> None:
         """Pass a hint about written intake keys to the intake feed."""
         if self._feed is not None:
@@ -187,13 +177,25 @@
         self._start_thread(self._follow_workers, "worker-list")
         self._start_thread(self.writer.run, "progress-writer")
         if self.ports.fleet is not None:
-            sizer = DemandSizer(is_first=self.grant.term == 1)
+            sizer = self._policies.make_sizer(self.grant.term == 1)
             manager = FleetManager(self, sizer, self._fleet_timing)
             self._start_thread(manager.run, "fleet")
         if self.ports.advisor is not None:
-            self._start_thread(self._request_advice, "advice")
+            requester = AdviceRequester(
+                self.advice,
+                self.ports.advisor,
+                self.clock,
+                lambda: self.is_running,
+                self.post,
+                self.log,
+            )
+            self._start_thread(requester.run, "advice")
         while self.is_running:
             self._pass()
+        if self.is_detached:
+            self.log("leading without the store", term=self.grant.term)
+        while self.is_detached:
+            self._pass()
 
     def _guard(self, target: Callable[[], None]) -> None:
         """Run a thread's function; an unexpected error ends the term.
@@ -273,22 +275,32 @@
             link = self._links.pop(worker_id, None)
             if link is not None:
                 link.close()
+        wall_ms = self.clock.wall_s() * 1000
         if not self.is_running:
-            return []
+            if not self.is_detached:
+                return []
+            return list(
+                self.planner.place(now_s, wall_ms, MIN_DETACHED_LEASE_S)
+            )
         commands: list[Command] = []
         if now_s - self._reconciled_at_s >= RECONCILE_INTERVAL_S:
             self._reconciled_at_s = now_s
             commands += self.planner.reconcile_runs(now_s)
-        wall_ms = self.clock.wall_s() * 1000
         commands += self.planner.place(now_s, wall_ms)
         workers = list(scheduler.workers.values())
-        for change in self._pacer.plan(workers, now_s):
+        for change in self._policies.pacer.plan(workers, now_s):
             change.run.pace_percent = change.percent
             commands.append(change)
         return commands
 
     def extend_lease(self, worker: Worker, clock: WorkerClock) -> int:
-        """Extend a worker's lease; return its end on the worker's clock."""
+        """Extend a worker's lease; return its end on the worker's clock.
+
+        A leader that is detached does not extend it: the next leader counts
+        on its end.
+        """
+        if not self.is_running:
+            return worker.lease_until_ms
         until_ms = clock.lease_end_ms(self.clock.monotonic_s(), LEASE_S)
         # Recorded before the order is sent, as an order without an answer may
         # still be carried out.
@@ -343,7 +355,7 @@
         if isinstance(load, Failure):
             self.log("load refused", why=load.reason)
             return
-        self.forecast = CycleForecast(load.turns)
+        self.forecast = self._policies.make_forecast(load.turns)
 
     def _follow_workers(self) -> None:
         while self.is_running:
@@ -386,21 +398,3 @@
         """Notify the links that run ends have been persisted."""
         for link in list(self._links.values()):
             link.notify()
-
-    def _request_advice(self) -> None:
-        while self.is_running:
-            if not self.advice.has_requests.wait(ADVICE_WAIT_S):
-                continue
-            request = self.advice.next_request()
-            if request is None:
-                continue
-            requested_at_s = self.clock.monotonic_s()
-            job_id, occurrence, step = request.key
-            answer = self.ports.advisor.advise(
-                job_id, occurrence, step, list(request.workers)
-            )
-            if isinstance(answer, Failure):
-                self.log("advice failed", job=job_id, why=answer.reason)
-                continue
-            self.advice.record_answer(request, answer, requested_at_s)
-            self.post(lambda now_s: None)
--- a/src/rosemarynotch/_internal/scheduling/hints.py
+++ b/src/rosemarynotch/_internal/scheduling/hints.py
@@ -15,6 +15,8 @@
 
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.leader_query import CompletedJob
+from rosemarynotch._internal.scheduling.leader_query import JobQuery
 from rosemarynotch._internal.scheduling.records import CANCELLATIONS_PREFIX
 from rosemarynotch._internal.scheduling.records import JOBS_PREFIX
 
@@ -80,7 +82,11 @@
 class HintReceiver:
     """Receives hints on a UDP port.
 
+    It also answers queries of other nodes about jobs.
+
     :param on_keys: called with the valid keys of each hint
+    :param find_completed: returns a job if this node knows that it is
+        completed
     """
 
     def __init__(
@@ -89,8 +95,12 @@
         port: int,
         on_keys: Callable[[Iterable[str]], None],
         log: Callable[..., None],
+        find_completed: Callable[[str], CompletedJob | None] = (
+            lambda job_id: None
+        ),
     ) -> None:
         self._on_keys = on_keys
+        self._find_completed = find_completed
         self._log = log
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, port))
@@ -104,16 +114,30 @@
         """Receive hints until the process stops."""
         while not stop.is_set():
             try:
-                data, _ = self._socket.recvfrom(MAX_BYTES)
+                data, sender = self._socket.recvfrom(MAX_BYTES)
             except OSError as error:
                 self._log("hint not received", why=str(error))
                 stop.wait(RETRY_S)
                 continue
-            hint = decode(data, Hint)
-            if isinstance(hint, Hint):
-                keys = hint.keys[:MAX_KEYS]
-                self._on_keys(
-                    [key for key in keys if KEY_PATTERN.fullmatch(key)]
-                )
-            else:
-                self._log("hint refused", why=hint.reason)
+            self._handle(data, sender)
+
+    def _handle(self, data: bytes, sender: tuple[str, int]) -> None:
+        query = decode(data, JobQuery)
+        if isinstance(query, JobQuery):
+            self._answer(query.asked_job, sender)
+            return
+        hint = decode(data, Hint)
+        if isinstance(hint, Hint):
+            keys = hint.keys[:MAX_KEYS]
+            self._on_keys([key for key in keys if KEY_PATTERN.fullmatch(key)])
+        else:
+            self._log("hint refused", why=hint.reason)
+
+    def _answer(self, job_id: str, sender: tuple[str, int]) -> None:
+        found = self._find_completed(job_id)
+        if found is None:
+            return
+        try:
+            self._socket.sendto(encode(found), sender)
+        except OSError as error:
+            self._log("query not answered", why=str(error))
--- a/src/rosemarynotch/_internal/scheduling/leadership.py
+++ b/src/rosemarynotch/_internal/scheduling/leadership.py
@@ -26,6 +26,15 @@
 RENEW_INTERVAL_S = 0.2
 # The leader stops giving orders this long before its lease can expire.
 SAFETY_MARGIN_S = 0.2
+# A leader that the store does not answer goes on with the jobs that it knows
+# for at most this time after its lease. It is below the leases on workers,
+# which it no longer extends.
+DETACHED_S = 4.0
+# A renewal without an answer for this time counts as a silent store.
+SILENT_RENEWAL_S = 0.3
+# The permission is checked far more often. After a longer gap the process was
+# suspended, and the store may have answered another node meanwhile.
+MAX_CHECK_GAP_S = 0.5
 WATCH_MS = 2000
 RETRY_S = 0.2
 # Election delay of a node that has not led before. The previous leader goes
@@ -89,6 +98,11 @@
         self._lock = threading.Lock()
         self._valid_until_s = 0.0
         self._grant: Grant | None = None
+        self._is_store_silent = False
+        self._renewing_since_s: float | None = None
+        self._checked_at_s = 0.0
+        self._detached: Grant | None = None
+        self._detached_until_s = 0.0
         self._resigned = threading.Event()
 
     @property
@@ -121,9 +135,11 @@
         must not let the remaining threads continue without it.
         """
         with self._lock:
+            last_check_s = self._checked_at_s
+            self._checked_at_s = self._clock.monotonic_s()
             if self._grant is not grant or self._is_valid():
                 return self._grant is grant
-            self._grant = None
+            self._end_unrenewed(grant, last_check_s)
         self._log(
             "leadership lost",
             term=grant.term,
@@ -131,8 +147,36 @@
         )
         return False
 
+    def _end_unrenewed(self, grant: Grant, last_check_s: float) -> None:
+        """End a grant that was not renewed; detach if the store is silent.
+
+        :param last_check_s: when the grant was last found valid
+        """
+        self._grant = None
+        now_s = self._clock.monotonic_s()
+        since_s = self._renewing_since_s
+        is_silent = self._is_store_silent or (
+            since_s is not None and now_s - since_s >= SILENT_RENEWAL_S
+        )
+        if is_silent and now_s - last_check_s <= MAX_CHECK_GAP_S:
+            self._detached, self._detached_until_s = grant, now_s + DETACHED_S
+
+    def is_detached(self, grant: Grant) -> bool:
+        """Tell whether tasks may still be started under an ended grant.
+
+        This holds for a short time if the grant ended because the store did
+        not answer. In an outage, no other node leads. If another node does
+        lead, the fences of the workers that it has asked for their runs
+        refuse this node, and it starts none of the inherited tasks before it
+        has asked them. Nothing else may be done under such a grant.
+        """
+        now_s = self._clock.monotonic_s()
+        return self._detached is grant and now_s < self._detached_until_s
+
     def step_down(self, grant: Grant, why: str) -> None:
         """End a grant, for example after a worker has seen a higher fence."""
+        if self._detached is grant:
+            self._detached = None
         if self._grant is grant:
             self._grant = None
             self._log("leadership lost", term=grant.term, why=why)
@@ -141,6 +185,7 @@
         """End the leadership for good before a planned stop."""
         self._resigned.set()
         grant, self._grant = self._grant, None
+        self._detached = None
         if grant is not None:
             self._store.end_lease(grant.lease_id)
             self._log("leadership handed over", term=grant.term)
@@ -172,15 +217,20 @@
 
     def _renew(self, grant: Grant) -> None:
         requested_at_s = self._clock.monotonic_s()
+        self._renewing_since_s = requested_at_s
         failure = self._store.renew_lease(grant.lease_id)
+        self._renewing_since_s = None
+        self._is_store_silent = failure is not None and not failure.is_a(
+            LEASE_LOST
+        )
         if failure is None:
             with self._lock:
                 if self._grant is grant:
                     self._extend(requested_at_s)
         elif failure.is_a(LEASE_LOST):
             self.step_down(grant, "the store reports that the lease has ended")
-        elif not self._is_valid():
-            self.step_down(grant, f"lease not renewed: {failure.reason}")
+        else:
+            self.holds(grant)
 
     def _extend(self, requested_at_s: float) -> None:
         self._valid_until_s = (
@@ -193,7 +243,11 @@
         :returns: False if the store did not answer
         """
         item = self._store.get(LEADER_KEY)
-        if isinstance(item, Failure) and item.is_a(STORE_KEY_MISSING):
+        is_missing = isinstance(item, Failure) and item.is_a(STORE_KEY_MISSING)
+        if is_missing or not isinstance(item, Failure):
+            # The store answers, so what happens next is decided there.
+            self._detached = None
+        if is_missing:
             self._clock.sleep(self._current_delay_s())
             return self._acquire(None)
         if isinstance(item, Failure):
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -98,7 +98,7 @@
         :returns: whether it was sent and had no answer
         """
         link = self._controller.link(command.worker.worker_id)
-        if link is None or not self._controller.is_running:
+        if link is None or not self._is_permitted(command):
             return False
         if not self._is_needed(command):
             return False
@@ -119,6 +119,11 @@
             self._post_failure(command, failure)
             return True
 
+    def _is_permitted(self, command: Command) -> bool:
+        if isinstance(command, StartCommand):
+            return self._controller.may_start
+        return self._controller.is_running
+
     def _is_needed(self, command: Command) -> bool:
         """Check a command against the present state, right before it is sent.
 
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -6,7 +6,6 @@
 
 from rosemarynotch._internal.scheduling.advice import AdviceCache
 from rosemarynotch._internal.scheduling.jobs import Job
-from rosemarynotch._internal.scheduling.jobs import Occurrence
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.jobs import Step
@@ -21,6 +20,7 @@
 from rosemarynotch._internal.scheduling.policy import StepPlacer
 from rosemarynotch._internal.scheduling.policy import Urgency
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
+from rosemarynotch._internal.scheduling.work_estimates import WorkEstimates
 from rosemarynotch._internal.scheduling.workers import Worker
 
 __all__ = ["Planner", "StartCommand", "StopCommand"]
@@ -76,20 +76,6 @@
     worker: Worker
 
 
-@attrs.frozen(kw_only=True)
-class _RemainingWork:
-    """Cached estimate of a job's work; valid until one of its tasks ends.
-
-    :ivar key: occurrence and number of completed tasks that it is valid for
-    :ivar path_ms: run time of the longest chain of all steps
-    """
-
-    key: tuple[int, int]
-    path_ms: float
-    remaining_ms: float
-    remaining_core_ms: float
-
-
 class Planner:
     """Plans starts and stops of runs from the scheduler's state.
 
@@ -110,7 +96,7 @@
         self._placer = placer
         self._advice = advice
         self._log = log
-        self._work_by_job: dict[str, _RemainingWork] = {}
+        self._work = WorkEstimates(scheduler.durations)
         self._fair_millicores = 0.0
 
     # Runs that have to stop, or whose start is unconfirmed.
@@ -164,10 +150,19 @@
 
     # New runs.
 
-    def place(self, now_s: float, wall_ms: float) -> list[StartCommand]:
-        """Return the starts of waiting tasks of all pools."""
+    def place(
+        self, now_s: float, wall_ms: float, min_lease_s: float = 0.0
+    ) -> list[StartCommand]:
+        """Return the starts of waiting tasks of all pools.
+
+        :param min_lease_s: if it is not 0, leases are not extended at present;
+            tasks start only on workers with a lease of this length, and
+            long-running ones do not
+        """
         pools: dict[str, list[Job]] = {}
         for job in self._scheduler.active.values():
+            if min_lease_s and job.is_long_running:
+                continue
             pool = self._scheduler.queue_of(job).pool
             pools.setdefault(pool, []).append(job)
         self._fair_millicores = self._fair_share()
@@ -177,7 +172,9 @@
             free = [
                 FreeCapacity.of(worker)
                 for worker in self._scheduler.workers.values()
-                if worker.entry.pool == pool and worker.accepts_work(now_s)
+                if worker.entry.pool == pool
+                and worker.accepts_work(now_s)
+                and worker.lease_left_s(now_s) >= min_lease_s
             ]
             if free:
                 commands += self._place_pool(
@@ -225,7 +222,7 @@
         )
         if job.is_scheduled:
             accepted_ms = max(accepted_ms, occurrence.due_unix_ms)
-        work = self._remaining_work(job, queue.name, occurrence)
+        work = self._work.remaining(job, queue.name, occurrence)
         limit_ms = queue.objective_ms(work.path_ms)
         return Candidate(
             job_id=job.job_id,
@@ -246,50 +243,9 @@
         urgency = self.candidate(job, wall_ms).urgency(wall_ms)
         return urgency is not Urgency.TOO_LATE
 
-    def _remaining_work(
-        self, job: Job, queue: str, occurrence: Occurrence
-    ) -> "_RemainingWork":
-        """Return the remaining work, recalculated when a task has ended."""
-        done = sum(step.done_count for step in occurrence.steps)
-        cached = self._work_by_job.get(job.job_id)
-        if cached is not None and cached.key == (occurrence.number, done):
-            return cached
-        work = _RemainingWork(
-            key=(occurrence.number, done),
-            path_ms=self._path_ms(queue, occurrence, all_steps=True),
-            remaining_ms=self._path_ms(queue, occurrence, all_steps=False),
-            remaining_core_ms=sum(
-                (len(step.tasks) - step.done_count)
-                * step.spec.size.cpu_millicores
-                / 1000
-                * step.spec.estimated_ms
-                for step in occurrence.steps
-            ),
-        )
-        self._work_by_job[job.job_id] = work
-        return work
-
     def forget(self, job_id: str) -> None:
         """Drop the cached estimate of a job."""
-        self._work_by_job.pop(job_id, None)
-
-    def _path_ms(
-        self, queue: str, occurrence: Occurrence, *, all_steps: bool
-    ) -> float:
-        """Return the expected run time of the longest chain of steps.
-
-        :param all_steps: include the steps that are done
-        """
-        ends: list[float] = []
-        for step in occurrence.steps:
-            start_ms = max((ends[n] for n in step.spec.after), default=0.0)
-            step_ms = 0.0
-            if all_steps or not step.is_done:
-                step_ms = self._scheduler.durations.expected_ms(
-                    queue, step.spec.estimated_ms
-                )
-            ends.append(start_ms + step_ms)
-        return max(ends, default=0.0)
+        self._work.forget(job_id)
 
     def start_delays_ms(self, wall_ms: float) -> dict[str, int]:
         """Return a lower bound of the wait of a new job, by queue.
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -37,6 +37,8 @@
 # A transaction removes three keys of each job and has one condition.
 MAX_REMOVED_JOBS = 10
 RETRY_S = 0.05
+# A stopping leader hands over after writing changes for at most this time.
+FLUSH_TIME_S = 0.3
 
 
 class ProgressWriter:
@@ -109,9 +111,17 @@
                     controller.planner.forget(job.job_id)
 
     def flush(self) -> None:
-        """Write all pending changes before a planned stop."""
-        while self._controller.is_running and (
-            self._controller.scheduler.dirty
+        """Write the pending changes before a planned stop.
+
+        Tasks go on meanwhile, so there may always be new changes. The next
+        leader learns of them from the workers.
+        """
+        controller = self._controller
+        until_s = controller.clock.monotonic_s() + FLUSH_TIME_S
+        while (
+            controller.is_running
+            and controller.scheduler.dirty
+            and controller.clock.monotonic_s() < until_s
         ):
             if not self._write():
                 return
--- a/src/rosemarynotch/_internal/scheduling/worker_link.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_link.py
@@ -64,7 +64,7 @@
 
     def run(self) -> None:
         """Request reports until the link is closed or the term ends."""
-        while self._controller.is_running and not self._closed:
+        while self._controller.may_start and not self._closed:
             self._request_report()
         self.channel.close()
 
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -186,6 +186,11 @@
         """Return the clock reading of the newest report applied."""
         return WorkerClock(self.clock_ms, self.clock_requested_at_s)
 
+    def lease_left_s(self, now_s: float) -> float:
+        """Return how long its longest lease lasts, 0 if it has none."""
+        clock_ms = self.clock.lease_end_ms(now_s, 0.0)
+        return max(0.0, (self.lease_until_ms - clock_ms) / 1000)
+
     def lease_bound_s(self, longest_lease_s: float) -> float:
         """Return when all leases have expired if no order extends them.
 
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -26,14 +26,17 @@
 from rosemarynotch._internal.platform.settings import NodeSettings
 from rosemarynotch._internal.scheduling.config_feed import ConfigFeed
 from rosemarynotch._internal.scheduling.controller import Controller
-from rosemarynotch._internal.scheduling.controller import ControllerPorts
 from rosemarynotch._internal.scheduling.fleet_manager import FleetTiming
 from rosemarynotch._internal.scheduling.hints import HintReceiver
 from rosemarynotch._internal.scheduling.hints import HintSender
 from rosemarynotch._internal.scheduling.intake import JobIntake
 from rosemarynotch._internal.scheduling.job_api import JobApi
+from rosemarynotch._internal.scheduling.leader_query import CompletedJob
+from rosemarynotch._internal.scheduling.leader_query import LeaderQuery
 from rosemarynotch._internal.scheduling.leadership import Grant
 from rosemarynotch._internal.scheduling.leadership import Leadership
+from rosemarynotch._internal.scheduling.policies import ControllerPorts
+from rosemarynotch._internal.scheduling.policies import SchedulingPolicies
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.probes import MetricsApp
 from rosemarynotch._internal.scheduling.probes import ReadinessApp
@@ -46,6 +49,8 @@
 from rosemarynotch._internal.utils.machine_speed import SAMPLE_INTERVAL_S
 from rosemarynotch._internal.utils.metrics import Metrics
 from rosemarynotch._internal.utils.suspension import SuspensionClock
+from rosemarynotch._internal.wiring.policies import choose_policies
+from rosemarynotch._internal.wiring.policies import POLICIES_VARIABLE
 
 __all__ = ["Node", "run_node"]
 
@@ -90,8 +95,11 @@
 class Node:
     """Creates, starts and stops all components of a node process."""
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(
+        self, settings: NodeSettings, policies: SchedulingPolicies
+    ) -> None:
         self._settings = settings
+        self._policies = policies
         self._stop = threading.Event()
         self._settings_event = threading.Event()
         self._clock = SuspensionClock()
@@ -107,6 +115,7 @@
             settings.metrics_port,
             self._forward_hint,
             self._log,
+            self._find_completed,
         )
         self._config_feed = ConfigFeed(
             self._store(STORE_TIMEOUT_S),
@@ -132,6 +141,9 @@
             self._clock,
             self._metrics,
             self._log,
+            LeaderQuery(
+                lambda: self._leadership.hint_address(), self._find_completed
+            ),
         )
         self._leadership = Leadership(
             self._store(LEASE_CALL_TIMEOUT_S),
@@ -187,6 +199,11 @@
         if self._controller is not None:
             self._controller.record_hint(keys)
 
+    def _find_completed(self, job_id: str) -> CompletedJob | None:
+        if self._controller is None:
+            return None
+        return self._controller.find_completed(job_id)
+
     def _sample_speed(self, stop: threading.Event) -> None:
         while not stop.wait(SAMPLE_INTERVAL_S):
             self._speed.sample()
@@ -281,6 +298,7 @@
                     + HOLDER_INTERVAL_MARGIN_S,
                     maintenance_s=self._settings.maintenance_s,
                 ),
+                self._policies,
             )
             self._controller.run()
 
@@ -371,4 +389,5 @@
 
 def run_node() -> int:
     """Run a node with the settings of its file; return the exit status."""
-    return Node(load_settings()).run()
+    policies = choose_policies(os.environ.get(POLICIES_VARIABLE, ""))
+    return Node(load_settings(), policies).run()
--- a/tests/unit/test_leader_choice.py
+++ b/tests/unit/test_leader_choice.py
@@ -5,6 +5,7 @@
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.leadership import DETACHED_S
 from rosemarynotch._internal.scheduling.leadership import Leadership
 from rosemarynotch._internal.scheduling.leadership import MIN_TERM_S
 from rosemarynotch._internal.scheduling.leadership import SLOW_NODE_DELAY_S
@@ -158,6 +159,102 @@
         self.assertLess(self.acquire(), first_s)
 
 
+class DetachedTest(LeaderChoiceTest):
+    """Guards against tasks started under a permission that has run out.
+
+    A leader that the store does not answer goes on with its jobs for a short
+    time, and only for that reason.
+    """
+
+    def lose_store(self):
+        """Let the lease run out while the store does not answer."""
+        self.acquire()
+        grant = self.leadership.grant
+        self.store.is_down = True
+        for _ in range(8):
+            self.clock.sleep(0.25)
+            self.leadership._renew(grant)
+            self.leadership.holds(grant)
+        self.assertIsNone(self.leadership.grant)
+        return grant
+
+    def test_renewal_under_way(self):
+        """Guards against a stop while the renewal still awaits its answer.
+
+        The lease ends before a call to a silent store has timed out.
+        """
+        self.acquire()
+        grant = self.leadership.grant
+
+        def renew(lease_id):
+            for _ in range(6):
+                self.clock.sleep(0.25)
+                self.leadership.holds(grant)
+            return STORE_UNAVAILABLE
+
+        self.store.renew_lease = renew
+        self.leadership._renew(grant)
+        self.assertIsNone(self.leadership.grant)
+        self.assertTrue(self.leadership.is_detached(grant))
+
+    def test_suspended_during_a_renewal(self):
+        """Guards against starts by a process that was suspended meanwhile."""
+        self.acquire()
+        grant = self.leadership.grant
+        self.leadership.holds(grant)
+
+        def renew(lease_id):
+            self.clock.sleep(5.0)
+            self.leadership.holds(grant)
+            return STORE_UNAVAILABLE
+
+        self.store.renew_lease = renew
+        self.leadership._renew(grant)
+        self.assertFalse(self.leadership.is_detached(grant))
+
+    def test_outage(self):
+        """Guards against jobs that stand still while the store is away."""
+        grant = self.lose_store()
+        self.assertFalse(self.leadership.holds(grant))
+        self.assertTrue(self.leadership.is_detached(grant))
+
+    def test_limited_time(self):
+        """Guards against starts after the leases on the workers."""
+        grant = self.lose_store()
+        self.clock.sleep(DETACHED_S)
+        self.assertFalse(self.leadership.is_detached(grant))
+
+    def test_suspended_process(self):
+        """Guards against starts by a process that was suspended.
+
+        Its lease ran out although the store answered, so another node leads.
+        """
+        self.acquire()
+        grant = self.leadership.grant
+        self.clock.sleep(5.0)
+        self.assertFalse(self.leadership.holds(grant))
+        self.assertFalse(self.leadership.is_detached(grant))
+
+    def test_store_answers_again(self):
+        """Guards against two leaders once the store can be reached."""
+        grant = self.lose_store()
+        self.store.leader = Item(
+            key=LEADER_KEY,
+            revision=10,
+            value=encode(
+                LeaderRecord(node="m", ip="other", incarnation="i", term=2)
+            ),
+        )
+        self.leadership._try_acquire()
+        self.assertFalse(self.leadership.is_detached(grant))
+
+    def test_higher_fence(self):
+        """Guards against starts after a worker has seen another leader."""
+        grant = self.lose_store()
+        self.leadership.step_down(grant, "a worker has a higher fence")
+        self.assertFalse(self.leadership.is_detached(grant))
+
+
 class MachineSpeedTest(testtools.TestCase):
     """Guards against missing a slow machine or taking load for slowness."""
 
--- /dev/null
+++ b/tests/unit/test_leader_query.py
@@ -0,0 +1,150 @@
+"""Tests of starts and of job states while the store does not answer."""
+
+import threading
+import types
+from unittest import mock
+
+import testtools
+
+from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
+from rosemarynotch._internal.scheduling.controller import Controller
+from rosemarynotch._internal.scheduling.hints import HintReceiver
+from rosemarynotch._internal.scheduling.job_api import CallerRequest
+from rosemarynotch._internal.scheduling.job_api import JobApi
+from rosemarynotch._internal.scheduling.leader_query import CompletedJob
+from rosemarynotch._internal.scheduling.leader_query import LeaderQuery
+from rosemarynotch._internal.scheduling.model import Configuration
+from rosemarynotch._internal.scheduling.records import Phase
+from tests.lib.scheduling import job_spec
+from tests.lib.scheduling import Leader
+from tests.lib.scheduling import QUEUE
+from tests.lib.scheduling import step
+
+HOST = "127.0.0.1"
+JOB_ID = "0123456789abcdef"
+DONE = CompletedJob(JOB_ID, "o")
+
+
+def no_log(event, **fields):
+    """Write no log."""
+
+
+class QueryTest(testtools.TestCase):
+    """Guards against wrong or missing answers between nodes."""
+
+    def setUp(self):
+        super().setUp()
+        self.known = {JOB_ID: DONE}
+        receiver = HintReceiver(
+            HOST, 0, lambda keys: None, no_log, self.known.get
+        )
+        stop = threading.Event()
+        self.addCleanup(stop.set)
+        threading.Thread(
+            target=receiver.run, args=(stop,), daemon=True
+        ).start()
+        self.leader = (HOST, receiver.port)
+
+    def query(self, leader="default", local=None):
+        address = self.leader if leader == "default" else leader
+        return LeaderQuery(lambda: address, lambda job_id: local)
+
+    def test_leader_knows_the_job(self):
+        """Guards against a job that only the leader knows as completed."""
+        for _ in range(50):
+            if self.query().ask(JOB_ID) == DONE:
+                return
+        self.fail("no answer to 50 queries")
+
+    def test_other_jobs_have_no_answer(self):
+        """Guards against a state that nobody confirmed."""
+        self.assertIsNone(self.query().ask("f" * 16))
+        self.assertIsNone(self.query(leader=None).ask(JOB_ID))
+
+    def test_answer_about_another_job_is_ignored(self):
+        """Guards against late answers that are read for another query."""
+        self.known["f" * 16] = DONE
+        self.assertIsNone(self.query().ask("f" * 16))
+
+    def test_leading_node_asks_itself(self):
+        """Guards against a leader that cannot answer its own callers."""
+        self.assertEqual(DONE, self.query(leader=None, local=DONE).ask(JOB_ID))
+
+
+class PhaseTest(testtools.TestCase):
+    """Guards against finished jobs that nobody can see in an outage."""
+
+    def phase(self, organisation="o", age_s=1.0, stored=STORE_UNAVAILABLE):
+        """Return the phase that a node shows for a job that is done."""
+        feed = types.SimpleNamespace(
+            contact_age_s=lambda: age_s, is_failing=True
+        )
+        api = JobApi(
+            feed,
+            types.SimpleNamespace(phase=lambda job_id, organisation: stored),
+            types.SimpleNamespace(monotonic_s=lambda: 1000.0),
+            mock.MagicMock(),
+            no_log,
+            types.SimpleNamespace(ask=lambda job_id: DONE),
+        )
+        request = CallerRequest(
+            configuration=Configuration(version=1, revision=1),
+            queue=QUEUE,
+            host="h",
+            path="/q/",
+            key="k",
+            organisation=organisation,
+            wait_ms=3000,
+        )
+        return api.phase(request, JOB_ID)
+
+    def test_completed_job_is_shown(self):
+        """Guards against callers that wait for the store to return."""
+        self.assertIs(Phase.COMPLETED, self.phase())
+
+    def test_foreign_job_is_not_shown(self):
+        """Guards against access to the jobs of another organisation."""
+        self.assertTrue(self.phase("other").is_a(STORE_UNAVAILABLE))
+
+    def test_withdrawn_key(self):
+        """Guards against a key that may have been withdrawn meanwhile."""
+        self.assertTrue(self.phase(age_s=2.6).is_a(STORE_UNAVAILABLE))
+
+
+class DetachedStartsTest(testtools.TestCase):
+    """Guards against starts that the next leader does not expect.
+
+    It counts on the end of all leases that the former leader granted while it
+    held its own.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.leader = Leader()
+        self.leader.add_workers("w1", "w2")
+        for name, left_ms in (("w1", 3000), ("w2", 1000)):
+            worker = self.leader.scheduler.workers[name]
+            worker.lease_until_ms = worker.clock_ms + left_ms
+
+    def place(self):
+        return self.leader.planner.place(self.leader.now_s, 1e6, 2.0)
+
+    def test_only_workers_with_a_lease(self):
+        """Guards against tasks that are killed before they are done."""
+        self.leader.submit("j1", job_spec(step(4)))
+        started = {each.worker.worker_id for each in self.place()}
+        self.assertEqual({"w1"}, started)
+
+    def test_no_long_running_tasks(self):
+        """Guards against tasks that surely outlive the lease."""
+        self.leader.submit("j1", job_spec(step(1, long_running=True)))
+        self.assertEqual([], self.place())
+
+    def test_leases_are_not_extended(self):
+        """Guards against runs that outlast what the next leader assumes."""
+        worker = self.leader.scheduler.workers["w1"]
+        before_ms = worker.lease_until_ms
+        controller = types.SimpleNamespace(is_running=False)
+        until_ms = Controller.extend_lease(controller, worker, worker.clock)
+        self.assertEqual(before_ms, until_ms)
+        self.assertEqual(before_ms, worker.lease_until_ms)
--- a/tests/unit/test_leading.py
+++ b/tests/unit/test_leading.py
@@ -5,21 +5,24 @@
 """
 
 import threading
+from unittest import mock
 
 import testtools
 
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.scheduling.controller import Controller
-from rosemarynotch._internal.scheduling.controller import ControllerPorts
 from rosemarynotch._internal.scheduling.fleet_manager import FleetTiming
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.leadership import Leadership
 from rosemarynotch._internal.scheduling.order_sender import OrderSender
+from rosemarynotch._internal.scheduling.policies import ControllerPorts
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
 from rosemarynotch._internal.scheduling.ports import Listing
+from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
 from rosemarynotch._internal.utils.clock import SystemClock
 from rosemarynotch._internal.utils.metrics import Metrics
+from rosemarynotch._internal.wiring.policies import choose_policies
 from tests.lib.scheduling import Leader
 
 
@@ -92,6 +95,7 @@
             Metrics(),
             self.log,
             FleetTiming(holder_interval_s=0.0, maintenance_s=0.0),
+            choose_policies(),
         )
 
     def test_unexpected_error_ends_the_term(self):
@@ -144,6 +148,28 @@
         posted[0](1000.0)
         self.assertIs(RunPhase.UNCONFIRMED, command.run.phase)
 
+    def test_stopping_leader_hands_over_while_jobs_change(self):
+        """Guards against a stop that waits as long as tasks end.
+
+        The leader wrote changes until there were none before it handed over,
+        and each write brought new ones.
+        """
+        controller = mock.MagicMock(is_running=True)
+        controller.clock.monotonic_s = mock.Mock(
+            side_effect=(0.1 * n for n in range(1000))
+        )
+        controller.scheduler.dirty = {"j1": object()}
+        writer = ProgressWriter(controller)
+        writes = []
+
+        def write():
+            writes.append(1)
+            return len(writes) < 100
+
+        writer._write = write
+        writer.flush()
+        self.assertLess(len(writes), 5)
+
     def test_late_renewal_does_not_revive_a_term(self):
         """Guards against a leader that continues without some of its threads.
 
--- a/tests/unit/test_operator_faults.py
+++ b/tests/unit/test_operator_faults.py
@@ -70,7 +70,10 @@
             channel=types.SimpleNamespace(start=lambda *a: sent.append(a))
         )
         controller = types.SimpleNamespace(
-            is_running=False, link=lambda worker_id: link, log=no_log
+            is_running=False,
+            may_start=False,
+            link=lambda worker_id: link,
+            log=no_log,
         )
         OrderSender(controller).send(command)
         self.assertEqual([], sent)
--- a/tests/unit/test_worker_link.py
+++ b/tests/unit/test_worker_link.py
@@ -43,7 +43,7 @@
         self.clock = types.SimpleNamespace(monotonic_s=lambda: 1000.0)
         self.grant = types.SimpleNamespace(fence=1)
         self.answer_losses = AnswerLosses()
-        self.is_running = True
+        self.is_running = self.may_start = True
         self.stop = threading.Event()
         self.events = []
 
