Provide half of a peak for the first forecast

The first forecast now provides half of the highest demand of the pool's last turns, a confirmed one four fifths, and a wrong one ends it until a turn comes as predicted.

--- a/src/rosemarynotch/_internal/scheduling/policy/forecast.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/forecast.py
@@ -33,6 +33,8 @@
 # Share of the last peak for which VMs are provided ahead of a rise. The rest
 # follows the measured demand.
 PROVISIONED_SHARE = 0.8
+# The same share for the first forecast, which nothing has confirmed yet.
+UNPROVED_SHARE = 0.5
 # Turns that are kept; the users have four queues that peak.
 MAX_TURNS = 24
 
@@ -105,8 +107,9 @@
     is not known yet, it is the only pool that had no turn so far, or else the
     one whose last turn started first.
 
-    VMs are provided only while the newest turn had been forecast: a wrong
-    forecast moves VMs in vain, and takes them from the pool that does peak.
+    Fewer VMs are provided for the first forecast, and none after a wrong one
+    until a turn comes as predicted: a wrong forecast moves VMs in vain, and
+    takes them from the pool that does peak.
     """
 
     def __init__(self, turns: tuple[Turn, ...] = ()) -> None:
@@ -143,20 +146,28 @@
     def expected_vms(self, now_ms):
         """Return the VMs for the next turn if it is imminent."""
         expected = _next_turn(self.turns, self._pools)
-        if expected is None or not self._was_last_turn_forecast():
+        if expected is None:
             return {}
         remaining_ms = expected.at_ms - now_ms
         if not -GRACE_MS <= remaining_ms <= LEAD_TIME_MS:
             return {}
-        return {expected.pool: expected.vms * PROVISIONED_SHARE}
+        was_forecast = self._was_last_turn_forecast()
+        if was_forecast is False:
+            return {}
+        share = PROVISIONED_SHARE if was_forecast else UNPROVED_SHARE
+        return {expected.pool: expected.vms * share}
+
+    def _was_last_turn_forecast(self) -> bool | None:
+        """Tell whether the turns before the newest one predict it.
 
-    def _was_last_turn_forecast(self) -> bool:
-        """Tell whether the turns before the newest one predict it."""
+        :returns: None if they predict no turn
+        """
         expected = _next_turn(self.turns[:-1], self._pools)
+        if expected is None:
+            return None
         last = self.turns[-1]
         return (
-            expected is not None
-            and expected.pool == last.pool
+            expected.pool == last.pool
             and abs(expected.at_ms - last.started_ms) <= GRACE_MS
         )
 
