--- a/src/rosemarynotch/_internal/scheduling/policy/forecast.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/forecast.py
@@ -33,8 +33,10 @@
 # Share of the last peak for which VMs are provided ahead of a rise. The rest
 # follows the measured demand.
 PROVISIONED_SHARE = 0.8
-# The same share for the first forecast, which nothing has confirmed yet.
-UNPROVED_SHARE = 0.5
+# The same share while the newest turn had not been forecast.
+UNPROVED_SHARE = 0.3
+# Consecutive wrong forecasts after which no VMs are moved ahead.
+MAX_MISSES = 2
 # Turns that are kept; the users have four queues that peak.
 MAX_TURNS = 24
 
@@ -107,9 +109,9 @@
     is not known yet, it is the only pool that had no turn so far, or else the
     one whose last turn started first.
 
-    Fewer VMs are provided for the first forecast, and none after a wrong one
-    until a turn comes as predicted: a wrong forecast moves VMs in vain, and
-    takes them from the pool that does peak.
+    Fewer VMs are provided while the newest turn had not been forecast, and
+    none after several wrong forecasts until a turn comes as predicted: these
+    move VMs in vain, and take them from the pool that does peak.
     """
 
     def __init__(self, turns: tuple[Turn, ...] = ()) -> None:
@@ -151,24 +153,34 @@
         remaining_ms = expected.at_ms - now_ms
         if not -GRACE_MS <= remaining_ms <= LEAD_TIME_MS:
             return {}
-        was_forecast = self._was_last_turn_forecast()
-        if was_forecast is False:
+        misses = self._consecutive_misses()
+        if misses >= MAX_MISSES:
             return {}
-        share = PROVISIONED_SHARE if was_forecast else UNPROVED_SHARE
+        is_proved = misses == 0 and self._was_forecast(len(self.turns) - 1)
+        share = PROVISIONED_SHARE if is_proved else UNPROVED_SHARE
         return {expected.pool: expected.vms * share}
 
-    def _was_last_turn_forecast(self) -> bool | None:
-        """Tell whether the turns before the newest one predict it.
+    def _consecutive_misses(self) -> int:
+        """Return how many of the newest turns were forecast wrongly."""
+        misses = 0
+        for index in range(len(self.turns) - 1, 1, -1):
+            if self._was_forecast(index) is not False:
+                break
+            misses += 1
+        return misses
+
+    def _was_forecast(self, index: int) -> bool | None:
+        """Tell whether the turns before one predict it.
 
         :returns: None if they predict no turn
         """
-        expected = _next_turn(self.turns[:-1], self._pools)
+        expected = _next_turn(self.turns[:index], self._pools)
         if expected is None:
             return None
-        last = self.turns[-1]
+        turn = self.turns[index]
         return (
-            expected.pool == last.pool
-            and abs(expected.at_ms - last.started_ms) <= GRACE_MS
+            expected.pool == turn.pool
+            and abs(expected.at_ms - turn.started_ms) <= GRACE_MS
         )
 
 
