--- a/src/rosemarynotch/_internal/commands/explain.py
+++ b/src/rosemarynotch/_internal/commands/explain.py
@@ -1,11 +1,11 @@
 """The timeline of a job, selected from the log lines of all nodes."""
 
 import fnmatch
-import json
 from pathlib import Path
 import sys
 
 from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.utils.json_logs import parse_line
 
 __all__ = ["explain", "job_timeline"]
 
@@ -66,7 +66,7 @@
     :param lines: log lines; text before the JSON object and lines without a
         JSON object are ignored
     """
-    records = [record for line in lines if (record := _parse(line))]
+    records = [record for line in lines if (record := parse_line(line))]
     records.sort(key=lambda record: record.get("time_s", 0.0))
     own = [record for record in records if _concerns(record, job)]
     if not own:
@@ -85,17 +85,6 @@
     return [_format(record, begin_s) for record in chosen]
 
 
-def _parse(line: str) -> dict | None:
-    start = line.find("{")
-    if start < 0:
-        return None
-    try:
-        record = json.loads(line[start:])
-    except ValueError:
-        return None
-    return record if isinstance(record, dict) and "event" in record else None
-
-
 def _concerns(record: dict, job: str) -> bool:
     return any(
         str(record.get(field, "")).partition(".")[0] == job
--- a/src/rosemarynotch/_internal/replay/day_account.py
+++ b/src/rosemarynotch/_internal/replay/day_account.py
@@ -60,13 +60,13 @@
     if took_s <= job.objective_s:
         return ""
     start_wait_s = took_s - job.started_s
-    unwritten_s = job.started_s - job.step_wait_s - job.run_s
+    run_excess_s = job.started_s - job.step_wait_s - job.run_s
     if job.refusals and job.accepted_s - job.submitted_s > took_s / 3:
         return "refused at first"
     waits = {
         "start": start_wait_s,
         "later steps": job.step_wait_s,
-        "runs lost" if job.lost_runs else "slow runs": max(0.0, unwritten_s),
+        "runs lost" if job.lost_runs else "slow runs": max(0.0, run_excess_s),
     }
     longest = max(waits, key=waits.__getitem__)
     period = (job.submitted_s, job.ended_s - job.run_s)
@@ -124,9 +124,9 @@
 def vm_seconds(day: DayLog) -> dict[str, float]:
     """Return the VM-seconds outside of standby by their use.
 
-    A VM is counted for the first use that explains it: work, the spread of
-    long-running tasks, work that waits, moving, a forecast rise, the spare
-    VMs that the size includes, and surplus.
+    A VM is counted for the first use that explains it: moving, work, spread
+    of long-running tasks, work that waits, a forecast rise, spare VMs that
+    the size includes, and surplus.
     """
     uses: Counter[str] = Counter()
     by_pool: dict[str, list[PoolSample]] = {}
--- a/src/rosemarynotch/_internal/replay/day_log.py
+++ b/src/rosemarynotch/_internal/replay/day_log.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable
 
 import attrs
-import msgspec
 
 from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.utils.json_logs import parse_line
 
 __all__ = ["DayLog", "JobTrace", "PoolSample", "read_day"]
 
@@ -88,7 +88,11 @@
 
     :raises SettingsError: no leader wrote into the log, or it is cut short
     """
-    records = [record for line in lines if (record := _parse(line))]
+    records = [
+        record
+        for line in lines
+        if (record := parse_line(line)) and "time_s" in record
+    ]
     records.sort(key=lambda record: record["time_s"])
     for event in REQUIRED_EVENTS:
         if not any(record["event"] == event for record in records):
@@ -112,18 +116,6 @@
     return day
 
 
-def _parse(line: str) -> dict | None:
-    start = line.find("{")
-    if start < 0:
-        return None
-    try:
-        record = msgspec.json.decode(line[start:])
-    except msgspec.DecodeError:
-        return None
-    is_event = isinstance(record, dict) and "event" in record
-    return record if is_event and "time_s" in record else None
-
-
 class _Reader:
     """Applies log records to a day, in order of time."""
 
--- a/src/rosemarynotch/_internal/utils/json_logs.py
+++ b/src/rosemarynotch/_internal/utils/json_logs.py
@@ -11,7 +11,7 @@
 from rosemarynotch._internal.utils.logs import REMOVED
 from rosemarynotch._internal.utils.logs import SECRET_FIELDS
 
-__all__ = ["JsonLog"]
+__all__ = ["JsonLog", "parse_line"]
 
 # Most lines that are queued for a slow reader; further lines are dropped and
 # counted.
@@ -99,3 +99,18 @@
     if value is None or isinstance(value, (bool, int, float)):
         return value
     return str(value)[:MAX_VALUE_LENGTH]
+
+
+def parse_line(line: str) -> dict | None:
+    """Return the fields of a log line; text before the object is ignored.
+
+    :returns: None if the line has no JSON object with an event
+    """
+    start = line.find("{")
+    if start < 0:
+        return None
+    try:
+        record = json.loads(line[start:])
+    except ValueError:
+        return None
+    return record if isinstance(record, dict) and "event" in record else None
