Answer a repeat that does not reach its key's owner as unknown

Cause: a request with an idempotency key that is marked as a repeat was refused with "ran: no" when the entry had no contact with the owner of the key (also: no common version, an older members record, an unknown queue, a full table of outcomes). An earlier request with the key may have run, which only the owner knows, so the refusal was not true.

Change: such refusals of a marked, non-idempotent repeat become "outcome unknown". A new unit test for the sender and the receiver, and one for the full table, fail without the change.

--- a/src/rosemarynotch/_internal/admission/idempotency.py
+++ b/src/rosemarynotch/_internal/admission/idempotency.py
@@ -124,17 +124,16 @@
 
     def _refuse_new(self, request):
         """Return why a request with an unknown key must not run, or None."""
-        if self._size_bytes + ENTRY_BYTES > MAX_TABLE_BYTES:
-            return failures.QUEUE_FULL.with_reason(
-                "too many idempotency keys in use"
-            )
         self._follow_entries()
-        if not request.retry or request.idempotent:
-            return None
-        if self._clock.monotonic_s() < self._uncertain_until_s:
+        is_uncertain = self._clock.monotonic_s() < self._uncertain_until_s
+        if is_uncertain and request.retry and not request.idempotent:
             return failures.OUTCOME_UNKNOWN.with_reason(
                 "the request may have run at the former owner of the key"
             )
+        if self._size_bytes + ENTRY_BYTES > MAX_TABLE_BYTES:
+            return failures.QUEUE_FULL.with_reason(
+                "too many idempotency keys in use"
+            )
         return None
 
     def _follow_entries(self):
--- a/src/rosemarynotch/_internal/callers/forwarding.py
+++ b/src/rosemarynotch/_internal/callers/forwarding.py
@@ -30,6 +30,18 @@
     return False
 
 
+def _refuse_without_owner(request, failure):
+    """Return the failure of a request that its owner has not decided on.
+
+    An earlier request with the same key may have run, which only the owner
+    of the key knows.
+    """
+    is_repeat = request.idempotency_key and request.retry
+    if failure.ran is Ran.NO and is_repeat and not request.idempotent:
+        return failures.OUTCOME_UNKNOWN.with_reason(failure.reason)
+    return failure
+
+
 class Forwarder:
     """Runs requests locally or at the entry that has to run them.
 
@@ -110,14 +122,19 @@
         request = forward.request
         queue = self._in_force.current.document.queue(request.queue)
         if queue is None:
-            return failures.QUEUE_UNKNOWN.with_reason(request.queue)
+            return _refuse_without_owner(
+                request, failures.QUEUE_UNKNOWN.with_reason(request.queue)
+            )
         if request.idempotency_key:
             revision = self._members.revision
             owner = self._members.owner(request.team, request.idempotency_key)
             # If the sender has a newer members record, its choice of the
             # owner prevails.
             if owner != self._name and revision >= forward.members_revision:
-                return failures.NOT_OWNER.with_reason(f"the owner is {owner}")
+                return _refuse_without_owner(
+                    request,
+                    failures.NOT_OWNER.with_reason(f"the owner is {owner}"),
+                )
         self._metrics.count("forwarded_here", team=request.team)
         return self._run_locally(request, queue, _never_disconnected)
 
@@ -143,6 +160,8 @@
         self._metrics.count("forwarded", team=request.team)
         if isinstance(result, ForwardAnswer):
             result = result.answer or result.failure
+        else:
+            result = _refuse_without_owner(request, result)
         if not isinstance(result, Failure) or result.ran is not Ran.UNKNOWN:
             return result
         if not request.idempotent:
--- a/tests/unit/test_callers.py
+++ b/tests/unit/test_callers.py
@@ -309,6 +309,35 @@
             self.assertEqual(ran, self.headers.get("Rosemarynotch-Ran"))
             self.assertEqual(runs, self.arrived() - before)
 
+    def test_repeat_that_does_not_reach_the_owner_is_unknown(self):
+        """Guards against "not run" for a key that ran before.
+
+        The sender of a repeat may have no contact with the owner, no common
+        version, or an older members record, and the owner no such queue.
+        """
+        repeat = {"idempotency_key": "k@entry-2", "rosemarynotch_retry": "1"}
+        for failure in (failures.PEER_UNREACHABLE, failures.PEER_VERSION):
+            self.exchange.failure = failure
+            for fields, ran in (
+                ({"method": "POST", **repeat}, "unknown"),
+                ({"method": "GET", **repeat}, "no"),
+                ({"method": "POST", "rosemarynotch_retry": "1"}, None),
+            ):
+                self.call(**fields)
+                self.assertEqual(ran, self.headers.get("Rosemarynotch-Ran"))
+        for fields in ({"key": "k@entry-3"}, {"queue": "none"}):
+            request = caller_request(
+                idempotency_key=fields.pop("key", "k@entry-2"),
+                retry=True,
+                idempotent=False,
+                **fields,
+            )
+            forward = Forward(
+                request=request, members_revision=1, config_version=1
+            )
+            found = self.other.forwarder.handle_forward(forward)
+            self.assertEqual("outcome-unknown", found.failure.code)
+
     def test_refusal_of_the_owner_is_returned(self):
         """Guards against hiding the owner's refusal from the caller."""
         refusal = ForwardAnswer(failure=failures.QUEUE_FULL)
--- a/tests/unit/test_idempotency.py
+++ b/tests/unit/test_idempotency.py
@@ -118,6 +118,12 @@
         self.clock.advance(121)
         self.assertEqual("unknown", self.run_table(retry=True).ran)
 
+    def test_marked_repeat_is_unknown_also_while_the_table_is_full(self):
+        """Guards against "not run" from a table without room for the key."""
+        self.patch(idempotency, "MAX_TABLE_BYTES", 0)
+        self.assertEqual("unknown", self.run_table(retry=True).ran)
+        self.assertEqual("no", self.run_table().ran)
+
     def test_full_table_drops_bodies_but_no_record_of_a_run(self):
         """Guards against a second run of a request dropped from the table."""
         self.patch(idempotency, "MAX_TABLE_BYTES", 70_000)
