Show completed jobs while a read of the silent store is under way

Change: PhaseReader reads the store on a thread and asks the leader after 0.1 s and then every 0.1 s. The leader's answer is used until shortly before a withdrawn key has to stop working, which the settings tell (revoke-ms). Clients of the platform's services move from node.py to wiring/clients.py.

--- a/src/rosemarynotch/_internal/platform/settings.py
+++ b/src/rosemarynotch/_internal/platform/settings.py
@@ -32,6 +32,7 @@
     :ivar maintenance_s: time that the maintenance of a VM takes
     :ivar holder_interval_ms: minimum time between orders of two successive
         leaders for the same VM
+    :ivar withdrawal_ms: longest time for which a withdrawn key may be used
     """
 
     node: str
@@ -54,6 +55,7 @@
     move_s: float
     maintenance_s: float
     holder_interval_ms: int
+    withdrawal_ms: int
 
 
 def load_settings(path: str | None = None) -> NodeSettings:
@@ -98,6 +100,7 @@
         "move_s": reader.read_bound(float, "migrate-s", 1.5),
         "maintenance_s": reader.read_bound(float, "maintenance-s", 2.0),
         "holder_interval_ms": reader.read_bound(int, "lease-ms", 3_000),
+        "withdrawal_ms": reader.read_bound(int, "revoke-ms", 3_000),
     }
     if reader.problems:
         raise SettingsError(f"{path}: " + "; ".join(reader.problems))
--- a/src/rosemarynotch/_internal/scheduling/job_api.py
+++ b/src/rosemarynotch/_internal/scheduling/job_api.py
@@ -15,11 +15,10 @@
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.scheduling.config_feed import ConfigFeed
 from rosemarynotch._internal.scheduling.intake import JobIntake
-from rosemarynotch._internal.scheduling.intake import may_access
-from rosemarynotch._internal.scheduling.leader_query import LeaderQuery
 from rosemarynotch._internal.scheduling.model import Configuration
 from rosemarynotch._internal.scheduling.model import JobSpec
 from rosemarynotch._internal.scheduling.model import QueuePolicy
+from rosemarynotch._internal.scheduling.phase_reader import PhaseReader
 from rosemarynotch._internal.scheduling.policy import decide_admission
 from rosemarynotch._internal.scheduling.policy import outage_retry_s
 from rosemarynotch._internal.scheduling.ports import CommitConflict
@@ -37,9 +36,6 @@
 # The same limit while the last call to the store has failed: the store would
 # most likely not answer a write of this node, but another node may reach it.
 MAX_FAILING_AGE_S = 1.0
-# After a call that the store did not answer, the leader is asked first for
-# this time, since a silent store delays each answer by its time-out.
-ASK_LEADER_S = 2.0
 # Attempts to accept a job while the configuration changes repeatedly.
 MAX_ATTEMPTS = 4
 
@@ -71,10 +67,9 @@
         clock: Clock,
         metrics: Metrics,
         log: Callable[..., None],
-        leader_query: LeaderQuery,
+        phase_reader: PhaseReader,
     ) -> None:
-        self._leader_query = leader_query
-        self._ask_leader_until_s = 0.0
+        self._phase_reader = phase_reader
         self._config_feed = config_feed
         self._intake = intake
         self._clock = clock
@@ -222,33 +217,10 @@
 
     def phase(self, request: CallerRequest, job_id: str) -> Phase | Failure:
         """Return the phase of a job."""
-        now_s = self._clock.monotonic_s()
-        phase = None
-        if now_s < self._ask_leader_until_s or self._config_feed.is_failing:
-            phase = self._ask_leader(request, job_id)
-        if phase is None:
-            phase = self._intake.phase(job_id, request.organisation)
-        if isinstance(phase, Failure) and phase.is_a(STORE_UNAVAILABLE):
-            self._ask_leader_until_s = now_s + ASK_LEADER_S
-            phase = self._ask_leader(request, job_id) or phase
+        phase = self._phase_reader.read(job_id, request.organisation)
         self._count_call("state", request, phase)
         return phase
 
-    def _ask_leader(self, request: CallerRequest, job_id: str) -> Phase | None:
-        """Ask the leader about a job that the store cannot tell.
-
-        The caller's key counts as valid only as long as the node could have
-        learned of its withdrawal.
-        """
-        if self._config_feed.contact_age_s() > MAX_CONTACT_AGE_S:
-            return None
-        job = self._leader_query.ask(job_id)
-        if job is None or not may_access(
-            request.organisation, job.organisation
-        ):
-            return None
-        return Phase.COMPLETED
-
     def cancel(self, request: CallerRequest, job_id: str) -> None | Failure:
         """Cancel a job, if the caller may access it."""
         failure = self._intake.cancel(job_id, request.organisation)
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -1,6 +1,5 @@
 """Composition root of a node on the users' platform."""
 
-from collections.abc import Callable
 from collections.abc import Iterable
 import os
 import signal
@@ -14,13 +13,6 @@
 from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.platform import CallerInterface
 from rosemarynotch._internal.platform import decode_configuration
-from rosemarynotch._internal.platform import decode_wave
-from rosemarynotch._internal.platform import decode_worker
-from rosemarynotch._internal.platform import encode_wave_status
-from rosemarynotch._internal.platform import HttpAdvisor
-from rosemarynotch._internal.platform import HttpCoordinationStore
-from rosemarynotch._internal.platform import HttpFleetService
-from rosemarynotch._internal.platform import HttpWorkerChannel
 from rosemarynotch._internal.platform import KEYS
 from rosemarynotch._internal.platform import load_settings
 from rosemarynotch._internal.platform.settings import NodeSettings
@@ -33,38 +25,26 @@
 from rosemarynotch._internal.scheduling.job_api import JobApi
 from rosemarynotch._internal.scheduling.leader_query import CompletedJob
 from rosemarynotch._internal.scheduling.leader_query import LeaderQuery
-from rosemarynotch._internal.scheduling.leadership import Grant
 from rosemarynotch._internal.scheduling.leadership import Leadership
-from rosemarynotch._internal.scheduling.policies import ControllerPorts
+from rosemarynotch._internal.scheduling.phase_reader import PhaseReader
 from rosemarynotch._internal.scheduling.policies import SchedulingPolicies
-from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.probes import MetricsApp
 from rosemarynotch._internal.scheduling.probes import ReadinessApp
 from rosemarynotch._internal.utils.addresses import parse_address
 from rosemarynotch._internal.utils.graceful_server import GracefulServer
 from rosemarynotch._internal.utils.graceful_server import ServerLimits
-from rosemarynotch._internal.utils.http import HttpClient
 from rosemarynotch._internal.utils.json_logs import JsonLog
 from rosemarynotch._internal.utils.machine_speed import MachineSpeed
 from rosemarynotch._internal.utils.machine_speed import SAMPLE_INTERVAL_S
 from rosemarynotch._internal.utils.metrics import Metrics
 from rosemarynotch._internal.utils.suspension import SuspensionClock
+from rosemarynotch._internal.wiring.clients import LEASE_CALL_TIMEOUT_S
+from rosemarynotch._internal.wiring.clients import PlatformClients
 from rosemarynotch._internal.wiring.policies import choose_policies
 from rosemarynotch._internal.wiring.policies import POLICIES_VARIABLE
 
 __all__ = ["Node", "run_node"]
 
-# The store normally answers in 4 ms. The time-out tolerates a store that is
-# 100 times slower.
-STORE_TIMEOUT_S = 0.8
-# A renewal that takes longer than this would be too late for the lease.
-LEASE_CALL_TIMEOUT_S = 0.45
-# Orders may use a connection that has been idle for up to this time. If the
-# worker has closed it meanwhile, the order gets no answer and the planner
-# repeats it.
-MAX_ORDER_IDLE_S = 5.0
-ADVICE_TIMEOUT_S = 1.5
-VM_SERVICE_TIMEOUT_S = 1.0
 # Added to the minimum time between orders of two leaders for the same VM.
 HOLDER_INTERVAL_MARGIN_S = 0.3
 CALLER_THREADS = 24
@@ -110,6 +90,7 @@
             {"node": settings.node, "incarnation": incarnation}
         )
         self._log("starting")
+        self._clients = PlatformClients(lambda: self._settings, self._clock)
         self._hints = HintReceiver(
             settings.ip,
             settings.metrics_port,
@@ -118,14 +99,14 @@
             self._find_completed,
         )
         self._config_feed = ConfigFeed(
-            self._store(STORE_TIMEOUT_S),
+            self._clients.store(),
             self._clock,
             KEYS.configuration,
             decode_configuration,
             self._log,
         )
         self._intake = JobIntake(
-            self._store(STORE_TIMEOUT_S),
+            self._clients.store(),
             self._clock,
             KEYS.configuration,
             self._log,
@@ -141,12 +122,19 @@
             self._clock,
             self._metrics,
             self._log,
-            LeaderQuery(
-                lambda: self._leadership.hint_address(), self._find_completed
+            PhaseReader(
+                self._intake,
+                LeaderQuery(
+                    lambda: self._leadership.hint_address(),
+                    self._find_completed,
+                ),
+                self._config_feed,
+                self._clock,
+                settings.withdrawal_ms / 1000,
             ),
         )
         self._leadership = Leadership(
-            self._store(LEASE_CALL_TIMEOUT_S),
+            self._clients.store(LEASE_CALL_TIMEOUT_S),
             self._clock,
             settings.node,
             settings.ip,
@@ -277,17 +265,8 @@
             self._controller = Controller(
                 grant,
                 self._leadership,
-                ControllerPorts(
-                    store=self._store(STORE_TIMEOUT_S),
-                    workers_prefix=KEYS.workers,
-                    decode_worker=decode_worker,
-                    connect_worker=self._connect_worker,
-                    waves_prefix=KEYS.waves,
-                    wave_status_prefix=KEYS.wave_status,
-                    decode_wave=decode_wave,
-                    encode_wave_status=encode_wave_status,
-                    fleet=self._fleet_service(grant),
-                    advisor=self._advisor(),
+                self._clients.ports(
+                    lambda grant=grant: self._leadership.holds(grant)
                 ),
                 lambda: self._config_feed.current,
                 self._clock,
@@ -324,42 +303,6 @@
         self._log.close()
         os._exit(0)
 
-    def _store(self, timeout_s: float) -> HttpCoordinationStore:
-        return HttpCoordinationStore(
-            HttpClient(self._settings.store_address, self._clock, timeout_s)
-        )
-
-    def _connect_worker(
-        self, entry: WorkerEntry, order_timeout: Callable[[], float]
-    ) -> HttpWorkerChannel:
-        return HttpWorkerChannel(
-            lambda timeout_s: HttpClient(
-                entry.address,
-                self._clock,
-                timeout_s,
-                max_idle_unrepeatable_s=MAX_ORDER_IDLE_S,
-            ),
-            entry.worker_id,
-            order_timeout,
-        )
-
-    def _fleet_service(self, grant: Grant) -> HttpFleetService | None:
-        address = self._settings.vm_service_address
-        if not address:
-            return None
-        http = HttpClient(address, self._clock, VM_SERVICE_TIMEOUT_S)
-        return HttpFleetService(
-            http,
-            self._settings.node,
-            lambda: self._leadership.holds(grant),
-        )
-
-    def _advisor(self) -> HttpAdvisor | None:
-        address = self._settings.advisor_address
-        if not address:
-            return None
-        return HttpAdvisor(HttpClient(address, self._clock, ADVICE_TIMEOUT_S))
-
     def _limits(self) -> ServerLimits:
         """Return the limits of the newest configuration."""
         configuration = self._config_feed.current
