--- a/src/rosemarynotch/_internal/replay/day_account.py
+++ b/src/rosemarynotch/_internal/replay/day_account.py
@@ -54,10 +54,13 @@
     if job.phase != "completed":
         return ""
     took_s = job.ended_s - job.submitted_s
+    known_s = took_s
+    if job.shown_s is not None:
+        known_s = min(took_s, job.shown_s - job.submitted_s)
     if job.objective_s is None:
         # Parts of it were run by an earlier leader.
-        return "change of the leader" if took_s > usual_objective_s else ""
-    if took_s <= job.objective_s:
+        return "change of the leader" if known_s > usual_objective_s else ""
+    if known_s <= job.objective_s:
         return ""
     start_wait_s = took_s - job.started_s
     run_excess_s = job.started_s - job.step_wait_s - job.run_s
--- a/src/rosemarynotch/_internal/replay/day_log.py
+++ b/src/rosemarynotch/_internal/replay/day_log.py
@@ -23,6 +23,8 @@
     :ivar accepted_s: when it was accepted, None if it never was
     :ivar refusals: codes of the refused submissions, in order
     :ivar ended_s: when it reached its last phase, None if it never did
+    :ivar shown_s: when a caller first learned of its end from the leader,
+        before this was recorded, None for most jobs
     :ivar started_s: time from its first start order to its end
     :ivar step_wait_s: waits of its later steps
     :ivar run_s: longest runs of its steps
@@ -37,6 +39,7 @@
     accepted_s: float | None = None
     refusals: list[str] = attrs.field(factory=list)
     ended_s: float | None = None
+    shown_s: float | None = None
     phase: str = ""
     started_s: float | None = None
     step_wait_s: float | None = None
@@ -136,6 +139,10 @@
             self._read_submission(record, time_s)
         elif event == "job ended":
             self._read_end(record, time_s)
+        elif event == "job shown by the leader":
+            job = self._day.jobs.get(record["job"])
+            if job is not None and job.shown_s is None:
+                job.shown_s = time_s
         elif event == "pool size":
             self._read_pool(record, time_s)
         elif event == "vm ordered":
--- a/src/rosemarynotch/_internal/scheduling/phase_reader.py
+++ b/src/rosemarynotch/_internal/scheduling/phase_reader.py
@@ -1,5 +1,6 @@
 """Reads the phases of jobs, also while the store does not answer."""
 
+from collections.abc import Callable
 from concurrent import futures
 
 from rosemarynotch._internal.exceptions import Failure
@@ -45,11 +46,13 @@
         config_feed: ConfigFeed,
         clock: Clock,
         withdrawal_s: float,
+        log: Callable[..., None],
     ) -> None:
         self._intake = intake
         self._leader_query = leader_query
         self._config_feed = config_feed
         self._clock = clock
+        self._log = log
         self._max_contact_age_s = withdrawal_s - WITHDRAWAL_MARGIN_S
         self._reads = futures.ThreadPoolExecutor(READ_THREADS, "phase-read")
         self._ask_first_until_s = 0.0
@@ -92,4 +95,5 @@
         job = self._leader_query.ask(job_id)
         if job is None or not may_access(organisation, job.organisation):
             return None
+        self._log("job shown by the leader", job=job_id)
         return Phase.COMPLETED
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -131,6 +131,7 @@
                 self._config_feed,
                 self._clock,
                 settings.withdrawal_ms / 1000,
+                self._log,
             ),
         )
         self._leadership = Leadership(
--- a/tests/unit/test_day_account.py
+++ b/tests/unit/test_day_account.py
@@ -77,6 +77,15 @@
         causes = self.causes(*lines)
         self.assertNotIn("a", causes)
 
+    def test_job_shown_before_its_end_was_recorded(self):
+        """Guards against outages that count jobs which callers saw end."""
+        shown = line(1.9, "job shown by the leader", job="a")
+        lines = [pool(0), submitted(1, "a"), shown, ended(4, "a")]
+        others = [submitted(1, "b"), ended(1.9, "b", started_ms=800)]
+        self.assertNotIn("a", self.causes(*lines, *others))
+        del lines[2]
+        self.assertIn("a", self.causes(*lines, *others))
+
     def test_waiting_for_vms(self):
         """Guards against a wrong reason for a late start."""
         cases = (
--- a/tests/unit/test_leader_query.py
+++ b/tests/unit/test_leader_query.py
@@ -85,6 +85,7 @@
             feed,
             SystemClock(),
             withdrawal_s=WITHDRAWAL_S,
+            log=no_log,
         )
         return reader.read(JOB_ID, organisation)
 
@@ -129,6 +130,7 @@
             feed,
             SystemClock(),
             withdrawal_s=WITHDRAWAL_S,
+            log=no_log,
         )
 
     def stored_phase(self, job_id, organisation):
