Let orders wait in the queue of the stateful model

The model gets a queue and a rule for it, so that a queued start leaves after the end was acknowledged, unless StartCommand.is_current withholds it.

--- a/tests/unit/test_scheduling_stateful.py
+++ b/tests/unit/test_scheduling_stateful.py
@@ -1,7 +1,7 @@
 """Stateful tests of the scheduler against a model of workers and store.
 
-The model carries out orders late or twice, loses answers, and replaces the
-leader at any time. No task may have two runs at the same time or start after
+The model carries out orders late or twice, loses answers, lets orders wait in
+the leader's queue, and replaces the leader at any time. No task may have two runs at the same time or start after
 its end was acknowledged, and no worker may exceed its capacity.
 """
 
@@ -26,6 +26,7 @@
 WORKERS = ("w1", "w2", "w3")
 UNKNOWN = failures.WORKER_UNREACHABLE.with_ran_unknown()
 DELIVERIES = st.sampled_from(("answered", "lost", "late", "never"))
+QUEUED_OR_SENT = st.sampled_from(("queued", "sent"))
 
 
 @attrs.define
@@ -83,6 +84,7 @@
         self.jobs: dict[str, int] = {}
         self.progress: dict = {}
         self.late: list = []
+        self.queued: list[StartCommand] = []
         self.done: set = set()
         self.revision = 1
         self.term = 0
@@ -98,6 +100,8 @@
         """Replace the leader by a new one that reads the store."""
         self.term += 1
         self.revision += 1
+        # The queue of the former leader ends with it.
+        self.queued.clear()
         self.leader = Leader(self.term, self.revision)
         self.leader.now_s = self.now_s
         entries = [self.leader.entry(name) for name in WORKERS]
@@ -135,6 +139,31 @@
         self.leader.now_s = self.now_s
         self.leader.submit(job_id, self.spec(), self.revision)
 
+    @stateful.rule(name=st.sampled_from(WORKERS), data=st.data())
+    def end_in_doubt(self, name, data):
+        """Hear of the end of a run after another run of its task is queued."""
+        self.work(name, data)
+        self.wait(7.0)
+        for other in WORKERS:
+            if other != name:
+                self.report(other, True)
+        self.queue_starts()
+        self.report(name, True)
+        self.write()
+        self.report(name, True)
+
+    def queue_starts(self):
+        """Run a pass of the leader whose orders wait in its queue."""
+        scheduler = self.leader.scheduler
+        scheduler.expire_workers(self.now_s)
+        commands = self.leader.planner.reconcile_runs(self.now_s)
+        commands += self.leader.planner.place(self.now_s, self.now_ms)
+        self.queued += [
+            command
+            for command in commands
+            if isinstance(command, StartCommand)
+        ]
+
     @stateful.rule(data=st.data())
     def plan(self, data):
         """Run a pass of the leader; orders may be lost or delayed."""
@@ -143,8 +172,29 @@
         commands = self.leader.planner.reconcile_runs(self.now_s)
         commands += self.leader.planner.place(self.now_s, self.now_ms)
         for command in commands:
-            if isinstance(command, StartCommand):
-                self.send(command, data.draw(DELIVERIES))
+            if not isinstance(command, StartCommand):
+                continue
+            if data.draw(QUEUED_OR_SENT) == "queued":
+                self.queued.append(command)
+            else:
+                self.leave_queue(command, data.draw(DELIVERIES))
+
+    @stateful.rule(data=st.data())
+    def send_queued(self, data):
+        """Send an order that has waited, unless it has become needless."""
+        if not self.queued:
+            return
+        index = data.draw(st.integers(0, len(self.queued) - 1))
+        command = self.queued.pop(index)
+        self.leave_queue(command, data.draw(DELIVERIES))
+
+    def leave_queue(self, command: StartCommand, delivery: str):
+        """Send an order unless it has become needless."""
+        if command.is_current(self.now_s):
+            command.run.is_sent = True
+            self.send(command, delivery)
+        else:
+            self.leader.scheduler.on_start_withheld(command.run)
 
     def send(self, command: StartCommand, delivery: str):
         run, worker = command.run, command.worker
