--- a/src/rosemarynotch/_internal/scheduling/vm_orders.py
+++ b/src/rosemarynotch/_internal/scheduling/vm_orders.py
@@ -63,6 +63,11 @@
 
 @attrs.define
 class _OwnOrder:
+    """An order of this leader.
+
+    :ivar answered_s: None until it is answered or has failed
+    """
+
     announced_s: float
     answered_s: float | None = None
 
@@ -70,8 +75,8 @@
 class VmOrderObserver:
     """Notes since when this node knows the record of VM orders.
 
-    Nodes that do not lead read the record, so that a node that becomes the
-    leader knows how old its orders are at least.
+    Each node reads the record regularly, so that it knows how old the orders
+    in it are at least when it becomes the leader.
     """
 
     def __init__(self, store: CoordinationStore, clock: Clock) -> None:
