--- a/tests/unit/test_scheduling_stateful.py
+++ b/tests/unit/test_scheduling_stateful.py
@@ -1,8 +1,9 @@
 """Stateful tests of the scheduler against a model of workers and store.
 
 The model carries out orders late or twice, loses answers, lets orders wait in
-the leader's queue, and replaces the leader at any time. No task may have two runs at the same time or start after
-its end was acknowledged, and no worker may exceed its capacity.
+the leader's queue, and replaces the leader at any time. No task may have two
+runs at the same time or start after its end was acknowledged, and no worker
+may exceed its capacity.
 """
 
 import attrs
