Handle the answer to each kind of order in one place

Starts and stops checked the fence and posted their answer by code of their own, beside the same posts for orders that failed. Behaviour is unchanged.

--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -116,7 +116,7 @@
             failure = WORKER_UNREACHABLE.with_reason(
                 repr(error)
             ).with_ran_unknown()
-            self._post_failure(command, failure)
+            self._post_answer(command, failure)
             return True
 
     def _is_permitted(self, command: Command) -> bool:
@@ -152,17 +152,22 @@
             answer = self._send_stop(command, link)
         else:
             answer = self._send_pace(command, link)
+        self._controller.check_fence(answer)
+        self._post_answer(command, answer)
         return isinstance(answer, Failure) and answer.ran is not Ran.NO
 
-    def _post_failure(self, command: Command, failure: Failure) -> None:
+    def _post_answer(
+        self, command: Command, answer: int | None | Failure
+    ) -> None:
+        """Pass the answer to a start or a stop to the scheduling thread."""
         scheduler, run = self._controller.scheduler, command.run
         if isinstance(command, StartCommand):
             self._controller.post(
-                lambda now_s: scheduler.on_start_answer(run, failure, now_s)
+                lambda now_s: scheduler.on_start_answer(run, answer, now_s)
             )
         elif isinstance(command, StopCommand):
             self._controller.post(
-                lambda now_s: scheduler.on_stop_answer(run, failure, now_s)
+                lambda now_s: scheduler.on_stop_answer(run, answer, now_s)
             )
 
     def _send_start(
@@ -207,12 +212,6 @@
             worker=worker.worker_id,
             outcome=outcome,
         )
-        self._controller.check_fence(answer)
-        self._controller.post(
-            lambda now_s: self._controller.scheduler.on_start_answer(
-                run, answer, now_s
-            )
-        )
         return answer
 
     def _send_pace(
@@ -230,7 +229,6 @@
             percent=change.percent,
             outcome=answer.code if answer else "paced",
         )
-        self._controller.check_fence(answer)
         return answer
 
     def _send_stop(
@@ -247,12 +245,6 @@
             worker=command.worker.worker_id,
             outcome=answer.code if answer else "stopping",
         )
-        self._controller.check_fence(answer)
-        self._controller.post(
-            lambda now_s: self._controller.scheduler.on_stop_answer(
-                run, answer, now_s
-            )
-        )
         return answer
 
 
