--- a/src/rosemarynotch/_internal/scheduling/hints.py
+++ b/src/rosemarynotch/_internal/scheduling/hints.py
@@ -122,14 +122,14 @@
             self._handle(data, sender)
 
     def _handle(self, data: bytes, sender: tuple[str, int]) -> None:
-        query = decode(data, JobQuery)
-        if isinstance(query, JobQuery):
-            self._answer(query.asked_job, sender)
-            return
         hint = decode(data, Hint)
         if isinstance(hint, Hint):
             keys = hint.keys[:MAX_KEYS]
             self._on_keys([key for key in keys if KEY_PATTERN.fullmatch(key)])
+            return
+        query = decode(data, JobQuery)
+        if isinstance(query, JobQuery):
+            self._answer(query.asked_job, sender)
         else:
             self._log("hint refused", why=hint.reason)
 
