--- a/src/rosemarynotch/_internal/scheduling/vm_orders.py
+++ b/src/rosemarynotch/_internal/scheduling/vm_orders.py
@@ -119,7 +119,7 @@
         self,
         controller: "Controller",
         holder_interval_s: float,
-        seen_at_s: Callable[[int], float | None] = lambda revision: None,
+        seen_at_s: Callable[[int], float | None],
     ) -> None:
         self._controller = controller
         self._holder_interval_s = holder_interval_s
@@ -157,14 +157,11 @@
         The earlier leaders have given no orders since this term began.
         """
         seen_at_s = self._seen_at_s(revision)
-        age_ms = record.ages_ms.get(vm)
-        if age_ms is None:
-            if seen_at_s is None:
-                return self._started_at_s
-            return min(self._started_at_s, seen_at_s + SEND_LIMIT_S)
         if seen_at_s is None:
             seen_at_s = self._started_at_s
-        return min(self._started_at_s, seen_at_s - age_ms / 1000)
+        age_ms = record.ages_ms.get(vm)
+        since_seen_s = SEND_LIMIT_S if age_ms is None else -age_ms / 1000
+        return min(self._started_at_s, seen_at_s + since_seen_s)
 
     def may_order(self, vm: str, now_s: float) -> bool:
         """Return whether a VM may be ordered without conflicting orders.
