--- a/src/rosemarynotch/_internal/admission/idempotency.py
+++ b/src/rosemarynotch/_internal/admission/idempotency.py
@@ -126,7 +126,7 @@
         """Return why a request with an unknown key must not run, or None."""
         self._follow_entries()
         is_uncertain = self._clock.monotonic_s() < self._uncertain_until_s
-        if is_uncertain and request.retry and not request.idempotent:
+        if is_uncertain and request.is_unsafe_repeat:
             return failures.OUTCOME_UNKNOWN.with_reason(
                 "the request may have run at the former owner of the key"
             )
--- a/src/rosemarynotch/_internal/callers/forwarding.py
+++ b/src/rosemarynotch/_internal/callers/forwarding.py
@@ -36,8 +36,8 @@
     An earlier request with the same key may have run, which only the owner
     of the key knows.
     """
-    is_repeat = request.idempotency_key and request.retry
-    if failure.ran is Ran.NO and is_repeat and not request.idempotent:
+    is_repeat = request.idempotency_key and request.is_unsafe_repeat
+    if failure.ran is Ran.NO and is_repeat:
         return failures.OUTCOME_UNKNOWN.with_reason(failure.reason)
     return failure
 
--- a/src/rosemarynotch/_internal/models/messages.py
+++ b/src/rosemarynotch/_internal/models/messages.py
@@ -87,6 +87,11 @@
     retry: bool = False
     idempotency_key: str = ""
 
+    @property
+    def is_unsafe_repeat(self) -> bool:
+        """Tell whether an earlier run makes this request run twice."""
+        return self.retry and not self.idempotent
+
 
 @attrs.frozen(kw_only=True)
 class Answer:
