Leave out an entry of another writer instead of ending the term

Cause: the leader connects to each entry of the list, whatever its pool. An address whose host cannot be looked up raises UnicodeError, an id that is not Latin-1 UnicodeEncodeError. The HTTP client handled neither, and an unexpected error on any thread of the leader ends its term. Each next leader reads the same entry. The logs of the case show 'leading failed' with these two errors in each term.

The HTTP client now reports both as failed calls. An error on a link to a worker and an error in an event are logged and concern only that worker or that event. Entries of pools that the configuration does not name are not connected to. Errors of the leader's own loops still end the term.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -4,11 +4,9 @@
 from collections.abc import Iterable
 import queue
 import threading
-import traceback
 
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import RUN_FENCED
-from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.scheduling.advice import AdviceCache
 from rosemarynotch._internal.scheduling.advice import AdviceRequester
@@ -27,18 +25,17 @@
 from rosemarynotch._internal.scheduling.policies import ControllerPorts
 from rosemarynotch._internal.scheduling.policies import SchedulingPolicies
 from rosemarynotch._internal.scheduling.policy import OrderTimeout
-from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
 from rosemarynotch._internal.scheduling.records import LOAD_KEY
 from rosemarynotch._internal.scheduling.records import LoadRecord
 from rosemarynotch._internal.scheduling.records import Phase
-from rosemarynotch._internal.scheduling.records import ROSTER_KEY
-from rosemarynotch._internal.scheduling.records import RosterRecord
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
+from rosemarynotch._internal.scheduling.worker_feed import WorkerFeed
 from rosemarynotch._internal.scheduling.worker_link import WorkerLink
 from rosemarynotch._internal.scheduling.workers import Worker
 from rosemarynotch._internal.scheduling.workers import WorkerClock
 from rosemarynotch._internal.utils.clock import Clock
+from rosemarynotch._internal.utils.json_logs import describe_error
 from rosemarynotch._internal.utils.metrics import Metrics
 
 __all__ = ["Controller"]
@@ -58,10 +55,6 @@
 PASS_PAUSE_FACTOR = 1.0
 # Interval for repeating unanswered starts and for ordering stops.
 RECONCILE_INTERVAL_S = 0.05
-# Workers are listed at this interval, and immediately when the VM service
-# reports a new one, but at most every MIN_LIST_INTERVAL_S.
-LIST_INTERVAL_S = 0.5
-MIN_LIST_INTERVAL_S = 0.1
 RETRY_S = 0.1
 
 
@@ -96,7 +89,6 @@
         self.log = log
         self.lock = threading.RLock()
         self.stop = threading.Event()
-        self.list_workers = threading.Event()
         self.scheduler = Scheduler(
             grant.term, grant.fence, longest_lease_s, log
         )
@@ -118,7 +110,7 @@
         self._events: queue.SimpleQueue[Callable[[float], None]] = (
             queue.SimpleQueue()
         )
-        self._links: dict[str, WorkerLink] = {}
+        self.worker_feed = WorkerFeed(self)
 
     @property
     def is_running(self) -> bool:
@@ -163,7 +155,9 @@
 
     def _lead(self) -> None:
         feed = self._feed = IntakeFeed(self)
-        if not self._retry(self._load_roster) or not self._retry(feed.load):
+        if not self._retry(self.worker_feed.load_roster):
+            return
+        if not self._retry(feed.load):
             return
         self._load_turns()
         self.log(
@@ -172,14 +166,14 @@
             jobs=len(self.scheduler.jobs),
             active=len(self.scheduler.active),
         )
-        self._start_thread(feed.run, "intake-feed")
-        self._start_thread(feed.run_hints, "intake-hints")
-        self._start_thread(self._follow_workers, "worker-list")
-        self._start_thread(self.writer.run, "progress-writer")
+        self.start_thread(feed.run, "intake-feed")
+        self.start_thread(feed.run_hints, "intake-hints")
+        self.start_thread(self.worker_feed.run, "worker-list")
+        self.start_thread(self.writer.run, "progress-writer")
         if self.ports.fleet is not None:
             sizer = self._policies.make_sizer(self.grant.term == 1)
             manager = FleetManager(self, sizer, self._fleet_timing)
-            self._start_thread(manager.run, "fleet")
+            self.start_thread(manager.run, "fleet")
         if self.ports.advisor is not None:
             requester = AdviceRequester(
                 self.advice,
@@ -189,7 +183,7 @@
                 self.post,
                 self.log,
             )
-            self._start_thread(requester.run, "advice")
+            self.start_thread(requester.run, "advice")
         while self.is_running:
             self._pass()
         if self.is_detached:
@@ -206,15 +200,11 @@
         try:
             target()
         except Exception as error:
-            where = traceback.extract_tb(error.__traceback__)[-1]
-            self.log(
-                "leading failed",
-                error=repr(error),
-                where=f"{where.filename}:{where.lineno}",
-            )
+            self.log("leading failed", **describe_error(error))
             self.leadership.step_down(self.grant, "unexpected error")
 
-    def _start_thread(self, target: Callable[[], None], name: str) -> None:
+    def start_thread(self, target: Callable[[], None], name: str) -> None:
+        """Run a function in a thread whose failure ends the term."""
         threading.Thread(
             target=self._guard, args=(target,), name=name, daemon=True
         ).start()
@@ -228,7 +218,7 @@
 
     def _close(self) -> None:
         self.stop.set()
-        self.list_workers.set()
+        self.worker_feed.list_now.set()
         self._sender.close()
         self.log("not leading", term=self.grant.term)
 
@@ -241,7 +231,7 @@
                 self._configuration() or self.scheduler.configuration
             )
             for event in events:
-                event(now_s)
+                self._apply(event, now_s)
             commands = self._plan(now_s)
         for command in commands:
             self._sender.submit(command)
@@ -258,6 +248,17 @@
             max(MIN_PASS_INTERVAL_S - took_s, took_s * PASS_PAUSE_FACTOR)
         )
 
+    def _apply(self, event: Callable[[float], None], now_s: float) -> None:
+        """Apply an event; one that fails is logged and dropped.
+
+        An event carries input from one worker, caller or list. The next
+        leader would get the same input, so it must not end the term.
+        """
+        try:
+            event(now_s)
+        except Exception as error:
+            self.log("event failed", **describe_error(error))
+
     def _next_events(self) -> list[Callable[[float], None]]:
         try:
             events = [self._events.get(timeout=PASS_INTERVAL_S)]
@@ -272,9 +273,7 @@
     def _plan(self, now_s: float) -> list[Command]:
         scheduler = self.scheduler
         for worker_id in scheduler.expire_workers(now_s):
-            link = self._links.pop(worker_id, None)
-            if link is not None:
-                link.close()
+            self.worker_feed.close_link(worker_id)
         wall_ms = self.clock.wall_s() * 1000
         if not self.is_running:
             if not self.is_detached:
@@ -314,35 +313,6 @@
                 self.grant, "a worker has a higher fence"
             )
 
-    def _load_roster(self) -> bool:
-        """Read the workers that may have runs of earlier leaders.
-
-        :returns: whether the store answered; if not, call this again
-        """
-        item = self.ports.store.get(ROSTER_KEY)
-        if isinstance(item, Failure):
-            return item.is_a(STORE_KEY_MISSING)
-        roster = decode(item.value, RosterRecord)
-        if isinstance(roster, Failure):
-            self.log("roster refused", why=roster.reason)
-            return True
-        entries = [
-            WorkerEntry(
-                worker_id=worker_id,
-                started_unix_ms=0,
-                pool=pool,
-                address=address,
-            )
-            for worker_id, (pool, address) in roster.workers.items()
-        ]
-        with self.lock:
-            now_s = self.clock.monotonic_s()
-            added = self.scheduler.set_workers(
-                entries, now_s, are_inherited=True
-            )
-            self._add_links(added)
-        return True
-
     def _load_turns(self) -> None:
         """Initialise the forecast from an earlier leader's record.
 
@@ -357,44 +327,6 @@
             return
         self.forecast = self._policies.make_forecast(load.turns)
 
-    def _follow_workers(self) -> None:
-        while self.is_running:
-            listing = self.ports.store.list_prefix(self.ports.workers_prefix)
-            if not isinstance(listing, Failure):
-                entries = []
-                for item in listing.items:
-                    entry = self.ports.decode_worker(item)
-                    if not isinstance(entry, Failure):
-                        entries.append(entry)
-                self.post(
-                    lambda now_s, entries=entries: self._set_workers(
-                        entries, now_s
-                    )
-                )
-            self.stop.wait(MIN_LIST_INTERVAL_S)
-            self.list_workers.wait(LIST_INTERVAL_S - MIN_LIST_INTERVAL_S)
-            self.list_workers.clear()
-
-    def _set_workers(self, entries: list[WorkerEntry], now_s: float) -> None:
-        added = self.scheduler.set_workers(entries, now_s)
-        if added:
-            self.writer.request_roster_write()
-        self._add_links(added)
-
-    def _add_links(self, added: list[Worker]) -> None:
-        for worker in added:
-            channel = self.ports.connect_worker(
-                worker.entry, self.order_timeout
-            )
-            link = WorkerLink(self, worker, channel)
-            self._links[worker.worker_id] = link
-            self._start_thread(link.run, f"worker-{worker.worker_id}")
-
     def link(self, worker_id: str) -> WorkerLink | None:
         """Return the link to a worker, None if there is none."""
-        return self._links.get(worker_id)
-
-    def notify_links(self) -> None:
-        """Notify the links that run ends have been persisted."""
-        for link in list(self._links.values()):
-            link.notify()
+        return self.worker_feed.link(worker_id)
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -196,7 +196,7 @@
             for vm in vms.values()
             if vm.worker_id and vm.phase is VmPhase.UP
         ):
-            controller.list_workers.set()
+            controller.worker_feed.list_now.set()
         if now_s >= self._holder_interval_end_s:
             self._waves.step(vms, set(self._moves), now_s)
             self._evacuation.step(now_s)
--- a/src/rosemarynotch/_internal/scheduling/model.py
+++ b/src/rosemarynotch/_internal/scheduling/model.py
@@ -239,6 +239,8 @@
 
     :ivar revision: store revision at which it was written
     :ivar refused: rows that were rejected, with the reasons
+    :ivar pool_names: names of all pools, including those that only a queue
+        names
     """
 
     version: int
@@ -249,6 +251,7 @@
     limits: RequestLimits = RequestLimits()
     refused: tuple[str, ...] = ()
     queues_by_name: dict[str, QueuePolicy] = attrs.field(init=False)
+    pool_names: frozenset[str] = attrs.field(init=False)
     _keys: dict[str, str] = attrs.field(init=False)
     _prefixes: dict[tuple[str, str], QueuePolicy] = attrs.field(init=False)
 
@@ -256,6 +259,10 @@
     def _index_names(self) -> dict[str, QueuePolicy]:
         return {queue.name: queue for queue in self.queues}
 
+    @pool_names.default
+    def _collect_pools(self) -> frozenset[str]:
+        return frozenset(self.pools) | {queue.pool for queue in self.queues}
+
     @_keys.default
     def _index_keys(self) -> dict[str, str]:
         return {
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -210,7 +210,7 @@
             for job, change, _ in batch:
                 controller.scheduler.mark_written(job, change, revision)
             controller.scheduler.advance_acks()
-        controller.notify_links()
+        controller.worker_feed.notify_links()
 
     def _handle_conflict(self, batch, conflict: CommitConflict) -> bool:
         """Adopt the revisions of earlier writes whose answers were lost.
--- a/src/rosemarynotch/_internal/scheduling/worker_link.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_link.py
@@ -10,6 +10,7 @@
 from rosemarynotch._internal.scheduling.ports import WorkerReport
 from rosemarynotch._internal.scheduling.workers import Worker
 from rosemarynotch._internal.scheduling.workers import WorkerClock
+from rosemarynotch._internal.utils.json_logs import describe_error
 
 if TYPE_CHECKING:
     from rosemarynotch._internal.scheduling.controller import Controller
@@ -31,6 +32,9 @@
 # extend the worker's lease.
 APPLY_WAIT_S = 1.0
 RETRY_S = 0.25
+# Pause of a worker after a report that could not be applied. It outlasts the
+# time until the next report.
+FAILED_PAUSE_S = 3.0
 # Pause after the first failed call, since only its answer may have been lost.
 FIRST_RETRY_S = 0.02
 
@@ -63,9 +67,23 @@
         self._ends_persisted.set()
 
     def run(self) -> None:
-        """Request reports until the link is closed or the term ends."""
-        while self._controller.may_start and not self._closed:
-            self._request_report()
+        """Request reports until the link is closed or the term ends.
+
+        An error on the link concerns this worker only, since the next leader
+        would meet the same error.
+        """
+        controller = self._controller
+        while controller.may_start and not self._closed:
+            try:
+                self._request_report()
+            except Exception as error:
+                controller.log(
+                    "worker link failed",
+                    worker=self._worker.worker_id,
+                    **describe_error(error),
+                )
+                self._is_reachable = False
+                controller.stop.wait(RETRY_S)
         self.channel.close()
 
     def _request_report(self) -> None:
@@ -115,10 +133,16 @@
     def _apply(
         self, report: WorkerReport, requested_at_s: float, received_at_s: float
     ) -> None:
-        self._controller.scheduler.on_report(
-            self._worker, report, requested_at_s, received_at_s
-        )
-        self._applied.set()
+        try:
+            self._controller.scheduler.on_report(
+                self._worker, report, requested_at_s, received_at_s
+            )
+        except Exception:
+            # The ends of new runs could not be applied either.
+            self._worker.pause_until(received_at_s + FAILED_PAUSE_S)
+            raise
+        finally:
+            self._applied.set()
 
     def _handle_failure(self, failure: Failure) -> None:
         controller, worker = self._controller, self._worker
--- a/src/rosemarynotch/_internal/utils/http.py
+++ b/src/rosemarynotch/_internal/utils/http.py
@@ -132,7 +132,7 @@
     ) -> Reply | CallFailed:
         try:
             connection = self._acquire(repeatable)
-        except OSError as error:
+        except (OSError, ValueError) as error:
             return CallFailed(Ran.NO, self._reason(message, error))
         if may_send is not None and not may_send():
             self._return_idle(connection)
@@ -142,7 +142,7 @@
             connection.request(*message)
             response = connection.getresponse()
             reply = Reply(response.status, response.headers, response.read())
-        except (OSError, http.client.HTTPException) as error:
+        except (OSError, http.client.HTTPException, ValueError) as error:
             connection.close()
             return CallFailed(Ran.UNKNOWN, self._reason(message, error))
         self._return_idle(connection)
@@ -152,6 +152,7 @@
         """Return an idle connection or a new one.
 
         :raises OSError: if no connection can be made
+        :raises ValueError: if the host is not a valid name
         """
         max_idle_s = (
             MAX_IDLE_S if repeatable else self._max_idle_unrepeatable_s
--- a/src/rosemarynotch/_internal/utils/json_logs.py
+++ b/src/rosemarynotch/_internal/utils/json_logs.py
@@ -5,13 +5,14 @@
 import sys
 import threading
 import time
+import traceback
 from typing import TextIO
 
 from rosemarynotch._internal.utils.logs import MAX_VALUE_LENGTH
 from rosemarynotch._internal.utils.logs import REMOVED
 from rosemarynotch._internal.utils.logs import SECRET_FIELDS
 
-__all__ = ["JsonLog", "parse_line"]
+__all__ = ["JsonLog", "describe_error", "parse_line"]
 
 # Most lines that are queued for a slow reader; further lines are dropped and
 # counted.
@@ -101,6 +102,15 @@
     return str(value)[:MAX_VALUE_LENGTH]
 
 
+def describe_error(error: Exception) -> dict[str, str]:
+    """Return the fields that describe an unexpected error in a log line."""
+    where = traceback.extract_tb(error.__traceback__)[-1]
+    return {
+        "error": repr(error),
+        "where": f"{where.filename}:{where.lineno}",
+    }
+
+
 def parse_line(line: str) -> dict | None:
     """Return the fields of a log line; text before the object is ignored.
 
--- a/tests/unit/test_operator_faults.py
+++ b/tests/unit/test_operator_faults.py
@@ -12,12 +12,12 @@
 from rosemarynotch._internal.platform import decode_worker
 from rosemarynotch._internal.platform import HttpFleetService
 from rosemarynotch._internal.scheduling.config_feed import ConfigFeed
-from rosemarynotch._internal.scheduling.controller import Controller
 from rosemarynotch._internal.scheduling.order_sender import OrderSender
 from rosemarynotch._internal.scheduling.planner import StartCommand
 from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import Listing
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
+from rosemarynotch._internal.scheduling.worker_feed import WorkerFeed
 from rosemarynotch._internal.utils.clock import SystemClock
 from rosemarynotch._internal.utils.http import HttpClient
 from tests.lib.nodes import configuration
@@ -155,14 +155,15 @@
                 decode_worker=decode_worker,
             ),
             post=posted.append,
-            _set_workers=lambda entries, now_s: found.extend(entries),
-            stop=types.SimpleNamespace(wait=lambda time_s: None),
-            list_workers=types.SimpleNamespace(
-                wait=lambda time_s: setattr(controller, "is_running", False),
-                clear=lambda: None,
+            log=no_log,
+            stop=types.SimpleNamespace(
+                wait=lambda time_s: setattr(controller, "is_running", False)
             ),
         )
         found = []
-        Controller._follow_workers(controller)
+        feed = WorkerFeed(controller)
+        feed.list_now.set()
+        feed._set_workers = lambda entries, now_s: found.extend(entries)
+        feed.run()
         posted[0](1000.0)
         self.assertEqual(["e"], [entry.worker_id for entry in found])
