Await the answer to a repeated order longer

Cause: the time-out of orders is estimated from the orders that were answered in time. Once it is 0.03 s, answers that take 0.04 s are never recorded, and a repeated order to such a worker times out like the one before: its tasks never start there.

The log of an order has the reason of its failure.

test_repeated_orders_are_awaited_longer cannot pass before: the time-out did not depend on the repetition. The test of lost answers now passes the number of the repetition; its bound is the same.

--- a/src/rosemarynotch/_internal/platform/calls.py
+++ b/src/rosemarynotch/_internal/platform/calls.py
@@ -29,6 +29,7 @@
     wait_ms: int = 0,
     headers: dict[str, str] | None = None,
     may_send: Callable[[], bool] | None = None,
+    timeout_s: float | None = None,
 ) -> tuple[int, object] | Failure:
     """Make a call and decode its answer.
 
@@ -40,6 +41,7 @@
     :param wait_ms: time for which the server delays its answer on purpose
     :param may_send: called right before sending; the call is not sent if it
         returns False
+    :param timeout_s: time-out of this call, if it is not the usual one
     :returns: status and decoded body, or None for a body that is not decoded
     """
     data = None if body is None else msgspec.json.encode(body)
@@ -55,6 +57,7 @@
         wait_ms / 1000,
         sent,
         may_send,
+        timeout_s,
     )
     if isinstance(reply, CallFailed):
         failure = unavailable.with_reason(reply.reason)
--- a/src/rosemarynotch/_internal/platform/workers.py
+++ b/src/rosemarynotch/_internal/platform/workers.py
@@ -39,17 +39,19 @@
         function that returns it for each call
     :param worker_id: identifier of the worker instance that is called; a
         later instance at the same address refuses the calls
-    :param order_timeout: returns how long an answer to an order is awaited
+    :param order_timeout: returns how long an answer to an order is awaited,
+        from the number of its earlier attempts
     """
 
     def __init__(
         self,
         connect: Callable[[float | Callable[[], float]], HttpClient],
         worker_id: str,
-        order_timeout: Callable[[], float],
+        order_timeout: Callable[[int], float],
     ) -> None:
         self._report_client = connect(REPORT_TIMEOUT_S)
-        self._order_client = connect(order_timeout)
+        self._order_client = connect(lambda: order_timeout(0))
+        self._order_timeout = order_timeout
         self._headers = {INSTANCE_HEADER: worker_id}
 
     def report(self, fence, acked_sequence, lease_ms, wait_ms):
@@ -86,13 +88,19 @@
             body,
             ClockAnswer,
             repeatable=False,
+            timeout_s=self._order_timeout(order.repeats),
         )
         return answer if isinstance(answer, Failure) else int(answer.clock_ms)
 
-    def stop(self, fence, task, run):
+    def stop(self, fence, task, run, repeats=0):
         """Stop a run."""
         body = {"task": str(task), "run": run, "fencing-token": fence}
-        answer = self._call(self._order_client, "run-stop", body)
+        answer = self._call(
+            self._order_client,
+            "run-stop",
+            body,
+            timeout_s=self._order_timeout(repeats),
+        )
         return answer if isinstance(answer, Failure) else None
 
     def pace(self, fence, pacing):
@@ -119,6 +127,7 @@
         kind: type | None = None,
         wait_ms: int = 0,
         repeatable: bool = True,
+        timeout_s: float | None = None,
     ):
         """Make a call.
 
@@ -135,6 +144,7 @@
             repeatable=repeatable,
             wait_ms=wait_ms,
             headers=self._headers,
+            timeout_s=timeout_s,
         )
         if isinstance(answer, Failure):
             return answer
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -47,6 +47,8 @@
     :ivar is_sent: whether a start order was sent; until then the worker
         cannot have the run
     :ivar is_resent: whether the start order was sent more than once
+    :ivar start_count: number of start orders that were sent
+    :ivar stop_count: number of stops that were sent
     """
 
     task: "Task"
@@ -63,6 +65,8 @@
     load: float = 0.0
     is_sent: bool = False
     is_resent: bool = False
+    start_count: int = 0
+    stop_count: int = 0
 
     @property
     def key(self) -> tuple[TaskId, int]:
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -187,7 +187,9 @@
             lease_until_worker_ms=run.lease_until_ms,
             checkpoint=task.checkpoint,
             ticket=command.ticket,
+            repeats=run.start_count,
         )
+        run.start_count += 1
         started_s = self._controller.clock.monotonic_s()
         answer = link.channel.start(self._controller.grant.fence, order)
         now_s = self._controller.clock.monotonic_s()
@@ -211,6 +213,7 @@
             run=order.run,
             worker=worker.worker_id,
             outcome=outcome,
+            why=answer.reason if isinstance(answer, Failure) else "",
         )
         return answer
 
@@ -236,14 +239,19 @@
     ) -> None | Failure:
         run = command.run
         answer = link.channel.stop(
-            self._controller.grant.fence, run.task.task_id, run.number
+            self._controller.grant.fence,
+            run.task.task_id,
+            run.number,
+            run.stop_count,
         )
+        run.stop_count += 1
         self._controller.log(
             "run stop ordered",
             task=str(run.task.task_id),
             run=run.number,
             worker=command.worker.worker_id,
             outcome=answer.code if answer else "stopping",
+            why=answer.reason if answer else "",
         )
         return answer
 
--- a/src/rosemarynotch/_internal/scheduling/ports.py
+++ b/src/rosemarynotch/_internal/scheduling/ports.py
@@ -246,6 +246,8 @@
     :ivar lease_until_worker_ms: end of the run's lease on the worker's clock
     :ivar checkpoint: checkpoint to resume from, empty for none
     :ivar ticket: permission of the advice service, empty if none is needed
+    :ivar repeats: number of earlier orders for the same run; the answer to
+        each is awaited longer than that to the one before
     """
 
     task: TaskId
@@ -254,6 +256,7 @@
     lease_until_worker_ms: int
     checkpoint: str = ""
     ticket: str = ""
+    repeats: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -295,8 +298,13 @@
         """
 
     @abc.abstractmethod
-    def stop(self, fence: int, task: TaskId, run: int) -> None | Failure:
-        """Stop a run, or prevent it from starting later."""
+    def stop(
+        self, fence: int, task: TaskId, run: int, repeats: int = 0
+    ) -> None | Failure:
+        """Stop a run, or prevent it from starting later.
+
+        :param repeats: number of earlier stops of the run
+        """
 
     @abc.abstractmethod
     def pace(self, fence: int, pacing: Pacing) -> None | Failure:
--- a/src/rosemarynotch/_internal/utils/http.py
+++ b/src/rosemarynotch/_internal/utils/http.py
@@ -86,6 +86,7 @@
         wait_s: float = 0.0,
         headers: dict[str, str] | None = None,
         may_send: Callable[[], bool] | None = None,
+        timeout_s: float | None = None,
     ) -> Reply | CallFailed:
         """Send a request and return the response.
 
@@ -97,12 +98,15 @@
         :param may_send: checked again after the connection has been made,
             because connecting may take longer than the permission to send
             lasts
+        :param timeout_s: time-out of this call, if it is not the usual one
         :returns: the response, or a failure without a complete response
         """
         path = "/" + "/".join(quote(part) for part in segments)
         if query:
             path += "?" + urlencode(query)
-        timeout_s = self._timeout() + wait_s
+        if timeout_s is None:
+            timeout_s = self._timeout()
+        timeout_s += wait_s
         message = (method, path, body, headers or {})
         result = self._once(message, timeout_s, repeatable, may_send)
         if not isinstance(result, CallFailed):
--- a/src/rosemarynotch/_internal/wiring/clients.py
+++ b/src/rosemarynotch/_internal/wiring/clients.py
@@ -71,7 +71,7 @@
         )
 
     def _connect_worker(
-        self, entry: WorkerEntry, order_timeout: Callable[[], float]
+        self, entry: WorkerEntry, order_timeout: Callable[[int], float]
     ) -> HttpWorkerChannel:
         return HttpWorkerChannel(
             lambda timeout_s: HttpClient(
--- a/tests/unit/test_order_queue.py
+++ b/tests/unit/test_order_queue.py
@@ -42,7 +42,7 @@
         self.started.append((order.task, order.run))
         return 0 if self.answers.wait(WAIT_S) else LOST
 
-    def stop(self, fence, task, run):
+    def stop(self, fence, task, run, repeats):
         self.stopped.append((task, run))
         return None
 
--- a/tests/unit/test_unanswered_orders.py
+++ b/tests/unit/test_unanswered_orders.py
@@ -53,7 +53,7 @@
         channel = HttpWorkerChannel(
             lambda timeout_s: Http("h:1", SystemClock(), timeout_s),
             "w",
-            lambda: 0.25,
+            lambda repeats: 0.25,
         )
         order = StartOrder(
             task=TaskId("j", 0, 0, 0),
@@ -254,9 +254,10 @@
         """Return when the last task of a step has been started."""
         waits_s = []
         for _ in range(self.TASKS):
-            wait_s = self.ANSWER_S
+            wait_s, repeats = self.ANSWER_S, 0
             while rng.random() < self.LOST_SHARE:
-                wait_s += timeout_s() + pause_s
+                wait_s += timeout_s(repeats) + pause_s
+                repeats += 1
             waits_s.append(wait_s)
         return max(waits_s)
 
@@ -267,7 +268,8 @@
             timeout.record(self.ANSWER_S * (1 + number % 3 / 10))
         rng = random.Random(3)
         baseline_s = sum(
-            self.wait_of_a_step_s(rng, lambda: 0.25, 0.05) for _ in range(200)
+            self.wait_of_a_step_s(rng, lambda repeats: 0.25, 0.05)
+            for _ in range(200)
         )
         rng = random.Random(3)
         tested_s = sum(
@@ -285,6 +287,19 @@
             timeout.record(0.2)
         self.assertGreater(timeout(), 0.2)
 
+    def test_repeated_orders_are_awaited_longer(self):
+        """Guards against tasks that never start on slow workers (rule LOST).
+
+        Answers that take longer than the time-out are never recorded, so it
+        stayed below them, and each repeated order timed out as well.
+        """
+        timeout = OrderTimeout()
+        for _ in range(30):
+            timeout.record(0.002)
+        self.assertLess(timeout(), 0.04)
+        self.assertGreater(timeout(1), 0.04)
+        self.assertEqual(0.25, timeout(9))
+
     def test_first_orders_are_awaited_longest(self):
         """Guards against a time-out that rests on one fast answer."""
         timeout = OrderTimeout()
