Keep what a worker counts apart by incarnation

Cause: a restarted worker has no runs and counts anew, but the leader went on with its counts of the earlier incarnation. (1) The list of workers showed the restart before the first report, and all runs were dropped, also those whose repeated orders the new incarnation had accepted. (2) Reports were requested with the number of the last known end, also after a call without an answer, so that the new incarnation forgot its first ends unread. (3) Leases ended at a time on the earlier clock.

A connection leads to one process. An acknowledgement or a lease is now sent only on a connection on which its incarnation has answered before: a report without an open connection is requested plainly, and a new connection for orders begins with a plain request for a report. Counts are reset by the first report of an incarnation; the list only makes the link ask at once, also at a new address. Runs are kept until a report requested after their confirmation lacks them. Runs that a first report shows have a lease from then on, so that they end if the worker is lost before the next call. The time-out of a new connection for orders doubles with each failure, as that of repeated orders.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,8 @@
 # Above the grace time for a stop in the settings of the nodes, 6 s.
 EXIT_TIMEOUT_S = 7.0
 CLOCK_STEPS_S = (-2.0, 2.0)
+# Share of the crashed workers that start again under their identifier.
+KEPT_ID_SHARE = 0.5
 
 
 class Target:
@@ -258,7 +260,7 @@
 
 
 class WorkerCrashed(Fault):
-    """Kills a worker; its VM starts another one after a delay."""
+    """Kills a worker; its VM starts it or another one after a delay."""
 
     def begin(self):
         """Kill a random worker."""
@@ -267,8 +269,11 @@
         if not running_vms:
             return "no worker is running"
         vm = self.target.random.choice(running_vms)
-        emulator.crash(vm, self.target.random.uniform(0.1, 3.0))
-        return f"worker of {vm.name} crashed"
+        down_s = self.target.random.uniform(0.1, 3.0)
+        keeps_id = self.target.random.random() < KEPT_ID_SHARE
+        emulator.crash(vm, down_s, keeps_id)
+        kept = ", keeps its id" if keeps_id else ""
+        return f"worker of {vm.name} crashed{kept}"
 
     def end(self):
         """Do nothing: the emulator starts the VM again."""
--- a/src/rosemarynotch/_internal/platform/calls.py
+++ b/src/rosemarynotch/_internal/platform/calls.py
@@ -30,6 +30,7 @@
     headers: dict[str, str] | None = None,
     may_send: Callable[[], bool] | None = None,
     timeout_s: float | None = None,
+    needs_open: bool = False,
 ) -> tuple[int, object] | Failure:
     """Make a call and decode its answer.
 
@@ -42,6 +43,8 @@
     :param may_send: called right before sending; the call is not sent if it
         returns False
     :param timeout_s: time-out of this call, if it is not the usual one
+    :param needs_open: whether the call may only be sent on a connection that
+        is open already
     :returns: status and decoded body, or None for a body that is not decoded
     """
     data = None if body is None else msgspec.json.encode(body)
@@ -58,6 +61,7 @@
         sent,
         may_send,
         timeout_s,
+        needs_open,
     )
     if isinstance(reply, CallFailed):
         failure = unavailable.with_reason(reply.reason)
--- a/src/rosemarynotch/_internal/platform/schema.py
+++ b/src/rosemarynotch/_internal/platform/schema.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "AdviceAnswer",
+    "BornAnswer",
     "ClockAnswer",
     "ConfigurationBody",
     "ConflictAnswer",
@@ -265,6 +266,12 @@
     finished: list[Raw] = []
 
 
+class BornAnswer(msgspec.Struct, rename="kebab", frozen=True):
+    """Start of the worker that answers; the rest is not decoded."""
+
+    born: UnixMs = 0
+
+
 class ClockAnswer(msgspec.Struct, rename="kebab", frozen=True):
     """Clock of a worker that has accepted an order."""
 
--- a/src/rosemarynotch/_internal/platform/workers.py
+++ b/src/rosemarynotch/_internal/platform/workers.py
@@ -1,11 +1,18 @@
 """Client of a worker."""
 
 from collections.abc import Callable
+import threading
+
+import msgspec
 
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.platform.calls import call_json
+from rosemarynotch._internal.platform.calls import PATH_ROOT
+from rosemarynotch._internal.platform.schema import BornAnswer
 from rosemarynotch._internal.platform.schema import ClockAnswer
+from rosemarynotch._internal.platform.schema import decode_body
 from rosemarynotch._internal.platform.schema import decode_rows
 from rosemarynotch._internal.platform.schema import EndRow
 from rosemarynotch._internal.platform.schema import RefusalAnswer
@@ -17,6 +24,8 @@
 from rosemarynotch._internal.scheduling.ports import RunStatus
 from rosemarynotch._internal.scheduling.ports import WorkerChannel
 from rosemarynotch._internal.scheduling.ports import WorkerReport
+from rosemarynotch._internal.utils.http import ConnectionCheck
+from rosemarynotch._internal.utils.http import Exchange
 from rosemarynotch._internal.utils.http import HttpClient
 
 __all__ = ["HttpWorkerChannel"]
@@ -35,24 +44,36 @@
 class HttpWorkerChannel(WorkerChannel):
     """Calls a worker over HTTP.
 
+    A connection leads to one incarnation of the worker. What only holds for
+    an incarnation is sent on a connection on which it has answered before.
+
     :param connect: returns a client with a time-out in seconds, or with a
-        function that returns it for each call
-    :param worker_id: identifier of the worker instance that is called; a
-        later instance at the same address refuses the calls
+        function that returns it for each call, and with a check of its
+        connections, None for no check
+    :param worker_id: identifier of the worker that is called; another worker
+        at the same address refuses the calls
     :param order_timeout: returns how long an answer to an order is awaited,
         from the number of its earlier attempts
     """
 
     def __init__(
         self,
-        connect: Callable[[float | Callable[[], float]], HttpClient],
+        connect: Callable[
+            [float | Callable[[], float], ConnectionCheck | None], HttpClient
+        ],
         worker_id: str,
         order_timeout: Callable[[int], float],
     ) -> None:
-        self._report_client = connect(REPORT_TIMEOUT_S)
-        self._order_client = connect(lambda: order_timeout(0))
-        self._order_timeout = order_timeout
+        self._connect = connect
         self._headers = {INSTANCE_HEADER: worker_id}
+        self._order_timeout = order_timeout
+        self._report_client = connect(REPORT_TIMEOUT_S, None)
+        self._reported_unix_ms = 0
+        self._lock = threading.Lock()
+        self._order_client: HttpClient | None = None
+        self._order_unix_ms = 0
+        # Consecutive orders that were not sent, for want of a connection.
+        self._unsent_count = 0
 
     def report(self, fence, acked_sequence, lease_ms, wait_ms):
         """Extend the lease and return the report of the worker."""
@@ -62,10 +83,29 @@
             body["deadline-ms"] = lease_ms
         if wait_ms:
             body["wait-ms"] = wait_ms
+        is_bound = bool(acked_sequence or lease_ms)
         answer = self._call(
-            self._report_client, "hold", body, ReportAnswer, wait_ms
+            self._report_client,
+            "hold",
+            body,
+            ReportAnswer,
+            wait_ms=wait_ms,
+            needs_open=is_bound,
         )
-        return answer if isinstance(answer, Failure) else _to_report(answer)
+        if is_bound and _is_unsent(answer):
+            body = {"fencing-token": fence, "last-seen": 0}
+            answer = self._call(
+                self._report_client, "hold", body, ReportAnswer
+            )
+        if isinstance(answer, Failure):
+            return answer
+        report = _to_report(answer)
+        self._reported_unix_ms = report.started_unix_ms
+        return report
+
+    def abort_report(self):
+        """End the call that waits for a report."""
+        self._report_client.abort()
 
     def start(self, fence, order):
         """Start a run."""
@@ -82,25 +122,21 @@
             body["ticket"] = order.ticket
         # Sent once: if the first attempt gets no answer, a refusal of the
         # second would not prove that the first is never carried out.
-        answer = self._call(
-            self._order_client,
+        answer = self._order(
+            fence,
             "run-start",
             body,
-            ClockAnswer,
+            order.repeats,
+            order.worker_started_unix_ms,
+            kind=ClockAnswer,
             repeatable=False,
-            timeout_s=self._order_timeout(order.repeats),
         )
         return answer if isinstance(answer, Failure) else int(answer.clock_ms)
 
     def stop(self, fence, task, run, repeats=0):
         """Stop a run."""
         body = {"task": str(task), "run": run, "fencing-token": fence}
-        answer = self._call(
-            self._order_client,
-            "run-stop",
-            body,
-            timeout_s=self._order_timeout(repeats),
-        )
+        answer = self._order(fence, "run-stop", body, repeats)
         return answer if isinstance(answer, Failure) else None
 
     def pace(self, fence, pacing):
@@ -111,13 +147,75 @@
             "percent": pacing.percent,
             "fencing-token": fence,
         }
-        answer = self._call(self._order_client, "pace", body)
+        answer = self._order(fence, "pace", body)
         return answer if isinstance(answer, Failure) else None
 
+    def _order(
+        self,
+        fence: int,
+        name: str,
+        body: dict,
+        repeats: int = 0,
+        started_unix_ms: int | None = None,
+        **options,
+    ):
+        """Send an order to an incarnation of the worker.
+
+        :param repeats: number of earlier attempts
+        :param started_unix_ms: the incarnation, that of the last report if it
+            is not given
+        """
+        if started_unix_ms is None:
+            started_unix_ms = self._reported_unix_ms
+        answer = self._call(
+            self._client_for(fence, started_unix_ms),
+            name,
+            body,
+            timeout_s=self._order_timeout(repeats),
+            **options,
+        )
+        is_unsent = _is_unsent(answer)
+        self._unsent_count = self._unsent_count + 1 if is_unsent else 0
+        return answer
+
     def close(self):
         """Close idle connections."""
         self._report_client.close()
-        self._order_client.close()
+        with self._lock:
+            if self._order_client is not None:
+                self._order_client.close()
+
+    def _client_for(self, fence: int, started_unix_ms: int) -> HttpClient:
+        """Return the client for orders to an incarnation of the worker."""
+        with self._lock:
+            known, known_unix_ms = self._order_client, self._order_unix_ms
+            if known is not None and known_unix_ms == started_unix_ms:
+                return known
+            if known is not None:
+                known.close()
+            client = self._order_client = self._connect(
+                lambda: self._order_timeout(self._unsent_count),
+                lambda exchange: self._check(exchange, fence, started_unix_ms),
+            )
+            self._order_unix_ms = started_unix_ms
+            return client
+
+    def _check(
+        self, exchange: Exchange, fence: int, started_unix_ms: int
+    ) -> str:
+        """Return why a connection does not lead to an incarnation."""
+        reply = exchange(
+            "POST",
+            (PATH_ROOT, "hold"),
+            msgspec.json.encode({"fencing-token": fence, "last-seen": 0}),
+            self._headers | {"Content-Type": "application/json"},
+        )
+        if reply.status != 200:
+            return f"hold: status {reply.status}"
+        found_unix_ms = int(decode_body(reply.body, BornAnswer).born)
+        if found_unix_ms != started_unix_ms:
+            return f"worker restarted at {found_unix_ms}"
+        return ""
 
     def _call(
         self,
@@ -125,13 +223,13 @@
         name: str,
         body: dict,
         kind: type | None = None,
-        wait_ms: int = 0,
         repeatable: bool = True,
-        timeout_s: float | None = None,
+        **options,
     ):
         """Make a call.
 
         :param kind: type of the answer, None if it is not decoded
+        :param options: passed to :func:`call_json`
         :returns: the decoded answer, or a failure
         """
         answer = call_json(
@@ -142,9 +240,8 @@
             answers={200: kind, 409: RefusalAnswer},
             body=body,
             repeatable=repeatable,
-            wait_ms=wait_ms,
             headers=self._headers,
-            timeout_s=timeout_s,
+            **options,
         )
         if isinstance(answer, Failure):
             return answer
@@ -162,6 +259,15 @@
         return failures.WORKER_BUSY.with_reason(f"{name}: status {status}")
 
 
+def _is_unsent(answer) -> bool:
+    """Tell whether a call was not sent, as no connection was open."""
+    return (
+        isinstance(answer, Failure)
+        and answer.is_a(failures.WORKER_UNREACHABLE)
+        and answer.ran is Ran.NO
+    )
+
+
 def _to_report(answer: ReportAnswer) -> WorkerReport:
     refused: list[str] = []
     running = decode_rows(answer.running, RunRow, refused)
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -302,8 +302,13 @@
             return worker.lease_until_ms
         until_ms = clock.lease_end_ms(self.clock.monotonic_s(), LEASE_S)
         # Recorded before the order is sent, as an order without an answer may
-        # still be carried out.
-        worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+        # still be carried out. Leases by the clock of an incarnation whose
+        # first report was not applied yet are bounded when it is.
+        if (
+            clock.started_unix_ms == worker.started_unix_ms
+            or not worker.clock_received_at_s
+        ):
+            worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
         return until_ms
 
     def check_fence(self, answer: object) -> None:
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -100,10 +100,11 @@
         link = self._controller.link(command.worker.worker_id)
         if link is None or not self._is_permitted(command):
             return False
-        if not self._is_needed(command):
+        is_needed, order = self._prepare(command)
+        if not is_needed:
             return False
         try:
-            return self._send(command, link)
+            return self._send(command, order, link)
         except Exception as error:
             # An answer that cannot be decoded does not tell whether the
             # command took effect.
@@ -124,18 +125,22 @@
             return self._controller.may_start
         return self._controller.is_running
 
-    def _is_needed(self, command: Command) -> bool:
+    def _prepare(self, command: Command) -> tuple[bool, StartOrder | None]:
         """Check a command against the present state, right before it is sent.
 
         The lock excludes the scheduling thread. A run counts as sent from
         here on, so whatever that thread decides later is followed by a stop.
+
+        :returns: whether the command is needed, and the order if it is a start
         """
-        controller, run = self._controller, command.run
+        controller, run, order = self._controller, command.run, None
         with controller.lock:
             now_s = controller.clock.monotonic_s()
             if isinstance(command, StartCommand):
                 is_needed = command.is_current(now_s)
                 run.is_sent |= is_needed
+                if is_needed:
+                    order = self._make_order(command)
             else:
                 is_needed = run.is_sent
         if not is_needed:
@@ -143,11 +148,31 @@
             controller.post(
                 lambda now_s: controller.scheduler.on_start_withheld(run)
             )
-        return is_needed
+        return is_needed, order
 
-    def _send(self, command: Command, link: WorkerLink) -> bool:
-        if isinstance(command, StartCommand):
-            answer = self._send_start(command, link)
+    def _make_order(self, command: StartCommand) -> StartOrder:
+        """Return the order for a start; a repetition has the same lease."""
+        run, worker, task = command.run, command.worker, command.run.task
+        if not run.lease_until_ms:
+            run.lease_until_ms = self._controller.extend_lease(
+                worker, worker.clock
+            )
+        return StartOrder(
+            task=task.task_id,
+            run=run.number,
+            payload=task.step.occurrence.job.submission.spec.payload,
+            lease_until_worker_ms=run.lease_until_ms,
+            checkpoint=task.checkpoint,
+            ticket=command.ticket,
+            repeats=run.start_count,
+            worker_started_unix_ms=worker.started_unix_ms,
+        )
+
+    def _send(
+        self, command: Command, order: StartOrder | None, link: WorkerLink
+    ) -> bool:
+        if order is not None:
+            answer = self._send_start(command, order, link)
         elif isinstance(command, StopCommand):
             answer = self._send_stop(command, link)
         else:
@@ -171,25 +196,11 @@
             )
 
     def _send_start(
-        self, command: StartCommand, link: WorkerLink
+        self, command: StartCommand, order: StartOrder, link: WorkerLink
     ) -> int | Failure:
-        run, worker = command.run, command.worker
-        run.lease_until_ms = (
-            run.lease_until_ms
-            or self._controller.extend_lease(worker, worker.clock)
-        )
-        task = run.task
-        job = task.step.occurrence.job
-        order = StartOrder(
-            task=task.task_id,
-            run=run.number,
-            payload=job.submission.spec.payload,
-            lease_until_worker_ms=run.lease_until_ms,
-            checkpoint=task.checkpoint,
-            ticket=command.ticket,
-            repeats=run.start_count,
-        )
-        run.start_count += 1
+        worker = command.worker
+        job = command.run.task.step.occurrence.job
+        command.run.start_count += 1
         started_s = self._controller.clock.monotonic_s()
         answer = link.channel.start(self._controller.grant.fence, order)
         now_s = self._controller.clock.monotonic_s()
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -116,6 +116,9 @@
         if run.phase is RunPhase.STOPPING or job.phase.is_final:
             return self._stop(run, worker, now_s)
         if run.phase is RunPhase.UNCONFIRMED:
+            if worker.has_restarted:
+                # The lease has to be by the clock of the new incarnation.
+                return None
             run.phase = RunPhase.ORDERED
             run.is_resent = True
             return StartCommand(run, worker, self._advice.ticket(run))
--- a/src/rosemarynotch/_internal/scheduling/ports.py
+++ b/src/rosemarynotch/_internal/scheduling/ports.py
@@ -248,6 +248,7 @@
     :ivar ticket: permission of the advice service, empty if none is needed
     :ivar repeats: number of earlier orders for the same run; the answer to
         each is awaited longer than that to the one before
+    :ivar worker_started_unix_ms: incarnation by whose clock the lease ends
     """
 
     task: TaskId
@@ -257,6 +258,7 @@
     checkpoint: str = ""
     ticket: str = ""
     repeats: int = 0
+    worker_started_unix_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -281,6 +283,11 @@
     ) -> WorkerReport | Failure:
         """Extend the lease on all runs, acknowledge ends and list the runs.
 
+        The acknowledgement and the lease refer to the incarnation of the
+        worker that gave the last report. They are sent only on the connection
+        of that report; without it, another incarnation may answer, and the
+        call neither acknowledges, nor extends, nor waits.
+
         :param acked_sequence: the worker may forget ends up to this one
         :param lease_ms: new end of the lease on the worker's clock, 0 to
             leave the lease unchanged
@@ -288,10 +295,18 @@
             acknowledged
         """
 
+    @abc.abstractmethod
+    def abort_report(self) -> None:
+        """End a call for a report that waits, as if it had no answer."""
+
     @abc.abstractmethod
     def start(self, fence: int, order: StartOrder) -> int | Failure:
         """Start a run; repeating the call does not start it twice.
 
+        The order is sent only on a connection on which the incarnation that
+        it names has answered. If another one answers, it fails with
+        WORKER_UNREACHABLE.
+
         :returns: the time on the worker's clock, or RUN_FENCED,
             RUN_SUPERSEDED, RUN_LATE, RUN_NO_ROOM, RUN_NO_TICKET,
             WORKER_REPLACED, WORKER_BUSY or WORKER_UNREACHABLE
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -92,7 +92,8 @@
             elif entry != worker.entry:
                 if entry.is_draining and not worker.entry.is_draining:
                     self._log("worker draining", worker=worker_id)
-                self._handle_restart(worker, entry.started_unix_ms, now_s)
+                # An entry with a later start time tells that the worker may
+                # have restarted. What it runs now is told by its report.
                 worker.entry = entry
             worker.is_listed = True
         for worker_id, worker in self.workers.items():
@@ -180,16 +181,20 @@
     ) -> None:
         """Apply a worker's report.
 
-        A report of an earlier incarnation of the worker is ignored.
+        The reports of a worker are requested one after the other, so a report
+        of another incarnation than the last one is from a later incarnation.
 
         :param requested_at_s: when the report was requested
         :param received_at_s: when the report was received
         """
-        started_unix_ms = report.started_unix_ms
-        if started_unix_ms and started_unix_ms < worker.started_unix_ms:
-            return
-        self._handle_restart(worker, started_unix_ms, received_at_s)
+        is_first = self._handle_restart(worker, report)
         worker.record_report(report, requested_at_s, received_at_s)
+        if is_first and report.running:
+            # An earlier leader may have granted its longest lease until now.
+            worker.lease_until_ms = max(
+                worker.lease_until_ms,
+                report.clock_ms + round(self._longest_lease_s * 1000),
+            )
         worker.has_reported = True
         for end in report.ends:
             if end.sequence > worker.seen_sequence:
@@ -210,20 +215,27 @@
             )
         worker.refused = report.refused
 
-    def _handle_restart(
-        self, worker, started_unix_ms: int, now_s: float
-    ) -> None:
-        """Release the runs of a worker if it has restarted."""
-        if started_unix_ms <= worker.started_unix_ms:
-            return
-        if worker.started_unix_ms:
-            lost = worker.restart(started_unix_ms)
-            for run in lost:
-                self.adjust_usage(run, -1)
+    def _handle_restart(self, worker: Worker, report: WorkerReport) -> bool:
+        """Reset the counts of a worker if it has restarted.
+
+        Its confirmed runs are dropped if the report lacks them.
+
+        :returns: whether this is the first report of an incarnation
+        """
+        is_first = not worker.clock_received_at_s
+        if report.started_unix_ms in (0, worker.started_unix_ms):
+            return is_first
+        if not is_first:
             self._log(
-                "worker restarted", worker=worker.worker_id, lost=len(lost)
+                "worker restarted",
+                worker=worker.worker_id,
+                runs=len(worker.runs),
+                reported=len(report.running),
+                ends=len(report.ends),
             )
-        worker.started_unix_ms = started_unix_ms
+            worker.begin_incarnation(report.started_unix_ms)
+        worker.started_unix_ms = report.started_unix_ms
+        return True
 
     def _drop_absent(self, worker, present, requested_at_s, now_s) -> None:
         """Drop confirmed runs that are missing from a worker's report.
--- a/src/rosemarynotch/_internal/scheduling/worker_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_feed.py
@@ -125,10 +125,24 @@
         if added:
             self._controller.writer.request_roster_write()
         self._add_links(added)
-
-    def _add_links(self, added: list[Worker]) -> None:
+        for worker in scheduler.workers.values():
+            if worker.entry.started_unix_ms > worker.started_unix_ms:
+                self._follow_restart(worker)
+
+    def _follow_restart(self, worker: Worker) -> None:
+        """Request a report of a worker that is listed as restarted."""
+        link = self._links.get(worker.worker_id)
+        if link is None:
+            return
+        if link.address != worker.entry.address:
+            link.discard()
+            self._add_links([worker])
+        elif worker.clock_received_at_s:
+            link.follow_restart(worker.entry.started_unix_ms)
+
+    def _add_links(self, workers: list[Worker]) -> None:
         controller = self._controller
-        for worker in added:
+        for worker in workers:
             try:
                 channel = controller.ports.connect_worker(
                     worker.entry, controller.order_timeout
@@ -153,7 +167,7 @@
         """Close the link to a worker that was removed."""
         link = self._links.pop(worker_id, None)
         if link is not None:
-            link.close()
+            link.discard()
 
     def notify_links(self) -> None:
         """Notify the links that run ends have been persisted."""
--- a/src/rosemarynotch/_internal/scheduling/worker_link.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_link.py
@@ -40,21 +40,29 @@
 
 
 class WorkerLink:
-    """Requests reports from one worker and passes them to the scheduler."""
+    """Requests reports from one worker and passes them to the scheduler.
+
+    :ivar address: where the worker is called
+    """
 
     def __init__(
         self, controller: "Controller", worker: Worker, channel: WorkerChannel
     ) -> None:
         self.channel = channel
+        self.address = worker.entry.address
         self._controller = controller
         self._worker = worker
         self._applied = threading.Event()
         self._ends_persisted = threading.Event()
         self._closed = False
+        self._discarded = False
         self._is_reachable = True
         # Set before the first report is applied, so that a new leader extends
         # inherited leases while it still reads the jobs.
         self._clock: WorkerClock | None = None
+        # Incarnation in which the worker's run ends are numbered now.
+        self._applied_unix_ms = 0
+        self._listed_unix_ms = 0
 
     def close(self) -> None:
         """Stop requesting reports."""
@@ -62,6 +70,23 @@
         self._applied.set()
         self._ends_persisted.set()
 
+    def discard(self) -> None:
+        """Stop requesting reports and ignore those that are not applied."""
+        self._discarded = True
+        self.close()
+        self.channel.abort_report()
+
+    def follow_restart(self, started_unix_ms: int) -> None:
+        """Request a report at once, as the worker is listed as restarted.
+
+        A call to the earlier incarnation may wait until its time-out.
+
+        :param started_unix_ms: listed start time
+        """
+        if started_unix_ms != self._listed_unix_ms:
+            self._listed_unix_ms = started_unix_ms
+            self.channel.abort_report()
+
     def notify(self) -> None:
         """Wake the link after ends have been written to the store."""
         self._ends_persisted.set()
@@ -93,12 +118,13 @@
         # never arrive, and would delay the time from which the runs of a lost
         # worker count as lapsed.
         lease_ms = wait_ms = 0
+        acked_sequence = self._acked_sequence()
         if self._clock is not None and self._is_reachable:
             lease_ms = controller.extend_lease(worker, self._clock)
             if worker.acked_sequence == worker.seen_sequence:
                 wait_ms = self._wait_ms(requested_at_s)
         report = self.channel.report(
-            controller.grant.fence, worker.acked_sequence, lease_ms, wait_ms
+            controller.grant.fence, acked_sequence, lease_ms, wait_ms
         )
         received_at_s = controller.clock.monotonic_s()
         controller.answer_losses.note(
@@ -107,7 +133,11 @@
         if isinstance(report, Failure):
             self._handle_failure(report)
             return
-        self._clock = WorkerClock(report.clock_ms, requested_at_s)
+        self._clock = WorkerClock(
+            report.clock_ms,
+            requested_at_s,
+            report.started_unix_ms or worker.started_unix_ms,
+        )
         if not self._is_reachable:
             self._is_reachable = True
             controller.log("worker regained", worker=worker.worker_id)
@@ -122,6 +152,17 @@
                 self._ends_persisted.wait(PERSIST_WAIT_S)
                 self._ends_persisted.clear()
 
+    def _acked_sequence(self) -> int:
+        """Return up to which end the worker may forget its run ends.
+
+        This is 0 while the last report, from a later incarnation, has not been
+        applied: the numbers that are known belong to an earlier one.
+        """
+        clock = self._clock
+        if clock is None or clock.started_unix_ms != self._applied_unix_ms:
+            return 0
+        return self._worker.acked_sequence
+
     def _wait_ms(self, now_s: float) -> int:
         """Return the long-poll time of the next report."""
         if not self._worker.runs:
@@ -133,10 +174,13 @@
     def _apply(
         self, report: WorkerReport, requested_at_s: float, received_at_s: float
     ) -> None:
+        if self._discarded:
+            return
         try:
             self._controller.scheduler.on_report(
                 self._worker, report, requested_at_s, received_at_s
             )
+            self._applied_unix_ms = self._worker.started_unix_ms
         except Exception:
             # The ends of new runs could not be applied either.
             self._worker.pause_until(received_at_s + FAILED_PAUSE_S)
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -50,10 +50,12 @@
 
     :ivar clock_ms: the worker's clock in its report
     :ivar requested_at_s: local time at which the report was requested
+    :ivar started_unix_ms: incarnation whose clock was read
     """
 
     clock_ms: int
     requested_at_s: float
+    started_unix_ms: int = 0
 
     def lease_end_ms(self, now_s: float, lease_s: float) -> int:
         """Return when a lease granted now ends, on the worker's clock."""
@@ -63,7 +65,12 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Worker:
-    """State of one incarnation of a worker.
+    """State of a worker.
+
+    A worker may restart under its identifier. Its new incarnation has none of
+    the earlier runs and counts anew: its clock and the numbers of run ends.
+    Only a report of the new incarnation shows which of the ordered runs it
+    has, see :meth:`begin_incarnation`.
 
     :ivar is_listed: whether the platform currently lists it
     :ivar has_reported: whether it has reported under the fence of this leader
@@ -73,7 +80,8 @@
     :ivar is_cordoned: whether it is being emptied and gets no new runs
     :ivar is_replaced: whether another incarnation has taken its place
     :ivar is_inherited: whether an earlier leader may have started runs on it
-    :ivar started_unix_ms: start time of this incarnation, 0 if unknown
+    :ivar started_unix_ms: start time of the incarnation that last reported,
+        of the listed one before the first report; 0 if unknown
     :ivar clock_ms: its clock in the newest report
     :ivar clock_requested_at_s: when that report was requested
     :ivar clock_received_at_s: when that report was received
@@ -128,6 +136,7 @@
         return (
             self.is_listed
             and self.has_reported
+            and not self.has_restarted
             and self.is_enrolled
             and not self.is_replaced
             and not self.is_cordoned
@@ -136,6 +145,11 @@
             and now_s >= self.quarantined_until_s
         )
 
+    @property
+    def has_restarted(self) -> bool:
+        """Return whether a later incarnation is listed than has reported."""
+        return 0 < self.started_unix_ms < self.entry.started_unix_ms
+
     def is_unavailable(self, now_s: float) -> bool:
         """Return whether the worker needs a substitute in its pool.
 
@@ -184,7 +198,9 @@
     @property
     def clock(self) -> "WorkerClock":
         """Return the clock reading of the newest report applied."""
-        return WorkerClock(self.clock_ms, self.clock_requested_at_s)
+        return WorkerClock(
+            self.clock_ms, self.clock_requested_at_s, self.started_unix_ms
+        )
 
     def lease_left_s(self, now_s: float) -> float:
         """Return how long its longest lease lasts, 0 if it has none."""
@@ -231,13 +247,16 @@
         while pending and pending[0].job.durable_change >= pending[0].change:
             self.acked_sequence = pending.popleft().sequence
 
-    def restart(self, started_unix_ms: int) -> list[Run]:
-        """Reset the state for a new incarnation; return the lost runs."""
-        lost = list(self.runs.values())
-        for run in lost:
-            self.drop_run(run)
+    def begin_incarnation(self, started_unix_ms: int) -> None:
+        """Reset all that the worker counts; a new incarnation has reported.
+
+        The runs are kept: the reports of the new incarnation show whether it
+        has any of them. Leases by the clock of the earlier incarnation were
+        never sent to it.
+        """
         self.started_unix_ms = started_unix_ms
         self.seen_sequence = self.acked_sequence = 0
         self.pending_acks.clear()
         self.lease_until_ms = 0
-        return lost
+        for run in self.runs.values():
+            run.lease_until_ms = 0
--- a/src/rosemarynotch/_internal/utils/http.py
+++ b/src/rosemarynotch/_internal/utils/http.py
@@ -1,6 +1,7 @@
 """HTTP client with keep-alive connections for the platform's services."""
 
 from collections.abc import Callable
+import contextlib
 import http.client
 import select
 import socket
@@ -13,7 +14,7 @@
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.utils.clock import Clock
 
-__all__ = ["CallFailed", "HttpClient", "Reply"]
+__all__ = ["CallFailed", "ConnectionCheck", "Exchange", "HttpClient", "Reply"]
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 3.0
@@ -46,6 +47,13 @@
     reason: str
 
 
+# Sends a request, given as method, segments of the path, body and headers, on
+# a connection and returns the response.
+Exchange = Callable[[str, tuple[str, ...], bytes, dict[str, str]], Reply]
+# Returns why a connection must not be used, empty if it may be.
+ConnectionCheck = Callable[[Exchange], str]
+
+
 class HttpClient:
     """Client of one server, safe to use from several threads.
 
@@ -56,6 +64,7 @@
     :param max_idle: most idle connections that are kept for reuse
     :param max_idle_unrepeatable_s: longest idle time of a connection that is
         reused for a call that must not be repeated
+    :param check: examines each new connection before it is used
     """
 
     def __init__(
@@ -65,6 +74,7 @@
         timeout_s: float | Callable[[], float] = CALL_TIMEOUT_S,
         max_idle: int = MAX_IDLE_CONNECTIONS,
         max_idle_unrepeatable_s: float = MAX_IDLE_UNREPEATABLE_S,
+        check: ConnectionCheck | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._host = host.strip("[]")
@@ -73,8 +83,10 @@
         self._timeout = timeout_s if callable(timeout_s) else lambda: timeout_s
         self._max_idle = max_idle
         self._max_idle_unrepeatable_s = max_idle_unrepeatable_s
+        self._check = check
         self._lock = threading.Lock()
         self._idle: list[tuple[http.client.HTTPConnection, float]] = []
+        self._active: set[http.client.HTTPConnection] = set()
 
     def call(
         self,
@@ -87,6 +99,7 @@
         headers: dict[str, str] | None = None,
         may_send: Callable[[], bool] | None = None,
         timeout_s: float | None = None,
+        needs_open: bool = False,
     ) -> Reply | CallFailed:
         """Send a request and return the response.
 
@@ -99,21 +112,26 @@
             because connecting may take longer than the permission to send
             lasts
         :param timeout_s: time-out of this call, if it is not the usual one
+        :param needs_open: whether the request may only be sent on a connection
+            that is open already, which leads to the process that answered
+            before; it is not sent a second time
         :returns: the response, or a failure without a complete response
         """
-        path = "/" + "/".join(quote(part) for part in segments)
+        path = _path(segments)
         if query:
             path += "?" + urlencode(query)
         if timeout_s is None:
             timeout_s = self._timeout()
         timeout_s += wait_s
         message = (method, path, body, headers or {})
-        result = self._once(message, timeout_s, repeatable, may_send)
+        result = self._once(
+            message, timeout_s, repeatable, may_send, needs_open
+        )
         if not isinstance(result, CallFailed):
             return result
         # If one connection no longer responds, the others may not either.
         self.close()
-        if not repeatable:
+        if not repeatable or needs_open:
             return result
         second = self._once(message, timeout_s, repeatable, may_send)
         if isinstance(second, CallFailed) and result.ran is Ran.UNKNOWN:
@@ -127,37 +145,55 @@
         for connection, _ in idle:
             connection.close()
 
+    def abort(self) -> None:
+        """End the calls that wait for a response, and close all connections.
+
+        The calls fail as if the server had closed their connections.
+        """
+        with self._lock:
+            active = list(self._active)
+        for connection in active:
+            with contextlib.suppress(OSError):
+                connection.sock.shutdown(socket.SHUT_RDWR)
+        self.close()
+
     def _once(
         self,
         message: tuple,
         timeout_s: float,
         repeatable: bool,
         may_send: Callable[[], bool] | None,
+        needs_open: bool = False,
     ) -> Reply | CallFailed:
-        try:
-            connection = self._acquire(repeatable)
-        except (OSError, ValueError) as error:
-            return CallFailed(Ran.NO, self._reason(message, error))
+        connection = self._take_idle(repeatable)
+        if connection is None:
+            if needs_open:
+                return CallFailed(Ran.NO, "no connection is open")
+            try:
+                connection = self._connect()
+            except (OSError, http.client.HTTPException, ValueError) as error:
+                return CallFailed(Ran.NO, self._reason(message, error))
         if may_send is not None and not may_send():
             self._return_idle(connection)
             return CallFailed(Ran.NO, "request is no longer permitted")
+        with self._lock:
+            self._active.add(connection)
         try:
             connection.sock.settimeout(timeout_s)
-            connection.request(*message)
-            response = connection.getresponse()
-            reply = Reply(response.status, response.headers, response.read())
+            reply = _exchange(connection, message)
         except (OSError, http.client.HTTPException, ValueError) as error:
             connection.close()
             return CallFailed(Ran.UNKNOWN, self._reason(message, error))
+        finally:
+            with self._lock:
+                self._active.discard(connection)
         self._return_idle(connection)
         return reply
 
-    def _acquire(self, repeatable: bool) -> http.client.HTTPConnection:
-        """Return an idle connection or a new one.
-
-        :raises OSError: if no connection can be made
-        :raises ValueError: if the host is not a valid name
-        """
+    def _take_idle(
+        self, repeatable: bool
+    ) -> http.client.HTTPConnection | None:
+        """Remove and return an idle connection, None if there is none."""
         max_idle_s = (
             MAX_IDLE_S if repeatable else self._max_idle_unrepeatable_s
         )
@@ -165,17 +201,38 @@
         while True:
             with self._lock:
                 if not self._idle or self._idle[-1][1] < oldest_s:
-                    break
+                    return None
                 connection, _ = self._idle.pop()
             if _is_reusable(connection.sock):
                 return connection
             connection.close()
+
+    def _connect(self) -> http.client.HTTPConnection:
+        """Return a new connection that has passed the check.
+
+        :raises OSError: if no connection can be made, or the check fails
+        :raises ValueError: if the host is not a valid name
+        """
         connection = http.client.HTTPConnection(
             self._host,
             self._port,
             timeout=min(CONNECT_TIMEOUT_S, self._timeout()),
         )
         connection.connect()
+        if self._check is None:
+            return connection
+        why = "check of the connection failed"
+        try:
+            why = self._check(
+                lambda method, segments, body, headers: _exchange(
+                    connection, (method, _path(segments), body, headers)
+                )
+            )
+        finally:
+            if why:
+                connection.close()
+        if why:
+            raise ConnectionError(why)
         return connection
 
     def _return_idle(self, connection: http.client.HTTPConnection) -> None:
@@ -198,6 +255,16 @@
         return f"{where}: {str(error) or type(error).__name__}"
 
 
+def _path(segments: tuple[str, ...]) -> str:
+    return "/" + "/".join(quote(part) for part in segments)
+
+
+def _exchange(connection: http.client.HTTPConnection, message: tuple) -> Reply:
+    connection.request(*message)
+    response = connection.getresponse()
+    return Reply(response.status, response.headers, response.read())
+
+
 def _is_reusable(sock: socket.socket) -> bool:
     """Return whether the connection is open and has no unread data."""
     poll = select.poll()
--- a/src/rosemarynotch/_internal/wiring/clients.py
+++ b/src/rosemarynotch/_internal/wiring/clients.py
@@ -74,11 +74,12 @@
         self, entry: WorkerEntry, order_timeout: Callable[[int], float]
     ) -> HttpWorkerChannel:
         return HttpWorkerChannel(
-            lambda timeout_s: HttpClient(
+            lambda timeout_s, check: HttpClient(
                 entry.address,
                 self._clock,
                 timeout_s,
                 max_idle_unrepeatable_s=MAX_ORDER_IDLE_S,
+                check=check,
             ),
             entry.worker_id,
             order_timeout,
--- a/standins/fleet/emulator.py
+++ b/standins/fleet/emulator.py
@@ -100,16 +100,22 @@
         }
         self.store.put(f"op/wave/{number}", json.dumps(fields).encode())
 
-    def crash(self, vm: EmulatedVm, down_s: float) -> None:
+    def crash(
+        self, vm: EmulatedVm, down_s: float, keeps_id: bool = False
+    ) -> None:
         """Kill the worker of a VM; the VM starts another one later.
 
         :param down_s: time until the VM is up again
+        :param keeps_id: whether the next worker has the same identifier and
+            address
         """
         with self._lock:
             worker, vm.worker, vm.state = vm.worker, None, "down"
+        former = None
         if worker is not None:
             worker.kill()
-        threading.Timer(down_s, self._start_vm, [vm]).start()
+            former = worker if keeps_id else None
+        threading.Timer(down_s, self._start_vm, [vm, former]).start()
 
     def close(self) -> None:
         """Kill the workers and stop the servers."""
@@ -119,14 +125,24 @@
         self.store_server.close()
         self.cloud_server.close()
 
-    def _start_vm(self, vm: EmulatedVm) -> None:
+    def _start_vm(
+        self, vm: EmulatedVm, former: EmulatedWorker | None = None
+    ) -> None:
+        """Start a VM.
+
+        :param former: worker whose identifier and address the worker gets
+        """
         if self._is_closed:
             return
         with self._lock:
             vm.state, vm.is_draining = "up", False
             if vm.pool != self._standby:
+                worker_id, port = f"i-{next(self._sequence)}", 0
+                if former is not None:
+                    worker_id = former.worker_id
+                    port = int(former.address.rpartition(":")[2])
                 vm.worker = EmulatedWorker(
-                    f"i-{next(self._sequence)}", self.ledger, self.random
+                    worker_id, self.ledger, self.random, port
                 )
         self._register_worker(vm)
 
--- a/standins/fleet/http.py
+++ b/standins/fleet/http.py
@@ -83,13 +83,14 @@
 
     :param respond: function that takes a :class:`Call` and returns an
         :class:`Answer`
+    :param port: port to listen on, 0 for any
     """
 
     daemon_threads = True
     request_queue_size = 128
 
-    def __init__(self, respond) -> None:
-        super().__init__(("127.0.0.1", 0), _Handler)
+    def __init__(self, respond, port: int = 0) -> None:
+        super().__init__(("127.0.0.1", port), _Handler)
         self.respond = respond
         self.connections: set = set()
         self.address = f"127.0.0.1:{self.server_address[1]}"
--- a/standins/fleet/ledger.py
+++ b/standins/fleet/ledger.py
@@ -74,6 +74,22 @@
                     counts[entry.task] = counts.get(entry.task, 0) + 1
         return counts
 
+    def repeats(self) -> list[tuple[RunEntry, RunEntry]]:
+        """Return pairs of a run and a later start of its task.
+
+        The run has ended as done, and its end was acknowledged then or later.
+        """
+        entries = self.snapshot()
+        return [
+            (first, second)
+            for first in entries
+            for second in entries
+            if first.task == second.task
+            and first.how == "done"
+            and first.acknowledged_at_s is not None
+            and second.started_at_s > first.ended_at_s
+        ]
+
     def overlaps(self) -> list[tuple[RunEntry, RunEntry]]:
         """Return pairs of successive runs of a task that overlap in time."""
         by_task: dict[str, list[RunEntry]] = {}
--- a/standins/fleet/worker.py
+++ b/standins/fleet/worker.py
@@ -55,12 +55,17 @@
     ``work=SECONDS`` is its duration, ``lasting`` makes it run until it is
     stopped, and ``failing`` makes it fail.
 
+    :param port: port to listen on, 0 for any
     :ivar fault: fault applied to calls and runs at present
     :ivar fault_share: share of the calls to which the fault applies
     """
 
     def __init__(
-        self, worker_id: str, ledger: Ledger, rng: random.Random
+        self,
+        worker_id: str,
+        ledger: Ledger,
+        rng: random.Random,
+        port: int = 0,
     ) -> None:
         self.worker_id = worker_id
         self.fault = WorkerFault.NONE
@@ -78,7 +83,7 @@
         self._ends: list[list] = []
         self._unacknowledged: dict[int, RunEntry] = {}
         self._sequence = 0
-        self.server = JsonServer(self._respond)
+        self.server = JsonServer(self._respond, port)
         threading.Thread(target=self._update_periodically, daemon=True).start()
 
     @property
--- a/tests/functional/test_platform_path.py
+++ b/tests/functional/test_platform_path.py
@@ -337,6 +337,26 @@
         self.assert_completed(jobs, timeout_s=25.0)
         self.assert_each_task_once(jobs)
 
+    def test_workers_that_restart_under_their_ids(self):
+        """Guards against tasks that run again after a restart (rule TWICE).
+
+        All runs of a worker were dropped when the list showed its restart,
+        and the ends of its new runs were acknowledged before they were read.
+        """
+        jobs = []
+        pool = [v for v in self.emulator.vms.values() if v.pool == "one"]
+        for number in range(8):
+            vm = pool[number % len(pool)]
+            if vm.worker is not None:
+                vm.worker.fault = WorkerFault.SILENT
+            jobs += self._submit_many(4, "work=0.4")
+            time.sleep(0.3)
+            self.emulator.crash(vm, down_s=0.05, keeps_id=True)
+            time.sleep(0.4)
+        self.assert_completed(jobs, timeout_s=30.0)
+        self.assertEqual([], self.emulator.ledger.overlaps())
+        self.assertEqual([], self.emulator.ledger.repeats())
+
     def test_forgotten_history(self):
         """Guards against jobs missed after the store drops its history.
 
--- a/tests/lib/scheduling.py
+++ b/tests/lib/scheduling.py
@@ -102,18 +102,30 @@
             **fields,
         )
 
-    def report(self, name, running=(), ends=(), asked_before_s=0.0):
+    def report(
+        self,
+        name,
+        running=(),
+        ends=(),
+        asked_before_s=0.0,
+        started_unix_ms=1,
+        clock_ms=None,
+    ):
         """Apply a report of a worker.
 
         :param running: task, run number and percentage of each running run
         :param asked_before_s: age of the request for the report
+        :param started_unix_ms: incarnation of the worker
+        :param clock_ms: its clock, by default that of the leader
         """
         worker = self.scheduler.workers[name]
         self.scheduler.on_report(
             worker,
             WorkerReport(
-                clock_ms=round(self.now_s * 1000),
-                started_unix_ms=1,
+                clock_ms=(
+                    round(self.now_s * 1000) if clock_ms is None else clock_ms
+                ),
+                started_unix_ms=started_unix_ms,
                 running=tuple(
                     RunStatus(task=task, run=run, percent=percent)
                     for task, run, percent in running
@@ -153,8 +165,9 @@
     def place(self):
         """Run a placement pass and confirm all starts; return the runs."""
         commands = self.planner.place(self.now_s, self.now_s * 1000)
+        clock_ms = round(self.now_s * 1000)
         for command in commands:
-            self.scheduler.on_start_answer(command.run, 1, self.now_s)
+            self.scheduler.on_start_answer(command.run, clock_ms, self.now_s)
         return [command.run for command in commands]
 
     def advance(self, seconds: float) -> None:
--- a/tests/unit/test_scheduling.py
+++ b/tests/unit/test_scheduling.py
@@ -108,6 +108,10 @@
             )
         )
         self.leader.scheduler.set_workers(entries, 1000.0)
+        # The list does not tell which runs the new incarnation has accepted.
+        self.assertFalse(run.task.is_waiting)
+        self.leader.now_s += 0.1
+        self.leader.report(run.worker_id, started_unix_ms=2)
         self.assertTrue(run.task.is_waiting)
 
     def test_replaced_worker_is_not_added_again(self):
--- a/tests/unit/test_scheduling_stateful.py
+++ b/tests/unit/test_scheduling_stateful.py
@@ -1,7 +1,10 @@
 """Stateful tests of the scheduler against a model of workers and store.
 
 The model carries out orders late or twice, loses answers, lets orders wait in
-the leader's queue, and replaces the leader at any time. No task may have two
+the leader's queue, restarts workers under their identifiers, and replaces the
+leader at any time. A list may show a restart before a report does. As in the
+channel to a worker, what holds for one incarnation does not reach another:
+acknowledgements, leases and starts. No task may have two
 runs at the same time or start after its end was acknowledged, and no worker
 may exceed its capacity.
 """
@@ -32,8 +35,16 @@
 
 @attrs.define
 class ModelWorker:
-    """Reference model of a worker as specified by the platform."""
+    """Reference model of a worker as specified by the platform.
 
+    :ivar started_unix_ms: number of its incarnation
+    :ivar started_at_ms: when its clock began
+    :ivar is_known: whether the leader has a report of this incarnation
+    """
+
+    started_unix_ms: int = 1
+    started_at_ms: float = 0.0
+    is_known: bool = False
     fence: int = 0
     lease_until_ms: float = 0.0
     runs: dict = attrs.field(factory=dict)
@@ -41,9 +52,21 @@
     ends: list = attrs.field(factory=list)
     sequence: int = 0
 
+    def restart(self, now_ms: float) -> None:
+        """Begin a new incarnation, which knows nothing of the former one."""
+        ModelWorker.__init__(
+            self,
+            started_unix_ms=self.started_unix_ms + 1,
+            started_at_ms=now_ms,
+        )
+
+    def clock_ms(self, now_ms: float) -> float:
+        """Return the worker's clock."""
+        return now_ms - self.started_at_ms
+
     def expire(self, now_ms: float) -> None:
         """End all runs if the lease has expired."""
-        if now_ms >= self.lease_until_ms:
+        if self.clock_ms(now_ms) >= self.lease_until_ms:
             for task in list(self.runs):
                 self.end(task, EndKind.LAPSED)
 
@@ -66,7 +89,7 @@
             return 1
         if task in self.runs or number <= self.ended.get(task, 0):
             return failures.RUN_SUPERSEDED
-        if until_ms <= now_ms:
+        if until_ms <= self.clock_ms(now_ms):
             return failures.RUN_LATE
         used = len(self.runs) * 1000
         if used + 1000 > CAPACITY.cpu_millicores:
@@ -105,11 +128,17 @@
         self.queued.clear()
         self.leader = Leader(self.term, self.revision)
         self.leader.now_s = self.now_s
-        entries = [self.leader.entry(name) for name in WORKERS]
+        entries = [
+            attrs.evolve(self.leader.entry(name), started_unix_ms=0)
+            for name in WORKERS
+        ]
         scheduler = self.leader.scheduler
         scheduler.set_workers(entries, self.now_s, are_inherited=True)
         for worker in scheduler.workers.values():
             worker.is_enrolled = True
+        for model in self.models.values():
+            model.is_known = False
+        self.list_workers()
         for job_id, revision in self.jobs.items():
             self.leader.submit(
                 job_id, self.spec(), revision, self.progress.get(job_id)
@@ -140,6 +169,57 @@
         self.leader.now_s = self.now_s
         self.leader.submit(job_id, self.spec(), self.revision)
 
+    @stateful.rule()
+    def list_workers(self):
+        """Read the list of workers, which is newer than their reports."""
+        self.leader.scheduler.set_workers(
+            [
+                attrs.evolve(
+                    self.leader.entry(name),
+                    started_unix_ms=self.models[name].started_unix_ms,
+                )
+                for name in WORKERS
+            ],
+            self.now_s,
+        )
+
+    @stateful.rule(name=st.sampled_from(WORKERS))
+    def restart(self, name):
+        """Restart a worker; its runs and ends are lost."""
+        self.models[name].restart(self.now_ms)
+
+    @stateful.rule(name=st.sampled_from(WORKERS), data=st.data())
+    def restart_in_doubt(self, name, data):
+        """List a restart while the new incarnation has a run."""
+        self.restart(name)
+        self.report(name, True)
+        self.plan(data)
+        self.restart(name)
+        self.list_workers()
+        self.plan(data)
+
+    @stateful.rule(name=st.sampled_from(WORKERS), data=st.data())
+    def restart_between_ends(self, name, data):
+        """Restart a worker between two ends that get the same number."""
+        self.note_end(name, data)
+        self.restart(name)
+        self.report(name, True)
+        self.start_all()
+        self.note_end(name, data)
+        self.start_all()
+
+    def note_end(self, name, data):
+        """End a run; apply, write and acknowledge its end."""
+        self.work(name, data)
+        for _ in range(2):
+            self.report(name, True)
+            self.write()
+
+    def start_all(self):
+        """Run a pass of the leader whose orders are answered."""
+        for command in self.plan_starts():
+            self.leave_queue(command, "answered")
+
     @stateful.rule(name=st.sampled_from(WORKERS), data=st.data())
     def end_in_doubt(self, name, data):
         """Hear of the end of a run after another run of its task is queued."""
@@ -155,11 +235,15 @@
 
     def queue_starts(self):
         """Run a pass of the leader whose orders wait in its queue."""
+        self.queued += self.plan_starts()
+
+    def plan_starts(self):
+        """Run a pass of the leader and return the starts."""
         scheduler = self.leader.scheduler
         scheduler.expire_workers(self.now_s)
         commands = self.leader.planner.reconcile_runs(self.now_s)
         commands += self.leader.planner.place(self.now_s, self.now_ms)
-        self.queued += [
+        return [
             command
             for command in commands
             if isinstance(command, StartCommand)
@@ -168,13 +252,7 @@
     @stateful.rule(data=st.data())
     def plan(self, data):
         """Run a pass of the leader; orders may be lost or delayed."""
-        scheduler = self.leader.scheduler
-        scheduler.expire_workers(self.now_s)
-        commands = self.leader.planner.reconcile_runs(self.now_s)
-        commands += self.leader.planner.place(self.now_s, self.now_ms)
-        for command in commands:
-            if not isinstance(command, StartCommand):
-                continue
+        for command in self.plan_starts():
             if data.draw(QUEUED_OR_SENT) == "queued":
                 self.queued.append(command)
             else:
@@ -204,9 +282,18 @@
             worker.lease_until_ms = max(
                 worker.lease_until_ms, run.lease_until_ms
             )
-        order = (self.term, worker.worker_id, run)
+        order = (
+            self.term,
+            worker.worker_id,
+            worker.started_unix_ms,
+            run.lease_until_ms,
+            run,
+        )
+        model = self.models[worker.worker_id]
         answer = UNKNOWN
-        if delivery in ("answered", "lost"):
+        if worker.started_unix_ms != model.started_unix_ms:
+            answer = failures.WORKER_UNREACHABLE
+        elif delivery in ("answered", "lost"):
             answer = self.carry_out(order)
         elif delivery == "late":
             self.late.append(order)
@@ -215,11 +302,13 @@
         self.leader.scheduler.on_start_answer(run, answer, self.now_s)
 
     def carry_out(self, order):
-        fence, name, run = order
+        fence, name, started_unix_ms, until_ms, run = order
+        if started_unix_ms != self.models[name].started_unix_ms:
+            return UNKNOWN
         task = run.task.task_id
         before = task in self.models[name].runs
         answer = self.models[name].start(
-            fence, task, run.number, run.lease_until_ms, self.now_ms
+            fence, task, run.number, until_ms, self.now_ms
         )
         if not before and task in self.models[name].runs:
             assert task not in self.done, f"{task} started after its end"
@@ -251,24 +340,26 @@
         model = self.models[name]
         model.expire(self.now_ms)
         model.fence = max(model.fence, self.term)
-        if worker.clock_received_at_s:
+        acked = 0
+        if model.is_known:
             until_ms = worker.clock.lease_end_ms(self.now_s, LEASE_S)
             worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
             model.lease_until_ms = max(model.lease_until_ms, until_ms)
-        acked = worker.acked_sequence
+            acked = worker.acked_sequence
         for end in model.ends:
             if end.sequence <= acked and end.kind is EndKind.DONE:
                 self.done.add(end.task)
         model.ends = [end for end in model.ends if end.sequence > acked]
         if answered:
+            model.is_known = True
             self.answer(worker, model)
 
     def answer(self, worker, model):
         self.leader.scheduler.on_report(
             worker,
             WorkerReport(
-                clock_ms=round(self.now_ms),
-                started_unix_ms=1,
+                clock_ms=round(model.clock_ms(self.now_ms)),
+                started_unix_ms=model.started_unix_ms,
                 running=tuple(
                     RunStatus(task=task, run=number, percent=50)
                     for task, number in model.runs.items()
--- a/tests/unit/test_unanswered_orders.py
+++ b/tests/unit/test_unanswered_orders.py
@@ -51,7 +51,7 @@
                 return replies.pop(0)
 
         channel = HttpWorkerChannel(
-            lambda timeout_s: Http("h:1", SystemClock(), timeout_s),
+            lambda timeout_s, check: Http("h:1", SystemClock(), timeout_s),
             "w",
             lambda repeats: 0.25,
         )
--- a/tests/unit/test_untrusted_input.py
+++ b/tests/unit/test_untrusted_input.py
@@ -318,7 +318,7 @@
         if isinstance(body, str):
             body = body.encode()
         channel = HttpWorkerChannel(
-            lambda timeout_s: FakeHttp(body), "w", lambda repeats: 0.25
+            lambda timeout_s, check: FakeHttp(body), "w", lambda repeats: 0.25
         )
         return channel.report(1, 0, 0, 0)
 
--- a/tests/unit/test_worker_feed.py
+++ b/tests/unit/test_worker_feed.py
@@ -131,8 +131,8 @@
     @staticmethod
     def connect(worker, order_timeout):
         return HttpWorkerChannel(
-            lambda timeout_s: HttpClient(
-                worker.address, SystemClock(), timeout_s
+            lambda timeout_s, check: HttpClient(
+                worker.address, SystemClock(), timeout_s, check=check
             ),
             worker.worker_id,
             order_timeout,
