Show a job as completed only once this is recorded

Cause: a node whose read of the store has no answer asks the leader, and the leader answered from the reports of the workers, before the completion was written. Only its memory and the worker know of the end then. Both may be lost, and the next term, also of the same process, starts from the store. A leader that is cut off or killed beside a lost worker suffices, since reads that last over 0.1 s lead to the question as well.

The leader now tells of a completion only when the store has confirmed its record. Nothing else outlasts the loss of all nodes and of the worker at once.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -133,10 +133,16 @@
         return self.is_running or self.is_detached
 
     def find_completed(self, job_id: str) -> CompletedJob | None:
-        """Return a job if all its tasks are done, written or not."""
+        """Return a job if the store has recorded that it is completed.
+
+        What a caller was shown must survive the loss of every node and of
+        every worker, so the memory of this node is not enough.
+        """
         job = self.scheduler.jobs.get(job_id)
         if job is None or job.phase is not Phase.COMPLETED:
             return None
+        if job.durable_change < job.change:
+            return None
         return CompletedJob(job_id, job.submission.organisation)
 
     def record_hint(self, keys: Iterable[str]) -> None:
--- a/src/rosemarynotch/_internal/scheduling/hints.py
+++ b/src/rosemarynotch/_internal/scheduling/hints.py
@@ -86,7 +86,7 @@
 
     :param on_keys: called with the valid keys of each hint
     :param find_completed: returns a job if this node knows that it is
-        completed
+        recorded as completed
     """
 
     def __init__(
--- a/src/rosemarynotch/_internal/scheduling/leader_query.py
+++ b/src/rosemarynotch/_internal/scheduling/leader_query.py
@@ -1,8 +1,8 @@
 """Asks the leader for completed jobs while the store does not answer.
 
-The leader knows from the workers that a job has ended before it can record
-this in the store. Queries and answers are datagrams, which may be lost, but
-have no connection that could go silent.
+The store may answer the leader and not this node, and the leader keeps in
+memory which completions it has recorded. Queries and answers are datagrams,
+which may be lost, but have no connection that could go silent.
 """
 
 from collections.abc import Callable
@@ -23,14 +23,14 @@
 
 @attrs.frozen
 class JobQuery:
-    """Asks whether a job is completed."""
+    """Asks whether a job is recorded as completed."""
 
     asked_job: str
 
 
 @attrs.frozen
 class CompletedJob:
-    """The answer to a query about a job that is completed.
+    """The answer to a query about a job that is recorded as completed.
 
     :ivar organisation: owner of the job, empty if it has none
     """
@@ -57,7 +57,7 @@
         self._ask_locally = ask_locally
 
     def ask(self, job_id: str) -> CompletedJob | None:
-        """Return the job if the leader says that it is completed."""
+        """Return the job if the leader has recorded that it is completed."""
         found = self._ask_locally(job_id)
         address = self._leader()
         if found is not None or address is None:
--- a/src/rosemarynotch/_internal/scheduling/phase_reader.py
+++ b/src/rosemarynotch/_internal/scheduling/phase_reader.py
@@ -32,7 +32,7 @@
     """Reads the phase of a job from the store, or asks the leader.
 
     A read from a silent store lasts until its time-out. The leader is asked
-    meanwhile, since it may know that the job is completed.
+    meanwhile, since it may have recorded that the job is completed.
 
     :param withdrawal_s: longest time for which a withdrawn key may be used.
         A node without contact to the store for almost that long does not
@@ -89,7 +89,7 @@
     def _ask_leader(
         self, job_id: str, organisation: str | None
     ) -> Phase | None:
-        """Return COMPLETED if the leader knows that the job is completed."""
+        """Return COMPLETED if the leader has recorded the completion."""
         if self._config_feed.contact_age_s() > self._max_contact_age_s:
             return None
         job = self._leader_query.ask(job_id)
--- a/tests/unit/test_leader_query.py
+++ b/tests/unit/test_leader_query.py
@@ -107,6 +107,52 @@
         self.assertIs(Phase.COMPLETED, self.phase(age_s=WITHDRAWAL_S - 0.6))
 
 
+class RecordedJobTest(testtools.TestCase):
+    """Guards against a shown job that runs again (rule TWICE).
+
+    The leader told that a job was completed before this was written. Its
+    worker was lost, and the next leader started its tasks once more.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.leader = Leader()
+        self.leader.add_workers("w1")
+        self.job = self.leader.submit(JOB_ID)
+        (run,) = self.leader.place()
+        self.leader.end(run)
+
+    def find(self, leader):
+        return Controller.find_completed(
+            types.SimpleNamespace(scheduler=leader.scheduler), JOB_ID
+        )
+
+    def next_leader(self, progress):
+        """Return the next leader, which hears of no worker of the first."""
+        leader = Leader(term=2, started_revision=20)
+        leader.submit(JOB_ID, progress=progress)
+        leader.add_workers("w2")
+        return leader
+
+    def test_job_that_is_not_written(self):
+        """Guards against a completion that only this leader knows.
+
+        The next leader has to start the tasks again.
+        """
+        self.assertIsNone(self.find(self.leader))
+        self.assertEqual(1, len(self.next_leader(None).place()))
+
+    def test_job_that_is_written(self):
+        """Guards against a shown completion that the next leader lacks."""
+        progress = self.job.progress()
+        self.leader.scheduler.mark_written(self.job, self.job.change, 5)
+        expected = CompletedJob(JOB_ID, "o")
+        self.assertEqual(expected, self.find(self.leader))
+        following = self.next_leader(progress)
+        self.assertEqual([], following.place())
+        self.assertEqual(expected, self.find(following))
+
+
 class SilentStoreTest(testtools.TestCase):
     """Guards against reads that wait for a silent store.
 
