Refuse unknown keys on public queues, and keep their callers to their queue

Cause: on a public queue a key without an organisation counted as no key, and a caller without an organisation could access the jobs of all of them, on any queue.

A key that a call carries must be known on every queue; credentials of another form are refused as well. Without a key, or for a job without an owner, the queue of the job has to be the one that the call addresses. Answers of the leader about completed jobs name the queue for that.

--- a/src/rosemarynotch/_internal/platform/requests.py
+++ b/src/rosemarynotch/_internal/platform/requests.py
@@ -18,7 +18,7 @@
 __all__ = ["CallerInterface"]
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
-AUTHORIZATION_SCHEME = "Token "
+AUTHORIZATION_SCHEME = "Token"
 DEADLINE_HEADER = "Rosemarynotch-Deadline-Ms"
 DEADLINE_VARIABLE = "HTTP_ROSEMARYNOTCH_DEADLINE_MS"
 # Milliseconds: at most nine digits (about eleven days) and a fraction.
@@ -108,11 +108,16 @@
         return self._job_api.submit(request, job_id, _to_job(body)) or {}
 
 
-def _api_key(environ) -> str:
-    header = environ.get("HTTP_AUTHORIZATION", "")
-    if not header.startswith(AUTHORIZATION_SCHEME):
-        return ""
-    return header.removeprefix(AUTHORIZATION_SCHEME).strip()
+def _api_key(environ) -> str | None:
+    """Return the key of a call.
+
+    :returns: None for a call without credentials, empty if they are no key
+    """
+    header = environ.get("HTTP_AUTHORIZATION", "").strip()
+    if not header:
+        return None
+    scheme, _, key = header.partition(" ")
+    return key.strip() if scheme == AUTHORIZATION_SCHEME else ""
 
 
 def _deadline_ms(environ) -> int | Failure:
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -143,7 +143,8 @@
             return None
         if job.durable_change < job.change:
             return None
-        return CompletedJob(job_id, job.submission.organisation)
+        submission = job.submission
+        return CompletedJob(job_id, submission.organisation, submission.queue)
 
     def record_hint(self, keys: Iterable[str]) -> None:
         """Pass a hint about written intake keys to the intake feed."""
--- a/src/rosemarynotch/_internal/scheduling/intake.py
+++ b/src/rosemarynotch/_internal/scheduling/intake.py
@@ -20,6 +20,7 @@
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.access import CallerAccess
 from rosemarynotch._internal.scheduling.ports import CommitConflict
 from rosemarynotch._internal.scheduling.ports import Condition
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
@@ -34,7 +35,7 @@
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
 from rosemarynotch._internal.utils.clock import Clock
 
-__all__ = ["JobIntake", "may_access"]
+__all__ = ["JobIntake"]
 
 # A transaction has at most 32 entries, and a job needs two of them.
 MAX_BATCH = 15
@@ -265,11 +266,9 @@
             return True
         return False if item.is_a(STORE_KEY_MISSING) else item
 
-    def phase(self, job_id: str, organisation: str | None) -> Phase | Failure:
+    def phase(self, job_id: str, access: CallerAccess) -> Phase | Failure:
         """Return the phase of a job.
 
-        :param organisation: the caller's organisation, None for calls without
-            a key
         :returns: the phase, JOB_UNKNOWN or STORE_UNAVAILABLE
         """
         # A final phase never changes, so a stale read of it is correct. It
@@ -278,13 +277,13 @@
         if isinstance(progress, Failure) or not progress.phase.is_final:
             progress = self._progress(job_id)
         if not isinstance(progress, Failure):
-            if not may_access(organisation, progress.organisation):
+            if not access.permits(progress.organisation, progress.queue):
                 return JOB_UNKNOWN
             return progress.phase
         item = progress
         if not item.is_a(STORE_KEY_MISSING):
             return item
-        found = self._submission(job_id, organisation)
+        found = self._submission(job_id, access)
         return found if isinstance(found, Failure) else Phase.QUEUED
 
     def _progress(
@@ -296,7 +295,7 @@
         return decode(item.value, ProgressRecord)
 
     def _submission(
-        self, job_id: str, organisation: str | None
+        self, job_id: str, access: CallerAccess
     ) -> SubmissionRecord | Failure:
         item = self._store.get(JOBS_PREFIX + job_id)
         if isinstance(item, Failure):
@@ -306,13 +305,13 @@
         record = decode(item.value, SubmissionRecord)
         if isinstance(record, Failure):
             return record
-        if not may_access(organisation, record.organisation):
+        if not access.permits(record.organisation, record.queue):
             return JOB_UNKNOWN.with_reason(job_id)
         return record
 
-    def cancel(self, job_id: str, organisation: str | None) -> None | Failure:
+    def cancel(self, job_id: str, access: CallerAccess) -> None | Failure:
         """Record that a job is cancelled; repeating the call is harmless."""
-        found = self._submission(job_id, organisation)
+        found = self._submission(job_id, access)
         if isinstance(found, Failure):
             return found
         key = CANCELLATIONS_PREFIX + job_id
@@ -393,8 +392,3 @@
             if not isinstance(record, Failure):
                 counts[record.queue] = counts.get(record.queue, 0) + 1
         return counts
-
-
-def may_access(organisation: str | None, owner: str) -> bool:
-    """Tell whether a caller may access a job of an organisation."""
-    return organisation is None or not owner or organisation == owner
--- a/src/rosemarynotch/_internal/scheduling/job_api.py
+++ b/src/rosemarynotch/_internal/scheduling/job_api.py
@@ -13,6 +13,7 @@
 from rosemarynotch._internal.exceptions import OVERLOADED
 from rosemarynotch._internal.exceptions import QUEUE_UNKNOWN
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
+from rosemarynotch._internal.scheduling.access import CallerAccess
 from rosemarynotch._internal.scheduling.config_feed import ConfigFeed
 from rosemarynotch._internal.scheduling.intake import JobIntake
 from rosemarynotch._internal.scheduling.model import Configuration
@@ -52,10 +53,15 @@
     queue: QueuePolicy
     host: str
     path: str
-    key: str
+    key: str | None
     organisation: str | None
     wait_ms: int
 
+    @property
+    def access(self) -> CallerAccess:
+        """Return which jobs the caller may access."""
+        return CallerAccess(self.organisation, self.queue.name)
+
 
 class JobApi:
     """Checks the requests of callers and passes their jobs to the intake."""
@@ -91,10 +97,14 @@
         self._is_shutting_down = True
 
     def resolve_request(
-        self, *, host: str, path: str, key: str, wait_ms: int
+        self, *, host: str, path: str, key: str | None, wait_ms: int
     ) -> CallerRequest | Failure:
         """Find the queue of a request and check its key.
 
+        A key must be known, also on a public queue.
+
+        :param key: None for a call without credentials, empty if they are no
+            key
         :returns: the request, CONFIGURATION_MISSING, QUEUE_UNKNOWN,
             KEY_INVALID or KEY_MISSING
         """
@@ -105,8 +115,11 @@
         if queue is None:
             return QUEUE_UNKNOWN.with_reason(f"{host}{path}")
         organisation = configuration.organisation_of(key) if key else None
-        if organisation is None and not queue.is_public:
-            return KEY_INVALID if key else KEY_MISSING
+        if organisation is None:
+            if key is not None:
+                return KEY_INVALID
+            if not queue.is_public:
+                return KEY_MISSING
         return CallerRequest(
             configuration=configuration,
             queue=queue,
@@ -217,13 +230,13 @@
 
     def phase(self, request: CallerRequest, job_id: str) -> Phase | Failure:
         """Return the phase of a job."""
-        phase = self._phase_reader.read(job_id, request.organisation)
+        phase = self._phase_reader.read(job_id, request.access)
         self._count_call("state", request, phase)
         return phase
 
     def cancel(self, request: CallerRequest, job_id: str) -> None | Failure:
         """Cancel a job, if the caller may access it."""
-        failure = self._intake.cancel(job_id, request.organisation)
+        failure = self._intake.cancel(job_id, request.access)
         self._count_call("cancel", request, failure)
         self._log(
             "job cancelled by its caller",
--- a/src/rosemarynotch/_internal/scheduling/leader_query.py
+++ b/src/rosemarynotch/_internal/scheduling/leader_query.py
@@ -33,10 +33,12 @@
     """The answer to a query about a job that is recorded as completed.
 
     :ivar organisation: owner of the job, empty if it has none
+    :ivar queue: name of its queue
     """
 
     completed_job: str
     organisation: str
+    queue: str = ""
 
 
 class LeaderQuery:
--- a/src/rosemarynotch/_internal/scheduling/phase_reader.py
+++ b/src/rosemarynotch/_internal/scheduling/phase_reader.py
@@ -5,9 +5,9 @@
 
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
+from rosemarynotch._internal.scheduling.access import CallerAccess
 from rosemarynotch._internal.scheduling.config_feed import ConfigFeed
 from rosemarynotch._internal.scheduling.intake import JobIntake
-from rosemarynotch._internal.scheduling.intake import may_access
 from rosemarynotch._internal.scheduling.leader_query import LeaderQuery
 from rosemarynotch._internal.scheduling.records import Phase
 from rosemarynotch._internal.utils.clock import Clock
@@ -57,19 +57,17 @@
         self._reads = futures.ThreadPoolExecutor(READ_THREADS, "phase-read")
         self._ask_first_until_s = 0.0
 
-    def read(self, job_id: str, organisation: str | None) -> Phase | Failure:
+    def read(self, job_id: str, access: CallerAccess) -> Phase | Failure:
         """Return the phase of a job.
 
-        :param organisation: the caller's organisation, None for calls without
-            a key
         :returns: the phase, JOB_UNKNOWN or STORE_UNAVAILABLE
         """
         now_s = self._clock.monotonic_s()
         if now_s < self._ask_first_until_s or self._config_feed.is_failing:
-            phase = self._ask_leader(job_id, organisation)
+            phase = self._ask_leader(job_id, access)
             if phase is not None:
                 return phase
-        reading = self._reads.submit(self._intake.phase, job_id, organisation)
+        reading = self._reads.submit(self._intake.phase, job_id, access)
         end_s = now_s + READ_LIMIT_S
         while now_s < end_s:
             done, _ = futures.wait([reading], ASK_INTERVAL_S)
@@ -80,20 +78,18 @@
                 return result
             now_s = self._clock.monotonic_s()
             self._ask_first_until_s = now_s + ASK_FIRST_S
-            phase = self._ask_leader(job_id, organisation)
+            phase = self._ask_leader(job_id, access)
             if phase is not None or done:
                 break
         reading.cancel()
         return phase or result
 
-    def _ask_leader(
-        self, job_id: str, organisation: str | None
-    ) -> Phase | None:
+    def _ask_leader(self, job_id: str, access: CallerAccess) -> Phase | None:
         """Return COMPLETED if the leader has recorded the completion."""
         if self._config_feed.contact_age_s() > self._max_contact_age_s:
             return None
         job = self._leader_query.ask(job_id)
-        if job is None or not may_access(organisation, job.organisation):
+        if job is None or not access.permits(job.organisation, job.queue):
             return None
         self._log("job shown by the leader", job=job_id)
         return Phase.COMPLETED
--- a/tests/functional/test_platform_path.py
+++ b/tests/functional/test_platform_path.py
@@ -115,6 +115,40 @@
             self.assertEqual(410, status)
         self.assertIn(self.nodes.state(0, job_id), ("queued", "running"))
 
+    def test_public_queue_opens_no_other_jobs(self):
+        """Guards against callers without a known key (rule ROUTE).
+
+        On a public queue a key that nobody has counted as none, and a caller
+        without a key could read and cancel the jobs of all organisations.
+        """
+        document = configuration(2)
+        document["routes"][1]["public"] = True
+        self.emulator.put_configuration(document)
+        call = self.nodes.call
+        wait_until(
+            lambda: call(0, "GET", "/two/", key=None)[0] == 200,
+            START_S,
+            "the queue is public",
+        )
+        lasting = {"count": 1, "cpu": 500, "long-running": 1}
+        body = {"spec": "lasting", "steps": [lasting]}
+        owned, _ = self.nodes.submit(0, "lasting", 1, **{"long-running": 1})
+        public = owned[::-1]
+        path = f"/two/{public}"
+        self.assertEqual(401, call(0, "POST", path, body, key="no-key")[0])
+        self.assertEqual(200, call(0, "POST", path, body, key=None)[0])
+        for method in ("GET", "DELETE"):
+            for queue in ("one", "two"):
+                status, _ = call(0, method, f"/{queue}/{owned}", key="no-key")
+                self.assertEqual(401, status)
+            self.assertEqual(401, call(0, method, path, key="no-key")[0])
+            status, _ = call(0, method, f"/two/{owned}", key=None)
+            self.assertEqual(410, status)
+            self.assertEqual(410, call(0, method, f"/one/{public}")[0])
+        self.assertIn(self.nodes.state(0, owned), ("queued", "running"))
+        self.assertEqual(200, call(0, "DELETE", path, key=None)[0])
+        self.assertEqual("cancelled", call(0, "GET", path)[1]["state"])
+
     def test_cancelled_job_stops(self):
         """Guards against tasks that go on after their job was cancelled."""
         job_id, _ = self.nodes.submit(0, "lasting", 2, **{"long-running": 1})
--- a/tests/lib/nodes.py
+++ b/tests/lib/nodes.py
@@ -202,11 +202,16 @@
     def call(
         self, number: int, method: str, path: str, body=None, key="key-a"
     ) -> tuple[int, dict]:
-        """Call a node; the status is 0 if there is no complete answer."""
+        """Call a node; the status is 0 if there is no complete answer.
+
+        :param key: None for a call without a key
+        """
         connection = http.client.HTTPConnection(
             self.addresses[number], timeout=CALL_TIMEOUT_S
         )
-        headers = {"Host": QUEUE_HOST, "Authorization": f"Token {key}"}
+        headers = {"Host": QUEUE_HOST}
+        if key is not None:
+            headers["Authorization"] = f"Token {key}"
         data = None if body is None else json.dumps(body)
         try:
             connection.request(method, path, data, headers)
--- a/tests/unit/test_hints.py
+++ b/tests/unit/test_hints.py
@@ -6,6 +6,7 @@
 
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.access import CallerAccess
 from rosemarynotch._internal.scheduling.hints import HintReceiver
 from rosemarynotch._internal.scheduling.hints import HintSender
 from rosemarynotch._internal.scheduling.intake import JobIntake
@@ -104,7 +105,7 @@
     def phase(self, old, new):
         store = StaleStore(old, new)
         intake = JobIntake(store, SystemClock(), "config", no_log)
-        return intake.phase(JOB_ID, "o"), store.reads
+        return intake.phase(JOB_ID, CallerAccess("o", "q")), store.reads
 
     def test_final_state_is_read_once(self):
         """Guards against a second read of a state that cannot change."""
--- a/tests/unit/test_leader_query.py
+++ b/tests/unit/test_leader_query.py
@@ -7,6 +7,7 @@
 import testtools
 
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
+from rosemarynotch._internal.scheduling.access import CallerAccess
 from rosemarynotch._internal.scheduling.controller import Controller
 from rosemarynotch._internal.scheduling.hints import HintReceiver
 from rosemarynotch._internal.scheduling.leader_query import CompletedJob
@@ -22,7 +23,7 @@
 HOST = "127.0.0.1"
 WITHDRAWAL_S = 3.0
 JOB_ID = "0123456789abcdef"
-DONE = CompletedJob(JOB_ID, "o")
+DONE = CompletedJob(JOB_ID, "o", "q")
 
 
 def no_log(event, **fields):
@@ -87,7 +88,7 @@
             withdrawal_s=WITHDRAWAL_S,
             log=no_log,
         )
-        return reader.read(JOB_ID, organisation)
+        return reader.read(JOB_ID, CallerAccess(organisation, "q"))
 
     def test_completed_job_is_shown(self):
         """Guards against callers that wait for the store to return."""
@@ -146,7 +147,7 @@
         """Guards against a shown completion that the next leader lacks."""
         progress = self.job.progress()
         self.leader.scheduler.mark_written(self.job, self.job.change, 5)
-        expected = CompletedJob(JOB_ID, "o")
+        expected = CompletedJob(JOB_ID, "o", "q")
         self.assertEqual(expected, self.find(self.leader))
         following = self.next_leader(progress)
         self.assertEqual([], following.place())
@@ -190,7 +191,7 @@
 
     def read(self):
         start_s = time.monotonic()
-        phase = self.reader.read(JOB_ID, "o")
+        phase = self.reader.read(JOB_ID, CallerAccess("o", "q"))
         return phase, time.monotonic() - start_s
 
     def test_leader_is_asked_before_the_time_out(self):
