Take a report that is cut for what it lists, and for nothing else

Cause: a worker lists at most 500 ends that are not acknowledged, and ends are acknowledged once they are written. While the store is silent, later ends are in no report. The leader dropped each confirmed run that a report did not name as lost, so its task was free to start. A new leader counted the worker as heard after its first report, whatever that left out.

A report now knows whether it is cut, by the number of its rows. Lost runs, the runs that a new leader does not know, the first report of an incarnation, and empty workers (moves and waves) need a report that is not cut. A run counts as stuck, or as at work for the budget of its step, by the reports that list it. Waves no longer end a worker with ends that are not written. What is not known keeps its capacity and is not started again; a lapsed lease frees it as before. The lines "report cut" and "report whole again" show such a time in the logs.

--- a/src/rosemarynotch/_internal/platform/workers.py
+++ b/src/rosemarynotch/_internal/platform/workers.py
@@ -32,6 +32,8 @@
 
 INSTANCE_HEADER = "Rosemarynotch-Expected-Instance"
 REPORT_TIMEOUT_S = 0.5
+# A report lists at most this many ends, those with the lowest numbers.
+MAX_LISTED_ENDS = 500
 FAILURES_BY_REASON = {
     "fence": failures.RUN_FENCED,
     "old": failures.RUN_SUPERSEDED,
@@ -279,6 +281,7 @@
         running=tuple(each for row in running if (each := _to_status(row))),
         ends=tuple(each for row in ends if (each := _to_end(row))),
         refused=tuple(refused),
+        is_cut=len(answer.finished) >= MAX_LISTED_ENDS,
     )
 
 
--- a/src/rosemarynotch/_internal/scheduling/evacuation.py
+++ b/src/rosemarynotch/_internal/scheduling/evacuation.py
@@ -47,7 +47,7 @@
         worker = workers.get(run.worker_id)
         if (
             worker is not None
-            and now_s - worker.clock_received_at_s < MAX_REPORT_AGE_S
+            and now_s - run.listed_at_s < MAX_REPORT_AGE_S
             and run.phase is RunPhase.ACTIVE
             and run.percent >= SERVING_PERCENT
         ):
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -345,9 +345,6 @@
 
     @staticmethod
     def _is_idle(worker: Worker) -> bool:
-        # Ends that are not persisted exist only on the worker.
         return worker.is_empty and not (
-            worker.is_cordoned
-            or worker.entry.is_draining
-            or worker.pending_acks
+            worker.is_cordoned or worker.entry.is_draining
         )
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -40,6 +40,7 @@
         requested later has to contain it
     :ivar stop_sent_at_s: when a stop was last ordered, 0 if none was or if it
         has to be ordered again
+    :ivar listed_at_s: when a report last listed it as running, 0 if none has
     :ivar progressed_at_s: when its percentage last increased
     :ivar pace_percent: share of its full speed that it was ordered to use
     :ivar load: latest load reported by the worker: the latency tail in
@@ -60,6 +61,7 @@
     confirmed_at_s: float = 0.0
     stop_sent_at_s: float = 0.0
     percent: int = 0
+    listed_at_s: float = 0.0
     progressed_at_s: float = 0.0
     pace_percent: int = 100
     load: float = 0.0
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -122,7 +122,7 @@
             run.phase = RunPhase.ORDERED
             run.is_resent = True
             return StartCommand(run, worker, self._advice.ticket(run))
-        if run.phase is RunPhase.ACTIVE and self._is_stuck(run, worker):
+        if run.phase is RunPhase.ACTIVE and self._is_stuck(run):
             self._log(
                 "run stuck",
                 job=job.job_id,
@@ -136,12 +136,17 @@
         return None
 
     @staticmethod
-    def _is_stuck(run: Run, worker: Worker) -> bool:
+    def _is_stuck(run: Run) -> bool:
+        """Tell whether reports list the run without any progress.
+
+        Only reports that list it count: a run that has ended makes no
+        progress either, and its end may be missing in a report that is cut.
+        """
         if run.pace_percent < 100 or run.percent >= 100:
             return False
         is_long_running = run.task.step.spec.long_running
         limit_s = STUCK_LONG_RUNNING_S if is_long_running else STUCK_AFTER_S
-        return worker.clock_received_at_s - run.progressed_at_s > limit_s
+        return run.listed_at_s - run.progressed_at_s > limit_s
 
     @staticmethod
     def _stop(run: Run, worker: Worker, now_s: float) -> StopCommand | None:
--- a/src/rosemarynotch/_internal/scheduling/ports.py
+++ b/src/rosemarynotch/_internal/scheduling/ports.py
@@ -230,6 +230,8 @@
         given
     :ivar refused: errors in rows that could not be read; if there are any,
         runs may exist that the report does not list
+    :ivar is_cut: whether the worker may have more ends than the report lists;
+        a run that the report lacks may then have ended in any way
     """
 
     clock_ms: int
@@ -237,6 +239,7 @@
     running: tuple[RunStatus, ...] = ()
     ends: tuple[RunEnd, ...] = ()
     refused: tuple[str, ...] = ()
+    is_cut: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -133,16 +133,17 @@
     def pools_with_unknown_runs(self, now_s: float) -> set[str]:
         """Return pools that may contain unreported runs of earlier leaders.
 
-        These are the pools of inherited workers that have not reported in
-        this term and whose leases may still be valid. A worker is added to
-        the roster before its first run, so workers that are not in the roster
-        read by this leader have no runs of earlier leaders.
+        These are the pools of inherited workers whose leases may still be
+        valid and that have not sent a report in this term, or none that was
+        not cut. A worker is added to the roster before its first run, so
+        workers that are not in the roster read by this leader have no runs of
+        earlier leaders.
         """
         return {
             worker.entry.pool
             for worker in self.workers.values()
             if worker.is_inherited
-            and not worker.clock_received_at_s
+            and not worker.has_reported
             and not worker.is_replaced
             and now_s < self._lease_expiry_s(worker)
         }
@@ -189,13 +190,22 @@
         """
         is_first = self._handle_restart(worker, report)
         worker.record_report(report, requested_at_s, received_at_s)
-        if is_first and report.running:
+        if is_first and (report.running or report.is_cut):
             # An earlier leader may have granted its longest lease until now.
             worker.lease_until_ms = max(
                 worker.lease_until_ms,
                 report.clock_ms + round(self._longest_lease_s * 1000),
             )
-        worker.has_reported = True
+        if report.is_cut != worker.is_report_cut:
+            self._log(
+                "report cut" if report.is_cut else "report whole again",
+                worker=worker.worker_id,
+                runs=len(worker.runs),
+                running=len(report.running),
+                ends=len(report.ends),
+            )
+        worker.is_report_cut = report.is_cut
+        worker.has_reported |= not report.is_cut
         for end in report.ends:
             if end.sequence > worker.seen_sequence:
                 worker.seen_sequence = end.sequence
@@ -204,9 +214,9 @@
         for status in report.running:
             present.add((status.task, status.run))
             self._on_status(worker, status, received_at_s)
-        if not report.refused:
+        if not (report.refused or report.is_cut):
             self._drop_absent(worker, present, requested_at_s, received_at_s)
-        elif report.refused != worker.refused:
+        if report.refused and report.refused != worker.refused:
             self._log(
                 "report rows refused",
                 worker=worker.worker_id,
@@ -240,7 +250,8 @@
     def _drop_absent(self, worker, present, requested_at_s, now_s) -> None:
         """Drop confirmed runs that are missing from a worker's report.
 
-        Only a report that was requested after the confirmation counts.
+        Only a report that was requested after the confirmation counts, and
+        none that is cut: the run may have ended, and its end may be left out.
         """
         for run in list(worker.runs.values()):
             is_confirmed = run.phase is RunPhase.ACTIVE or (
@@ -262,6 +273,7 @@
         if run.phase in (RunPhase.ORDERED, RunPhase.UNCONFIRMED):
             run.phase = RunPhase.ACTIVE
             run.confirmed_at_s = now_s
+        run.listed_at_s = now_s
         self.mark_running(run.task.step.occurrence.job)
         if status.percent > run.percent or not run.progressed_at_s:
             run.progressed_at_s = now_s
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -73,8 +73,10 @@
     has, see :meth:`begin_incarnation`.
 
     :ivar is_listed: whether the platform currently lists it
-    :ivar has_reported: whether it has reported under the fence of this leader
-        since its leases last expired
+    :ivar has_reported: whether it has sent a report that is not cut under the
+        fence of this leader, since its leases last expired and in its present
+        incarnation; all of its runs are known from then on
+    :ivar is_report_cut: whether its newest report was cut
     :ivar is_enrolled: whether the roster in the store contains it, so that a
         later leader requests its runs
     :ivar is_cordoned: whether it is being emptied and gets no new runs
@@ -99,6 +101,7 @@
     entry: WorkerEntry
     is_listed: bool = True
     has_reported: bool = False
+    is_report_cut: bool = False
     is_enrolled: bool = False
     is_cordoned: bool = False
     is_replaced: bool = False
@@ -180,8 +183,17 @@
 
     @property
     def is_empty(self) -> bool:
-        """Return whether the worker is known to have no runs."""
-        return self.has_reported and not self.runs
+        """Return whether nothing is lost if the worker ends.
+
+        It is known to have no runs, and no ends that exist only there because
+        they are not persisted.
+        """
+        return (
+            self.has_reported
+            and not self.is_report_cut
+            and not self.runs
+            and not self.pending_acks
+        )
 
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
@@ -255,6 +267,7 @@
         never sent to it.
         """
         self.started_unix_ms = started_unix_ms
+        self.has_reported = False
         self.seen_sequence = self.acked_sequence = 0
         self.pending_acks.clear()
         self.lease_until_ms = 0
