Count the progress of a run from its confirmation

Cause: the time without progress began when the run was placed, and the first reports show 0 %. It now begins with the first proof that the worker has the run.

--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -41,7 +41,8 @@
     :ivar stop_sent_at_s: when a stop was last ordered, 0 if none was or if it
         has to be ordered again
     :ivar listed_at_s: when a report last listed it as running, 0 if none has
-    :ivar progressed_at_s: when its percentage last increased
+    :ivar progressed_at_s: when it was confirmed, or its percentage last
+        increased
     :ivar pace_percent: share of its full speed that it was ordered to use
     :ivar load: latest load reported by the worker: the latency tail in
         milliseconds of a serving task, otherwise the processors in use
@@ -75,6 +76,17 @@
         """Return the identity of the run on its worker."""
         return self.task.task_id, self.number
 
+    def confirm(self, now_s: float) -> None:
+        """Record proof that the worker has accepted the run.
+
+        The run may work from the first proof on. Its order may have waited in
+        a queue before.
+        """
+        if self.phase in (RunPhase.ORDERED, RunPhase.UNCONFIRMED):
+            self.phase = RunPhase.ACTIVE
+        if not self.confirmed_at_s:
+            self.confirmed_at_s = self.progressed_at_s = now_s
+
 
 @attrs.define(eq=False)
 class Task:
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -69,7 +69,6 @@
             number=task.last_run,
             worker_id=worker.worker_id,
             ordered_at_s=now_s,
-            progressed_at_s=now_s,
         )
         worker.add_run(run)
         step = task.step
@@ -93,9 +92,7 @@
         if run.key not in worker.runs:
             return
         if not isinstance(answer, Failure):
-            if run.phase in (RunPhase.ORDERED, RunPhase.UNCONFIRMED):
-                run.phase = RunPhase.ACTIVE
-            run.confirmed_at_s = run.confirmed_at_s or now_s
+            run.confirm(now_s)
             self.mark_running(run.task.step.occurrence.job)
             return
         self._log(
@@ -113,7 +110,7 @@
             # The run has ended or its lease has expired, so no order with this
             # lease can still be carried out. The next report shows which.
             run.phase = RunPhase.ACTIVE
-            run.confirmed_at_s = run.confirmed_at_s or now_s
+            run.confirm(now_s)
         elif is_unanswered:
             # This order or an earlier one may still be carried out.
             run.phase = RunPhase.UNCONFIRMED
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -270,12 +270,10 @@
             run = self._adopt(worker, status, now_s)
         if run is None:
             return
-        if run.phase in (RunPhase.ORDERED, RunPhase.UNCONFIRMED):
-            run.phase = RunPhase.ACTIVE
-            run.confirmed_at_s = now_s
+        run.confirm(now_s)
         run.listed_at_s = now_s
         self.mark_running(run.task.step.occurrence.job)
-        if status.percent > run.percent or not run.progressed_at_s:
+        if status.percent > run.percent:
             run.progressed_at_s = now_s
         run.percent = status.percent
         run.load = status.load
