Acknowledge the ends of tasks that the leader does not know

A row that cannot be read may name a run of this leader and is still not acknowledged by itself; the link pauses between its requests instead.

8 tests of test_cut_reports.py and test_worker_link.py failed before, pass now. All unit tests pass.

--- a/src/rosemarynotch/_internal/platform/workers.py
+++ b/src/rosemarynotch/_internal/platform/workers.py
@@ -280,6 +280,7 @@
         started_unix_ms=int(answer.born),
         running=tuple(each for row in running if (each := _to_status(row))),
         ends=tuple(each for row in ends if (each := _to_end(row))),
+        unnamed_ends=tuple(row.sequence for row in ends if not _to_end(row)),
         refused=tuple(refused),
         is_cut=len(answer.finished) >= MAX_LISTED_ENDS,
     )
--- a/src/rosemarynotch/_internal/scheduling/ports.py
+++ b/src/rosemarynotch/_internal/scheduling/ports.py
@@ -228,6 +228,7 @@
     :ivar clock_ms: time on the worker's own clock
     :ivar started_unix_ms: start time of the process that answered, 0 if not
         given
+    :ivar unnamed_ends: numbers of the ends that name no task
     :ivar refused: errors in rows that could not be read; if there are any,
         runs may exist that the report does not list
     :ivar is_cut: whether the worker may have more ends than the report lists;
@@ -238,6 +239,7 @@
     started_unix_ms: int = 0
     running: tuple[RunStatus, ...] = ()
     ends: tuple[RunEnd, ...] = ()
+    unnamed_ends: tuple[int, ...] = ()
     refused: tuple[str, ...] = ()
     is_cut: bool = False
 
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -206,10 +206,7 @@
             )
         worker.is_report_cut = report.is_cut
         worker.has_reported |= not report.is_cut
-        for end in report.ends:
-            if end.sequence > worker.seen_sequence:
-                worker.seen_sequence = end.sequence
-                self._on_end(worker, end, received_at_s)
+        self._apply_ends(worker, report, received_at_s)
         present = set()
         for status in report.running:
             present.add((status.task, status.run))
@@ -307,12 +304,37 @@
         self.mark_running(job)
         return run
 
-    def _on_end(self, worker: Worker, end: RunEnd, now_s: float) -> None:
+    def _apply_ends(
+        self, worker: Worker, report: WorkerReport, now_s: float
+    ) -> None:
+        """Apply the ends of a report that are new, in order.
+
+        Ends that concern no task of this leader need no write. They are
+        acknowledged like the others, since they would otherwise take up the
+        worker's list of ends, and it would answer each request at once.
+        """
+        ends: dict[int, RunEnd | None] = dict.fromkeys(report.unnamed_ends)
+        ends |= {end.sequence: end for end in report.ends}
+        for sequence, end in sorted(ends.items()):
+            if sequence <= worker.seen_sequence:
+                continue
+            worker.seen_sequence = sequence
+            ack = self._on_end(worker, end, now_s) if end else None
+            worker.pending_acks.append(ack or PendingAck(sequence))
+        worker.advance_acks()
+
+    def _on_end(
+        self, worker: Worker, end: RunEnd, now_s: float
+    ) -> PendingAck | None:
+        """Apply an end.
+
+        :returns: what has to be persisted, None if the task is unknown
+        """
         job = self.jobs.get(end.task.job_id)
         task = job.task(end.task) if job else None
         if task is None:
             self._log("end of unknown task", task=str(end.task))
-            return
+            return None
         run = worker.runs.get((end.task, end.run))
         if run is not None:
             worker.drop_run(run)
@@ -328,7 +350,7 @@
             change = self.mark_dirty(job)
         else:
             change = job.change
-        worker.pending_acks.append(PendingAck(end.sequence, job, change))
+        return PendingAck(end.sequence, job, change)
 
     def _apply_end(self, job, task, run, end: RunEnd, now_s) -> None:
         if end.checkpoint:
--- a/src/rosemarynotch/_internal/scheduling/worker_link.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_link.py
@@ -147,8 +147,10 @@
             lambda now_s: self._apply(report, requested_at_s, received_at_s)
         )
         self._applied.wait(APPLY_WAIT_S)
+        # Rows that cannot be read are not acknowledged, so the worker may
+        # answer at once, too.
         for _ in range(2):
-            if worker.acked_sequence != worker.seen_sequence:
+            if report.refused or worker.acked_sequence != worker.seen_sequence:
                 self._ends_persisted.wait(PERSIST_WAIT_S)
                 self._ends_persisted.clear()
 
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -36,12 +36,18 @@
 class PendingAck:
     """The end of a run that the worker repeats until it is acknowledged.
 
+    :ivar job: job of the run, None if the leader does not know it
     :ivar change: change of the job that has to be persisted first
     """
 
     sequence: int
-    job: Job
-    change: int
+    job: Job | None = None
+    change: int = 0
+
+    @property
+    def is_persisted(self) -> bool:
+        """Return whether the worker may forget the end."""
+        return self.job is None or self.job.durable_change >= self.change
 
 
 @attrs.frozen
@@ -256,7 +262,7 @@
     def advance_acks(self) -> None:
         """Acknowledge the persisted run ends, in order of sequence."""
         pending = self.pending_acks
-        while pending and pending[0].job.durable_change >= pending[0].change:
+        while pending and pending[0].is_persisted:
             self.acked_sequence = pending.popleft().sequence
 
     def begin_incarnation(self, started_unix_ms: int) -> None:
--- a/tests/lib/scheduling.py
+++ b/tests/lib/scheduling.py
@@ -110,7 +110,7 @@
         asked_before_s=0.0,
         started_unix_ms=1,
         clock_ms=None,
-        is_cut=False,
+        **fields,
     ):
         """Apply a report of a worker.
 
@@ -118,7 +118,7 @@
         :param asked_before_s: age of the request for the report
         :param started_unix_ms: incarnation of the worker
         :param clock_ms: its clock, by default that of the leader
-        :param is_cut: whether it may have more ends than those listed
+        :param fields: other fields of the report
         """
         worker = self.scheduler.workers[name]
         self.scheduler.on_report(
@@ -133,7 +133,7 @@
                     for task, run, percent in running
                 ),
                 ends=tuple(ends),
-                is_cut=is_cut,
+                **fields,
             ),
             self.now_s - asked_before_s,
             self.now_s,
--- a/tests/unit/test_cut_reports.py
+++ b/tests/unit/test_cut_reports.py
@@ -10,6 +10,7 @@
 from rosemarynotch._internal.scheduling.evacuation import may_interrupt
 from rosemarynotch._internal.scheduling.fleet_manager import FleetManager
 from rosemarynotch._internal.scheduling.jobs import RunPhase
+from rosemarynotch._internal.scheduling.model import TaskId
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import RunEnd
 from rosemarynotch._internal.utils.clock import SystemClock
@@ -271,6 +272,77 @@
         self.assertEqual(TASKS, len(self.leader.place()))
 
 
+class UnknownEndTest(testtools.TestCase):
+    """Guards against ends of unknown tasks that are never acknowledged.
+
+    They remain in each report. 500 of them hide all later ends for good, and
+    with one at the back the worker answers each request at once.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.leader = Leader()
+        self.leader.add_workers("w1")
+        self.job = self.leader.submit("j1")
+        (self.run_,) = self.leader.place()
+        self.worker = self.leader.scheduler.workers["w1"]
+        self.leader.now_s += 0.1
+
+    def unknown(self, sequence, task="f" * 16 + ".0.0.0"):
+        """Return the end of a task that the leader does not know."""
+        return RunEnd(
+            sequence=sequence,
+            task=TaskId.parse(task),
+            run=1,
+            kind=EndKind.DONE,
+        )
+
+    def persist(self):
+        """Write the changes of the job."""
+        scheduler = self.leader.scheduler
+        scheduler.mark_written(self.job, self.job.change, 5)
+        scheduler.advance_acks()
+
+    def test_unknown_ends_alone(self):
+        ends = [self.unknown(number) for number in range(1, 501)]
+        self.leader.report("w1", ends=ends, is_cut=True)
+        self.assertEqual(500, self.worker.acked_sequence)
+
+    def test_tasks_that_a_known_job_lacks(self):
+        for number, name in enumerate((".0.0.9", ".0.9.0", ".9.0.0"), 1):
+            end = self.unknown(number, "j1" + name)
+            self.leader.report("w1", ends=[end])
+        self.assertEqual(3, self.worker.acked_sequence)
+
+    def test_unknown_end_behind_one_that_is_not_persisted(self):
+        """Guards against an acknowledgement that covers a lost write."""
+        self.leader.report("w1", ends=[end_of(self.run_, 1), self.unknown(2)])
+        self.assertEqual(0, self.worker.acked_sequence)
+        self.persist()
+        self.assertEqual(2, self.worker.acked_sequence)
+
+    def test_unknown_end_before_one_that_is_not_persisted(self):
+        self.leader.report("w1", ends=[self.unknown(1), end_of(self.run_, 2)])
+        self.assertEqual(1, self.worker.acked_sequence)
+        self.assertTrue(self.run_.task.is_done)
+        self.persist()
+        self.assertEqual(2, self.worker.acked_sequence)
+
+    def test_end_of_a_forgotten_job(self):
+        """Guards against ends of jobs whose retention period is over."""
+        self.leader.scheduler.forget(self.job)
+        self.leader.report("w1", ends=[end_of(self.run_, 1)])
+        self.assertEqual(1, self.worker.acked_sequence)
+
+    def test_end_that_names_no_task(self):
+        self.leader.report(
+            "w1", ends=[end_of(self.run_, 2)], unnamed_ends=(1, 3)
+        )
+        self.assertEqual(1, self.worker.acked_sequence)
+        self.persist()
+        self.assertEqual(3, self.worker.acked_sequence)
+
+
 class ChannelTest(testtools.TestCase):
     """Guards against a list of 500 ends that is taken for all of them."""
 
@@ -282,6 +354,7 @@
             ]
             # A row that cannot be read takes a place in the list all the same.
             ends[0] = ["x"]
+            ends[1][1] = "no task"
             answer = {"clock-ms": 1, "born": 1, "finished": ends}
             server = JsonServer(lambda call: Answer(200, answer))
             self.addCleanup(server.close)
@@ -295,3 +368,4 @@
             self.addCleanup(channel.close)
             report = channel.report(1, 0, 0, 0)
             self.assertEqual(count == 500, report.is_cut)
+            self.assertEqual((2,), report.unnamed_ends)
--- a/tests/unit/test_worker_link.py
+++ b/tests/unit/test_worker_link.py
@@ -7,6 +7,7 @@
 
 from rosemarynotch._internal.scheduling.answer_losses import AnswerLosses
 from rosemarynotch._internal.scheduling.ports import WorkerReport
+from rosemarynotch._internal.scheduling import worker_link
 from rosemarynotch._internal.scheduling.worker_link import WorkerLink
 from rosemarynotch._internal.scheduling.workers import Worker
 from tests.lib.scheduling import Leader
@@ -57,6 +58,32 @@
         return clock.lease_end_ms(1000.0, LEASE_MS / 1000)
 
 
+class RefusedRowTest(testtools.TestCase):
+    """Guards against requests without a pause to a worker with odd rows.
+
+    An end that cannot be read is not acknowledged, and a worker with such ends
+    answers at once.
+    """
+
+    def test_request_after_a_pause(self):
+        controller, channel = FakeController(), Channel()
+        channel.report = lambda *arguments: (
+            channel.requests.release()
+            or WorkerReport(clock_ms=100, refused=("EndRow: odd",))
+        )
+        controller.post = lambda event: event(1000.0)
+        worker = Worker(entry=Leader.entry("w1"))
+        link = WorkerLink(controller, worker, channel)
+        self.patch(worker_link, "PERSIST_WAIT_S", WAIT_S)
+        thread = threading.Thread(target=link.run, daemon=True)
+        self.addCleanup(thread.join, WAIT_S)
+        self.addCleanup(link.close)
+        self.addCleanup(setattr, controller, "may_start", False)
+        thread.start()
+        self.assertTrue(channel.requests.acquire(timeout=WAIT_S))
+        self.assertFalse(channel.requests.acquire(timeout=0.4))
+
+
 class TakeOverTest(testtools.TestCase):
     """Guards against effects of polling while a new leader reads the jobs.
 
