Check addresses as a whole, with the range of the port

An entry among the workers with the address "127.0.0.1:99999" was accepted, and the node called port 34463, where another server may listen: the lookup of the system takes a port modulo 65,536. One with an empty label in its host was accepted too, and all calls to it failed.

Cause: the pattern of an address allows any five digits and any host. One function now checks host and port, for the entries of workers, the settings and the HTTP client. Identifiers that cannot be sent as a header are refused with the entry.

--- a/src/rosemarynotch/_internal/platform/documents.py
+++ b/src/rosemarynotch/_internal/platform/documents.py
@@ -1,6 +1,7 @@
 """Codec for the documents of operators and workers in the store."""
 
 import json
+import re
 
 import attrs
 
@@ -47,6 +48,8 @@
 
 
 KEYS = _StoreKeys()
+# Calls name the worker in a header.
+WORKER_ID_PATTERN = re.compile(r"[!-~]{1,200}")
 
 
 def decode_configuration(item: Item) -> Configuration | Failure:
@@ -124,12 +127,17 @@
 
 def decode_worker(item: Item) -> WorkerEntry | Failure:
     """Decode the entry of a worker; the key ends with its identifier."""
+    worker_id = item.key.removeprefix(KEYS.workers)
+    if not WORKER_ID_PATTERN.fullmatch(worker_id):
+        return RECORD_MALFORMED.with_reason(
+            f"{item.key!r}: identifier is not printable ASCII"
+        )
     try:
         body = decode_body(item.value, WorkerBody)
     except ValueError as error:
         return RECORD_MALFORMED.with_reason(f"{item.key}: {error}")
     return WorkerEntry(
-        worker_id=item.key.removeprefix(KEYS.workers),
+        worker_id=worker_id,
         started_unix_ms=int(body.born),
         pool=body.backend,
         address=body.address,
--- a/src/rosemarynotch/_internal/platform/schema.py
+++ b/src/rosemarynotch/_internal/platform/schema.py
@@ -15,6 +15,7 @@
 from msgspec import Raw
 
 from rosemarynotch._internal.scheduling.model import Resources
+from rosemarynotch._internal.utils.addresses import split_address
 
 __all__ = [
     "AdviceAnswer",
@@ -229,13 +230,20 @@
 
     state: Literal["ready", "draining"]
     backend: Name
-    address: Annotated[str, Meta(pattern=r"^.+:[0-9]{1,5}$", max_length=200)]
+    address: Name
     capacity: ResourcesRow
     born: UnixMs = 0
     zone: Name = ""
     labels: list[Name] = []
     remaining_ms: DurationMs = 0
 
+    def __post_init__(self):
+        """Check the address.
+
+        :raises ValueError: if it is not valid
+        """
+        split_address(self.address)
+
 
 class RunRow(msgspec.Struct, array_like=True, frozen=True):
     """A run on a worker; ``saved`` is its latest checkpoint."""
--- a/src/rosemarynotch/_internal/platform/settings.py
+++ b/src/rosemarynotch/_internal/platform/settings.py
@@ -6,6 +6,7 @@
 import yaml
 
 from rosemarynotch._internal.exceptions import SettingsError
+from rosemarynotch._internal.utils.addresses import split_address
 
 __all__ = ["NodeSettings", "SETTINGS_VARIABLE", "load_settings"]
 
@@ -148,6 +149,9 @@
     def read_address(self, *path, default=_REQUIRED) -> str:
         """Return an address of the form HOST:PORT."""
         value = self.read(str, *path, default=default)
-        if value and not value.rpartition(":")[2].isdecimal():
-            self.problems.append(f"{'.'.join(path)} is not HOST:PORT")
+        if value:
+            try:
+                split_address(value)
+            except ValueError as error:
+                self.problems.append(f"{'.'.join(path)}: {error}")
         return value
--- a/src/rosemarynotch/_internal/utils/http.py
+++ b/src/rosemarynotch/_internal/utils/http.py
@@ -12,6 +12,7 @@
 import attrs
 
 from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.utils.addresses import split_address
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["CallFailed", "ConnectionCheck", "Exchange", "HttpClient", "Reply"]
@@ -57,7 +58,8 @@
 class HttpClient:
     """Client of one server, safe to use from several threads.
 
-    :param address: host and port of the server
+    :param address: host and port of the server; ValueError is raised if it is
+        not valid
     :param clock: measures the idle time of connections
     :param timeout_s: longest wait for the next part of a response, or a
         function that returns it for each call
@@ -76,9 +78,7 @@
         max_idle_unrepeatable_s: float = MAX_IDLE_UNREPEATABLE_S,
         check: ConnectionCheck | None = None,
     ) -> None:
-        host, _, port = address.rpartition(":")
-        self._host = host.strip("[]")
-        self._port = int(port)
+        self._host, self._port = split_address(address)
         self._clock = clock
         self._timeout = timeout_s if callable(timeout_s) else lambda: timeout_s
         self._max_idle = max_idle
--- a/standins/fleet/emulator.py
+++ b/standins/fleet/emulator.py
@@ -59,6 +59,7 @@
         self.store = EmulatedStore(seed)
         self.vms: dict[str, EmulatedVm] = {}
         self.orders: list[tuple[str, str, str, int]] = []
+        self._foreign_keys: set[str] = set()
         self._standby = standby
         self._outage_s = outage_s
         self._lock = threading.RLock()
@@ -100,6 +101,12 @@
         }
         self.store.put(f"op/wave/{number}", json.dumps(fields).encode())
 
+    def put_foreign_entry(self, name: str, value: bytes) -> None:
+        """Write an entry among the workers, as another writer does."""
+        key = f"servers/{name}"
+        self._foreign_keys.add(key)
+        self.store.put(key, value)
+
     def crash(
         self, vm: EmulatedVm, down_s: float, keeps_id: bool = False
     ) -> None:
@@ -174,6 +181,8 @@
             for vm in vms:
                 self._register_worker(vm)
             for key in self.store.keys("servers/"):
+                if key in self._foreign_keys:
+                    continue
                 if key.removeprefix("servers/") not in alive:
                     self.store.delete(key)
             time.sleep(REGISTRATION_INTERVAL_S)
