--- a/src/rosemarynotch/_internal/platform/calls.py
+++ b/src/rosemarynotch/_internal/platform/calls.py
@@ -7,7 +7,7 @@
 
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
-from rosemarynotch._internal.platform.schema import decode_body
+from rosemarynotch._internal.platform.decoding import decode_body
 from rosemarynotch._internal.utils.http import CallFailed
 from rosemarynotch._internal.utils.http import HttpClient
 
--- a/src/rosemarynotch/_internal/platform/documents.py
+++ b/src/rosemarynotch/_internal/platform/documents.py
@@ -7,9 +7,9 @@
 
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import RECORD_MALFORMED
+from rosemarynotch._internal.platform.decoding import decode_body
+from rosemarynotch._internal.platform.decoding import decode_rows
 from rosemarynotch._internal.platform.schema import ConfigurationBody
-from rosemarynotch._internal.platform.schema import decode_body
-from rosemarynotch._internal.platform.schema import decode_rows
 from rosemarynotch._internal.platform.schema import LimitsRow
 from rosemarynotch._internal.platform.schema import NO_LIMITS
 from rosemarynotch._internal.platform.schema import QueueRow
--- a/src/rosemarynotch/_internal/platform/requests.py
+++ b/src/rosemarynotch/_internal/platform/requests.py
@@ -7,7 +7,7 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import JOB_UNKNOWN
 from rosemarynotch._internal.exceptions import REQUEST_MALFORMED
-from rosemarynotch._internal.platform.schema import decode_body
+from rosemarynotch._internal.platform.decoding import decode_body
 from rosemarynotch._internal.platform.schema import JobBody
 from rosemarynotch._internal.platform.schema import StepBody
 from rosemarynotch._internal.scheduling.job_api import CallerRequest
--- a/src/rosemarynotch/_internal/platform/schema.py
+++ b/src/rosemarynotch/_internal/platform/schema.py
@@ -5,10 +5,8 @@
 decoded row by row, so that a malformed row does not invalidate the others.
 """
 
-from collections.abc import Iterable
 from typing import Annotated
 from typing import Literal
-from typing import TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -45,12 +43,8 @@
     "WaveBody",
     "WorkerBody",
     "WriteAnswer",
-    "decode_body",
-    "decode_rows",
 ]
 
-T = TypeVar("T")
-
 # A node has not enough memory to schedule larger jobs.
 MAX_TASKS = 5000
 MAX_STEPS = 500
@@ -363,38 +357,3 @@
     """A new lease."""
 
     lease: Count
-
-
-def decode_body(data: bytes, kind: type[T]) -> T:
-    """Decode JSON and validate it.
-
-    :raises ValueError: with the name of the invalid field
-    """
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except RecursionError:
-        raise ValueError("JSON is nested too deeply") from None
-
-
-def decode_rows(
-    rows: Iterable[Raw], kind: type[T], refused: list[str]
-) -> list[T]:
-    """Decode rows independently of each other.
-
-    :param refused: list to which the reason for each invalid row is added
-    :returns: the valid rows
-    """
-    decoder = _DECODERS.get(kind)
-    if decoder is None:
-        decoder = _DECODERS[kind] = msgspec.json.Decoder(kind)
-    name = getattr(kind, "__name__", str(kind))
-    found = []
-    for row in rows:
-        try:
-            found.append(decoder.decode(row))
-        except (ValueError, RecursionError) as error:
-            refused.append(f"{name}: {error}")
-    return found
-
-
-_DECODERS: dict[type, msgspec.json.Decoder] = {}
--- a/src/rosemarynotch/_internal/platform/store.py
+++ b/src/rosemarynotch/_internal/platform/store.py
@@ -8,8 +8,8 @@
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.platform.calls import call_json
+from rosemarynotch._internal.platform.decoding import decode_rows
 from rosemarynotch._internal.platform.schema import ConflictAnswer
-from rosemarynotch._internal.platform.schema import decode_rows
 from rosemarynotch._internal.platform.schema import ItemRow
 from rosemarynotch._internal.platform.schema import LeaseAnswer
 from rosemarynotch._internal.platform.schema import RangeAnswer
--- a/src/rosemarynotch/_internal/platform/vms.py
+++ b/src/rosemarynotch/_internal/platform/vms.py
@@ -6,7 +6,7 @@
 from rosemarynotch._internal.exceptions import PLATFORM_REFUSED
 from rosemarynotch._internal.exceptions import PLATFORM_UNAVAILABLE
 from rosemarynotch._internal.platform.calls import call_json
-from rosemarynotch._internal.platform.schema import decode_rows
+from rosemarynotch._internal.platform.decoding import decode_rows
 from rosemarynotch._internal.platform.schema import RefusalAnswer
 from rosemarynotch._internal.platform.schema import VmPage
 from rosemarynotch._internal.platform.schema import VmRow
--- a/src/rosemarynotch/_internal/platform/workers.py
+++ b/src/rosemarynotch/_internal/platform/workers.py
@@ -10,10 +10,10 @@
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.platform.calls import call_json
 from rosemarynotch._internal.platform.calls import PATH_ROOT
+from rosemarynotch._internal.platform.decoding import decode_body
+from rosemarynotch._internal.platform.decoding import decode_rows
 from rosemarynotch._internal.platform.schema import BornAnswer
 from rosemarynotch._internal.platform.schema import ClockAnswer
-from rosemarynotch._internal.platform.schema import decode_body
-from rosemarynotch._internal.platform.schema import decode_rows
 from rosemarynotch._internal.platform.schema import EndRow
 from rosemarynotch._internal.platform.schema import RefusalAnswer
 from rosemarynotch._internal.platform.schema import ReportAnswer
