Start all members of a gang from one checkpoint

Cause: the newest checkpoint was kept for each task alone, and a start carried that of its own task. Members whose worker was lost had an older one than the others, or none, and a gang works only if all carry the same.

The checkpoint of a gang is kept once for its step, the newest of any member, and a run keeps the one that it was placed with, so that a repeated order does not differ from the first.

Unit tests pass.

--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -32,6 +32,8 @@
 class Run:
     """A run of a task on a worker.
 
+    :ivar checkpoint: checkpoint to resume from; the same in each order for the
+        run, and for all members of a gang
     :ivar ordered_at_s: when the start was first ordered
     :ivar lease_until_ms: end of the lease sent with the start order, on the
         worker's clock; a repeated order carries the same value, so that it
@@ -57,6 +59,7 @@
     number: int
     worker_id: str
     phase: RunPhase = RunPhase.ORDERED
+    checkpoint: str = ""
     ordered_at_s: float = 0.0
     lease_until_ms: int = 0
     confirmed_at_s: float = 0.0
@@ -103,12 +106,29 @@
     step: "Step"
     index: int
     is_done: bool = False
-    checkpoint: str = ""
+    _checkpoint: str = ""
     last_run: int = 0
     runs: list[Run] = attrs.field(factory=list)
     failed_workers: set[str] = attrs.field(factory=set)
     failed_runs: set[int] = attrs.field(factory=set)
 
+    @property
+    def checkpoint(self) -> str:
+        """Return the newest checkpoint, empty if there is none.
+
+        That of any member of a gang is valid for all, and a gang works only
+        if all members resume from the same one.
+        """
+        step = self.step
+        return step.gang_checkpoint if step.spec.is_gang else self._checkpoint
+
+    @checkpoint.setter
+    def checkpoint(self, value: str) -> None:
+        if self.step.spec.is_gang:
+            self.step.gang_checkpoint = value
+        else:
+            self._checkpoint = value
+
     @property
     def failures(self) -> int:
         """Return the number of runs that have failed."""
@@ -140,6 +160,7 @@
     :ivar last_ordered_at_s: when a task was last ordered to start
     :ivar longest_run_s: longest run that ended as done
     :ivar done_at_s: when the last task ended, 0 if it has not
+    :ivar gang_checkpoint: newest checkpoint of any member of a gang
     """
 
     occurrence: "Occurrence"
@@ -151,6 +172,7 @@
     last_ordered_at_s: float = 0.0
     longest_run_s: float = 0.0
     done_at_s: float = 0.0
+    gang_checkpoint: str = ""
 
     @property
     def is_done(self) -> bool:
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -162,7 +162,7 @@
             run=run.number,
             payload=task.step.occurrence.job.submission.spec.payload,
             lease_until_worker_ms=run.lease_until_ms,
-            checkpoint=task.checkpoint,
+            checkpoint=run.checkpoint,
             ticket=command.ticket,
             repeats=run.start_count,
             worker_started_unix_ms=worker.started_unix_ms,
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -68,6 +68,7 @@
             task=task,
             number=task.last_run,
             worker_id=worker.worker_id,
+            checkpoint=task.checkpoint,
             ordered_at_s=now_s,
         )
         worker.add_run(run)
