Ignore SIGHUP until a node handles it

SIGHUP, which tells of changed settings, ended a node that was starting: the handler is set after all parts are made, 0.3 s after the start or more.

--- a/src/rosemarynotch/_internal/cli/node.py
+++ b/src/rosemarynotch/_internal/cli/node.py
@@ -1,5 +1,6 @@
 """Main function of the program ``rosemarynotch-node``."""
 
+import signal
 import sys
 
 from rosemarynotch._internal.exceptions import SettingsError
@@ -14,6 +15,9 @@
 
     Invalid settings give one line on the standard error and status 2.
     """
+    # Until the node handles it, SIGHUP would end the process. The settings are
+    # read later, and again at intervals.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from rosemarynotch._internal.wiring.node import run_node
 
     try:
