Fail a listing whose page without items is not the last

By reading: a page without items ended a listing of the store, also if more pages follow. What such a listing lacks would count as gone, such as workers. tests/unit/test_store_pages.py failed before, passes now.

--- a/src/rosemarynotch/_internal/platform/store.py
+++ b/src/rosemarynotch/_internal/platform/store.py
@@ -68,8 +68,13 @@
             # The pages are not a snapshot. The revision of the first one is
             # returned, so that a watch from it delivers all later changes.
             first_revision = first_revision or page.at
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return Listing(items=tuple(items), revision=first_revision)
+            if not page.items:
+                # What the listing lacks would count as deleted.
+                return STORE_UNAVAILABLE.with_reason(
+                    f"{prefix}: a page without items is not the last one"
+                )
             after = items[-1].key
 
     def watch(self, prefix, after_revision, wait_ms):
