Keep a run of which a report tells no more than its name

By reading, not seen in a run: a row of a running task with one field that cannot be read was left out of the report. A leader that had not started the run did not learn of it, counted the worker as heard, and would start the task a second time (rule TWICE).

Such a row now counts as a run without progress, if its name can be read. One whose name cannot be read names no run of a leader.

test_running_row_of_which_only_the_name_can_be_read failed before, passes now.

--- a/src/rosemarynotch/_internal/platform/schema.py
+++ b/src/rosemarynotch/_internal/platform/schema.py
@@ -33,6 +33,7 @@
     "RefusalAnswer",
     "ReportAnswer",
     "ResourcesRow",
+    "RunNameRow",
     "RunRow",
     "ServiceRow",
     "StepBody",
@@ -249,6 +250,13 @@
     load: Measure = 0.0
 
 
+class RunNameRow(msgspec.Struct, array_like=True, frozen=True):
+    """What names a run on a worker; the rest of the row is not decoded."""
+
+    task: Name
+    run: Count
+
+
 class EndRow(msgspec.Struct, array_like=True, frozen=True):
     """The end of a run on a worker; ``how`` is the kind of end."""
 
--- a/src/rosemarynotch/_internal/platform/workers.py
+++ b/src/rosemarynotch/_internal/platform/workers.py
@@ -17,6 +17,7 @@
 from rosemarynotch._internal.platform.schema import EndRow
 from rosemarynotch._internal.platform.schema import RefusalAnswer
 from rosemarynotch._internal.platform.schema import ReportAnswer
+from rosemarynotch._internal.platform.schema import RunNameRow
 from rosemarynotch._internal.platform.schema import RunRow
 from rosemarynotch._internal.scheduling.model import TaskId
 from rosemarynotch._internal.scheduling.ports import EndKind
@@ -272,13 +273,16 @@
 
 def _to_report(answer: ReportAnswer) -> WorkerReport:
     refused: list[str] = []
-    running = decode_rows(answer.running, RunRow, refused)
+    rows = decode_rows(answer.running, RunRow, refused)
+    running = [each for row in rows if (each := _to_status(row))]
+    if refused:
+        running += _runs_beside(running, answer)
     ends = decode_rows(answer.finished, EndRow, refused)
     return WorkerReport(
         clock_ms=int(answer.clock_ms),
         # Start of this worker instance, in Unix milliseconds.
         started_unix_ms=int(answer.born),
-        running=tuple(each for row in running if (each := _to_status(row))),
+        running=tuple(running),
         ends=tuple(each for row in ends if (each := _to_end(row))),
         unnamed_ends=tuple(row.sequence for row in ends if not _to_end(row)),
         refused=tuple(refused),
@@ -286,6 +290,24 @@
     )
 
 
+def _runs_beside(
+    known: list[RunStatus], answer: ReportAnswer
+) -> list[RunStatus]:
+    """Return the runs of which a report only tells that they exist.
+
+    The rest of their rows cannot be read. A leader that did not know them
+    would start their tasks a second time.
+
+    :param known: runs whose rows can be read
+    """
+    keys = {(status.task, status.run) for status in known}
+    return [
+        RunStatus(task=task, run=row.run)
+        for row in decode_rows(answer.running, RunNameRow, [])
+        if (task := TaskId.parse(row.task)) and (task, row.run) not in keys
+    ]
+
+
 def _to_status(row: RunRow) -> RunStatus | None:
     task = TaskId.parse(row.task)
     if task is None:
--- a/tests/unit/test_cut_reports.py
+++ b/tests/unit/test_cut_reports.py
@@ -23,6 +23,7 @@
 from tests.lib.scheduling import step
 
 TASKS = 4
+TASK_NAME = "a" * 16
 
 
 def end_of(run, sequence, kind=EndKind.DONE):
@@ -344,28 +345,51 @@
 
 
 class ChannelTest(testtools.TestCase):
-    """Guards against a list of 500 ends that is taken for all of them."""
+    """Guards against reports that are taken for more than they tell."""
+
+    def report(self, **fields):
+        """Return the report of a worker with the given answer."""
+        answer = {"clock-ms": 1, "born": 1, **fields}
+        server = JsonServer(lambda call: Answer(200, answer))
+        self.addCleanup(server.close)
+        channel = HttpWorkerChannel(
+            lambda timeout_s, check: HttpClient(
+                server.address, SystemClock(), timeout_s=timeout_s
+            ),
+            "w1",
+            lambda repeats: 1.0,
+        )
+        self.addCleanup(channel.close)
+        return channel.report(1, 0, 0, 0)
 
-    def test_list_that_may_go_on(self):
+    def test_list_of_ends_that_may_go_on(self):
+        """Guards against 500 ends that are taken for all of them."""
         for count in (499, 500):
             ends = [
-                [n + 1, "a" * 16 + ".0.0.0", 1, "done", ""]
+                [n + 1, f"{TASK_NAME}.0.0.0", 1, "done", ""]
                 for n in range(count)
             ]
             # A row that cannot be read takes a place in the list all the same.
             ends[0] = ["x"]
             ends[1][1] = "no task"
-            answer = {"clock-ms": 1, "born": 1, "finished": ends}
-            server = JsonServer(lambda call: Answer(200, answer))
-            self.addCleanup(server.close)
-            channel = HttpWorkerChannel(
-                lambda timeout_s, check: HttpClient(
-                    server.address, SystemClock(), timeout_s=timeout_s
-                ),
-                "w1",
-                lambda repeats: 1.0,
-            )
-            self.addCleanup(channel.close)
-            report = channel.report(1, 0, 0, 0)
+            report = self.report(finished=ends)
             self.assertEqual(count == 500, report.is_cut)
             self.assertEqual((2,), report.unnamed_ends)
+
+    def test_running_row_of_which_only_the_name_can_be_read(self):
+        """Guards against a new leader that does not know of such a run.
+
+        It would start the task a second time (rule TWICE).
+        """
+        rows = [
+            [f"{TASK_NAME}.0.0.0", 1, "", 50],
+            [f"{TASK_NAME}.0.0.1", 2, 7, 50],
+            [f"{TASK_NAME}.0.0.2", 3, "", -1, "x"],
+            [f"{TASK_NAME}.0.0.3", 4],
+            ["no task", 5],
+            [f"{TASK_NAME}.0.0.5", "6", "", 50],
+        ]
+        report = self.report(running=rows)
+        found = [(each.task.index, each.run) for each in report.running]
+        self.assertEqual([(0, 1), (1, 2), (2, 3), (3, 4)], found)
+        self.assertEqual(5, len(report.refused))
