--- a/src/rosemarynotch/_internal/platform/advice.py
+++ b/src/rosemarynotch/_internal/platform/advice.py
@@ -4,8 +4,8 @@
 from rosemarynotch._internal.exceptions import PLATFORM_UNAVAILABLE
 from rosemarynotch._internal.platform.calls import call_json
 from rosemarynotch._internal.platform.schema import AdviceAnswer
-from rosemarynotch._internal.scheduling.ports import Advisor
-from rosemarynotch._internal.scheduling.ports import Ticket
+from rosemarynotch._internal.scheduling.fleet_ports import Advisor
+from rosemarynotch._internal.scheduling.fleet_ports import Ticket
 from rosemarynotch._internal.utils.http import HttpClient
 
 __all__ = ["HttpAdvisor"]
--- a/src/rosemarynotch/_internal/platform/vms.py
+++ b/src/rosemarynotch/_internal/platform/vms.py
@@ -10,10 +10,10 @@
 from rosemarynotch._internal.platform.schema import RefusalAnswer
 from rosemarynotch._internal.platform.schema import VmPage
 from rosemarynotch._internal.platform.schema import VmRow
-from rosemarynotch._internal.scheduling.ports import FleetService
-from rosemarynotch._internal.scheduling.ports import FleetVm
-from rosemarynotch._internal.scheduling.ports import VmListing
-from rosemarynotch._internal.scheduling.ports import VmPhase
+from rosemarynotch._internal.scheduling.fleet_ports import FleetService
+from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
+from rosemarynotch._internal.scheduling.fleet_ports import VmListing
+from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
 from rosemarynotch._internal.utils.http import HttpClient
 
 __all__ = ["HttpFleetService"]
--- a/src/rosemarynotch/_internal/scheduling/advice.py
+++ b/src/rosemarynotch/_internal/scheduling/advice.py
@@ -7,12 +7,12 @@
 import attrs
 
 from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.scheduling.fleet_ports import Advisor
+from rosemarynotch._internal.scheduling.fleet_ports import Ticket
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import Step
 from rosemarynotch._internal.scheduling.model import AdvicePolicy
 from rosemarynotch._internal.scheduling.policy import FreeCapacity
-from rosemarynotch._internal.scheduling.ports import Advisor
-from rosemarynotch._internal.scheduling.ports import Ticket
 from rosemarynotch._internal.utils.clock import Clock
 
 __all__ = ["AdviceCache", "AdviceRequest", "AdviceRequester"]
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -10,6 +10,8 @@
 from rosemarynotch._internal.exceptions import PLATFORM_REFUSED
 from rosemarynotch._internal.exceptions import PLATFORM_UNAVAILABLE
 from rosemarynotch._internal.scheduling.evacuation import Evacuation
+from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
+from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
 from rosemarynotch._internal.scheduling.policy import ArrivalRates
 from rosemarynotch._internal.scheduling.policy import measure_demand
 from rosemarynotch._internal.scheduling.policy import Move
@@ -17,8 +19,6 @@
 from rosemarynotch._internal.scheduling.policy import PoolLoad
 from rosemarynotch._internal.scheduling.policy import PoolSizer
 from rosemarynotch._internal.scheduling.policy import vm_sizes
-from rosemarynotch._internal.scheduling.ports import FleetVm
-from rosemarynotch._internal.scheduling.ports import VmPhase
 from rosemarynotch._internal.scheduling.vm_orders import VmOrderRegistry
 from rosemarynotch._internal.scheduling.wave_runner import WaveRunner
 from rosemarynotch._internal.scheduling.workers import Worker
--- a/src/rosemarynotch/_internal/scheduling/policies.py
+++ b/src/rosemarynotch/_internal/scheduling/policies.py
@@ -5,15 +5,15 @@
 import attrs
 
 from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.scheduling.fleet_ports import Advisor
+from rosemarynotch._internal.scheduling.fleet_ports import FleetService
 from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.policy import JobOrder
 from rosemarynotch._internal.scheduling.policy import PacePolicy
 from rosemarynotch._internal.scheduling.policy import PoolSizer
 from rosemarynotch._internal.scheduling.policy import StepPlacer
 from rosemarynotch._internal.scheduling.policy import TurnForecast
-from rosemarynotch._internal.scheduling.ports import Advisor
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
-from rosemarynotch._internal.scheduling.ports import FleetService
 from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import WorkerChannel
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
--- a/src/rosemarynotch/_internal/scheduling/policy/demand.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/demand.py
@@ -6,11 +6,11 @@
 
 import attrs
 
+from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Step
 from rosemarynotch._internal.scheduling.model import Resources
 from rosemarynotch._internal.scheduling.policy.rates import Arrival
-from rosemarynotch._internal.scheduling.ports import FleetVm
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
 
 __all__ = ["Demand", "NO_DEMAND", "measure_demand", "vm_sizes"]
--- a/src/rosemarynotch/_internal/scheduling/ports.py
+++ b/src/rosemarynotch/_internal/scheduling/ports.py
@@ -1,7 +1,6 @@
-"""Interfaces of the services that the scheduler depends on.
+"""Interfaces of the coordination store and the workers.
 
-These are the coordination store, the workers, the VM service and the advice
-service, together with the values that are exchanged with them.
+They contain the values that are exchanged with them.
 """
 
 import abc
@@ -14,22 +13,16 @@
 from rosemarynotch._internal.scheduling.model import TaskId
 
 __all__ = [
-    "Advisor",
     "CommitConflict",
     "Condition",
     "CoordinationStore",
     "EndKind",
-    "FleetService",
-    "FleetVm",
     "Item",
     "Listing",
     "Pacing",
     "RunEnd",
     "RunStatus",
     "StartOrder",
-    "Ticket",
-    "VmListing",
-    "VmPhase",
     "WorkerChannel",
     "WorkerEntry",
     "WorkerReport",
@@ -333,78 +326,3 @@
     @abc.abstractmethod
     def close(self) -> None:
         """Close the connections."""
-
-
-class VmPhase(enum.Enum):
-    """State of a VM in the VM service."""
-
-    UP = "up"
-    MOVING = "moving"
-    MAINTENANCE = "maintenance"
-    DOWN = "down"
-
-
-@attrs.frozen(kw_only=True)
-class FleetVm:
-    """A VM of the fleet.
-
-    :ivar name: stays the same when the VM is moved or maintained
-    :ivar worker_id: worker that runs on the VM now, empty if there is none
-    """
-
-    name: str
-    pool: str
-    phase: VmPhase
-    data_centre: str
-    labels: tuple[str, ...]
-    capacity: Resources
-    worker_id: str
-
-
-@attrs.frozen(kw_only=True)
-class VmListing:
-    """The VMs of the fleet.
-
-    :ivar is_complete: whether every row could be read; if not, VMs may exist
-        that the listing does not contain
-    """
-
-    vms: tuple[FleetVm, ...]
-    is_complete: bool
-
-
-class FleetService(abc.ABC):
-    """Client of the service that moves and maintains VMs."""
-
-    @abc.abstractmethod
-    def vms(self) -> VmListing | Failure:
-        """List the VMs.
-
-        :returns: all VMs, or PLATFORM_UNAVAILABLE
-        """
-
-    @abc.abstractmethod
-    def move(self, fence: int, vm: str, pool: str) -> None | Failure:
-        """Move a VM to a pool, which ends everything that runs on it."""
-
-    @abc.abstractmethod
-    def maintain(self, fence: int, vm: str, wave: int) -> None | Failure:
-        """Start maintenance of a VM, which ends everything that runs on it."""
-
-
-@attrs.frozen(kw_only=True)
-class Ticket:
-    """A permission to run a step of a job on a worker."""
-
-    worker_id: str
-    value: str
-
-
-class Advisor(abc.ABC):
-    """Client of the service that decides which workers may run a step."""
-
-    @abc.abstractmethod
-    def advise(
-        self, job_id: str, occurrence: int, step: int, workers: list[str]
-    ) -> list[Ticket] | Failure:
-        """Return tickets for the given workers that may run the step."""
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -4,13 +4,13 @@
 from collections.abc import Iterable
 
 from rosemarynotch._internal.scheduling.durations import DurationEstimator
+from rosemarynotch._internal.scheduling.fleet_ports import VmListing
+from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import RunEnd
 from rosemarynotch._internal.scheduling.ports import RunStatus
-from rosemarynotch._internal.scheduling.ports import VmListing
-from rosemarynotch._internal.scheduling.ports import VmPhase
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.ports import WorkerReport
 from rosemarynotch._internal.scheduling.records import Phase
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -10,13 +10,13 @@
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
+from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
 from rosemarynotch._internal.scheduling.maintenance import SpreadOverPools
 from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.maintenance import WaveRecord
 from rosemarynotch._internal.scheduling.maintenance import WaveVm
 from rosemarynotch._internal.scheduling.ports import Condition
-from rosemarynotch._internal.scheduling.ports import FleetVm
-from rosemarynotch._internal.scheduling.ports import VmPhase
 from rosemarynotch._internal.scheduling.ports import Write
 from rosemarynotch._internal.scheduling.records import LEADER_KEY
 
