Let the workers of the stateful model list a part of their ends

A worker now lists two ends at a time. Steps hide ends from this leader and from the next, replace the leader between the report of an end and its write, and lose contact to a worker until its leases are over.

--- a/tests/unit/test_scheduling_stateful.py
+++ b/tests/unit/test_scheduling_stateful.py
@@ -4,9 +4,12 @@
 the leader's queue, restarts workers under their identifiers, and replaces the
 leader at any time. A list may show a restart before a report does. As in the
 channel to a worker, what holds for one incarnation does not reach another:
-acknowledgements, leases and starts. No task may have two
-runs at the same time or start after its end was acknowledged, and no worker
-may exceed its capacity.
+acknowledgements, leases and starts. A report lists only the first ends that
+are not acknowledged.
+
+No task may have two runs at the same time or start after a run has ended as
+done, if that end is acknowledged then or later, and no worker may exceed its
+capacity.
 """
 
 import attrs
@@ -18,10 +21,10 @@
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.planner import StartCommand
 from rosemarynotch._internal.scheduling.ports import EndKind
-from rosemarynotch._internal.scheduling.ports import RunEnd
 from rosemarynotch._internal.scheduling.ports import RunStatus
 from rosemarynotch._internal.scheduling.ports import WorkerReport
-from tests.lib.scheduling import CAPACITY
+from tests.lib.model_workers import MAX_LISTED_ENDS
+from tests.lib.model_workers import ModelWorker
 from tests.lib.scheduling import job_spec
 from tests.lib.scheduling import Leader
 from tests.lib.scheduling import LEASE_S
@@ -33,72 +36,6 @@
 QUEUED_OR_SENT = st.sampled_from(("queued", "sent"))
 
 
-@attrs.define
-class ModelWorker:
-    """Reference model of a worker as specified by the platform.
-
-    :ivar started_unix_ms: number of its incarnation
-    :ivar started_at_ms: when its clock began
-    :ivar is_known: whether the leader has a report of this incarnation
-    """
-
-    started_unix_ms: int = 1
-    started_at_ms: float = 0.0
-    is_known: bool = False
-    fence: int = 0
-    lease_until_ms: float = 0.0
-    runs: dict = attrs.field(factory=dict)
-    ended: dict = attrs.field(factory=dict)
-    ends: list = attrs.field(factory=list)
-    sequence: int = 0
-
-    def restart(self, now_ms: float) -> None:
-        """Begin a new incarnation, which knows nothing of the former one."""
-        ModelWorker.__init__(
-            self,
-            started_unix_ms=self.started_unix_ms + 1,
-            started_at_ms=now_ms,
-        )
-
-    def clock_ms(self, now_ms: float) -> float:
-        """Return the worker's clock."""
-        return now_ms - self.started_at_ms
-
-    def expire(self, now_ms: float) -> None:
-        """End all runs if the lease has expired."""
-        if self.clock_ms(now_ms) >= self.lease_until_ms:
-            for task in list(self.runs):
-                self.end(task, EndKind.LAPSED)
-
-    def end(self, task, kind: EndKind) -> None:
-        """End the run of a task."""
-        number = self.runs.pop(task)
-        self.ended[task] = max(self.ended.get(task, 0), number)
-        self.sequence += 1
-        self.ends.append(
-            RunEnd(sequence=self.sequence, task=task, run=number, kind=kind)
-        )
-
-    def start(self, fence, task, number, until_ms, now_ms):
-        """Carry out a start order and return the answer."""
-        self.expire(now_ms)
-        if fence < self.fence:
-            return failures.RUN_FENCED
-        self.fence = fence
-        if self.runs.get(task) == number:
-            return 1
-        if task in self.runs or number <= self.ended.get(task, 0):
-            return failures.RUN_SUPERSEDED
-        if until_ms <= self.clock_ms(now_ms):
-            return failures.RUN_LATE
-        used = len(self.runs) * 1000
-        if used + 1000 > CAPACITY.cpu_millicores:
-            return failures.RUN_NO_ROOM
-        self.lease_until_ms = max(self.lease_until_ms, until_ms)
-        self.runs[task] = number
-        return 1
-
-
 class PlatformMachine(stateful.RuleBasedStateMachine):
     """Replaces leaders; jobs and progress persist in the store."""
 
@@ -153,8 +90,13 @@
     @stateful.rule()
     def report_all(self):
         """Receive a report of every worker."""
+        self.report_others("")
+
+    def report_others(self, silent):
+        """Receive a report of every worker but one."""
         for name in WORKERS:
-            self.report(name, True)
+            if name != silent:
+                self.report(name, True)
 
     @staticmethod
     def spec():
@@ -225,14 +167,64 @@
         """Hear of the end of a run after another run of its task is queued."""
         self.work(name, data)
         self.wait(7.0)
-        for other in WORKERS:
-            if other != name:
-                self.report(other, True)
+        self.report_others(name)
         self.queue_starts()
         self.report(name, True)
         self.write()
         self.report(name, True)
 
+    @stateful.rule(name=st.sampled_from(WORKERS))
+    def hide_ends(self, name):
+        """End all runs of a worker while the store is silent."""
+        self.report(name, True)
+        self.start_all()
+        model = self.models[name]
+        for task in sorted(model.runs, key=str):
+            model.end(task, EndKind.DONE)
+        for _ in range(2):
+            self.wait(0.1)
+            self.report(name, True)
+            self.start_all()
+        for _ in range(3):
+            self.write()
+            self.report(name, True)
+
+    @stateful.rule(name=st.sampled_from(WORKERS), data=st.data())
+    def lose_leader_after_end(self, name, data):
+        """Replace the leader between the report of an end and its write."""
+        self.start_all()
+        self.work(name, data)
+        for _ in range(2):
+            self.report(name, True)
+        self.lead()
+        self.report_all()
+        self.start_all()
+
+    @stateful.rule(name=st.sampled_from(WORKERS))
+    def lose_contact(self, name):
+        """Lose contact to a worker until its leases are over."""
+        self.report_all()
+        self.start_all()
+        for _ in range(7):
+            self.wait(1.0)
+            self.report_others(name)
+            self.start_all()
+            self.no_task_runs_twice()
+
+    @stateful.rule(name=st.sampled_from(WORKERS))
+    def hide_ends_from_next_leader(self, name):
+        """End all runs of a worker before the leader is replaced."""
+        self.start_all()
+        model = self.models[name]
+        for task in sorted(model.runs, key=str):
+            model.end(task, EndKind.DONE)
+        self.lead()
+        self.report_all()
+        self.start_all()
+        for _ in range(3):
+            self.write()
+            self.report(name, True)
+
     def queue_starts(self):
         """Run a pass of the leader whose orders wait in its queue."""
         self.queued += self.plan_starts()
@@ -312,6 +304,8 @@
         )
         if not before and task in self.models[name].runs:
             assert task not in self.done, f"{task} started after its end"
+            for model in self.models.values():
+                model.note_start(task)
         return answer
 
     @stateful.rule(data=st.data())
@@ -346,10 +340,9 @@
             worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
             model.lease_until_ms = max(model.lease_until_ms, until_ms)
             acked = worker.acked_sequence
-        for end in model.ends:
-            if end.sequence <= acked and end.kind is EndKind.DONE:
+        for end in model.acknowledge(acked):
+            if end.kind is EndKind.DONE:
                 self.done.add(end.task)
-        model.ends = [end for end in model.ends if end.sequence > acked]
         if answered:
             model.is_known = True
             self.answer(worker, model)
@@ -364,7 +357,8 @@
                     RunStatus(task=task, run=number, percent=50)
                     for task, number in model.runs.items()
                 ),
-                ends=tuple(model.ends),
+                ends=model.listed_ends,
+                is_cut=len(model.listed_ends) == MAX_LISTED_ENDS,
             ),
             self.now_s,
             self.now_s,
