--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -1,30 +1,23 @@
 """State machine of workers and their runs; performs no I/O."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
 
 from rosemarynotch._internal.scheduling.durations import DurationEstimator
-from rosemarynotch._internal.scheduling.fleet_ports import VmListing
-from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import RunEnd
 from rosemarynotch._internal.scheduling.ports import RunStatus
-from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.ports import WorkerReport
 from rosemarynotch._internal.scheduling.records import Phase
-from rosemarynotch._internal.scheduling.run_registry import RunRegistry
+from rosemarynotch._internal.scheduling.worker_registry import WorkerRegistry
 from rosemarynotch._internal.scheduling.workers import PendingAck
 from rosemarynotch._internal.scheduling.workers import Worker
 
 __all__ = ["Scheduler"]
 
-# Added to the calculated end of a lease to allow for clock inaccuracy.
-LEASE_MARGIN_S = 0.3
 
-
-class Scheduler(RunRegistry):
+class Scheduler(WorkerRegistry):
     """Maintains the leader's in-memory state of jobs, runs and workers.
 
     It is not thread-safe: callers must serialise access.
@@ -45,134 +38,16 @@
         longest_lease_s: float,
         log: Callable[..., None] = lambda event, **fields: None,
     ) -> None:
-        super().__init__(term, started_revision, log)
-        self._longest_lease_s = longest_lease_s
+        super().__init__(term, started_revision, longest_lease_s, log)
         self.durations = DurationEstimator()
         # Processors of all VMs, including those that are powered off.
         self.fleet_millicores = 0
-        # Start times of removed workers, by identifier.
-        self._removed_workers: dict[str, int] = {}
 
     def advance_acks(self) -> None:
         """Acknowledge the run ends of all workers that are persisted."""
         for worker in self.workers.values():
             worker.advance_acks()
 
-    def set_workers(
-        self,
-        entries: Iterable[WorkerEntry],
-        now_s: float,
-        are_inherited: bool = False,
-    ) -> list[Worker]:
-        """Update the workers from a list of entries; return the new ones.
-
-        :param entries: the platform's list, or the roster of earlier leaders
-        :param are_inherited: whether earlier leaders may have started runs on
-            the new workers
-        """
-        listed = {entry.worker_id: entry for entry in entries}
-        added = []
-        for worker_id, entry in listed.items():
-            worker = self.workers.get(worker_id)
-            if worker is None:
-                if entry.started_unix_ms <= self._removed_workers.get(
-                    worker_id, -1
-                ):
-                    # The list lags behind moves and maintenance, and may
-                    # still contain a worker that was replaced.
-                    continue
-                worker = Worker(
-                    entry=entry,
-                    known_since_s=now_s,
-                    is_inherited=are_inherited,
-                    started_unix_ms=entry.started_unix_ms,
-                )
-                self.workers[worker_id] = worker
-                added.append(worker)
-            elif entry != worker.entry:
-                if entry.is_draining and not worker.entry.is_draining:
-                    self._log("worker draining", worker=worker_id)
-                # An entry with a later start time tells that the worker may
-                # have restarted. What it runs now is told by its report.
-                worker.entry = entry
-            worker.is_listed = True
-        for worker_id, worker in self.workers.items():
-            if worker_id not in listed and worker.is_listed:
-                worker.is_listed = False
-                self._log("worker unlisted", worker=worker_id)
-        return added
-
-    def expire_workers(self, now_s: float) -> list[str]:
-        """Drop the runs of workers whose leases have expired.
-
-        Workers that were replaced or are no longer listed are removed.
-
-        :returns: identifiers of the removed workers
-        """
-        removed = []
-        for worker_id, worker in list(self.workers.items()):
-            if not worker.is_replaced and now_s < self._lease_expiry_s(worker):
-                continue
-            is_ending = worker.is_replaced or not worker.is_listed
-            if worker.lease_until_ms or is_ending:
-                for run in list(worker.runs.values()):
-                    self._drop_lost_run(worker, run, now_s, "lease lapsed")
-                worker.lease_until_ms = 0
-                worker.has_reported = False
-            if is_ending:
-                del self.workers[worker_id]
-                if worker.is_replaced:
-                    self._removed_workers[worker_id] = worker.started_unix_ms
-                removed.append(worker_id)
-                self._log("worker gone", worker=worker_id)
-        return removed
-
-    def _lease_expiry_s(self, worker: Worker) -> float:
-        return worker.lease_bound_s(self._longest_lease_s) + LEASE_MARGIN_S
-
-    def pools_with_unknown_runs(self, now_s: float) -> set[str]:
-        """Return pools that may contain unreported runs of earlier leaders.
-
-        These are the pools of inherited workers whose leases may still be
-        valid and that have not sent a report in this term, or none that was
-        not cut. A worker is added to the roster before its first run, so
-        workers that are not in the roster read by this leader have no runs of
-        earlier leaders.
-        """
-        return {
-            worker.entry.pool
-            for worker in self.workers.values()
-            if worker.is_inherited
-            and not worker.has_reported
-            and not worker.is_replaced
-            and now_s < self._lease_expiry_s(worker)
-        }
-
-    def mark_replaced_workers(self, listing: VmListing) -> None:
-        """Mark inherited workers as replaced if no VM names them any more.
-
-        The roster may contain workers whose VMs an earlier leader moved just
-        before its term ended. Waiting for their leases delayed the inherited
-        jobs of a pool by 5 s. Nothing is marked if a VM is down and names no
-        worker, or if a row could not be read: such a VM may host any of the
-        workers.
-
-        :param listing: list of VMs that was requested in this term
-        """
-        named_workers = {vm.worker_id for vm in listing.vms}
-        is_conclusive = listing.is_complete and not any(
-            vm.phase is VmPhase.DOWN and not vm.worker_id for vm in listing.vms
-        )
-        if not listing.vms or not is_conclusive:
-            return
-        for worker in self.workers.values():
-            if (
-                worker.is_inherited
-                and not worker.clock_received_at_s
-                and worker.worker_id not in named_workers
-            ):
-                worker.is_replaced = True
-
     def on_report(
         self,
         worker: Worker,
@@ -378,16 +253,3 @@
             how=end.kind.value,
             phase=job.phase.value,
         )
-
-    def _drop_lost_run(self, worker, run: Run, now_s: float, why: str) -> None:
-        worker.drop_run(run)
-        self.adjust_usage(run, -1)
-        run.task.step.occurrence.job.lost_runs += 1
-        self._log(
-            "run lost",
-            job=run.task.task_id.job_id,
-            task=str(run.task.task_id),
-            run=run.number,
-            worker=worker.worker_id,
-            why=why,
-        )
