Log what a new leader knows of the runs of earlier terms

Lines for a removed worker with what decided it and what was left of its lease, a worker that is added again, late first reports, adopted runs and pools with unknown runs distinguish the hypotheses; orders carry their pool and term, ends their worker and whether the run was known.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -172,6 +172,7 @@
             term=self.grant.term,
             jobs=len(self.scheduler.jobs),
             active=len(self.scheduler.active),
+            roster=len(self.scheduler.workers),
         )
         self.start_thread(feed.run, "intake-feed")
         self.start_thread(feed.run_hints, "intake-hints")
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -173,7 +173,7 @@
         with self._controller.lock:
             worker = self._controller.scheduler.workers.get(worker_id)
             if worker is not None:
-                worker.is_replaced = True
+                worker.mark_replaced("its VM was moved or maintained")
 
     def _record_contact(self, failure: Failure | None) -> None:
         if self._reachable == (failure is None):
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -223,6 +223,8 @@
             task=str(order.task),
             run=order.run,
             worker=worker.worker_id,
+            pool=worker.entry.pool,
+            term=self._controller.grant.term,
             outcome=outcome,
             why=answer.reason if isinstance(answer, Failure) else "",
         )
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -98,6 +98,7 @@
         self._log = log
         self._work = WorkEstimates(scheduler.durations)
         self._fair_millicores = 0.0
+        self._uncertain_pools: set[str] = set()
 
     # Runs that have to stop, or whose start is unconfirmed.
 
@@ -175,6 +176,11 @@
             pools.setdefault(pool, []).append(job)
         self._fair_millicores = self._fair_share()
         uncertain = self._scheduler.pools_with_unknown_runs(now_s)
+        if uncertain != self._uncertain_pools:
+            self._uncertain_pools = uncertain
+            self._log(
+                "pools with unknown runs", pools=" ".join(sorted(uncertain))
+            )
         commands: list[StartCommand] = []
         for pool, jobs in pools.items():
             free = [
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -104,7 +104,7 @@
             why=answer.code,
         )
         if answer.is_a(WORKER_REPLACED):
-            worker.is_replaced = True
+            worker.mark_replaced("another worker answered a start")
         elif answer.is_a(RUN_SUPERSEDED) or (
             answer.is_a(RUN_LATE) and run.is_resent
         ):
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -16,6 +16,9 @@
 
 __all__ = ["Scheduler"]
 
+# The first report of a worker is logged if it comes later than this.
+LATE_FIRST_REPORT_S = 1.0
+
 
 class Scheduler(WorkerRegistry):
     """Maintains the leader's in-memory state of jobs, runs and workers.
@@ -64,6 +67,8 @@
         :param received_at_s: when the report was received
         """
         is_first = self._handle_restart(worker, report)
+        if is_first and worker.is_inherited:
+            self._log_first_report(worker, report, received_at_s)
         worker.record_report(report, requested_at_s, received_at_s)
         if is_first and (report.running or report.is_cut):
             # An earlier leader may have granted its longest lease until now.
@@ -97,6 +102,26 @@
             )
         worker.refused = report.refused
 
+    def _log_first_report(
+        self, worker: Worker, report: WorkerReport, now_s: float
+    ) -> None:
+        """Log the first report of an incarnation in this term.
+
+        Only workers that an earlier leader may have used are logged, and none
+        that has nothing to tell and answered at once.
+        """
+        after_s = now_s - worker.known_since_s
+        if report.running or report.ends or after_s > LATE_FIRST_REPORT_S:
+            self._log(
+                "worker heard",
+                worker=worker.worker_id,
+                pool=worker.entry.pool,
+                after_s=round(after_s, 3),
+                running=len(report.running),
+                ends=len(report.ends),
+                cut=report.is_cut,
+            )
+
     def _handle_restart(self, worker: Worker, report: WorkerReport) -> bool:
         """Reset the counts of a worker if it has restarted.
 
@@ -175,6 +200,15 @@
         )
         worker.add_run(run)
         task.last_run = max(task.last_run, status.run)
+        self._log(
+            "run adopted",
+            job=job.job_id,
+            task=str(task.task_id),
+            run=run.number,
+            worker=worker.worker_id,
+            inherited_worker=worker.is_inherited,
+            other_runs=len(task.runs) - 1,
+        )
         self.adjust_usage(run, 1)
         self.mark_running(job)
         return run
@@ -221,13 +255,13 @@
                 self._log("worker quarantined", worker=worker.worker_id)
         if not job.phase.is_final:
             self.mark_running(job)
-            self._apply_end(job, task, run, end, now_s)
+            self._apply_end(worker, job, task, run, end, now_s)
             change = self.mark_dirty(job)
         else:
             change = job.change
         return PendingAck(end.sequence, job, change)
 
-    def _apply_end(self, job, task, run, end: RunEnd, now_s) -> None:
+    def _apply_end(self, worker, job, task, run, end: RunEnd, now_s) -> None:
         if end.checkpoint:
             task.checkpoint = end.checkpoint
         if end.kind is EndKind.DONE and not task.step.spec.long_running:
@@ -250,6 +284,8 @@
             job=job.job_id,
             task=str(end.task),
             run=end.run,
+            worker=worker.worker_id,
+            known=run is not None,
             how=end.kind.value,
             phase=job.phase.value,
         )
--- a/src/rosemarynotch/_internal/scheduling/worker_link.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_link.py
@@ -205,4 +205,4 @@
         controller.stop.wait(FIRST_RETRY_S if was_reachable else RETRY_S)
 
     def _replace(self) -> None:
-        self._worker.is_replaced = True
+        self._worker.mark_replaced("another worker answered a report request")
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -71,6 +71,13 @@
                 )
                 self.workers[worker_id] = worker
                 added.append(worker)
+                if worker_id in self._removed_workers:
+                    self._log(
+                        "worker added again",
+                        worker=worker_id,
+                        pool=entry.pool,
+                        draining=entry.is_draining,
+                    )
             elif entry != worker.entry:
                 if entry.is_draining and not worker.entry.is_draining:
                     self._log("worker draining", worker=worker_id)
@@ -82,6 +89,10 @@
             if worker_id not in listed and worker.is_listed:
                 worker.is_listed = False
                 self._log("worker unlisted", worker=worker_id)
+        if added:
+            self._log(
+                "workers added", count=len(added), inherited=are_inherited
+            )
         return added
 
     def expire_workers(self, now_s: float) -> list[str]:
@@ -96,6 +107,8 @@
             if not worker.is_replaced and now_s < self._lease_expiry_s(worker):
                 continue
             is_ending = worker.is_replaced or not worker.is_listed
+            if is_ending:
+                self._log_removal(worker, now_s)
             if worker.lease_until_ms or is_ending:
                 for run in list(worker.runs.values()):
                     self._drop_lost_run(worker, run, now_s, "lease lapsed")
@@ -106,9 +119,26 @@
                 if worker.is_replaced:
                     self._removed_workers[worker_id] = worker.started_unix_ms
                 removed.append(worker_id)
-                self._log("worker gone", worker=worker_id)
         return removed
 
+    def _log_removal(self, worker: Worker, now_s: float) -> None:
+        """Log why a worker is removed, and what may be left of it."""
+        silent_s = now_s - (worker.clock_received_at_s or worker.known_since_s)
+        lease_left_s = self._lease_expiry_s(worker) - now_s
+        self._log(
+            "worker gone",
+            worker=worker.worker_id,
+            pool=worker.entry.pool,
+            why=worker.replaced_why or "not listed and lease lapsed",
+            inherited=worker.is_inherited,
+            heard=worker.clock_received_at_s > 0,
+            listed=worker.is_listed,
+            draining=worker.entry.is_draining,
+            runs=len(worker.runs),
+            silent_s=round(silent_s, 3),
+            lease_left_s=round(max(0.0, lease_left_s), 3),
+        )
+
     def _lease_expiry_s(self, worker: Worker) -> float:
         return worker.lease_bound_s(self._longest_lease_s) + LEASE_MARGIN_S
 
@@ -153,7 +183,7 @@
                 and not worker.clock_received_at_s
                 and worker.worker_id not in named_workers
             ):
-                worker.is_replaced = True
+                worker.mark_replaced("not in the list of VMs")
 
     def _drop_lost_run(self, worker, run: Run, now_s: float, why: str) -> None:
         worker.drop_run(run)
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -87,6 +87,7 @@
         later leader requests its runs
     :ivar is_cordoned: whether it is being emptied and gets no new runs
     :ivar is_replaced: whether another incarnation has taken its place
+    :ivar replaced_why: what showed that it was replaced, for the log
     :ivar is_inherited: whether an earlier leader may have started runs on it
     :ivar started_unix_ms: start time of the incarnation that last reported,
         of the listed one before the first report; 0 if unknown
@@ -111,6 +112,7 @@
     is_enrolled: bool = False
     is_cordoned: bool = False
     is_replaced: bool = False
+    replaced_why: str = ""
     is_inherited: bool = False
     started_unix_ms: int = 0
     clock_ms: int = 0
@@ -183,6 +185,14 @@
             self.unanswered_orders + 1 if is_unanswered else 0
         )
 
+    def mark_replaced(self, why: str) -> None:
+        """Record that another incarnation has taken its place.
+
+        :param why: what showed it
+        """
+        if not self.is_replaced:
+            self.is_replaced, self.replaced_why = True, why
+
     def pause_until(self, time_s: float) -> None:
         """Accept no new runs before a given time."""
         self.quarantined_until_s = max(self.quarantined_until_s, time_s)
