Test a change of the leader beside a draining or rerouted worker

A task can run twice after a change of the leader (rule TWICE) while the worker that has it does not answer for 3 s, less than its lease:

- its worker drains and the list of VMs lacks its VM;
- a new configuration routes its queue to another pool.

The new leader takes neither for a reason to wait for the worker. It starts all tasks on another worker as run 1001, and the first worker then reports that run 1 is done. The emulator could play neither, as EmulatedVm.is_draining was never set. It now drains a VM as "Service discovery" of the protocol has it: the worker serves on for a time and exits. No page says how long the VM is listed, so the row may go at once.

A silent worker of the emulator also loses the report that waits when the silence begins, answers no call for another instance, and closes waiting connections as the silence ends instead of up to 1.5 s later. An entry that is written while the stale ones are deleted stays.

--- a/standins/fleet/emulator.py
+++ b/standins/fleet/emulator.py
@@ -26,6 +26,11 @@
 
     :ivar worker: None while the VM is off or out of service
     :ivar state: "up", "moving", "upkeep" or "down", as in the protocol
+    :ivar is_draining: whether it leaves; it starts no other worker
+    :ivar is_listed: whether the VM service lists it
+    :ivar leaves_at_s: when the worker of a draining VM exits
+    :ivar unregistered_until_s: when the entry of its worker may be written
+        again
     :ivar waves: numbers of the waves in which it was maintained
     """
 
@@ -35,6 +40,9 @@
     worker: EmulatedWorker | None = None
     state: str = "up"
     is_draining: bool = False
+    is_listed: bool = True
+    leaves_at_s: float = 0.0
+    unregistered_until_s: float = 0.0
     waves: set[int] = attrs.field(factory=set)
 
 
@@ -78,7 +86,9 @@
         """Add a VM; it gets a worker unless its pool is the standby pool."""
         number = next(self._sequence)
         vm = EmulatedVm(f"vm-{number}", pool, f"rack-{number % 3}")
-        self.vms[vm.name] = vm
+        # Replaced and never changed in place: other threads iterate over it.
+        with self._lock:
+            self.vms = self.vms | {vm.name: vm}
         self._start_vm(vm)
         return vm
 
@@ -124,6 +134,31 @@
             former = worker if keeps_id else None
         threading.Timer(down_s, self._start_vm, [vm, former]).start()
 
+    def drain(
+        self, vm: EmulatedVm, lasts_s: float, keeps_row: bool = True
+    ) -> None:
+        """Shut down a VM for good, as planned; its worker drains before.
+
+        :param lasts_s: time until the worker exits
+        :param keeps_row: whether the VM is listed until then; no page of the
+            platform says so
+        """
+        with self._lock:
+            vm.is_draining, vm.is_listed = True, keeps_row
+            vm.leaves_at_s = time.monotonic() + lasts_s
+        self._register_worker(vm)
+        threading.Timer(lasts_s, self._remove_vm, [vm]).start()
+
+    def lapse_entry(self, vm: EmulatedVm, absent_s: float) -> None:
+        """Remove the entry of a living worker for a time.
+
+        Entries may lapse while the store is down, or after missed heartbeats.
+        """
+        with self._lock:
+            vm.unregistered_until_s = time.monotonic() + absent_s
+            if vm.worker is not None:
+                self.store.delete(f"servers/{vm.worker.worker_id}")
+
     def close(self) -> None:
         """Kill the workers and stop the servers."""
         self._is_closed = True
@@ -139,10 +174,10 @@
 
         :param former: worker whose identifier and address the worker gets
         """
-        if self._is_closed:
+        if self._is_closed or vm.is_draining:
             return
         with self._lock:
-            vm.state, vm.is_draining = "up", False
+            vm.state = "up"
             if vm.pool != self._standby:
                 worker_id, port = f"i-{next(self._sequence)}", 0
                 if former is not None:
@@ -153,34 +188,51 @@
                 )
         self._register_worker(vm)
 
+    def _remove_vm(self, vm: EmulatedVm) -> None:
+        with self._lock:
+            worker, vm.worker = vm.worker, None
+            self.vms = {k: v for k, v in self.vms.items() if v is not vm}
+            if worker is not None:
+                self.store.delete(f"servers/{worker.worker_id}")
+        if worker is not None:
+            worker.kill()
+
     def _register_worker(self, vm: EmulatedVm) -> None:
-        worker = vm.worker
-        if worker is None or not worker.is_alive:
-            return
-        entry = {
-            "backend": vm.pool,
-            "address": worker.address,
-            "zone": "zone-1",
-            "version": "v1",
-            "slots": 8,
-            "state": "draining" if vm.is_draining else "ready",
-            "cold-remaining-ms": 0,
-            "capacity": CAPACITY,
-            "labels": ["a", vm.rack],
-            "born": worker.started_unix_ms,
-        }
-        self.store.put(
-            f"servers/{worker.worker_id}", json.dumps(entry).encode()
-        )
+        with self._lock:
+            worker, now_s = vm.worker, time.monotonic()
+            if worker is None or not worker.is_alive:
+                return
+            if now_s < vm.unregistered_until_s:
+                return
+            entry = {
+                "backend": vm.pool,
+                "address": worker.address,
+                "zone": "zone-1",
+                "version": "v1",
+                "slots": 8,
+                "state": "draining" if vm.is_draining else "ready",
+                "cold-remaining-ms": 0,
+                "capacity": CAPACITY,
+                "labels": ["a", vm.rack],
+                "born": worker.started_unix_ms,
+            }
+            if vm.is_draining:
+                remaining_s = max(0.0, vm.leaves_at_s - now_s)
+                entry["remaining-ms"] = round(remaining_s * 1000)
+            self.store.put(
+                f"servers/{worker.worker_id}", json.dumps(entry).encode()
+            )
 
     def _update_registrations(self) -> None:
         while not self._is_closed:
             with self._lock:
                 vms = list(self.vms.values())
-            alive = {vm.worker.worker_id for vm in vms if vm.worker}
             for vm in vms:
                 self._register_worker(vm)
-            for key in self.store.keys("servers/"):
+            # Listed before the workers, so that no new entry is deleted.
+            keys = self.store.keys("servers/")
+            alive = {worker.worker_id for worker in self.workers()}
+            for key in keys:
                 if key in self._foreign_keys:
                     continue
                 if key.removeprefix("servers/") not in alive:
@@ -192,10 +244,12 @@
     def _respond(self, call: Call) -> Answer:
         if call.path == "machines":
             with self._lock:
-                rows = [self._row(vm) for vm in self.vms.values()]
+                rows = [
+                    self._row(vm) for vm in self.vms.values() if vm.is_listed
+                ]
             return Answer(200, {"machines": rows, "next-token": None})
         vm = self.vms.get(call.body.get("machine", ""))
-        if vm is None:
+        if vm is None or not vm.is_listed:
             return Answer(400)
         holder = call.headers["Rosemarynotch-Lease-Holder"]
         fence = int(call.headers["Rosemarynotch-Fencing-Token"])
@@ -217,7 +271,7 @@
         }
 
     def _move(self, vm: EmulatedVm, pool: str) -> Answer:
-        if vm.state != "up":
+        if vm.state != "up" or vm.is_draining:
             return Answer(409, {"reason": "busy"})
         if vm.pool != pool:
             vm.pool = pool
@@ -227,7 +281,7 @@
     def _maintain(self, vm: EmulatedVm, wave: int) -> Answer:
         if wave in vm.waves:
             return Answer(200)
-        if vm.state != "up":
+        if vm.state != "up" or vm.is_draining:
             return Answer(409, {"reason": "busy"})
         vm.waves.add(wave)
         self._take_down(vm, "upkeep")
--- a/standins/fleet/worker.py
+++ b/standins/fleet/worker.py
@@ -20,14 +20,17 @@
 MAX_LEASE_MS = 10_000
 UPDATE_INTERVAL_S = 0.02
 LATE_ORDER_DELAY_S = (0.3, 2.0)
+# Connections of callers that wait for a silent worker are closed after this.
+MAX_SILENT_WAIT_S = 1.5
 
 
 class WorkerFault(enum.Enum):
     """Fault of a worker.
 
     LOST: calls take effect, but their answers are lost. LATE: calls take
-    effect after a delay and without an answer. SILENT: calls get no answer.
-    FAILING: new runs fail. STUCK: runs never finish.
+    effect after a delay and without an answer. SILENT: calls get no answer,
+    and those that arrive meanwhile have no effect. FAILING: new runs fail.
+    STUCK: runs never finish.
     """
 
     NONE = "none"
@@ -119,23 +122,38 @@
         expected = call.headers.get("Rosemarynotch-Expected-Instance")
         if not self.is_alive:
             raise LostAnswer
-        if expected not in (None, self.worker_id):
-            return Answer(421)
-        fault = self.fault
-        if self._random.random() > self.fault_share:
-            fault = WorkerFault.NONE
+        is_affected = self._random.random() <= self.fault_share
+        fault = self.fault if is_affected else WorkerFault.NONE
         if fault is WorkerFault.SILENT:
-            time.sleep(1.5)
+            self._await_end_of_silence()
             raise LostAnswer
+        if expected not in (None, self.worker_id):
+            return Answer(421)
         if fault is WorkerFault.LATE:
             delay_s = self._random.uniform(*LATE_ORDER_DELAY_S)
             threading.Timer(delay_s, self._apply_late, [call]).start()
             raise LostAnswer
         answer = self._apply(call)
-        if fault is WorkerFault.LOST:
+        # A report that was waiting when the silence began is lost, too.
+        is_silent = is_affected and self.fault is WorkerFault.SILENT
+        if is_silent or fault is WorkerFault.LOST:
             raise LostAnswer
         return answer
 
+    def _await_end_of_silence(self) -> None:
+        """Wait while the worker is silent, for a limited time.
+
+        A caller that waits for its answer would otherwise take the worker for
+        silent after the end of the fault.
+        """
+        until_s = time.monotonic() + MAX_SILENT_WAIT_S
+        while (
+            self.fault is WorkerFault.SILENT
+            and self.is_alive
+            and time.monotonic() < until_s
+        ):
+            time.sleep(UPDATE_INTERVAL_S)
+
     def _apply(self, call: Call) -> Answer:
         body = call.body
         with self._changed:
