Keep the tasks of a worker that is missing from the list of VMs

Callers saw tasks run twice after a change of the leader (TWICE): the new leader took a worker of the roster for ended when no VM named it, dropped what it might run and started its tasks elsewhere. A draining worker serves on for seconds after its entry says so, and no page of the platform says how long the list of VMs names it.

Neither a list nor another worker that answers at its address shows the end of a worker's runs. Such a worker gets no new runs, but it is removed only once a whole report shows that it has none, or once its leases have ended. A worker counts for each pool that it was listed in.

--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -11,6 +11,7 @@
 from rosemarynotch._internal.exceptions import PLATFORM_UNAVAILABLE
 from rosemarynotch._internal.scheduling.evacuation import Evacuation
 from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
+from rosemarynotch._internal.scheduling.fleet_ports import VmListing
 from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
 from rosemarynotch._internal.scheduling.policy import ArrivalRates
 from rosemarynotch._internal.scheduling.policy import measure_demand
@@ -90,6 +91,7 @@
         self._moves: dict[str, _PendingMove] = {}
         self._orders = ThreadPoolExecutor(VM_ORDER_THREADS, "vm-orders")
         self._reachable = True
+        self._is_list_complete = True
         self._reported_at_s = 0.0
         self._waves = WaveRunner(
             controller,
@@ -109,8 +111,7 @@
                 self._record_contact(listing)
             else:
                 self._record_contact(None)
-                with controller.lock:
-                    controller.scheduler.mark_replaced_workers(listing)
+                self._record_refused_rows(listing)
                 self._step({vm.name: vm for vm in listing.vms})
             controller.stop.wait(STEP_INTERVAL_S)
         self._orders.shutdown(wait=False, cancel_futures=True)
@@ -184,6 +185,13 @@
         else:
             self._controller.log("vm service lost", why=failure.reason)
 
+    def _record_refused_rows(self, listing: VmListing) -> None:
+        if self._is_list_complete != listing.is_complete:
+            self._is_list_complete = listing.is_complete
+            self._controller.log(
+                "vm list read", vms=len(listing.vms), all=listing.is_complete
+            )
+
     def _step(self, vms: dict[str, FleetVm]) -> None:
         controller = self._controller
         now_s = controller.clock.monotonic_s()
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-from rosemarynotch._internal.scheduling.fleet_ports import VmListing
-from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.run_registry import RunRegistry
@@ -68,6 +66,7 @@
                     known_since_s=now_s,
                     is_inherited=are_inherited,
                     started_unix_ms=entry.started_unix_ms,
+                    pools={entry.pool},
                 )
                 self.workers[worker_id] = worker
                 added.append(worker)
@@ -84,6 +83,7 @@
                 # An entry with a later start time tells that the worker may
                 # have restarted. What it runs now is told by its report.
                 worker.entry = entry
+                worker.pools.add(entry.pool)
             worker.is_listed = True
         for worker_id, worker in self.workers.items():
             if worker_id not in listed and worker.is_listed:
@@ -98,13 +98,18 @@
     def expire_workers(self, now_s: float) -> list[str]:
         """Drop the runs of workers whose leases have expired.
 
-        Workers that were replaced or are no longer listed are removed.
+        Workers that are no longer listed are removed then. One that was
+        replaced is removed at once if it is known to have no runs: what shows
+        the replacement may be older than the worker's present address or VM.
 
         :returns: identifiers of the removed workers
         """
         removed = []
         for worker_id, worker in list(self.workers.items()):
-            if not worker.is_replaced and now_s < self._lease_expiry_s(worker):
+            is_unused = worker.is_replaced and not (
+                worker.runs or worker.may_have_unknown_runs
+            )
+            if not is_unused and now_s < self._lease_expiry_s(worker):
                 continue
             is_ending = worker.is_replaced or not worker.is_listed
             if is_ending:
@@ -152,39 +157,13 @@
         earlier leaders.
         """
         return {
-            worker.entry.pool
+            pool
             for worker in self.workers.values()
-            if worker.is_inherited
-            and not worker.has_reported
-            and not worker.is_replaced
+            if worker.may_have_unknown_runs
             and now_s < self._lease_expiry_s(worker)
+            for pool in worker.pools
         }
 
-    def mark_replaced_workers(self, listing: VmListing) -> None:
-        """Mark inherited workers as replaced if no VM names them any more.
-
-        The roster may contain workers whose VMs an earlier leader moved just
-        before its term ended. Waiting for their leases delayed the inherited
-        jobs of a pool by 5 s. Nothing is marked if a VM is down and names no
-        worker, or if a row could not be read: such a VM may host any of the
-        workers.
-
-        :param listing: list of VMs that was requested in this term
-        """
-        named_workers = {vm.worker_id for vm in listing.vms}
-        is_conclusive = listing.is_complete and not any(
-            vm.phase is VmPhase.DOWN and not vm.worker_id for vm in listing.vms
-        )
-        if not listing.vms or not is_conclusive:
-            return
-        for worker in self.workers.values():
-            if (
-                worker.is_inherited
-                and not worker.clock_received_at_s
-                and worker.worker_id not in named_workers
-            ):
-                worker.mark_replaced("not in the list of VMs")
-
     def _drop_lost_run(self, worker, run: Run, now_s: float, why: str) -> None:
         worker.drop_run(run)
         self.adjust_usage(run, -1)
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -89,6 +89,8 @@
     :ivar is_replaced: whether another incarnation has taken its place
     :ivar replaced_why: what showed that it was replaced, for the log
     :ivar is_inherited: whether an earlier leader may have started runs on it
+    :ivar pools: pools that it was listed in; an earlier leader may have
+        started runs in any of them
     :ivar started_unix_ms: start time of the incarnation that last reported,
         of the listed one before the first report; 0 if unknown
     :ivar clock_ms: its clock in the newest report
@@ -114,6 +116,7 @@
     is_replaced: bool = False
     replaced_why: str = ""
     is_inherited: bool = False
+    pools: set[str] = attrs.field(factory=set)
     started_unix_ms: int = 0
     clock_ms: int = 0
     clock_requested_at_s: float = 0.0
@@ -211,6 +214,15 @@
             and not self.pending_acks
         )
 
+    @property
+    def may_have_unknown_runs(self) -> bool:
+        """Return whether it may have runs that this leader does not know.
+
+        Only an earlier leader can have started them, and a report that is
+        not cut lists them. They exist at most until its leases expire.
+        """
+        return self.is_inherited and not self.has_reported
+
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
