Record each pool that may run a job before its first run there

Callers could see tasks run twice after a plain change of the configuration (TWICE): the new leader asked whether the pool that a queue has now holds unknown runs, while the runs of its jobs were in the pool that it had before.

A job carries the pools that may have runs of it: that of its queue at its acceptance, and those that its record in the store names. A leader that is to start tasks in another pool writes the pool to the record first. The next leader waits for the workers of all of these pools, also when the queue has changed its pool several times. Only jobs whose queue changes its pool need the additional write.

--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -99,6 +99,19 @@
         policy = job.submission.policy
         return self.configuration.queues_by_name.get(policy.name, policy)
 
+    def may_use_pool(self, job: Job, pool: str) -> bool:
+        """Return whether a later leader knows that a pool may run a job.
+
+        A queue may be routed to another pool while its jobs run. A pool that
+        is not recorded yet is going to be; until then the job has to wait.
+        """
+        change = job.pools.get(pool)
+        if change is None:
+            job.pools[pool] = self.mark_dirty(job)
+            self._log("job changes pool", job=job.job_id, pool=pool)
+            return False
+        return job.durable_change >= change
+
     def mark_dirty(self, job: Job) -> int:
         """Mark a job as changed; return the number of the change."""
         self._changes += 1
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -217,6 +217,8 @@
     :ivar durable_change: number of the last change that is persisted
     :ivar is_inherited: whether the job existed when this leader's term began,
         so that an earlier leader may have started it
+    :ivar pools: change since which each pool that may have runs of the job is
+        recorded; 0 if it was recorded before
     :ivar lost_runs: number of runs that ended without an end being reported
     """
 
@@ -232,6 +234,7 @@
     durable_change: int = 0
     finished_unix_ms: int = 0
     is_inherited: bool = False
+    pools: dict[str, int] = attrs.field(factory=dict)
     lost_runs: int = 0
 
     @classmethod
@@ -240,7 +243,10 @@
     ) -> "Job":
         """Create a job with the occurrences and tasks of its submission."""
         job = cls(
-            job_id=job_id, submission=submission, created_revision=revision
+            job_id=job_id,
+            submission=submission,
+            created_revision=revision,
+            pools={submission.policy.pool: 0},
         )
         spec = submission.spec
         for number in range(max(1, spec.repeat_count)):
@@ -297,6 +303,7 @@
         self.phase = record.phase
         self.highest_run = record.highest_run
         self.finished_unix_ms = record.finished_unix_ms
+        self.pools |= dict.fromkeys(record.pools, 0)
         for row in record.steps:
             step = self.occurrences[row.occurrence].steps[row.step]
             for index in row.done:
@@ -330,6 +337,11 @@
             organisation=self.submission.organisation,
             highest_run=self.highest_run,
             finished_unix_ms=self.finished_unix_ms,
+            pools=tuple(
+                pool
+                for pool in self.pools
+                if pool != self.submission.policy.pool
+            ),
             steps=tuple(rows),
         )
 
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -190,17 +190,21 @@
                 and worker.accepts_work(now_s)
                 and worker.lease_left_s(now_s) >= min_lease_s
             ]
+            usable = [
+                job
+                for job in jobs
+                if self._scheduler.may_use_pool(job, pool)
+                and (not job.is_inherited or uncertain.isdisjoint(job.pools))
+            ]
             if free:
                 commands += self._place_pool(
-                    jobs, PoolCapacity(free), pool in uncertain, now_s, wall_ms
+                    usable, PoolCapacity(free), now_s, wall_ms
                 )
         return commands
 
-    def _place_pool(self, jobs, capacity, has_unknown_runs, now_s, wall_ms):
+    def _place_pool(self, jobs, capacity, now_s, wall_ms):
         waiting = {}
         for job in jobs:
-            if has_unknown_runs and job.is_inherited:
-                continue
             steps = self._waiting_steps(job, wall_ms)
             if steps:
                 waiting[job.job_id] = (job, steps)
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -97,6 +97,8 @@
     """Progress of a job; written by the leader only.
 
     :ivar highest_run: highest run number used for any task of the job
+    :ivar pools: pools that may have runs of the job, beside the pool that its
+        queue had when it was accepted
     :ivar steps: progress of the steps, empty once the job has ended
     """
 
@@ -105,6 +107,7 @@
     organisation: str
     highest_run: int = 0
     finished_unix_ms: int = 0
+    pools: tuple[str, ...] = ()
     steps: tuple[StepRecord, ...] = ()
 
 
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -1,9 +1,14 @@
 """Tests of what a new leader knows of the runs of earlier terms."""
 
+import attrs
 import testtools
 
+from rosemarynotch._internal.models.codec import decode
+from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.records import ProgressRecord
 from tests.lib.scheduling import Leader
 from tests.lib.scheduling import LEASE_S
+from tests.lib.scheduling import QUEUE
 
 STARTED_REVISION = 20
 
@@ -59,9 +64,7 @@
         self.assertEqual([], self.place())
 
     def test_worker_that_has_moved_to_another_pool(self):
-        moved = self.leader.entry("w1").__class__(
-            worker_id="w1", started_unix_ms=1, pool="p2", address="h:1"
-        )
+        moved = attrs.evolve(self.entries[0], pool="p2")
         self.scheduler.set_workers([moved, self.entries[1]], self.leader.now_s)
         self.assertEqual([], self.place())
 
@@ -88,3 +91,65 @@
         self.assertEqual([], self.place())
         self.advance(LEASE_S)
         self.assertEqual(["w2"], self.place())
+
+
+class RoutedQueueTest(TakeoverCase):
+    """Guards against a task that starts beside its earlier run (TWICE).
+
+    Its queue was routed to another pool, whose workers have all reported.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.entries[1] = attrs.evolve(self.entries[1], pool="p2")
+        self.scheduler.workers["w2"].pools.clear()
+        self.scheduler.set_workers(self.entries, self.leader.now_s)
+        self.route("p2")
+
+    def route(self, pool):
+        """Route the queue to another pool."""
+        queue = attrs.evolve(QUEUE, pool=pool)
+        self.scheduler.configuration = attrs.evolve(
+            self.scheduler.configuration, queues=(queue,)
+        )
+
+    def record(self):
+        """Record the changes of the job; return the record."""
+        self.scheduler.mark_written(self.job, self.job.change, 30)
+        return decode(encode(self.job.progress()), ProgressRecord)
+
+    def test_run_in_the_former_pool(self):
+        self.place()
+        self.record()
+        self.assertEqual([], self.place())
+        self.leader.report("w1")
+        self.assertEqual(["w2"], self.place())
+
+    def test_pool_that_is_not_recorded(self):
+        """Guards against runs that the next leader does not look for."""
+        self.leader.report("w1")
+        self.assertEqual([], self.place())
+        self.record()
+        self.assertEqual(["w2"], self.place())
+
+    def test_pool_between_two_others(self):
+        """Guards against a leader that knows only the first and last pool."""
+        self.place()
+        record = self.record()
+        leader = Leader(term=3, started_revision=40)
+        self.job = leader.submit("j1", progress=record)
+        self.leader, self.scheduler = leader, leader.scheduler
+        inherited = attrs.evolve(leader.entry("w3"), pool="p2")
+        self.scheduler.set_workers(
+            [inherited], leader.now_s, are_inherited=True
+        )
+        self.route("p3")
+        leader.add_workers("w4")
+        self.scheduler.workers["w4"].entry = attrs.evolve(
+            leader.entry("w4"), pool="p3"
+        )
+        self.place()
+        self.record()
+        self.assertEqual([], self.place())
+        leader.report("w3")
+        self.assertEqual(["w4"], self.place())
