Add a worker again that is listed long after its removal

A VM service answers an order that was carried out before like a new one, so the worker of such a VM was removed although it lived on, and its start time kept it out for the rest of the term: its room was lost, and its ends were never acknowledged. The list lags behind by some seconds, so an entry that is there for longer belongs to a living worker. The new test fails before.

--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -12,6 +12,9 @@
 
 # Added to the calculated end of a lease to allow for clock inaccuracy.
 LEASE_MARGIN_S = 0.3
+# Entries of workers that have ended are listed for at most three heartbeat
+# intervals, some seconds in all.
+LIST_LAG_S = 10.0
 
 
 class WorkerRegistry(RunRegistry):
@@ -35,8 +38,8 @@
     ) -> None:
         super().__init__(term, started_revision, log)
         self._longest_lease_s = longest_lease_s
-        # Start times of removed workers, by identifier.
-        self._removed_workers: dict[str, int] = {}
+        # Start time and time of removal of replaced workers, by identifier.
+        self._removed_workers: dict[str, tuple[int, float]] = {}
 
     def set_workers(
         self,
@@ -55,11 +58,7 @@
         for worker_id, entry in listed.items():
             worker = self.workers.get(worker_id)
             if worker is None:
-                if entry.started_unix_ms <= self._removed_workers.get(
-                    worker_id, -1
-                ):
-                    # The list lags behind moves and maintenance, and may
-                    # still contain a worker that was replaced.
+                if self._is_outdated(entry, now_s):
                     continue
                 worker = Worker(
                     entry=entry,
@@ -95,6 +94,20 @@
             )
         return added
 
+    def _is_outdated(self, entry: WorkerEntry, now_s: float) -> bool:
+        """Tell whether an entry is that of a worker that was replaced.
+
+        The list lags behind moves and maintenance. A worker that is listed
+        long after its removal lives on.
+        """
+        started_unix_ms, removed_at_s = self._removed_workers.get(
+            entry.worker_id, (-1, 0.0)
+        )
+        return (
+            entry.started_unix_ms <= started_unix_ms
+            and now_s - removed_at_s < LIST_LAG_S
+        )
+
     def expire_workers(self, now_s: float) -> list[str]:
         """Drop the runs of workers whose leases have expired.
 
@@ -122,7 +135,10 @@
             if is_ending:
                 del self.workers[worker_id]
                 if worker.is_replaced:
-                    self._removed_workers[worker_id] = worker.started_unix_ms
+                    started_unix_ms = max(
+                        worker.started_unix_ms, worker.entry.started_unix_ms
+                    )
+                    self._removed_workers[worker_id] = started_unix_ms, now_s
                 removed.append(worker_id)
         return removed
 
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -153,3 +153,19 @@
         self.assertEqual([], self.place())
         leader.report("w3")
         self.assertEqual(["w4"], self.place())
+
+
+class LivingWorkerTest(TakeoverCase):
+    """Guards against a worker that gets no work for the rest of the term.
+
+    An order for a VM that was maintained before counts as carried out,
+    although its worker lives on.
+    """
+
+    def test_worker_that_lives_on_is_added_again(self):
+        self.scheduler.workers["w2"].mark_replaced("test")
+        self.scheduler.expire_workers(self.leader.now_s)
+        later_s = self.leader.now_s + 5.0
+        self.assertEqual([], self.scheduler.set_workers(self.entries, later_s))
+        added = self.scheduler.set_workers(self.entries, later_s + 6.0)
+        self.assertEqual(["w2"], [worker.worker_id for worker in added])
