Count a lease from the receipt of the report whose clock it uses

A lease was granted from the worker's clock in its last report, counted from the request of that report. The answer may have waited at the worker for up to 2 s (`wait-ms`), and the protocol does not tell when the clock is read, so the lease could last 7 s. The next leader assumes 5 s for a worker that it has not heard, and started inherited tasks elsewhere while the worker could still run them: two runs of a task at the same time, or a start after an end that is taken note of later (rule TWICE).

A lease now counts from the receipt of the report, with 2 % off as the clock may be slow. By any reading that the protocol permits it ends within 5 s of its grant, on the worker's clock. What is left of a lease, which a leader without the store relies on, still counts from requests; it uses the least of all readings, since the newest one may be off by the long-poll time. Otherwise such a leader would find less than its 2 s on idle workers half of the time.

Cost: leases on busy workers end up to 1 s earlier, on idle ones up to 2 s. A start still carries a lease of 5 s if the clock is read when the answer is sent, and of 3 s or more if it is read when the request arrives.

test_lease_after_a_long_poll had leases of 5, 7 and 7 s before, of 5 s each now. test_lease_on_a_slow_clock failed before (10 s of age counted in full), passes now. test_lease_left_between_long_polls passes before and after; it guards against counting only the newest reading from its request.

--- a/src/rosemarynotch/_internal/scheduling/worker_link.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_link.py
@@ -135,7 +135,7 @@
             return
         self._clock = WorkerClock(
             report.clock_ms,
-            requested_at_s,
+            received_at_s,
             report.started_unix_ms or worker.started_unix_ms,
         )
         if not self._is_reachable:
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -1,6 +1,7 @@
 """State of a worker in the leader: capacity, runs, lease and health."""
 
 from collections import deque
+import math
 
 import attrs
 
@@ -54,19 +55,28 @@
 class WorkerClock:
     """A reading of a worker's clock.
 
+    It was read at some time from the request to the receipt of the report:
+    the answer may have waited at the worker for a run to end, and the
+    platform does not tell when the clock is read.
+
     :ivar clock_ms: the worker's clock in its report
-    :ivar requested_at_s: local time at which the report was requested
+    :ivar received_at_s: local time at which the report was received
     :ivar started_unix_ms: incarnation whose clock was read
     """
 
     clock_ms: int
-    requested_at_s: float
+    received_at_s: float
     started_unix_ms: int = 0
 
     def lease_end_ms(self, now_s: float, lease_s: float) -> int:
-        """Return when a lease granted now ends, on the worker's clock."""
-        since_ms = (now_s - self.requested_at_s) * 1000
-        return round(self.clock_ms + since_ms + lease_s * 1000)
+        """Return when a lease granted now ends, on the worker's clock.
+
+        The lease is never longer than requested, as the next leader counts on
+        its end: the worker's clock shows at least the result without
+        ``lease_s``.
+        """
+        since_ms = (now_s - self.received_at_s) * 1000 * SLOW_CLOCK_FACTOR
+        return math.floor(self.clock_ms + since_ms + lease_s * 1000)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -96,6 +106,8 @@
     :ivar clock_ms: its clock in the newest report
     :ivar clock_requested_at_s: when that report was requested
     :ivar clock_received_at_s: when that report was received
+    :ivar clock_offset_ms: least difference between its clock in a report and
+        the time of the request; its clock is at most this far ahead
     :ivar lease_until_ms: end of its longest lease, on its own clock
     :ivar known_since_s: when this leader first learned of it
     :ivar seen_sequence: sequence number of the last run end that was applied
@@ -121,6 +133,7 @@
     clock_ms: int = 0
     clock_requested_at_s: float = 0.0
     clock_received_at_s: float = 0.0
+    clock_offset_ms: float = math.inf
     lease_until_ms: int = 0
     known_since_s: float = 0.0
     seen_sequence: int = 0
@@ -239,13 +252,18 @@
     def clock(self) -> "WorkerClock":
         """Return the clock reading of the newest report applied."""
         return WorkerClock(
-            self.clock_ms, self.clock_requested_at_s, self.started_unix_ms
+            self.clock_ms, self.clock_received_at_s, self.started_unix_ms
         )
 
     def lease_left_s(self, now_s: float) -> float:
-        """Return how long its longest lease lasts, 0 if it has none."""
-        clock_ms = self.clock.lease_end_ms(now_s, 0.0)
-        return max(0.0, (self.lease_until_ms - clock_ms) / 1000)
+        """Return how long its longest lease lasts at least, 0 if it has none.
+
+        The clocks of workers do not run fast, so any reading of its clock
+        tells the latest time that it can show now. The least of them is used,
+        as a reading may be as old as the long-poll time of its report.
+        """
+        latest_ms = now_s * 1000 + self.clock_offset_ms
+        return max(0.0, (self.lease_until_ms - latest_ms) / 1000)
 
     def lease_bound_s(self, longest_lease_s: float) -> float:
         """Return when all leases have expired if no order extends them.
@@ -266,6 +284,9 @@
             self.clock_ms = report.clock_ms
             self.clock_requested_at_s = requested_at_s
             self.clock_received_at_s = received_at_s
+            self.clock_offset_ms = min(
+                self.clock_offset_ms, report.clock_ms - requested_at_s * 1000
+            )
 
     def record_run_outcome(self, now_s: float, is_fault: bool) -> bool:
         """Record how a run ended.
@@ -298,6 +319,7 @@
         self.has_reported = False
         self.seen_sequence = self.acked_sequence = 0
         self.pending_acks.clear()
+        self.clock_offset_ms = math.inf
         self.lease_until_ms = 0
         for run in self.runs.values():
             run.lease_until_ms = 0
--- /dev/null
+++ b/tests/unit/test_leases.py
@@ -0,0 +1,73 @@
+"""Tests of how long leases on workers last, and what relies on their end."""
+
+import types
+
+import testtools
+
+from rosemarynotch._internal.scheduling.controller import Controller
+from rosemarynotch._internal.scheduling.controller import LEASE_S
+from rosemarynotch._internal.scheduling.ports import WorkerReport
+from rosemarynotch._internal.scheduling import worker_link
+from rosemarynotch._internal.scheduling.worker_link import WorkerLink
+from rosemarynotch._internal.scheduling.workers import Worker
+from rosemarynotch._internal.scheduling.workers import WorkerClock
+from tests.lib.scheduling import Leader
+from tests.unit.test_worker_link import FakeController
+
+
+class LeaseLengthTest(testtools.TestCase):
+    """Guards against leases that outlast what the next leader assumes.
+
+    It starts inherited tasks of a worker that it cannot reach elsewhere when
+    the longest lease is over (rule TWICE).
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.patch(worker_link, "APPLY_WAIT_S", 0.0)
+        self.now_s = 1000.0
+        self.leases_s = []
+        self.controller = FakeController()
+        self.controller.clock = types.SimpleNamespace(
+            monotonic_s=lambda: self.now_s
+        )
+        self.controller.extend_lease = lambda worker, clock: (
+            Controller.extend_lease(self.controller, worker, clock)
+        )
+        self.controller.post = lambda event: event(self.now_s)
+        self.worker = Worker(entry=Leader.entry("w1"))
+        channel = types.SimpleNamespace(report=self.report)
+        self.link = WorkerLink(self.controller, self.worker, channel)
+
+    def report(self, fence, acked_sequence, lease_ms, wait_ms):
+        """Answer after the long-poll time, with the clock of the answer."""
+        if lease_ms:
+            self.leases_s.append(lease_ms / 1000 - self.now_s)
+        self.now_s += wait_ms / 1000
+        return WorkerReport(clock_ms=round(self.now_s * 1000))
+
+    def test_lease_after_a_long_poll(self):
+        """Guards against leases that last longer by the long-poll time.
+
+        A report of an idle worker had waited 2 s, and the next lease was
+        counted from its request, so that it lasted 7 s.
+        """
+        for _ in range(4):
+            self.link._request_report()
+        self.assertEqual([LEASE_S] * 3, self.leases_s)
+
+    def test_lease_on_a_slow_clock(self):
+        """Guards against leases that last longer on a slow clock."""
+        clock = WorkerClock(1000, self.now_s)
+        until_ms = clock.lease_end_ms(self.now_s + 10, LEASE_S)
+        self.assertEqual(1000 + 9800 + LEASE_S * 1000, until_ms)
+
+    def test_lease_left_between_long_polls(self):
+        """Guards against a detached leader that starts nothing.
+
+        It starts tasks on workers with a lease of 2 s. The newest report of
+        an idle worker is requested 4 s before the next one is answered.
+        """
+        for _ in range(4):
+            self.link._request_report()
+        self.assertEqual(LEASE_S - 2, self.worker.lease_left_s(self.now_s))
