Free no task by the end of a lease in a leader without the store

A leader that the store does not answer goes on for up to 4 s, and another leader may exist meanwhile. That one may have heard a worker that the first cannot reach, and have extended its lease. The first still counted the lease as over: it dropped the runs of the worker, or stopped waiting for a worker of the roster that it had not heard, and started the tasks on a worker that had not yet seen the fence of the new leader (rule TWICE).

Without the store, a leader now counts only those leases as over that were over in its last pass with the store's permission. Its passes read the clock before they check the permission, so no other leader could exist at that time.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -102,6 +102,8 @@
         self.forecast = policies.make_forecast(())
         self._load_report = LoadReport(log)
         self._reconciled_at_s = 0.0
+        # Time of the last pass during which no other leader could exist.
+        self._led_at_s = 0.0
         self._feed: IntakeFeed | None = None
         self.writer = ProgressWriter(self)
         self._sender = OrderSender(self)
@@ -280,15 +282,19 @@
 
     def _plan(self, now_s: float) -> list[Command]:
         scheduler = self.scheduler
-        for worker_id in scheduler.expire_workers(now_s):
-            self.worker_feed.close_link(worker_id)
         wall_ms = self.clock.wall_s() * 1000
         if not self.is_running:
             if not self.is_detached:
                 return []
+            # Another leader may have extended leases since then.
             return list(
-                self.planner.place(now_s, wall_ms, MIN_DETACHED_LEASE_S)
+                self.planner.place(
+                    now_s, wall_ms, MIN_DETACHED_LEASE_S, self._led_at_s
+                )
             )
+        self._led_at_s = now_s
+        for worker_id in scheduler.expire_workers(now_s):
+            self.worker_feed.close_link(worker_id)
         commands: list[Command] = []
         if now_s - self._reconciled_at_s >= RECONCILE_INTERVAL_S:
             self._reconciled_at_s = now_s
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -160,14 +160,23 @@
     # New runs.
 
     def place(
-        self, now_s: float, wall_ms: float, min_lease_s: float = 0.0
+        self,
+        now_s: float,
+        wall_ms: float,
+        min_lease_s: float = 0.0,
+        led_at_s: float | None = None,
     ) -> list[StartCommand]:
         """Return the starts of waiting tasks of all pools.
 
         :param min_lease_s: if it is not 0, leases are not extended at present;
             tasks start only on workers with a lease of this length, and
             long-running ones do not
+        :param led_at_s: when no other leader existed yet, by default now;
+            leases of workers that have not been heard count as over only if
+            they were over then
         """
+        if led_at_s is None:
+            led_at_s = now_s
         pools: dict[str, list[Job]] = {}
         for job in self._scheduler.active.values():
             if min_lease_s and job.is_long_running:
@@ -175,7 +184,7 @@
             pool = self._scheduler.queue_of(job).pool
             pools.setdefault(pool, []).append(job)
         self._fair_millicores = self._fair_share()
-        uncertain = self._scheduler.pools_with_unknown_runs(now_s)
+        uncertain = self._scheduler.pools_with_unknown_runs(led_at_s)
         if uncertain != self._uncertain_pools:
             self._uncertain_pools = uncertain
             self._log(
--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -71,3 +71,70 @@
         for _ in range(4):
             self.link._request_report()
         self.assertEqual(LEASE_S - 2, self.worker.lease_left_s(self.now_s))
+
+
+class DetachedLeaderTest(testtools.TestCase):
+    """Guards against tasks that a leader without the store starts again.
+
+    Another leader may exist, have heard a worker that this one cannot reach,
+    and have extended the lease on its runs (rule TWICE).
+    """
+
+    def make_controller(self, leader):
+        """Return a controller that leads at present."""
+        return types.SimpleNamespace(
+            scheduler=leader.scheduler,
+            planner=leader.planner,
+            clock=types.SimpleNamespace(wall_s=lambda: leader.now_s),
+            worker_feed=types.SimpleNamespace(close_link=lambda name: None),
+            is_running=True,
+            is_detached=True,
+            _reconciled_at_s=0.0,
+            _led_at_s=0.0,
+            _policies=types.SimpleNamespace(
+                pacer=types.SimpleNamespace(plan=lambda workers, now_s: [])
+            ),
+        )
+
+    def starts(self, leader, controller, is_running):
+        """Return the workers on which a pass starts tasks."""
+        controller.is_running = is_running
+        commands = Controller._plan(controller, leader.now_s)
+        return [command.worker.worker_id for command in commands]
+
+    def hear(self, leader, name):
+        """Apply a report of a worker whose lease lasts long."""
+        leader.report(name)
+        worker = leader.scheduler.workers[name]
+        worker.lease_until_ms = worker.clock_ms + 9000
+
+    def test_lease_that_has_lapsed_meanwhile(self):
+        """Guards against a lease that the next leader has extended."""
+        leader = Leader()
+        leader.add_workers("w1")
+        leader.submit("j1")
+        (run,) = leader.place()
+        leader.add_workers("w2")
+        worker = leader.scheduler.workers["w1"]
+        worker.lease_until_ms = worker.clock_ms + 1000
+        controller = self.make_controller(leader)
+        leader.now_s += 2
+        self.hear(leader, "w2")
+        self.assertEqual([], self.starts(leader, controller, False))
+        self.assertEqual([run], run.task.runs)
+        self.assertEqual(["w2"], self.starts(leader, controller, True))
+
+    def test_worker_of_the_roster_that_was_not_heard(self):
+        """Guards against inherited tasks of a worker that another heard."""
+        leader = Leader(term=2, started_revision=20)
+        leader.submit("j1", revision=10)
+        leader.scheduler.set_workers(
+            [leader.entry("w1")], leader.now_s, are_inherited=True
+        )
+        leader.add_workers("w2")
+        controller = self.make_controller(leader)
+        self.assertEqual([], self.starts(leader, controller, True))
+        leader.now_s += LEASE_S + 2
+        self.hear(leader, "w2")
+        self.assertEqual([], self.starts(leader, controller, False))
+        self.assertEqual(["w2"], self.starts(leader, controller, True))
