Read the clock before the permission to grant a lease

The clock is now read first. If the permission is there afterwards, it was there at that time.

test_suspended_before_the_lease_is_calculated had a lease that ended 15.8 s after the clock reading of 1.0 s before; it ends 5 s after it now. test_leases_are_not_extended gives its stand-in a clock, since that is read first; its checks are unchanged.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -312,9 +312,12 @@
         A leader that is detached does not extend it: the next leader counts
         on its end.
         """
+        # Read before the permission is checked. If the process is suspended
+        # between the two, the lease still counts from its own term.
+        now_s = self.clock.monotonic_s()
         if not self.is_running:
             return worker.lease_until_ms
-        until_ms = clock.lease_end_ms(self.clock.monotonic_s(), LEASE_S)
+        until_ms = clock.lease_end_ms(now_s, LEASE_S)
         # Recorded before the order is sent, as an order without an answer may
         # still be carried out. Leases by the clock of an incarnation whose
         # first report was not applied yet are bounded when it is.
--- a/tests/unit/test_leader_query.py
+++ b/tests/unit/test_leader_query.py
@@ -260,7 +260,10 @@
         """Guards against runs that outlast what the next leader assumes."""
         worker = self.leader.scheduler.workers["w1"]
         before_ms = worker.lease_until_ms
-        controller = types.SimpleNamespace(is_running=False)
+        controller = types.SimpleNamespace(
+            is_running=False,
+            clock=types.SimpleNamespace(monotonic_s=lambda: self.leader.now_s),
+        )
         until_ms = Controller.extend_lease(controller, worker, worker.clock)
         self.assertEqual(before_ms, until_ms)
         self.assertEqual(before_ms, worker.lease_until_ms)
--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -62,6 +62,29 @@
         until_ms = clock.lease_end_ms(self.now_s + 10, LEASE_S)
         self.assertEqual(1000 + 9800 + LEASE_S * 1000, until_ms)
 
+    def test_suspended_before_the_lease_is_calculated(self):
+        """Guards against leases that are counted from a later term.
+
+        The process was suspended after it had checked its permission. The
+        order then reached a worker that had not heard the next leader.
+        """
+        test = self
+
+        class SuspendedController:
+            scheduler = self.controller.scheduler
+            clock = self.controller.clock
+
+            @property
+            def is_running(self):
+                test.now_s += 10
+                return True
+
+        clock = WorkerClock(1000, self.now_s)
+        until_ms = Controller.extend_lease(
+            SuspendedController(), self.worker, clock
+        )
+        self.assertEqual(1000 + LEASE_S * 1000, until_ms)
+
     def test_lease_left_between_long_polls(self):
         """Guards against a detached leader that starts nothing.
 
