Keep a late roster write from replacing a newer one

Callers could see a task run twice after a change of the leader. A write of the roster that got no answer may be applied by the store seconds later, and its only condition was the leader's key. Applied after a newer roster, it removed workers that had been enrolled and had runs. The next leader did not know them, waited for none of them and started their tasks again.

Each write of the roster now expects the revision that this leader knows: the one that it read at the start of its term, then that of its own last write. Of several writes without an answer only one can be applied, and none after a newer write. If one was applied unseen, the next write conflicts, adopts the revision that it finds and is made again at once. Workers are enrolled only by a write that was confirmed. A late write of an earlier leader still fails at the leader's key, which changes before the roster is read. The largest transaction has 32 entries with the condition.

test_write_applied_after_a_newer_one and test_write_applied_before_a_newer_one fail on the code before: the roster lacks the second worker, or the worker counts as enrolled although an unseen write was in between. The other two tests of the class passed before.

--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -26,8 +26,8 @@
 
 __all__ = ["ProgressWriter"]
 
-# A transaction has at most 32 entries: two for each job, and one each for the
-# leader's key and the load record.
+# A transaction has at most 32 entries: two for each job, two for the roster,
+# and one each for the leader's key and the load record.
 MAX_JOBS = 14
 # Changes within this time are written in one batch.
 BATCH_WINDOW_S = 0.02
@@ -51,10 +51,14 @@
     """Writes job progress, load and roster, and removes expired jobs.
 
     Every write has the condition that the leader's key is unchanged, so that
-    a delayed write of an earlier leader has no effect.
+    a delayed write of an earlier leader has no effect. A write of the roster
+    also has the condition that the roster is unchanged: one without an answer
+    may be applied seconds later, and must not replace a newer roster.
 
     :ivar is_roster_outdated: whether the roster has to be written, because
         workers were added or the last write may have failed
+    :ivar roster_revision: revision of the roster in the store, 0 if there is
+        none; the next write of it expects this revision
     """
 
     def __init__(self, controller: "Controller") -> None:
@@ -63,6 +67,7 @@
         self._load_written_at_s = -1e9
         self._next_removal_s = 0.0
         self.is_roster_outdated = True
+        self.roster_revision = 0
 
     def wake(self) -> None:
         """Request a write if the progress of a job has changed."""
@@ -141,6 +146,8 @@
             load_is_due = now_s - self._load_written_at_s > LOAD_INTERVAL_S
             extra = self._extra_writes(load_is_due)
             enrolled = list(controller.scheduler.workers.values())
+            has_roster = self.is_roster_outdated
+            roster_condition = Condition(ROSTER_KEY, self.roster_revision)
             self.is_roster_outdated = False
         if not batch and not extra:
             return True
@@ -149,6 +156,8 @@
             Condition(PROGRESS_PREFIX + job.job_id, job.progress_revision)
             for job, _, _ in batch
         ]
+        if has_roster:
+            conditions.append(roster_condition)
         writes = [
             Write(PROGRESS_PREFIX + job.job_id, value)
             for job, _, value in batch
@@ -160,8 +169,9 @@
             controller.log("progress not written", why=answer.reason)
             return False
         if isinstance(answer, CommitConflict):
-            return self._handle_conflict(batch, answer)
-        if len(extra) > load_is_due:
+            return self._handle_conflict(batch, answer, has_roster)
+        if has_roster:
+            self.roster_revision = answer
             for worker in enrolled:
                 worker.is_enrolled = True
         self._handle_written(batch, answer, load_is_due)
@@ -240,7 +250,9 @@
             controller.scheduler.advance_acks()
         controller.worker_feed.notify_links()
 
-    def _handle_conflict(self, batch, conflict: CommitConflict) -> bool:
+    def _handle_conflict(
+        self, batch, conflict: CommitConflict, has_roster: bool
+    ) -> bool:
         """Adopt the revisions of earlier writes whose answers were lost.
 
         :returns: False if this node no longer leads
@@ -254,6 +266,9 @@
             )
             return False
         with controller.lock:
+            if has_roster:
+                roster = found.get(ROSTER_KEY)
+                self.roster_revision = roster.revision if roster else 0
             for job, change, value in batch:
                 item = found.get(PROGRESS_PREFIX + job.job_id)
                 job.progress_revision = item.revision if item else 0
@@ -261,4 +276,5 @@
                     controller.scheduler.mark_written(
                         job, change, item.revision
                     )
+        self._wake.set()
         return True
--- a/src/rosemarynotch/_internal/scheduling/worker_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_feed.py
@@ -50,6 +50,7 @@
         item = controller.ports.store.get(ROSTER_KEY)
         if isinstance(item, Failure):
             return item.is_a(STORE_KEY_MISSING)
+        controller.writer.roster_revision = item.revision
         roster = decode(item.value, RosterRecord)
         if isinstance(roster, Failure):
             controller.log("roster refused", why=roster.reason)
--- /dev/null
+++ b/tests/unit/test_roster.py
@@ -0,0 +1,171 @@
+"""Tests of the roster, from which a new leader learns who may have runs."""
+
+import threading
+import types
+from unittest import mock
+
+import testtools
+
+from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
+from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
+from rosemarynotch._internal.models.codec import decode
+from rosemarynotch._internal.scheduling.ports import CommitConflict
+from rosemarynotch._internal.scheduling.ports import Item
+from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
+from rosemarynotch._internal.scheduling.records import LEADER_KEY
+from rosemarynotch._internal.scheduling.records import PROGRESS_PREFIX
+from rosemarynotch._internal.scheduling.records import ROSTER_KEY
+from rosemarynotch._internal.scheduling.records import RosterRecord
+from rosemarynotch._internal.scheduling.worker_feed import WorkerFeed
+from tests.lib.scheduling import Leader
+
+FENCE = 1
+MAX_ENTRIES = 32
+
+
+class Store:
+    """A store with revisions whose answers can be lost.
+
+    :ivar loses_calls: whether a transaction has no answer and is kept in
+        ``late`` until :meth:`apply_late`
+    """
+
+    def __init__(self):
+        self.revision = FENCE
+        self.items = {LEADER_KEY: Item(key=LEADER_KEY, revision=1, value=b"")}
+        self.loses_calls = False
+        self.late = []
+        self.entry_counts = []
+
+    def get(self, key):
+        return self.items.get(key, STORE_KEY_MISSING)
+
+    def commit(self, conditions, writes, deletes=()):
+        self.entry_counts.append(len(conditions) + len(writes) + len(deletes))
+        if self.loses_calls:
+            self.late.append((conditions, writes))
+            return STORE_UNAVAILABLE.with_ran_unknown()
+        return self.apply(conditions, writes)
+
+    def apply(self, conditions, writes):
+        known = [self.items.get(each.key) for each in conditions]
+        for each, item in zip(conditions, known):
+            if each.revision != (item.revision if item else 0):
+                return CommitConflict(tuple(item for item in known if item))
+        self.revision += 1
+        for write in writes:
+            self.items[write.key] = Item(
+                key=write.key, revision=self.revision, value=write.value
+            )
+        return self.revision
+
+    def apply_late(self):
+        """Apply the transactions that had no answer."""
+        self.loses_calls = False
+        while self.late:
+            self.apply(*self.late.pop(0))
+
+    def roster(self):
+        """Return the workers of the roster."""
+        return decode(self.items[ROSTER_KEY].value, RosterRecord).workers
+
+
+class RosterTest(testtools.TestCase):
+    """Fixture: a leader with its writer, its worker feed and a store."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = Store()
+        self.lead()
+
+    def lead(self, term=1):
+        """Begin a term with the state of the store."""
+        self.leader = leader = Leader(term=term)
+        self.scheduler = leader.scheduler
+        self.leadership = mock.Mock()
+        self.controller = controller = types.SimpleNamespace(
+            lock=threading.RLock(),
+            scheduler=leader.scheduler,
+            planner=leader.planner,
+            forecast=types.SimpleNamespace(turns=()),
+            ports=types.SimpleNamespace(
+                store=self.store,
+                connect_worker=lambda entry, timeout: mock.Mock(),
+            ),
+            clock=types.SimpleNamespace(
+                monotonic_s=lambda: leader.now_s,
+                wall_s=lambda: leader.now_s,
+            ),
+            grant=types.SimpleNamespace(fence=FENCE, term=term),
+            leadership=self.leadership,
+            order_timeout=None,
+            start_thread=lambda target, name: None,
+            log=mock.Mock(),
+        )
+        controller.writer = self.writer = ProgressWriter(controller)
+        controller.worker_feed = self.feed = WorkerFeed(controller)
+        self.assertTrue(self.feed.load_roster())
+
+    def list_workers(self, *entries):
+        """Apply a list of workers."""
+        self.feed._set_workers(list(entries), self.leader.now_s)
+
+
+class LateWriteTest(RosterTest):
+    """Guards against a late write of the roster that replaces a newer one.
+
+    The next leader did not know the newest workers, and started the tasks of
+    their runs a second time (rule TWICE).
+    """
+
+    def test_write_applied_after_a_newer_one(self):
+        self.list_workers(Leader.entry("w1"))
+        self.store.loses_calls = True
+        self.assertFalse(self.writer._write())
+        self.store.loses_calls = False
+        self.list_workers(Leader.entry("w1"), Leader.entry("w2"))
+        self.assertTrue(self.writer._write())
+        self.assertTrue(self.scheduler.workers["w2"].is_enrolled)
+        self.store.apply_late()
+        self.assertEqual({"w1", "w2"}, set(self.store.roster()))
+
+    def test_write_applied_before_a_newer_one(self):
+        """Guards against a term that ends, or a roster never written again."""
+        job = self.leader.submit("j1")
+        self.scheduler.mark_dirty(job)
+        self.assertTrue(self.writer._write())
+        self.list_workers(Leader.entry("w1"))
+        self.store.loses_calls = True
+        self.assertFalse(self.writer._write())
+        self.store.apply_late()
+        self.scheduler.mark_dirty(job)
+        self.list_workers(Leader.entry("w1"), Leader.entry("w2"))
+        known_revision = job.progress_revision
+        self.writer._wake.clear()
+        self.assertTrue(self.writer._write())
+        self.assertFalse(self.scheduler.workers["w2"].is_enrolled)
+        self.assertEqual(known_revision, job.progress_revision)
+        self.assertTrue(self.writer._wake.is_set())
+        self.assertTrue(self.writer._write())
+        self.assertTrue(self.scheduler.workers["w2"].is_enrolled)
+        self.assertEqual({"w1", "w2"}, set(self.store.roster()))
+        item = self.store.items[PROGRESS_PREFIX + "j1"]
+        self.assertEqual(item.revision, job.progress_revision)
+        self.leadership.step_down.assert_not_called()
+
+    def test_first_write_of_a_term(self):
+        """Guards against a leader that never replaces an earlier roster."""
+        self.list_workers(Leader.entry("w1"))
+        self.assertTrue(self.writer._write())
+        self.lead(term=2)
+        self.list_workers(Leader.entry("w2"))
+        self.assertTrue(self.writer._write())
+        self.assertEqual({"w1", "w2"}, set(self.store.roster()))
+
+    def test_entries_of_the_largest_transaction(self):
+        """Guards against a transaction that the store refuses as too long."""
+        for number in range(40):
+            self.scheduler.mark_dirty(self.leader.submit(f"j{number}"))
+        self.list_workers(Leader.entry("w1"))
+        self.assertTrue(self.writer._write())
+        self.assertLessEqual(max(self.store.entry_counts), MAX_ENTRIES)
