Keep a late record of VM orders from replacing a newer one

A write of the record of VM orders without an answer may be applied seconds later, and its only condition was the leader's key. Applied after a newer record, it removed VMs that had been ordered since, and the next leader ordered them at once.

Each write now expects the revision of the record that this leader knows. A conflict shows that an earlier write was applied after all; its revision is adopted and the record is written again, since it is built from the orders of this leader and replaces the earlier one in any case.

test_record_written_after_a_newer_one fails on the code before: the VM of the newer record may be ordered after a second.

--- a/src/rosemarynotch/_internal/scheduling/vm_orders.py
+++ b/src/rosemarynotch/_internal/scheduling/vm_orders.py
@@ -11,6 +11,7 @@
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.ports import CommitConflict
 from rosemarynotch._internal.scheduling.ports import Condition
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
 from rosemarynotch._internal.scheduling.ports import Write
@@ -129,6 +130,7 @@
         self._holder_interval_end_s = self._started_at_s + holder_interval_s
         self._inherited: dict[str, _EarlierOrder] | None = None
         self._own: dict[str, _OwnOrder] = {}
+        self._revision = 0
 
     def load(self) -> None:
         """Read the record of the VMs that earlier leaders ordered."""
@@ -137,6 +139,7 @@
             if item.is_a(STORE_KEY_MISSING):
                 self._inherited = {}
             return
+        self._revision = item.revision
         record = decode(item.value, VmOrdersRecord)
         if isinstance(record, Failure):
             self._controller.log("vm orders refused", why=record.reason)
@@ -210,17 +213,39 @@
         }
         own.update((vm, _OwnOrder(now_s)) for vm in vms)
         record = self._make_record(own, now_s)
-        controller = self._controller
-        answer = controller.ports.store.commit(
-            [Condition(LEADER_KEY, controller.grant.fence)],
-            [Write(VM_ORDERS_KEY, encode(record))],
-        )
-        if not isinstance(answer, int):
-            controller.log("vm orders not recorded", vms=len(record.holders))
+        if not self._write(record):
+            self._controller.log(
+                "vm orders not recorded", vms=len(record.holders)
+            )
             return False
         self._own = own
         return True
 
+    def _write(self, record: VmOrdersRecord) -> bool:
+        """Write the record; return whether it was stored.
+
+        A write without an answer may be applied seconds later, and must not
+        replace a newer one, so each expects the revision known here.
+        """
+        controller = self._controller
+        for _ in range(2):
+            answer = controller.ports.store.commit(
+                [
+                    Condition(LEADER_KEY, controller.grant.fence),
+                    Condition(VM_ORDERS_KEY, self._revision),
+                ],
+                [Write(VM_ORDERS_KEY, encode(record))],
+            )
+            if isinstance(answer, int):
+                self._revision = answer
+                return True
+            if not isinstance(answer, CommitConflict):
+                return False
+            # An earlier write without an answer was applied.
+            revisions = {item.key: item.revision for item in answer.items}
+            self._revision = revisions.get(VM_ORDERS_KEY, 0)
+        return False
+
     def _make_record(
         self, own: dict[str, _OwnOrder], now_s: float
     ) -> VmOrdersRecord:
--- a/tests/unit/test_vm_orders.py
+++ b/tests/unit/test_vm_orders.py
@@ -19,13 +19,19 @@
 
 
 class MemoryStore:
-    """In-memory store of one record; rejects writes of earlier leaders."""
+    """In-memory store of one record; checks the conditions of writes.
+
+    :ivar loses_calls: whether transactions have no answer and are kept in
+        ``late``
+    """
 
     def __init__(self):
         self.value = None
         self.revision = 1
         self.fence = 1
         self.is_down = False
+        self.loses_calls = False
+        self.late = []
 
     def get(self, key, allow_stale=False):
         if self.is_down:
@@ -37,8 +43,18 @@
     def commit(self, conditions, writes, deletes=[]):
         if self.is_down:
             return STORE_UNAVAILABLE
+        if self.loses_calls:
+            self.late.append((conditions, writes))
+            return STORE_UNAVAILABLE.with_ran_unknown()
         if conditions[0].revision != self.fence:
             return CommitConflict(())
+        known = self.revision if self.value is not None else 0
+        for condition in conditions[1:]:
+            if condition.revision != known:
+                item = Item(
+                    key=condition.key, revision=known, value=self.value
+                )
+                return CommitConflict((item,) if known else ())
         self.value = writes[0].value
         self.revision += 1
         return self.revision
@@ -193,6 +209,21 @@
         self.new_registry(2)
         self.assertFalse(first.announce(["a"], self.now_s))
 
+    def test_record_written_after_a_newer_one(self):
+        """Guards against a late write that removes a newer order."""
+        first = self.new_registry(1)
+        for is_late in (True, False):
+            self.store.loses_calls = True
+            self.assertFalse(first.announce(["a"], self.now_s))
+            self.store.loses_calls = False
+            if not is_late:
+                self.store.commit(*self.store.late.pop())
+            self.assertTrue(first.announce(["b"], self.now_s))
+            if is_late:
+                self.store.commit(*self.store.late.pop())
+            second = self.new_registry(1, "n")
+            self.assertFalse(second.may_order("b", self.now_s + 1))
+
     def test_unreadable_record_blocks_all_vms(self):
         """Guards against orders while the record cannot be read.
 
