Wait for all earlier leases after an unreadable roster

Callers could see a task run twice after a change of the leader. A roster that could not be decoded was logged and then counted as empty, so the new leader waited for no worker and started the tasks of runs that it had not heard of. Its own first roster then hid the gap from the next leader.

After an unreadable roster, a leader now holds all inherited jobs until the longest lease of an earlier leader is over (Scheduler.unknown_until_s). Workers that are listed meanwhile count as inherited: a cut report may hide the end of a run, and then the time of the lease alone shows nothing. Until that time the roster is written with is_complete false, and a leader that reads such a roster waits in the same way. Rosters without the field count as complete.

All three tests of UnreadableRosterTest fail on the code before: a run of the inherited job starts at once, its pool does not count as uncertain, and the roster has no such field.

--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -203,7 +203,9 @@
                 job
                 for job in jobs
                 if self._scheduler.may_use_pool(job, pool)
-                and (not job.is_inherited or uncertain.isdisjoint(job.pools))
+                and not self._scheduler.may_have_unknown_runs(
+                    job, uncertain, led_at_s
+                )
             ]
             if free:
                 commands += self._place_pool(
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -68,6 +68,7 @@
         self._next_removal_s = 0.0
         self.is_roster_outdated = True
         self.roster_revision = 0
+        self._is_roster_complete = True
 
     def wake(self) -> None:
         """Request a write if the progress of a job has changed."""
@@ -144,6 +145,7 @@
             batch = self._next_batch()
             now_s = controller.clock.monotonic_s()
             load_is_due = now_s - self._load_written_at_s > LOAD_INTERVAL_S
+            self._refresh_roster(now_s)
             extra = self._extra_writes(load_is_due)
             enrolled = list(controller.scheduler.workers.values())
             has_roster = self.is_roster_outdated
@@ -177,6 +179,13 @@
         self._handle_written(batch, answer, load_is_due)
         return True
 
+    def _refresh_roster(self, now_s: float) -> None:
+        """Request a write of the roster once it names all workers."""
+        is_complete = now_s >= self._controller.scheduler.unknown_until_s
+        if is_complete != self._is_roster_complete:
+            self._is_roster_complete = is_complete
+            self.is_roster_outdated = True
+
     def _next_batch(self) -> list[tuple[Job, int, bytes]]:
         """Return changed jobs with their change numbers and records."""
         dirty = list(self._controller.scheduler.dirty.values())[:MAX_JOBS]
@@ -238,6 +247,7 @@
                 worker.worker_id: (worker.entry.pool, worker.entry.address)
                 for worker in workers
             },
+            is_complete=self._is_roster_complete,
         )
 
     def _handle_written(self, batch, revision: int, load_is_due: bool) -> None:
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -132,10 +132,13 @@
     """Workers that may have runs.
 
     :ivar workers: pool and address by identifier of the worker
+    :ivar is_complete: whether no other worker may have runs; it is not after
+        a roster that could not be decoded, until all earlier leases are over
     """
 
     workers: dict[str, tuple[str, str]] = attrs.field(factory=dict)
     term: int = 0
+    is_complete: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarynotch/_internal/scheduling/worker_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_feed.py
@@ -44,6 +44,8 @@
     def load_roster(self) -> bool:
         """Read the workers that may have runs of earlier leaders.
 
+        If the roster does not name them all, any worker may have runs.
+
         :returns: whether the store answered; if not, call this again
         """
         controller = self._controller
@@ -54,7 +56,7 @@
         roster = decode(item.value, RosterRecord)
         if isinstance(roster, Failure):
             controller.log("roster refused", why=roster.reason)
-            return True
+            roster = RosterRecord(is_complete=False)
         entries = [
             WorkerEntry(
                 worker_id=worker_id,
@@ -66,6 +68,8 @@
         ]
         with controller.lock:
             now_s = controller.clock.monotonic_s()
+            if not roster.is_complete:
+                controller.scheduler.assume_unknown_runs(now_s)
             added = controller.scheduler.set_workers(
                 entries, now_s, are_inherited=True
             )
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.run_registry import RunRegistry
+from rosemarynotch._internal.scheduling.workers import SLOW_CLOCK_FACTOR
 from rosemarynotch._internal.scheduling.workers import Worker
 
 __all__ = ["WorkerRegistry"]
@@ -27,6 +29,8 @@
     :param longest_lease_s: longest lease that an earlier leader may have
         granted
     :param log: called with the name of an event and its fields
+    :ivar unknown_until_s: until when any worker may have runs of earlier
+        leaders, also one that the roster does not name; 0 if none may
     """
 
     def __init__(
@@ -38,9 +42,15 @@
     ) -> None:
         super().__init__(term, started_revision, log)
         self._longest_lease_s = longest_lease_s
+        self.unknown_until_s = 0.0
         # Start time and time of removal of replaced workers, by identifier.
         self._removed_workers: dict[str, tuple[int, float]] = {}
 
+    def assume_unknown_runs(self, now_s: float) -> None:
+        """Assume until the longest lease is over that any worker has runs."""
+        longest_s = self._longest_lease_s / SLOW_CLOCK_FACTOR
+        self.unknown_until_s = now_s + longest_s + LEASE_MARGIN_S
+
     def set_workers(
         self,
         entries: Iterable[WorkerEntry],
@@ -63,7 +73,7 @@
                 worker = Worker(
                     entry=entry,
                     known_since_s=now_s,
-                    is_inherited=are_inherited,
+                    is_inherited=are_inherited or now_s < self.unknown_until_s,
                     started_unix_ms=entry.started_unix_ms,
                     pools={entry.pool},
                 )
@@ -180,6 +190,18 @@
             for pool in worker.pools
         }
 
+    def may_have_unknown_runs(
+        self, job: Job, uncertain_pools: set[str], now_s: float
+    ) -> bool:
+        """Return whether earlier leaders may have started runs of a job.
+
+        :param uncertain_pools: pools with unreported runs of earlier leaders
+        """
+        return job.is_inherited and (
+            now_s < self.unknown_until_s
+            or not uncertain_pools.isdisjoint(job.pools)
+        )
+
     def _drop_lost_run(self, worker, run: Run, now_s: float, why: str) -> None:
         worker.drop_run(run)
         self.adjust_usage(run, -1)
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -18,6 +18,7 @@
 from rosemarynotch._internal.scheduling.records import RosterRecord
 from rosemarynotch._internal.scheduling.worker_feed import WorkerFeed
 from tests.lib.scheduling import Leader
+from tests.lib.scheduling import LEASE_S
 
 FENCE = 1
 MAX_ENTRIES = 32
@@ -67,7 +68,11 @@
 
     def roster(self):
         """Return the workers of the roster."""
-        return decode(self.items[ROSTER_KEY].value, RosterRecord).workers
+        return self.record().workers
+
+    def record(self):
+        """Return the roster."""
+        return decode(self.items[ROSTER_KEY].value, RosterRecord)
 
 
 class RosterTest(testtools.TestCase):
@@ -80,7 +85,7 @@
 
     def lead(self, term=1):
         """Begin a term with the state of the store."""
-        self.leader = leader = Leader(term=term)
+        self.leader = leader = Leader(term=term, started_revision=20)
         self.scheduler = leader.scheduler
         self.leadership = mock.Mock()
         self.controller = controller = types.SimpleNamespace(
@@ -169,3 +174,59 @@
         self.list_workers(Leader.entry("w1"))
         self.assertTrue(self.writer._write())
         self.assertLessEqual(max(self.store.entry_counts), MAX_ENTRIES)
+
+
+class UnreadableRosterTest(RosterTest):
+    """Guards against a roster that counts as empty as it is unreadable.
+
+    The new leader waited for no worker, and started the tasks of runs that it
+    had not heard of a second time (rule TWICE).
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.store.items[ROSTER_KEY] = Item(
+            key=ROSTER_KEY, revision=5, value=b"\xc1"
+        )
+        self.lead(term=2)
+
+    def report_new_worker(self):
+        """List a worker that reports no runs."""
+        self.list_workers(Leader.entry("w1"))
+        self.assertTrue(self.writer._write())
+        self.leader.report("w1")
+
+    def test_inherited_jobs_wait_for_the_longest_lease(self):
+        self.leader.submit("j1")
+        self.leader.submit("j2", revision=30)
+        self.report_new_worker()
+        (run,) = self.leader.place()
+        self.assertEqual("j2", run.task.task_id.job_id)
+        self.leader.advance(LEASE_S)
+        self.assertEqual([], self.leader.place())
+        self.leader.advance(1.0)
+        self.assertEqual(1, len(self.leader.place()))
+
+    def test_cut_report_of_a_worker_that_is_not_named(self):
+        """Guards against ends that are hidden when the leases are over."""
+        self.list_workers(Leader.entry("w1"))
+        self.leader.report("w1", is_cut=True)
+        self.assertEqual(
+            {"p"},
+            self.scheduler.pools_with_unknown_runs(self.leader.now_s),
+        )
+
+    def test_leader_after_the_next(self):
+        """Guards against a readable roster that lacks unknown workers."""
+        self.report_new_worker()
+        self.assertFalse(self.store.record().is_complete)
+        self.lead(term=3)
+        self.assertLess(
+            self.leader.now_s + LEASE_S, self.scheduler.unknown_until_s
+        )
+        self.assertTrue(self.writer._write())
+        self.leader.now_s = self.scheduler.unknown_until_s
+        self.assertTrue(self.writer._write())
+        self.assertTrue(self.store.record().is_complete)
+        self.lead(term=4)
+        self.assertEqual(0.0, self.scheduler.unknown_until_s)
