Write the roster again when a worker's pool or address changes

A worker may restart under its identifier, at another address and in another pool. Only added workers led to a new roster, so runs were ordered at the new address while the roster named the old one. If the leader then ended, the next one called the old address, did not hear of the runs and could start their tasks a second time after its wait.

A changed pool or address now takes the enrolment back, and requests a write of the roster. Enrolled are the workers that a confirmed roster names with their present pool and address, so a write that was under way during the change does not count. Starts without an answer are repeated only after that as well.

--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -117,8 +117,9 @@
         if run.phase is RunPhase.STOPPING or job.phase.is_final:
             return self._stop(run, worker, now_s)
         if run.phase is RunPhase.UNCONFIRMED:
-            if worker.has_restarted:
-                # The lease has to be by the clock of the new incarnation.
+            if worker.has_restarted or not worker.is_enrolled:
+                # The lease has to be by the clock of the new incarnation, and
+                # the next leader has to find it.
                 return None
             run.phase = RunPhase.ORDERED
             run.is_resent = True
--- a/src/rosemarynotch/_internal/scheduling/ports.py
+++ b/src/rosemarynotch/_internal/scheduling/ports.py
@@ -162,6 +162,11 @@
     is_draining: bool = False
     remaining_ms: int = 0
 
+    @property
+    def roster_row(self) -> tuple[str, str]:
+        """Return what the roster says of the worker: pool and address."""
+        return self.pool, self.address
+
     @property
     def rack(self) -> str:
         """Return the rack, the second of the labels."""
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -56,7 +56,8 @@
     may be applied seconds later, and must not replace a newer roster.
 
     :ivar is_roster_outdated: whether the roster has to be written, because
-        workers were added or the last write may have failed
+        workers were added, changed or removed, or the last write may have
+        failed
     :ivar roster_revision: revision of the roster in the store, 0 if there is
         none; the next write of it expects this revision
     """
@@ -76,7 +77,11 @@
             self._wake.set()
 
     def request_roster_write(self) -> None:
-        """Request a write of the roster; new workers get no runs before it."""
+        """Request a write of the roster.
+
+        New workers, and those with another pool or address, get no runs
+        before it.
+        """
         self.is_roster_outdated = True
         self._wake.set()
 
@@ -146,9 +151,8 @@
             now_s = controller.clock.monotonic_s()
             load_is_due = now_s - self._load_written_at_s > LOAD_INTERVAL_S
             self._refresh_roster(now_s)
-            extra = self._extra_writes(load_is_due)
-            enrolled = list(controller.scheduler.workers.values())
-            has_roster = self.is_roster_outdated
+            roster = self._roster() if self.is_roster_outdated else None
+            extra = self._extra_writes(load_is_due, roster)
             roster_condition = Condition(ROSTER_KEY, self.roster_revision)
             self.is_roster_outdated = False
         if not batch and not extra:
@@ -158,7 +162,7 @@
             Condition(PROGRESS_PREFIX + job.job_id, job.progress_revision)
             for job, _, _ in batch
         ]
-        if has_roster:
+        if roster is not None:
             conditions.append(roster_condition)
         writes = [
             Write(PROGRESS_PREFIX + job.job_id, value)
@@ -171,11 +175,9 @@
             controller.log("progress not written", why=answer.reason)
             return False
         if isinstance(answer, CommitConflict):
-            return self._handle_conflict(batch, answer, has_roster)
-        if has_roster:
-            self.roster_revision = answer
-            for worker in enrolled:
-                worker.is_enrolled = True
+            return self._handle_conflict(batch, answer, roster is not None)
+        if roster is not None:
+            self._handle_enrolled(roster, answer)
         self._handle_written(batch, answer, load_is_due)
         return True
 
@@ -217,12 +219,14 @@
             )
         )
 
-    def _extra_writes(self, load_is_due: bool) -> list[Write]:
+    def _extra_writes(
+        self, load_is_due: bool, roster: RosterRecord | None
+    ) -> list[Write]:
         writes = []
         if load_is_due:
             writes.append(Write(LOAD_KEY, encode(self._load())))
-        if self.is_roster_outdated:
-            writes.append(Write(ROSTER_KEY, encode(self._roster())))
+        if roster is not None:
+            writes.append(Write(ROSTER_KEY, encode(roster)))
         return writes
 
     def _load(self) -> LoadRecord:
@@ -244,12 +248,22 @@
         return RosterRecord(
             term=self._controller.grant.term,
             workers={
-                worker.worker_id: (worker.entry.pool, worker.entry.address)
-                for worker in workers
+                worker.worker_id: worker.entry.roster_row for worker in workers
             },
             is_complete=self._is_roster_complete,
         )
 
+    def _handle_enrolled(self, roster: RosterRecord, revision: int) -> None:
+        """Note which workers a stored roster names as they are now.
+
+        An entry may have changed while the roster was written.
+        """
+        with self._controller.lock:
+            self.roster_revision = revision
+            for worker in self._controller.scheduler.workers.values():
+                row = roster.workers.get(worker.worker_id)
+                worker.is_enrolled = row == worker.entry.roster_row
+
     def _handle_written(self, batch, revision: int, load_is_due: bool) -> None:
         controller = self._controller
         if load_is_due:
--- a/src/rosemarynotch/_internal/scheduling/worker_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_feed.py
@@ -127,7 +127,9 @@
             ],
             now_s,
         )
-        if added:
+        if not all(
+            worker.is_enrolled for worker in scheduler.workers.values()
+        ):
             self._controller.writer.request_roster_write()
         self._add_links(added)
         for worker in scheduler.workers.values():
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -89,6 +89,8 @@
             elif entry != worker.entry:
                 if entry.is_draining and not worker.entry.is_draining:
                     self._log("worker draining", worker=worker_id)
+                if entry.roster_row != worker.entry.roster_row:
+                    worker.is_enrolled = False
                 # An entry with a later start time tells that the worker may
                 # have restarted. What it runs now is told by its report.
                 worker.entry = entry
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -93,8 +93,8 @@
         fence of this leader, since its leases last expired and in its present
         incarnation; all of its runs are known from then on
     :ivar is_report_cut: whether its newest report was cut
-    :ivar is_enrolled: whether the roster in the store contains it, so that a
-        later leader requests its runs
+    :ivar is_enrolled: whether the roster in the store contains it with its
+        present pool and address, so that a later leader requests its runs
     :ivar is_cordoned: whether it is being emptied and gets no new runs
     :ivar is_replaced: whether another incarnation has taken its place
     :ivar replaced_why: what showed that it was replaced, for the log
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -4,11 +4,14 @@
 import types
 from unittest import mock
 
+import attrs
 import testtools
 
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
+from rosemarynotch._internal.exceptions import WORKER_UNREACHABLE
 from rosemarynotch._internal.models.codec import decode
+from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.ports import CommitConflict
 from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
@@ -230,3 +233,58 @@
         self.assertTrue(self.store.record().is_complete)
         self.lead(term=4)
         self.assertEqual(0.0, self.scheduler.unknown_until_s)
+
+
+class ChangedEntryTest(RosterTest):
+    """Guards against a roster that names a worker where it no longer is.
+
+    A worker may restart under its identifier at another address and in
+    another pool. The next leader called the old address and did not learn of
+    its runs (rule TWICE).
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.list_workers(Leader.entry("w1"))
+        self.assertTrue(self.writer._write())
+        self.leader.report("w1")
+        self.worker = self.scheduler.workers["w1"]
+        self.assertTrue(self.worker.accepts_work(self.leader.now_s))
+
+    def test_start_before_the_changed_entry_is_written(self):
+        for change in ({"address": "h:2"}, {"pool": "p2"}):
+            entry = attrs.evolve(self.worker.entry, **change)
+            self.list_workers(entry)
+            self.assertFalse(self.worker.accepts_work(self.leader.now_s))
+            self.assertTrue(self.writer._write())
+            self.assertEqual({"w1": entry.roster_row}, self.store.roster())
+            self.assertTrue(self.worker.accepts_work(self.leader.now_s))
+
+    def test_start_that_is_repeated_at_another_address(self):
+        self.leader.submit("j1")
+        (run,) = self.leader.place()
+        lost = WORKER_UNREACHABLE.with_ran_unknown()
+        run.phase = RunPhase.ORDERED
+        self.scheduler.on_start_answer(run, lost, self.leader.now_s)
+        entry = attrs.evolve(self.worker.entry, address="h:2")
+        self.list_workers(entry)
+        reconcile = self.leader.planner.reconcile_runs
+        self.assertEqual([], reconcile(self.leader.now_s))
+        self.assertTrue(self.writer._write())
+        (command,) = reconcile(self.leader.now_s)
+        self.assertIs(run, command.run)
+
+    def test_entry_that_changes_while_the_roster_is_written(self):
+        """Guards against a write that enrols a worker at its old address."""
+        entry = attrs.evolve(self.worker.entry, address="h:2")
+        apply = self.store.apply
+        self.writer.request_roster_write()
+        self.patch(
+            self.store,
+            "apply",
+            lambda *args: self.list_workers(entry) or apply(*args),
+        )
+        self.assertTrue(self.writer._write())
+        self.assertEqual({"w1": ("p", "h:1")}, self.store.roster())
+        self.assertFalse(self.worker.is_enrolled)
+        self.assertTrue(self.writer.is_roster_outdated)
