Write the roster again when workers are removed

The roster was written only when workers were added, so it could name workers whose leases had ended long ago. The next leader held the inherited jobs for another 5 s for them, unless the list of VMs showed that they were gone, which is no proof.

Closing the link to a removed worker now requests a write of the roster. The scheduling thread removes workers under the leader's lock, so all those of a pass are one write.

test_workers_whose_leases_have_ended fails on the code before: the roster still names the two workers that were removed.

--- a/src/rosemarynotch/_internal/scheduling/worker_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_feed.py
@@ -171,7 +171,11 @@
         return self._links.get(worker_id)
 
     def close_link(self, worker_id: str) -> None:
-        """Close the link to a worker that was removed."""
+        """Close the link to a worker that was removed.
+
+        The next leader need not wait for the lease of such a worker.
+        """
+        self._controller.writer.request_roster_write()
         link = self._links.pop(worker_id, None)
         if link is not None:
             link.discard()
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -288,3 +288,22 @@
         self.assertEqual({"w1": ("p", "h:1")}, self.store.roster())
         self.assertFalse(self.worker.is_enrolled)
         self.assertTrue(self.writer.is_roster_outdated)
+
+
+class RemovedWorkerTest(RosterTest):
+    """Guards against a new leader that waits 5 s for workers that are gone."""
+
+    def test_workers_whose_leases_have_ended(self):
+        self.list_workers(*(Leader.entry(f"w{n}") for n in range(3)))
+        self.assertTrue(self.writer._write())
+        self.list_workers(Leader.entry("w0"))
+        self.assertEqual(3, len(self.store.roster()))
+        self.leader.now_s += 2 * LEASE_S
+        self.leader.report("w0")
+        self.store.entry_counts.clear()
+        for worker_id in self.scheduler.expire_workers(self.leader.now_s):
+            self.feed.close_link(worker_id)
+        for _ in range(2):
+            self.assertTrue(self.writer._write())
+        self.assertEqual(["w0"], list(self.store.roster()))
+        self.assertEqual(1, len(self.store.entry_counts))
