Keep a worker whose former address belongs to another worker

A call that another worker refuses (421) marked the worker as replaced, which drops its runs: their tasks start again. The call may have gone to a former address, from the roster or on a link from before a restart, while the worker lives on at the address that the list shows (rule TWICE).

A refusal now counts only on the link to the address that the entry has, and not after the link was discarded. This holds for reports and for starts; a refused start was not carried out, so its run is dropped. An entry with another address takes the mark back and leads to a new link, also if its start time is not a later one. A link that cannot be replaced, as the new address is odd, is no longer used for orders, and each address is tried once.

--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -6,6 +6,7 @@
 
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.exceptions import WORKER_REPLACED
 from rosemarynotch._internal.exceptions import WORKER_UNREACHABLE
 from rosemarynotch._internal.scheduling.order_queue import OrderKind
 from rosemarynotch._internal.scheduling.order_queue import OrderQueue
@@ -117,7 +118,7 @@
             failure = WORKER_UNREACHABLE.with_reason(
                 repr(error)
             ).with_ran_unknown()
-            self._post_answer(command, failure)
+            self._post_answer(command, failure, link)
             return True
 
     def _is_permitted(self, command: Command) -> bool:
@@ -178,17 +179,22 @@
         else:
             answer = self._send_pace(command, link)
         self._controller.check_fence(answer)
-        self._post_answer(command, answer)
+        self._post_answer(command, answer, link)
         return isinstance(answer, Failure) and answer.ran is not Ran.NO
 
     def _post_answer(
-        self, command: Command, answer: int | None | Failure
+        self,
+        command: Command,
+        answer: int | None | Failure,
+        link: WorkerLink,
     ) -> None:
         """Pass the answer to a start or a stop to the scheduling thread."""
         scheduler, run = self._controller.scheduler, command.run
         if isinstance(command, StartCommand):
             self._controller.post(
-                lambda now_s: scheduler.on_start_answer(run, answer, now_s)
+                lambda now_s: scheduler.on_start_answer(
+                    run, _judge(answer, link), now_s
+                )
             )
         elif isinstance(command, StopCommand):
             self._controller.post(
@@ -269,6 +275,18 @@
         return answer
 
 
+def _judge(answer: int | Failure, link: WorkerLink) -> int | Failure:
+    """Return what the answer to a start says about its worker.
+
+    Another worker at a former address has done nothing with the order, but
+    does not show that the worker has ended.
+    """
+    is_replaced = isinstance(answer, Failure) and answer.is_a(WORKER_REPLACED)
+    if is_replaced and not link.is_current:
+        return WORKER_UNREACHABLE.with_reason("former address")
+    return answer
+
+
 def _kind(command: Command) -> OrderKind:
     if isinstance(command, StopCommand):
         return OrderKind.STOP
--- a/src/rosemarynotch/_internal/scheduling/worker_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_feed.py
@@ -38,6 +38,8 @@
         self._controller = controller
         self.list_now = threading.Event()
         self._links: dict[str, WorkerLink] = {}
+        # Addresses that were last connected to, also without success.
+        self._addresses: dict[str, str] = {}
         # Reasons by key, so that each is logged once.
         self._refused: dict[str, str] = {}
 
@@ -133,23 +135,30 @@
             self._controller.writer.request_roster_write()
         self._add_links(added)
         for worker in scheduler.workers.values():
-            if worker.entry.started_unix_ms > worker.started_unix_ms:
-                self._follow_restart(worker)
+            self._follow_entry(worker)
 
-    def _follow_restart(self, worker: Worker) -> None:
-        """Request a report of a worker that is listed as restarted."""
+    def _follow_entry(self, worker: Worker) -> None:
+        """Connect to a worker at its present address.
+
+        If it is listed as restarted there, a report is requested at once.
+        """
         link = self._links.get(worker.worker_id)
-        if link is None:
-            return
-        if link.address != worker.entry.address:
-            link.discard()
+        if self._addresses.get(worker.worker_id) != worker.entry.address:
+            if link is not None:
+                del self._links[worker.worker_id]
+                link.discard()
             self._add_links([worker])
-        elif worker.clock_received_at_s:
+        elif (
+            link is not None
+            and worker.entry.started_unix_ms > worker.started_unix_ms
+            and worker.clock_received_at_s
+        ):
             link.follow_restart(worker.entry.started_unix_ms)
 
     def _add_links(self, workers: list[Worker]) -> None:
         controller = self._controller
         for worker in workers:
+            self._addresses[worker.worker_id] = worker.entry.address
             try:
                 channel = controller.ports.connect_worker(
                     worker.entry, controller.order_timeout
@@ -176,6 +185,7 @@
         The next leader need not wait for the lease of such a worker.
         """
         self._controller.writer.request_roster_write()
+        self._addresses.pop(worker_id, None)
         link = self._links.pop(worker_id, None)
         if link is not None:
             link.discard()
--- a/src/rosemarynotch/_internal/scheduling/worker_link.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_link.py
@@ -64,6 +64,16 @@
         self._applied_unix_ms = 0
         self._listed_unix_ms = 0
 
+    @property
+    def is_current(self) -> bool:
+        """Return whether the link leads to the worker's present address.
+
+        Answers of another worker at a former address say nothing about it.
+        """
+        return (
+            not self._discarded and self.address == self._worker.entry.address
+        )
+
     def close(self) -> None:
         """Stop requesting reports."""
         self._closed = True
@@ -205,4 +215,7 @@
         controller.stop.wait(FIRST_RETRY_S if was_reachable else RETRY_S)
 
     def _replace(self) -> None:
-        self._worker.mark_replaced("another worker answered a report request")
+        if self.is_current:
+            self._worker.mark_replaced(
+                "another worker answered a report request"
+            )
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -91,6 +91,9 @@
                     self._log("worker draining", worker=worker_id)
                 if entry.roster_row != worker.entry.roster_row:
                     worker.is_enrolled = False
+                if entry.address != worker.entry.address:
+                    # Another worker at the former address shows nothing.
+                    worker.is_replaced = False
                 # An entry with a later start time tells that the worker may
                 # have restarted. What it runs now is told by its report.
                 worker.entry = entry
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -9,9 +9,11 @@
 
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
+from rosemarynotch._internal.exceptions import WORKER_REPLACED
 from rosemarynotch._internal.exceptions import WORKER_UNREACHABLE
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.scheduling.jobs import RunPhase
+from rosemarynotch._internal.scheduling.order_sender import OrderSender
 from rosemarynotch._internal.scheduling.ports import CommitConflict
 from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
@@ -84,6 +86,7 @@
     def setUp(self):
         super().setUp()
         self.store = Store()
+        self.events = []
         self.lead()
 
     def lead(self, term=1):
@@ -106,12 +109,20 @@
             ),
             grant=types.SimpleNamespace(fence=FENCE, term=term),
             leadership=self.leadership,
-            order_timeout=None,
+            order_timeout=mock.Mock(),
             start_thread=lambda target, name: None,
             log=mock.Mock(),
+            post=self.events.append,
+            check_fence=mock.Mock(),
+            answer_losses=mock.Mock(),
+            metrics=mock.Mock(),
+            stop=mock.Mock(),
+            may_start=True,
+            extend_lease=lambda worker, clock: 7,
         )
         controller.writer = self.writer = ProgressWriter(controller)
         controller.worker_feed = self.feed = WorkerFeed(controller)
+        controller.link = self.feed.link
         self.assertTrue(self.feed.load_roster())
 
     def list_workers(self, *entries):
@@ -307,3 +318,71 @@
             self.assertTrue(self.writer._write())
         self.assertEqual(["w0"], list(self.store.roster()))
         self.assertEqual(1, len(self.store.entry_counts))
+
+
+class FormerAddressTest(RosterTest):
+    """Guards against a worker that counts as ended but lives elsewhere.
+
+    Another worker at the address of the roster, or of an old link, refused
+    the calls. The runs of the worker, which had restarted at another address,
+    were dropped, and its tasks started a second time (rule TWICE).
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.list_workers(Leader.entry("w1"))
+        self.assertTrue(self.writer._write())
+        self.leader.report("w1")
+        self.worker = self.scheduler.workers["w1"]
+        self.moved = attrs.evolve(self.worker.entry, address="h:2")
+
+    def refuse(self, link):
+        """Let another worker answer the link's request for a report."""
+        link.channel.report.return_value = WORKER_REPLACED
+        link._request_report()
+        self.apply_events()
+
+    def apply_events(self):
+        while self.events:
+            self.events.pop(0)(self.leader.now_s)
+
+    def test_answer_on_a_former_link(self):
+        former = self.feed.link("w1")
+        self.list_workers(self.moved)
+        self.refuse(former)
+        self.assertFalse(self.worker.is_replaced)
+        self.refuse(self.feed.link("w1"))
+        self.assertTrue(self.worker.is_replaced)
+
+    def test_answer_before_the_changed_entry(self):
+        self.refuse(self.feed.link("w1"))
+        self.assertTrue(self.worker.is_replaced)
+        self.list_workers(self.moved)
+        self.assertFalse(self.worker.is_replaced)
+        self.assertEqual("h:2", self.feed.link("w1").address)
+
+    def test_start_at_a_former_address(self):
+        self.leader.submit("j1")
+        (command,) = self.leader.planner.place(self.leader.now_s, 1e6)
+
+        def start(fence, order):
+            self.list_workers(self.moved)
+            return WORKER_REPLACED
+
+        self.feed.link("w1").channel.start.side_effect = start
+        sender = OrderSender(self.controller)
+        self.addCleanup(sender.close)
+        sender.send(command)
+        self.apply_events()
+        self.assertFalse(self.worker.is_replaced)
+        self.assertTrue(command.run.task.is_waiting)
+
+    def test_address_that_cannot_be_connected_to(self):
+        """Guards against orders on the link to the former address."""
+        self.controller.ports.connect_worker = mock.Mock(
+            side_effect=ValueError("odd")
+        )
+        for _ in range(2):
+            self.list_workers(self.moved)
+            self.assertIsNone(self.feed.link("w1"))
+        self.controller.ports.connect_worker.assert_called_once()
