Log what the roster says at the start of a term

Each term now logs the number of workers in the roster, its revision, the term in which it was written and whether it is complete.

--- a/src/rosemarynotch/_internal/scheduling/worker_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_feed.py
@@ -59,6 +59,13 @@
         if isinstance(roster, Failure):
             controller.log("roster refused", why=roster.reason)
             roster = RosterRecord(is_complete=False)
+        controller.log(
+            "roster read",
+            workers=len(roster.workers),
+            revision=item.revision,
+            written_in_term=roster.term,
+            complete=roster.is_complete,
+        )
         entries = [
             WorkerEntry(
                 worker_id=worker_id,
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -177,6 +177,13 @@
         self.list_workers(Leader.entry("w1"))
         self.assertTrue(self.writer._write())
         self.lead(term=2)
+        self.controller.log.assert_called_once_with(
+            "roster read",
+            workers=1,
+            revision=self.store.revision,
+            written_in_term=1,
+            complete=True,
+        )
         self.list_workers(Leader.entry("w2"))
         self.assertTrue(self.writer._write())
         self.assertEqual({"w1", "w2"}, set(self.store.roster()))
