--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -104,6 +104,7 @@
         self.entries[1] = attrs.evolve(self.entries[1], pool="p2")
         self.scheduler.workers["w2"].pools.clear()
         self.scheduler.set_workers(self.entries, self.leader.now_s)
+        self.scheduler.workers["w2"].is_enrolled = True
         self.route("p2")
 
     def route(self, pool):
