Free the task of a first start that another worker has refused

A worker that was replaced keeps its runs until its lease is over, so a start that another worker at its address had refused kept its task for up to 5 s although no order for it was carried out. The task of a first start is free at once; that of a repeated one is not, since an earlier order may have started it. A replaced worker gets no stops and no repeated starts, which the other worker would refuse 20 times a second.

test_first_start_frees_its_task fails before.

--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -106,6 +106,9 @@
         """Return the stops to order and the starts to order again."""
         commands: list[StartCommand | StopCommand] = []
         for worker in self._scheduler.workers.values():
+            if worker.is_replaced:
+                # Another worker would answer. Its runs end with its lease.
+                continue
             for run in worker.runs.values():
                 command = self._reconcile_run(run, worker, now_s)
                 if command is not None:
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -105,7 +105,7 @@
         )
         if answer.is_a(WORKER_REPLACED):
             worker.mark_replaced("another worker answered a start")
-        elif answer.is_a(RUN_SUPERSEDED) or (
+        if answer.is_a(RUN_SUPERSEDED) or (
             answer.is_a(RUN_LATE) and run.is_resent
         ):
             # The run has ended or its lease has expired, so no order with this
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -3,6 +3,7 @@
 import attrs
 import testtools
 
+from rosemarynotch._internal.exceptions import WORKER_REPLACED
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.models.codec import encode
 from rosemarynotch._internal.scheduling.records import ProgressRecord
@@ -93,6 +94,38 @@
         self.assertEqual(["w2"], self.place())
 
 
+class AnswerOfAnotherWorkerTest(TakeoverCase):
+    """Guards against tasks and orders that wait for a worker that is gone."""
+
+    def setUp(self):
+        super().setUp()
+        self.leader.report("w1")
+        (command,) = self.leader.planner.place(
+            self.leader.now_s, self.leader.now_s * 1000
+        )
+        self.run = command.run
+        self.worker = command.worker
+
+    def answer(self):
+        """Let another worker answer the start."""
+        self.scheduler.on_start_answer(
+            self.run, WORKER_REPLACED, self.leader.now_s
+        )
+
+    def test_first_start_frees_its_task(self):
+        self.answer()
+        self.assertTrue(self.worker.is_replaced)
+        self.assertTrue(self.run.task.is_waiting)
+
+    def test_repeated_start_keeps_its_task(self):
+        """Guards against a run that an earlier order may have started."""
+        self.run.is_resent = True
+        self.answer()
+        self.assertFalse(self.run.task.is_waiting)
+        reconcile = self.leader.planner.reconcile_runs
+        self.assertEqual([], reconcile(self.leader.now_s))
+
+
 class RoutedQueueTest(TakeoverCase):
     """Guards against a task that starts beside its earlier run (TWICE).
 
