Repeat no lease that a leader without the store has only assumed

By reading, shown on the scheduler and the controller: when a leader hears a worker for the first time, it assumes that an earlier leader granted the longest lease just before. This was kept in the same field as the leases that it grants itself. A leader that the store does not answer grants no lease, but repeats the one that it knows in reports and starts. For a worker that it first heard in that state, this was the assumed one, so in fact it extended the lease on all runs of that worker, by up to 5 s from then.

The leases that this leader has granted are now kept apart. Only these are repeated, and only these count for the lease of 2 s that a start without the store needs. The assumed ones still delay the time at which runs count as lapsed.

test_worker_that_is_first_heard had a start on the worker before, and none now. The fixtures of DetachedStartsTest and DetachedLeaderTest set the granted lease with the other one; their checks are unchanged.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -310,13 +310,14 @@
         """Extend a worker's lease; return its end on the worker's clock.
 
         A leader that is detached does not extend it: the next leader counts
-        on its end.
+        on its end. What it assumes of the leases of earlier leaders, when it
+        hears a worker for the first time, is no lease that it may repeat.
         """
         # Read before the permission is checked. If the process is suspended
         # between the two, the lease still counts from its own term.
         now_s = self.clock.monotonic_s()
         if not self.is_running:
-            return worker.lease_until_ms
+            return worker.granted_until_ms
         until_ms = clock.lease_end_ms(now_s, LEASE_S)
         # Recorded before the order is sent, as an order without an answer may
         # still be carried out. Leases by the clock of an incarnation whose
@@ -325,6 +326,7 @@
             clock.started_unix_ms == worker.started_unix_ms
             or not worker.clock_received_at_s
         ):
+            worker.granted_until_ms = max(worker.granted_until_ms, until_ms)
             worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
         return until_ms
 
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -108,7 +108,9 @@
     :ivar clock_received_at_s: when that report was received
     :ivar clock_offset_ms: least difference between its clock in a report and
         the time of the request; its clock is at most this far ahead
-    :ivar lease_until_ms: end of its longest lease, on its own clock
+    :ivar lease_until_ms: end of its longest lease, on its own clock; those of
+        earlier leaders are assumed
+    :ivar granted_until_ms: end of the longest lease that this leader granted
     :ivar known_since_s: when this leader first learned of it
     :ivar seen_sequence: sequence number of the last run end that was applied
     :ivar acked_sequence: sequence number of the last run end that is
@@ -135,6 +137,7 @@
     clock_received_at_s: float = 0.0
     clock_offset_ms: float = math.inf
     lease_until_ms: int = 0
+    granted_until_ms: int = 0
     known_since_s: float = 0.0
     seen_sequence: int = 0
     acked_sequence: int = 0
@@ -256,14 +259,15 @@
         )
 
     def lease_left_s(self, now_s: float) -> float:
-        """Return how long its longest lease lasts at least, 0 if it has none.
+        """Return how long the lease of this leader lasts at least.
 
-        The clocks of workers do not run fast, so any reading of its clock
-        tells the latest time that it can show now. The least of them is used,
-        as a reading may be as old as the long-poll time of its report.
+        It is 0 if there is none. The clocks of workers do not run fast, so
+        any reading of its clock tells the latest time that it can show now.
+        The least of them is used, as a reading may be as old as the long-poll
+        time of its report.
         """
         latest_ms = now_s * 1000 + self.clock_offset_ms
-        return max(0.0, (self.lease_until_ms - latest_ms) / 1000)
+        return max(0.0, (self.granted_until_ms - latest_ms) / 1000)
 
     def lease_bound_s(self, longest_lease_s: float) -> float:
         """Return when all leases have expired if no order extends them.
@@ -320,6 +324,6 @@
         self.seen_sequence = self.acked_sequence = 0
         self.pending_acks.clear()
         self.clock_offset_ms = math.inf
-        self.lease_until_ms = 0
+        self.lease_until_ms = self.granted_until_ms = 0
         for run in self.runs.values():
             run.lease_until_ms = 0
--- a/tests/unit/test_leader_query.py
+++ b/tests/unit/test_leader_query.py
@@ -240,7 +240,8 @@
         self.leader.add_workers("w1", "w2")
         for name, left_ms in (("w1", 3000), ("w2", 1000)):
             worker = self.leader.scheduler.workers[name]
-            worker.lease_until_ms = worker.clock_ms + left_ms
+            worker.granted_until_ms = worker.clock_ms + left_ms
+            worker.lease_until_ms = worker.granted_until_ms
 
     def place(self):
         return self.leader.planner.place(self.leader.now_s, 1e6, 2.0)
--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -108,7 +108,9 @@
         return types.SimpleNamespace(
             scheduler=leader.scheduler,
             planner=leader.planner,
-            clock=types.SimpleNamespace(wall_s=lambda: leader.now_s),
+            clock=types.SimpleNamespace(
+                wall_s=lambda: leader.now_s, monotonic_s=lambda: leader.now_s
+            ),
             worker_feed=types.SimpleNamespace(close_link=lambda name: None),
             is_running=True,
             is_detached=True,
@@ -130,6 +132,7 @@
         leader.report(name)
         worker = leader.scheduler.workers[name]
         worker.lease_until_ms = worker.clock_ms + 9000
+        worker.granted_until_ms = worker.lease_until_ms
 
     def test_lease_that_has_lapsed_meanwhile(self):
         """Guards against a lease that the next leader has extended."""
@@ -161,3 +164,25 @@
         self.hear(leader, "w2")
         self.assertEqual([], self.starts(leader, controller, False))
         self.assertEqual(["w2"], self.starts(leader, controller, True))
+
+    def test_worker_that_is_first_heard(self):
+        """Guards against leases that a detached leader extends by guessing.
+
+        It assumes that an earlier leader granted the longest lease just before
+        the first report. It repeated that lease in orders, and the next leader
+        did not expect it.
+        """
+        leader = Leader(term=2, started_revision=20)
+        task = leader.submit("j1").occurrences[0].steps[0].tasks[0]
+        leader.submit("j2")
+        (worker,) = leader.scheduler.set_workers(
+            [leader.entry("w1")], leader.now_s, are_inherited=True
+        )
+        worker.is_enrolled = True
+        controller = self.make_controller(leader)
+        leader.report("w1", [(task.task_id, 1, 10)])
+        self.assertEqual([], self.starts(leader, controller, False))
+        until_ms = Controller.extend_lease(controller, worker, worker.clock)
+        self.assertEqual(0, until_ms)
+        leader.scheduler.expire_workers(leader.now_s + LEASE_S)
+        self.assertFalse(task.is_waiting)
