Use no job that was received after the term

Callers could see a job's tasks run twice at the same time. A leader that the store does not answer goes on for up to 4 s with the jobs that it knows. A watch, a listing or the read of a hinted key that was under way when its lease ended was still applied, whatever the term was. So it could learn of a job that was accepted after the next leader's term had begun. The next leader does not count such a job as inherited, waits for no worker, and starts it at once. Both give its runs the numbers from 1 on. The first listing had the same fault: if it ended after the lease, the leader went straight on to start its jobs.

An answer is now used only if the term still lasts after it was received. The term ends 0.2 s before the lease can, so what was read was written before any later term. Cancellations are used always: they start no task and free none, and prevent starts that nobody wants.

--- a/src/rosemarynotch/_internal/scheduling/intake_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/intake_feed.py
@@ -33,7 +33,14 @@
 
 
 class IntakeFeed:
-    """Lists the jobs and cancellations once and then watches for new ones."""
+    """Lists the jobs and cancellations once and then watches for new ones.
+
+    A job is used only if the term still lasted when the store's answer had
+    been received. The next leader counts the jobs created before its term as
+    inherited, and starts them only when no worker can have them. A job that
+    was created later must therefore not be started by this leader, which may
+    start tasks for some seconds after its term.
+    """
 
     def __init__(self, controller: "Controller") -> None:
         self._controller = controller
@@ -46,7 +53,7 @@
     def load(self) -> bool:
         """Read all jobs with their progress.
 
-        :returns: False if the store did not answer
+        :returns: False if the store did not answer, or not within the term
         """
         store = self._controller.ports.store
         intake = store.list_prefix(INTAKE_PREFIX)
@@ -55,6 +62,8 @@
             if isinstance(listing, Failure):
                 self._controller.log("jobs not read", why=listing.reason)
                 return False
+        if not self._controller.is_running:
+            return False
         records = {
             item.key.removeprefix(PROGRESS_PREFIX): item
             for item in progress.items
@@ -89,6 +98,8 @@
                 keys, self._hinted_keys = self._hinted_keys, {}
             controller.stop.wait(HINT_GRACE_S)
             for key in keys:
+                if not controller.is_running:
+                    return
                 self._read_hinted(key)
 
     def _read_hinted(self, key: str) -> None:
@@ -98,7 +109,7 @@
         item = controller.ports.store.get(key)
         if not isinstance(item, Failure):
             controller.metrics.count("hints", outcome="read")
-            controller.post(lambda now_s: self._add((item,)))
+            self._post((item,))
         elif not item.is_a(STORE_KEY_MISSING):
             self.record_hint([key])
             controller.stop.wait(RETRY_S)
@@ -120,10 +131,7 @@
             )
             if not isinstance(changes, Failure):
                 self._revision = max(self._revision, changes.revision)
-                if changes.items:
-                    controller.post(
-                        lambda now_s, items=changes.items: self._add(items)
-                    )
+                self._post(changes.items)
                 continue
             if changes.is_a(STORE_HISTORY_LOST):
                 controller.log("intake listed again", why=changes.reason)
@@ -135,7 +143,22 @@
         if isinstance(intake, Failure):
             return
         self._revision = intake.revision
-        self._controller.post(lambda now_s: self._add(intake.items))
+        self._post(intake.items)
+
+    def _post(self, items: tuple[Item, ...]) -> None:
+        """Pass items that were just received to the scheduling thread.
+
+        If the term may have ended, only the cancellations are passed on. They
+        start no task and free none, and prevent starts that nobody wants.
+        """
+        if not self._controller.is_running:
+            items = tuple(
+                item
+                for item in items
+                if item.key.startswith(CANCELLATIONS_PREFIX)
+            )
+        if items:
+            self._controller.post(lambda now_s: self._add(items))
 
     def _add(self, items: tuple[Item, ...]) -> None:
         for item in items:
