Do not add a job that was refused or forgotten

Callers could see the tasks of a completed job run again minutes later. A job is removed from the store 180 s after its end, and the leader forgets it. A listing or the read of a hinted key that was under way meanwhile still returned the job, and it was added without its progress, as a new one. So was, by any later listing or hint, a job whose progress record could not be decoded when the term began. The history of a watch that had fallen behind would have done the same with a job known from a hint.

The leader now keeps the revision up to which all accepted jobs have been passed to its scheduler: that of the first listing, and then the position of the watch. A job created up to it that is not known was refused or forgotten, and is not added, whatever returns it. A job created later is not removed until the watch has passed it. So no forgotten job can come back, and no list of forgotten jobs has to be kept. The same holds for cancellations: one that came back stayed in memory for the rest of the term.

Items are applied one by one, since the position passes those behind an item that fails, and no later read would add them.

Five of the seven new tests fail on the code before; that a later submission under the same identifier is accepted, and that a hint for a removed key has no effect, held before.

--- a/src/rosemarynotch/_internal/scheduling/intake_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/intake_feed.py
@@ -40,6 +40,10 @@
     inherited, and starts them only when no worker can have them. A job that
     was created later must therefore not be started by this leader, which may
     start tasks for some seconds after its term.
+
+    The position of the watch separates new jobs from old ones: a job that was
+    created up to it, but is not known, was refused or forgotten. It is not
+    added again, whatever returns it.
     """
 
     def __init__(self, controller: "Controller") -> None:
@@ -71,6 +75,7 @@
         with self._controller.lock:
             for item in intake.items:
                 self._apply(item, records)
+            self._controller.scheduler.advance_intake(intake.revision)
         self._revision = intake.revision
         return True
 
@@ -131,7 +136,7 @@
             )
             if not isinstance(changes, Failure):
                 self._revision = max(self._revision, changes.revision)
-                self._post(changes.items)
+                self._post(changes.items, self._revision)
                 continue
             if changes.is_a(STORE_HISTORY_LOST):
                 controller.log("intake listed again", why=changes.reason)
@@ -143,36 +148,58 @@
         if isinstance(intake, Failure):
             return
         self._revision = intake.revision
-        self._post(intake.items)
+        self._post(intake.items, self._revision)
 
-    def _post(self, items: tuple[Item, ...]) -> None:
+    def _post(self, items: tuple[Item, ...], revision: int = 0) -> None:
         """Pass items that were just received to the scheduling thread.
 
         If the term may have ended, only the cancellations are passed on. They
         start no task and free none, and prevent starts that nobody wants.
+
+        :param revision: up to which the items are complete, together with
+            those passed on before; 0 if they are single ones
         """
-        if not self._controller.is_running:
+        controller = self._controller
+        if not controller.is_running:
+            revision = 0
             items = tuple(
                 item
                 for item in items
                 if item.key.startswith(CANCELLATIONS_PREFIX)
             )
-        if items:
-            self._controller.post(lambda now_s: self._add(items))
-
-    def _add(self, items: tuple[Item, ...]) -> None:
+        # One event each, so that an item that cannot be applied costs only
+        # itself: those after it would count as passed on.
         for item in items:
             if item.value is not None:
-                self._apply(item, {})
+                controller.post(lambda now_s, item=item: self._apply(item, {}))
+        if revision:
+            controller.post(
+                lambda now_s: controller.scheduler.advance_intake(revision)
+            )
 
     def _apply(self, item: Item, progress: dict[str, Item]) -> None:
         scheduler = self._controller.scheduler
         if item.key.startswith(CANCELLATIONS_PREFIX):
-            scheduler.cancel(item.key.removeprefix(CANCELLATIONS_PREFIX))
+            job_id = item.key.removeprefix(CANCELLATIONS_PREFIX)
+            # A job is created before its cancellation. If it is not known
+            # though the cancellation was passed on, it will not be added.
+            if job_id in scheduler.jobs or not scheduler.was_passed(
+                item.revision
+            ):
+                scheduler.cancel(job_id)
             return
         job_id = item.key.removeprefix(JOBS_PREFIX)
         if job_id in scheduler.jobs:
             return
+        if scheduler.was_passed(item.revision):
+            self._controller.log(
+                "job not added",
+                job=job_id,
+                revision=item.revision,
+                intake_revision=scheduler.intake_revision,
+                why="it was refused or forgotten before",
+            )
+            return
         submission = decode(item.value, SubmissionRecord)
         if isinstance(submission, Failure):
             self._controller.log(
--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -30,6 +30,8 @@
     :ivar jobs: all jobs by identifier
     :ivar active: jobs that have not ended, by identifier
     :ivar cancelled_ids: cancelled jobs, including those not read yet
+    :ivar intake_revision: store revision up to which all accepted jobs have
+        been passed to this registry
     :ivar dirty: jobs with changes that are not persisted, by identifier
     :ivar usage: resources of ordered and running tasks, by organisation
     :ivar batch_millicores: processors of those tasks that are not
@@ -49,6 +51,7 @@
         self.jobs: dict[str, Job] = {}
         self.active: dict[str, Job] = {}
         self.cancelled_ids: set[str] = set()
+        self.intake_revision = 0
         self.configuration = Configuration(version=0, revision=0)
         self.dirty: dict[str, Job] = {}
         self.usage: dict[str, Resources] = {}
@@ -81,6 +84,19 @@
             self.cancel(job_id)
         return job
 
+    def was_passed(self, created_revision: int) -> bool:
+        """Return whether a job has already been passed to this registry.
+
+        If it is not known now, it was refused or forgotten. It must not be
+        added then, as it would start anew without its progress. Reads that
+        began before, and watches of the history, may still return it.
+        """
+        return created_revision <= self.intake_revision
+
+    def advance_intake(self, revision: int) -> None:
+        """Record that all jobs created up to a revision were passed on."""
+        self.intake_revision = max(self.intake_revision, revision)
+
     def cancel(self, job_id: str) -> None:
         """Cancel a job; the next scheduling pass stops its runs.
 
@@ -132,13 +148,15 @@
     def expired_jobs(self, wall_ms: float, retention_ms: float) -> list[Job]:
         """Return jobs whose retention period is over.
 
-        A job stays as long as its final state is not persisted.
+        A job stays as long as its final state is not persisted, or if a watch
+        may still report that it was created, see :meth:`was_passed`.
         """
         return [
             job
             for job in self.jobs.values()
             if job.finished_unix_ms
             and job.durable_change >= job.change
+            and self.was_passed(job.created_revision)
             and wall_ms - job.finished_unix_ms > retention_ms
         ]
 
--- a/tests/unit/test_intake_feed.py
+++ b/tests/unit/test_intake_feed.py
@@ -6,13 +6,19 @@
 import testtools
 
 from rosemarynotch._internal.exceptions import STORE_HISTORY_LOST
+from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
+from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.models.codec import encode
 from rosemarynotch._internal.scheduling.intake_feed import IntakeFeed
 from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import Listing
+from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
+from rosemarynotch._internal.scheduling.progress_writer import RETENTION_MS
 from rosemarynotch._internal.scheduling.records import CANCELLATIONS_PREFIX
 from rosemarynotch._internal.scheduling.records import INTAKE_PREFIX
 from rosemarynotch._internal.scheduling.records import JOBS_PREFIX
+from rosemarynotch._internal.scheduling.records import Phase
+from rosemarynotch._internal.scheduling.records import PROGRESS_PREFIX
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
 from tests.lib.scheduling import job_spec
 from tests.lib.scheduling import Leader
@@ -60,6 +66,8 @@
             post=self.posted.append,
         )
         self.controller.ports.store = self.store
+        self.controller.clock.monotonic_s = lambda: self.leader.now_s
+        self.controller.clock.wall_s = lambda: self.leader.now_s
         self.feed = IntakeFeed(self.controller)
 
     def apply_posted(self):
@@ -76,6 +84,26 @@
         self.store.list_prefix = lambda prefix: listings.get(prefix, empty)
         return self.feed.load()
 
+    def watch(self, items, revision):
+        """Let the feed watch until it has received some items."""
+
+        def end(*args):
+            self.controller.is_running = False
+            return STORE_UNAVAILABLE
+
+        changes = Listing(items=tuple(items), revision=revision)
+        answers = iter((lambda *args: changes, end))
+        self.store.watch = lambda *args: next(answers)()
+        self.feed.run()
+        self.controller.is_running = True
+        self.apply_posted()
+
+    def read_hinted(self, answer):
+        """Let the feed read a hinted key that the watch has not reported."""
+        self.store.get = mock.Mock(return_value=answer)
+        self.feed._read_hinted(JOBS_PREFIX + NEW)
+        self.apply_posted()
+
 
 class EndedTermTest(IntakeCase):
     """Guards against a detached leader that starts a job of the next term.
@@ -137,3 +165,108 @@
             self.store.get = self.end_term(rows[key])
             self.feed._read_hinted(key)
         self.check()
+
+
+class ForgottenJobTest(IntakeCase):
+    """Guards against a job that starts anew after it was forgotten.
+
+    It was added without its progress, and its tasks ran again long after it
+    had been shown as completed (rule TWICE).
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.load()
+        self.row = job_row(NEW, 50)
+
+    def complete(self):
+        """Complete the job, write that, and let its retention end."""
+        job = self.scheduler.jobs[NEW]
+        self.scheduler.finish(job, Phase.COMPLETED)
+        job.finished_unix_ms = round(self.leader.now_s * 1000)
+        self.scheduler.mark_written(job, job.change, 60)
+        self.leader.now_s += RETENTION_MS / 1000 + 1
+
+    def remove_expired(self):
+        self.store.commit = mock.Mock(return_value=70)
+        ProgressWriter(self.controller)._remove_expired()
+
+    def forget_during(self, answer):
+        """Return a read that lasts until the job has been forgotten."""
+
+        def read(*args):
+            self.remove_expired()
+            self.assertNotIn(NEW, self.scheduler.jobs)
+            return answer
+
+        return read
+
+    def test_listing_under_way(self):
+        self.watch((self.row,), 50)
+        self.complete()
+        rows = (self.row, cancellation_row(NEW, 51))
+        self.watch((), 69)
+        listing = Listing(items=rows, revision=69)
+        self.store.list_prefix = self.forget_during(listing)
+        self.feed._list_again()
+        self.apply_posted()
+        self.assertEqual({}, self.scheduler.jobs)
+        self.assertEqual(set(), self.scheduler.cancelled_ids)
+
+    def test_hint_under_way(self):
+        def read(key):
+            self.watch((self.row,), 50)
+            self.complete()
+            return self.forget_during(self.row)()
+
+        self.store.get = read
+        self.feed._read_hinted(self.row.key)
+        self.apply_posted()
+        self.assertEqual({}, self.scheduler.jobs)
+
+    def test_watch_that_fell_behind(self):
+        """Guards against a watch that returns the history since long ago.
+
+        The job, which was known from a hint, is then kept until the watch has
+        reported it.
+        """
+        self.read_hinted(self.row)
+        self.complete()
+        self.remove_expired()
+        self.watch((self.row,), 50)
+        self.assertTrue(self.scheduler.jobs[NEW].phase.is_final)
+        self.remove_expired()
+        self.assertEqual({}, self.scheduler.jobs)
+
+    def test_submission_after_the_removal(self):
+        """Guards against a new job that is taken for the forgotten one."""
+        self.watch((self.row,), 50)
+        self.complete()
+        self.remove_expired()
+        self.watch((job_row(NEW, 80),), 80)
+        self.assertFalse(self.scheduler.jobs[NEW].phase.is_final)
+
+    def test_hinted_key_that_was_removed(self):
+        self.read_hinted(STORE_KEY_MISSING)
+        self.assertEqual({}, self.scheduler.jobs)
+        self.assertEqual({}, self.feed._hinted_keys)
+
+
+class RefusedJobTest(IntakeCase):
+    """Guards against a job that starts anew as its progress is refused."""
+
+    def setUp(self):
+        super().setUp()
+        self.row = job_row(NEW, 10)
+        progress = Item(key=PROGRESS_PREFIX + NEW, revision=11, value=b"\xc1")
+        self.assertTrue(self.load([self.row], [progress]))
+        self.assertEqual({}, self.scheduler.jobs)
+
+    def test_later_listing(self):
+        self.feed._list_again()
+        self.apply_posted()
+        self.assertEqual({}, self.scheduler.jobs)
+
+    def test_later_hint(self):
+        self.read_hinted(self.row)
+        self.assertEqual({}, self.scheduler.jobs)
