Leave the ends of refused jobs to a later leader

Callers could see a task run again after it had ended as done. A job whose submission or progress record the leader cannot decode, as after a newer version has written it, is left out. The ends of its tasks on workers counted as those of an unknown task and were acknowledged without a write, so the workers forgot them. A later leader that can decode the job would start these tasks again.

Such ends are no longer acknowledged. Only jobs from before the term are concerned: nobody has started a refused job of this term. Acknowledgements go by number, so the ends behind one that is withheld wait as well. A worker that nears the 500 ends that it can list gets no new runs, so that no end of another job is left out. Ends of jobs that are gone are acknowledged as before.

The line "end of unknown task" also tells worker, run, number and kind of the end, and whether it is acknowledged.

--- a/src/rosemarynotch/_internal/scheduling/intake_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/intake_feed.py
@@ -189,7 +189,7 @@
                 scheduler.cancel(job_id)
             return
         job_id = item.key.removeprefix(JOBS_PREFIX)
-        if job_id in scheduler.jobs:
+        if job_id in scheduler.jobs or job_id in scheduler.refused_ids:
             return
         if scheduler.was_passed(item.revision):
             self._controller.log(
@@ -197,7 +197,7 @@
                 job=job_id,
                 revision=item.revision,
                 intake_revision=scheduler.intake_revision,
-                why="it was refused or forgotten before",
+                why="refused or forgotten before",
             )
             return
         submission = decode(item.value, SubmissionRecord)
@@ -205,6 +205,7 @@
             self._controller.log(
                 "job refused", job=job_id, why=submission.reason
             )
+            scheduler.refuse(job_id, item.revision)
             return
         known, record = progress.get(job_id), None
         if known is not None:
@@ -213,6 +214,7 @@
                 self._controller.log(
                     "progress refused", job=job_id, why=record.reason
                 )
+                scheduler.refuse(job_id, item.revision)
                 return
         scheduler.add_job(
             job_id,
--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -32,6 +32,8 @@
     :ivar cancelled_ids: cancelled jobs, including those not read yet
     :ivar intake_revision: store revision up to which all accepted jobs have
         been passed to this registry
+    :ivar refused_ids: jobs that an earlier leader may have started, but whose
+        records this version cannot decode
     :ivar dirty: jobs with changes that are not persisted, by identifier
     :ivar usage: resources of ordered and running tasks, by organisation
     :ivar batch_millicores: processors of those tasks that are not
@@ -52,6 +54,7 @@
         self.active: dict[str, Job] = {}
         self.cancelled_ids: set[str] = set()
         self.intake_revision = 0
+        self.refused_ids: set[str] = set()
         self.configuration = Configuration(version=0, revision=0)
         self.dirty: dict[str, Job] = {}
         self.usage: dict[str, Resources] = {}
@@ -93,6 +96,15 @@
         """
         return created_revision <= self.intake_revision
 
+    def refuse(self, job_id: str, created_revision: int) -> None:
+        """Leave out a job whose records cannot be decoded.
+
+        Workers may have runs and ends of it only if it is from an earlier
+        term. A next leader of another version may know the job.
+        """
+        if created_revision <= self._started_revision:
+            self.refused_ids.add(job_id)
+
     def advance_intake(self, revision: int) -> None:
         """Record that all jobs created up to a revision were passed on."""
         self.intake_revision = max(self.intake_revision, revision)
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -11,6 +11,8 @@
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.jobs import Task
+from rosemarynotch._internal.scheduling.ports import RunEnd
+from rosemarynotch._internal.scheduling.workers import PendingAck
 from rosemarynotch._internal.scheduling.workers import Worker
 
 __all__ = ["RunRegistry"]
@@ -148,6 +150,25 @@
             run.phase = RunPhase.STOPPING
             run.stop_sent_at_s = 0.0
 
+    def on_unknown_end(self, worker: Worker, end: RunEnd) -> PendingAck:
+        """Handle the end of a task that this leader does not know.
+
+        The worker may forget it if its job was removed, but not if the job
+        was refused: a later leader that can decode it would start the task
+        again.
+        """
+        is_withheld = end.task.job_id in self.refused_ids
+        self._log(
+            "end of unknown task",
+            task=str(end.task),
+            worker=worker.worker_id,
+            run=end.run,
+            sequence=end.sequence,
+            how=end.kind.value,
+            acknowledged=not is_withheld,
+        )
+        return PendingAck(end.sequence, is_withheld=is_withheld)
+
     def on_stop_answer(
         self, run: Run, answer: None | Failure, now_s: float
     ) -> None:
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -220,7 +220,8 @@
 
         Ends that concern no task of this leader need no write. They are
         acknowledged like the others, since they would otherwise take up the
-        worker's list of ends, and it would answer each request at once.
+        worker's list of ends, and it would answer each request at once. Only
+        the ends of jobs that a later leader may know are withheld.
         """
         ends: dict[int, RunEnd | None] = dict.fromkeys(report.unnamed_ends)
         ends |= {end.sequence: end for end in report.ends}
@@ -232,18 +233,12 @@
             worker.pending_acks.append(ack or PendingAck(sequence))
         worker.advance_acks()
 
-    def _on_end(
-        self, worker: Worker, end: RunEnd, now_s: float
-    ) -> PendingAck | None:
-        """Apply an end.
-
-        :returns: what has to be persisted, None if the task is unknown
-        """
+    def _on_end(self, worker: Worker, end: RunEnd, now_s: float) -> PendingAck:
+        """Apply an end; return what has to be persisted."""
         job = self.jobs.get(end.task.job_id)
         task = job.task(end.task) if job else None
         if task is None:
-            self._log("end of unknown task", task=str(end.task))
-            return None
+            return self.on_unknown_end(worker, end)
         run = worker.runs.get((end.task, end.run))
         if run is not None:
             worker.drop_run(run)
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -31,6 +31,9 @@
 # A worker that gets no new runs for longer than a move takes counts as
 # unavailable, so that its pool gets another VM.
 MIN_UNAVAILABLE_S = 2.0
+# A worker lists at most 500 ends. One with an end that is withheld gets no new
+# runs from this number of ends and runs on, so that no end is left out.
+MAX_WITHHELD_ENDS = 400
 
 
 @attrs.frozen
@@ -39,16 +42,21 @@
 
     :ivar job: job of the run, None if the leader does not know it
     :ivar change: change of the job that has to be persisted first
+    :ivar is_withheld: whether the end must be left to a later leader, as this
+        one cannot record it
     """
 
     sequence: int
     job: Job | None = None
     change: int = 0
+    is_withheld: bool = False
 
     @property
     def is_persisted(self) -> bool:
         """Return whether the worker may forget the end."""
-        return self.job is None or self.job.durable_change >= self.change
+        if self.job is None:
+            return not self.is_withheld
+        return self.job.durable_change >= self.change
 
 
 @attrs.frozen
@@ -170,11 +178,22 @@
             and self.is_enrolled
             and not self.is_replaced
             and not self.is_cordoned
+            and not self.has_many_withheld_ends
             and not self.entry.is_draining
             and now_s - self.clock_received_at_s < self._silence_limit_s
             and now_s >= self.quarantined_until_s
         )
 
+    @property
+    def has_many_withheld_ends(self) -> bool:
+        """Return whether more runs might end than the worker can list."""
+        pending = self.pending_acks
+        return (
+            bool(pending)
+            and pending[0].is_withheld
+            and len(pending) + len(self.runs) >= MAX_WITHHELD_ENDS
+        )
+
     @property
     def has_restarted(self) -> bool:
         """Return whether a later incarnation is listed than has reported."""
--- a/tests/unit/test_intake_feed.py
+++ b/tests/unit/test_intake_feed.py
@@ -10,8 +10,11 @@
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.models.codec import encode
 from rosemarynotch._internal.scheduling.intake_feed import IntakeFeed
+from rosemarynotch._internal.scheduling.model import TaskId
+from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import Listing
+from rosemarynotch._internal.scheduling.ports import RunEnd
 from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
 from rosemarynotch._internal.scheduling.progress_writer import RETENTION_MS
 from rosemarynotch._internal.scheduling.records import CANCELLATIONS_PREFIX
@@ -20,6 +23,7 @@
 from rosemarynotch._internal.scheduling.records import Phase
 from rosemarynotch._internal.scheduling.records import PROGRESS_PREFIX
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
+from rosemarynotch._internal.scheduling.workers import MAX_WITHHELD_ENDS
 from tests.lib.scheduling import job_spec
 from tests.lib.scheduling import Leader
 from tests.lib.scheduling import QUEUE
@@ -27,6 +31,7 @@
 FENCE = 20
 KNOWN = "a" * 16
 NEW = "b" * 16
+ODD = "c" * 16
 
 
 def job_row(job_id, revision):
@@ -259,8 +264,24 @@
         super().setUp()
         self.row = job_row(NEW, 10)
         progress = Item(key=PROGRESS_PREFIX + NEW, revision=11, value=b"\xc1")
-        self.assertTrue(self.load([self.row], [progress]))
+        odd_row = Item(key=JOBS_PREFIX + ODD, revision=10, value=b"\xc1")
+        self.assertTrue(self.load([self.row, odd_row], [progress]))
         self.assertEqual({}, self.scheduler.jobs)
+        self.leader.add_workers("w1")
+        self.worker = self.scheduler.workers["w1"]
+
+    def report_ends(self, *job_ids):
+        """Apply a report with an end of each of the given jobs."""
+        ends = [
+            RunEnd(
+                sequence=sequence,
+                task=TaskId(job_id, 0, 0, 0),
+                run=sequence,
+                kind=EndKind.DONE,
+            )
+            for sequence, job_id in enumerate(job_ids, 1)
+        ]
+        self.leader.report("w1", ends=ends)
 
     def test_later_listing(self):
         self.feed._list_again()
@@ -270,3 +291,23 @@
     def test_later_hint(self):
         self.read_hinted(self.row)
         self.assertEqual({}, self.scheduler.jobs)
+
+    def test_ends_are_left_to_a_later_leader(self):
+        """Guards against an end that is lost as nobody can record it.
+
+        A later leader that can decode the job started its task again.
+        """
+        self.report_ends(KNOWN, NEW, KNOWN)
+        self.assertEqual(1, self.worker.acked_sequence)
+
+    def test_end_of_a_submission_that_is_refused(self):
+        self.report_ends(ODD)
+        self.assertEqual(0, self.worker.acked_sequence)
+
+    def test_list_of_ends_is_not_filled(self):
+        """Guards against hidden ends of the other jobs of a worker."""
+        self.leader.submit("j1", revision=40)
+        self.report_ends(*[NEW] * MAX_WITHHELD_ENDS)
+        self.assertEqual([], self.leader.place())
+        self.leader.add_workers("w2")
+        self.assertEqual(1, len(self.leader.place()))
