Log how many jobs are removed or not added

"jobs removed" gives the count of each removal and its store revision. "jobs not added" gives the count of jobs that were received after the term. "job not added" has named each job that was refused or forgotten since the rule came in. "intake listed again" also gives the revision that the watch had reached.

The removal of one batch is a method of its own, so that all ways out of the loop are counted. No other change of behaviour.

--- a/src/rosemarynotch/_internal/scheduling/intake_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/intake_feed.py
@@ -139,7 +139,11 @@
                 self._post(changes.items, self._revision)
                 continue
             if changes.is_a(STORE_HISTORY_LOST):
-                controller.log("intake listed again", why=changes.reason)
+                controller.log(
+                    "intake listed again",
+                    why=changes.reason,
+                    after=self._revision,
+                )
                 self._list_again()
             controller.stop.wait(RETRY_S)
 
@@ -160,18 +164,21 @@
             those passed on before; 0 if they are single ones
         """
         controller = self._controller
+        found = [item for item in items if item.value is not None]
         if not controller.is_running:
             revision = 0
-            items = tuple(
-                item
-                for item in items
-                if item.key.startswith(CANCELLATIONS_PREFIX)
-            )
+            jobs = [item for item in found if not _is_cancellation(item)]
+            found = [item for item in found if _is_cancellation(item)]
+            if jobs:
+                controller.log(
+                    "jobs not added",
+                    count=len(jobs),
+                    why="received after the term",
+                )
         # One event each, so that an item that cannot be applied costs only
         # itself: those after it would count as passed on.
-        for item in items:
-            if item.value is not None:
-                controller.post(lambda now_s, item=item: self._apply(item, {}))
+        for item in found:
+            controller.post(lambda now_s, item=item: self._apply(item, {}))
         if revision:
             controller.post(
                 lambda now_s: controller.scheduler.advance_intake(revision)
@@ -179,7 +186,7 @@
 
     def _apply(self, item: Item, progress: dict[str, Item]) -> None:
         scheduler = self._controller.scheduler
-        if item.key.startswith(CANCELLATIONS_PREFIX):
+        if _is_cancellation(item):
             job_id = item.key.removeprefix(CANCELLATIONS_PREFIX)
             # A job is created before its cancellation. If it is not known
             # though the cancellation was passed on, it will not be added.
@@ -223,3 +230,7 @@
             record,
             known.revision if known else 0,
         )
+
+
+def _is_cancellation(item: Item) -> bool:
+    return item.key.startswith(CANCELLATIONS_PREFIX)
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -106,26 +106,36 @@
         wall_ms = controller.clock.wall_s() * 1000
         with controller.lock:
             jobs = controller.scheduler.expired_jobs(wall_ms, RETENTION_MS)
+        removed, revision = 0, 0
         for start in range(0, len(jobs), MAX_REMOVED_JOBS):
             batch = jobs[start : start + MAX_REMOVED_JOBS]
-            keys = [
-                prefix + job.job_id
-                for job in batch
-                for prefix in (
-                    JOBS_PREFIX,
-                    PROGRESS_PREFIX,
-                    CANCELLATIONS_PREFIX,
-                )
-            ]
-            condition = Condition(LEADER_KEY, controller.grant.fence)
-            answer = controller.ports.store.commit([condition], [], keys)
+            answer = self._remove(batch)
             if not isinstance(answer, int):
-                return
+                break
+            removed, revision = removed + len(batch), answer
+        if removed:
+            controller.log("jobs removed", count=removed, revision=revision)
+
+    def _remove(self, batch: list[Job]) -> int | CommitConflict | Failure:
+        """Remove jobs from the store, and then from the scheduler.
+
+        :returns: the answer of the store
+        """
+        controller = self._controller
+        keys = [
+            prefix + job.job_id
+            for job in batch
+            for prefix in (JOBS_PREFIX, PROGRESS_PREFIX, CANCELLATIONS_PREFIX)
+        ]
+        condition = Condition(LEADER_KEY, controller.grant.fence)
+        answer = controller.ports.store.commit([condition], [], keys)
+        if isinstance(answer, int):
             with controller.lock:
                 for job in batch:
                     controller.scheduler.forget(job)
                     controller.advice.forget(job.job_id)
                     controller.planner.forget(job.job_id)
+        return answer
 
     def flush(self) -> None:
         """Write the pending changes before a planned stop.
--- a/tests/unit/test_intake_feed.py
+++ b/tests/unit/test_intake_feed.py
@@ -137,6 +137,9 @@
     def check(self):
         """Check that of what was received only the cancellation is used."""
         self.apply_posted()
+        self.controller.log.assert_called_with(
+            "jobs not added", count=1, why="received after the term"
+        )
         self.assertEqual({KNOWN}, set(self.scheduler.jobs))
         self.assertTrue(self.scheduler.jobs[KNOWN].phase.is_final)
 
@@ -217,6 +220,18 @@
         self.apply_posted()
         self.assertEqual({}, self.scheduler.jobs)
         self.assertEqual(set(), self.scheduler.cancelled_ids)
+        self.controller.log.assert_has_calls(
+            [
+                mock.call("jobs removed", count=1, revision=70),
+                mock.call(
+                    "job not added",
+                    job=NEW,
+                    revision=50,
+                    intake_revision=69,
+                    why="refused or forgotten before",
+                ),
+            ]
+        )
 
     def test_hint_under_way(self):
         def read(key):
