Test that a job that fails does not cost those behind it

A watch's items were applied in one event, so that one that raised cost all items behind it, until a listing or a hint returned them. Now that the position of the watch decides which jobs are new, nothing would return them.

--- a/tests/unit/test_intake_feed.py
+++ b/tests/unit/test_intake_feed.py
@@ -9,6 +9,7 @@
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.controller import Controller
 from rosemarynotch._internal.scheduling.intake_feed import IntakeFeed
 from rosemarynotch._internal.scheduling.model import TaskId
 from rosemarynotch._internal.scheduling.ports import EndKind
@@ -272,6 +273,31 @@
         self.assertEqual({}, self.feed._hinted_keys)
 
 
+class FailingItemTest(IntakeCase):
+    """Guards against jobs that are lost behind one that cannot be applied.
+
+    The position of the watch is behind them then, so that no later read would
+    add them.
+    """
+
+    def test_watch(self):
+        self.load()
+        add_job = self.scheduler.add_job
+
+        def add_unless_odd(job_id, *args):
+            if job_id == ODD:
+                raise KeyError(job_id)
+            return add_job(job_id, *args)
+
+        self.scheduler.add_job = add_unless_odd
+        # The scheduling thread logs an event that fails, and goes on.
+        self.controller.post = lambda event: Controller._apply(
+            self.controller, event, self.leader.now_s
+        )
+        self.watch((job_row(ODD, 50), job_row(NEW, 51)), 51)
+        self.assertEqual({NEW}, set(self.scheduler.jobs))
+
+
 class RefusedJobTest(IntakeCase):
     """Guards against a job that starts anew as its progress is refused."""
 
