Count the retention of a job on a clock that is not set

A leader whose wall clock was set forward by three minutes removed jobs that had just ended: callers got 410 instead of their state, and the end of the retention is what the rule on forgotten jobs rests on. The retention now begins when the present leader first finds that a job has ended, so that a change of the leader can only prolong it.

test_wall_clock_that_is_set_forward fails before.

--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -157,20 +157,27 @@
         if job.change <= change:
             self.dirty.pop(job.job_id, None)
 
-    def expired_jobs(self, wall_ms: float, retention_ms: float) -> list[Job]:
+    def expired_jobs(self, now_s: float, retention_s: float) -> list[Job]:
         """Return jobs whose retention period is over.
 
-        A job stays as long as its final state is not persisted, or if a watch
-        may still report that it was created, see :meth:`was_passed`.
+        It begins when this leader first finds that a job has ended. The time
+        in the record is of a wall clock, which may be set. A job stays as long
+        as its final state is not persisted, or if a watch may still report
+        that it was created, see :meth:`was_passed`.
         """
-        return [
-            job
-            for job in self.jobs.values()
-            if job.finished_unix_ms
-            and job.durable_change >= job.change
-            and self.was_passed(job.created_revision)
-            and wall_ms - job.finished_unix_ms > retention_ms
-        ]
+        expired = []
+        for job in self.jobs.values():
+            if not job.finished_unix_ms:
+                continue
+            if job.retained_since_s is None:
+                job.retained_since_s = now_s
+            if (
+                job.durable_change >= job.change
+                and self.was_passed(job.created_revision)
+                and now_s - job.retained_since_s > retention_s
+            ):
+                expired.append(job)
+        return expired
 
     def forget(self, job: Job) -> None:
         """Remove a job that was deleted from the store."""
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -215,6 +215,8 @@
         has none
     :ivar change: number of the last change to the job
     :ivar durable_change: number of the last change that is persisted
+    :ivar retained_since_s: when this leader first found that the job has
+        ended, None if it has not
     :ivar is_inherited: whether the job existed when this leader's term began,
         so that an earlier leader may have started it
     :ivar pools: change since which each pool that may have runs of the job is
@@ -233,6 +235,7 @@
     change: int = 0
     durable_change: int = 0
     finished_unix_ms: int = 0
+    retained_since_s: float | None = None
     is_inherited: bool = False
     pools: dict[str, int] = attrs.field(factory=dict)
     lost_runs: int = 0
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -38,7 +38,7 @@
 LOAD_INTERVAL_S = 0.5
 # The platform promises callers the state of a job for 120 s after its end. The
 # margin is for repeated submissions, which may still arrive after that.
-RETENTION_MS = 180_000
+RETENTION_S = 180.0
 REMOVAL_INTERVAL_S = 5.0
 # A transaction removes three keys of each job and has one condition.
 MAX_REMOVED_JOBS = 10
@@ -103,9 +103,8 @@
         controller = self._controller
         now_s = controller.clock.monotonic_s()
         self._next_removal_s = now_s + REMOVAL_INTERVAL_S
-        wall_ms = controller.clock.wall_s() * 1000
         with controller.lock:
-            jobs = controller.scheduler.expired_jobs(wall_ms, RETENTION_MS)
+            jobs = controller.scheduler.expired_jobs(now_s, RETENTION_S)
         removed, revision = 0, 0
         for start in range(0, len(jobs), MAX_REMOVED_JOBS):
             batch = jobs[start : start + MAX_REMOVED_JOBS]
