Refuse a progress record that is not of its job

A record that names an occurrence, step or task that its job lacks raised IndexError while a new leader read the jobs. That ended its term, and each next leader met the same record, so no task started any more. The job is left out like one whose record cannot be decoded.

test_progress_of_another_job fails before.

--- a/src/rosemarynotch/_internal/scheduling/intake_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/intake_feed.py
@@ -223,13 +223,18 @@
                 )
                 scheduler.refuse(job_id, item.revision)
                 return
-        scheduler.add_job(
+        job = scheduler.add_job(
             job_id,
             submission,
             item.revision,
             record,
             known.revision if known else 0,
         )
+        if job is None:
+            self._controller.log(
+                "progress refused", job=job_id, why="not of this job"
+            )
+            scheduler.refuse(job_id, item.revision)
 
 
 def _is_cancellation(item: Item) -> bool:
--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -67,12 +67,17 @@
         created_revision: int,
         progress: ProgressRecord | None = None,
         progress_revision: int = 0,
-    ) -> Job:
-        """Add an accepted job, or return it if it is already known."""
+    ) -> Job | None:
+        """Add an accepted job, or return it if it is already known.
+
+        :returns: None if the progress is not that of the submitted job
+        """
         known = self.jobs.get(job_id)
         if known is not None:
             return known
         job = Job.from_submission(job_id, submission, created_revision)
+        if progress is not None and not job.can_restore(progress):
+            return None
         job.is_inherited = created_revision <= self._started_revision
         if progress is not None:
             job.restore(progress)
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -301,6 +301,23 @@
                 member.checkpoint = ""
                 step.done_count += 1
 
+    def can_restore(self, record: ProgressRecord) -> bool:
+        """Return whether all that a record names is a part of this job."""
+        return all(
+            row.occurrence in range(len(self.occurrences))
+            and row.step in range(len(self.submission.spec.steps))
+            and all(
+                index in range(self.submission.spec.steps[row.step].task_count)
+                for index in (
+                    *row.done,
+                    *row.failures,
+                    *row.failed_runs,
+                    *row.checkpoints,
+                )
+            )
+            for row in record.steps
+        )
+
     def restore(self, record: ProgressRecord) -> None:
         """Apply the progress recorded by an earlier leader."""
         self.phase = record.phase
--- a/tests/unit/test_intake_feed.py
+++ b/tests/unit/test_intake_feed.py
@@ -23,6 +23,8 @@
 from rosemarynotch._internal.scheduling.records import JOBS_PREFIX
 from rosemarynotch._internal.scheduling.records import Phase
 from rosemarynotch._internal.scheduling.records import PROGRESS_PREFIX
+from rosemarynotch._internal.scheduling.records import ProgressRecord
+from rosemarynotch._internal.scheduling.records import StepRecord
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
 from rosemarynotch._internal.scheduling.workers import MAX_WITHHELD_ENDS
 from tests.lib.scheduling import job_spec
@@ -324,6 +326,27 @@
         self.leader.add_workers("w1")
         self.worker = self.scheduler.workers["w1"]
 
+    def test_progress_of_another_job(self):
+        """Guards against a record that ends the term of each leader."""
+        rows = (
+            StepRecord(occurrence=1, step=0),
+            StepRecord(occurrence=0, step=1),
+            StepRecord(occurrence=0, step=0, done=(1,)),
+            StepRecord(occurrence=0, step=0, checkpoints={-1: "c"}),
+        )
+        for row in rows:
+            record = ProgressRecord(
+                phase=Phase.RUNNING, queue="q", organisation="o", steps=(row,)
+            )
+            progress = Item(
+                key=PROGRESS_PREFIX + KNOWN, revision=11, value=encode(record)
+            )
+            self.scheduler.refused_ids.clear()
+            self.scheduler.intake_revision = 0
+            self.assertTrue(self.load([job_row(KNOWN, 10)], [progress]))
+            self.assertEqual({}, self.scheduler.jobs)
+            self.assertIn(KNOWN, self.scheduler.refused_ids)
+
     def report_ends(self, *job_ids):
         """Apply a report with an end of each of the given jobs."""
         ends = [
