Send no lease by the clock of an earlier incarnation without the store

By reading, shown on the controller: a leader that the store does not answer repeats the last lease that it granted. If the worker had restarted and the first report of its new incarnation was not applied yet, the lease was by the clock of the earlier one. The worker shortens a lease that is too long to `max-hold-ms`, which may be 10 s and never shortens later.

The leader now sends no lease until that report is applied.

test_worker_that_has_restarted had the lease of the earlier clock before, none now.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -316,16 +316,17 @@
         # Read before the permission is checked. If the process is suspended
         # between the two, the lease still counts from its own term.
         now_s = self.clock.monotonic_s()
+        is_same_clock = (
+            clock.started_unix_ms == worker.started_unix_ms
+            or not worker.clock_received_at_s
+        )
         if not self.is_running:
-            return worker.granted_until_ms
+            return worker.granted_until_ms if is_same_clock else 0
         until_ms = clock.lease_end_ms(now_s, LEASE_S)
         # Recorded before the order is sent, as an order without an answer may
         # still be carried out. Leases by the clock of an incarnation whose
         # first report was not applied yet are bounded when it is.
-        if (
-            clock.started_unix_ms == worker.started_unix_ms
-            or not worker.clock_received_at_s
-        ):
+        if is_same_clock:
             worker.granted_until_ms = max(worker.granted_until_ms, until_ms)
             worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
         return until_ms
--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -186,3 +186,20 @@
         self.assertEqual(0, until_ms)
         leader.scheduler.expire_workers(leader.now_s + LEASE_S)
         self.assertFalse(task.is_waiting)
+
+    def test_worker_that_has_restarted(self):
+        """Guards against leases by the clock of an earlier incarnation.
+
+        The first report of the new one had not been applied yet. A worker
+        shortens such a lease to its longest one, which exceeds LEASE_S.
+        """
+        leader = Leader()
+        leader.add_workers("w1")
+        self.hear(leader, "w1")
+        controller = self.make_controller(leader)
+        controller.is_running = False
+        worker = leader.scheduler.workers["w1"]
+        clock = WorkerClock(400, leader.now_s, started_unix_ms=2)
+        self.assertEqual(0, Controller.extend_lease(controller, worker, clock))
+        until_ms = Controller.extend_lease(controller, worker, worker.clock)
+        self.assertEqual(worker.granted_until_ms, until_ms)
