Reserve the cap of an organisation for runs that were not reported yet

A new leader counted only the runs that it had heard of towards a cap.

What the unreported runs of inherited jobs can use now counts as used: the size of the tasks that may run, and at most what the workers that were not heard have room for. It holds until they are heard or their leases are over, and concerns organisations with a cap only.

--- a/src/rosemarynotch/_internal/scheduling/model.py
+++ b/src/rosemarynotch/_internal/scheduling/model.py
@@ -40,6 +40,14 @@
             gpu_count=self.gpu_count - other.gpu_count,
         )
 
+    def at_most(self, other: "Resources") -> "Resources":
+        """Return the lesser amount of each kind."""
+        return Resources(
+            cpu_millicores=min(self.cpu_millicores, other.cpu_millicores),
+            memory_mb=min(self.memory_mb, other.memory_mb),
+            gpu_count=min(self.gpu_count, other.gpu_count),
+        )
+
     def covers(self, size: "Resources") -> bool:
         """Return whether a request of the given size fits."""
         return (
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -5,13 +5,12 @@
 import attrs
 
 from rosemarynotch._internal.scheduling.advice import AdviceCache
+from rosemarynotch._internal.scheduling.caps import CapGuard
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.jobs import Step
-from rosemarynotch._internal.scheduling.jobs import Task
 from rosemarynotch._internal.scheduling.model import Organisation
-from rosemarynotch._internal.scheduling.model import Resources
 from rosemarynotch._internal.scheduling.policy import Candidate
 from rosemarynotch._internal.scheduling.policy import CUTOFF_FACTOR
 from rosemarynotch._internal.scheduling.policy import FreeCapacity
@@ -96,6 +95,7 @@
         self._placer = placer
         self._advice = advice
         self._log = log
+        self._caps = CapGuard(scheduler)
         self._work = WorkEstimates(scheduler.durations)
         self._fair_millicores = 0.0
         self._uncertain_pools: set[str] = set()
@@ -194,6 +194,12 @@
             self._log(
                 "pools with unknown runs", pools=" ".join(sorted(uncertain))
             )
+        blocked = {
+            job.job_id: job
+            for job in self._scheduler.active.values()
+            if self._scheduler.may_have_unknown_runs(job, uncertain, led_at_s)
+        }
+        self._caps.reserve_unknown(blocked.values(), led_at_s)
         commands: list[StartCommand] = []
         for pool, jobs in pools.items():
             free = [
@@ -207,9 +213,7 @@
                 job
                 for job in jobs
                 if self._scheduler.may_use_pool(job, pool)
-                and not self._scheduler.may_have_unknown_runs(
-                    job, uncertain, led_at_s
-                )
+                and job.job_id not in blocked
             ]
             if free:
                 commands += self._place_pool(
@@ -353,7 +357,7 @@
             tickets = self._advice.tickets(step, queue.advice, free, now_s)
             if not tickets:
                 return []
-        tasks = self._within_cap(job, tasks)
+        tasks = self._caps.select(job, tasks)
         if not tasks or (spec.is_gang and len(tasks) < len(step.tasks)):
             return []
         placed = self._placer.place(tasks, free, tickets)
@@ -372,28 +376,3 @@
             )
             for each in placed
         ]
-
-    def _within_cap(self, job: Job, tasks: list[Task]) -> list[Task]:
-        """Return the tasks that fit under the organisation's cap."""
-        name = job.submission.organisation
-        organisation = self._organisation(name)
-        if organisation is None:
-            return tasks
-        cap = organisation.cap
-        used = self._scheduler.usage.get(name, Resources())
-        allowed = []
-        for task in tasks:
-            used = used.plus(task.step.spec.size)
-            if exceeds_cap(used, cap):
-                break
-            allowed.append(task)
-        return allowed
-
-
-def exceeds_cap(used: Resources, cap: Resources) -> bool:
-    """Tell whether a usage is above a cap; 0 in a cap means unlimited."""
-    return (
-        0 < cap.cpu_millicores < used.cpu_millicores
-        or 0 < cap.memory_mb < used.memory_mb
-        or 0 < cap.gpu_count < used.gpu_count
-    )
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -5,6 +5,7 @@
 
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
+from rosemarynotch._internal.scheduling.model import Resources
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.run_registry import RunRegistry
 from rosemarynotch._internal.scheduling.workers import SLOW_CLOCK_FACTOR
@@ -189,11 +190,31 @@
         """
         return {
             pool
+            for worker in self._unheard_workers(now_s)
+            for pool in worker.pools
+        }
+
+    def unheard_capacity(self, now_s: float) -> Resources | None:
+        """Return how much unreported runs of earlier leaders can use.
+
+        :returns: None if it is not known
+        """
+        if now_s < self.unknown_until_s:
+            return None
+        total = Resources()
+        for worker in self._unheard_workers(now_s):
+            if worker.entry.capacity == Resources():
+                return None
+            total = total.plus(worker.entry.capacity)
+        return total
+
+    def _unheard_workers(self, now_s: float) -> list[Worker]:
+        return [
+            worker
             for worker in self.workers.values()
             if worker.may_have_unknown_runs
             and now_s < self._lease_expiry_s(worker)
-            for pool in worker.pools
-        }
+        ]
 
     def may_have_unknown_runs(
         self, job: Job, uncertain_pools: set[str], now_s: float
