Wait for the lease of a leader whose record cannot be decoded

A node took the place of such a leader at once, as if it had ended. A leader of another version may hold its lease, so that two led until the first one wrote. The key goes with its lease, and only then it is free.

UnreadableLeaderTest fails before.

--- a/src/rosemarynotch/_internal/scheduling/leadership.py
+++ b/src/rosemarynotch/_internal/scheduling/leadership.py
@@ -253,9 +253,11 @@
         if isinstance(item, Failure):
             return False
         record = decode(item.value, LeaderRecord)
-        if isinstance(record, Failure) or (
-            record.ip == self._ip and not self._is_slow()
-        ):
+        if isinstance(record, Failure):
+            # A leader of another version may hold its lease.
+            self._log("leader record refused", why=record.reason)
+            record = None
+        elif record.ip == self._ip and not self._is_slow():
             # The record was written by an earlier process on this node, which
             # has exited, since this process holds its listening ports.
             return self._acquire(item)
--- a/tests/unit/test_leader_choice.py
+++ b/tests/unit/test_leader_choice.py
@@ -295,3 +295,20 @@
         speed = MachineSpeed()
         speed.sample()
         self.assertFalse(speed.is_slow)
+
+
+class UnreadableLeaderTest(testtools.TestCase):
+    """Guards against two leaders at a time.
+
+    The record of a leader that another version has written cannot be decoded.
+    The key is there as long as its lease, so that leader may still lead.
+    """
+
+    def test_record_of_another_version(self):
+        store = Store()
+        store.leader = Item(key=LEADER_KEY, revision=3, value=b"\xc1")
+        leadership = Leadership(
+            store, Clock(), "n", "ip", "i", lambda event, **fields: None
+        )
+        leadership._try_acquire()
+        self.assertIsNone(leadership.grant)
