Free the task of an order whose worker has no link any more

A queued start for a worker whose entry had changed to an address that cannot be connected to was dropped without a word, and its run stayed ordered as long as the worker was listed: the task never ran (LOST). Such an order is withheld like one that became needless.

OrderWithoutLinkTest fails before.

--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -8,6 +8,7 @@
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.exceptions import WORKER_REPLACED
 from rosemarynotch._internal.exceptions import WORKER_UNREACHABLE
+from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.order_queue import OrderKind
 from rosemarynotch._internal.scheduling.order_queue import OrderQueue
 from rosemarynotch._internal.scheduling.order_queue import QueuedOrder
@@ -98,8 +99,11 @@
 
         :returns: whether it was sent and had no answer
         """
+        if not self._is_permitted(command):
+            return False
         link = self._controller.link(command.worker.worker_id)
-        if link is None or not self._is_permitted(command):
+        if link is None:
+            self._withhold(command.run)
             return False
         is_needed, order = self._prepare(command)
         if not is_needed:
@@ -145,12 +149,16 @@
             else:
                 is_needed = run.is_sent
         if not is_needed:
-            controller.metrics.count("orders_withheld")
-            controller.post(
-                lambda now_s: controller.scheduler.on_start_withheld(run)
-            )
+            self._withhold(run)
         return is_needed, order
 
+    def _withhold(self, run: Run) -> None:
+        controller = self._controller
+        controller.metrics.count("orders_withheld")
+        controller.post(
+            lambda now_s: controller.scheduler.on_start_withheld(run)
+        )
+
     def _make_order(self, command: StartCommand) -> StartOrder:
         """Return the order for a start; a repetition has the same lease."""
         run, worker, task = command.run, command.worker, command.run.task
