Name the former pools of a worker in the roster

A worker whose entry changed its pool was named with the new pool only, while runs of the jobs of the former pool may have been left. ChangedPoolTest fails before.

--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -259,6 +259,11 @@
             workers={
                 worker.worker_id: worker.entry.roster_row for worker in workers
             },
+            former_pools={
+                worker.worker_id: tuple(worker.pools - {worker.entry.pool})
+                for worker in workers
+                if worker.pools != {worker.entry.pool}
+            },
             is_complete=self._is_roster_complete,
         )
 
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -132,12 +132,14 @@
     """Workers that may have runs.
 
     :ivar workers: pool and address by identifier of the worker
+    :ivar former_pools: earlier pools of workers whose entries have changed
     :ivar is_complete: whether no other worker may have runs; it is not after
         a roster that could not be decoded, until all earlier leases are over
     """
 
     workers: dict[str, tuple[str, str]] = attrs.field(factory=dict)
     term: int = 0
+    former_pools: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     is_complete: bool = True
 
 
--- a/src/rosemarynotch/_internal/scheduling/worker_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_feed.py
@@ -82,6 +82,10 @@
             added = controller.scheduler.set_workers(
                 entries, now_s, are_inherited=True
             )
+            for worker in added:
+                worker.pools.update(
+                    roster.former_pools.get(worker.worker_id, ())
+                )
             self._add_links(added)
         return True
 
--- a/tests/unit/test_changed_entries.py
+++ b/tests/unit/test_changed_entries.py
@@ -33,3 +33,28 @@
         while self.events:
             self.events.pop(0)(self.leader.now_s)
         self.assertTrue(command.run.task.is_waiting)
+
+
+class ChangedPoolTest(RosterTest):
+    """Guards against a roster that names only the newest pool of a worker.
+
+    The entry of the worker has changed while it had a run, as when another
+    writer replaces it. The next leader did not look for runs of the job in
+    the pool that the roster names (rule TWICE).
+    """
+
+    def test_run_from_before_the_change(self):
+        entry = Leader.entry("w1")
+        self.list_workers(entry)
+        self.assertTrue(self.writer._write())
+        self.leader.report("w1")
+        self.leader.submit("j1")
+        self.assertEqual(1, len(self.leader.place()))
+        self.list_workers(attrs.evolve(entry, pool="p2"))
+        self.assertTrue(self.writer._write())
+        self.lead(term=2)
+        self.leader.submit("j1")
+        self.list_workers(Leader.entry("w2"))
+        self.assertTrue(self.writer._write())
+        self.leader.report("w2")
+        self.assertEqual([], self.leader.place())
