Count workers with runs of unknown jobs as neither free nor empty

A report may list runs of a job whose records the leader cannot decode. Such a worker gets no new runs and stays.

--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -88,9 +88,11 @@
         worker.has_reported |= not report.is_cut
         self._apply_ends(worker, report, received_at_s)
         present = set()
+        unknown = 0
         for status in report.running:
             present.add((status.task, status.run))
-            self._on_status(worker, status, received_at_s)
+            unknown += not self._on_status(worker, status, received_at_s)
+        self._record_unknown_runs(worker, unknown)
         if not (report.refused or report.is_cut):
             self._drop_absent(worker, present, requested_at_s, received_at_s)
         if report.refused and report.refused != worker.refused:
@@ -163,14 +165,23 @@
             if run.confirmed_at_s and requested_at_s > run.confirmed_at_s:
                 self._drop_lost_run(worker, run, now_s, "not on its worker")
 
+    def _record_unknown_runs(self, worker: Worker, count: int) -> None:
+        """Record how many runs of unknown jobs a report lists."""
+        if count != worker.unknown_run_count:
+            worker.unknown_run_count = count
+            self._log(
+                "runs of unknown jobs", worker=worker.worker_id, count=count
+            )
+
     def _on_status(
         self, worker: Worker, status: RunStatus, now_s: float
-    ) -> None:
+    ) -> bool:
+        """Apply a row of a report; return whether its task is known."""
         run = worker.runs.get((status.task, status.run))
         if run is None:
             run = self._adopt(worker, status, now_s)
         if run is None:
-            return
+            return False
         run.confirm(now_s)
         run.listed_at_s = now_s
         self.mark_running(run.task.step.occurrence.job)
@@ -180,6 +191,7 @@
         run.load = status.load
         if status.checkpoint:
             run.task.checkpoint = status.checkpoint
+        return True
 
     def _adopt(
         self, worker: Worker, status: RunStatus, now_s: float
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -124,6 +124,8 @@
     :ivar acked_sequence: sequence number of the last run end that is
         persisted and may be acknowledged
     :ivar unanswered_orders: number of consecutive orders without an answer
+    :ivar unknown_run_count: number of runs in its newest report whose jobs
+        this leader does not know, and with them what they reserve
     :ivar refused: rows of its newest report that could not be decoded
     :ivar quarantined_until_s: when it may get new runs again
     :ivar outcomes: times of the latest run ends, and whether each failed
@@ -153,6 +155,7 @@
     runs: dict[tuple[TaskId, int], Run] = attrs.field(factory=dict)
     reserved: Resources = Resources()
     unanswered_orders: int = 0
+    unknown_run_count: int = 0
     refused: tuple[str, ...] = ()
     quarantined_until_s: float = 0.0
     outcomes: deque[tuple[float, bool]] = attrs.field(
@@ -179,6 +182,7 @@
             and not self.is_replaced
             and not self.is_cordoned
             and not self.has_many_withheld_ends
+            and not self.unknown_run_count
             and not self.entry.is_draining
             and now_s - self.clock_received_at_s < self._silence_limit_s
             and now_s >= self.quarantined_until_s
@@ -246,6 +250,7 @@
             self.has_reported
             and not self.is_report_cut
             and not self.runs
+            and not self.unknown_run_count
             and not self.pending_acks
         )
 
