Give up withheld ends that fill the list of a worker

Ends of a refused job were never acknowledged. With 500 ends behind one of them, every report of the worker was cut, and the inherited jobs of its pool waited for ever (LOST). They are given up then, as they were before ends were withheld at all.

WithheldEndsTest fails before.

--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -331,9 +331,16 @@
         return True
 
     def advance_acks(self) -> None:
-        """Acknowledge the persisted run ends, in order of sequence."""
+        """Acknowledge the persisted run ends, in order of sequence.
+
+        Ends that are withheld are given up once they fill the worker's list
+        of ends. They would hide those of all other jobs for good.
+        """
         pending = self.pending_acks
-        while pending and pending[0].is_persisted:
+        while pending and (
+            pending[0].is_persisted
+            or (pending[0].is_withheld and self.is_report_cut)
+        ):
             self.acked_sequence = pending.popleft().sequence
 
     def begin_incarnation(self, started_unix_ms: int) -> None:
