Let a cancellation hold against a submission written later

A caller whose job was cancelled could see it run. A caller without an answer to its submission leaves and cancels the job at another node.

The cancellation read the job, and if it was not stored, recorded nothing. But the store may carry out a transaction without an answer seconds later, and the node that has the submission repeats it, also when its caller has left. The conditions of both still held.

The cancellation of an unknown job now writes a row in the place of the job, on the condition that the job is absent, and is answered with 410 only when that row is stored. The condition of each later write of the job then fails, and its submission is refused with 503. If the job is stored first, the write of the row fails, and the job is cancelled as any other.

--- a/src/rosemarynotch/_internal/scheduling/intake.py
+++ b/src/rosemarynotch/_internal/scheduling/intake.py
@@ -21,11 +21,12 @@
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.models.codec import encode
 from rosemarynotch._internal.scheduling.access import CallerAccess
+from rosemarynotch._internal.scheduling.cancellations import JobCanceller
+from rosemarynotch._internal.scheduling.cancellations import refuse_withdrawn
 from rosemarynotch._internal.scheduling.ports import CommitConflict
 from rosemarynotch._internal.scheduling.ports import Condition
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
 from rosemarynotch._internal.scheduling.ports import Write
-from rosemarynotch._internal.scheduling.records import CANCELLATIONS_PREFIX
 from rosemarynotch._internal.scheduling.records import JOBS_PREFIX
 from rosemarynotch._internal.scheduling.records import LOAD_KEY
 from rosemarynotch._internal.scheduling.records import LoadRecord
@@ -52,8 +53,6 @@
 # repeated. The caller of such a job can neither be refused nor come back. The
 # last attempt may add a time-out of the store (0.8 s).
 UNKNOWN_RETRY_SHARE = 0.6
-# The platform allows 4 s for the answer to a cancellation.
-CANCEL_RETRY_TIME_S = 1.2
 RETRY_S = 0.05
 # Interval at which an idle writer checks whether it has to stop.
 IDLE_POLL_S = 0.5
@@ -102,6 +101,7 @@
         self._configuration_key = configuration_key
         self._log = log
         self._on_written = on_written
+        self._canceller = JobCanceller(store, clock, log, on_written)
         self._load: LoadRecord | None = None
         self._load_read_at_s = -1e9
         self._count_lock = threading.Lock()
@@ -121,7 +121,8 @@
         :param wait_ms: how long the caller waits, 0 if not given
         :returns: None if the job is stored, by this or an earlier attempt; a
             CommitConflict if the configuration has changed meanwhile; a
-            failure, with ``ran`` NO only if this attempt can never be stored
+            failure, with ``ran`` NO only if this attempt can never be stored,
+            as with JOB_WITHDRAWN, if it was cancelled before it was stored
         """
         try:
             encoded = encode(record)
@@ -231,8 +232,9 @@
         found = {item.key: item for item in conflict.items}
         configuration = found.get(self._configuration_key)
         for each in batch:
-            if JOBS_PREFIX + each.job_id in found:
-                each.result.set_result(None)
+            stored = found.get(JOBS_PREFIX + each.job_id)
+            if stored is not None:
+                each.result.set_result(refuse_withdrawn(stored))
             elif (
                 configuration is None
                 or configuration.revision != each.configuration_revision
@@ -310,20 +312,8 @@
         return record
 
     def cancel(self, job_id: str, access: CallerAccess) -> None | Failure:
-        """Record that a job is cancelled; repeating the call is harmless."""
-        found = self._submission(job_id, access)
-        if isinstance(found, Failure):
-            return found
-        key = CANCELLATIONS_PREFIX + job_id
-        retry_until_s = self._clock.monotonic_s() + CANCEL_RETRY_TIME_S
-        while True:
-            answer = self._store.commit([Condition(key, 0)], [Write(key, b"")])
-            if not isinstance(answer, Failure):
-                self._on_written([key])
-                return None
-            if self._clock.monotonic_s() >= retry_until_s:
-                return answer
-            self._clock.sleep(RETRY_S)
+        """Cancel a job, see :meth:`JobCanceller.cancel`."""
+        return self._canceller.cancel(job_id, access)
 
     def waiting_count(self, queue_name: str) -> int | Failure:
         """Return the number of jobs of a queue that have not started."""
--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -88,7 +88,7 @@
         self.jobs[job_id] = job
         if not job.phase.is_final:
             self.active[job_id] = job
-        if job_id in self.cancelled_ids:
+        if job_id in self.cancelled_ids or submission.is_withdrawn:
             self.cancel(job_id)
         return job
 
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -23,6 +23,7 @@
     "StepRecord",
     "SubmissionRecord",
     "Turn",
+    "withdrawn_submission",
 ]
 
 # Jobs and cancellations share a prefix so that one watch covers both.
@@ -57,6 +58,8 @@
     :ivar policy: policy of its queue at submission, which applies if the
         queue is removed later
     :ivar attempt_id: distinguishes a repeated write from one of another node
+    :ivar is_withdrawn: whether the job was cancelled before it was stored;
+        this record then takes the place of the job
     """
 
     policy: QueuePolicy
@@ -64,6 +67,7 @@
     spec: JobSpec
     accepted_unix_ms: int
     attempt_id: str
+    is_withdrawn: bool = False
 
     @property
     def queue(self) -> str:
@@ -71,6 +75,22 @@
         return self.policy.name
 
 
+def withdrawn_submission(now_unix_ms: int) -> SubmissionRecord:
+    """Return the record of a job that was cancelled before it was stored.
+
+    It has no tasks, and belongs to no queue and no organisation, so that no
+    caller can access it: to callers, no such job exists.
+    """
+    return SubmissionRecord(
+        policy=QueuePolicy(name="", host="", prefix="", pool=""),
+        organisation="",
+        spec=JobSpec(payload="", steps=()),
+        accepted_unix_ms=now_unix_ms,
+        attempt_id="",
+        is_withdrawn=True,
+    )
+
+
 @attrs.frozen(kw_only=True)
 class StepRecord:
     """Progress of a step of one occurrence.
