Do not record the cancellation of a job that was removed

The store, and the memory of each leader, kept the cancellation of a job for good if it was written just after the job had been removed: the leader removes cancellations with their jobs only. A caller that cancels a job 180 s after its end, while it is removed, suffices. The write of a cancellation had only the condition that there is none yet.

It now also expects the job as it was read. If the job was removed meanwhile, the cancellation is handled as that of an unknown job. So a cancellation is always written after its job was, which the leader relies on when it drops cancellations of jobs that it has forgotten.

Found by reading the code. RemovedJobTest fails on the code before.

--- a/src/rosemarynotch/_internal/scheduling/cancellations.py
+++ b/src/rosemarynotch/_internal/scheduling/cancellations.py
@@ -101,7 +101,11 @@
     def _write(
         self, job: Item | None, job_id: str
     ) -> int | CommitConflict | Failure:
-        """Record that a job is cancelled."""
+        """Record that a job is cancelled.
+
+        Each write expects the job as it was read. Without this, the record of
+        a cancellation would stay for good if the job was removed meanwhile.
+        """
         job_key = JOBS_PREFIX + job_id
         if job is None:
             record = withdrawn_submission(round(self._clock.wall_s() * 1000))
@@ -109,7 +113,10 @@
                 [Condition(job_key, 0)], [Write(job_key, encode(record))]
             )
         key = CANCELLATIONS_PREFIX + job_id
-        return self._store.commit([Condition(key, 0)], [Write(key, b"")])
+        return self._store.commit(
+            [Condition(key, 0), Condition(job_key, job.revision)],
+            [Write(key, b"")],
+        )
 
 
 def refuse_withdrawn(stored: Item) -> Failure | None:
--- a/tests/unit/test_cancellations.py
+++ b/tests/unit/test_cancellations.py
@@ -222,6 +222,28 @@
         self.accept(JOB_ID)
 
 
+class RemovedJobTest(CancellationCase):
+    """Guards against cancellations that are never removed from the store.
+
+    The leader removes a cancellation with its job. One that was written just
+    after that stayed in the store, and in the memory of each leader.
+    """
+
+    def test_job_removed_while_it_is_cancelled(self):
+        self.accept(JOB_ID)
+        get = self.store.get
+
+        def read(key):
+            found = get(key)
+            self.store.items.pop(JOBS_PREFIX + JOB_ID)
+            return found
+
+        self.store.get = read
+        self.assert_unknown(self.intake.cancel(JOB_ID, OWNER))
+        self.active_jobs()
+        self.assertEqual({JOB_ID}, set(self.scheduler.jobs))
+
+
 class AcceptedJobTest(CancellationCase):
     """Guards against a changed cancellation of jobs that are stored."""
 
