Count waiting jobs whose queue has changed its pool

Callers could see too few pending jobs while no leader publishes their number, as after a change of the leader (rule MIXED). Nodes then count the jobs in the store, and took each job with a progress record for started. Since the pools that may run a job are recorded before its first run there, waiting jobs of a queue that was routed to another pool have such a record.

A record in phase queued no longer counts as started. One that cannot be decoded counts as before.

test_job_whose_other_pool_is_recorded fails on the code before (0 jobs, 1 expected) and passes now.

--- a/src/rosemarynotch/_internal/scheduling/intake.py
+++ b/src/rosemarynotch/_internal/scheduling/intake.py
@@ -371,9 +371,12 @@
         progress = self._store.list_prefix(PROGRESS_PREFIX)
         if isinstance(progress, Failure):
             return progress
-        started = {
-            item.key.removeprefix(PROGRESS_PREFIX) for item in progress.items
-        }
+        started = set()
+        for item in progress.items:
+            record = decode(item.value, ProgressRecord)
+            # A waiting job has one, too, if its queue has changed its pool.
+            if isinstance(record, Failure) or record.phase is not Phase.QUEUED:
+                started.add(item.key.removeprefix(PROGRESS_PREFIX))
         counts: dict[str, int] = {}
         for item in jobs.items:
             if item.key.removeprefix(JOBS_PREFIX) in started:
--- a/tests/unit/test_intake_waits.py
+++ b/tests/unit/test_intake_waits.py
@@ -2,18 +2,24 @@
 
 import random
 import threading
+import types
 
 import testtools
 
 from rosemarynotch._internal.exceptions import ACCEPTANCE_UNKNOWN
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
+from rosemarynotch._internal.models.codec import encode
 from rosemarynotch._internal.scheduling.intake import JobIntake
 from rosemarynotch._internal.scheduling.policy import outage_retry_s
+from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import Listing
+from rosemarynotch._internal.scheduling.records import JOBS_PREFIX
+from rosemarynotch._internal.scheduling.records import PROGRESS_PREFIX
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
 from tests.lib.clocks import ManualClock
 from tests.lib.scheduling import job_spec
+from tests.lib.scheduling import Leader
 from tests.lib.scheduling import QUEUE
 
 RECORD = SubmissionRecord(
@@ -227,3 +233,36 @@
     def test_short_outage_is_retried_soon(self):
         """Guards against long delays after an outage of a moment."""
         self.assertEqual(1, outage_retry_s(0.2, "f" * 16))
+
+
+class CountAfterReroutingTest(testtools.TestCase):
+    """Guards against waiting jobs that are not counted (rule MIXED).
+
+    A job whose queue has changed its pool has a progress record before its
+    first run. Nodes that count in the store took it for started.
+    """
+
+    def test_job_whose_other_pool_is_recorded(self):
+        leader = Leader()
+        job = leader.submit("j1")
+        leader.scheduler.may_use_pool(job, "p2")
+        rows = {
+            JOBS_PREFIX: Item(
+                key=JOBS_PREFIX + "j1",
+                revision=10,
+                value=encode(job.submission),
+            ),
+            PROGRESS_PREFIX: Item(
+                key=PROGRESS_PREFIX + "j1",
+                revision=11,
+                value=encode(job.progress()),
+            ),
+        }
+        store = types.SimpleNamespace(
+            get=lambda key, allow_stale=False: STORE_UNAVAILABLE,
+            list_prefix=lambda prefix: Listing(
+                items=(rows[prefix],), revision=11
+            ),
+        )
+        intake = JobIntake(store, ManualClock(), "config", no_log)
+        self.assertEqual(1, intake.waiting_count(QUEUE.name))
