--- a/tests/unit/test_cancellations.py
+++ b/tests/unit/test_cancellations.py
@@ -13,7 +13,7 @@
 from rosemarynotch._internal.scheduling.ports import Listing
 from rosemarynotch._internal.scheduling.ports import Write
 from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
-from rosemarynotch._internal.scheduling.progress_writer import RETENTION_MS
+from rosemarynotch._internal.scheduling.progress_writer import RETENTION_S
 from rosemarynotch._internal.scheduling.records import INTAKE_PREFIX
 from rosemarynotch._internal.scheduling.records import JOBS_PREFIX
 from rosemarynotch._internal.scheduling.records import Phase
@@ -214,9 +214,11 @@
         self.assertIs(Phase.CANCELLED, job.phase)
         job.finished_unix_ms = round(self.leader.now_s * 1000)
         self.scheduler.mark_written(job, job.change, self.store.revision)
-        self.leader.now_s += RETENTION_MS / 1000 + 1
         self.controller.grant.fence = 1
-        ProgressWriter(self.controller)._remove_expired()
+        writer = ProgressWriter(self.controller)
+        writer._remove_expired()
+        self.leader.now_s += RETENTION_S + 1
+        writer._remove_expired()
         self.assertEqual((), self.store.list_prefix(INTAKE_PREFIX).items)
         self.assertEqual(set(), self.scheduler.cancelled_ids)
         self.accept(JOB_ID)
