Test leases and pools that two leaders count differently

Three more ways in which a task ran twice around a change of the leader (rule TWICE), each with real node processes:

- A lease was granted from the request of the worker's last report, which waits up to 2 s there, so a first start on an idle worker may get 7 s.
The next leader assumes 5 s, both for a worker that it has not heard and after the first report of one.
The worker goes silent and the leader is stopped: the task started elsewhere about 6 s after its start while its run of 6.5 s went on.
- The store refuses the leader's machine and serves the others.
That leader goes on for up to 4 s.
It took a lease for ended that the next leader, who reaches the worker, has extended; and a watch that was under way brought it a job that was accepted after the next term began.
In both cases it started the task on a worker that the next leader does not reach and which so has not seen the higher fence.
- A worker restarts under its identifier in another pool.
The roster kept the pool of the earlier incarnation.
While the worker's entry is gone, the next leader waited for the wrong pool.

--- a/standins/fleet/worker.py
+++ b/standins/fleet/worker.py
@@ -1,5 +1,6 @@
 """Emulated worker, which runs tasks as timers."""
 
+from collections.abc import Callable
 import contextlib
 import enum
 import random
@@ -61,6 +62,7 @@
     :param port: port to listen on, 0 for any
     :ivar fault: fault applied to calls and runs at present
     :ivar fault_share: share of the calls to which the fault applies
+    :ivar affects: whether the fault applies to a call
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self.worker_id = worker_id
         self.fault = WorkerFault.NONE
         self.fault_share = 1.0
+        self.affects: Callable[[Call], bool] = lambda call: True
         self.is_alive = True
         self._ledger = ledger
         self._random = rng
@@ -123,6 +126,7 @@
         if not self.is_alive:
             raise LostAnswer
         is_affected = self._random.random() <= self.fault_share
+        is_affected &= self.affects(call)
         fault = self.fault if is_affected else WorkerFault.NONE
         if fault is WorkerFault.SILENT:
             self._await_end_of_silence()
--- a/tests/functional/test_platform_path.py
+++ b/tests/functional/test_platform_path.py
@@ -32,7 +32,7 @@
         self.emulator = Emulator(dict(self.POOLS), standby="spare")
         self.addCleanup(self.emulator.close)
         self.emulator.put_configuration(configuration())
-        self.nodes = Nodes(self.emulator, self.NODES)
+        self.nodes = self.make_nodes()
         self.addCleanup(self.nodes.close)
         wait_until(
             lambda: all(map(self.nodes.is_ready, range(self.NODES))),
@@ -43,6 +43,10 @@
             lambda: self.nodes.leader() is not None, START_S, "a leader"
         )
 
+    def make_nodes(self):
+        """Start the nodes."""
+        return Nodes(self.emulator, self.NODES)
+
     def assert_completed(self, job_ids, timeout_s=RECOVERY_S, node=0):
         for job_id in job_ids:
             wait_until(
