Use no first report of a worker that is heard after the term

Callers could see a task run again after it had ended as done (TWICE). A leader that the store does not answer goes on for 4 s. What frees a task then is the report of a worker that accepts its fence, which shows that no later leader has heard the worker. A worker that restarts has seen no fence: it accepts the lower one again, and its report lacks what ran before. The later leader may have taken note of the ends of these runs. The first one dropped the runs, or counted the inherited worker as heard, and started their tasks on another worker that had not seen the higher fence.

A report that is received after the term is now used only if this leader has heard the same incarnation before. The cost: tasks of a worker that restarts while the store is away wait until it is back.

Found by reading; no run with processes showed it.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -234,8 +234,6 @@
 
     def _pass(self) -> None:
         events = self._next_events()
-        # The events were received before, so within the term if it lasts.
-        self.scheduler.is_term_over = not self.is_running
         started_s = self.clock.monotonic_s()
         with self.lock:
             now_s = self.clock.monotonic_s()
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -151,11 +151,7 @@
 
         Only a report that was requested after the confirmation counts, and
         none that is cut: the run may have ended, and its end may be left out.
-        Without the store, the worker may have told its end to a later leader
-        and have restarted since, so that it accepts calls of this one again.
         """
-        if self.is_term_over:
-            return
         for run in list(worker.runs.values()):
             is_confirmed = run.phase is RunPhase.ACTIVE or (
                 run.phase is RunPhase.STOPPING
--- a/src/rosemarynotch/_internal/scheduling/worker_link.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_link.py
@@ -153,9 +153,17 @@
             controller.log("worker regained", worker=worker.worker_id)
         self._applied.clear()
         self._ends_persisted.clear()
-        controller.post(
-            lambda now_s: self._apply(report, requested_at_s, received_at_s)
+        is_first = not worker.clock_received_at_s or (
+            self._clock.started_unix_ms != worker.started_unix_ms
         )
+        # A worker that has restarted has forgotten the fence of a later
+        # leader, which may know of ends that are no longer listed.
+        if controller.is_running or not is_first:
+            controller.post(
+                lambda now_s: self._apply(
+                    report, requested_at_s, received_at_s
+                )
+            )
         self._applied.wait(APPLY_WAIT_S)
         # Rows that cannot be read are not acknowledged, so the worker may
         # answer at once, too.
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -30,8 +30,6 @@
     :param longest_lease_s: longest lease that an earlier leader may have
         granted
     :param log: called with the name of an event and its fields
-    :ivar is_term_over: whether another leader may exist, so that this one only
-        starts tasks
     :ivar unknown_until_s: until when any worker may have runs of earlier
         leaders, also one that the roster does not name; 0 if none may
     """
@@ -45,7 +43,6 @@
     ) -> None:
         super().__init__(term, started_revision, log)
         self._longest_lease_s = longest_lease_s
-        self.is_term_over = False
         self.unknown_until_s = 0.0
         # Start time and time of removal of replaced workers, by identifier.
         self._removed_workers: dict[str, tuple[int, float]] = {}
