--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -7,25 +7,19 @@
 
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import PLATFORM_REFUSED
-from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
-from rosemarynotch._internal.models.codec import decode
-from rosemarynotch._internal.models.codec import encode
 from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
 from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
 from rosemarynotch._internal.scheduling.maintenance import SpreadOverPools
 from rosemarynotch._internal.scheduling.maintenance import Wave
-from rosemarynotch._internal.scheduling.maintenance import WaveRecord
 from rosemarynotch._internal.scheduling.maintenance import WaveVm
-from rosemarynotch._internal.scheduling.ports import Condition
-from rosemarynotch._internal.scheduling.ports import Write
-from rosemarynotch._internal.scheduling.records import LEADER_KEY
+from rosemarynotch._internal.scheduling.wave_records import RunningWave
+from rosemarynotch._internal.scheduling.wave_records import WaveStore
 
 if TYPE_CHECKING:
     from rosemarynotch._internal.scheduling.controller import Controller
 
 __all__ = ["WaveRunner"]
 
-WAVES_PREFIX = "waves/"
 LIST_INTERVAL_S = 1.0
 # Added to the time that the VM service declares for a maintenance.
 MAINTENANCE_MARGIN_S = 0.5
@@ -33,36 +27,6 @@
 LIST_LAG_S = 0.7
 
 
-@attrs.define
-class _RunningWave:
-    """State of a wave while this node leads.
-
-    :ivar seen_at_s: when a leader first saw the wave, on the local clock
-    :ivar cordoned: VMs that are being emptied, with their workers
-    :ivar confirmed_at_s: for each VM, when the VM service confirmed the order
-        for its maintenance
-    :ivar is_status_written: whether the status has been written at least once
-    :ivar is_written: whether the store has the current record
-    """
-
-    wave: Wave
-    seen_at_s: float
-    record: WaveRecord
-    cordoned: dict[str, str] = attrs.field(factory=dict)
-    confirmed_at_s: dict[str, float] = attrs.field(factory=dict)
-    is_status_written: bool = False
-    is_completed: bool = False
-    is_written: bool = True
-
-    @property
-    def down_count(self) -> int:
-        """Return the number of VMs that are down or may go down.
-
-        It includes VMs whose order had no answer and may take effect late.
-        """
-        return len(self.record.ordered) - len(self.record.back)
-
-
 class WaveRunner:
     """Empties and maintains the VMs of the operator's waves.
 
@@ -86,7 +50,8 @@
         self._mark_worker_ended = mark_worker_ended
         self._maintenance_s = maintenance_s + MAINTENANCE_MARGIN_S
         self._policy = SpreadOverPools()
-        self._waves: dict[int, _RunningWave] = {}
+        self._store = WaveStore(controller)
+        self._waves: dict[int, RunningWave] = {}
         self._listed_at_s = -1e9
 
     def pending_vms(self) -> set[str]:
@@ -126,18 +91,14 @@
                 self._add(wave, now_s)
 
     def _add(self, wave: Wave, now_s: float) -> None:
-        item = self._controller.ports.store.get(self._key(wave))
-        record = WaveRecord()
-        if not isinstance(item, Failure):
-            known = decode(item.value, WaveRecord)
-            record = record if isinstance(known, Failure) else known
-        elif not item.is_a(STORE_KEY_MISSING):
+        record = self._store.read(wave)
+        if record is None:
             return
         wall_ms = self._controller.clock.wall_s() * 1000
         if not record.seen_unix_ms:
             record = attrs.evolve(record, seen_unix_ms=round(wall_ms))
         seen_at_s = now_s - record.age_s(wall_ms)
-        self._waves[wave.number] = _RunningWave(wave, seen_at_s, record)
+        self._waves[wave.number] = RunningWave(wave, seen_at_s, record)
         self._controller.log(
             "wave seen",
             wave=wave.number,
@@ -146,12 +107,8 @@
             ordered=len(record.ordered),
         )
 
-    @staticmethod
-    def _key(wave: Wave) -> str:
-        return f"{WAVES_PREFIX}{wave.number}"
-
     def _advance(
-        self, state: _RunningWave, vms, moving: set[str], now_s: float
+        self, state: RunningWave, vms, moving: set[str], now_s: float
     ) -> None:
         self._record_maintained(state, vms, now_s)
         self._retry_unanswered(state, vms)
@@ -164,13 +121,13 @@
         ]
         if not remaining:
             state.is_completed = True
-            self._write(state)
+            self._store.write(state)
             self._controller.log("wave completed", wave=state.wave.number)
         elif not state.is_status_written or not state.is_written:
-            state.is_status_written = self._write(state)
+            state.is_status_written = self._store.write(state)
 
     def _record_maintained(
-        self, state: _RunningWave, vms, now_s: float
+        self, state: RunningWave, vms, now_s: float
     ) -> None:
         """Add VMs whose maintenance is over to the record."""
         back = set(state.record.back)
@@ -190,7 +147,7 @@
             state.is_written = False
 
     def _is_maintained(
-        self, state: _RunningWave, vm: FleetVm, worker_id: str, now_s: float
+        self, state: RunningWave, vm: FleetVm, worker_id: str, now_s: float
     ) -> bool:
         """Return whether the maintenance of a VM is over.
 
@@ -209,7 +166,7 @@
         # known time.
         return since_s > self._maintenance_s
 
-    def _retry_unanswered(self, state: _RunningWave, vms) -> None:
+    def _retry_unanswered(self, state: RunningWave, vms) -> None:
         """Cordon VMs whose order had no answer, to repeat it when empty."""
         for name in state.record.ordered:
             vm = vms.get(name)
@@ -220,7 +177,7 @@
             if vm.phase is VmPhase.UP:
                 self._cordon(state, vm)
 
-    def _cordon(self, state: _RunningWave, vm: FleetVm) -> None:
+    def _cordon(self, state: RunningWave, vm: FleetVm) -> None:
         """Keep new runs away from a VM until it is maintained."""
         with self._controller.lock:
             worker = self._controller.scheduler.workers.get(vm.worker_id)
@@ -228,7 +185,7 @@
                 worker.is_cordoned = True
             state.cordoned[vm.name] = vm.worker_id
 
-    def _maintain_empty(self, state: _RunningWave, vms, now_s) -> None:
+    def _maintain_empty(self, state: RunningWave, vms, now_s) -> None:
         """Order the maintenance of cordoned VMs that have no runs left."""
         controller = self._controller
         empty = []
@@ -251,7 +208,7 @@
             self._record_answer(state, vm, answer, now_s)
 
     def _record_orders(
-        self, state: _RunningWave, vms: list[FleetVm]
+        self, state: RunningWave, vms: list[FleetVm]
     ) -> list[FleetVm]:
         """Record VMs as ordered, as far as the wave's limit allows.
 
@@ -265,7 +222,7 @@
             return repeated
         added = {vm.name: vm.worker_id for vm in new}
         state.record = attrs.evolve(previous, ordered=previous.ordered | added)
-        if self._write(state):
+        if self._store.write(state):
             return repeated + new
         # If the failed write is applied after all, the next write removes the
         # new VMs.
@@ -274,7 +231,7 @@
 
     def _record_answer(
         self,
-        state: _RunningWave,
+        state: RunningWave,
         vm: FleetVm,
         answer: None | Failure,
         now_s: float,
@@ -297,7 +254,7 @@
                 worker.is_cordoned = False
 
     def _cordon_next(
-        self, state: _RunningWave, vms, moving: set[str], now_s: float
+        self, state: RunningWave, vms, moving: set[str], now_s: float
     ) -> None:
         """Cordon the VMs that the policy chooses next."""
         limit = state.wave.max_down - state.down_count - len(state.cordoned)
@@ -350,25 +307,3 @@
                 )
             )
         return candidates
-
-    def _write(self, state: _RunningWave) -> bool:
-        """Write the record and the status that the operator reads.
-
-        :returns: whether the store has confirmed the write
-        """
-        controller = self._controller
-        ports = controller.ports
-        answer = ports.store.commit(
-            [Condition(LEADER_KEY, controller.grant.fence)],
-            [
-                Write(self._key(state.wave), encode(state.record)),
-                Write(
-                    f"{ports.wave_status_prefix}{state.wave.number}",
-                    ports.encode_wave_status(state.is_completed),
-                ),
-            ],
-        )
-        state.is_written = isinstance(answer, int)
-        if not state.is_written:
-            controller.log("wave not written", wave=state.wave.number)
-        return state.is_written
