Keep a late record of a wave from replacing a newer one

An upkeep could begin while `max_down` VMs of its wave were down (rule LIMIT), and a completed wave could be shown as running again. A write of the record of a wave without an answer may be applied seconds later ("may be executed seconds later if its condition still holds"), and its only condition was the leader's key. Applied after a newer record, it removed VMs that had been ordered since: the next leader counted too few as down and ordered them again. The status is written in the same transaction and was replaced too.

Each write now expects the revision of the record that this leader knows: the one that it read when it saw the wave, then that of its own last write. Record and status are always written together, so the condition holds for both. A conflict shows that an earlier write of this leader was applied after all; its revision is adopted and the present record is written again, unless the leader's key has changed.

test_record_written_after_a_newer_one and test_status_written_after_the_completion fail on the code before: the record lacks the ordered VM, and the completed wave is shown as running. The other two tests of the class passed before.

--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -91,14 +91,17 @@
                 self._add(wave, now_s)
 
     def _add(self, wave: Wave, now_s: float) -> None:
-        record = self._store.read(wave)
-        if record is None:
+        known = self._store.read(wave)
+        if known is None:
             return
+        record, revision = known
         wall_ms = self._controller.clock.wall_s() * 1000
         if not record.seen_unix_ms:
             record = attrs.evolve(record, seen_unix_ms=round(wall_ms))
         seen_at_s = now_s - record.age_s(wall_ms)
-        self._waves[wave.number] = RunningWave(wave, seen_at_s, record)
+        self._waves[wave.number] = RunningWave(
+            wave, seen_at_s, record, revision=revision
+        )
         self._controller.log(
             "wave seen",
             wave=wave.number,
--- /dev/null
+++ b/tests/unit/test_wave_records.py
@@ -0,0 +1,167 @@
+"""Tests of the records and orders of waves after lost or late answers."""
+
+import threading
+import types
+
+import testtools
+
+from rosemarynotch._internal.models.codec import decode
+from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
+from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
+from rosemarynotch._internal.scheduling.maintenance import Wave
+from rosemarynotch._internal.scheduling.maintenance import WaveRecord
+from rosemarynotch._internal.scheduling.model import PoolPolicy
+from rosemarynotch._internal.scheduling.ports import Listing
+from rosemarynotch._internal.scheduling.wave_runner import WaveRunner
+from tests.lib.scheduling import CAPACITY
+from tests.lib.scheduling import Leader
+from tests.unit.test_roster import FENCE
+from tests.unit.test_roster import Store
+
+MAINTENANCE_S = 2.0
+RECORD_KEY = "waves/1"
+STATUS_KEY = "status/wave/1"
+
+
+class WaveStore(Store):
+    """A store with one wave of the operator."""
+
+    def list_prefix(self, prefix):
+        return Listing(items=("wave",), revision=self.revision)
+
+
+class WaveCase(testtools.TestCase):
+    """A leader that maintains the VMs of one wave, one after the other.
+
+    :ivar vms: VMs as the VM service lists them
+    :ivar answer: answer of the VM service to all orders
+    :ivar ordered: names of the VMs that were ordered
+    :ivar ended: workers that were recorded as ended
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.store = WaveStore()
+        self.vms = {}
+        self.answer = None
+        self.ordered = []
+        self.ended = []
+        self.now_s = 1000.0
+        self.wave = Wave(number=1, vms=("a", "b"), duration_s=25.0, max_down=1)
+        self.lead()
+
+    def lead(self):
+        """Begin a term with the state of the store."""
+        self.leader = Leader()
+        pools = self.leader.scheduler.configuration.pools
+        pools["p"] = PoolPolicy(name="p")
+        for name in self.wave.vms:
+            self.show(name, worker_id=f"{name}-1")
+        controller = types.SimpleNamespace(
+            lock=threading.RLock(),
+            scheduler=self.leader.scheduler,
+            ports=types.SimpleNamespace(
+                store=self.store,
+                waves_prefix="op/wave/",
+                wave_status_prefix="status/wave/",
+                decode_wave=lambda item: self.wave,
+                encode_wave_status=lambda done: encode(done),
+            ),
+            clock=types.SimpleNamespace(
+                monotonic_s=lambda: self.now_s, wall_s=lambda: self.now_s
+            ),
+            grant=types.SimpleNamespace(fence=FENCE, term=1),
+            log=lambda event, **fields: None,
+        )
+        self.runner = WaveRunner(
+            controller, self.order, self.ended.append, MAINTENANCE_S
+        )
+
+    def order(self, operation, vms, wave):
+        self.ordered += [vm.name for vm in vms]
+        return [self.answer] * len(vms)
+
+    def show(self, name, phase=VmPhase.UP, worker_id="", pool="p"):
+        """List a VM, with a worker that has no runs."""
+        self.vms[name] = FleetVm(
+            name=name,
+            pool=pool,
+            phase=phase,
+            data_centre="z",
+            labels=("a", "rack-1"),
+            capacity=CAPACITY,
+            worker_id=worker_id,
+        )
+        if worker_id and worker_id not in self.leader.scheduler.workers:
+            self.leader.add_workers(worker_id)
+
+    def step(self, after_s=0.0):
+        self.now_s += after_s
+        self.runner.step(self.vms, set(), self.now_s)
+
+    def order_next(self):
+        """Let the next VM be cordoned and ordered."""
+        self.step()
+        self.step()
+
+    def maintain(self, name):
+        """Let the maintenance of an ordered VM end."""
+        self.show(name, worker_id=f"{name}-2")
+        self.step(1.0)
+
+    def record(self):
+        return decode(self.store.items[RECORD_KEY].value, WaveRecord)
+
+    def is_shown_as_completed(self):
+        return decode(self.store.items[STATUS_KEY].value, bool)
+
+
+class LateWaveRecordTest(WaveCase):
+    """Guards against a late record that replaces a newer one.
+
+    VMs that were ordered since were missing in it, so that the next leader
+    counted too few as down (rule LIMIT) and ordered them again.
+    """
+
+    def test_record_written_after_a_newer_one(self):
+        self.store.loses_calls = True
+        self.step()
+        self.store.loses_calls = False
+        self.step()
+        self.assertEqual(["a"], self.ordered)
+        self.store.apply_late()
+        self.assertEqual({"a": "a-1"}, self.record().ordered)
+
+    def test_record_written_before_a_newer_one(self):
+        """Guards against a wave that stops at an unseen write."""
+        self.store.loses_calls = True
+        self.step()
+        self.store.apply_late()
+        self.step()
+        self.assertEqual(["a"], self.ordered)
+        self.assertEqual({"a": "a-1"}, self.record().ordered)
+
+    def test_status_written_after_the_completion(self):
+        """Guards against a completed wave that is shown as running."""
+        self.order_next()
+        self.maintain("a")
+        self.store.loses_calls = True
+        self.step()
+        self.store.loses_calls = False
+        late, self.store.late = self.store.late, []
+        self.order_next()
+        self.maintain("b")
+        self.assertTrue(self.is_shown_as_completed())
+        self.store.late = late
+        self.store.apply_late()
+        self.assertTrue(self.is_shown_as_completed())
+
+    def test_record_of_an_earlier_leader(self):
+        """Guards against a leader that cannot replace a record."""
+        self.order_next()
+        self.lead()
+        self.maintain("a")
+        self.step(1.0)
+        self.order_next()
+        self.assertEqual({"a", "b"}, set(self.record().ordered))
