Write the status of a completed wave until it is stored

The operator could see a wave as running for the rest of a term after its last VM was back. The runner marked the wave as completed and wrote its status once; a wave that counts as completed was not looked at again, so a write that failed was not repeated.

The runner now repeats the write at each step until the store has confirmed it. A later leader finds the VMs of an unwritten record as ordered, decides again when they are back, and writes the status once in its term.

test_write_is_repeated_until_it_is_stored fails on the code before: the wave stays shown as running. test_change_of_the_leader passed before.

--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -68,6 +68,8 @@
     ) -> None:
         """Look for new waves and advance those that are not completed.
 
+        The status of a completed wave is written until the store has it.
+
         :param vms: all VMs by name
         :param moving: names of VMs with a pending move
         """
@@ -76,6 +78,8 @@
         for state in self._waves.values():
             if not state.is_completed:
                 self._advance(state, vms, moving, now_s)
+            elif not state.is_written:
+                self._store.write(state)
 
     def _list(self, now_s: float) -> None:
         ports = self._controller.ports
--- a/tests/unit/test_wave_records.py
+++ b/tests/unit/test_wave_records.py
@@ -3,8 +3,10 @@
 import threading
 import types
 
+import attrs
 import testtools
 
+from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.models.codec import encode
 from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
@@ -25,7 +27,19 @@
 
 
 class WaveStore(Store):
-    """A store with one wave of the operator."""
+    """A store with one wave of the operator.
+
+    :ivar is_down: whether it refuses all transactions
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.is_down = False
+
+    def commit(self, conditions, writes, deletes=()):
+        if self.is_down:
+            return STORE_UNAVAILABLE
+        return super().commit(conditions, writes, deletes)
 
     def list_prefix(self, prefix):
         return Listing(items=("wave",), revision=self.revision)
@@ -56,6 +70,7 @@
         self.leader = Leader()
         pools = self.leader.scheduler.configuration.pools
         pools["p"] = PoolPolicy(name="p")
+        self.vms.clear()
         for name in self.wave.vms:
             self.show(name, worker_id=f"{name}-1")
         controller = types.SimpleNamespace(
@@ -165,3 +180,36 @@
         self.step(1.0)
         self.order_next()
         self.assertEqual({"a", "b"}, set(self.record().ordered))
+
+
+class CompletionTest(WaveCase):
+    """Guards against a completed wave that stays shown as running.
+
+    The write of its status failed once and was not repeated in the term.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.wave = attrs.evolve(self.wave, vms=("a",))
+        self.lead()
+        self.order_next()
+        self.store.is_down = True
+        self.maintain("a")
+
+    def test_write_is_repeated_until_it_is_stored(self):
+        self.step()
+        self.assertFalse(self.is_shown_as_completed())
+        self.store.is_down = False
+        self.step()
+        self.assertTrue(self.is_shown_as_completed())
+        revision = self.store.revision
+        self.step()
+        self.assertEqual(revision, self.store.revision)
+
+    def test_change_of_the_leader(self):
+        """Guards against a status that the next leader does not write."""
+        self.store.is_down = False
+        self.lead()
+        self.maintain("a")
+        self.step(1.0)
+        self.assertTrue(self.is_shown_as_completed())
