Do not take a worker for ended by a confirmed order alone

A wave could stay unfinished for ever, and new work was kept from living workers. An order for maintenance that was already done is confirmed as well ("The call also returns 200 if the operation is already done"), and ends nothing. The runner took the worker of the VM for replaced, which costs its capacity until it is added again after 10 s. It then waited for another worker on the VM, which never came. After a change of the leader, each VM that had not been noted as back was ordered again, even if its order had been confirmed, so that its new worker was emptied first and its tasks were evacuated.

A worker now counts as ended only when the list of VMs shows its VM in another state or with another worker. A VM that is up with the same worker after the time of a maintenance and the lag of the list was maintained before, and is back. The record names the VMs whose maintenance has begun for certain, by a confirmed order or because the list shows a VM of no other wave in maintenance; a later leader does not order them again. Records without this field are decoded as before. A VM with an unanswered order that only shows another worker is still ordered again, since it may have crashed instead.

Three tests of DoneBeforeTest fail on the code before: test_confirmed_order_that_ends_nothing (the worker counts as ended), and test_confirmed_order_of_an_earlier_leader and test_order_without_an_answer_that_the_list_shows (a second order). The other two passed before.

--- a/src/rosemarynotch/_internal/scheduling/maintenance.py
+++ b/src/rosemarynotch/_internal/scheduling/maintenance.py
@@ -43,12 +43,15 @@
 
     :ivar ordered: VMs whose maintenance was ordered, with the worker that
         each had then; an order without an answer may still be carried out
+    :ivar begun: VMs whose maintenance has begun, or was done before, for
+        certain; the others may have to be ordered again
     :ivar back: VMs that have been maintained and are back in service
     :ivar seen_unix_ms: when a leader first read the wave; later leaders also
         count the time of the wave from here
     """
 
     ordered: dict[str, str] = attrs.field(factory=dict)
+    begun: tuple[str, ...] = ()
     back: tuple[str, ...] = ()
     seen_unix_ms: int = 0
 
--- a/src/rosemarynotch/_internal/scheduling/wave_records.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_records.py
@@ -29,8 +29,8 @@
 
     :ivar seen_at_s: when a leader first saw the wave, on the local clock
     :ivar cordoned: VMs that are being emptied, with their workers
-    :ivar confirmed_at_s: for each VM, when the VM service confirmed the order
-        for its maintenance
+    :ivar begun_at_s: for each VM whose maintenance has begun, when this node
+        learned of it
     :ivar is_status_written: whether the status has been written at least once
     :ivar is_written: whether the store has the current record
     :ivar revision: revision of the record in the store, 0 if there is none;
@@ -41,7 +41,7 @@
     seen_at_s: float
     record: WaveRecord
     cordoned: dict[str, str] = attrs.field(factory=dict)
-    confirmed_at_s: dict[str, float] = attrs.field(factory=dict)
+    begun_at_s: dict[str, float] = attrs.field(factory=dict)
     is_status_written: bool = False
     is_completed: bool = False
     is_written: bool = True
@@ -55,6 +55,14 @@
         """
         return len(self.record.ordered) - len(self.record.back)
 
+    def mark_begun(self, name: str, now_s: float) -> None:
+        """Record that the maintenance of an ordered VM has begun."""
+        self.begun_at_s[name] = now_s
+        self.cordoned.pop(name, None)
+        begun = {*self.record.begun, name}
+        self.record = attrs.evolve(self.record, begun=tuple(sorted(begun)))
+        self.is_written = False
+
 
 class WaveStore:
     """Reads and writes the records of waves.
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -104,7 +104,11 @@
             record = attrs.evolve(record, seen_unix_ms=round(wall_ms))
         seen_at_s = now_s - record.age_s(wall_ms)
         self._waves[wave.number] = RunningWave(
-            wave, seen_at_s, record, revision=revision
+            wave,
+            seen_at_s,
+            record,
+            begun_at_s=dict.fromkeys(record.begun, now_s),
+            revision=revision,
         )
         self._controller.log(
             "wave seen",
@@ -117,6 +121,7 @@
     def _advance(
         self, state: RunningWave, vms, moving: set[str], now_s: float
     ) -> None:
+        self._record_begun(state, vms, now_s)
         self._record_maintained(state, vms, now_s)
         self._retry_unanswered(state, vms)
         self._maintain_empty(state, vms, now_s)
@@ -133,6 +138,30 @@
         elif not state.is_status_written or not state.is_written:
             state.is_status_written = self._store.write(state)
 
+    def _record_begun(self, state: RunningWave, vms, now_s: float) -> None:
+        """Record what the list of VMs tells of ordered VMs.
+
+        A VM that is shown in maintenance needs no second order, also if the
+        first one had no answer. This does not hold for a VM of two waves.
+        """
+        waves = [each.wave for each in self._waves.values()]
+        for name, worker_id in state.record.ordered.items():
+            vm = vms.get(name)
+            if vm is None or name in state.record.back:
+                continue
+            if (
+                name not in state.begun_at_s
+                and vm.phase is VmPhase.MAINTENANCE
+                and sum(name in wave.vms for wave in waves) == 1
+            ):
+                state.mark_begun(name, now_s)
+            if name not in state.begun_at_s or not worker_id:
+                continue
+            # A confirmed order does not show that the worker has ended: it is
+            # also confirmed if the VM was maintained before.
+            if vm.phase is not VmPhase.UP or vm.worker_id != worker_id:
+                self._mark_worker_ended(worker_id)
+
     def _record_maintained(
         self, state: RunningWave, vms, now_s: float
     ) -> None:
@@ -160,24 +189,25 @@
 
         :param worker_id: worker that ran on the VM when it was ordered
         """
-        confirmed_at_s = state.confirmed_at_s.get(vm.name)
-        if confirmed_at_s is None or vm.phase is not VmPhase.UP:
+        begun_at_s = state.begun_at_s.get(vm.name)
+        if begun_at_s is None or vm.phase is not VmPhase.UP:
             return False
-        since_s = now_s - confirmed_at_s
-        if vm.worker_id:
-            # A new worker proves the maintenance. The time alone does not: an
-            # order that was carried out before has the same answer and ends
-            # nothing.
-            return vm.worker_id != worker_id and since_s > LIST_LAG_S
-        # A VM that is switched off has no worker. Its maintenance takes a
-        # known time.
-        return since_s > self._maintenance_s
+        since_s = now_s - begun_at_s
+        if not vm.worker_id:
+            # A VM that is switched off has no worker. Its maintenance takes a
+            # known time.
+            return since_s > self._maintenance_s
+        if vm.worker_id != worker_id:
+            return since_s > LIST_LAG_S
+        # It was maintained before the order, which ended nothing. Otherwise
+        # the list would show the maintenance by now.
+        return since_s > self._maintenance_s + LIST_LAG_S
 
     def _retry_unanswered(self, state: RunningWave, vms) -> None:
         """Cordon VMs whose order had no answer, to repeat it when empty."""
         for name in state.record.ordered:
             vm = vms.get(name)
-            if vm is None or name in state.confirmed_at_s:
+            if vm is None or name in state.begun_at_s:
                 continue
             if name in state.record.back or name in state.cordoned:
                 continue
@@ -244,9 +274,7 @@
         now_s: float,
     ) -> None:
         if answer is None:
-            state.confirmed_at_s[vm.name] = now_s
-            if vm.worker_id == state.record.ordered[vm.name]:
-                self._mark_worker_ended(vm.worker_id)
+            state.mark_begun(vm.name, now_s)
         elif answer.is_a(PLATFORM_REFUSED):
             ordered = dict(state.record.ordered)
             del ordered[vm.name]
--- a/tests/unit/test_wave_records.py
+++ b/tests/unit/test_wave_records.py
@@ -6,6 +6,7 @@
 import attrs
 import testtools
 
+from rosemarynotch._internal.exceptions import PLATFORM_UNAVAILABLE
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.models.codec import encode
@@ -213,3 +214,56 @@
         self.maintain("a")
         self.step(1.0)
         self.assertTrue(self.is_shown_as_completed())
+
+
+class DoneBeforeTest(WaveCase):
+    """Guards against work that is kept from a VM that was maintained before.
+
+    An order for it is confirmed and ends nothing, but its worker was taken
+    for ended, or emptied, and the wave waited for another one for ever.
+    """
+
+    def test_confirmed_order_that_ends_nothing(self):
+        self.order_next()
+        self.step(1.0)
+        self.assertEqual([], self.ended)
+        self.step(MAINTENANCE_S + 1.0)
+        self.assertEqual(("a",), self.record().back)
+        worker = self.leader.scheduler.workers["a-1"]
+        self.assertFalse(worker.is_cordoned)
+
+    def test_worker_ends_as_the_list_shows(self):
+        """Guards against an ended worker that is still asked and used."""
+        self.order_next()
+        self.show("a", phase=VmPhase.MAINTENANCE)
+        self.step()
+        self.assertEqual({"a-1"}, set(self.ended))
+        self.assertEqual((), self.record().back)
+
+    def test_confirmed_order_of_an_earlier_leader(self):
+        self.order_next()
+        self.lead()
+        self.maintain("a")
+        self.step(1.0)
+        self.assertEqual(["a"], self.ordered)
+        self.assertEqual(("a",), self.record().back)
+
+    def test_order_without_an_answer_that_the_list_shows(self):
+        self.answer = PLATFORM_UNAVAILABLE
+        self.order_next()
+        self.show("a", phase=VmPhase.MAINTENANCE)
+        self.step()
+        self.maintain("a")
+        self.assertEqual(["a"], self.ordered)
+        self.assertEqual(("a",), self.record().back)
+
+    def test_order_without_an_answer_that_nothing_shows(self):
+        """Guards against a new worker that is taken for a maintenance.
+
+        A VM also has a new worker after a crash (rule MIXED).
+        """
+        self.answer = PLATFORM_UNAVAILABLE
+        self.order_next()
+        self.maintain("a")
+        self.assertEqual(["a", "a"], self.ordered)
+        self.assertEqual((), self.record().back)
