Count a VM as down after the refusal of a repeated order

An upkeep could begin while `max_down` VMs of its wave were down (rule LIMIT). An order without an answer may have been carried out ("A call that receives no response may have been executed"). The list of VMs lags, so the order was repeated while the VM was in maintenance. The service refuses that as busy, and the refusal removed the VM from the record: it no longer counted as down, and was ordered again later.

A refusal now removes a VM from the record only if no earlier order for it is recorded. Otherwise the VM stays recorded, and its order is repeated until it is confirmed or the list shows the maintenance.

test_refusal_of_a_repetition fails on the code before: the record is empty. test_refusal_of_a_first_order passed before.

--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -236,13 +236,15 @@
                 is_empty = worker.is_empty if worker else not worker_id
             if is_empty:
                 empty.append(vm)
+        ordered_before = set(state.record.ordered)
         chosen = self._record_orders(state, empty)
         for vm in chosen:
             del state.cordoned[vm.name]
         # The calls are concurrent, since pools wait for VMs meanwhile.
         answers = self._order("maintain", chosen, state.wave.number)
         for vm, answer in zip(chosen, answers):
-            self._record_answer(state, vm, answer, now_s)
+            is_first = vm.name not in ordered_before
+            self._record_answer(state, vm, answer, is_first, now_s)
 
     def _record_orders(
         self, state: RunningWave, vms: list[FleetVm]
@@ -271,11 +273,19 @@
         state: RunningWave,
         vm: FleetVm,
         answer: None | Failure,
+        is_first: bool,
         now_s: float,
     ) -> None:
+        """Apply the answer to an order.
+
+        A refusal shows that this order was not carried out. An earlier one
+        without an answer may have been, so the VM still counts as down.
+
+        :param is_first: whether no earlier order for the VM is recorded
+        """
         if answer is None:
             state.mark_begun(vm.name, now_s)
-        elif answer.is_a(PLATFORM_REFUSED):
+        elif is_first and answer.is_a(PLATFORM_REFUSED):
             ordered = dict(state.record.ordered)
             del ordered[vm.name]
             state.record = attrs.evolve(state.record, ordered=ordered)
--- a/tests/unit/test_wave_records.py
+++ b/tests/unit/test_wave_records.py
@@ -6,6 +6,7 @@
 import attrs
 import testtools
 
+from rosemarynotch._internal.exceptions import PLATFORM_REFUSED
 from rosemarynotch._internal.exceptions import PLATFORM_UNAVAILABLE
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.models.codec import decode
@@ -267,3 +268,25 @@
         self.maintain("a")
         self.assertEqual(["a", "a"], self.ordered)
         self.assertEqual((), self.record().back)
+
+
+class RefusedRepetitionTest(WaveCase):
+    """Guards against a VM in maintenance that does not count as down.
+
+    The refusal of a repeated order does not show that the first one, which had
+    no answer, was not carried out (rule LIMIT).
+    """
+
+    def test_refusal_of_a_repetition(self):
+        self.answer = PLATFORM_UNAVAILABLE
+        self.order_next()
+        self.answer = PLATFORM_REFUSED
+        self.order_next()
+        self.assertEqual({"a", "a"}, set(self.ordered))
+        self.assertEqual({"a": "a-1"}, self.record().ordered)
+
+    def test_refusal_of_a_first_order(self):
+        """Guards against a VM that counts as down although it is up."""
+        self.answer = PLATFORM_REFUSED
+        self.order_next()
+        self.assertEqual({}, self.record().ordered)
