Do not take a VM without a named worker for empty

A move or a maintenance could end tasks that were at work (rule AVAIL) or lose their work. A VM that was up and had no worker in the list of VMs was taken for idle, and for empty, in any pool. In another pool, a missing name shows nothing: the list lags behind the start of a worker.

In a pool that is not standby, such a VM is no longer moved. For a wave, it counts as without a worker if none is named for longer than a maintenance and the lag of the list, and if no worker of its pool that is named for no VM may have runs: one of these may be on the VM. A VM whose worker never appears thus still gets its maintenance in time. It costs no capacity, so the limit of VMs out of service of its pool does not keep it waiting.

--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -315,6 +315,8 @@
         moving_counts: dict[str, int] = {}
         idle: dict[str, list[str]] = {}
         in_wave = self._waves.pending_vms()
+        pools = scheduler.configuration.pools
+        pools_off = {name for name, each in pools.items() if each.is_standby}
         for vm in vms.values():
             moving = self._moves.get(vm.name)
             pool = moving.target if moving else vm.pool
@@ -331,10 +333,11 @@
                 continue
             if not self._vm_order_registry.may_order(vm.name, now_s):
                 continue
-            # VMs of a standby pool are switched off and have no worker.
-            if not vm.worker_id or (worker and self._is_idle(worker)):
+            # VMs of a standby pool are switched off and have no worker. In
+            # other pools, one that is not named yet may have begun to work.
+            is_off = not vm.worker_id and pool in pools_off
+            if is_off or (worker and self._is_idle(worker)):
                 idle.setdefault(pool, []).append(vm.name)
-        pools = scheduler.configuration.pools
         return [
             PoolLoad(
                 name=name,
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -53,6 +53,8 @@
         self._store = WaveStore(controller)
         self._waves: dict[int, RunningWave] = {}
         self._listed_at_s = -1e9
+        # VMs that are up without a worker, and since when.
+        self._unnamed_since_s: dict[str, float] = {}
 
     def pending_vms(self) -> set[str]:
         """Return VMs that are being emptied or maintained for a wave."""
@@ -75,6 +77,11 @@
         """
         if now_s - self._listed_at_s > LIST_INTERVAL_S:
             self._list(now_s)
+        self._unnamed_since_s = {
+            name: self._unnamed_since_s.get(name, now_s)
+            for name, vm in vms.items()
+            if vm.phase is VmPhase.UP and not vm.worker_id
+        }
         for state in self._waves.values():
             if not state.is_completed:
                 self._advance(state, vms, moving, now_s)
@@ -233,7 +240,11 @@
                 continue
             with controller.lock:
                 worker = controller.scheduler.workers.get(worker_id)
-                is_empty = worker.is_empty if worker else not worker_id
+                is_empty = (
+                    worker.is_empty
+                    if worker
+                    else self._is_without_worker(vm, vms, now_s)
+                )
             if is_empty:
                 empty.append(vm)
         ordered_before = set(state.record.ordered)
@@ -246,6 +257,32 @@
             is_first = vm.name not in ordered_before
             self._record_answer(state, vm, answer, is_first, now_s)
 
+    def _is_without_worker(
+        self, vm: FleetVm, vms: dict[str, FleetVm], now_s: float
+    ) -> bool:
+        """Return whether a VM has no worker for certain.
+
+        VMs of a standby pool are switched off. In other pools, a VM for which
+        no worker is named may have one. It has none if none is named for the
+        time that a worker takes to start, and no worker of its pool that is
+        named for no VM may have runs. The controller's lock is held.
+        """
+        scheduler = self._controller.scheduler
+        policy = scheduler.configuration.pools.get(vm.pool)
+        if vm.worker_id:
+            return False
+        if policy is not None and policy.is_standby:
+            return True
+        since_s = now_s - self._unnamed_since_s.get(vm.name, now_s)
+        if since_s <= self._maintenance_s + LIST_LAG_S:
+            return False
+        named = {each.worker_id for each in vms.values()}
+        return all(
+            worker.is_empty
+            for worker in scheduler.workers.values()
+            if worker.entry.pool == vm.pool and worker.worker_id not in named
+        )
+
     def _record_orders(
         self, state: RunningWave, vms: list[FleetVm]
     ) -> list[FleetVm]:
@@ -307,16 +344,17 @@
             return
         controller = self._controller
         with controller.lock:
-            candidates = self._candidates(state, vms, moving)
+            candidates = self._candidates(state, vms, moving, now_s)
             elapsed = (now_s - state.seen_at_s) / max(state.wave.duration_s, 1)
             chosen = self._policy.choose(candidates, limit, elapsed)
             for name in chosen:
                 self._cordon(state, vms[name])
 
-    def _candidates(self, state, vms, moving: set[str]) -> list[WaveVm]:
+    def _candidates(
+        self, state, vms, moving: set[str], now_s: float
+    ) -> list[WaveVm]:
         """Return the VMs of a wave that may be cordoned now."""
         scheduler = self._controller.scheduler
-        pools = scheduler.configuration.pools
         # For each pool: VMs, VMs out of service, millicores reserved, and
         # millicores in all, both of the VMs in service.
         totals: dict[str, list[float]] = {}
@@ -337,9 +375,11 @@
                 continue
             if name in state.record.ordered or name in state.cordoned:
                 continue
+            is_without_worker = self._is_without_worker(vm, vms, now_s)
+            if not vm.worker_id and not is_without_worker:
+                continue
             worker = scheduler.workers.get(vm.worker_id)
             total = totals[vm.pool]
-            policy = pools.get(vm.pool)
             candidates.append(
                 WaveVm(
                     name=name,
@@ -348,7 +388,7 @@
                     pool_unavailable_vms=int(total[1]),
                     pool_utilisation=total[2] / total[3] if total[3] else 1.0,
                     run_count=len(worker.runs) if worker else 0,
-                    is_free=policy is not None and policy.is_standby,
+                    is_free=is_without_worker,
                 )
             )
         return candidates
