Apply orders and answers only to the record of a run that they name

A run that was dropped, and that a later report lists again, gets a new record with the same key. An answer to its start compared only the key: a refusal raised in drop_run(), since the earlier record was not among those of its task, and the event was lost; without the error it would have dropped the new record. A stop that waited in the queue stopped the adopted run although nobody had decided that, and a change of pace slowed it while its record said full speed.

Worker.has_run() compares the record itself, for the answers to starts, orders that are withheld, current starts, and drop_run(). A stop or a change of pace is withheld if the worker has another record of the run. A stop of a run that was only dropped is still sent, as it makes late starts harmless. The answer to a stop changes only the record that it belongs to and needs no check.

--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -147,7 +147,7 @@
                 if is_needed:
                     order = self._make_order(command)
             else:
-                is_needed = run.is_sent
+                is_needed = run.is_sent and self._applies_to(command)
         if not is_needed:
             self._withhold(run)
         return is_needed, order
@@ -159,6 +159,19 @@
             lambda now_s: controller.scheduler.on_start_withheld(run)
         )
 
+    def _applies_to(self, command: StopCommand | PaceChange) -> bool:
+        """Tell whether a worker's run is the one that a command was meant for.
+
+        It may have been dropped and adopted again. A stop of a run that was
+        only dropped is sent, as it makes late start orders harmless.
+        """
+        run = command.run
+        worker = self._controller.scheduler.workers.get(run.worker_id)
+        known = worker.runs.get(run.key) if worker else None
+        return known is run or (
+            known is None and isinstance(command, StopCommand)
+        )
+
     def _make_order(self, command: StartCommand) -> StartOrder:
         """Return the order for a start; a repetition has the same lease."""
         run, worker, task = command.run, command.worker, command.run.task
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -55,7 +55,7 @@
         run, worker, task = self.run, self.worker, self.run.task
         is_newest = run.number == task.last_run or task.step.spec.speculative
         if (
-            worker.runs.get(run.key) is not run
+            not worker.has_run(run)
             or run.phase is not RunPhase.ORDERED
             or task.is_done
             or task.step.occurrence.job.phase.is_final
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -92,7 +92,7 @@
             answer.ran is not Ran.NO
         )
         worker.record_order_outcome(is_unanswered)
-        if run.key not in worker.runs:
+        if not worker.has_run(run):
             return
         if not isinstance(answer, Failure):
             run.confirm(now_s)
@@ -141,7 +141,7 @@
         makes that harmless.
         """
         worker = self.workers.get(run.worker_id)
-        if worker is None or worker.runs.get(run.key) is not run:
+        if worker is None or not worker.has_run(run):
             return
         if not run.is_sent:
             worker.drop_run(run)
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -269,9 +269,17 @@
         self.reserved = self.reserved.plus(run.task.step.spec.reserved)
         run.task.runs.append(run)
 
+    def has_run(self, run: Run) -> bool:
+        """Return whether a run that was held since is still registered.
+
+        A run that was dropped and is listed again is another object.
+        """
+        return self.runs.get(run.key) is run
+
     def drop_run(self, run: Run) -> None:
         """Remove a run and free its resources."""
-        if self.runs.pop(run.key, None) is not None:
+        if self.has_run(run):
+            del self.runs[run.key]
             self.reserved = self.reserved.minus(run.task.step.spec.reserved)
             run.task.runs.remove(run)
 
