--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/vm_tracker.py
@@ -0,0 +1,56 @@
+"""Tells from successive lists of VMs which have no worker."""
+
+from typing import TYPE_CHECKING
+
+from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
+from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
+
+if TYPE_CHECKING:
+    from rosemarynotch._internal.scheduling.controller import Controller
+
+__all__ = ["VmTracker"]
+
+
+class VmTracker:
+    """Follows the VMs over successive lists.
+
+    :param start_s: time that a worker takes to start and to be listed
+    """
+
+    def __init__(self, controller: "Controller", start_s: float) -> None:
+        self._controller = controller
+        self._start_s = start_s
+        # VMs that are up without a worker, and since when.
+        self._unnamed_since_s: dict[str, float] = {}
+        self._named: set[str] = set()
+
+    def observe(self, vms: dict[str, FleetVm], now_s: float) -> None:
+        """Take note of a list of all VMs."""
+        self._named = {vm.worker_id for vm in vms.values()}
+        self._unnamed_since_s = {
+            name: self._unnamed_since_s.get(name, now_s)
+            for name, vm in vms.items()
+            if vm.phase is VmPhase.UP and not vm.worker_id
+        }
+
+    def is_without_worker(self, vm: FleetVm, now_s: float) -> bool:
+        """Return whether a VM has no worker for certain.
+
+        VMs of a standby pool are switched off. In other pools, a VM for which
+        no worker is named may have one. It has none if none is named for the
+        time that a worker takes to start, and no worker of its pool that is
+        named for no VM may have runs. The controller's lock is held.
+        """
+        scheduler = self._controller.scheduler
+        policy = scheduler.configuration.pools.get(vm.pool)
+        if vm.worker_id:
+            return False
+        if policy is not None and policy.is_standby:
+            return True
+        since_s = now_s - self._unnamed_since_s.get(vm.name, now_s)
+        return since_s > self._start_s and all(
+            worker.is_empty
+            for worker in scheduler.workers.values()
+            if worker.entry.pool == vm.pool
+            and worker.worker_id not in self._named
+        )
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -12,6 +12,7 @@
 from rosemarynotch._internal.scheduling.maintenance import SpreadOverPools
 from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.maintenance import WaveVm
+from rosemarynotch._internal.scheduling.vm_tracker import VmTracker
 from rosemarynotch._internal.scheduling.wave_records import RunningWave
 from rosemarynotch._internal.scheduling.wave_records import WaveStore
 
@@ -51,10 +52,9 @@
         self._maintenance_s = maintenance_s + MAINTENANCE_MARGIN_S
         self._policy = SpreadOverPools()
         self._store = WaveStore(controller)
+        self._tracker = VmTracker(controller, self._maintenance_s + LIST_LAG_S)
         self._waves: dict[int, RunningWave] = {}
         self._listed_at_s = -1e9
-        # VMs that are up without a worker, and since when.
-        self._unnamed_since_s: dict[str, float] = {}
 
     def pending_vms(self) -> set[str]:
         """Return VMs that are being emptied or maintained for a wave."""
@@ -77,11 +77,7 @@
         """
         if now_s - self._listed_at_s > LIST_INTERVAL_S:
             self._list(now_s)
-        self._unnamed_since_s = {
-            name: self._unnamed_since_s.get(name, now_s)
-            for name, vm in vms.items()
-            if vm.phase is VmPhase.UP and not vm.worker_id
-        }
+        self._tracker.observe(vms, now_s)
         for state in self._waves.values():
             if not state.is_completed:
                 self._advance(state, vms, moving, now_s)
@@ -243,7 +239,7 @@
                 is_empty = (
                     worker.is_empty
                     if worker
-                    else self._is_without_worker(vm, vms, now_s)
+                    else self._tracker.is_without_worker(vm, now_s)
                 )
             if is_empty:
                 empty.append(vm)
@@ -257,32 +253,6 @@
             is_first = vm.name not in ordered_before
             self._record_answer(state, vm, answer, is_first, now_s)
 
-    def _is_without_worker(
-        self, vm: FleetVm, vms: dict[str, FleetVm], now_s: float
-    ) -> bool:
-        """Return whether a VM has no worker for certain.
-
-        VMs of a standby pool are switched off. In other pools, a VM for which
-        no worker is named may have one. It has none if none is named for the
-        time that a worker takes to start, and no worker of its pool that is
-        named for no VM may have runs. The controller's lock is held.
-        """
-        scheduler = self._controller.scheduler
-        policy = scheduler.configuration.pools.get(vm.pool)
-        if vm.worker_id:
-            return False
-        if policy is not None and policy.is_standby:
-            return True
-        since_s = now_s - self._unnamed_since_s.get(vm.name, now_s)
-        if since_s <= self._maintenance_s + LIST_LAG_S:
-            return False
-        named = {each.worker_id for each in vms.values()}
-        return all(
-            worker.is_empty
-            for worker in scheduler.workers.values()
-            if worker.entry.pool == vm.pool and worker.worker_id not in named
-        )
-
     def _record_orders(
         self, state: RunningWave, vms: list[FleetVm]
     ) -> list[FleetVm]:
@@ -375,7 +345,7 @@
                 continue
             if name in state.record.ordered or name in state.cordoned:
                 continue
-            is_without_worker = self._is_without_worker(vm, vms, now_s)
+            is_without_worker = self._tracker.is_without_worker(vm, now_s)
             if not vm.worker_id and not is_without_worker:
                 continue
             worker = scheduler.workers.get(vm.worker_id)
