Do not count a VM as maintained because a list lacks it

A wave could be shown as completed without the maintenance of one of its VMs (rule MIXED), and an upkeep could begin while `max_down` VMs were down (rule LIMIT). A VM that was missing from one list of VMs counted as maintained. Rows that cannot be read are left out of the list, which says so, but the wave runner did not look at that. An empty list completed all waves at once.

A VM now counts as gone only if all lists lack it for 3 s and each row of them could be read. Until then it stays to be maintained, and counts as down if it was ordered. A wave with a VM that has left is completed 3 s later than before.

test_wave_is_not_completed and test_ordered_vm_counts_as_down fail on the code before, apart from the new parameter of step(): the wave is completed, and the second VM is ordered. test_vm_that_has_left passed before.

--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -206,7 +206,9 @@
         ):
             controller.worker_feed.list_now.set()
         if now_s >= self._holder_interval_end_s:
-            self._waves.step(vms, set(self._moves), now_s)
+            self._waves.step(
+                vms, self._is_list_complete, set(self._moves), now_s
+            )
             self._evacuation.step(now_s)
         with controller.lock:
             loads = self._pool_loads(vms)
--- a/src/rosemarynotch/_internal/scheduling/vm_tracker.py
+++ b/src/rosemarynotch/_internal/scheduling/vm_tracker.py
@@ -1,4 +1,4 @@
-"""Tells from successive lists of VMs which have no worker."""
+"""Tells from successive lists of VMs which have left or have no worker."""
 
 from typing import TYPE_CHECKING
 
@@ -10,6 +10,10 @@
 
 __all__ = ["VmTracker"]
 
+# A VM has left if all lists lack it for this time. A single list, which is
+# read page by page, may lack a VM that has not.
+GONE_AFTER_S = 3.0
+
 
 class VmTracker:
     """Follows the VMs over successive lists.
@@ -23,9 +27,24 @@
         # VMs that are up without a worker, and since when.
         self._unnamed_since_s: dict[str, float] = {}
         self._named: set[str] = set()
+        self._listed: set[str] = set()
+        self._is_complete = False
+        self._missing_since_s: dict[str, float] = {}
+
+    def observe(
+        self, vms: dict[str, FleetVm], is_complete: bool, now_s: float
+    ) -> None:
+        """Take note of a list of VMs.
 
-    def observe(self, vms: dict[str, FleetVm], now_s: float) -> None:
-        """Take note of a list of all VMs."""
+        :param is_complete: whether every row could be read; a row that could
+            not may be that of any VM
+        """
+        self._listed, self._is_complete = set(vms), is_complete
+        self._missing_since_s = {
+            name: since_s
+            for name, since_s in self._missing_since_s.items()
+            if is_complete and name not in vms
+        }
         self._named = {vm.worker_id for vm in vms.values()}
         self._unnamed_since_s = {
             name: self._unnamed_since_s.get(name, now_s)
@@ -33,6 +52,13 @@
             if vm.phase is VmPhase.UP and not vm.worker_id
         }
 
+    def is_gone(self, name: str, now_s: float) -> bool:
+        """Return whether a VM has left the fleet."""
+        if name in self._listed or not self._is_complete:
+            return False
+        since_s = now_s - self._missing_since_s.setdefault(name, now_s)
+        return since_s > GONE_AFTER_S
+
     def is_without_worker(self, vm: FleetVm, now_s: float) -> bool:
         """Return whether a VM has no worker for certain.
 
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -66,18 +66,23 @@
         return pending
 
     def step(
-        self, vms: dict[str, FleetVm], moving: set[str], now_s: float
+        self,
+        vms: dict[str, FleetVm],
+        is_list_complete: bool,
+        moving: set[str],
+        now_s: float,
     ) -> None:
         """Look for new waves and advance those that are not completed.
 
         The status of a completed wave is written until the store has it.
 
-        :param vms: all VMs by name
+        :param vms: the listed VMs by name
+        :param is_list_complete: whether the list has all VMs
         :param moving: names of VMs with a pending move
         """
         if now_s - self._listed_at_s > LIST_INTERVAL_S:
             self._list(now_s)
-        self._tracker.observe(vms, now_s)
+        self._tracker.observe(vms, is_list_complete, now_s)
         for state in self._waves.values():
             if not state.is_completed:
                 self._advance(state, vms, moving, now_s)
@@ -132,7 +137,8 @@
         remaining = [
             name
             for name in state.wave.vms
-            if name in vms and name not in state.record.back
+            if name not in state.record.back
+            and not self._tracker.is_gone(name, now_s)
         ]
         if not remaining:
             state.is_completed = True
@@ -168,13 +174,17 @@
     def _record_maintained(
         self, state: RunningWave, vms, now_s: float
     ) -> None:
-        """Add VMs whose maintenance is over to the record."""
+        """Add VMs that are maintained, or have left, to the record."""
         back = set(state.record.back)
         for name, worker_id in state.record.ordered.items():
             vm = vms.get(name)
             if name in back:
                 continue
-            if vm is None or self._is_maintained(state, vm, worker_id, now_s):
+            if vm is None:
+                is_over = self._tracker.is_gone(name, now_s)
+            else:
+                is_over = self._is_maintained(state, vm, worker_id, now_s)
+            if is_over:
                 back.add(name)
                 self._controller.log(
                     "vm maintained", wave=state.wave.number, vm=name
--- a/tests/unit/test_wave_records.py
+++ b/tests/unit/test_wave_records.py
@@ -51,6 +51,7 @@
     """A leader that maintains the VMs of one wave, one after the other.
 
     :ivar vms: VMs as the VM service lists them
+    :ivar is_list_complete: whether all rows of that list can be read
     :ivar answer: answer of the VM service to all orders
     :ivar ordered: names of the VMs that were ordered
     :ivar ended: workers that were recorded as ended
@@ -60,6 +61,7 @@
         super().setUp()
         self.store = WaveStore()
         self.vms = {}
+        self.is_list_complete = True
         self.answer = None
         self.ordered = []
         self.ended = []
@@ -115,7 +117,7 @@
 
     def step(self, after_s=0.0):
         self.now_s += after_s
-        self.runner.step(self.vms, set(), self.now_s)
+        self.runner.step(self.vms, self.is_list_complete, set(), self.now_s)
 
     def order_next(self):
         """Let the next VM be cordoned and ordered."""
@@ -290,3 +292,42 @@
         self.answer = PLATFORM_REFUSED
         self.order_next()
         self.assertEqual({}, self.record().ordered)
+
+
+class MissingVmTest(WaveCase):
+    """Guards against a VM that counts as maintained as a list lacks it.
+
+    Its wave was completed without it (rule MIXED), and another VM was ordered
+    while it was down (rule LIMIT).
+    """
+
+    def test_wave_is_not_completed(self):
+        """Guards against lists that are read in part, and single ones."""
+        row = self.vms.pop("b")
+        self.order_next()
+        self.maintain("a")
+        self.assertFalse(self.is_shown_as_completed())
+        self.vms["b"] = row
+        self.step()
+        del self.vms["b"]
+        self.is_list_complete = False
+        for _ in range(10):
+            self.step(1.0)
+        self.assertFalse(self.is_shown_as_completed())
+
+    def test_ordered_vm_counts_as_down(self):
+        self.order_next()
+        del self.vms["a"]
+        self.is_list_complete = False
+        for _ in range(10):
+            self.step(1.0)
+        self.assertEqual(["a"], self.ordered)
+
+    def test_vm_that_has_left(self):
+        """Guards against a wave that waits for a VM that has left."""
+        del self.vms["b"]
+        self.order_next()
+        self.maintain("a")
+        for _ in range(4):
+            self.step(1.0)
+        self.assertTrue(self.is_shown_as_completed())
