Count VMs that the list shows in maintenance as down

An upkeep could begin while `max_down` VMs of its wave were down (rule LIMIT). The record of a wave that cannot be decoded counted as empty, so the VMs that an earlier leader had ordered did not count as down.

The limit now also counts each VM of the wave that the list of VMs shows in maintenance, whatever the record says. Waves begin only after the holder interval of a new leader, so earlier orders have taken effect by then. VMs that were maintained before are ordered again, which ends nothing. A record that is refused is logged.

test_vm_in_maintenance fails on the code before: a second VM is ordered.

--- a/src/rosemarynotch/_internal/scheduling/wave_records.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_records.py
@@ -47,14 +47,6 @@
     is_written: bool = True
     revision: int = 0
 
-    @property
-    def down_count(self) -> int:
-        """Return the number of VMs that are down or may go down.
-
-        It includes VMs whose order had no answer and may take effect late.
-        """
-        return len(self.record.ordered) - len(self.record.back)
-
     def mark_begun(self, name: str, now_s: float) -> None:
         """Record that the maintenance of an ordered VM has begun."""
         self.begun_at_s[name] = now_s
@@ -90,6 +82,9 @@
             return (WaveRecord(), 0) if item.is_a(STORE_KEY_MISSING) else None
         record = decode(item.value, WaveRecord)
         if isinstance(record, Failure):
+            self._controller.log(
+                "wave record refused", wave=wave.number, why=record.reason
+            )
             record = WaveRecord()
         return record, item.revision
 
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -254,7 +254,9 @@
             if is_empty:
                 empty.append(vm)
         ordered_before = set(state.record.ordered)
-        chosen = self._record_orders(state, empty)
+        chosen = self._record_orders(
+            state, empty, self._down_count(state, vms)
+        )
         for vm in chosen:
             del state.cordoned[vm.name]
         # The calls are concurrent, since pools wait for VMs meanwhile.
@@ -263,17 +265,34 @@
             is_first = vm.name not in ordered_before
             self._record_answer(state, vm, answer, is_first, now_s)
 
+    @staticmethod
+    def _down_count(state: RunningWave, vms: dict[str, FleetVm]) -> int:
+        """Return the number of VMs that are down or may go down.
+
+        It includes VMs whose order had no answer and may take effect late,
+        and VMs that only the list shows in maintenance, as the record of an
+        earlier leader may be unreadable.
+        """
+        down = set(state.record.ordered) - set(state.record.back)
+        down.update(
+            name
+            for name in state.wave.vms
+            if name in vms and vms[name].phase is VmPhase.MAINTENANCE
+        )
+        return len(down)
+
     def _record_orders(
-        self, state: RunningWave, vms: list[FleetVm]
+        self, state: RunningWave, vms: list[FleetVm], down_count: int
     ) -> list[FleetVm]:
         """Record VMs as ordered, as far as the wave's limit allows.
 
+        :param down_count: number of VMs that are down or may go down
         :returns: the VMs that are recorded and may be ordered now
         """
         previous = state.record
         repeated = [vm for vm in vms if vm.name in previous.ordered]
         new = [vm for vm in vms if vm.name not in previous.ordered]
-        new = new[: max(0, state.wave.max_down - state.down_count)]
+        new = new[: max(0, state.wave.max_down - down_count)]
         if not new:
             return repeated
         added = {vm.name: vm.worker_id for vm in new}
@@ -319,7 +338,8 @@
         self, state: RunningWave, vms, moving: set[str], now_s: float
     ) -> None:
         """Cordon the VMs that the policy chooses next."""
-        limit = state.wave.max_down - state.down_count - len(state.cordoned)
+        down_count = self._down_count(state, vms)
+        limit = state.wave.max_down - down_count - len(state.cordoned)
         if limit <= 0:
             return
         controller = self._controller
--- a/tests/unit/test_wave_records.py
+++ b/tests/unit/test_wave_records.py
@@ -16,6 +16,7 @@
 from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.maintenance import WaveRecord
 from rosemarynotch._internal.scheduling.model import PoolPolicy
+from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import Listing
 from rosemarynotch._internal.scheduling.wave_runner import WaveRunner
 from tests.lib.scheduling import CAPACITY
@@ -331,3 +332,24 @@
         for _ in range(4):
             self.step(1.0)
         self.assertTrue(self.is_shown_as_completed())
+
+
+class UnreadableRecordTest(WaveCase):
+    """Guards against a record that cannot be decoded and counts as empty.
+
+    A second VM was ordered while the first one was down (rule LIMIT).
+    """
+
+    def test_vm_in_maintenance(self):
+        self.wave = attrs.evolve(self.wave, vms=tuple("abcdef"))
+        self.lead()
+        self.store.items[RECORD_KEY] = Item(
+            key=RECORD_KEY, revision=1, value=b"?"
+        )
+        self.show("a", phase=VmPhase.MAINTENANCE)
+        for _ in range(3):
+            self.step(1.0)
+        self.assertEqual([], self.ordered)
+        self.show("a", worker_id="a-2")
+        self.order_next()
+        self.assertEqual(1, len(self.ordered))
