Count the time of a maintenance from the answer to its order

An upkeep could begin while `max_down` VMs of its wave were down (rule LIMIT). A VM of a standby pool is back when the time of a maintenance has passed since its order. That time was counted from the beginning of the step, before the record of the wave and that of VM orders were written and the order was called. With a slow store or VM service, these took longer than the margin of 0.5 s, and the VM counted as back while it was maintained.

--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -261,9 +261,11 @@
             del state.cordoned[vm.name]
         # The calls are concurrent, since pools wait for VMs meanwhile.
         answers = self._order("maintain", chosen, state.wave.number)
+        # Records and calls take time, so the step began long before.
+        answered_s = controller.clock.monotonic_s()
         for vm, answer in zip(chosen, answers):
             is_first = vm.name not in ordered_before
-            self._record_answer(state, vm, answer, is_first, now_s)
+            self._record_answer(state, vm, answer, is_first, answered_s)
 
     @staticmethod
     def _down_count(state: RunningWave, vms: dict[str, FleetVm]) -> int:
--- a/tests/unit/test_wave_records.py
+++ b/tests/unit/test_wave_records.py
@@ -54,6 +54,7 @@
     :ivar vms: VMs as the VM service lists them
     :ivar is_list_complete: whether all rows of that list can be read
     :ivar answer: answer of the VM service to all orders
+    :ivar order_s: time that the calls of an order take
     :ivar ordered: names of the VMs that were ordered
     :ivar ended: workers that were recorded as ended
     """
@@ -64,6 +65,7 @@
         self.vms = {}
         self.is_list_complete = True
         self.answer = None
+        self.order_s = 0.0
         self.ordered = []
         self.ended = []
         self.now_s = 1000.0
@@ -100,6 +102,7 @@
 
     def order(self, operation, vms, wave):
         self.ordered += [vm.name for vm in vms]
+        self.now_s += self.order_s if vms else 0.0
         return [self.answer] * len(vms)
 
     def show(self, name, phase=VmPhase.UP, worker_id="", pool="p"):
@@ -353,3 +356,21 @@
         self.show("a", worker_id="a-2")
         self.order_next()
         self.assertEqual(1, len(self.ordered))
+
+
+class SlowOrderTest(WaveCase):
+    """Guards against a VM that counts as back while it is maintained.
+
+    The time of its maintenance was counted from before its order (rule LIMIT).
+    """
+
+    def test_vm_that_is_off(self):
+        pools = self.leader.scheduler.configuration.pools
+        pools["p"] = PoolPolicy(name="p", is_standby=True)
+        self.show("a")
+        self.order_s = 2.0
+        self.order_next()
+        self.step(MAINTENANCE_S - 0.5)
+        self.assertEqual((), self.record().back)
+        self.step(1.5)
+        self.assertEqual(("a",), self.record().back)
