Release a worker whose VM is no longer chosen for a wave

A worker could get no work although its VM stayed. A VM that one list lacked, or named without its worker, was taken out of those that are being emptied for a wave, but its worker stayed cordoned until the VM was chosen again.

The worker is now released, unless an order for its VM is recorded: that one may have been carried out.

test_cordoned_vm fails on the code before: the worker stays cordoned.

--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -243,6 +243,8 @@
             vm = vms.get(name)
             if vm is None or vm.worker_id != worker_id:
                 del state.cordoned[name]
+                if name not in state.record.ordered:
+                    self._uncordon(worker_id)
                 continue
             with controller.lock:
                 worker = controller.scheduler.workers.get(worker_id)
--- a/tests/unit/test_wave_records.py
+++ b/tests/unit/test_wave_records.py
@@ -327,6 +327,15 @@
             self.step(1.0)
         self.assertEqual(["a"], self.ordered)
 
+    def test_cordoned_vm(self):
+        """Guards against a worker without work whose VM is not chosen."""
+        self.step()
+        worker = self.leader.scheduler.workers["a-1"]
+        self.assertTrue(worker.is_cordoned)
+        del self.vms["a"]
+        self.step()
+        self.assertFalse(worker.is_cordoned)
+
     def test_vm_that_has_left(self):
         """Guards against a wave that waits for a VM that has left."""
         del self.vms["b"]
