Stop no long task again and again as stuck

A task whose percentage did not grow for 2.2 s was stopped as stuck and started anew.

A run is not stuck before it could have gained 4 percent by its estimate. Estimates are rough, so after two stuck runs of a task the limit also doubles with each further one, and any task ends at some time.

Both new tests fail before.

--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -99,6 +99,7 @@
     :ivar runs: runs that may exist; more than one only while an earlier one
         is being stopped, or if the step allows speculative copies
     :ivar failed_workers: workers on which a run failed or got stuck
+    :ivar stuck_count: number of its runs that were stopped as stuck
     :ivar failed_runs: numbers of the runs that failed; empty for a
         long-running task, which may fail any number of times
     """
@@ -110,6 +111,7 @@
     last_run: int = 0
     runs: list[Run] = attrs.field(factory=list)
     failed_workers: set[str] = attrs.field(factory=set)
+    stuck_count: int = 0
     failed_runs: set[int] = attrs.field(factory=set)
 
     @property
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -34,6 +34,11 @@
 STUCK_AFTER_S = 2.2
 # The same limit for long-running tasks, which need a short time to start.
 STUCK_LONG_RUNNING_S = 6.0
+# A run is not stuck before it could have gained this many percent.
+STUCK_PERCENTS = 4
+# After this many stuck runs of a task, the limit doubles with each further
+# one. Workers on which tasks stand still are seldom met twice in a row.
+QUICK_STOPS = 2
 
 
 @attrs.frozen
@@ -137,6 +142,7 @@
             )
             worker.record_run_outcome(now_s, is_fault=True)
             run.task.failed_workers.add(worker.worker_id)
+            run.task.stuck_count += 1
             return self._stop(run, worker, now_s)
         return None
 
@@ -146,11 +152,16 @@
 
         Only reports that list it count: a run that has ended makes no
         progress either, and its end may be missing in a report that is cut.
+        A long task needs more time for each percent, and its estimate may be
+        far too low, so the limit grows if runs of it get stuck everywhere.
         """
         if run.pace_percent < 100 or run.percent >= 100:
             return False
         is_long_running = run.task.step.spec.long_running
         limit_s = STUCK_LONG_RUNNING_S if is_long_running else STUCK_AFTER_S
+        percent_s = run.task.step.spec.estimated_ms / 1000 / 100
+        limit_s = max(limit_s, STUCK_PERCENTS * percent_s)
+        limit_s *= 2 ** max(0, run.task.stuck_count - QUICK_STOPS)
         return run.listed_at_s - run.progressed_at_s > limit_s
 
     @staticmethod
--- a/tests/unit/test_runs.py
+++ b/tests/unit/test_runs.py
@@ -35,6 +35,36 @@
             [], self.leader.planner.reconcile_runs(self.leader.now_s)
         )
 
+    def stop_if_stuck(self, run, silent_s):
+        """Report a run without progress for a time; tell if it is stopped."""
+        self.leader.report_runs(run.worker_id, percent=0)
+        self.leader.now_s += silent_s
+        self.leader.report_runs(run.worker_id, percent=0)
+        commands = self.leader.planner.reconcile_runs(self.leader.now_s)
+        self.leader.end(run, EndKind.STOPPED)
+        return bool(commands)
+
+    def test_long_task_is_not_stuck(self):
+        """Guards against a long task that is stopped again and again.
+
+        Its percentage is a whole number, and grew by less than one in 2.2 s.
+        """
+        self.leader.submit("j1", job_spec(step(estimated_ms=300_000)))
+        (run,) = self.leader.place()
+        self.assertFalse(self.stop_if_stuck(run, 3.0))
+
+    def test_task_that_is_longer_than_estimated(self):
+        """Guards against a task that never ends as its estimate is too low."""
+        self.leader.submit("j1")
+        stops = 0
+        for _ in range(8):
+            (run,) = self.leader.place()
+            stops += self.stop_if_stuck(run, 10.0)
+            self.leader.now_s += 10.0
+            self.leader.report_runs("w1")
+            self.leader.report_runs("w2")
+        self.assertEqual(5, stops)
+
     def test_gang_resumes_from_one_checkpoint(self):
         """Guards against members that resume from different checkpoints.
 
