Reset the connection of a request that got no response

After a time-out, the connection was closed in the ordinary way, and the system went on to send what a cut had held up. A reset drops what was not sent yet.

--- a/src/rosemarynotch/_internal/utils/http.py
+++ b/src/rosemarynotch/_internal/utils/http.py
@@ -5,6 +5,7 @@
 import http.client
 import select
 import socket
+import struct
 import threading
 from urllib.parse import quote
 from urllib.parse import urlencode
@@ -25,6 +26,8 @@
 # is unlikely.
 MAX_IDLE_S = 5.0
 MAX_IDLE_UNREPEATABLE_S = 0.5
+# Option of a socket that is closed with a reset: on, after 0 s.
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 @attrs.frozen
@@ -182,7 +185,7 @@
             connection.sock.settimeout(timeout_s)
             reply = _exchange(connection, message)
         except (OSError, http.client.HTTPException, ValueError) as error:
-            connection.close()
+            _reset(connection)
             return CallFailed(Ran.UNKNOWN, self._reason(message, error))
         finally:
             with self._lock:
@@ -265,6 +268,21 @@
     return Reply(response.status, response.headers, response.read())
 
 
+def _reset(connection: http.client.HTTPConnection) -> None:
+    """Close a connection and drop what the network still holds back.
+
+    After an ordinary close, the system goes on to send a request that a cut
+    has held up. It would arrive after its caller has given it up.
+    """
+    if connection.sock is not None:
+        # The socket may have failed already.
+        with contextlib.suppress(OSError):
+            connection.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+            )
+    connection.close()
+
+
 def _is_reusable(sock: socket.socket) -> bool:
     """Return whether the connection is open and has no unread data."""
     poll = select.poll()
