Check the first form of rule TWICE in the soak

The soak let a task start again after a run of it had ended as done, as long as the leader acknowledged that end later or within a second.

The new unit test fails without the check.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -115,6 +115,7 @@
             for first, second in self._emulator.ledger.overlaps()
         ]
         for task, runs in by_task.items():
+            found += self._check_repeated(task, runs)
             done_at_s = min(
                 (
                     e.acknowledged_at_s
@@ -139,6 +140,25 @@
                 found.append(f"{task}: {len(failures)} failed runs")
         return found
 
+    @staticmethod
+    def _check_repeated(task: str, runs: list[RunEntry]) -> list[str]:
+        """Check that no run starts after one that was done.
+
+        The end counts if it was acknowledged at any time, unless the lease of
+        its worker was over in between.
+        """
+        done = [
+            e
+            for e in runs
+            if e.how == "done" and e.acknowledged_at_s and not e.has_lapsed
+        ]
+        return [
+            f"{task}: run {second.run} started after run {first.run} was done"
+            for first in done
+            for second in runs
+            if second.started_at_s > first.ended_at_s
+        ]
+
     def _check_cancelled(self, entries: Iterable[RunEntry]) -> list[str]:
         found = []
         for entry in entries:
--- a/standins/fleet/ledger.py
+++ b/standins/fleet/ledger.py
@@ -16,6 +16,8 @@
     :ivar ended_at_s: time of its end, None while it runs
     :ivar how: kind of its end, such as "done" or "killed"
     :ivar acknowledged_at_s: when its end was acknowledged, None before
+    :ivar has_lapsed: whether the lease of its worker was over at some time
+        between its end and the acknowledgement
     """
 
     task: str
@@ -26,6 +28,7 @@
     ended_at_s: float | None = None
     how: str = ""
     acknowledged_at_s: float | None = None
+    has_lapsed: bool = False
 
 
 class Ledger:
@@ -49,11 +52,15 @@
                 entry.ended_at_s = time.monotonic()
                 entry.how = how
 
-    def acknowledge(self, entry: RunEntry) -> None:
-        """Record the first acknowledgement of the end of a run."""
+    def acknowledge(self, entry: RunEntry, has_lapsed: bool = False) -> None:
+        """Record the first acknowledgement of the end of a run.
+
+        :param has_lapsed: whether the worker's lease was over since the end
+        """
         with self._lock:
             if entry.acknowledged_at_s is None:
                 entry.acknowledged_at_s = time.monotonic()
+                entry.has_lapsed = has_lapsed
 
     def snapshot(self) -> list[RunEntry]:
         """Return copies of all entries."""
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -84,6 +84,21 @@
         self.finish(self.start(run=2))
         self.assertEqual([], self.checker.violations())
 
+    def test_start_before_the_end_is_acknowledged(self):
+        """Guards against missing a run after an end that counts later.
+
+        It does not count if the lease of the worker was over in between.
+        """
+        for has_lapsed in (True, False):
+            first = self.start()
+            self.finish(first, acknowledged=False)
+            self.finish(self.start(run=2), how="stopped")
+            self.ledger.acknowledge(first, has_lapsed)
+            if has_lapsed:
+                self.assertEqual([], self.checker.violations())
+                self.ledger.entries.clear()
+        self.assert_violation("started after run 1 was done")
+
     def test_unknown_and_changed_work(self):
         """Guards against missing tasks that nobody submitted.
 
