--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -205,11 +205,7 @@
             self._log(
                 "pools with unknown runs", pools=" ".join(sorted(uncertain))
             )
-        blocked = {
-            job.job_id: job
-            for job in self._scheduler.active.values()
-            if self._scheduler.may_have_unknown_runs(job, uncertain, led_at_s)
-        }
+        blocked = self._scheduler.jobs_with_unknown_runs(uncertain, led_at_s)
         self._caps.reserve_unknown(blocked.values(), led_at_s)
         commands: list[StartCommand] = []
         for pool, jobs in pools.items():
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -216,17 +216,22 @@
             and now_s < self._lease_expiry_s(worker)
         ]
 
-    def may_have_unknown_runs(
-        self, job: Job, uncertain_pools: set[str], now_s: float
-    ) -> bool:
-        """Return whether earlier leaders may have started runs of a job.
+    def jobs_with_unknown_runs(
+        self, uncertain_pools: set[str], now_s: float
+    ) -> dict[str, Job]:
+        """Return active jobs that earlier leaders may have started, by id.
 
         :param uncertain_pools: pools with unreported runs of earlier leaders
         """
-        return job.is_inherited and (
-            now_s < self.unknown_until_s
-            or not uncertain_pools.isdisjoint(job.pools)
-        )
+        are_all = now_s < self.unknown_until_s
+        if not (are_all or uncertain_pools):
+            return {}
+        return {
+            job.job_id: job
+            for job in self.active.values()
+            if job.is_inherited
+            and (are_all or not uncertain_pools.isdisjoint(job.pools))
+        }
 
     def _drop_lost_run(self, worker, run: Run, now_s: float, why: str) -> None:
         worker.drop_run(run)
