Keep what the seeds of soak regressions stand for

Two more faults in the list changed which faults all seeds play, also those of earlier failures. The regressions play the former list.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -24,6 +24,8 @@
 # Long-running jobs that a caller does not cancel; more would fill the pool.
 MAX_LONG_RUNNING = 2
 FAILING_SHARE = 0.05
+# Longer than it takes another node to lead.
+LONG_WORK_S = 3.0
 # In millicores. A worker of the emulator has 8000.
 CPU_CHOICES = (500, 1000, 3000)
 # A node that did not accept the job itself may learn of it this much later.
@@ -34,12 +36,20 @@
     """Sends calls from its own thread over a persistent connection.
 
     :param seed: seed of the random choices, such as which jobs to submit
+    :param long_share: share of the jobs with tasks of LONG_WORK_S
     """
 
-    def __init__(self, nodes: Nodes, history: History, seed: int) -> None:
+    def __init__(
+        self,
+        nodes: Nodes,
+        history: History,
+        seed: int,
+        long_share: float = 0.0,
+    ) -> None:
         self._nodes = nodes
         self._history = history
         self._random = random.Random(seed)
+        self._long_share = long_share
         self._stop = threading.Event()
         self._node = self._random.choice(list(nodes.addresses))
         self._connection: http.client.HTTPConnection | None = None
@@ -76,6 +86,8 @@
         draw = self._random.random()
         is_long_running = draw < LONG_RUNNING_SHARE
         work_s = self._random.choice((0.05, 0.2, 0.6))
+        if self._long_share and self._random.random() < self._long_share:
+            work_s = LONG_WORK_S
         spec = "lasting" if is_long_running else f"work={work_s}"
         if draw > 1 - FAILING_SHARE:
             spec += " failing"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,8 +23,6 @@
 CLOCK_STEPS_S = (-2.0, 2.0)
 # Share of the crashed workers that start again under their identifier.
 KEPT_ID_SHARE = 0.5
-# Range of the time that a retired worker serves on.
-DRAIN_S = (1.0, 8.0)
 
 
 class Target:
@@ -77,16 +75,15 @@
         with self._lock:
             self._claimed.discard(number)
 
-    def put_configuration(self, **changes) -> int:
+    def put_configuration(self, step: int = 1, **changes) -> int:
         """Write a configuration; return its version, higher than the last.
 
+        :param step: difference to the last version
         :param changes: fields that this and all later versions override
         """
         with self._lock:
             self.config_changes |= changes
-            # Uneven steps, but not random ones: the end of a fault runs in
-            # its own thread, and must not change what the seed stands for.
-            self._version += 1 + self._version % 3
+            self._version += step
             document = configuration(self._version, **self.config_changes)
             self.emulator.put_configuration(document)
             return self._version
@@ -294,7 +291,8 @@
 
     def begin(self):
         """Write a new version and send SIGHUP to a random node."""
-        version = self.target.put_configuration()
+        step = self.target.random.randint(1, 3)
+        version = self.target.put_configuration(step)
         number = self.target.claim_node()
         if number is not None:
             self.target.nodes.signal(number, signal.SIGHUP)
@@ -305,48 +303,6 @@
         """Do nothing: the new version stays in force."""
 
 
-class QueueRouted(Fault):
-    """Routes the callers' queue to another pool and back."""
-
-    def begin(self):
-        """Write a configuration with the new route."""
-        return (
-            f"queue routed to pool two by configuration {self._route('two')}"
-        )
-
-    def end(self):
-        """Write a configuration with the former route."""
-        self._route("one")
-
-    def _route(self, pool: str) -> int:
-        routes = configuration()["routes"]
-        routes[0]["backend"] = pool
-        return self.target.put_configuration(routes=routes)
-
-
-class VmRetired(Fault):
-    """Retires a VM: its row is gone at once, and its worker drains."""
-
-    def begin(self):
-        """Drain a random worker; another VM takes the place of its VM."""
-        emulator = self.target.emulator
-        vms = [
-            vm
-            for vm in emulator.vms.values()
-            if vm.worker and not vm.is_draining
-        ]
-        if not vms:
-            return "no worker is running"
-        vm = self.target.random.choice(vms)
-        lasts_s = self.target.random.uniform(*DRAIN_S)
-        emulator.drain(vm, lasts_s, keeps_row=False)
-        emulator.add_vm(vm.pool)
-        return f"{vm.name} retired, its worker exits in {lasts_s:.1f} s"
-
-    def end(self):
-        """Do nothing: the worker exits by itself."""
-
-
 class MaintenanceWave(Fault):
     """Requests maintenance of a third of the VMs."""
 
@@ -391,8 +347,6 @@
     WorkersDegraded,
     WorkerCrashed,
     ConfigurationChange,
-    QueueRouted,
-    VmRetired,
     MaintenanceWave,
     ClockStep,
 )
--- /dev/null
+++ b/soak/fleet_faults.py
@@ -0,0 +1,56 @@
+"""Faults that change which pool or VM tasks are looked for in."""
+
+from soak.faults import Fault
+from soak.faults import FAULTS
+from tests.lib.nodes import configuration
+
+__all__ = ["ALL_FAULTS", "QueueRouted", "VmRetired"]
+
+# Range of the time that a retired worker serves on.
+DRAIN_S = (1.0, 8.0)
+
+
+class QueueRouted(Fault):
+    """Routes the callers' queue to another pool and back."""
+
+    def begin(self):
+        """Write a configuration with the new route."""
+        return (
+            f"queue routed to pool two by configuration {self._route('two')}"
+        )
+
+    def end(self):
+        """Write a configuration with the former route."""
+        self._route("one")
+
+    def _route(self, pool: str) -> int:
+        routes = configuration()["routes"]
+        routes[0]["backend"] = pool
+        return self.target.put_configuration(routes=routes)
+
+
+class VmRetired(Fault):
+    """Retires a VM: its row is gone at once, and its worker drains."""
+
+    def begin(self):
+        """Drain a random worker; another VM takes the place of its VM."""
+        emulator = self.target.emulator
+        vms = [
+            vm
+            for vm in emulator.vms.values()
+            if vm.worker and not vm.is_draining
+        ]
+        if not vms:
+            return "no worker is running"
+        vm = self.target.random.choice(vms)
+        lasts_s = self.target.random.uniform(*DRAIN_S)
+        emulator.drain(vm, lasts_s, keeps_row=False)
+        emulator.add_vm(vm.pool)
+        return f"{vm.name} retired, its worker exits in {lasts_s:.1f} s"
+
+    def end(self):
+        """Do nothing: the worker exits by itself."""
+
+
+# The seeds of regressions stand for the sequence of FAULTS alone.
+ALL_FAULTS: tuple[type[Fault], ...] = (*FAULTS, QueueRouted, VmRetired)
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -11,8 +11,9 @@
 
 from soak.callers import Caller
 from soak.checks import Checker
-from soak.faults import FAULTS
+from soak.faults import Fault
 from soak.faults import Target
+from soak.fleet_faults import ALL_FAULTS
 from soak.history import History
 from soak.proxy import Proxy
 from standins.fleet import Emulator
@@ -42,6 +43,9 @@
 
     :ivar fault_interval_s: mean time between the starts of two faults
     :ivar fault_s: maximum duration of a fault; faults may overlap
+    :ivar faults: faults to choose from
+    :ivar long_share: share of the jobs whose tasks outlast the change of a
+        leader
     """
 
     seed: int
@@ -50,6 +54,8 @@
     caller_count: int = 6
     fault_interval_s: float = 1.2
     fault_s: float = 5.0
+    faults: tuple[type[Fault], ...] = ALL_FAULTS
+    long_share: float = 0.08
 
 
 @attrs.frozen(kw_only=True)
@@ -162,7 +168,12 @@
         )
         self._started_at_s = time.monotonic()
         callers = [
-            Caller(self._nodes, self.history, self._random.getrandbits(32))
+            Caller(
+                self._nodes,
+                self.history,
+                self._random.getrandbits(32),
+                self._settings.long_share,
+            )
             for _ in range(self._settings.caller_count)
         ]
         self._inject_faults()
@@ -176,7 +187,7 @@
         timers: list[threading.Thread] = []
         checked_at_s = self._started_at_s
         while time.monotonic() - self._started_at_s < settings.duration_s:
-            fault = self._random.choice(FAULTS)(self._target)
+            fault = self._random.choice(settings.faults)(self._target)
             fault_duration_s = self._random.uniform(0.1, settings.fault_s)
             self._record(f"{fault.begin()}, for {fault_duration_s:.1f} s")
             # Ending a fault may wait for a process, so each end has its own
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -2,21 +2,29 @@
 
 import pytest
 
+from soak.faults import FAULTS
 from soak.regressions import REGRESSIONS
 from soak.runner import run_soak
 from soak.runner import SoakSettings
 
 DURATION_S = 8.0
 SEEDS = (101, 102)
-RUNS = [(seed, DURATION_S) for seed in SEEDS] + [
-    (each.seed, each.duration_s) for each in REGRESSIONS
+RUNS = [SoakSettings(seed=seed, duration_s=DURATION_S) for seed in SEEDS] + [
+    SoakSettings(
+        seed=each.seed,
+        duration_s=each.duration_s,
+        faults=FAULTS,
+        long_share=0.0,
+    )
+    for each in REGRESSIONS
 ]
 
 
-@pytest.mark.parametrize(("seed", "duration_s"), RUNS)
-def test_promises_hold_under_faults(seed, duration_s, tmp_path):
+@pytest.mark.parametrize(
+    "settings", RUNS, ids=lambda run: f"{run.seed}-{run.duration_s}"
+)
+def test_promises_hold_under_faults(settings, tmp_path):
     """Guards against violated guarantees and accepted jobs that never end."""
-    settings = SoakSettings(seed=seed, duration_s=duration_s)
     result = run_soak(settings, tmp_path)
     assert result.violations == (), "\n".join(result.timeline)
     assert result.run_count > 0
