Leave tasks out of the soak's check that their cap has no room for

The rule counts a waiting task only while its team has under half of its cap in use. The check now leaves out just the tasks that do not fit beside the long-running ones, and long tasks are small.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -86,7 +86,10 @@
         draw = self._random.random()
         is_long_running = draw < LONG_RUNNING_SHARE
         work_s = self._random.choice((0.05, 0.2, 0.6))
-        if self._long_share and self._random.random() < self._long_share:
+        is_long = (
+            self._long_share > 0 and self._random.random() < self._long_share
+        )
+        if is_long:
             work_s = LONG_WORK_S
         spec = "lasting" if is_long_running else f"work={work_s}"
         if draw > 1 - FAILING_SHARE:
@@ -97,9 +100,10 @@
             spec=f"{spec} {job_id}",
             team=self._random.choice(sorted(KEYS)),
             task_count=self._random.randint(1, 2 if is_long_running else 4),
+            # Large ones would fill the cap of a team for the rest of the run.
             cpu_millicores=(
                 CPU_CHOICES[0]
-                if is_long_running
+                if is_long_running or is_long
                 else self._random.choice(CPU_CHOICES)
             ),
             is_long_running=is_long_running,
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -3,6 +3,7 @@
 import time
 import types
 
+import attrs
 import testtools
 
 from rosemarynotch._internal.utils.clock import SystemClock
@@ -144,6 +145,22 @@
         """Guards against missing an accepted job that never runs."""
         self.assert_violation("not served")
 
+    def test_cap_that_long_running_tasks_fill(self):
+        """Guards against a violation for a task that its cap leaves no room.
+
+        Seed 1001 had 28 long-running tasks under a cap of 14 processors. A
+        task that fits beside them has to run all the same.
+        """
+        lasting = attrs.evolve(
+            self.job, job_id="f" * 16, is_long_running=True, task_count=2
+        )
+        self.history.add(lasting)
+        for number in range(2):
+            self.start(task=f"{lasting.job_id}.0.0.{number}")
+        self.assertEqual([], self.checker.unfinished())
+        self.ledger.end(self.ledger.entries[0], "stopped")
+        self.assert_violation(f"{TASK}: not served")
+
     def test_full_worker_and_cap(self):
         """Guards against missing overloaded workers and exceeded caps."""
         for number in range(WORKER_MILLICORES // 1000 + 1):
