Apply the rule on waiting tasks by its words in the soak

The soak counted all that were not served 14 s after the callers had stopped. The other team has no cap, so all of its tasks still count.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -69,14 +69,14 @@
 
         The tasks of a job must be done, those of a long-running job running
         and those of a cancelled job stopped. Jobs with a task that used up
-        its attempts are left out, and tasks that do not fit under the cap of
-        their team beside its long-running tasks.
+        its attempts are left out, and those of a team with half of its cap in
+        use: the platform then asks for no further starts.
         """
         entries = self._emulator.ledger.snapshot()
         exhausted = self._exhausted_jobs(entries)
         done = {e.task for e in entries if e.how == "done"}
         running = {e.task for e in entries if e.ended_at_s is None}
-        left_millicores = self._left_under_caps(entries)
+        busy_teams = self._teams_near_caps(entries)
         found = []
         for job in self._history.jobs():
             if job.accepted_at_s is None or job.job_id in exhausted:
@@ -92,26 +92,23 @@
                 ]
                 continue
             expected = running if job.is_long_running else done
-            if job.cpu_millicores > left_millicores.get(
-                job.team, job.cpu_millicores
-            ):
+            if job.team in busy_teams:
                 continue
             found += [f"{task}: not served" for task in tasks - expected]
         return found
 
-    def _left_under_caps(self, entries: list[RunEntry]) -> dict[str, int]:
-        """Return what long-running tasks leave of each cap, in millicores."""
-        left = dict(self._caps)
+    def _teams_near_caps(self, entries: list[RunEntry]) -> set[str]:
+        """Return the teams that have half of their cap in use."""
+        used: dict[str, int] = {}
         for entry in entries:
             job = self._job_of(entry)
-            if (
-                entry.ended_at_s is None
-                and job is not None
-                and job.is_long_running
-                and job.team in left
-            ):
-                left[job.team] -= job.cpu_millicores
-        return left
+            if entry.ended_at_s is None and job is not None:
+                used[job.team] = used.get(job.team, 0) + job.cpu_millicores
+        return {
+            team
+            for team, cap in self._caps.items()
+            if used.get(team, 0) >= cap / 2
+        }
 
     def _job_of(self, entry: RunEntry) -> JobHistory | None:
         return self._history.find(entry.task.partition(".")[0])
