Describe replaced workers and adopted runs as the code treats them

The comments of Worker.is_replaced and mark_replaced() said that another incarnation has taken the place of the worker. The flag only keeps orders away; the runs stay until the lease has ended. A worker keeps its identifier over a restart, and an adopted run may also be one that this leader has dropped. No behaviour changes.

--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -167,8 +167,8 @@
 
         It begins when this leader first finds that a job has ended. The time
         in the record is of a wall clock, which may be set. A job stays as long
-        as its final state is not persisted, or if a watch may still report
-        that it was created, see :meth:`was_passed`.
+        as its final state is not persisted, or a watch may still report that
+        it was created, see :meth:`was_passed`.
         """
         expired = []
         for job in self.jobs.values():
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -221,8 +221,8 @@
         ended, None if it has not
     :ivar is_inherited: whether the job existed when this leader's term began,
         so that an earlier leader may have started it
-    :ivar pools: change since which each pool that may have runs of the job is
-        recorded; 0 if it was recorded before
+    :ivar pools: pools that may have runs of the job, each with the number of
+        the change that records it, 0 if the store had it before
     :ivar lost_runs: number of runs that ended without an end being reported
     """
 
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -192,7 +192,9 @@
     def _adopt(
         self, worker: Worker, status: RunStatus, now_s: float
     ) -> Run | None:
-        """Register a run that an earlier leader started.
+        """Register a run that a report lists, but this leader does not hold.
+
+        An earlier leader has started it, or this one has dropped it.
 
         :returns: the run, None if its task is unknown
         """
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -1,4 +1,4 @@
-"""Registry of the workers: who is listed, who may have runs, who is gone."""
+"""Registry of workers: which are listed, may have runs or have ended."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -127,9 +127,10 @@
     def expire_workers(self, now_s: float) -> list[str]:
         """Drop the runs of workers whose leases have expired.
 
-        Workers that are no longer listed are removed then. One that was
-        replaced is removed at once if it is known to have no runs: what shows
-        the replacement may be older than the worker's present address or VM.
+        Workers that are replaced or no longer listed are removed then. One
+        that is replaced is removed at once if it is known to have no runs.
+        One with runs waits for the end of its lease, as what showed the
+        replacement may be older than its present address or VM.
 
         :returns: identifiers of the removed workers
         """
@@ -186,7 +187,7 @@
         valid and that have not sent a report in this term, or none that was
         not cut. A worker is added to the roster before its first run, so
         workers that are not in the roster read by this leader have no runs of
-        earlier leaders.
+        earlier leaders, unless the roster does not name all of them.
         """
         return {
             pool
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -104,7 +104,9 @@
     :ivar is_enrolled: whether the roster in the store contains it with its
         present pool and address, so that a later leader requests its runs
     :ivar is_cordoned: whether it is being emptied and gets no new runs
-    :ivar is_replaced: whether another incarnation has taken its place
+    :ivar is_replaced: whether another worker has answered at its address, or
+        its VM was moved or maintained; it gets no orders then, and its runs
+        are kept until its lease has ended
     :ivar replaced_why: what showed that it was replaced, for the log
     :ivar is_inherited: whether an earlier leader may have started runs on it
     :ivar pools: pools that it was listed in; an earlier leader may have
@@ -164,7 +166,7 @@
 
     @property
     def worker_id(self) -> str:
-        """Return the identifier of this incarnation."""
+        """Return the identifier, which it keeps when it restarts."""
         return self.entry.worker_id
 
     @property
@@ -228,9 +230,9 @@
         )
 
     def mark_replaced(self, why: str) -> None:
-        """Record that another incarnation has taken its place.
+        """Record that another worker seems to have taken its place.
 
-        :param why: what showed it
+        :param why: what showed it first
         """
         if not self.is_replaced:
             self.is_replaced, self.replaced_why = True, why
@@ -272,7 +274,7 @@
     def has_run(self, run: Run) -> bool:
         """Return whether a run that was held since is still registered.
 
-        A run that was dropped and is listed again is another object.
+        A run that was dropped and adopted again is another object.
         """
         return self.runs.get(run.key) is run
 
