--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -286,7 +286,8 @@
         if not self.is_running:
             if not self.is_detached:
                 return []
-            # Another leader may have extended leases since then.
+            # Another leader may have extended leases since the last pass
+            # of the term.
             return list(
                 self.planner.place(
                     now_s, wall_ms, MIN_DETACHED_LEASE_S, self._led_at_s
@@ -310,8 +311,8 @@
         """Extend a worker's lease; return its end on the worker's clock.
 
         A leader that is detached does not extend it: the next leader counts
-        on its end. What it assumes of the leases of earlier leaders, when it
-        hears a worker for the first time, is no lease that it may repeat.
+        on its end. It repeats the lease that it granted last, not the longer
+        one that it assumes of earlier leaders when it first hears a worker.
         """
         # Read before the permission is checked. If the process is suspended
         # between the two, the lease still counts from its own term.
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -112,7 +112,8 @@
         commands: list[StartCommand | StopCommand] = []
         for worker in self._scheduler.workers.values():
             if worker.is_replaced:
-                # Another worker would answer. Its runs end with its lease.
+                # Another worker would answer the orders. The runs end with
+                # the lease.
                 continue
             for run in worker.runs.values():
                 command = self._reconcile_run(run, worker, now_s)
@@ -127,7 +128,7 @@
         if run.phase is RunPhase.UNCONFIRMED:
             if worker.has_restarted or not worker.is_enrolled:
                 # The lease has to be by the clock of the new incarnation, and
-                # the next leader has to find it.
+                # the next leader has to find the worker in the roster.
                 return None
             run.phase = RunPhase.ORDERED
             run.is_resent = True
@@ -186,9 +187,9 @@
         :param min_lease_s: if it is not 0, leases are not extended at present;
             tasks start only on workers with a lease of this length, and
             long-running ones do not
-        :param led_at_s: when no other leader existed yet, by default now;
-            leases of workers that have not been heard count as over only if
-            they were over then
+        :param led_at_s: last time at which no other leader can have existed,
+            by default now; leases of workers that have not been heard count
+            as over only if they were over then
         """
         if led_at_s is None:
             led_at_s = now_s
