--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -96,7 +96,7 @@
         self._waves = WaveRunner(
             controller,
             self._record_and_order,
-            self.mark_worker_ended,
+            self.mark_worker_replaced,
             timing.maintenance_s,
         )
         self._evacuation = Evacuation(controller)
@@ -169,8 +169,11 @@
         )
         return answer
 
-    def mark_worker_ended(self, worker_id: str) -> None:
-        """Record that a worker has ended through an order for its VM."""
+    def mark_worker_replaced(self, worker_id: str) -> None:
+        """Record that an order for its VM has replaced a worker.
+
+        It gets no more orders. Its runs are kept until its lease has ended.
+        """
         with self._controller.lock:
             worker = self._controller.scheduler.workers.get(worker_id)
             if worker is not None:
@@ -287,7 +290,7 @@
         self._moves[vm.name] = _PendingMove(move.target, vm.worker_id, now_s)
         answer = self.order("move", vm, move.target)
         if answer is None:
-            self.mark_worker_ended(vm.worker_id)
+            self.mark_worker_replaced(vm.worker_id)
         elif answer.is_a(PLATFORM_REFUSED):
             del self._moves[vm.name]
             self._uncordon(vm.worker_id)
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -35,7 +35,8 @@
     leader counts the VM as down.
 
     :param order: gives an order for each VM of a list; returns the answers
-    :param mark_worker_ended: records that a worker has ended
+    :param mark_worker_replaced: records that an order for its VM has
+        replaced a worker
     :param maintenance_s: time that the maintenance of a VM takes
     """
 
@@ -43,12 +44,12 @@
         self,
         controller: "Controller",
         order: Callable[..., list[None | Failure]],
-        mark_worker_ended: Callable[[str], None],
+        mark_worker_replaced: Callable[[str], None],
         maintenance_s: float,
     ) -> None:
         self._controller = controller
         self._order = order
-        self._mark_worker_ended = mark_worker_ended
+        self._mark_worker_replaced = mark_worker_replaced
         self._maintenance_s = maintenance_s + MAINTENANCE_MARGIN_S
         self._policy = SpreadOverPools()
         self._store = WaveStore(controller)
@@ -169,7 +170,7 @@
             # A confirmed order does not show that the worker has ended: it is
             # also confirmed if the VM was maintained before.
             if vm.phase is not VmPhase.UP or vm.worker_id != worker_id:
-                self._mark_worker_ended(worker_id)
+                self._mark_worker_replaced(worker_id)
 
     def _record_maintained(
         self, state: RunningWave, vms, now_s: float
