--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -156,7 +156,7 @@
         controller = self._controller
         controller.metrics.count("orders_withheld")
         controller.post(
-            lambda now_s: controller.scheduler.on_start_withheld(run)
+            lambda now_s: controller.scheduler.on_order_withheld(run)
         )
 
     def _applies_to(self, command: StopCommand | PaceChange) -> bool:
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -133,11 +133,11 @@
             self.adjust_usage(run, -1)
             worker.pause_until(now_s + REFUSED_PAUSE_S)
 
-    def on_start_withheld(self, run: Run) -> None:
-        """Handle a start order that was not sent as it had become needless.
+    def on_order_withheld(self, run: Run) -> None:
+        """Handle an order that was not sent as it had become needless.
 
         A run that was never sent cannot exist, so its task is free at once.
-        Otherwise an earlier order may still be carried out; an answered stop
+        Otherwise an earlier start may still be carried out; an answered stop
         makes that harmless.
         """
         worker = self.workers.get(run.worker_id)
--- a/tests/unit/test_scheduling_stateful.py
+++ b/tests/unit/test_scheduling_stateful.py
@@ -263,7 +263,7 @@
             command.run.is_sent = True
             self.send(command, delivery)
         else:
-            self.leader.scheduler.on_start_withheld(command.run)
+            self.leader.scheduler.on_order_withheld(command.run)
 
     def send(self, command: StartCommand, delivery: str):
         run, worker = command.run, command.worker
