--- a/src/rosemarynotch/_internal/scheduling/vm_tracker.py
+++ b/src/rosemarynotch/_internal/scheduling/vm_tracker.py
@@ -24,9 +24,9 @@
     def __init__(self, controller: "Controller", start_s: float) -> None:
         self._controller = controller
         self._start_s = start_s
-        # VMs that are up without a worker, and since when.
-        self._unnamed_since_s: dict[str, float] = {}
-        self._named: set[str] = set()
+        # VMs that are up and for which no worker is named, and since when.
+        self._no_worker_since_s: dict[str, float] = {}
+        self._named_workers: set[str] = set()
         self._listed: set[str] = set()
         self._is_complete = False
         self._missing_since_s: dict[str, float] = {}
@@ -45,9 +45,9 @@
             for name, since_s in self._missing_since_s.items()
             if is_complete and name not in vms
         }
-        self._named = {vm.worker_id for vm in vms.values()}
-        self._unnamed_since_s = {
-            name: self._unnamed_since_s.get(name, now_s)
+        self._named_workers = {vm.worker_id for vm in vms.values()}
+        self._no_worker_since_s = {
+            name: self._no_worker_since_s.get(name, now_s)
             for name, vm in vms.items()
             if vm.phase is VmPhase.UP and not vm.worker_id
         }
@@ -65,7 +65,8 @@
         VMs of a standby pool are switched off. In other pools, a VM for which
         no worker is named may have one. It has none if none is named for the
         time that a worker takes to start, and no worker of its pool that is
-        named for no VM may have runs. The controller's lock is held.
+        named for no VM may have runs. The caller must hold the controller's
+        lock.
         """
         scheduler = self._controller.scheduler
         policy = scheduler.configuration.pools.get(vm.pool)
@@ -73,10 +74,10 @@
             return False
         if policy is not None and policy.is_standby:
             return True
-        since_s = now_s - self._unnamed_since_s.get(vm.name, now_s)
+        since_s = now_s - self._no_worker_since_s.get(vm.name, now_s)
         return since_s > self._start_s and all(
             worker.is_empty
             for worker in scheduler.workers.values()
             if worker.entry.pool == vm.pool
-            and worker.worker_id not in self._named
+            and worker.worker_id not in self._named_workers
         )
