Name test fixtures so that they are not taken for tests or for the code

RosterTest had no tests of its own, and WaveStore was also the name of the class under test. The list of workers that a wave runner records as replaced has the name of what it holds. No test checks anything else than before.

--- a/tests/unit/test_changed_entries.py
+++ b/tests/unit/test_changed_entries.py
@@ -6,10 +6,10 @@
 
 from rosemarynotch._internal.scheduling.order_sender import OrderSender
 from tests.lib.scheduling import Leader
-from tests.unit.test_roster import RosterTest
+from tests.unit.test_roster import RosterCase
 
 
-class OrderWithoutLinkTest(RosterTest):
+class OrderWithoutLinkTest(RosterCase):
     """Guards against a task that waits for ever (rule LOST).
 
     The address of its worker has changed to one that cannot be connected to
@@ -35,7 +35,7 @@
         self.assertTrue(command.run.task.is_waiting)
 
 
-class ChangedPoolTest(RosterTest):
+class ChangedPoolTest(RosterCase):
     """Guards against a roster that names only the newest pool of a worker.
 
     The entry of the worker has changed while it had a run, as when another
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -80,8 +80,8 @@
         return decode(self.items[ROSTER_KEY].value, RosterRecord)
 
 
-class RosterTest(testtools.TestCase):
-    """Fixture: a leader with its writer, its worker feed and a store."""
+class RosterCase(testtools.TestCase):
+    """A leader with its writer, its worker feed and a store."""
 
     def setUp(self):
         super().setUp()
@@ -130,7 +130,7 @@
         self.feed._set_workers(list(entries), self.leader.now_s)
 
 
-class LateWriteTest(RosterTest):
+class LateWriteTest(RosterCase):
     """Guards against a late write of the roster that replaces a newer one.
 
     The next leader did not know the newest workers, and started the tasks of
@@ -197,7 +197,7 @@
         self.assertLessEqual(max(self.store.entry_counts), MAX_ENTRIES)
 
 
-class UnreadableRosterTest(RosterTest):
+class UnreadableRosterTest(RosterCase):
     """Guards against a roster that counts as empty as it is unreadable.
 
     The new leader waited for no worker, and started the tasks of runs that it
@@ -253,7 +253,7 @@
         self.assertEqual(0.0, self.scheduler.unknown_until_s)
 
 
-class ChangedEntryTest(RosterTest):
+class ChangedEntryTest(RosterCase):
     """Guards against a roster that names a worker where it no longer is.
 
     A worker may restart under its identifier at another address and in
@@ -308,7 +308,7 @@
         self.assertTrue(self.writer.is_roster_outdated)
 
 
-class RemovedWorkerTest(RosterTest):
+class RemovedWorkerTest(RosterCase):
     """Guards against a new leader that waits 5 s for workers that are gone."""
 
     def test_workers_whose_leases_have_ended(self):
@@ -327,7 +327,7 @@
         self.assertEqual(1, len(self.store.entry_counts))
 
 
-class FormerAddressTest(RosterTest):
+class FormerAddressTest(RosterCase):
     """Guards against a worker that counts as ended but lives elsewhere.
 
     Another worker at the address of the roster, or of an old link, refused
--- a/tests/unit/test_wave_records.py
+++ b/tests/unit/test_wave_records.py
@@ -29,7 +29,7 @@
 STATUS_KEY = "status/wave/1"
 
 
-class WaveStore(Store):
+class StoreWithWave(Store):
     """A store with one wave of the operator.
 
     :ivar is_down: whether it refuses all transactions
@@ -56,18 +56,18 @@
     :ivar answer: answer of the VM service to all orders
     :ivar order_s: time that the calls of an order take
     :ivar ordered: names of the VMs that were ordered
-    :ivar ended: workers that were recorded as ended
+    :ivar replaced: workers that were recorded as replaced
     """
 
     def setUp(self):
         super().setUp()
-        self.store = WaveStore()
+        self.store = StoreWithWave()
         self.vms = {}
         self.is_list_complete = True
         self.answer = None
         self.order_s = 0.0
         self.ordered = []
-        self.ended = []
+        self.replaced = []
         self.now_s = 1000.0
         self.wave = Wave(number=1, vms=("a", "b"), duration_s=25.0, max_down=1)
         self.lead()
@@ -97,7 +97,7 @@
             log=lambda event, **fields: None,
         )
         self.runner = WaveRunner(
-            controller, self.order, self.ended.append, MAINTENANCE_S
+            controller, self.order, self.replaced.append, MAINTENANCE_S
         )
 
     def order(self, operation, vms, wave):
@@ -233,7 +233,7 @@
     def test_confirmed_order_that_ends_nothing(self):
         self.order_next()
         self.step(1.0)
-        self.assertEqual([], self.ended)
+        self.assertEqual([], self.replaced)
         self.step(MAINTENANCE_S + 1.0)
         self.assertEqual(("a",), self.record().back)
         worker = self.leader.scheduler.workers["a-1"]
@@ -244,7 +244,7 @@
         self.order_next()
         self.show("a", phase=VmPhase.MAINTENANCE)
         self.step()
-        self.assertEqual({"a-1"}, set(self.ended))
+        self.assertEqual({"a-1"}, set(self.replaced))
         self.assertEqual((), self.record().back)
 
     def test_confirmed_order_of_an_earlier_leader(self):
