--- a/soak/fleet_faults.py
+++ b/soak/fleet_faults.py
@@ -52,5 +52,6 @@
         """Do nothing: the worker exits by itself."""
 
 
-# The seeds of regressions stand for the sequence of FAULTS alone.
+# Seeds of regressions choose from FAULTS, so that new faults do not change
+# what these seeds play.
 ALL_FAULTS: tuple[type[Fault], ...] = (*FAULTS, QueueRouted, VmRetired)
