Keep a replaced worker until its ends are written

A worker that was taken for replaced and had no runs was removed at once, and with it from the roster, although it listed ends that were not written yet or runs of unknown jobs. If it lived on and the leader was lost, the next leader did not wait for it and started the tasks again (TWICE). It is removed at once only if nothing is lost with it; otherwise its lease ends first.

test_replaced_worker_with_an_end_that_is_not_written fails before.

--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -128,16 +128,17 @@
         """Drop the runs of workers whose leases have expired.
 
         Workers that are replaced or no longer listed are removed then. One
-        that is replaced is removed at once if it is known to have no runs.
-        One with runs waits for the end of its lease, as what showed the
-        replacement may be older than its present address or VM.
+        that is replaced is removed at once if it is known to have no runs, and
+        no ends that only it knows of. Others wait for the end of their leases,
+        as what showed the replacement may be older than the present address
+        or VM of the worker.
 
         :returns: identifiers of the removed workers
         """
         removed = []
         for worker_id, worker in list(self.workers.items()):
-            is_unused = worker.is_replaced and not (
-                worker.runs or worker.may_have_unknown_runs
+            is_unused = worker.is_replaced and (
+                worker.is_empty or not worker.may_have_been_used
             )
             if not is_unused and now_s < self._lease_expiry_s(worker):
                 continue
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -265,6 +265,15 @@
         """
         return self.is_inherited and not self.has_reported
 
+    @property
+    def may_have_been_used(self) -> bool:
+        """Return whether it may have had runs, of this leader or another."""
+        return (
+            self.is_inherited
+            or bool(self.runs)
+            or self.clock_received_at_s > 0
+        )
+
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -6,6 +6,8 @@
 from rosemarynotch._internal.exceptions import WORKER_REPLACED
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.ports import EndKind
+from rosemarynotch._internal.scheduling.ports import RunEnd
 from rosemarynotch._internal.scheduling.records import ProgressRecord
 from tests.lib.scheduling import Leader
 from tests.lib.scheduling import LEASE_S
@@ -84,6 +86,19 @@
         self.assertNotIn("w1", self.scheduler.workers)
         self.assertEqual(["w2"], self.place())
 
+    def test_replaced_worker_with_an_end_that_is_not_written(self):
+        """Guards against a roster without a worker that tells of an end."""
+        task = self.job.all_tasks()[0].task_id
+        end = RunEnd(sequence=1, task=task, run=1, kind=EndKind.DONE)
+        self.leader.report("w1", ends=[end])
+        self.scheduler.workers["w1"].mark_replaced("test")
+        self.advance(0.1)
+        self.assertIn("w1", self.scheduler.workers)
+        self.scheduler.mark_written(self.job, self.job.change, 30)
+        self.scheduler.advance_acks()
+        self.advance(0.1)
+        self.assertNotIn("w1", self.scheduler.workers)
+
     def test_replaced_worker_with_a_run(self):
         """Guards against a run that is dropped before its lease is over."""
         self.report_run()
