Withhold a change of pace without touching its run

A change of pace that was not sent was handled like a start: if its run had just been ordered again, the run was stopped. Also list the lines that tell what a new leader knew.

--- a/src/rosemarynotch/_internal/commands/explain.py
+++ b/src/rosemarynotch/_internal/commands/explain.py
@@ -21,6 +21,7 @@
         "leading",
         "leading without the store",
         "pools with unknown runs",
+        "roster read",
         "roster refused",
         "not leading",
         "starting",
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -8,7 +8,6 @@
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.exceptions import WORKER_REPLACED
 from rosemarynotch._internal.exceptions import WORKER_UNREACHABLE
-from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.order_queue import OrderKind
 from rosemarynotch._internal.scheduling.order_queue import OrderQueue
 from rosemarynotch._internal.scheduling.order_queue import QueuedOrder
@@ -103,7 +102,7 @@
             return False
         link = self._controller.link(command.worker.worker_id)
         if link is None:
-            self._withhold(command.run)
+            self._withhold(command)
             return False
         is_needed, order = self._prepare(command)
         if not is_needed:
@@ -149,12 +148,15 @@
             else:
                 is_needed = run.is_sent and self._applies_to(command)
         if not is_needed:
-            self._withhold(run)
+            self._withhold(command)
         return is_needed, order
 
-    def _withhold(self, run: Run) -> None:
-        controller = self._controller
+    def _withhold(self, command: Command) -> None:
+        """Tell the scheduler that a start or a stop is not sent."""
+        controller, run = self._controller, command.run
         controller.metrics.count("orders_withheld")
+        if isinstance(command, PaceChange):
+            return
         controller.post(
             lambda now_s: controller.scheduler.on_order_withheld(run)
         )
