Give programs beside the tests ports of their own

A soak took its ports from the range of the first test process. Both share the range, and the probe of a port says nothing once another process has probed it, too. Two soaks at a time may still meet.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -29,6 +29,8 @@
 FIRST_PORT = 12_000
 PORTS_PER_TEST_PROCESS = 2_500
 MAX_TEST_PROCESSES = 8
+# The default of the Makefile.
+TEST_PROCESSES = 4
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
 POLL_INTERVAL_S = 0.05
@@ -60,9 +62,17 @@
 
 
 def _own_ports() -> range:
-    """Return ports that no other process of a parallel test run uses."""
-    name = os.environ.get("PYTEST_XDIST_WORKER", "gw0")
-    number = int(name.removeprefix("gw")) % MAX_TEST_PROCESSES
+    """Return ports that no other process of a parallel test run uses.
+
+    Programs that run beside the tests, such as the soak, take other ports
+    than the default number of test processes.
+    """
+    name = os.environ.get("PYTEST_XDIST_WORKER")
+    if name is None:
+        free = MAX_TEST_PROCESSES - TEST_PROCESSES
+        number = TEST_PROCESSES + os.getpid() % free
+    else:
+        number = int(name.removeprefix("gw")) % MAX_TEST_PROCESSES
     first = FIRST_PORT + number * PORTS_PER_TEST_PROCESS
     return range(first, first + PORTS_PER_TEST_PROCESS)
 
