Wait only for leases that may have been granted

In the second term, 50 of the workers waited for had never been heard by any leader. The platform lists workers for seconds after their VMs have moved, and the leader named all listed workers in the roster.

A worker that has not reported within 0.6 s, or whose leases have ended, is left out of the roster and gets no runs before it is named again. A process that leads in two consecutive terms remembers when the leases of the first one end. No other leader can have granted any in between.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import queue
 import threading
 
@@ -11,6 +12,7 @@
 from rosemarynotch._internal.scheduling.advice import AdviceCache
 from rosemarynotch._internal.scheduling.advice import AdviceRequester
 from rosemarynotch._internal.scheduling.answer_losses import AnswerLosses
+from rosemarynotch._internal.scheduling.ended_term import EndedTerm
 from rosemarynotch._internal.scheduling.fleet_manager import FleetManager
 from rosemarynotch._internal.scheduling.fleet_manager import FleetTiming
 from rosemarynotch._internal.scheduling.intake_feed import IntakeFeed
@@ -65,6 +67,7 @@
         has been read
     :param longest_lease_s: longest lease that an earlier leader may have
         granted to a worker
+    :param last_term: newest term in which this process led, None if it has not
     :ivar lock: guards the scheduler's state
     """
 
@@ -80,6 +83,7 @@
         fleet_timing: FleetTiming,
         policies: SchedulingPolicies,
         longest_lease_s: float = LEASE_S,
+        last_term: EndedTerm | None = None,
     ) -> None:
         self.grant = grant
         self.leadership = leadership
@@ -107,6 +111,9 @@
         self._feed: IntakeFeed | None = None
         self.writer = ProgressWriter(self)
         self._sender = OrderSender(self)
+        self._last_term = last_term
+        self._lease_lock = threading.Lock()
+        self._is_granting = True
         self._configuration = configuration
         self._fleet_timing = fleet_timing
         self._events: queue.SimpleQueue[Callable[[float], None]] = (
@@ -157,10 +164,22 @@
         """Queue a callback for the scheduling thread; it gets the time."""
         self._events.put(event)
 
-    def run(self) -> None:
+    def run(self) -> EndedTerm:
         """Run the term until the grant ends."""
         self._guard(self._lead)
         self._close()
+        with self._lease_lock:
+            self._is_granting = False
+        with self.lock:
+            now_s = self.clock.monotonic_s()
+            lease_ends_s = self.scheduler.lease_ends_s(now_s)
+        return EndedTerm(term=self.grant.term, lease_ends_s=lease_ends_s)
+
+    def known_lease_ends_s(self) -> Mapping[str, float] | None:
+        """Return when the leases of earlier leaders end, None if unknown."""
+        if self._last_term is None:
+            return None
+        return self._last_term.known_lease_ends_s(self.grant.term)
 
     def _lead(self) -> None:
         feed = self._feed = IntakeFeed(self)
@@ -321,15 +340,19 @@
             clock.started_unix_ms == worker.started_unix_ms
             or not worker.clock_received_at_s
         )
-        if not self.is_running:
-            return worker.granted_until_ms if is_same_clock else 0
-        until_ms = clock.lease_end_ms(now_s, LEASE_S)
-        # Recorded before the order is sent, as an order without an answer may
-        # still be carried out. Leases by the clock of an incarnation whose
-        # first report was not applied yet are bounded when it is.
-        if is_same_clock:
-            worker.granted_until_ms = max(worker.granted_until_ms, until_ms)
-            worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+        # No lease may be recorded after the end of the term was noted.
+        with self._lease_lock:
+            if not (self._is_granting and self.is_running):
+                return worker.granted_until_ms if is_same_clock else 0
+            until_ms = clock.lease_end_ms(now_s, LEASE_S)
+            # Recorded before the order is sent, as an order without an answer
+            # may still be carried out. Leases by the clock of an incarnation
+            # whose first report was not applied yet are bounded when it is.
+            if is_same_clock:
+                worker.granted_until_ms = max(
+                    worker.granted_until_ms, until_ms
+                )
+                worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
         return until_ms
 
     def check_fence(self, answer: object) -> None:
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -253,7 +253,9 @@
         )
 
     def _roster(self) -> RosterRecord:
-        workers = self._controller.scheduler.workers.values()
+        workers = self._controller.scheduler.enrol_workers(
+            self._controller.clock.monotonic_s()
+        )
         return RosterRecord(
             term=self._controller.grant.term,
             workers={
--- a/src/rosemarynotch/_internal/scheduling/worker_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_feed.py
@@ -80,7 +80,10 @@
             if not roster.is_complete:
                 controller.scheduler.assume_unknown_runs(now_s)
             added = controller.scheduler.set_workers(
-                entries, now_s, are_inherited=True
+                entries,
+                now_s,
+                are_inherited=True,
+                lease_ends_s=controller.known_lease_ends_s(),
             )
             for worker in added:
                 worker.pools.update(
@@ -140,8 +143,9 @@
             ],
             now_s,
         )
-        if not all(
-            worker.is_enrolled for worker in scheduler.workers.values()
+        if any(
+            worker.is_enrolled != scheduler.belongs_in_roster(worker, now_s)
+            for worker in scheduler.workers.values()
         ):
             self._controller.writer.request_roster_write()
         self._add_links(added)
--- a/src/rosemarynotch/_internal/scheduling/worker_link.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_link.py
@@ -201,6 +201,8 @@
                 self._worker, report, requested_at_s, received_at_s
             )
             self._applied_unix_ms = self._worker.started_unix_ms
+            if self._worker.may_hold_lease and not self._worker.is_enrolled:
+                self._controller.writer.request_roster_write()
         except Exception:
             # The ends of new runs could not be applied either.
             self._worker.pause_until(received_at_s + FAILED_PAUSE_S)
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
@@ -18,6 +19,8 @@
 # Entries of workers that have ended are listed for at most three heartbeat
 # intervals, some seconds in all.
 LIST_LAG_S = 10.0
+# Workers that are up send their first report within a few milliseconds.
+FIRST_REPORT_S = 0.6
 
 
 class WorkerRegistry(RunRegistry):
@@ -57,12 +60,15 @@
         entries: Iterable[WorkerEntry],
         now_s: float,
         are_inherited: bool = False,
+        lease_ends_s: Mapping[str, float] | None = None,
     ) -> list[Worker]:
         """Update the workers from a list of entries; return the new ones.
 
         :param entries: the platform's list, or the roster of earlier leaders
         :param are_inherited: whether earlier leaders may have started runs on
             the new workers
+        :param lease_ends_s: when the leases of earlier leaders end, by
+            worker; workers that it lacks have none. None if it is not known
         """
         listed = {entry.worker_id: entry for entry in entries}
         added = []
@@ -74,6 +80,11 @@
                 worker = Worker(
                     entry=entry,
                     known_since_s=now_s,
+                    earlier_lease_end_s=(
+                        None
+                        if lease_ends_s is None
+                        else lease_ends_s.get(worker_id, 0.0)
+                    ),
                     is_inherited=are_inherited or now_s < self.unknown_until_s,
                     started_unix_ms=entry.started_unix_ms,
                     pools={entry.pool},
@@ -178,6 +189,52 @@
             lease_left_s=round(max(0.0, lease_left_s), 3),
         )
 
+    def lease_ends_s(self, now_s: float) -> dict[str, float]:
+        """Return when all leases on each worker end.
+
+        Workers that this leader has removed are left out: their leases are
+        over, or they had no runs.
+
+        :param now_s: time after which this leader grants no lease
+        """
+        longest_s = self._longest_lease_s / SLOW_CLOCK_FACTOR
+        return {
+            worker.worker_id: (
+                # Its link grants leases before the first report is applied.
+                now_s + longest_s
+                if worker.granted_until_ms and not worker.clock_received_at_s
+                else worker.lease_bound_s(self._longest_lease_s)
+            )
+            for worker in self.workers.values()
+        }
+
+    def belongs_in_roster(self, worker: Worker, now_s: float) -> bool:
+        """Return whether the roster has to name a worker.
+
+        One that has not reported for some time, or whose leases have ended,
+        has no runs and gets none. If the roster named it, the next leader
+        would wait for a lease that nobody has granted. New workers are named
+        for a short time, so that their first run need not wait for a write.
+        """
+        return (
+            worker.may_hold_lease
+            or now_s - worker.known_since_s < FIRST_REPORT_S
+            or (worker.is_inherited and now_s < self._lease_expiry_s(worker))
+        )
+
+    def enrol_workers(self, now_s: float) -> list[Worker]:
+        """Return the workers that the roster has to name from now on.
+
+        The others get no runs from now on: the next leader may not know them.
+        """
+        workers = []
+        for worker in self.workers.values():
+            if self.belongs_in_roster(worker, now_s):
+                workers.append(worker)
+            else:
+                worker.is_enrolled = False
+        return workers
+
     def _lease_expiry_s(self, worker: Worker) -> float:
         return worker.lease_bound_s(self._longest_lease_s) + LEASE_MARGIN_S
 
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -122,6 +122,8 @@
         earlier leaders are assumed
     :ivar granted_until_ms: end of the longest lease that this leader granted
     :ivar known_since_s: when this leader first learned of it
+    :ivar earlier_lease_end_s: when the leases of earlier leaders end, None
+        if the longest one has to be assumed
     :ivar seen_sequence: sequence number of the last run end that was applied
     :ivar acked_sequence: sequence number of the last run end that is
         persisted and may be acknowledged
@@ -151,6 +153,7 @@
     lease_until_ms: int = 0
     granted_until_ms: int = 0
     known_since_s: float = 0.0
+    earlier_lease_end_s: float | None = None
     seen_sequence: int = 0
     acked_sequence: int = 0
     pending_acks: deque[PendingAck] = attrs.field(factory=deque)
@@ -265,6 +268,17 @@
         """
         return self.is_inherited and not self.has_reported
 
+    @property
+    def may_hold_lease(self) -> bool:
+        """Return whether this leader may have started runs on it, or will.
+
+        Before its first report, and after its leases have ended, the worker
+        accepts no work.
+        """
+        return self.clock_received_at_s > 0 and (
+            self.has_reported or self.lease_until_ms > 0 or bool(self.runs)
+        )
+
     @property
     def may_have_been_used(self) -> bool:
         """Return whether it may have had runs, of this leader or another."""
@@ -319,6 +333,8 @@
             reported
         """
         if not self.clock_received_at_s:
+            if self.earlier_lease_end_s is not None:
+                return self.earlier_lease_end_s
             return self.known_since_s + longest_lease_s / SLOW_CLOCK_FACTOR
         remaining_s = max(0, self.lease_until_ms - self.clock_ms) / 1000
         return self.clock_received_at_s + remaining_s / SLOW_CLOCK_FACTOR
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -18,6 +18,7 @@
 from rosemarynotch._internal.platform.settings import NodeSettings
 from rosemarynotch._internal.scheduling.config_feed import ConfigFeed
 from rosemarynotch._internal.scheduling.controller import Controller
+from rosemarynotch._internal.scheduling.ended_term import EndedTerm
 from rosemarynotch._internal.scheduling.fleet_manager import FleetTiming
 from rosemarynotch._internal.scheduling.hints import HintReceiver
 from rosemarynotch._internal.scheduling.hints import HintSender
@@ -261,6 +262,7 @@
 
     def _run_controllers(self) -> None:
         """Run a controller for each term in which this node is the leader."""
+        last_term: EndedTerm | None = None
         while not self._stop.is_set():
             grant = self._leadership.grant
             if grant is None:
@@ -283,8 +285,9 @@
                     orders_seen_at_s=self._vm_orders.seen_at_s,
                 ),
                 self._policies,
+                last_term=last_term,
             )
-            self._controller.run()
+            last_term = self._controller.run()
 
     def _shut_down(self) -> None:
         """Resign as leader, finish all requests and stop."""
--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -1,5 +1,6 @@
 """Tests of how long leases on workers last, and what relies on their end."""
 
+import threading
 import types
 
 import testtools
@@ -73,6 +74,8 @@
         class SuspendedController:
             scheduler = self.controller.scheduler
             clock = self.controller.clock
+            _lease_lock = threading.Lock()
+            _is_granting = True
 
             @property
             def is_running(self):
@@ -114,6 +117,8 @@
             worker_feed=types.SimpleNamespace(close_link=lambda name: None),
             is_running=True,
             is_detached=True,
+            _lease_lock=threading.Lock(),
+            _is_granting=True,
             _reconciled_at_s=0.0,
             _led_at_s=0.0,
             _policies=types.SimpleNamespace(
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -87,11 +87,13 @@
         super().setUp()
         self.store = Store()
         self.events = []
+        self.lease_ends_s = None
         self.lead()
 
-    def lead(self, term=1):
+    def lead(self, term=1, now_s=1000.0):
         """Begin a term with the state of the store."""
         self.leader = leader = Leader(term=term, started_revision=20)
+        leader.now_s = now_s
         self.scheduler = leader.scheduler
         self.leadership = mock.Mock()
         self.controller = controller = types.SimpleNamespace(
@@ -119,6 +121,7 @@
             stop=mock.Mock(),
             may_start=True,
             extend_lease=lambda worker, clock: 7,
+            known_lease_ends_s=lambda: self.lease_ends_s,
         )
         controller.writer = self.writer = ProgressWriter(controller)
         controller.worker_feed = self.feed = WorkerFeed(controller)
--- a/tests/unit/test_worker_link.py
+++ b/tests/unit/test_worker_link.py
@@ -2,6 +2,7 @@
 
 import threading
 import types
+from unittest import mock
 
 import testtools
 
@@ -47,6 +48,9 @@
         self.is_running = self.may_start = True
         self.stop = threading.Event()
         self.events = []
+        self.writer = mock.Mock()
+        self._lease_lock = threading.Lock()
+        self._is_granting = True
 
     def post(self, event):
         self.events.append(event)
--- a/tests/unit/test_worker_restart.py
+++ b/tests/unit/test_worker_restart.py
@@ -363,7 +363,10 @@
         leader.add_workers("w1")
         worker = leader.scheduler.workers["w1"]
         controller = types.SimpleNamespace(
-            is_running=True, clock=types.SimpleNamespace(monotonic_s=lambda: 1)
+            is_running=True,
+            clock=types.SimpleNamespace(monotonic_s=lambda: 1),
+            _lease_lock=threading.Lock(),
+            _is_granting=True,
         )
         worker.lease_until_ms = 9
         clock = attrs.evolve(worker.clock, clock_ms=10**6, started_unix_ms=2)
