Record which waiting jobs no leader has started

After a change of the leader, each inherited job waited for the lease of a worker that was lost just before, 5 s, as it might have had a run there.

The leader names the jobs that cannot start within 0.6 s of work of their pool in control/unstarted and starts none of them before it has stored a record without it. The next leader starts the named jobs at once. Writes expect the leader's key and the record unchanged. Nothing is written without a backlog of 20 jobs.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -32,6 +32,7 @@
 from rosemarynotch._internal.scheduling.records import LoadRecord
 from rosemarynotch._internal.scheduling.records import Phase
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
+from rosemarynotch._internal.scheduling.unstarted_jobs import UnstartedJobs
 from rosemarynotch._internal.scheduling.worker_feed import WorkerFeed
 from rosemarynotch._internal.scheduling.worker_link import WorkerLink
 from rosemarynotch._internal.scheduling.workers import Worker
@@ -99,8 +100,14 @@
         self.advice = AdviceCache()
         self.answer_losses = AnswerLosses()
         self.order_timeout = OrderTimeout()
+        self.unstarted = UnstartedJobs(self)
         self.planner = Planner(
-            self.scheduler, policies.order, policies.placer, self.advice, log
+            self.scheduler,
+            policies.order,
+            policies.placer,
+            self.advice,
+            log,
+            self.unstarted.may_start,
         )
         self._policies = policies
         self.forecast = policies.make_forecast(())
@@ -185,6 +192,9 @@
         feed = self._feed = IntakeFeed(self)
         if not self._retry(self.worker_feed.load_roster):
             return
+        if not self._retry(self.unstarted.load):
+            return
+        self.scheduler.unstarted_ids = self.unstarted.inherited
         if not self._retry(feed.load):
             return
         self._load_turns()
@@ -199,6 +209,7 @@
         self.start_thread(feed.run_hints, "intake-hints")
         self.start_thread(self.worker_feed.run, "worker-list")
         self.start_thread(self.writer.run, "progress-writer")
+        self.start_thread(self.unstarted.run, "unstarted-jobs")
         if self.ports.fleet is not None:
             sizer = self._policies.make_sizer(self.grant.term == 1)
             manager = FleetManager(self, sizer, self._fleet_timing)
--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -34,6 +34,7 @@
         been passed to this registry
     :ivar refused_ids: jobs that an earlier leader may have started, but whose
         records this version cannot decode
+    :ivar unstarted_ids: jobs of earlier terms that were certainly not started
     :ivar dirty: jobs with changes that are not persisted, by identifier
     :ivar usage: resources of ordered and running tasks, by organisation
     :ivar batch_millicores: processors of those tasks that are not
@@ -55,6 +56,7 @@
         self.cancelled_ids: set[str] = set()
         self.intake_revision = 0
         self.refused_ids: set[str] = set()
+        self.unstarted_ids: frozenset[str] = frozenset()
         self.configuration = Configuration(version=0, revision=0)
         self.dirty: dict[str, Job] = {}
         self.usage: dict[str, Resources] = {}
@@ -78,11 +80,14 @@
         job = Job.from_submission(job_id, submission, created_revision)
         if progress is not None and not job.can_restore(progress):
             return None
-        job.is_inherited = created_revision <= self._started_revision
+        is_from_earlier_term = created_revision <= self._started_revision
+        job.is_inherited = (
+            is_from_earlier_term and job_id not in self.unstarted_ids
+        )
         if progress is not None:
             job.restore(progress)
             job.progress_revision = progress_revision
-        if job.is_inherited:
+        if is_from_earlier_term:
             floor = (self._term - 1) * RUNS_PER_TERM
             job.run_floor = max(floor, job.highest_run)
         self.jobs[job_id] = job
@@ -92,6 +97,11 @@
             self.cancel(job_id)
         return job
 
+    def was_never_started(self, job_id: str) -> bool:
+        """Return whether no leader has ever ordered a run of a job."""
+        job = self.jobs.get(job_id)
+        return job is not None and not job.is_inherited and not job.highest_run
+
     def was_passed(self, created_revision: int) -> bool:
         """Return whether a job has already been passed to this registry.
 
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -85,6 +85,7 @@
 
     :param order: decides which job of a pool starts next
     :param placer: decides on which workers its tasks start
+    :param may_start: tells whether a job may be started now
     """
 
     def __init__(
@@ -94,7 +95,9 @@
         placer: StepPlacer,
         advice: AdviceCache,
         log: Callable[..., None] = lambda event, **fields: None,
+        may_start: Callable[[Job], bool] = lambda job: True,
     ) -> None:
+        self._may_start = may_start
         self._scheduler = scheduler
         self._order = order
         self._placer = placer
@@ -245,6 +248,18 @@
                 commands += self._place_step(job, step, capacity, now_s)
         return commands
 
+    def waiting(self, wall_ms: float) -> dict[str, list[Candidate]]:
+        """Return the waiting jobs by pool, in the order of their starts."""
+        pools: dict[str, list[Candidate]] = {}
+        for job in self._scheduler.active.values():
+            if self._waiting_steps(job, wall_ms):
+                pool = self._scheduler.queue_of(job).pool
+                pools.setdefault(pool, []).append(self.candidate(job, wall_ms))
+        return {
+            pool: self._order.sort(candidates, wall_ms)
+            for pool, candidates in pools.items()
+        }
+
     @staticmethod
     def _waiting_steps(job: Job, wall_ms: float) -> list[Step]:
         steps = []
@@ -354,7 +369,7 @@
         self, job, step: Step, pool: PoolCapacity, now_s
     ) -> list[StartCommand]:
         free, spec = pool.capacities, step.spec
-        if not pool.may_fit(spec.reserved):
+        if not pool.may_fit(spec.reserved) or not self._may_start(job):
             return []
         tasks = [task for task in step.tasks if task.is_waiting]
         if spec.is_gang and len(tasks) < len(step.tasks):
--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -15,6 +15,7 @@
 from rosemarynotch._internal.scheduling.policy.forecast import ExpectedTurn
 from rosemarynotch._internal.scheduling.policy.forecast import NoForecast
 from rosemarynotch._internal.scheduling.policy.forecast import TurnForecast
+from rosemarynotch._internal.scheduling.policy.horizon import beyond_horizon
 from rosemarynotch._internal.scheduling.policy.ordering import ArrivalOrder
 from rosemarynotch._internal.scheduling.policy.ordering import Candidate
 from rosemarynotch._internal.scheduling.policy.ordering import CUTOFF_FACTOR
@@ -58,6 +59,7 @@
     "FirstFit",
     "FreeCapacity",
     "JobOrder",
+    "beyond_horizon",
     "measure_demand",
     "Move",
     "NO_DEMAND",
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -18,6 +18,8 @@
     "Phase",
     "ProgressRecord",
     "ROSTER_KEY",
+    "UNSTARTED_KEY",
+    "UnstartedRecord",
     "PROGRESS_PREFIX",
     "RosterRecord",
     "StepRecord",
@@ -34,6 +36,7 @@
 LEADER_KEY = "control/leader"
 LOAD_KEY = "control/load"
 ROSTER_KEY = "control/roster"
+UNSTARTED_KEY = "control/unstarted"
 
 
 class Phase(enum.StrEnum):
@@ -189,3 +192,15 @@
     waiting: dict[str, int] = attrs.field(factory=dict)
     start_delay_ms: dict[str, int] = attrs.field(factory=dict)
     turns: tuple[Turn, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class UnstartedRecord:
+    """Jobs that no leader has started.
+
+    :ivar jobs: identifiers; the leader starts none of these jobs before it
+        has stored a record that does not name it
+    """
+
+    term: int = 0
+    jobs: tuple[str, ...] = ()
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -208,6 +208,14 @@
             for worker in self.workers.values()
         }
 
+    def pool_millicores(self, pool: str) -> int:
+        """Return the processors of the workers of a pool."""
+        return sum(
+            worker.entry.capacity.cpu_millicores
+            for worker in self.workers.values()
+            if worker.entry.pool == pool
+        )
+
     def belongs_in_roster(self, worker: Worker, now_s: float) -> bool:
         """Return whether the roster has to name a worker.
 
--- a/tests/unit/test_leader_query.py
+++ b/tests/unit/test_leader_query.py
@@ -264,6 +264,8 @@
         controller = types.SimpleNamespace(
             is_running=False,
             clock=types.SimpleNamespace(monotonic_s=lambda: self.leader.now_s),
+            _lease_lock=threading.Lock(),
+            _is_granting=True,
         )
         until_ms = Controller.extend_lease(controller, worker, worker.clock)
         self.assertEqual(before_ms, until_ms)
