Reserve no more of a cap than lost workers had

After a change of the leader, unknown runs on silent workers are reserved in the caps of the organisations of the inherited jobs. The capacity of a worker that was no longer listed was unknown, so the size of all waiting tasks was reserved.

The roster now has the largest capacity of its workers. A worker whose capacity grows gets no runs before the roster says so.

--- a/src/rosemarynotch/_internal/scheduling/model.py
+++ b/src/rosemarynotch/_internal/scheduling/model.py
@@ -48,6 +48,14 @@
             gpu_count=min(self.gpu_count, other.gpu_count),
         )
 
+    def at_least(self, other: "Resources") -> "Resources":
+        """Return the greater amount of each kind."""
+        return Resources(
+            cpu_millicores=max(self.cpu_millicores, other.cpu_millicores),
+            memory_mb=max(self.memory_mb, other.memory_mb),
+            gpu_count=max(self.gpu_count, other.gpu_count),
+        )
+
     def covers(self, size: "Resources") -> bool:
         """Return whether a request of the given size fits."""
         return (
--- a/src/rosemarynotch/_internal/scheduling/policy/horizon.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/horizon.py
@@ -14,7 +14,7 @@
 
 # Work that may start without a write to the store. The record is renewed
 # several times within it, so that jobs in the backlog seldom wait for it.
-START_HORIZON_MS = 600
+START_HORIZON_MS = 300
 
 
 def beyond_horizon(candidates: Sequence[Candidate], cores: float) -> list[str]:
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -267,6 +267,7 @@
                 if worker.pools != {worker.entry.pool}
             },
             is_complete=self._is_roster_complete,
+            largest_capacity=self._controller.scheduler.largest_capacity(),
         )
 
     def _handle_enrolled(self, roster: RosterRecord, revision: int) -> None:
@@ -278,7 +279,10 @@
             self.roster_revision = revision
             for worker in self._controller.scheduler.workers.values():
                 row = roster.workers.get(worker.worker_id)
-                worker.is_enrolled = row == worker.entry.roster_row
+                largest = roster.largest_capacity
+                worker.is_enrolled = row == worker.entry.roster_row and (
+                    largest is None or largest.covers(worker.entry.capacity)
+                )
 
     def _handle_written(self, batch, revision: int, load_is_due: bool) -> None:
         controller = self._controller
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -6,6 +6,7 @@
 
 from rosemarynotch._internal.scheduling.model import JobSpec
 from rosemarynotch._internal.scheduling.model import QueuePolicy
+from rosemarynotch._internal.scheduling.model import Resources
 
 __all__ = [
     "CANCELLATIONS_PREFIX",
@@ -158,12 +159,15 @@
     :ivar former_pools: earlier pools of workers whose entries have changed
     :ivar is_complete: whether no other worker may have runs; it is not after
         a roster that could not be decoded, until all earlier leases are over
+    :ivar largest_capacity: at least what each of the workers has of each
+        resource, None if it is not known
     """
 
     workers: dict[str, tuple[str, str]] = attrs.field(factory=dict)
     term: int = 0
     former_pools: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     is_complete: bool = True
+    largest_capacity: Resources | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarynotch/_internal/scheduling/worker_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_feed.py
@@ -77,9 +77,11 @@
         ]
         with controller.lock:
             now_s = controller.clock.monotonic_s()
+            scheduler = controller.scheduler
+            scheduler.largest_earlier_capacity = roster.largest_capacity
             if not roster.is_complete:
-                controller.scheduler.assume_unknown_runs(now_s)
-            added = controller.scheduler.set_workers(
+                scheduler.assume_unknown_runs(now_s)
+            added = scheduler.set_workers(
                 entries,
                 now_s,
                 are_inherited=True,
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -35,6 +35,8 @@
     :param log: called with the name of an event and its fields
     :ivar unknown_until_s: until when any worker may have runs of earlier
         leaders, also one that the roster does not name; 0 if none may
+    :ivar largest_earlier_capacity: at least what each worker of the roster
+        had when it was written, None if it is not known
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         super().__init__(term, started_revision, log)
         self._longest_lease_s = longest_lease_s
         self.unknown_until_s = 0.0
+        self.largest_earlier_capacity: Resources | None = None
         # Start time and time of removal of replaced workers, by identifier.
         self._removed_workers: dict[str, tuple[int, float]] = {}
 
@@ -101,7 +104,10 @@
             elif entry != worker.entry:
                 if entry.is_draining and not worker.entry.is_draining:
                     self._log("worker draining", worker=worker_id)
-                if entry.roster_row != worker.entry.roster_row:
+                if (
+                    entry.roster_row != worker.entry.roster_row
+                    or entry.capacity != worker.entry.capacity
+                ):
                     worker.is_enrolled = False
                 if entry.address != worker.entry.address:
                     # Another worker at the former address shows nothing.
@@ -270,11 +276,27 @@
             return None
         total = Resources()
         for worker in self._unheard_workers(now_s):
-            if worker.entry.capacity == Resources():
-                return None
-            total = total.plus(worker.entry.capacity)
+            capacity = worker.entry.capacity
+            if capacity == Resources():
+                # The platform has not listed it in this term.
+                if self.largest_earlier_capacity is None:
+                    return None
+                capacity = self.largest_earlier_capacity
+            total = total.plus(capacity)
         return total
 
+    def largest_capacity(self) -> Resources | None:
+        """Return at least what each worker has, None if it is not known."""
+        largest = Resources()
+        for worker in self.workers.values():
+            capacity = worker.entry.capacity
+            if capacity == Resources():
+                if self.largest_earlier_capacity is None:
+                    return None
+                capacity = self.largest_earlier_capacity
+            largest = largest.at_least(capacity)
+        return largest
+
     def _unheard_workers(self, now_s: float) -> list[Worker]:
         return [
             worker
--- a/tests/unit/test_roster_leases.py
+++ b/tests/unit/test_roster_leases.py
@@ -1,8 +1,14 @@
 """Tests of what the roster and the last term tell of leases on workers."""
 
+import attrs
+
 from rosemarynotch._internal.scheduling.ended_term import EndedTerm
+from rosemarynotch._internal.scheduling.model import Resources
+from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
+from tests.lib.scheduling import job_spec
 from tests.lib.scheduling import Leader
 from tests.lib.scheduling import LEASE_S
+from tests.lib.scheduling import step
 from tests.unit.test_roster import RosterCase
 
 
@@ -96,3 +102,58 @@
         self.assertTrue(self.writer._write())
         self.scheduler.workers["w1"].granted_until_ms = 1
         self.assertEqual({"p"}, self.lead_again(term=2, after_s=4.9))
+
+
+class UnlistedWorkerTest(RosterCase):
+    """Guards against a cap that is taken by workers that are gone.
+
+    A new leader knew no capacity of workers that were no longer listed, and
+    reserved the size of all waiting tasks for their unknown runs. An
+    organisation with a backlog then started nothing for 5 s, not even jobs
+    that were accepted meanwhile.
+    """
+
+    def take_over(self):
+        """Lead beside a silent worker; return the starts of a new job."""
+        self.list_workers(Leader.entry("w1"))
+        self.assertTrue(self.writer._write())
+        self.leader.report("w1")
+        self.lead(term=2)
+        self.list_workers(Leader.entry("w2"), Leader.entry("w3"))
+        self.assertTrue(self.writer._write())
+        self.leader.report("w2")
+        self.leader.report("w3")
+        cap = Resources(cpu_millicores=12000, memory_mb=99999)
+        self.leader.set_cap(cap)
+        self.leader.submit("1" * 16, job_spec(step(40)), revision=10)
+        self.leader.submit("2" * 16, job_spec(step(16)), revision=30)
+        return [run.task.task_id.job_id for run in self.leader.place()]
+
+    def test_cap_beside_a_worker_that_is_gone(self):
+        self.assertEqual(["2" * 16] * 4, self.take_over())
+
+    def test_roster_without_capacities(self):
+        """Guards against a cap exceeded after an older leader (QUOTA)."""
+        encode_roster = self.writer._roster
+        self.patch(
+            ProgressWriter,
+            "_roster",
+            lambda writer: attrs.evolve(
+                encode_roster(), largest_capacity=None
+            ),
+        )
+        self.assertEqual([], self.take_over())
+
+    def test_worker_that_grows_after_the_roster_was_written(self):
+        """Guards against a run on more than the next leader reserves."""
+        self.list_workers(Leader.entry("w1"))
+        self.assertTrue(self.writer._write())
+        self.leader.report("w1")
+        capacity = Resources(cpu_millicores=64000, memory_mb=8000)
+        entry = attrs.evolve(Leader.entry("w1"), capacity=capacity)
+        self.list_workers(entry)
+        self.leader.submit("j1")
+        self.assertEqual([], self.leader.place())
+        self.assertTrue(self.writer._write())
+        self.assertEqual(1, len(self.leader.place()))
+        self.assertEqual(capacity, self.store.record().largest_capacity)
