Count only the record of unstarted jobs of the last term

A leader of an earlier version neither reads nor writes the record and may start the jobs that it names, so its successor must not rely on it.

--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -202,6 +202,7 @@
 class UnstartedRecord:
     """Jobs that no leader has started.
 
+    :ivar term: term in which it was written
     :ivar jobs: identifiers; the leader starts none of these jobs before it
         has stored a record that does not name it
     """
--- a/src/rosemarynotch/_internal/scheduling/unstarted_jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/unstarted_jobs.py
@@ -44,7 +44,9 @@
 
     Without a backlog nothing is recorded or written.
 
-    :ivar inherited: jobs that no earlier leader has started
+    :ivar inherited: jobs that no earlier leader has started. A leader of an
+        earlier version may have led after an older record was written, so
+        only the record of the last term counts
     """
 
     def __init__(self, controller: "Controller") -> None:
@@ -54,6 +56,7 @@
         self._withheld: frozenset[str] | None = None
         # Withheld jobs that had room to start; they are not named again.
         self._wanted: set[str] = set()
+        self._is_failing = False
         self._wake = threading.Event()
         self.inherited: frozenset[str] = frozenset()
 
@@ -76,7 +79,9 @@
             self._controller.log("unstarted jobs refused", why=record.reason)
             self._wake.set()
             return True
-        self.inherited = self._withheld = frozenset(record.jobs)
+        self._withheld = frozenset(record.jobs)
+        if record.term == self._controller.grant.term - 1:
+            self.inherited = self._withheld
         if record.jobs:
             self._wake.set()
         return True
@@ -127,8 +132,11 @@
         if isinstance(answer, CommitConflict):
             return self._handle_conflict(answer)
         if isinstance(answer, Failure):
-            controller.log("unstarted jobs not written", why=answer.reason)
+            if not self._is_failing:
+                controller.log("unstarted jobs not written", why=answer.reason)
+            self._is_failing = True
             return False
+        self._is_failing = False
         self._revision, self._withheld = answer, jobs
         return True
 
--- a/tests/unit/test_unstarted_jobs.py
+++ b/tests/unit/test_unstarted_jobs.py
@@ -109,6 +109,13 @@
         )
         self.assertEqual(set(unnamed), set(blocked))
 
+    def test_record_of_an_earlier_term(self):
+        """Guards against a leader in between that knows no such record."""
+        self.assertTrue(self.unstarted._renew())
+        self.lead(term=3)
+        self.assertEqual(frozenset(), self.unstarted.inherited)
+        self.assertEqual(self.record(), set(self.unstarted._withheld))
+
     def test_leader_that_ends_before_it_replaces_the_record(self):
         """Guards against a job that is started and still named."""
         self.assertTrue(self.unstarted._renew())
