Follow requests to evacuate data centres

Cause: operators need to empty a data centre; no task may start there later than evacuate-ms after the request in the store.

Workers of an evacuated data centre accept no work. Starts there that were not answered are stopped and not repeated; only an answered stop with a later whole report, a reported end or the lease frees their tasks. If the requests could not be read for almost the bound, nothing starts. VMs there are no capacity and do not move. Serving tasks move within their budget while there is room elsewhere that is not taken by tasks moved before. Off unless the settings have evacuate-ms.

--- a/src/rosemarynotch/_internal/platform/documents.py
+++ b/src/rosemarynotch/_internal/platform/documents.py
@@ -42,6 +42,7 @@
     """Keys and key prefixes in the store, defined by the platform."""
 
     configuration: str = "op/config"
+    evacuations: str = "op/evacuate/"
     waves: str = "op/wave/"
     wave_status: str = "status/wave/"
     workers: str = "servers/"
--- a/src/rosemarynotch/_internal/platform/settings.py
+++ b/src/rosemarynotch/_internal/platform/settings.py
@@ -34,6 +34,8 @@
     :ivar holder_interval_ms: minimum time between orders of two successive
         leaders for the same VM
     :ivar withdrawal_ms: longest time for which a withdrawn key may be used
+    :ivar evacuation_ms: time after a request to evacuate a data centre from
+        which no task may start there; None if there are no such requests
     """
 
     node: str
@@ -57,6 +59,7 @@
     maintenance_s: float
     holder_interval_ms: int
     withdrawal_ms: int
+    evacuation_ms: int | None
 
 
 def load_settings(path: str | None = None) -> NodeSettings:
@@ -102,6 +105,7 @@
         "maintenance_s": reader.read_bound(float, "maintenance-s", 2.0),
         "holder_interval_ms": reader.read_bound(int, "lease-ms", 3_000),
         "withdrawal_ms": reader.read_bound(int, "revoke-ms", 3_000),
+        "evacuation_ms": reader.read_bound(int, "evacuate-ms", None),
     }
     if reader.problems:
         raise SettingsError(f"{path}: " + "; ".join(reader.problems))
--- a/src/rosemarynotch/_internal/scheduling/advice.py
+++ b/src/rosemarynotch/_internal/scheduling/advice.py
@@ -148,6 +148,7 @@
 
     :param is_running: returns whether the term lasts
     :param post: queues a callback for the scheduling thread
+    :param accepts_work: tells whether new runs may be placed on a worker
     """
 
     def __init__(
@@ -158,8 +159,10 @@
         is_running: Callable[[], bool],
         post: Callable[[Callable[[float], None]], None],
         log: Callable[..., None],
+        accepts_work: Callable[[str], bool] = lambda worker_id: True,
     ) -> None:
         self._cache = cache
+        self._accepts_work = accepts_work
         self._advisor = advisor
         self._clock = clock
         self._is_running = is_running
@@ -174,11 +177,13 @@
             request = self._cache.next_request()
             if request is None:
                 continue
+            # The request may have waited while workers stopped accepting.
+            workers = [*filter(self._accepts_work, request.workers)]
+            if not workers:
+                continue
             requested_at_s = self._clock.monotonic_s()
             job_id, occurrence, step = request.key
-            answer = self._advisor.advise(
-                job_id, occurrence, step, list(request.workers)
-            )
+            answer = self._advisor.advise(job_id, occurrence, step, workers)
             if isinstance(answer, Failure):
                 self._log("advice failed", job=job_id, why=answer.reason)
                 continue
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -11,6 +11,8 @@
 from rosemarynotch._internal.scheduling.advice import AdviceCache
 from rosemarynotch._internal.scheduling.advice import AdviceRequester
 from rosemarynotch._internal.scheduling.answer_losses import AnswerLosses
+from rosemarynotch._internal.scheduling.evacuation import ServingTaskMover
+from rosemarynotch._internal.scheduling.evacuation_feed import EvacuationFeed
 from rosemarynotch._internal.scheduling.fleet_manager import FleetManager
 from rosemarynotch._internal.scheduling.fleet_manager import FleetTiming
 from rosemarynotch._internal.scheduling.intake_feed import IntakeFeed
@@ -113,6 +115,8 @@
             queue.SimpleQueue()
         )
         self.worker_feed = WorkerFeed(self)
+        self.mover = ServingTaskMover(self)
+        self.evacuations = EvacuationFeed(self)
 
     @property
     def is_running(self) -> bool:
@@ -169,6 +173,9 @@
         if not self._retry(feed.load):
             return
         self._load_turns()
+        # Read last, so that the first starts follow the newest requests.
+        if not self._retry(self.evacuations.load):
+            return
         self.log(
             "leading",
             term=self.grant.term,
@@ -180,6 +187,8 @@
         self.start_thread(feed.run_hints, "intake-hints")
         self.start_thread(self.worker_feed.run, "worker-list")
         self.start_thread(self.writer.run, "progress-writer")
+        if self.evacuations.is_enabled:
+            self.start_thread(self.evacuations.run, "evacuations")
         if self.ports.fleet is not None:
             sizer = self._policies.make_sizer(self.grant.term == 1)
             manager = FleetManager(self, sizer, self._fleet_timing)
@@ -192,6 +201,9 @@
                 lambda: self.is_running,
                 self.post,
                 self.log,
+                lambda worker_id: self.scheduler.accepts_work(
+                    worker_id, self.clock.monotonic_s()
+                ),
             )
             self.start_thread(requester.run, "advice")
         while self.is_running:
@@ -230,6 +242,7 @@
         self.stop.set()
         self.worker_feed.list_now.set()
         self._sender.close()
+        self.evacuations.close()
         self.log("not leading", term=self.grant.term)
 
     def _pass(self) -> None:
@@ -283,8 +296,9 @@
     def _plan(self, now_s: float) -> list[Command]:
         scheduler = self.scheduler
         wall_ms = self.clock.wall_s() * 1000
+        is_fresh = self.evacuations.is_fresh(now_s)
         if not self.is_running:
-            if not self.is_detached:
+            if not (self.is_detached and is_fresh):
                 return []
             # Another leader may have extended leases since the last pass
             # of the term.
@@ -299,8 +313,10 @@
         commands: list[Command] = []
         if now_s - self._reconciled_at_s >= RECONCILE_INTERVAL_S:
             self._reconciled_at_s = now_s
+            self.mover.move_from_evacuated(now_s)
             commands += self.planner.reconcile_runs(now_s)
-        commands += self.planner.place(now_s, wall_ms)
+        if is_fresh:
+            commands += self.planner.place(now_s, wall_ms)
         workers = list(scheduler.workers.values())
         for change in self._policies.pacer.plan(workers, now_s):
             change.run.pace_percent = change.percent
--- a/src/rosemarynotch/_internal/scheduling/evacuation.py
+++ b/src/rosemarynotch/_internal/scheduling/evacuation.py
@@ -1,4 +1,4 @@
-"""Stops serving tasks on workers that have to be empty.
+"""Moves serving tasks away from workers that have to be empty.
 
 Tasks that may be interrupted are limited by the availability budget
 (`max_unavailable`) of their step.
@@ -9,19 +9,24 @@
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.jobs import Step
+from rosemarynotch._internal.scheduling.jobs import Task
 from rosemarynotch._internal.scheduling.policy import FreeCapacity
+from rosemarynotch._internal.scheduling.scheduler import Scheduler
+from rosemarynotch._internal.scheduling.worker_registry import MIN_EVACUATION_S
 from rosemarynotch._internal.scheduling.workers import Worker
 
 if TYPE_CHECKING:
     from rosemarynotch._internal.scheduling.controller import Controller
 
-__all__ = ["Evacuation", "may_interrupt"]
+__all__ = ["ServingTaskMover", "may_interrupt"]
 
 # A serving task counts as available from this percentage on.
 SERVING_PERCENT = 100
 # Older reports do not show that a task is available. Workers with runs report
 # at least once a second.
 MAX_REPORT_AGE_S = 1.6
+# Interval at which tasks are moved out of data centres.
+MOVE_INTERVAL_S = 0.15
 
 
 def may_interrupt(
@@ -55,20 +60,53 @@
     return True
 
 
-class Evacuation:
-    """Stops serving tasks on cordoned and draining workers.
+class _FreeRoom:
+    """Capacity that is left for serving tasks that have to move.
 
-    On cordoned workers, tasks are stopped within the budget of their step,
-    and only if another worker of the pool has capacity for them. A draining
-    worker ends its tasks in any case, so they are stopped at once. Tasks that
-    are not long-running are left to end by themselves.
+    :param moving: tasks that were stopped and have not started again
+    """
+
+    def __init__(
+        self, scheduler: Scheduler, moving: list[Task], now_s: float
+    ) -> None:
+        self._scheduler = scheduler
+        self._capacities: dict[str, list[FreeCapacity]] = {}
+        for worker in scheduler.workers.values():
+            if worker.accepts_work(now_s):
+                self._capacities.setdefault(worker.entry.pool, []).append(
+                    FreeCapacity.of(worker, now_s)
+                )
+        for task in moving:
+            self.take(task)
+
+    def take(self, task: Task) -> bool:
+        """Reserve capacity for a task; return whether there is any."""
+        pool = self._scheduler.queue_of(task.step.occurrence.job).pool
+        for capacity in self._capacities.get(pool, ()):
+            if capacity.admits(task, None):
+                capacity.reserve(task.step)
+                return True
+        return False
+
+
+class ServingTaskMover:
+    """Stops serving tasks on workers that have to be empty.
+
+    On cordoned workers and in data centres that are being evacuated, tasks
+    are stopped within the budget of their step, and only while another worker
+    of their pool has capacity for them. What tasks that were stopped before
+    will need is not counted twice. A draining worker ends its tasks in any
+    case, so they are stopped at once. Tasks that are not long-running are left
+    to end by themselves.
     """
 
     def __init__(self, controller: "Controller") -> None:
         self._controller = controller
+        self._moving: list[Task] = []
+        self._moved_at_s = 0.0
 
     def step(self, now_s: float) -> None:
-        """Mark the runs that are to stop next as stopping."""
+        """Mark the runs on draining and cordoned workers that stop next."""
         controller = self._controller
         with controller.lock:
             workers = list(controller.scheduler.workers.values())
@@ -78,36 +116,72 @@
             ]
             # Tasks on draining workers stop in any case, so they are counted
             # against the budget first.
-            for worker in draining + cordoned:
-                for run in worker.runs.values():
-                    self._evacuate_if_allowed(
-                        run, worker.entry.is_draining, now_s
-                    )
-
-    def _evacuate_if_allowed(
-        self, run: Run, is_draining: bool, now_s: float
-    ) -> None:
-        spec = run.task.step.spec
-        if not spec.long_running or run.phase is not RunPhase.ACTIVE:
+            for worker in draining:
+                for run in _serving_runs(worker):
+                    self._stop(run, "draining")
+            self._move(cordoned, "cordoned", now_s)
+
+    def move_from_evacuated(self, now_s: float) -> None:
+        """Mark the runs in evacuated data centres that stop next.
+
+        The caller holds the lock. A request that is withdrawn within
+        MIN_EVACUATION_S moves nothing.
+        """
+        scheduler = self._controller.scheduler
+        if not scheduler.evacuated_at_s:
             return
-        workers = self._controller.scheduler.workers
-        if is_draining or (
-            may_interrupt(run.task.step, workers, now_s)
-            and self._fits_elsewhere(run, now_s)
-        ):
-            run.phase = RunPhase.STOPPING
-            self._controller.log(
-                "serving task evacuated",
-                job=run.task.task_id.job_id,
-                task=str(run.task.task_id),
-                worker=run.worker_id,
-            )
-
-    def _fits_elsewhere(self, run: Run, now_s: float) -> bool:
-        workers = self._controller.scheduler.workers
-        pool = workers[run.worker_id].entry.pool
-        return any(
-            FreeCapacity.of(worker).admits(run.task, None)
-            for worker in workers.values()
-            if worker.entry.pool == pool and worker.accepts_work(now_s)
+        if now_s - self._moved_at_s < MOVE_INTERVAL_S:
+            return
+        self._moved_at_s = now_s
+        due = {
+            name
+            for name, since_s in scheduler.evacuated_at_s.items()
+            if now_s - since_s >= MIN_EVACUATION_S
+        }
+        workers = [
+            worker
+            for worker in scheduler.workers.values()
+            if worker.entry.data_centre in due
+            and not worker.entry.is_draining
+            and not worker.is_cordoned
+        ]
+        self._move(workers, "data centre evacuated", now_s)
+
+    def _move(self, workers: list[Worker], why: str, now_s: float) -> None:
+        scheduler = self._controller.scheduler
+        runs = [run for worker in workers for run in _serving_runs(worker)]
+        if not runs:
+            return
+        self._moving = [
+            task
+            for task in self._moving
+            if task.step.occurrence.job.job_id in scheduler.active
+            and not task.is_done
+            and all(run.phase is RunPhase.STOPPING for run in task.runs)
+        ]
+        room = _FreeRoom(scheduler, self._moving, now_s)
+        for run in runs:
+            if may_interrupt(
+                run.task.step, scheduler.workers, now_s
+            ) and room.take(run.task):
+                self._stop(run, why)
+
+    def _stop(self, run: Run, why: str) -> None:
+        run.phase = RunPhase.STOPPING
+        self._moving.append(run.task)
+        self._controller.log(
+            "serving task evacuated",
+            job=run.task.task_id.job_id,
+            task=str(run.task.task_id),
+            worker=run.worker_id,
+            why=why,
         )
+
+
+def _serving_runs(worker: Worker) -> list[Run]:
+    """Return the runs of long-running tasks that may be stopped."""
+    return [
+        run
+        for run in worker.runs.values()
+        if run.task.step.spec.long_running and run.phase is RunPhase.ACTIVE
+    ]
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -9,7 +9,6 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import PLATFORM_REFUSED
 from rosemarynotch._internal.exceptions import PLATFORM_UNAVAILABLE
-from rosemarynotch._internal.scheduling.evacuation import Evacuation
 from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
 from rosemarynotch._internal.scheduling.fleet_ports import VmListing
 from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
@@ -99,7 +98,6 @@
             self.mark_worker_replaced,
             timing.maintenance_s,
         )
-        self._evacuation = Evacuation(controller)
 
     def run(self) -> None:
         """List and manage the VMs until the term ends."""
@@ -198,9 +196,7 @@
     def _step(self, vms: dict[str, FleetVm]) -> None:
         controller = self._controller
         now_s = controller.clock.monotonic_s()
-        controller.scheduler.fleet_millicores = sum(
-            vm.capacity.cpu_millicores for vm in vms.values()
-        )
+        controller.scheduler.measure_fleet(vms.values(), now_s)
         self._drop_finished_moves(vms, now_s)
         if any(
             vm.worker_id not in controller.scheduler.workers
@@ -212,7 +208,7 @@
             self._waves.step(
                 vms, self._is_list_complete, set(self._moves), now_s
             )
-            self._evacuation.step(now_s)
+            controller.mover.step(now_s)
         with controller.lock:
             loads = self._pool_loads(vms)
         moves = self._sizer.plan(loads, now_s)
@@ -281,6 +277,8 @@
         controller = self._controller
         with controller.lock:
             worker = controller.scheduler.workers.get(vm.worker_id)
+            if vm.data_centre in controller.scheduler.evacuated_at_s:
+                return
             if worker is not None:
                 if not self._is_idle(worker):
                     return
@@ -327,6 +325,9 @@
             pool = moving.target if moving else vm.pool
             if vm.phase is VmPhase.DOWN:
                 continue
+            if vm.data_centre in scheduler.evacuated_at_s:
+                # Neither capacity of its pool nor a VM that may move.
+                continue
             if moving:
                 moving_counts[pool] = moving_counts.get(pool, 0) + 1
             worker = scheduler.workers.get(vm.worker_id)
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -141,7 +141,9 @@
         with controller.lock:
             now_s = controller.clock.monotonic_s()
             if isinstance(command, StartCommand):
-                is_needed = command.is_current(now_s)
+                is_needed = command.is_current(
+                    now_s
+                ) and controller.evacuations.is_fresh(now_s)
                 run.is_sent |= is_needed
                 if is_needed:
                     order = self._make_order(command)
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -55,7 +55,9 @@
         The order may have waited while its task was done or moved elsewhere,
         its job ended, its run was marked to stop, or its worker was about to
         leave. A worker that does not accept work at present gets no first
-        order, so that the task starts on another one.
+        order, so that the task starts on another one. An order is not
+        repeated in a data centre that is being evacuated, as the worker may
+        not have received the one before.
         """
         run, worker, task = self.run, self.worker, self.run.task
         is_newest = run.number == task.last_run or task.step.spec.speculative
@@ -68,7 +70,8 @@
         ):
             return False
         if run.is_sent:
-            return not (worker.entry.is_draining or worker.is_replaced)
+            is_leaving = worker.entry.is_draining or worker.is_replaced
+            return not (is_leaving or worker.is_evacuated)
         return worker.accepts_work(now_s)
 
 
@@ -126,6 +129,9 @@
         if run.phase is RunPhase.STOPPING or job.phase.is_final:
             return self._stop(run, worker, now_s)
         if run.phase is RunPhase.UNCONFIRMED:
+            if worker.is_evacuated:
+                # The stop also prevents the start if it was not carried out.
+                return self._stop(run, worker, now_s)
             if worker.has_restarted or not worker.is_enrolled:
                 # The lease has to be by the clock of the new incarnation, and
                 # the next leader has to find the worker in the roster.
@@ -211,7 +217,7 @@
         commands: list[StartCommand] = []
         for pool, jobs in pools.items():
             free = [
-                FreeCapacity.of(worker)
+                FreeCapacity.of(worker, now_s)
                 for worker in self._scheduler.workers.values()
                 if worker.entry.pool == pool
                 and worker.accepts_work(now_s)
--- a/src/rosemarynotch/_internal/scheduling/policies.py
+++ b/src/rosemarynotch/_internal/scheduling/policies.py
@@ -52,6 +52,10 @@
         returns how long an answer to an order is awaited
     :ivar waves_prefix: prefix of maintenance waves in the store
     :ivar wave_status_prefix: prefix of their status in the store
+    :ivar evacuations_prefix: prefix of the requests to evacuate data centres
+        in the store; if empty, there are none
+    :ivar evacuation_bound_s: time after a request from which no task may
+        start in its data centre
     :ivar fleet: None if there is no VM service
     :ivar advisor: None if there is no advice service
     """
@@ -64,5 +68,7 @@
     wave_status_prefix: str
     decode_wave: Callable[[Item], Wave | Failure]
     encode_wave_status: Callable[[bool], bytes]
+    evacuations_prefix: str = ""
+    evacuation_bound_s: float = 0.0
     fleet: FleetService | None = None
     advisor: Advisor | None = None
--- a/src/rosemarynotch/_internal/scheduling/policy/placement.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/placement.py
@@ -25,6 +25,7 @@
     """Free capacity of a worker during one planning pass.
 
     :ivar free: resources that are not reserved
+    :ivar is_cold: whether tasks may be slower there at first
     :ivar serving_tasks: tasks on the worker that have a latency target
     :ivar best_effort_tasks: tasks on the worker that use idle processors
     :ivar tasks_by_step: number of tasks on the worker, by identity of the
@@ -33,14 +34,15 @@
 
     worker: Worker
     free: Resources
+    is_cold: bool = False
     serving_tasks: int = 0
     best_effort_tasks: int = 0
     tasks_by_step: dict[int, int] = attrs.field(factory=dict)
 
     @classmethod
-    def of(cls, worker: Worker) -> "FreeCapacity":
+    def of(cls, worker: Worker, now_s: float) -> "FreeCapacity":
         """Return the free capacity of a worker, counting its runs."""
-        capacity = cls(worker, worker.free)
+        capacity = cls(worker, worker.free, now_s < worker.cold_until_s)
         for run in worker.runs.values():
             capacity.count(run.task.step)
         return capacity
@@ -205,9 +207,10 @@
     Best-effort tasks (which use idle processors) and serving tasks slow each
     other down, so they share a worker only if no other worker has capacity. A
     task that failed on a worker goes to another one if possible, and workers
-    that leave orders unanswered come after those that answer. Tight packing
-    leaves whole workers empty, which can move to another pool or be
-    maintained.
+    that leave orders unanswered come after those that answer. Workers of a
+    data centre that was evacuated until shortly before are cold and come after
+    others that are equal in all this. Tight packing leaves whole workers
+    empty, which can move to another pool or be maintained.
     """
 
     def rank(self, task, capacity):
@@ -227,6 +230,7 @@
             worker.unanswered_orders > 1,
             is_remote,
             interference,
+            capacity.is_cold,
             capacity.free.cpu_millicores,
             worker.worker_id,
         )
--- a/src/rosemarynotch/_internal/scheduling/probes.py
+++ b/src/rosemarynotch/_internal/scheduling/probes.py
@@ -52,6 +52,8 @@
         """Return all series in the text format of Prometheus."""
         snapshot = self._metrics.snapshot()
         lines = [f"log_lines_dropped_total {self._log.dropped}"]
+        for name, value in sorted(self._metrics.gauges().items()):
+            lines.append(f"{name} {value}")
         for series, value in sorted(snapshot.counters.items()):
             name, labels = _split(series)
             lines.append(f"{name}_total{labels} {value}")
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -248,10 +248,24 @@
         return LoadRecord(
             written_unix_ms=wall_ms,
             waiting=waiting,
-            start_delay_ms=self._controller.planner.start_delays_ms(wall_ms),
+            start_delay_ms=self._start_delays_ms(wall_ms),
             turns=tuple(self._controller.forecast.turns),
         )
 
+    def _start_delays_ms(self, wall_ms: float) -> dict[str, int]:
+        """Return the expected wait of a new job, by queue.
+
+        While all data centres are evacuated, it is not known when capacity
+        returns. The wait is then estimated as long as it has lasted so far.
+        """
+        controller = self._controller
+        since_s = controller.scheduler.out_of_service_since_s
+        if since_s is None:
+            return controller.planner.start_delays_ms(wall_ms)
+        delay_ms = round((controller.clock.monotonic_s() - since_s) * 1000)
+        queues = controller.scheduler.configuration.queues
+        return {queue.name: delay_ms for queue in queues}
+
     def _roster(self) -> RosterRecord:
         workers = self._controller.scheduler.workers.values()
         return RosterRecord(
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -47,6 +47,11 @@
         super().__init__(term, started_revision, log)
         self.workers: dict[str, Worker] = {}
 
+    def accepts_work(self, worker_id: str, now_s: float) -> bool:
+        """Return whether new runs may be placed on a worker."""
+        worker = self.workers.get(worker_id)
+        return worker is not None and worker.accepts_work(now_s)
+
     @staticmethod
     def next_run_number(tasks: list[Task]) -> int:
         """Return a run number that is higher than all earlier ones.
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -1,8 +1,10 @@
 """State machine of workers and their runs; performs no I/O."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 
 from rosemarynotch._internal.scheduling.durations import DurationEstimator
+from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.ports import EndKind
@@ -43,8 +45,24 @@
     ) -> None:
         super().__init__(term, started_revision, longest_lease_s, log)
         self.durations = DurationEstimator()
-        # Processors of all VMs, including those that are powered off.
+        # Processors of all VMs that are not in a data centre being evacuated,
+        # including those that are powered off.
         self.fleet_millicores = 0
+        # Since when all VMs are in such data centres, None if they are not.
+        self.out_of_service_since_s: float | None = None
+
+    def measure_fleet(self, vms: Collection[FleetVm], now_s: float) -> None:
+        """Update the capacity of the fleet from the list of VMs."""
+        usable = [
+            vm for vm in vms if vm.data_centre not in self.evacuated_at_s
+        ]
+        self.fleet_millicores = sum(
+            vm.capacity.cpu_millicores for vm in usable
+        )
+        if usable or not vms:
+            self.out_of_service_since_s = None
+        elif self.out_of_service_since_s is None:
+            self.out_of_service_since_s = now_s
 
     def advance_acks(self) -> None:
         """Acknowledge the run ends of all workers that are persisted."""
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -367,7 +367,7 @@
             worker = scheduler.workers.get(vm.worker_id)
             total = totals.setdefault(vm.pool, [0, 0, 0.0, 0.0])
             total[0] += 1
-            is_in_service = worker is not None and not worker.is_cordoned
+            is_in_service = worker is not None and worker.is_in_service
             if not is_in_service or vm.phase is not VmPhase.UP:
                 total[1] += 1
                 continue
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -11,10 +11,15 @@
 from rosemarynotch._internal.scheduling.workers import SLOW_CLOCK_FACTOR
 from rosemarynotch._internal.scheduling.workers import Worker
 
-__all__ = ["WorkerRegistry"]
+__all__ = ["MIN_EVACUATION_S", "WorkerRegistry"]
 
 # Added to the calculated end of a lease to allow for clock inaccuracy.
 LEASE_MARGIN_S = 0.3
+# Workers may be slower for this long after the end of an evacuation. One that
+# was shorter than MIN_EVACUATION_S changes nothing that lasts: no worker
+# counts as cold, and no serving task is moved.
+COLD_S = 4.0
+MIN_EVACUATION_S = 1.0
 # Entries of workers that have ended are listed for at most three heartbeat
 # intervals, some seconds in all.
 LIST_LAG_S = 10.0
@@ -32,6 +37,8 @@
     :param log: called with the name of an event and its fields
     :ivar unknown_until_s: until when any worker may have runs of earlier
         leaders, also one that the roster does not name; 0 if none may
+    :ivar evacuated_at_s: data centres that are being evacuated, and since when
+        this leader knows of it
     """
 
     def __init__(
@@ -44,6 +51,7 @@
         super().__init__(term, started_revision, log)
         self._longest_lease_s = longest_lease_s
         self.unknown_until_s = 0.0
+        self.evacuated_at_s: dict[str, float] = {}
         # Start time and time of removal of replaced workers, by identifier.
         self._removed_workers: dict[str, tuple[int, float]] = {}
 
@@ -100,6 +108,7 @@
                 worker.entry = entry
                 worker.pools.add(entry.pool)
             worker.is_listed = True
+            worker.is_evacuated = self._is_in_evacuation(worker)
         for worker_id, worker in self.workers.items():
             if worker_id not in listed and worker.is_listed:
                 worker.is_listed = False
@@ -110,6 +119,55 @@
             )
         return added
 
+    def set_evacuated(self, names: frozenset[str], now_s: float) -> None:
+        """Update the data centres that are being evacuated.
+
+        Only new runs depend on it. Those that exist are freed as ever.
+        """
+        ended = {
+            name: since_s
+            for name, since_s in self.evacuated_at_s.items()
+            if name not in names
+        }
+        begun = names - set(self.evacuated_at_s)
+        for name in ended:
+            del self.evacuated_at_s[name]
+        self.evacuated_at_s |= dict.fromkeys(begun, now_s)
+        for worker in self.workers.values():
+            since_s = ended.get(worker.entry.data_centre)
+            if since_s is not None and now_s - since_s >= MIN_EVACUATION_S:
+                worker.cold_until_s = now_s + COLD_S
+            worker.is_evacuated = self._is_in_evacuation(worker)
+        for name in sorted(begun):
+            self._log("evacuation in force", **self._describe(name))
+        for name in sorted(ended):
+            self._log("evacuation ended", **self._describe(name))
+
+    def _describe(self, data_centre: str) -> dict:
+        workers = [
+            worker
+            for worker in self.workers.values()
+            if worker.entry.data_centre == data_centre
+        ]
+        runs = sum(len(worker.runs) for worker in workers)
+        return {
+            "data_centre": data_centre,
+            "workers": len(workers),
+            "runs": runs,
+        }
+
+    def _is_in_evacuation(self, worker: Worker) -> bool:
+        """Tell whether the data centre of a worker is being evacuated.
+
+        The roster does not name the data centres of its workers. Until it is
+        listed, such a worker may be in any of them.
+        """
+        entry = worker.entry
+        is_located = entry.data_centre or entry.started_unix_ms
+        if not is_located and self.evacuated_at_s:
+            return True
+        return entry.data_centre in self.evacuated_at_s
+
     def _is_outdated(self, entry: WorkerEntry, now_s: float) -> bool:
         """Tell whether an entry is that of a worker that was replaced.
 
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -104,6 +104,9 @@
     :ivar is_enrolled: whether the roster in the store contains it with its
         present pool and address, so that a later leader requests its runs
     :ivar is_cordoned: whether it is being emptied and gets no new runs
+    :ivar is_evacuated: whether its data centre is being evacuated, so that it
+        gets no new runs; those that it has go on
+    :ivar cold_until_s: until when it may be slower than other workers
     :ivar is_replaced: whether another worker has answered at its address, or
         its VM was moved or maintained; it gets no orders then, and its runs
         are kept until its lease has ended
@@ -139,6 +142,8 @@
     is_report_cut: bool = False
     is_enrolled: bool = False
     is_cordoned: bool = False
+    is_evacuated: bool = False
+    cold_until_s: float = 0.0
     is_replaced: bool = False
     replaced_why: str = ""
     is_inherited: bool = False
@@ -182,7 +187,7 @@
             and not self.has_restarted
             and self.is_enrolled
             and not self.is_replaced
-            and not self.is_cordoned
+            and self.is_in_service
             and not self.has_many_withheld_ends
             and not self.unknown_run_count
             and not self.entry.is_draining
@@ -190,6 +195,11 @@
             and now_s >= self.quarantined_until_s
         )
 
+    @property
+    def is_in_service(self) -> bool:
+        """Return whether it counts as capacity of its pool."""
+        return not (self.is_cordoned or self.is_evacuated)
+
     @property
     def has_many_withheld_ends(self) -> bool:
         """Return whether more runs might end than the worker can list."""
--- a/src/rosemarynotch/_internal/utils/metrics.py
+++ b/src/rosemarynotch/_internal/utils/metrics.py
@@ -125,6 +125,20 @@
         self._lock = threading.Lock()
         self._counters: dict[str, int] = {}
         self._histograms: dict[str, HdrHistogram] = {}
+        self._gauges: dict[str, float] = {}
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a value that can rise and fall.
+
+        Gauges are set by constant names only, so their number needs no bound.
+        """
+        with self._lock:
+            self._gauges[name] = value
+
+    def gauges(self) -> dict[str, float]:
+        """Return the gauges by name."""
+        with self._lock:
+            return dict(self._gauges)
 
     def count(self, name: str, amount: int = 1, **labels) -> None:
         """Add to a counter."""
--- a/src/rosemarynotch/_internal/wiring/clients.py
+++ b/src/rosemarynotch/_internal/wiring/clients.py
@@ -57,6 +57,7 @@
 
         :param is_leading: tells whether this node may still give orders
         """
+        evacuation_ms = self._settings().evacuation_ms
         return ControllerPorts(
             store=self.store(),
             workers_prefix=KEYS.workers,
@@ -66,6 +67,10 @@
             wave_status_prefix=KEYS.wave_status,
             decode_wave=decode_wave,
             encode_wave_status=encode_wave_status,
+            evacuations_prefix=(
+                "" if evacuation_ms is None else KEYS.evacuations
+            ),
+            evacuation_bound_s=(evacuation_ms or 0) / 1000,
             fleet=self._fleet_service(is_leading),
             advisor=self._advisor(),
         )
--- a/tests/unit/test_evacuation.py
+++ b/tests/unit/test_evacuation.py
@@ -6,7 +6,7 @@
 import attrs
 import testtools
 
-from rosemarynotch._internal.scheduling.evacuation import Evacuation
+from rosemarynotch._internal.scheduling.evacuation import ServingTaskMover
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from tests.lib.scheduling import job_spec
 from tests.lib.scheduling import Leader
@@ -48,7 +48,7 @@
             scheduler=leader.scheduler,
             log=lambda event, **fields: None,
         )
-        Evacuation(controller).step(leader.now_s)
+        ServingTaskMover(controller).step(leader.now_s)
         stopping = {
             run.worker_id for run in runs if run.phase is RunPhase.STOPPING
         }
--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -112,6 +112,10 @@
                 wall_s=lambda: leader.now_s, monotonic_s=lambda: leader.now_s
             ),
             worker_feed=types.SimpleNamespace(close_link=lambda name: None),
+            evacuations=types.SimpleNamespace(is_fresh=lambda now_s: True),
+            mover=types.SimpleNamespace(
+                move_from_evacuated=lambda now_s: None
+            ),
             is_running=True,
             is_detached=True,
             _reconciled_at_s=0.0,
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -118,6 +118,7 @@
             metrics=mock.Mock(),
             stop=mock.Mock(),
             may_start=True,
+            evacuations=types.SimpleNamespace(is_fresh=lambda now_s: True),
             extend_lease=lambda worker, clock: 7,
         )
         controller.writer = self.writer = ProgressWriter(controller)
--- a/tests/unit/test_worker_restart.py
+++ b/tests/unit/test_worker_restart.py
@@ -392,6 +392,7 @@
         controller = types.SimpleNamespace(
             lock=Lock(),
             clock=types.SimpleNamespace(monotonic_s=lambda: 1000.0),
+            evacuations=types.SimpleNamespace(is_fresh=lambda now_s: True),
             extend_lease=extend_lease,
         )
         sender = OrderSender(controller)
