--- a/standins/fleet/emulator.py
+++ b/standins/fleet/emulator.py
@@ -37,6 +37,7 @@
     name: str
     pool: str
     rack: str
+    data_centre: str
     worker: EmulatedWorker | None = None
     state: str = "up"
     is_draining: bool = False
@@ -52,6 +53,8 @@
     :param pools: number of VMs by pool
     :param standby: the pool whose VMs are off
     :param outage_s: time for which a move or maintenance stops a VM
+    :param data_centres: names among which the VMs of a pool alternate
+    :ivar data_centre_by_worker: data centre of each worker so far
     :ivar orders: orders for VMs: name, path, lease holder and fencing token
     """
 
@@ -61,8 +64,11 @@
         standby: str = "",
         outage_s: float = 0.5,
         seed: int = 0,
+        data_centres: tuple[str, ...] = ("zone-1",),
     ) -> None:
         self.random = random.Random(seed)
+        self.data_centre_by_worker: dict[str, str] = {}
+        self._data_centres = data_centres
         self.ledger = Ledger()
         self.store = EmulatedStore(seed)
         self.vms: dict[str, EmulatedVm] = {}
@@ -74,18 +80,26 @@
         self._is_closed = False
         self._sequence = iter(range(1, 1_000_000))
         for pool, count in pools.items():
-            for _ in range(count):
-                self.add_vm(pool)
+            for number in range(count):
+                self.add_vm(pool, data_centres[number % len(data_centres)])
         self.store_server = JsonServer(self.store.respond)
         self.cloud_server = JsonServer(self._respond)
         threading.Thread(
             target=self._update_registrations, daemon=True
         ).start()
 
-    def add_vm(self, pool: str) -> EmulatedVm:
-        """Add a VM; it gets a worker unless its pool is the standby pool."""
+    def add_vm(self, pool: str, data_centre: str = "") -> EmulatedVm:
+        """Add a VM; it gets a worker unless its pool is the standby pool.
+
+        :param data_centre: by default the first one
+        """
         number = next(self._sequence)
-        vm = EmulatedVm(f"vm-{number}", pool, f"rack-{number % 3}")
+        vm = EmulatedVm(
+            f"vm-{number}",
+            pool,
+            f"rack-{number % 3}",
+            data_centre or self._data_centres[0],
+        )
         # Replaced and never changed in place: other threads iterate over it.
         with self._lock:
             self.vms = self.vms | {vm.name: vm}
@@ -111,6 +125,18 @@
         }
         self.store.put(f"op/wave/{number}", json.dumps(fields).encode())
 
+    def evacuate(self, data_centre: str, value: bytes = b"{}") -> float:
+        """Request an evacuation, as the operator does.
+
+        :returns: the time of the acknowledgement, of the monotonic clock
+        """
+        self.store.put(f"op/evacuate/{data_centre}", value)
+        return time.monotonic()
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Return a data centre to service, as the operator does."""
+        self.store.delete(f"op/evacuate/{data_centre}")
+
     def put_foreign_entry(self, name: str, value: bytes) -> None:
         """Write an entry among the workers, as another writer does."""
         key = f"servers/{name}"
@@ -186,6 +212,7 @@
                 vm.worker = EmulatedWorker(
                     worker_id, self.ledger, self.random, port
                 )
+                self.data_centre_by_worker[worker_id] = vm.data_centre
         self._register_worker(vm)
 
     def _remove_vm(self, vm: EmulatedVm) -> None:
@@ -207,7 +234,7 @@
             entry = {
                 "backend": vm.pool,
                 "address": worker.address,
-                "zone": "zone-1",
+                "zone": vm.data_centre,
                 "version": "v1",
                 "slots": 8,
                 "state": "draining" if vm.is_draining else "ready",
@@ -264,7 +291,7 @@
             "machine": vm.name,
             "pool": vm.pool,
             "state": vm.state,
-            "zone": "zone-1",
+            "zone": vm.data_centre,
             "labels": ["a", vm.rack],
             "capacity": CAPACITY,
             "id": vm.worker.worker_id if vm.worker else None,
--- a/tests/lib/nodes.py
+++ b/tests/lib/nodes.py
@@ -80,10 +80,14 @@
     """Starts, signals and calls node processes.
 
     :param count: number of nodes to start
+    :param bounds: settings of the section ``bounds`` beside the usual ones
     """
 
-    def __init__(self, emulator: Emulator, count: int) -> None:
+    def __init__(
+        self, emulator: Emulator, count: int, bounds: dict | None = None
+    ) -> None:
         self._emulator = emulator
+        self._bounds = bounds or {}
         self._folder = tempfile.TemporaryDirectory()
         self._processes: dict[int, subprocess.Popen] = {}
         self.addresses: dict[int, str] = {}
@@ -118,7 +122,12 @@
                 "ready": f"{HOST}:{probe}",
             },
             "internal-port-range": [metrics, metrics],
-            "bounds": {"lease-ms": 300, "maintenance-s": 0.5, "grace-s": 6},
+            "bounds": {
+                "lease-ms": 300,
+                "maintenance-s": 0.5,
+                "grace-s": 6,
+                **self._bounds,
+            },
             "platform": {"address": self.store_address(number)},
             "cloud-api": {"address": self._emulator.cloud_server.address},
             "future-field": 1,
--- a/tests/unit/test_evacuation_feed.py
+++ b/tests/unit/test_evacuation_feed.py
@@ -2,13 +2,22 @@
 
 import threading
 import types
+from unittest import mock
 
 import testtools
 
+from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
+from rosemarynotch._internal.scheduling.controller import Controller
 from rosemarynotch._internal.scheduling.evacuation_feed import EvacuationFeed
+from rosemarynotch._internal.scheduling.fleet_manager import FleetTiming
+from rosemarynotch._internal.scheduling.leadership import Leadership
+from rosemarynotch._internal.scheduling.planner import StartCommand
+from rosemarynotch._internal.scheduling.policies import ControllerPorts
 from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import Listing
+from rosemarynotch._internal.utils.clock import SystemClock
 from rosemarynotch._internal.utils.metrics import Metrics
+from rosemarynotch._internal.wiring.policies import choose_policies
 from tests.lib.coordination import RecordedStore
 from tests.lib.scheduling import Leader
 
@@ -74,7 +83,7 @@
         self.assertEqual("one", fields["data_centre"])
 
     def test_request_and_return_are_followed(self):
-        """Guards against an evacuation that outlasts the deletion of its key."""
+        """Guards against an evacuation that outlasts its request."""
         self.feed.load()
         self.store.put(PREFIX + "one")
         self.assertTrue(self.feed._watch())
@@ -278,3 +287,98 @@
         self.assertEqual(0, self.store.reads)
         self.assertEqual(set(), self.evacuated())
         self.assertEqual({}, self.controller.metrics.gauges())
+
+
+class TestTerm(testtools.TestCase):
+    """Guards against a leader that starts tasks before it knows requests."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = RecordedStore()
+        self.events = []
+        self.leadership = Leadership(
+            self.store, SystemClock(), "n", "ip", "i", self.log
+        )
+        self.stop = threading.Event()
+        self.addCleanup(self.stop.set)
+        threading.Thread(
+            target=self.leadership.run, args=(self.stop,), daemon=True
+        ).start()
+        while self.leadership.grant is None:
+            threading.Event().wait(0.01)
+        self.controller = Controller(
+            self.leadership.grant,
+            self.leadership,
+            ControllerPorts(
+                store=self.store,
+                workers_prefix="workers/",
+                decode_worker=None,
+                connect_worker=None,
+                waves_prefix="waves/",
+                wave_status_prefix="status/",
+                decode_wave=None,
+                encode_wave_status=None,
+                evacuations_prefix=PREFIX,
+                evacuation_bound_s=BOUND_S,
+            ),
+            lambda: None,
+            SystemClock(),
+            Metrics(),
+            self.log,
+            FleetTiming(holder_interval_s=0.0, maintenance_s=0.0),
+            choose_policies(),
+        )
+
+    def log(self, event, **fields):
+        self.events.append(event)
+
+    def test_requests_are_read_before_the_first_start(self):
+        """Guards against starts between the election and the first read.
+
+        The read fails at first, as right after an outage of the store.
+        """
+        controller, store = self.controller, self.store
+        store.put(PREFIX + "one")
+        failures = [STORE_UNAVAILABLE, STORE_UNAVAILABLE]
+        read = store.list_prefix
+
+        def list_prefix(prefix):
+            if prefix == PREFIX and failures:
+                return failures.pop()
+            return read(prefix)
+
+        store.list_prefix = list_prefix
+        seen = []
+
+        def place(now_s, wall_ms):
+            seen.append(set(controller.scheduler.evacuated_at_s))
+            controller.leadership.step_down(controller.grant, "test")
+            return []
+
+        controller.planner.place = place
+        controller.run()
+        self.assertEqual([{"one"}], seen)
+        self.assertIn("evacuations read again", self.events)
+        gauges = controller.metrics.gauges()
+        self.assertEqual(0, gauges["evacuations_in_force"])
+
+    def test_stale_requests_stop_all_starts(self):
+        """Guards against starts of a leader that cannot read requests.
+
+        This also holds for a leader without the store, whose 4 s would
+        outlast a shorter bound.
+        """
+        controller = self.controller
+        controller.evacuations.load()
+        controller.planner.place = mock.Mock(return_value=[])
+        now_s = controller.clock.monotonic_s()
+        controller._plan(now_s)
+        controller.planner.place.assert_called_once()
+        controller._plan(now_s + BOUND_S - 0.3)
+        controller.planner.place.assert_called_once()
+        command = mock.Mock(spec=StartCommand)
+        command.is_current.return_value = True
+        command.run.is_sent = False
+        controller.evacuations._contact_at_s = -1e9
+        is_needed, _ = controller._sender._prepare(command)
+        self.assertFalse(is_needed)
