Leave VMs of an evacuated data centre out of maintenance budgets

Cause: they count as VMs of their pool, so a wave may take more of the rest out of service, or waits as too many seem to be out of service.

Measured: tests/unit/test_wave*.py and test_evac*.py pass.

--- a/src/rosemarynotch/_internal/scheduling/maintenance.py
+++ b/src/rosemarynotch/_internal/scheduling/maintenance.py
@@ -72,7 +72,7 @@
     :ivar pool_utilisation: share of the pool's processors in use
     :ivar run_count: number of runs on the VM
     :ivar is_free: whether maintaining it costs no capacity, because its pool
-        is a standby pool or it has no worker
+        is a standby pool, it has no worker or its data centre is evacuated
     """
 
     name: str
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -12,6 +12,7 @@
 from rosemarynotch._internal.scheduling.maintenance import SpreadOverPools
 from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.maintenance import WaveVm
+from rosemarynotch._internal.scheduling.pool_totals import count_pools
 from rosemarynotch._internal.scheduling.vm_tracker import VmTracker
 from rosemarynotch._internal.scheduling.wave_records import RunningWave
 from rosemarynotch._internal.scheduling.wave_records import WaveStore
@@ -360,19 +361,7 @@
     ) -> list[WaveVm]:
         """Return the VMs of a wave that may be cordoned now."""
         scheduler = self._controller.scheduler
-        # For each pool: VMs, VMs out of service, millicores reserved, and
-        # millicores in all, both of the VMs in service.
-        totals: dict[str, list[float]] = {}
-        for vm in vms.values():
-            worker = scheduler.workers.get(vm.worker_id)
-            total = totals.setdefault(vm.pool, [0, 0, 0.0, 0.0])
-            total[0] += 1
-            is_in_service = worker is not None and worker.is_in_service
-            if not is_in_service or vm.phase is not VmPhase.UP:
-                total[1] += 1
-                continue
-            total[2] += worker.reserved.cpu_millicores
-            total[3] += worker.entry.capacity.cpu_millicores
+        totals = count_pools(scheduler, vms.values())
         candidates = []
         for name in state.wave.vms:
             vm = vms.get(name)
@@ -389,11 +378,12 @@
                 WaveVm(
                     name=name,
                     pool=vm.pool,
-                    pool_vms=int(total[0]),
-                    pool_unavailable_vms=int(total[1]),
-                    pool_utilisation=total[2] / total[3] if total[3] else 1.0,
+                    pool_vms=total.vms,
+                    pool_unavailable_vms=total.unavailable_vms,
+                    pool_utilisation=total.utilisation,
                     run_count=len(worker.runs) if worker else 0,
-                    is_free=is_without_worker,
+                    is_free=is_without_worker
+                    or vm.data_centre in scheduler.evacuated_at_s,
                 )
             )
         return candidates
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -187,7 +187,8 @@
             and not self.has_restarted
             and self.is_enrolled
             and not self.is_replaced
-            and self.is_in_service
+            and not self.is_cordoned
+            and not self.is_evacuated
             and not self.has_many_withheld_ends
             and not self.unknown_run_count
             and not self.entry.is_draining
@@ -195,11 +196,6 @@
             and now_s >= self.quarantined_until_s
         )
 
-    @property
-    def is_in_service(self) -> bool:
-        """Return whether it counts as capacity of its pool."""
-        return not (self.is_cordoned or self.is_evacuated)
-
     @property
     def has_many_withheld_ends(self) -> bool:
         """Return whether more runs might end than the worker can list."""
