--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -104,6 +104,9 @@
     :ivar is_enrolled: whether the roster in the store contains it with its
         present pool and address, so that a later leader requests its runs
     :ivar is_cordoned: whether it is being emptied and gets no new runs
+    :ivar is_evacuated: whether its data centre is being evacuated, so that it
+        gets no new runs; those that it has go on
+    :ivar cold_until_s: until when it may be slower than other workers
     :ivar is_replaced: whether another worker has answered at its address, or
         its VM was moved or maintained; it gets no orders then, and its runs
         are kept until its lease has ended
@@ -141,6 +144,8 @@
     is_report_cut: bool = False
     is_enrolled: bool = False
     is_cordoned: bool = False
+    is_evacuated: bool = False
+    cold_until_s: float = 0.0
     is_replaced: bool = False
     replaced_why: str = ""
     is_inherited: bool = False
@@ -186,6 +191,7 @@
             and self.is_enrolled
             and not self.is_replaced
             and not self.is_cordoned
+            and not self.is_evacuated
             and not self.has_many_withheld_ends
             and not self.unknown_run_count
             and not self.entry.is_draining
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -120,6 +120,7 @@
             metrics=mock.Mock(),
             stop=mock.Mock(),
             may_start=True,
+            evacuations=types.SimpleNamespace(is_fresh=lambda now_s: True),
             extend_lease=lambda worker, clock: 7,
             known_lease_ends_s=lambda: self.lease_ends_s,
         )
