Split the properties of candidates from the planner

Orders are also told the processors of the pool, for those that choose a set of jobs which fits. No change of behaviour.

--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -5,28 +5,22 @@
 import attrs
 
 from rosemarynotch._internal.scheduling.advice import AdviceCache
+from rosemarynotch._internal.scheduling.candidates import CandidateFactory
 from rosemarynotch._internal.scheduling.caps import CapGuard
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.jobs import Step
-from rosemarynotch._internal.scheduling.model import Organisation
-from rosemarynotch._internal.scheduling.policy import Candidate
-from rosemarynotch._internal.scheduling.policy import CUTOFF_FACTOR
 from rosemarynotch._internal.scheduling.policy import FreeCapacity
 from rosemarynotch._internal.scheduling.policy import JobOrder
 from rosemarynotch._internal.scheduling.policy import PoolCapacity
 from rosemarynotch._internal.scheduling.policy import StepPlacer
 from rosemarynotch._internal.scheduling.policy import Urgency
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
-from rosemarynotch._internal.scheduling.work_estimates import WorkEstimates
 from rosemarynotch._internal.scheduling.workers import Worker
 
 __all__ = ["Planner", "StartCommand", "StopCommand"]
 
-# An organisation counts as over its share when it uses more than this multiple
-# of its fair share. A lower factor would reorder jobs on small differences.
-OVER_SHARE_FACTOR = 1.5
 # A stop order that has not ended its run is sent again after this time.
 STOP_RETRY_S = 1.0
 # A run whose percentage has not grown for this long counts as stuck. Workers
@@ -101,8 +95,7 @@
         self._advice = advice
         self._log = log
         self._caps = CapGuard(scheduler)
-        self._work = WorkEstimates(scheduler.durations)
-        self._fair_millicores = 0.0
+        self._candidates = CandidateFactory(scheduler)
         self._uncertain_pools: set[str] = set()
 
     # Runs that have to stop, or whose start is unconfirmed.
@@ -199,7 +192,7 @@
                 continue
             pool = self._scheduler.queue_of(job).pool
             pools.setdefault(pool, []).append(job)
-        self._fair_millicores = self._fair_share()
+        self._candidates.begin_pass()
         uncertain = self._scheduler.pools_with_unknown_runs(led_at_s)
         if uncertain != self._uncertain_pools:
             self._uncertain_pools = uncertain
@@ -230,16 +223,20 @@
         return commands
 
     def _place_pool(self, jobs, capacity, now_s, wall_ms):
+        cores = sum(
+            each.worker.entry.capacity.cpu_millicores / 1000
+            for each in capacity.capacities
+        )
         waiting = {}
         for job in jobs:
             steps = self._waiting_steps(job, wall_ms)
             if steps:
                 waiting[job.job_id] = (job, steps)
         candidates = [
-            self.candidate(job, wall_ms) for job, _ in waiting.values()
+            self._candidates.candidate(job, wall_ms) for job, _ in waiting.values()
         ]
         commands: list[StartCommand] = []
-        for candidate in self._order.sort(candidates, wall_ms):
+        for candidate in self._order.sort(candidates, wall_ms, cores):
             job, steps = waiting[candidate.job_id]
             for step in steps:
                 commands += self._place_step(job, step, capacity, now_s)
@@ -258,39 +255,14 @@
                     steps.append(step)
         return steps
 
-    def candidate(self, job: Job, wall_ms: float) -> Candidate:
-        """Return the properties of a job that decide when it starts."""
-        queue = self._scheduler.queue_of(job)
-        accepted_ms = job.submission.accepted_unix_ms
-        occurrence = next(
-            (o for o in job.occurrences if not o.is_done), job.occurrences[-1]
-        )
-        if job.is_scheduled:
-            accepted_ms = max(accepted_ms, occurrence.due_unix_ms)
-        work = self._work.remaining(job, queue.name, occurrence)
-        limit_ms = queue.objective_ms(work.path_ms)
-        return Candidate(
-            job_id=job.job_id,
-            priority=queue.priority,
-            is_serving=job.is_long_running,
-            is_started=job.highest_run > 0,
-            usage_share=self._usage_share(job),
-            accepted_ms=accepted_ms,
-            remaining_ms=work.remaining_ms,
-            remaining_core_ms=work.remaining_core_ms,
-            objective_ms=accepted_ms + limit_ms,
-            cutoff_ms=accepted_ms + CUTOFF_FACTOR * limit_ms,
-            is_over_share=self._is_over_share(job.submission.organisation),
-        )
-
     def is_viable(self, job: Job, wall_ms: float) -> bool:
         """Tell whether a job can end before its result is worthless."""
-        urgency = self.candidate(job, wall_ms).urgency(wall_ms)
+        urgency = self._candidates.candidate(job, wall_ms).urgency(wall_ms)
         return urgency is not Urgency.TOO_LATE
 
     def forget(self, job_id: str) -> None:
         """Drop the cached estimate of a job."""
-        self._work.forget(job_id)
+        self._candidates.forget(job_id)
 
     def start_delays_ms(self, wall_ms: float) -> dict[str, int]:
         """Return a lower bound of the wait of a new job, by queue.
@@ -303,7 +275,7 @@
         for job in self._scheduler.active.values():
             if job.is_long_running or job.is_scheduled:
                 continue
-            candidate = self.candidate(job, wall_ms)
+            candidate = self._candidates.candidate(job, wall_ms)
             if candidate.urgency(wall_ms) is not Urgency.TOO_LATE:
                 pool = self._scheduler.queue_of(job).pool
                 work[pool] = work.get(pool, 0) + candidate.remaining_core_ms
@@ -316,40 +288,6 @@
             if queue.pool in work
         }
 
-    def _fair_share(self) -> float:
-        """Return the millicores in use by batch jobs per unit of weight."""
-        names = {
-            job.submission.organisation
-            for job in self._scheduler.active.values()
-            if not job.is_long_running
-        }
-        weights = [
-            organisation.weight
-            for name in names
-            if (organisation := self._organisation(name)) is not None
-        ]
-        used = sum(self._scheduler.batch_millicores.values())
-        return used / max(sum(weights), 1e-9)
-
-    def _is_over_share(self, name: str) -> bool:
-        organisation = self._organisation(name)
-        if organisation is None:
-            return False
-        used = self._scheduler.batch_millicores.get(name, 0)
-        fair = self._fair_millicores * organisation.weight
-        return used > OVER_SHARE_FACTOR * fair
-
-    def _usage_share(self, job: Job) -> float:
-        name = job.submission.organisation
-        used = self._scheduler.usage.get(name)
-        organisation = self._organisation(name)
-        if used is None or organisation is None:
-            return 0.0
-        return used.cpu_millicores / max(organisation.weight, 1e-9)
-
-    def _organisation(self, name: str) -> Organisation | None:
-        return self._scheduler.configuration.organisations.get(name)
-
     def _place_step(
         self, job, step: Step, pool: PoolCapacity, now_s
     ) -> list[StartCommand]:
--- a/src/rosemarynotch/_internal/scheduling/policy/ordering.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/ordering.py
@@ -77,15 +77,21 @@
 
     @abc.abstractmethod
     def sort(
-        self, candidates: Iterable[Candidate], now_ms: float
+        self,
+        candidates: Iterable[Candidate],
+        now_ms: float,
+        cores: float = 0.0,
     ) -> list[Candidate]:
-        """Return the candidates in the order in which they start."""
+        """Return the candidates in the order in which they start.
+
+        :param cores: processors of the pool, 0 if they are not known
+        """
 
 
 class ArrivalOrder(JobOrder):
     """Orders jobs by priority and arrival (baseline)."""
 
-    def sort(self, candidates, now_ms):
+    def sort(self, candidates, now_ms, cores=0.0):
         """Sort by priority, then by time of acceptance."""
         return sorted(
             candidates, key=lambda c: (c.priority, c.accepted_ms, c.job_id)
@@ -108,7 +114,7 @@
     that those that run longer than expected are late.
     """
 
-    def sort(self, candidates, now_ms):
+    def sort(self, candidates, now_ms, cores=0.0):
         """Sort by urgency, priority, start, share and remaining work."""
 
         def key(candidate: Candidate):
