Let late and less urgent jobs give way to pools that are short

Pools knew nothing of each other: when queues peaked in turn, the late jobs of the former turn kept its VMs busy, and the jobs of the next turn, which could have been on time, became late in theirs. A pool is now short while a job that can be on time waits there for capacity that a worker could offer. Meanwhile late jobs elsewhere, and jobs of less urgent queues that have not been started, do not start, so that their VMs become idle and move, and they do not count as demand. They still start on workers that do not leave.

Policy 'sharing' (urgent-first, late-last, apart). Further orders can be chosen: drawn, most-on-time, weighted-on-time and deadline; the default order is unchanged.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -96,7 +96,12 @@
         self.answer_losses = AnswerLosses()
         self.order_timeout = OrderTimeout()
         self.planner = Planner(
-            self.scheduler, policies.order, policies.placer, self.advice, log
+            self.scheduler,
+            policies.order,
+            policies.placer,
+            self.advice,
+            log,
+            policies.sharing,
         )
         self._policies = policies
         self.forecast = policies.make_forecast(())
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -1,77 +1,51 @@
 """Plans which runs the leader starts and stops next."""
 
 from collections.abc import Callable
+import math
 
 import attrs
 
 from rosemarynotch._internal.scheduling.advice import AdviceCache
 from rosemarynotch._internal.scheduling.candidates import CandidateFactory
 from rosemarynotch._internal.scheduling.caps import CapGuard
+from rosemarynotch._internal.scheduling.held_jobs import StayingWorkers
 from rosemarynotch._internal.scheduling.jobs import Job
-from rosemarynotch._internal.scheduling.jobs import Run
-from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.jobs import Step
+from rosemarynotch._internal.scheduling.policy import Candidate
 from rosemarynotch._internal.scheduling.policy import FreeCapacity
 from rosemarynotch._internal.scheduling.policy import JobOrder
 from rosemarynotch._internal.scheduling.policy import PoolCapacity
+from rosemarynotch._internal.scheduling.policy import PoolSharing
 from rosemarynotch._internal.scheduling.policy import StepPlacer
 from rosemarynotch._internal.scheduling.policy import Urgency
+from rosemarynotch._internal.scheduling.policy import YieldToShortPools
+from rosemarynotch._internal.scheduling.run_reconciler import RunReconciler
+from rosemarynotch._internal.scheduling.run_reconciler import StartCommand
+from rosemarynotch._internal.scheduling.run_reconciler import StopCommand
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
-from rosemarynotch._internal.scheduling.workers import Worker
 
 __all__ = ["Planner", "StartCommand", "StopCommand"]
 
-# A stop order that has not ended its run is sent again after this time.
-STOP_RETRY_S = 1.0
-# A run whose percentage has not grown for this long counts as stuck. Workers
-# report at least once a second.
-STUCK_AFTER_S = 2.2
-# The same limit for long-running tasks, which need a short time to start.
-STUCK_LONG_RUNNING_S = 6.0
-# A run is not stuck before it could have gained this many percent.
-STUCK_PERCENTS = 4
-# After this many stuck runs of a task, the limit doubles with each further
-# one. Workers on which tasks stand still are seldom met twice in a row.
-QUICK_STOPS = 2
+# Which pools are short may change with each pass.
+LOG_INTERVAL_S = 1.0
 
 
 @attrs.frozen
-class StartCommand:
-    """Order to start a run; may be a repetition of an earlier order."""
+class _Waiting:
+    """A job with steps that have tasks to place."""
 
-    run: Run
-    worker: Worker
-    ticket: str = ""
-
-    def is_current(self, now_s: float) -> bool:
-        """Tell whether the run is still wanted on the worker.
-
-        The order may have waited while its task was done or moved elsewhere,
-        its job ended, its run was marked to stop, or its worker was about to
-        leave. A worker that does not accept work at present gets no first
-        order, so that the task starts on another one.
-        """
-        run, worker, task = self.run, self.worker, self.run.task
-        is_newest = run.number == task.last_run or task.step.spec.speculative
-        if (
-            not worker.has_run(run)
-            or run.phase is not RunPhase.ORDERED
-            or task.is_done
-            or task.step.occurrence.job.phase.is_final
-            or not is_newest
-        ):
-            return False
-        if run.is_sent:
-            return not (worker.entry.is_draining or worker.is_replaced)
-        return worker.accepts_work(now_s)
+    candidate: Candidate
+    job: Job
+    steps: list[Step]
 
 
 @attrs.frozen
-class StopCommand:
-    """Order to stop a run."""
+class _PoolPass:
+    """The waiting jobs of a pool in one pass, in order."""
 
-    run: Run
-    worker: Worker
+    pool: str
+    capacity: PoolCapacity
+    waiting: list[_Waiting]
 
 
 class Planner:
@@ -79,6 +53,7 @@
 
     :param order: decides which job of a pool starts next
     :param placer: decides on which workers its tasks start
+    :param sharing: decides which jobs give way to those of other pools
     """
 
     def __init__(
@@ -88,85 +63,25 @@
         placer: StepPlacer,
         advice: AdviceCache,
         log: Callable[..., None] = lambda event, **fields: None,
+        sharing: PoolSharing | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._order = order
         self._placer = placer
         self._advice = advice
         self._log = log
+        self._sharing = sharing or YieldToShortPools()
+        self._reconciler = RunReconciler(scheduler, advice, log)
         self._caps = CapGuard(scheduler)
         self._candidates = CandidateFactory(scheduler)
         self._uncertain_pools: set[str] = set()
-
-    # Runs that have to stop, or whose start is unconfirmed.
+        self._short_pools: dict[str, int] = {}
+        self._short_logged_at_s = 0.0
+        self._staying = StayingWorkers()
 
     def reconcile_runs(self, now_s: float) -> list[StartCommand | StopCommand]:
         """Return the stops to order and the starts to order again."""
-        commands: list[StartCommand | StopCommand] = []
-        for worker in self._scheduler.workers.values():
-            if worker.is_replaced:
-                # Another worker would answer the orders. The runs end with
-                # the lease.
-                continue
-            for run in worker.runs.values():
-                command = self._reconcile_run(run, worker, now_s)
-                if command is not None:
-                    commands.append(command)
-        return commands
-
-    def _reconcile_run(self, run: Run, worker: Worker, now_s: float):
-        job = run.task.step.occurrence.job
-        if run.phase is RunPhase.STOPPING or job.phase.is_final:
-            return self._stop(run, worker, now_s)
-        if run.phase is RunPhase.UNCONFIRMED:
-            if worker.has_restarted or not worker.is_enrolled:
-                # The lease has to be by the clock of the new incarnation, and
-                # the next leader has to find the worker in the roster.
-                return None
-            run.phase = RunPhase.ORDERED
-            run.is_resent = True
-            return StartCommand(run, worker, self._advice.ticket(run))
-        if run.phase is RunPhase.ACTIVE and self._is_stuck(run):
-            self._log(
-                "run stuck",
-                job=job.job_id,
-                task=str(run.task.task_id),
-                worker=worker.worker_id,
-                percent=run.percent,
-            )
-            worker.record_run_outcome(now_s, is_fault=True)
-            run.task.failed_workers.add(worker.worker_id)
-            run.task.stuck_count += 1
-            return self._stop(run, worker, now_s)
-        return None
-
-    @staticmethod
-    def _is_stuck(run: Run) -> bool:
-        """Tell whether reports list the run without any progress.
-
-        Only reports that list it count: a run that has ended makes no
-        progress either, and its end may be missing in a report that is cut.
-        A long task needs more time for each percent, and its estimate may be
-        far too low, so the limit grows if runs of it get stuck everywhere.
-        """
-        if run.pace_percent < 100 or run.percent >= 100:
-            return False
-        is_long_running = run.task.step.spec.long_running
-        limit_s = STUCK_LONG_RUNNING_S if is_long_running else STUCK_AFTER_S
-        percent_s = run.task.step.spec.estimated_ms / 1000 / 100
-        limit_s = max(limit_s, STUCK_PERCENTS * percent_s)
-        limit_s *= 2 ** max(0, run.task.stuck_count - QUICK_STOPS)
-        return run.listed_at_s - run.progressed_at_s > limit_s
-
-    @staticmethod
-    def _stop(run: Run, worker: Worker, now_s: float) -> StopCommand | None:
-        if run.stop_sent_at_s and now_s - run.stop_sent_at_s < STOP_RETRY_S:
-            return None
-        run.phase = RunPhase.STOPPING
-        run.stop_sent_at_s = now_s
-        return StopCommand(run, worker)
-
-    # New runs.
+        return self._reconciler.reconcile_runs(now_s)
 
     def place(
         self,
@@ -201,7 +116,7 @@
             )
         blocked = self._scheduler.jobs_with_unknown_runs(uncertain, led_at_s)
         self._caps.reserve_unknown(blocked.values(), led_at_s)
-        commands: list[StartCommand] = []
+        passes: list[_PoolPass] = []
         for pool, jobs in pools.items():
             free = [
                 FreeCapacity.of(worker)
@@ -216,32 +131,106 @@
                 if self._scheduler.may_use_pool(job, pool)
                 and job.job_id not in blocked
             ]
-            if free:
-                commands += self._place_pool(
-                    usable, PoolCapacity(free), now_s, wall_ms
-                )
-        return commands
+            waiting = self._sort_waiting(usable, free, wall_ms)
+            if waiting:
+                passes.append(_PoolPass(pool, PoolCapacity(free), waiting))
+        return self._place_pools(passes, now_s, wall_ms)
 
-    def _place_pool(self, jobs, capacity, now_s, wall_ms):
-        cores = sum(
-            each.worker.entry.capacity.cpu_millicores / 1000
-            for each in capacity.capacities
-        )
+    def _sort_waiting(self, jobs, free, wall_ms) -> list["_Waiting"]:
+        """Return the jobs with steps to place, in the order of the policy."""
         waiting = {}
         for job in jobs:
             steps = self._waiting_steps(job, wall_ms)
             if steps:
                 waiting[job.job_id] = (job, steps)
+        cores = sum(
+            each.worker.entry.capacity.cpu_millicores / 1000 for each in free
+        )
         candidates = [
-            self._candidates.candidate(job, wall_ms) for job, _ in waiting.values()
+            self._candidates.candidate(job, wall_ms)
+            for job, _ in waiting.values()
         ]
+        return [
+            _Waiting(candidate, *waiting[candidate.job_id])
+            for candidate in self._order.sort(candidates, wall_ms, cores)
+        ]
+
+    def _place_pools(self, passes, now_s, wall_ms) -> list[StartCommand]:
+        """Place the waiting jobs, and record which pools are short.
+
+        What gives way follows from the pools that were short in the last
+        pass, so that the pools can be planned one after the other.
+        """
         commands: list[StartCommand] = []
-        for candidate in self._order.sort(candidates, wall_ms, cores):
-            job, steps = waiting[candidate.job_id]
-            for step in steps:
-                commands += self._place_step(job, step, capacity, now_s)
+        short: dict[str, int] = {}
+        self._staying.begin_pass()
+        for each in passes:
+            held = []
+            for waiting in each.waiting:
+                candidate = waiting.candidate
+                urgency = candidate.urgency(wall_ms)
+                if not self._sharing.may_start(
+                    candidate, urgency, each.pool, self._short_pools
+                ):
+                    held.append(waiting)
+                    continue
+                commands += self._place_steps(waiting, each.capacity, now_s)
+                if (
+                    urgency is Urgency.ON_TIME
+                    and candidate.priority < short.get(each.pool, math.inf)
+                    and self._lacks_room(waiting)
+                ):
+                    short[each.pool] = candidate.priority
+            if held:
+                left = PoolCapacity(
+                    self._staying.choose(each.capacity.capacities, now_s)
+                )
+                for waiting in held:
+                    commands += self._place_steps(waiting, left, now_s)
+        # Without a VM service, capacity cannot move to the pools.
+        has_moves = self._scheduler.fleet_millicores > 0
+        self._record_short_pools(short if has_moves else {}, now_s)
         return commands
 
+    def _record_short_pools(self, short: dict[str, int], now_s) -> None:
+        if (
+            short.keys() != self._short_pools.keys()
+            and now_s - self._short_logged_at_s >= LOG_INTERVAL_S
+        ):
+            self._short_logged_at_s = now_s
+            self._log("pools short", pools=" ".join(sorted(short)))
+        self._short_pools = short
+
+    def _place_steps(self, waiting, capacity, now_s) -> list[StartCommand]:
+        commands = []
+        for step in waiting.steps:
+            commands += self._place_step(waiting.job, step, capacity, now_s)
+        return commands
+
+    def _lacks_room(self, waiting: "_Waiting") -> bool:
+        """Tell whether a job waits for capacity that any worker could offer.
+
+        Tasks that no worker can run, or that a cap holds back, are not helped
+        by more VMs.
+        """
+        for step in waiting.steps:
+            tasks = [task for task in step.tasks if task.is_waiting]
+            if (
+                tasks
+                and self._fits_a_worker(step)
+                and self._caps.select(waiting.job, tasks[:1])
+            ):
+                return True
+        return False
+
+    def _fits_a_worker(self, step: Step) -> bool:
+        spec = step.spec
+        return any(
+            worker.entry.capacity.covers(spec.reserved)
+            and spec.required_label in ("", *worker.entry.labels)
+            for worker in self._scheduler.workers.values()
+        )
+
     @staticmethod
     def _waiting_steps(job: Job, wall_ms: float) -> list[Step]:
         steps = []
@@ -256,9 +245,17 @@
         return steps
 
     def is_viable(self, job: Job, wall_ms: float) -> bool:
-        """Tell whether a job can end before its result is worthless."""
-        urgency = self._candidates.candidate(job, wall_ms).urgency(wall_ms)
-        return urgency is not Urgency.TOO_LATE
+        """Tell whether a job is worth VMs.
+
+        It is not if it can only end when its result is worthless, or if it
+        has to give way to the jobs of another pool.
+        """
+        candidate = self._candidates.candidate(job, wall_ms)
+        urgency = candidate.urgency(wall_ms)
+        pool = self._scheduler.queue_of(job).pool
+        return urgency is not Urgency.TOO_LATE and self._sharing.may_start(
+            candidate, urgency, pool, self._short_pools
+        )
 
     def forget(self, job_id: str) -> None:
         """Drop the cached estimate of a job."""
--- a/src/rosemarynotch/_internal/scheduling/policies.py
+++ b/src/rosemarynotch/_internal/scheduling/policies.py
@@ -10,6 +10,7 @@
 from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.policy import JobOrder
 from rosemarynotch._internal.scheduling.policy import PacePolicy
+from rosemarynotch._internal.scheduling.policy import PoolSharing
 from rosemarynotch._internal.scheduling.policy import PoolSizer
 from rosemarynotch._internal.scheduling.policy import StepPlacer
 from rosemarynotch._internal.scheduling.policy import TurnForecast
@@ -27,6 +28,7 @@
     """Policies of a leader.
 
     :ivar order: decides which job of a pool starts next
+    :ivar sharing: decides which jobs give way to those of other pools
     :ivar placer: decides on which workers its tasks start
     :ivar pacer: sets the pace of best-effort tasks
     :ivar make_forecast: makes the forecast of load peaks from those that an
@@ -36,6 +38,7 @@
     """
 
     order: JobOrder
+    sharing: PoolSharing
     placer: StepPlacer
     pacer: PacePolicy
     make_forecast: Callable[[tuple[Turn, ...]], TurnForecast]
--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -7,6 +7,9 @@
 from rosemarynotch._internal.scheduling.policy.admit import AdmissionDecision
 from rosemarynotch._internal.scheduling.policy.admit import critical_path_ms
 from rosemarynotch._internal.scheduling.policy.admit import decide_admission
+from rosemarynotch._internal.scheduling.policy.deadlines import DeadlineOrder
+from rosemarynotch._internal.scheduling.policy.deadlines import MostOnTimeOrder
+from rosemarynotch._internal.scheduling.policy.deadlines import WeightedOrder
 from rosemarynotch._internal.scheduling.policy.demand import Demand
 from rosemarynotch._internal.scheduling.policy.demand import measure_demand
 from rosemarynotch._internal.scheduling.policy.demand import NO_DEMAND
@@ -18,6 +21,7 @@
 from rosemarynotch._internal.scheduling.policy.ordering import ArrivalOrder
 from rosemarynotch._internal.scheduling.policy.ordering import Candidate
 from rosemarynotch._internal.scheduling.policy.ordering import CUTOFF_FACTOR
+from rosemarynotch._internal.scheduling.policy.ordering import DrawnOrder
 from rosemarynotch._internal.scheduling.policy.ordering import JobOrder
 from rosemarynotch._internal.scheduling.policy.ordering import ObjectiveOrder
 from rosemarynotch._internal.scheduling.policy.ordering import Urgency
@@ -34,6 +38,10 @@
 from rosemarynotch._internal.scheduling.policy.rates import Arrival
 from rosemarynotch._internal.scheduling.policy.rates import ArrivalRates
 from rosemarynotch._internal.scheduling.policy.retry import outage_retry_s
+from rosemarynotch._internal.scheduling.policy.sharing import KeepPoolsApart
+from rosemarynotch._internal.scheduling.policy.sharing import PoolSharing
+from rosemarynotch._internal.scheduling.policy.sharing import YieldLateWork
+from rosemarynotch._internal.scheduling.policy.sharing import YieldToShortPools
 from rosemarynotch._internal.scheduling.policy.sizing import DemandSizer
 from rosemarynotch._internal.scheduling.policy.sizing import Move
 from rosemarynotch._internal.scheduling.policy.sizing import PoolLoad
@@ -51,14 +59,18 @@
     "critical_path_ms",
     "CUTOFF_FACTOR",
     "CycleForecast",
+    "DeadlineOrder",
     "decide_admission",
     "Demand",
     "DemandSizer",
+    "DrawnOrder",
     "ExpectedTurn",
     "FirstFit",
     "FreeCapacity",
     "JobOrder",
+    "KeepPoolsApart",
     "measure_demand",
+    "MostOnTimeOrder",
     "Move",
     "NO_DEMAND",
     "NoForecast",
@@ -71,6 +83,7 @@
     "Placement",
     "PoolCapacity",
     "PoolLoad",
+    "PoolSharing",
     "PoolSizer",
     "StaticSizer",
     "StepPlacer",
@@ -78,4 +91,7 @@
     "TurnForecast",
     "Urgency",
     "vm_sizes",
+    "WeightedOrder",
+    "YieldLateWork",
+    "YieldToShortPools",
 ]
--- a/src/rosemarynotch/_internal/scheduling/policy/ordering.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/ordering.py
@@ -3,12 +3,15 @@
 import abc
 from collections.abc import Iterable
 import enum
+import zlib
 
 import attrs
 
 __all__ = [
     "ArrivalOrder",
     "Candidate",
+    "draw",
+    "DrawnOrder",
     "JobOrder",
     "ObjectiveOrder",
     "Urgency",
@@ -123,9 +126,32 @@
                 candidate.priority,
                 not candidate.is_started,
                 candidate.is_over_share,
-                candidate.remaining_core_ms,
+                self._size(candidate),
                 candidate.usage_share,
                 candidate.job_id,
             )
 
         return sorted(candidates, key=key)
+
+    def _size(self, candidate: Candidate) -> float:
+        """Return the work by which jobs of equal rank are sorted."""
+        return candidate.remaining_core_ms
+
+
+class DrawnOrder(ObjectiveOrder):
+    """The same, but in which large jobs are not always last.
+
+    Under a lasting shortage, the largest jobs of a queue would never start.
+    The work of each job is therefore multiplied by a number between 0 and 1
+    that is drawn from its identifier. Of the jobs that are too large to start
+    all, each starts with a chance in inverse proportion to its work, so that
+    large and small jobs get the same expected processor time.
+    """
+
+    def _size(self, candidate):
+        return candidate.remaining_core_ms * draw(candidate.job_id)
+
+
+def draw(job_id: str) -> float:
+    """Return a number between 0 and 1 that depends only on a job."""
+    return zlib.crc32(job_id.encode()) / 0xFFFFFFFF
--- a/src/rosemarynotch/_internal/wiring/policies.py
+++ b/src/rosemarynotch/_internal/wiring/policies.py
@@ -7,13 +7,20 @@
 from rosemarynotch._internal.scheduling.policy import ArrivalOrder
 from rosemarynotch._internal.scheduling.policy import BestFit
 from rosemarynotch._internal.scheduling.policy import CycleForecast
+from rosemarynotch._internal.scheduling.policy import DeadlineOrder
 from rosemarynotch._internal.scheduling.policy import DemandSizer
+from rosemarynotch._internal.scheduling.policy import DrawnOrder
 from rosemarynotch._internal.scheduling.policy import FirstFit
+from rosemarynotch._internal.scheduling.policy import KeepPoolsApart
+from rosemarynotch._internal.scheduling.policy import MostOnTimeOrder
 from rosemarynotch._internal.scheduling.policy import NoForecast
 from rosemarynotch._internal.scheduling.policy import NoPacing
 from rosemarynotch._internal.scheduling.policy import ObjectiveOrder
 from rosemarynotch._internal.scheduling.policy import StaticSizer
 from rosemarynotch._internal.scheduling.policy import TailLatencyPacer
+from rosemarynotch._internal.scheduling.policy import WeightedOrder
+from rosemarynotch._internal.scheduling.policy import YieldLateWork
+from rosemarynotch._internal.scheduling.policy import YieldToShortPools
 
 __all__ = ["POLICIES_VARIABLE", "choose_policies"]
 
@@ -21,7 +28,19 @@
 POLICIES_VARIABLE = "ROSEMARYNOTCH_POLICIES"
 # The first choice of each kind is the default.
 CHOICES: Mapping[str, Mapping[str, type]] = {
-    "order": {"objective": ObjectiveOrder, "arrival": ArrivalOrder},
+    "order": {
+        "objective": ObjectiveOrder,
+        "drawn": DrawnOrder,
+        "most-on-time": MostOnTimeOrder,
+        "weighted-on-time": WeightedOrder,
+        "deadline": DeadlineOrder,
+        "arrival": ArrivalOrder,
+    },
+    "sharing": {
+        "urgent-first": YieldToShortPools,
+        "late-last": YieldLateWork,
+        "apart": KeepPoolsApart,
+    },
     "placement": {"best-fit": BestFit, "first-fit": FirstFit},
     "pacing": {"tail-latency": TailLatencyPacer, "none": NoPacing},
     "forecast": {"cycle": CycleForecast, "none": NoForecast},
@@ -53,6 +72,7 @@
     kinds = {kind: CHOICES[kind][name] for kind, name in chosen.items()}
     return SchedulingPolicies(
         order=kinds["order"](),
+        sharing=kinds["sharing"](),
         placer=kinds["placement"](),
         pacer=kinds["pacing"](),
         make_forecast=kinds["forecast"],
