Admit jobs by what goes before them, and spread refused callers

One wait for each queue assumed that the VMs of the whole fleet serve it and that larger and less urgent jobs go first as well. The leader now publishes for each queue in whose pool jobs wait: the processors that the pool has and those that may move there, the work that goes before any new job, and the waiting work by size ('queue_loads' of control/load). A node refuses a job if a lower bound of its wait makes its result worthless, at first a small share of such jobs by their identifier, since all nodes decide by the same record for 0.5 s. What arrives after the record is estimated from the last second.

Retry-After is spread over the time in which the backlog is worked off, and a caller that this node has refused before comes back earlier and is refused last. Records of the previous version are used as before; missing, late and malformed records mean no backlog. Policies 'admission' (backlog, fleet, none) and 'retry' (backlog, excess). tests/unit/test_admission.py replays the loss of half of a pool; not measured on the users' load.

--- a/src/rosemarynotch/_internal/scheduling/intake.py
+++ b/src/rosemarynotch/_internal/scheduling/intake.py
@@ -322,15 +322,13 @@
             return self._count_waiting(queue_name)
         return load.waiting.get(queue_name, 0)
 
-    def start_delay_ms(self, queue_name: str) -> int:
-        """Return the expected wait of a new job, 0 if it is not known."""
+    def load(self) -> LoadRecord | None:
+        """Return the load of the queues, None if it is not known."""
         now_s = self._clock.monotonic_s()
         if now_s - self._load_read_at_s > LOAD_READ_INTERVAL_S:
             self._load_read_at_s = now_s
             self._load = self._read_load()
-        if self._load is None:
-            return 0
-        return self._load.start_delay_ms.get(queue_name, 0)
+        return self._load
 
     def _read_load(self) -> LoadRecord | None:
         """Return the load record of the leader, None if it is too old."""
--- a/src/rosemarynotch/_internal/scheduling/job_api.py
+++ b/src/rosemarynotch/_internal/scheduling/job_api.py
@@ -20,11 +20,13 @@
 from rosemarynotch._internal.scheduling.model import JobSpec
 from rosemarynotch._internal.scheduling.model import QueuePolicy
 from rosemarynotch._internal.scheduling.phase_reader import PhaseReader
-from rosemarynotch._internal.scheduling.policy import decide_admission
+from rosemarynotch._internal.scheduling.policy import Admission
 from rosemarynotch._internal.scheduling.policy import outage_retry_s
+from rosemarynotch._internal.scheduling.policy import RoomRetry
 from rosemarynotch._internal.scheduling.ports import CommitConflict
 from rosemarynotch._internal.scheduling.records import Phase
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
+from rosemarynotch._internal.scheduling.refused_jobs import RefusedJobs
 from rosemarynotch._internal.utils.clock import Clock
 from rosemarynotch._internal.utils.metrics import Metrics
 
@@ -64,7 +66,11 @@
 
 
 class JobApi:
-    """Checks the requests of callers and passes their jobs to the intake."""
+    """Checks the requests of callers and passes their jobs to the intake.
+
+    :param admission: decides which jobs are refused for lack of room
+    :param room_retry: decides when their callers should come back
+    """
 
     def __init__(
         self,
@@ -74,7 +80,12 @@
         metrics: Metrics,
         log: Callable[..., None],
         phase_reader: PhaseReader,
+        admission: Admission,
+        room_retry: RoomRetry,
     ) -> None:
+        self._admission = admission
+        self._room_retry = room_retry
+        self._refused_jobs = RefusedJobs()
         self._phase_reader = phase_reader
         self._config_feed = config_feed
         self._intake = intake
@@ -214,13 +225,28 @@
 
         A job that has been accepted before is not refused, since it will run.
         """
-        delay_ms = self._intake.start_delay_ms(request.queue.name)
-        decision = decide_admission(request.queue, spec, delay_ms)
+        now_s = self._clock.monotonic_s()
+        refusals = self._refused_jobs.count(job_id, now_s)
+        decision = self._admission.decide(
+            request.queue,
+            job_id,
+            spec,
+            self._intake.load(),
+            self._clock.wall_s() * 1000,
+            refusals > 0,
+        )
         if decision.is_accepted or self._intake.is_known(job_id) is True:
             return None
+        self._refused_jobs.record(job_id, now_s)
+        self._metrics.count(
+            "refused_jobs", queue=request.queue.name, reason="too-late"
+        )
+        delay_ms = round(decision.delay_ms)
         reason = f"the job would start too late, in about {delay_ms} ms"
         return OVERLOADED.with_reason(reason).with_retry_after(
-            decision.retry_after_s
+            self._room_retry.retry_s(
+                decision.room_in_ms, decision.delay_ms, job_id, refusals
+            )
         )
 
     def _is_in_contact(self) -> bool:
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/load_outlook.py
@@ -0,0 +1,194 @@
+"""What a new job of each queue would have to wait for; performs no I/O."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from rosemarynotch._internal.scheduling.candidates import CandidateFactory
+from rosemarynotch._internal.scheduling.policy import Candidate
+from rosemarynotch._internal.scheduling.policy import Urgency
+from rosemarynotch._internal.scheduling.records import QueueLoad
+from rosemarynotch._internal.scheduling.records import SizeLoad
+from rosemarynotch._internal.scheduling.scheduler import Scheduler
+
+__all__ = ["LoadOutlook"]
+
+# Rows by size that are published of a queue. Eight rows err by at most an
+# eighth of the waiting work.
+MAX_SIZES = 8
+# Jobs that were accepted within this time count as arriving.
+ARRIVAL_WINDOW_MS = 1000.0
+
+
+@attrs.frozen
+class _ActiveJob:
+    """A batch job that has not ended.
+
+    :ivar work_core_ms: work that is left, less what its runs have done
+    """
+
+    pool: str
+    candidate: Candidate
+    work_core_ms: float
+
+
+class LoadOutlook:
+    """Sums up the work of the jobs for the nodes that accept jobs."""
+
+    def __init__(
+        self, scheduler: Scheduler, candidates: CandidateFactory
+    ) -> None:
+        self._scheduler = scheduler
+        self._candidates = candidates
+
+    def start_delays_ms(self, wall_ms: float) -> dict[str, int]:
+        """Return a lower bound of the wait of a new job, by queue.
+
+        It assumes that the VMs of all pools move to the queue's pool, since
+        admission must only refuse jobs that are certain to end too late. Jobs
+        that can no longer end in time are not counted.
+        """
+        work: dict[str, float] = {}
+        for job in self._scheduler.active.values():
+            if job.is_long_running or job.is_scheduled:
+                continue
+            candidate = self._candidates.candidate(job, wall_ms)
+            if candidate.urgency(wall_ms) is not Urgency.TOO_LATE:
+                pool = self._scheduler.queue_of(job).pool
+                work[pool] = work.get(pool, 0) + candidate.remaining_core_ms
+        cores = self._scheduler.fleet_millicores / 1000
+        if not cores:
+            return {}
+        return {
+            queue.name: round(work[queue.pool] / cores)
+            for queue in self._scheduler.configuration.queues
+            if queue.pool in work
+        }
+
+    def queue_loads(
+        self, now_s: float, wall_ms: float
+    ) -> dict[str, QueueLoad]:
+        """Return the load of the queues in whose pools jobs wait.
+
+        Jobs whose result would be worthless do not count unless they run:
+        they go after all others.
+        """
+        if not self._scheduler.fleet_millicores:
+            # The VMs have not been listed yet.
+            return {}
+        jobs = self._active_jobs(now_s, wall_ms)
+        own_cores = self._pool_cores()
+        serving_cores = self._serving_cores()
+        fleet = self._scheduler.fleet_millicores / 1000
+        other_cores = max(0.0, fleet - sum(serving_cores.values()))
+        started: dict[str, float] = {}
+        waiting: dict[tuple[str, int], list[_ActiveJob]] = {}
+        for job in jobs:
+            if job.candidate.is_started:
+                started[job.pool] = (
+                    started.get(job.pool, 0.0) + job.work_core_ms
+                )
+            else:
+                key = job.pool, job.candidate.priority
+                waiting.setdefault(key, []).append(job)
+        sums = {
+            key: sum(job.work_core_ms for job in rows)
+            for key, rows in waiting.items()
+        }
+        busy_pools = {pool for pool, _ in waiting}
+        loads = {}
+        for queue in self._scheduler.configuration.queues:
+            if queue.pool not in busy_pools:
+                continue
+            own = own_cores.get(queue.pool, 0.0)
+            before = {
+                pool: started.get(pool, 0.0)
+                + sum(
+                    work
+                    for (name, priority), work in sums.items()
+                    if name == pool and priority < queue.priority
+                )
+                for pool in {*started, *busy_pools}
+            }
+            base = before.pop(queue.pool, 0.0)
+            loads[queue.name] = QueueLoad(
+                own_cores=round(own, 1),
+                other_cores=round(max(0.0, other_cores - own), 1),
+                other_core_ms=round(sum(before.values())),
+                base_core_ms=round(base),
+                sizes=_sizes(
+                    waiting.get((queue.pool, queue.priority), ()), wall_ms
+                ),
+            )
+        return loads
+
+    def _active_jobs(self, now_s, wall_ms) -> list[_ActiveJob]:
+        done_core_ms: dict[str, float] = {}
+        for worker in self._scheduler.workers.values():
+            for run in worker.runs.values():
+                spec = run.task.step.spec
+                since_s = run.confirmed_at_s or now_s
+                done_ms = min(spec.estimated_ms, (now_s - since_s) * 1000)
+                job_id = run.task.task_id.job_id
+                done_core_ms[job_id] = (
+                    done_core_ms.get(job_id, 0.0)
+                    + spec.size.cpu_millicores / 1000 * done_ms
+                )
+        jobs = []
+        for job in self._scheduler.active.values():
+            if job.is_long_running or job.is_scheduled:
+                continue
+            candidate = self._candidates.candidate(job, wall_ms)
+            if candidate.urgency(wall_ms) is Urgency.TOO_LATE:
+                continue
+            work = candidate.remaining_core_ms
+            work -= done_core_ms.get(job.job_id, 0.0)
+            pool = self._scheduler.queue_of(job).pool
+            jobs.append(_ActiveJob(pool, candidate, max(0.0, work)))
+        return jobs
+
+    def _pool_cores(self) -> dict[str, float]:
+        """Return the processors for batch jobs of the workers, by pool."""
+        cores = self._serving_cores()
+        cores = {pool: -each for pool, each in cores.items()}
+        for worker in self._scheduler.workers.values():
+            if worker.is_replaced or worker.entry.is_draining:
+                continue
+            pool = worker.entry.pool
+            size = worker.entry.capacity.cpu_millicores / 1000
+            cores[pool] = cores.get(pool, 0.0) + size
+        return {pool: max(0.0, each) for pool, each in cores.items()}
+
+    def _serving_cores(self) -> dict[str, float]:
+        """Return the processors that long-running tasks reserve, by pool."""
+        cores: dict[str, float] = {}
+        for worker in self._scheduler.workers.values():
+            for run in worker.runs.values():
+                spec = run.task.step.spec
+                if spec.long_running:
+                    pool = worker.entry.pool
+                    reserved = spec.reserved.cpu_millicores / 1000
+                    cores[pool] = cores.get(pool, 0.0) + reserved
+        return cores
+
+
+def _sizes(jobs: Iterable[_ActiveJob], wall_ms: float) -> tuple[SizeLoad, ...]:
+    """Return rows of jobs by size, each with about the same work."""
+    rows = sorted(jobs, key=lambda job: job.work_core_ms)
+    step = sum(job.work_core_ms for job in rows) / MAX_SIZES
+    sizes: list[SizeLoad] = []
+    ahead = arriving = 0.0
+    for number, job in enumerate(rows):
+        ahead += job.work_core_ms
+        if wall_ms - job.candidate.accepted_ms <= ARRIVAL_WINDOW_MS:
+            arriving += job.work_core_ms
+        is_last = number == len(rows) - 1
+        if is_last or ahead >= step * (len(sizes) + 1):
+            sizes.append(
+                SizeLoad(
+                    work_core_ms=round(job.work_core_ms),
+                    ahead_core_ms=round(ahead),
+                    arriving_cores=round(arriving / ARRIVAL_WINDOW_MS, 1),
+                )
+            )
+    return tuple(sizes)
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -11,6 +11,7 @@
 from rosemarynotch._internal.scheduling.held_jobs import StayingWorkers
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Step
+from rosemarynotch._internal.scheduling.load_outlook import LoadOutlook
 from rosemarynotch._internal.scheduling.policy import Candidate
 from rosemarynotch._internal.scheduling.policy import FreeCapacity
 from rosemarynotch._internal.scheduling.policy import JobOrder
@@ -54,6 +55,7 @@
     :param order: decides which job of a pool starts next
     :param placer: decides on which workers its tasks start
     :param sharing: decides which jobs give way to those of other pools
+    :ivar outlook: sums up the work of the jobs
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         self._reconciler = RunReconciler(scheduler, advice, log)
         self._caps = CapGuard(scheduler)
         self._candidates = CandidateFactory(scheduler)
+        self.outlook = LoadOutlook(scheduler, self._candidates)
         self._uncertain_pools: set[str] = set()
         self._short_pools: dict[str, int] = {}
         self._short_logged_at_s = 0.0
@@ -261,30 +264,6 @@
         """Drop the cached estimate of a job."""
         self._candidates.forget(job_id)
 
-    def start_delays_ms(self, wall_ms: float) -> dict[str, int]:
-        """Return a lower bound of the wait of a new job, by queue.
-
-        It assumes that the VMs of all pools move to the queue's pool, since
-        admission must only refuse jobs that are certain to end too late. Jobs
-        that can no longer end in time are not counted.
-        """
-        work: dict[str, float] = {}
-        for job in self._scheduler.active.values():
-            if job.is_long_running or job.is_scheduled:
-                continue
-            candidate = self._candidates.candidate(job, wall_ms)
-            if candidate.urgency(wall_ms) is not Urgency.TOO_LATE:
-                pool = self._scheduler.queue_of(job).pool
-                work[pool] = work.get(pool, 0) + candidate.remaining_core_ms
-        cores = self._scheduler.fleet_millicores / 1000
-        if not cores:
-            return {}
-        return {
-            queue.name: round(work[queue.pool] / cores)
-            for queue in self._scheduler.configuration.queues
-            if queue.pool in work
-        }
-
     def _place_step(
         self, job, step: Step, pool: PoolCapacity, now_s
     ) -> list[StartCommand]:
--- a/src/rosemarynotch/_internal/scheduling/policies.py
+++ b/src/rosemarynotch/_internal/scheduling/policies.py
@@ -8,10 +8,12 @@
 from rosemarynotch._internal.scheduling.fleet_ports import Advisor
 from rosemarynotch._internal.scheduling.fleet_ports import FleetService
 from rosemarynotch._internal.scheduling.maintenance import Wave
+from rosemarynotch._internal.scheduling.policy import Admission
 from rosemarynotch._internal.scheduling.policy import JobOrder
 from rosemarynotch._internal.scheduling.policy import PacePolicy
 from rosemarynotch._internal.scheduling.policy import PoolSharing
 from rosemarynotch._internal.scheduling.policy import PoolSizer
+from rosemarynotch._internal.scheduling.policy import RoomRetry
 from rosemarynotch._internal.scheduling.policy import StepPlacer
 from rosemarynotch._internal.scheduling.policy import TurnForecast
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
@@ -25,8 +27,10 @@
 
 @attrs.frozen(kw_only=True)
 class SchedulingPolicies:
-    """Policies of a leader.
+    """Policies of a node, those of a leader included.
 
+    :ivar admission: decides which jobs are refused for lack of room
+    :ivar room_retry: decides when their callers should come back
     :ivar order: decides which job of a pool starts next
     :ivar sharing: decides which jobs give way to those of other pools
     :ivar placer: decides on which workers its tasks start
@@ -37,6 +41,8 @@
         whether there was no earlier leader
     """
 
+    admission: Admission
+    room_retry: RoomRetry
     order: JobOrder
     sharing: PoolSharing
     placer: StepPlacer
--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -4,9 +4,14 @@
 load that it answers.
 """
 
+from rosemarynotch._internal.scheduling.policy.admit import AcceptAll
+from rosemarynotch._internal.scheduling.policy.admit import Admission
 from rosemarynotch._internal.scheduling.policy.admit import AdmissionDecision
+from rosemarynotch._internal.scheduling.policy.admit import BacklogAdmission
 from rosemarynotch._internal.scheduling.policy.admit import critical_path_ms
-from rosemarynotch._internal.scheduling.policy.admit import decide_admission
+from rosemarynotch._internal.scheduling.policy.admit import FleetAdmission
+from rosemarynotch._internal.scheduling.policy.admit import start_delay_ms
+from rosemarynotch._internal.scheduling.policy.admit import work_core_ms
 from rosemarynotch._internal.scheduling.policy.deadlines import DeadlineOrder
 from rosemarynotch._internal.scheduling.policy.deadlines import MostOnTimeOrder
 from rosemarynotch._internal.scheduling.policy.deadlines import WeightedOrder
@@ -37,7 +42,10 @@
 from rosemarynotch._internal.scheduling.policy.placement import StepPlacer
 from rosemarynotch._internal.scheduling.policy.rates import Arrival
 from rosemarynotch._internal.scheduling.policy.rates import ArrivalRates
+from rosemarynotch._internal.scheduling.policy.retry import BacklogRetry
+from rosemarynotch._internal.scheduling.policy.retry import ExcessRetry
 from rosemarynotch._internal.scheduling.policy.retry import outage_retry_s
+from rosemarynotch._internal.scheduling.policy.retry import RoomRetry
 from rosemarynotch._internal.scheduling.policy.sharing import KeepPoolsApart
 from rosemarynotch._internal.scheduling.policy.sharing import PoolSharing
 from rosemarynotch._internal.scheduling.policy.sharing import YieldLateWork
@@ -50,22 +58,27 @@
 from rosemarynotch._internal.scheduling.policy.timeouts import OrderTimeout
 
 __all__ = [
+    "AcceptAll",
+    "Admission",
     "AdmissionDecision",
     "Arrival",
     "ArrivalOrder",
     "ArrivalRates",
+    "BacklogAdmission",
+    "BacklogRetry",
     "BestFit",
     "Candidate",
     "critical_path_ms",
     "CUTOFF_FACTOR",
     "CycleForecast",
     "DeadlineOrder",
-    "decide_admission",
     "Demand",
     "DemandSizer",
     "DrawnOrder",
+    "ExcessRetry",
     "ExpectedTurn",
     "FirstFit",
+    "FleetAdmission",
     "FreeCapacity",
     "JobOrder",
     "KeepPoolsApart",
@@ -85,6 +98,8 @@
     "PoolLoad",
     "PoolSharing",
     "PoolSizer",
+    "RoomRetry",
+    "start_delay_ms",
     "StaticSizer",
     "StepPlacer",
     "TailLatencyPacer",
@@ -92,6 +107,7 @@
     "Urgency",
     "vm_sizes",
     "WeightedOrder",
+    "work_core_ms",
     "YieldLateWork",
     "YieldToShortPools",
 ]
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -244,12 +244,15 @@
             if job.phase is Phase.QUEUED:
                 name = job.submission.queue
                 waiting[name] = waiting.get(name, 0) + 1
+        now_s = self._controller.clock.monotonic_s()
         wall_ms = round(self._controller.clock.wall_s() * 1000)
+        outlook = self._controller.planner.outlook
         return LoadRecord(
             written_unix_ms=wall_ms,
             waiting=waiting,
-            start_delay_ms=self._controller.planner.start_delays_ms(wall_ms),
+            start_delay_ms=outlook.start_delays_ms(wall_ms),
             turns=tuple(self._controller.forecast.turns),
+            queue_loads=outlook.queue_loads(now_s, wall_ms),
         )
 
     def _roster(self) -> RosterRecord:
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -17,9 +17,11 @@
     "LoadRecord",
     "Phase",
     "ProgressRecord",
+    "QueueLoad",
     "ROSTER_KEY",
     "PROGRESS_PREFIX",
     "RosterRecord",
+    "SizeLoad",
     "StepRecord",
     "SubmissionRecord",
     "Turn",
@@ -175,12 +177,51 @@
     peak_vms: float
 
 
+@attrs.frozen(kw_only=True)
+class SizeLoad:
+    """Waiting jobs up to a size.
+
+    :ivar work_core_ms: processor time of the largest of them
+    :ivar ahead_core_ms: processor time of all of them
+    :ivar arriving_cores: processors that such jobs would keep busy if they
+        went on arriving as in the last second
+    """
+
+    work_core_ms: float
+    ahead_core_ms: float
+    arriving_cores: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class QueueLoad:
+    """What goes before a new job of a queue, and the capacity for it.
+
+    :ivar own_cores: processors of the VMs that serve its pool
+    :ivar other_cores: processors of all other VMs, which may move there
+    :ivar other_core_ms: work of other pools that goes before any job of the
+        queue
+    :ivar base_core_ms: work of its own pool that goes before any job of the
+        queue: started jobs and those of more urgent queues
+    :ivar sizes: waiting jobs of equal rank, which go before larger ones; in
+        order of size, each row with all jobs up to its size
+    """
+
+    own_cores: float = 0.0
+    other_cores: float = 0.0
+    other_core_ms: float = 0.0
+    base_core_ms: float = 0.0
+    sizes: tuple[SizeLoad, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class LoadRecord:
     """Load of the queues, published for nodes that accept jobs.
 
     :ivar waiting: number of accepted jobs without a started task, by queue
-    :ivar start_delay_ms: expected wait of a new job, by queue
+    :ivar start_delay_ms: expected wait of a new job, by queue; for nodes of
+        the previous version
+    :ivar queue_loads: queues in which jobs wait; None in records of the
+        previous version
     :ivar turns: load peaks of the pools, from which a new leader forecasts
         the next ones
     """
@@ -189,3 +230,4 @@
     waiting: dict[str, int] = attrs.field(factory=dict)
     start_delay_ms: dict[str, int] = attrs.field(factory=dict)
     turns: tuple[Turn, ...] = ()
+    queue_loads: dict[str, QueueLoad] | None = None
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -134,6 +134,8 @@
                 settings.withdrawal_ms / 1000,
                 self._log,
             ),
+            policies.admission,
+            policies.room_retry,
         )
         self._leadership = Leadership(
             self._clients.store(LEASE_CALL_TIMEOUT_S),
--- a/src/rosemarynotch/_internal/wiring/policies.py
+++ b/src/rosemarynotch/_internal/wiring/policies.py
@@ -4,13 +4,18 @@
 
 from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.scheduling.policies import SchedulingPolicies
+from rosemarynotch._internal.scheduling.policy import AcceptAll
 from rosemarynotch._internal.scheduling.policy import ArrivalOrder
+from rosemarynotch._internal.scheduling.policy import BacklogAdmission
+from rosemarynotch._internal.scheduling.policy import BacklogRetry
 from rosemarynotch._internal.scheduling.policy import BestFit
 from rosemarynotch._internal.scheduling.policy import CycleForecast
 from rosemarynotch._internal.scheduling.policy import DeadlineOrder
 from rosemarynotch._internal.scheduling.policy import DemandSizer
 from rosemarynotch._internal.scheduling.policy import DrawnOrder
+from rosemarynotch._internal.scheduling.policy import ExcessRetry
 from rosemarynotch._internal.scheduling.policy import FirstFit
+from rosemarynotch._internal.scheduling.policy import FleetAdmission
 from rosemarynotch._internal.scheduling.policy import KeepPoolsApart
 from rosemarynotch._internal.scheduling.policy import MostOnTimeOrder
 from rosemarynotch._internal.scheduling.policy import NoForecast
@@ -28,6 +33,12 @@
 POLICIES_VARIABLE = "ROSEMARYNOTCH_POLICIES"
 # The first choice of each kind is the default.
 CHOICES: Mapping[str, Mapping[str, type]] = {
+    "admission": {
+        "backlog": BacklogAdmission,
+        "fleet": FleetAdmission,
+        "none": AcceptAll,
+    },
+    "retry": {"backlog": BacklogRetry, "excess": ExcessRetry},
     "order": {
         "objective": ObjectiveOrder,
         "drawn": DrawnOrder,
@@ -49,7 +60,7 @@
 
 
 def choose_policies(text: str = "") -> SchedulingPolicies:
-    """Return the policies of a leader.
+    """Return the policies of a node.
 
     :param text: choices other than the defaults, such as
         ``order=arrival,forecast=none``
@@ -71,6 +82,8 @@
         chosen[kind] = name
     kinds = {kind: CHOICES[kind][name] for kind, name in chosen.items()}
     return SchedulingPolicies(
+        admission=kinds["admission"](),
+        room_retry=kinds["retry"](),
         order=kinds["order"](),
         sharing=kinds["sharing"](),
         placer=kinds["placement"](),
--- a/tests/unit/test_access.py
+++ b/tests/unit/test_access.py
@@ -40,6 +40,8 @@
             types.SimpleNamespace(current=CONFIGURATION),
             *[None] * 4,
             phase_reader=None,
+            admission=None,
+            room_retry=None,
         )
         found = []
 
