--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -109,6 +109,7 @@
             policies.placer,
             self.advice,
             log,
+            policies.sharing,
             self.unstarted.may_start,
         )
         self._policies = policies
--- a/src/rosemarynotch/_internal/scheduling/policies.py
+++ b/src/rosemarynotch/_internal/scheduling/policies.py
@@ -8,9 +8,12 @@
 from rosemarynotch._internal.scheduling.fleet_ports import Advisor
 from rosemarynotch._internal.scheduling.fleet_ports import FleetService
 from rosemarynotch._internal.scheduling.maintenance import Wave
+from rosemarynotch._internal.scheduling.policy import Admission
 from rosemarynotch._internal.scheduling.policy import JobOrder
 from rosemarynotch._internal.scheduling.policy import PacePolicy
+from rosemarynotch._internal.scheduling.policy import PoolSharing
 from rosemarynotch._internal.scheduling.policy import PoolSizer
+from rosemarynotch._internal.scheduling.policy import RoomRetry
 from rosemarynotch._internal.scheduling.policy import StepPlacer
 from rosemarynotch._internal.scheduling.policy import TurnForecast
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
@@ -24,9 +27,12 @@
 
 @attrs.frozen(kw_only=True)
 class SchedulingPolicies:
-    """Policies of a leader.
+    """Policies of a node, those of a leader included.
 
+    :ivar admission: decides which jobs are refused for lack of room
+    :ivar room_retry: decides when their callers should come back
     :ivar order: decides which job of a pool starts next
+    :ivar sharing: decides which jobs give way to those of other pools
     :ivar placer: decides on which workers its tasks start
     :ivar pacer: sets the pace of best-effort tasks
     :ivar make_forecast: makes the forecast of load peaks from those that an
@@ -35,7 +41,10 @@
         whether there was no earlier leader
     """
 
+    admission: Admission
+    room_retry: RoomRetry
     order: JobOrder
+    sharing: PoolSharing
     placer: StepPlacer
     pacer: PacePolicy
     make_forecast: Callable[[tuple[Turn, ...]], TurnForecast]
--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -4,9 +4,17 @@
 load that it answers.
 """
 
+from rosemarynotch._internal.scheduling.policy.admit import AcceptAll
+from rosemarynotch._internal.scheduling.policy.admit import Admission
 from rosemarynotch._internal.scheduling.policy.admit import AdmissionDecision
+from rosemarynotch._internal.scheduling.policy.admit import BacklogAdmission
 from rosemarynotch._internal.scheduling.policy.admit import critical_path_ms
-from rosemarynotch._internal.scheduling.policy.admit import decide_admission
+from rosemarynotch._internal.scheduling.policy.admit import FleetAdmission
+from rosemarynotch._internal.scheduling.policy.admit import start_delay_ms
+from rosemarynotch._internal.scheduling.policy.admit import work_core_ms
+from rosemarynotch._internal.scheduling.policy.deadlines import DeadlineOrder
+from rosemarynotch._internal.scheduling.policy.deadlines import MostOnTimeOrder
+from rosemarynotch._internal.scheduling.policy.deadlines import WeightedOrder
 from rosemarynotch._internal.scheduling.policy.demand import Demand
 from rosemarynotch._internal.scheduling.policy.demand import measure_demand
 from rosemarynotch._internal.scheduling.policy.demand import NO_DEMAND
@@ -19,6 +27,7 @@
 from rosemarynotch._internal.scheduling.policy.ordering import ArrivalOrder
 from rosemarynotch._internal.scheduling.policy.ordering import Candidate
 from rosemarynotch._internal.scheduling.policy.ordering import CUTOFF_FACTOR
+from rosemarynotch._internal.scheduling.policy.ordering import DrawnOrder
 from rosemarynotch._internal.scheduling.policy.ordering import JobOrder
 from rosemarynotch._internal.scheduling.policy.ordering import ObjectiveOrder
 from rosemarynotch._internal.scheduling.policy.ordering import Urgency
@@ -34,7 +43,14 @@
 from rosemarynotch._internal.scheduling.policy.placement import StepPlacer
 from rosemarynotch._internal.scheduling.policy.rates import Arrival
 from rosemarynotch._internal.scheduling.policy.rates import ArrivalRates
+from rosemarynotch._internal.scheduling.policy.retry import BacklogRetry
+from rosemarynotch._internal.scheduling.policy.retry import ExcessRetry
 from rosemarynotch._internal.scheduling.policy.retry import outage_retry_s
+from rosemarynotch._internal.scheduling.policy.retry import RoomRetry
+from rosemarynotch._internal.scheduling.policy.sharing import KeepPoolsApart
+from rosemarynotch._internal.scheduling.policy.sharing import PoolSharing
+from rosemarynotch._internal.scheduling.policy.sharing import YieldLateWork
+from rosemarynotch._internal.scheduling.policy.sharing import YieldToShortPools
 from rosemarynotch._internal.scheduling.policy.sizing import DemandSizer
 from rosemarynotch._internal.scheduling.policy.sizing import Move
 from rosemarynotch._internal.scheduling.policy.sizing import PoolLoad
@@ -43,24 +59,33 @@
 from rosemarynotch._internal.scheduling.policy.timeouts import OrderTimeout
 
 __all__ = [
+    "AcceptAll",
+    "Admission",
     "AdmissionDecision",
     "Arrival",
     "ArrivalOrder",
     "ArrivalRates",
+    "BacklogAdmission",
+    "BacklogRetry",
     "BestFit",
     "Candidate",
     "critical_path_ms",
     "CUTOFF_FACTOR",
     "CycleForecast",
-    "decide_admission",
+    "DeadlineOrder",
     "Demand",
     "DemandSizer",
+    "DrawnOrder",
+    "ExcessRetry",
     "ExpectedTurn",
     "FirstFit",
+    "FleetAdmission",
     "FreeCapacity",
     "JobOrder",
     "beyond_horizon",
+    "KeepPoolsApart",
     "measure_demand",
+    "MostOnTimeOrder",
     "Move",
     "NO_DEMAND",
     "NoForecast",
@@ -73,11 +98,18 @@
     "Placement",
     "PoolCapacity",
     "PoolLoad",
+    "PoolSharing",
     "PoolSizer",
+    "RoomRetry",
+    "start_delay_ms",
     "StaticSizer",
     "StepPlacer",
     "TailLatencyPacer",
     "TurnForecast",
     "Urgency",
     "vm_sizes",
+    "WeightedOrder",
+    "work_core_ms",
+    "YieldLateWork",
+    "YieldToShortPools",
 ]
--- a/src/rosemarynotch/_internal/scheduling/policy/ordering.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/ordering.py
@@ -3,12 +3,15 @@
 import abc
 from collections.abc import Iterable
 import enum
+import zlib
 
 import attrs
 
 __all__ = [
     "ArrivalOrder",
     "Candidate",
+    "draw",
+    "DrawnOrder",
     "JobOrder",
     "ObjectiveOrder",
     "Urgency",
@@ -77,15 +80,21 @@
 
     @abc.abstractmethod
     def sort(
-        self, candidates: Iterable[Candidate], now_ms: float
+        self,
+        candidates: Iterable[Candidate],
+        now_ms: float,
+        cores: float = 0.0,
     ) -> list[Candidate]:
-        """Return the candidates in the order in which they start."""
+        """Return the candidates in the order in which they start.
+
+        :param cores: processors of the pool, 0 if they are not known
+        """
 
 
 class ArrivalOrder(JobOrder):
     """Orders jobs by priority and arrival (baseline)."""
 
-    def sort(self, candidates, now_ms):
+    def sort(self, candidates, now_ms, cores=0.0):
         """Sort by priority, then by time of acceptance."""
         return sorted(
             candidates, key=lambda c: (c.priority, c.accepted_ms, c.job_id)
@@ -108,7 +117,7 @@
     that those that run longer than expected are late.
     """
 
-    def sort(self, candidates, now_ms):
+    def sort(self, candidates, now_ms, cores=0.0):
         """Sort by urgency, priority, start, share and remaining work."""
 
         def key(candidate: Candidate):
@@ -117,9 +126,32 @@
                 candidate.priority,
                 not candidate.is_started,
                 candidate.is_over_share,
-                candidate.remaining_core_ms,
+                self._size(candidate),
                 candidate.usage_share,
                 candidate.job_id,
             )
 
         return sorted(candidates, key=key)
+
+    def _size(self, candidate: Candidate) -> float:
+        """Return the work by which jobs of equal rank are sorted."""
+        return candidate.remaining_core_ms
+
+
+class DrawnOrder(ObjectiveOrder):
+    """The same, but in which large jobs are not always last.
+
+    Under a lasting shortage, the largest jobs of a queue would never start.
+    The work of each job is therefore multiplied by a number between 0 and 1
+    that is drawn from its identifier. Of the jobs that are too large to start
+    all, each starts with a chance in inverse proportion to its work, so that
+    large and small jobs get the same expected processor time.
+    """
+
+    def _size(self, candidate):
+        return candidate.remaining_core_ms * draw(candidate.job_id)
+
+
+def draw(job_id: str) -> float:
+    """Return a number between 0 and 1 that depends only on a job."""
+    return zlib.crc32(job_id.encode()) / 0xFFFFFFFF
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -244,12 +244,15 @@
             if job.phase is Phase.QUEUED:
                 name = job.submission.queue
                 waiting[name] = waiting.get(name, 0) + 1
+        now_s = self._controller.clock.monotonic_s()
         wall_ms = round(self._controller.clock.wall_s() * 1000)
+        outlook = self._controller.planner.outlook
         return LoadRecord(
             written_unix_ms=wall_ms,
             waiting=waiting,
             start_delay_ms=self._start_delays_ms(wall_ms),
             turns=tuple(self._controller.forecast.turns),
+            queue_loads=outlook.queue_loads(now_s, wall_ms),
         )
 
     def _start_delays_ms(self, wall_ms: float) -> dict[str, int]:
@@ -261,7 +264,7 @@
         controller = self._controller
         since_s = controller.scheduler.out_of_service_since_s
         if since_s is None:
-            return controller.planner.start_delays_ms(wall_ms)
+            return controller.planner.outlook.start_delays_ms(wall_ms)
         delay_ms = round((controller.clock.monotonic_s() - since_s) * 1000)
         queues = controller.scheduler.configuration.queues
         return {queue.name: delay_ms for queue in queues}
