Do not refuse a job that may have been accepted before

If the store did not answer whether a job is known, a node without room refused it, although an earlier attempt may have stored it and it would run. The write that follows now decides, and answers 503 or 504 by itself.

--- a/src/rosemarynotch/_internal/replay/overload_load.py
+++ b/src/rosemarynotch/_internal/replay/overload_load.py
@@ -61,6 +61,7 @@
     """A job of the replay.
 
     :ivar run_ms: real run time of the tasks, by step
+    :ivar is_outlier: whether it runs several times as long as declared
     """
 
     job_id: str
@@ -69,6 +70,7 @@
     organisation: str
     spec: JobSpec
     run_ms: tuple[float, ...]
+    is_outlier: bool = False
 
     @property
     def objective_ms(self) -> float:
@@ -126,8 +128,9 @@
         if not is_short:
             base_ms = rng.uniform(1300, 2100)
             cores = rng.uniform(7, 13)
-            if rng.random() < OUTLIER_SHARE:
-                base_ms *= OUTLIER_FACTOR
+        is_outlier = not is_short and rng.random() < OUTLIER_SHARE
+        if is_outlier:
+            base_ms *= OUTLIER_FACTOR
         base_ms *= size_factor
         run_ms = tuple(base_ms * rng.uniform(0.9, 1.1) for _ in range(steps))
         # The caller does not know that its job is an outlier.
@@ -155,6 +158,7 @@
                 ),
             ),
             run_ms=run_ms,
+            is_outlier=is_outlier,
         )
 
 
--- a/src/rosemarynotch/_internal/scheduling/job_api.py
+++ b/src/rosemarynotch/_internal/scheduling/job_api.py
@@ -223,7 +223,8 @@
     ) -> Failure | None:
         """Refuse a job that would end too late to be of use.
 
-        A job that has been accepted before is not refused, since it will run.
+        A job that has been accepted before is not refused, since it will run,
+        nor is one of which the store does not tell whether it was.
         """
         now_s = self._clock.monotonic_s()
         refusals = self._refused_jobs.count(job_id, now_s)
@@ -235,7 +236,7 @@
             self._clock.wall_s() * 1000,
             refusals > 0,
         )
-        if decision.is_accepted or self._intake.is_known(job_id) is True:
+        if decision.is_accepted or self._intake.is_known(job_id) is not False:
             return None
         self._refused_jobs.record(job_id, now_s)
         self._metrics.count(
