Count a pool as short only if it needs more VMs than it gets

A pool whose VMs are on the way from standby needs none of other pools, so that their jobs need not give way meanwhile.

--- a/src/rosemarynotch/_internal/replay/overload_trial.py
+++ b/src/rosemarynotch/_internal/replay/overload_trial.py
@@ -363,6 +363,11 @@
                     spread_vms=each.spread_vms,
                 )
             )
+        scheduler.short_of_vms = frozenset(
+            load.name
+            for load in loads
+            if load.vm_count < self._sizer.desired_vms(load)
+        )
         for move in self._sizer.plan(loads, self.now_ms / 1000):
             self._moving[move.vm] = (move.target, self.now_ms + MOVE_MS)
             if move.vm in by_vm:
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -215,6 +215,11 @@
             self._evacuation.step(now_s)
         with controller.lock:
             loads = self._pool_loads(vms)
+            controller.scheduler.short_of_vms = frozenset(
+                load.name
+                for load in loads
+                if load.vm_count < self._sizer.desired_vms(load)
+            )
         moves = self._sizer.plan(loads, now_s)
         self._report(loads, now_s)
         if not moves or not self._vm_order_registry.announce(
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -179,7 +179,8 @@
                     continue
                 commands += self._place_steps(waiting, each.capacity, now_s)
                 if (
-                    urgency is Urgency.ON_TIME
+                    each.pool in self._scheduler.short_of_vms
+                    and urgency is Urgency.ON_TIME
                     and candidate.priority < short.get(each.pool, math.inf)
                     and self._lacks_room(waiting)
                 ):
@@ -190,9 +191,7 @@
                 )
                 for waiting in held:
                     commands += self._place_steps(waiting, left, now_s)
-        # Without a VM service, capacity cannot move to the pools.
-        has_moves = self._scheduler.fleet_millicores > 0
-        self._record_short_pools(short if has_moves else {}, now_s)
+        self._record_short_pools(short, now_s)
         return commands
 
     def _record_short_pools(self, short: dict[str, int], now_s) -> None:
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -45,6 +45,8 @@
         self.durations = DurationEstimator()
         # Processors of all VMs, including those that are powered off.
         self.fleet_millicores = 0
+        # Pools that need more VMs than they have or are about to get.
+        self.short_of_vms: frozenset[str] = frozenset()
 
     def advance_acks(self) -> None:
         """Acknowledge the run ends of all workers that are persisted."""
