Draw the order of the large jobs of a queue

Nodes estimate the wait of a large job in the same way, with the quantile in 'large_core_ms' of control/load. order=objective is the order before.

--- a/src/rosemarynotch/_internal/scheduling/candidates.py
+++ b/src/rosemarynotch/_internal/scheduling/candidates.py
@@ -7,6 +7,7 @@
 from rosemarynotch._internal.scheduling.model import QueuePolicy
 from rosemarynotch._internal.scheduling.policy import Candidate
 from rosemarynotch._internal.scheduling.policy import CUTOFF_FACTOR
+from rosemarynotch._internal.scheduling.policy import JobSizes
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
 from rosemarynotch._internal.scheduling.work_estimates import RemainingWork
 from rosemarynotch._internal.scheduling.work_estimates import WorkEstimates
@@ -42,6 +43,7 @@
         self._fair_millicores = 0.0
         self._usage: dict[str, tuple[float, bool]] = {}
         self._cache: dict[str, _CachedCandidate] = {}
+        self._sizes: dict[str, JobSizes] = {}
 
     def begin_pass(self) -> None:
         """Calculate the fair shares anew, which all candidates use."""
@@ -71,6 +73,11 @@
         accepted_ms = job.submission.accepted_unix_ms
         if job.is_scheduled:
             accepted_ms = max(accepted_ms, occurrence.due_unix_ms)
+        if cached is None:
+            sizes = self._sizes.setdefault(queue.name, JobSizes())
+            size_rank = sizes.add(work.remaining_core_ms)
+        else:
+            size_rank = cached.candidate.size_rank
         limit_ms = queue.objective_ms(work.path_ms)
         candidate = Candidate(
             job_id=job.job_id,
@@ -84,12 +91,18 @@
             objective_ms=accepted_ms + limit_ms,
             cutoff_ms=accepted_ms + CUTOFF_FACTOR * limit_ms,
             is_over_share=usage[1],
+            size_rank=size_rank,
         )
         self._cache[job.job_id] = _CachedCandidate(
             queue, work, is_started, usage, candidate
         )
         return candidate
 
+    def large_core_ms(self, queue_name: str) -> float:
+        """Return from which work on a job of a queue counts as large."""
+        sizes = self._sizes.get(queue_name)
+        return sizes.large_core_ms() if sizes else 0.0
+
     def forget(self, job_id: str) -> None:
         """Drop the cached estimate of a job."""
         self._work.forget(job_id)
--- a/src/rosemarynotch/_internal/scheduling/load_outlook.py
+++ b/src/rosemarynotch/_internal/scheduling/load_outlook.py
@@ -6,6 +6,7 @@
 
 from rosemarynotch._internal.scheduling.candidates import CandidateFactory
 from rosemarynotch._internal.scheduling.policy import Candidate
+from rosemarynotch._internal.scheduling.policy import JobOrder
 from rosemarynotch._internal.scheduling.policy import Urgency
 from rosemarynotch._internal.scheduling.records import QueueLoad
 from rosemarynotch._internal.scheduling.records import SizeLoad
@@ -25,19 +26,28 @@
     """A batch job that has not ended.
 
     :ivar work_core_ms: work that is left, less what its runs have done
+    :ivar size: size by which it is sorted
     """
 
     pool: str
     candidate: Candidate
     work_core_ms: float
+    size: float
 
 
 class LoadOutlook:
-    """Sums up the work of the jobs for the nodes that accept jobs."""
+    """Sums up the work of the jobs for the nodes that accept jobs.
+
+    :param order: decides which jobs go before others by their size
+    """
 
     def __init__(
-        self, scheduler: Scheduler, candidates: CandidateFactory
+        self,
+        scheduler: Scheduler,
+        candidates: CandidateFactory,
+        order: JobOrder,
     ) -> None:
+        self._order = order
         self._scheduler = scheduler
         self._candidates = candidates
 
@@ -119,6 +129,11 @@
                 sizes=_sizes(
                     waiting.get((queue.pool, queue.priority), ()), wall_ms
                 ),
+                large_core_ms=(
+                    self._candidates.large_core_ms(queue.name)
+                    if self._order.draws_large_jobs
+                    else 0.0
+                ),
             )
         return loads
 
@@ -144,7 +159,8 @@
             work = candidate.remaining_core_ms
             work -= done_core_ms.get(job.job_id, 0.0)
             pool = self._scheduler.queue_of(job).pool
-            jobs.append(_ActiveJob(pool, candidate, max(0.0, work)))
+            size = self._order.size(candidate)
+            jobs.append(_ActiveJob(pool, candidate, max(0.0, work), size))
         return jobs
 
     def _pool_cores(self) -> dict[str, float]:
@@ -174,7 +190,7 @@
 
 def _sizes(jobs: Iterable[_ActiveJob], wall_ms: float) -> tuple[SizeLoad, ...]:
     """Return rows of jobs by size, each with about the same work."""
-    rows = sorted(jobs, key=lambda job: job.work_core_ms)
+    rows = sorted(jobs, key=lambda job: job.size)
     step = sum(job.work_core_ms for job in rows) / MAX_SIZES
     sizes: list[SizeLoad] = []
     ahead = arriving = 0.0
@@ -186,7 +202,7 @@
         if is_last or ahead >= step * (len(sizes) + 1):
             sizes.append(
                 SizeLoad(
-                    work_core_ms=round(job.work_core_ms),
+                    work_core_ms=round(job.size),
                     ahead_core_ms=round(ahead),
                     arriving_cores=round(arriving / ARRIVAL_WINDOW_MS, 1),
                 )
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -76,7 +76,7 @@
         self._reconciler = RunReconciler(scheduler, advice, log)
         self._caps = CapGuard(scheduler)
         self._candidates = CandidateFactory(scheduler)
-        self.outlook = LoadOutlook(scheduler, self._candidates)
+        self.outlook = LoadOutlook(scheduler, self._candidates, order)
         self._uncertain_pools: set[str] = set()
         self._short_pools: dict[str, int] = {}
         self._short_logged_at_s = 0.0
--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -28,6 +28,7 @@
 from rosemarynotch._internal.scheduling.policy.ordering import CUTOFF_FACTOR
 from rosemarynotch._internal.scheduling.policy.ordering import DrawnOrder
 from rosemarynotch._internal.scheduling.policy.ordering import JobOrder
+from rosemarynotch._internal.scheduling.policy.ordering import JobSizes
 from rosemarynotch._internal.scheduling.policy.ordering import ObjectiveOrder
 from rosemarynotch._internal.scheduling.policy.ordering import Urgency
 from rosemarynotch._internal.scheduling.policy.pacing import NoPacing
@@ -81,6 +82,7 @@
     "FleetAdmission",
     "FreeCapacity",
     "JobOrder",
+    "JobSizes",
     "KeepPoolsApart",
     "measure_demand",
     "MostOnTimeOrder",
--- a/src/rosemarynotch/_internal/scheduling/policy/admit.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/admit.py
@@ -116,7 +116,7 @@
             return ACCEPTED
         if load is None:
             return ACCEPTED
-        delay_ms = self._delay_ms(queue, spec, load, now_unix_ms)
+        delay_ms = self._delay_ms(queue, job_id, spec, load, now_unix_ms)
         path_ms = critical_path_ms(spec)
         limit_ms = CUTOFF_FACTOR * queue.objective_ms(path_ms) - path_ms
         chance = self._refusal_share(delay_ms, limit_ms)
@@ -127,7 +127,7 @@
         return AdmissionDecision(False, delay_ms, delay_ms - limit_ms)
 
     @abc.abstractmethod
-    def _delay_ms(self, queue, spec, load, now_unix_ms) -> float:
+    def _delay_ms(self, queue, job_id, spec, load, now_unix_ms) -> float:
         """Return the expected wait of a job before it starts."""
 
     @staticmethod
@@ -139,7 +139,7 @@
 class AcceptAll(Admission):
     """Accepts every job (baseline)."""
 
-    def _delay_ms(self, queue, spec, load, now_unix_ms):
+    def _delay_ms(self, queue, job_id, spec, load, now_unix_ms):
         return 0.0
 
 
@@ -149,7 +149,7 @@
     It assumes that the VMs of all pools serve the queue.
     """
 
-    def _delay_ms(self, queue, spec, load, now_unix_ms):
+    def _delay_ms(self, queue, job_id, spec, load, now_unix_ms):
         return load.start_delay_ms.get(queue.name, 0)
 
 
@@ -160,7 +160,7 @@
     capacity that its pool has or can still get.
     """
 
-    def _delay_ms(self, queue, spec, load, now_unix_ms):
+    def _delay_ms(self, queue, job_id, spec, load, now_unix_ms):
         if load.queue_loads is None:
             # The leader is of the previous version.
             return load.start_delay_ms.get(queue.name, 0)
@@ -168,7 +168,10 @@
         if queue_load is None:
             return 0.0
         age_ms = max(0.0, now_unix_ms - load.written_unix_ms)
-        return start_delay_ms(queue_load, work_core_ms(spec), age_ms)
+        work_ms = work_core_ms(spec)
+        if 0 < queue_load.large_core_ms <= work_ms:
+            work_ms *= draw(job_id)
+        return start_delay_ms(queue_load, work_ms, age_ms)
 
     @staticmethod
     def _refusal_share(delay_ms, limit_ms):
--- a/src/rosemarynotch/_internal/scheduling/policy/ordering.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/ordering.py
@@ -1,7 +1,9 @@
 """Orders in which the waiting jobs of a pool start."""
 
 import abc
+import bisect
 from collections.abc import Iterable
+from collections import deque
 import enum
 import zlib
 
@@ -13,6 +15,7 @@
     "draw",
     "DrawnOrder",
     "JobOrder",
+    "JobSizes",
     "ObjectiveOrder",
     "Urgency",
 ]
@@ -21,6 +24,12 @@
 # times the objective, and none after that (rules of the users' platform, part
 # "Credit").
 CUTOFF_FACTOR = 3.0
+# Recent jobs of a queue among which the size of a new one is ranked.
+RANKED_JOBS = 200
+# Jobs that are larger than this share of them count as large. The replay of
+# shortages serves the largest tenth half as often as its queue with 0.8, but
+# not always with 0.85 and 0.9, as declared run times are off by up to 2 times.
+LARGE_RANK = 0.8
 
 
 class Urgency(enum.IntEnum):
@@ -51,6 +60,8 @@
     :ivar objective_ms: latest end at which it is on time
     :ivar cutoff_ms: latest end at which its result still has some worth
     :ivar is_over_share: whether its organisation uses more than its fair share
+    :ivar size_rank: share of the recent jobs of its queue with less work than
+        it had when it was first seen
     """
 
     job_id: str
@@ -64,6 +75,7 @@
     objective_ms: float
     cutoff_ms: float
     is_over_share: bool = False
+    size_rank: float = 0.0
 
     def urgency(self, now_ms: float) -> Urgency:
         """Return what starting the job now can achieve."""
@@ -75,8 +87,38 @@
         return Urgency.LATE if end_ms <= self.cutoff_ms else Urgency.TOO_LATE
 
 
+class JobSizes:
+    """Ranks the jobs of a queue by size among those that came before."""
+
+    def __init__(self) -> None:
+        self._recent: deque[float] = deque()
+        self._sorted: list[float] = []
+
+    def add(self, work_core_ms: float) -> float:
+        """Return the share of recent jobs with less work, and add a job."""
+        position = bisect.bisect_left(self._sorted, work_core_ms)
+        rank = position / len(self._sorted) if self._sorted else 0.0
+        self._sorted.insert(position, work_core_ms)
+        self._recent.append(work_core_ms)
+        if len(self._recent) > RANKED_JOBS:
+            oldest = self._recent.popleft()
+            del self._sorted[bisect.bisect_left(self._sorted, oldest)]
+        return rank
+
+    def large_core_ms(self) -> float:
+        """Return from which work on a job counts as large, 0 if unknown."""
+        if not self._sorted:
+            return 0.0
+        return self._sorted[int(LARGE_RANK * len(self._sorted))]
+
+
 class JobOrder(abc.ABC):
-    """Sorts the jobs of a pool."""
+    """Sorts the jobs of a pool.
+
+    :cvar draws_large_jobs: whether the sizes of large jobs are drawn
+    """
+
+    draws_large_jobs = False
 
     @abc.abstractmethod
     def sort(
@@ -90,6 +132,10 @@
         :param cores: processors of the pool, 0 if they are not known
         """
 
+    def size(self, candidate: Candidate) -> float:
+        """Return the work by which jobs of equal rank are sorted."""
+        return candidate.remaining_core_ms
+
 
 class ArrivalOrder(JobOrder):
     """Orders jobs by priority and arrival (baseline)."""
@@ -126,30 +172,32 @@
                 candidate.priority,
                 not candidate.is_started,
                 candidate.is_over_share,
-                self._size(candidate),
+                self.size(candidate),
                 candidate.usage_share,
                 candidate.job_id,
             )
 
         return sorted(candidates, key=key)
 
-    def _size(self, candidate: Candidate) -> float:
-        """Return the work by which jobs of equal rank are sorted."""
-        return candidate.remaining_core_ms
-
 
 class DrawnOrder(ObjectiveOrder):
-    """The same, but in which large jobs are not always last.
+    """The same, but in which the large jobs of a queue are not always last.
 
-    Under a lasting shortage, the largest jobs of a queue would never start.
-    The work of each job is therefore multiplied by a number between 0 and 1
-    that is drawn from its identifier. Of the jobs that are too large to start
-    all, each starts with a chance in inverse proportion to its work, so that
-    large and small jobs get the same expected processor time.
+    Under a lasting shortage, the largest jobs of a queue would hardly ever
+    start. The work of those that are larger than LARGE_RANK of the recent jobs
+    is therefore multiplied by a number between 0 and 1 that is drawn from the
+    identifier. Each of them then starts with a chance in inverse proportion to
+    its work, which is at least half that of the queue as a whole.
     """
 
-    def _size(self, candidate):
-        return candidate.remaining_core_ms * draw(candidate.job_id)
+    draws_large_jobs = True
+
+    def size(self, candidate):
+        """Return the remaining work, multiplied by the draw if it is large."""
+        work = candidate.remaining_core_ms
+        if candidate.size_rank < LARGE_RANK:
+            return work
+        return work * draw(candidate.job_id)
 
 
 def draw(job_id: str) -> float:
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -181,7 +181,7 @@
 class SizeLoad:
     """Waiting jobs up to a size.
 
-    :ivar work_core_ms: processor time of the largest of them
+    :ivar work_core_ms: size of the largest of them, see ``JobOrder.size``
     :ivar ahead_core_ms: processor time of all of them
     :ivar arriving_cores: processors that such jobs would keep busy if they
         went on arriving as in the last second
@@ -204,6 +204,8 @@
         queue: started jobs and those of more urgent queues
     :ivar sizes: waiting jobs of equal rank, which go before larger ones; in
         order of size, each row with all jobs up to its size
+    :ivar large_core_ms: work from which on the size of a job is multiplied by
+        its draw, 0 if it is for none
     """
 
     own_cores: float = 0.0
@@ -211,6 +213,7 @@
     other_core_ms: float = 0.0
     base_core_ms: float = 0.0
     sizes: tuple[SizeLoad, ...] = ()
+    large_core_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarynotch/_internal/wiring/policies.py
+++ b/src/rosemarynotch/_internal/wiring/policies.py
@@ -40,8 +40,8 @@
     },
     "retry": {"backlog": BacklogRetry, "excess": ExcessRetry},
     "order": {
-        "objective": ObjectiveOrder,
         "drawn": DrawnOrder,
+        "objective": ObjectiveOrder,
         "most-on-time": MostOnTimeOrder,
         "weighted-on-time": WeightedOrder,
         "deadline": DeadlineOrder,
--- a/tests/unit/test_overload_orders.py
+++ b/tests/unit/test_overload_orders.py
@@ -186,9 +186,10 @@
         """Guards against sorting by size alone."""
         ratios = [
             replay(
-                "short peak", seed, DrawnOrder(), KeepPoolsApart()
+                load, seed, DrawnOrder(), KeepPoolsApart()
             ).largest_tenth_ratio()
             for seed in range(2)
+            for load in ("short peak", "large burst")
         ]
         self.assertGreaterEqual(sum(ratios) / len(ratios), 0.5)
 
@@ -249,3 +250,36 @@
                     sorted(each.job_id for each in jobs),
                     sorted(each.job_id for each in order),
                 )
+
+
+class TestPassCost(testtools.TestCase):
+    """Guards against a leader that is too slow while hundreds of jobs wait."""
+
+    def test_unchanged_jobs_are_not_described_again(self):
+        """Guards against calculating every waiting job anew in each pass."""
+        leader = Leader()
+        leader.add_workers("w1")
+        jobs = [
+            leader.submit(f"{n:016x}", job_spec(step(8))) for n in range(9)
+        ]
+        leader.place()
+        leader.place()
+        factory = leader.planner._candidates
+        first = [factory.candidate(job, 0.0) for job in jobs]
+        leader.place()
+        for before, job in zip(first, jobs, strict=True):
+            self.assertIs(before, factory.candidate(job, 0.0))
+
+    def test_started_jobs_are_described_again(self):
+        """Guards against a rank from before the start of a job."""
+        leader = Leader()
+        leader.add_workers("w1")
+        job = leader.submit("1" * 16, job_spec(step(2), step(1, after=(0,))))
+        factory = leader.planner._candidates
+        self.assertFalse(factory.candidate(job, 0.0).is_started)
+        runs = leader.place()
+        started = factory.candidate(job, 0.0)
+        self.assertTrue(started.is_started)
+        leader.end(runs[0])
+        left = factory.candidate(job, 0.0).remaining_core_ms
+        self.assertLess(left, started.remaining_core_ms)
