Publish what waits by pool and priority

By queue the record would grow with the number of queues, of which thousands may share a pool, and the sums took the square of the number of pools. Started jobs of less urgent queues no longer count as work that goes before an urgent job.

--- a/src/rosemarynotch/_internal/scheduling/candidates.py
+++ b/src/rosemarynotch/_internal/scheduling/candidates.py
@@ -8,6 +8,7 @@
 from rosemarynotch._internal.scheduling.policy import Candidate
 from rosemarynotch._internal.scheduling.policy import CUTOFF_FACTOR
 from rosemarynotch._internal.scheduling.policy import JobSizes
+from rosemarynotch._internal.scheduling.records import backlog_name
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
 from rosemarynotch._internal.scheduling.work_estimates import RemainingWork
 from rosemarynotch._internal.scheduling.work_estimates import WorkEstimates
@@ -74,7 +75,8 @@
         if job.is_scheduled:
             accepted_ms = max(accepted_ms, occurrence.due_unix_ms)
         if cached is None:
-            sizes = self._sizes.setdefault(queue.name, JobSizes())
+            name = backlog_name(queue)
+            sizes = self._sizes.setdefault(name, JobSizes())
             size_rank = sizes.add(work.remaining_core_ms)
         else:
             size_rank = cached.candidate.size_rank
@@ -98,9 +100,9 @@
         )
         return candidate
 
-    def large_core_ms(self, queue_name: str) -> float:
-        """Return from which work on a job of a queue counts as large."""
-        sizes = self._sizes.get(queue_name)
+    def large_core_ms(self, name: str) -> float:
+        """Return from which work on a job of a backlog counts as large."""
+        sizes = self._sizes.get(name)
         return sizes.large_core_ms() if sizes else 0.0
 
     def forget(self, job_id: str) -> None:
--- a/src/rosemarynotch/_internal/scheduling/load_outlook.py
+++ b/src/rosemarynotch/_internal/scheduling/load_outlook.py
@@ -1,6 +1,7 @@
-"""What a new job of each queue would have to wait for; performs no I/O."""
+"""What new jobs would have to wait for; performs no I/O."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import attrs
 
@@ -8,7 +9,8 @@
 from rosemarynotch._internal.scheduling.policy import Candidate
 from rosemarynotch._internal.scheduling.policy import JobOrder
 from rosemarynotch._internal.scheduling.policy import Urgency
-from rosemarynotch._internal.scheduling.records import QueueLoad
+from rosemarynotch._internal.scheduling.records import Backlog
+from rosemarynotch._internal.scheduling.records import backlog_name
 from rosemarynotch._internal.scheduling.records import SizeLoad
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
 
@@ -75,10 +77,8 @@
             if queue.pool in work
         }
 
-    def queue_loads(
-        self, now_s: float, wall_ms: float
-    ) -> dict[str, QueueLoad]:
-        """Return the load of the queues in whose pools jobs wait.
+    def backlogs(self, now_s: float, wall_ms: float) -> dict[str, Backlog]:
+        """Return what waits in pools, by pool and priority.
 
         Jobs whose result would be worthless do not count unless they run:
         they go after all others.
@@ -91,51 +91,45 @@
         serving_cores = self._serving_cores()
         fleet = self._scheduler.fleet_millicores / 1000
         other_cores = max(0.0, fleet - sum(serving_cores.values()))
-        started: dict[str, float] = {}
+        started: dict[tuple[str, int], float] = {}
         waiting: dict[tuple[str, int], list[_ActiveJob]] = {}
         for job in jobs:
+            key = job.pool, job.candidate.priority
             if job.candidate.is_started:
-                started[job.pool] = (
-                    started.get(job.pool, 0.0) + job.work_core_ms
-                )
+                started[key] = started.get(key, 0.0) + job.work_core_ms
             else:
-                key = job.pool, job.candidate.priority
                 waiting.setdefault(key, []).append(job)
         sums = {
             key: sum(job.work_core_ms for job in rows)
             for key, rows in waiting.items()
         }
         busy_pools = {pool for pool, _ in waiting}
-        loads = {}
-        for queue in self._scheduler.configuration.queues:
-            if queue.pool not in busy_pools:
-                continue
-            own = own_cores.get(queue.pool, 0.0)
-            before = {
-                pool: started.get(pool, 0.0)
-                + sum(
-                    work
-                    for (name, priority), work in sums.items()
-                    if name == pool and priority < queue.priority
-                )
-                for pool in {*started, *busy_pools}
-            }
-            base = before.pop(queue.pool, 0.0)
-            loads[queue.name] = QueueLoad(
+        ranks = {
+            (queue.pool, queue.priority): backlog_name(queue)
+            for queue in self._scheduler.configuration.queues
+            if queue.pool in busy_pools
+        }
+        all_before = {
+            priority: _work_before(started, sums, priority)
+            for priority in {priority for _, priority in ranks}
+        }
+        backlogs = {}
+        for (pool, priority), name in ranks.items():
+            before = all_before[priority]
+            base = before.get(pool, 0.0)
+            own = own_cores.get(pool, 0.0)
+            large_core_ms = 0.0
+            if self._order.draws_large_jobs:
+                large_core_ms = self._candidates.large_core_ms(name)
+            backlogs[name] = Backlog(
                 own_cores=round(own, 1),
                 other_cores=round(max(0.0, other_cores - own), 1),
-                other_core_ms=round(sum(before.values())),
+                other_core_ms=round(before[""] - base),
                 base_core_ms=round(base),
-                sizes=_sizes(
-                    waiting.get((queue.pool, queue.priority), ()), wall_ms
-                ),
-                large_core_ms=(
-                    self._candidates.large_core_ms(queue.name)
-                    if self._order.draws_large_jobs
-                    else 0.0
-                ),
+                sizes=_sizes(waiting.get((pool, priority), ()), wall_ms),
+                large_core_ms=large_core_ms,
             )
-        return loads
+        return backlogs
 
     def _active_jobs(self, now_s, wall_ms) -> list[_ActiveJob]:
         done_core_ms: dict[str, float] = {}
@@ -188,6 +182,26 @@
         return cores
 
 
+def _work_before(
+    started: Mapping[tuple[str, int], float],
+    waiting: Mapping[tuple[str, int], float],
+    priority: int,
+) -> dict[str, float]:
+    """Return the work that goes before jobs of a priority, by pool.
+
+    :param started: work of started jobs by pool and priority
+    :param waiting: work of the other jobs by pool and priority
+    :returns: the work by pool, and that of all pools under ""
+    """
+    before: dict[str, float] = {}
+    for rows, last_rank in ((started, priority), (waiting, priority - 1)):
+        for (pool, rank), work in rows.items():
+            if rank <= last_rank:
+                before[pool] = before.get(pool, 0.0) + work
+    before[""] = sum(before.values())
+    return before
+
+
 def _sizes(jobs: Iterable[_ActiveJob], wall_ms: float) -> tuple[SizeLoad, ...]:
     """Return rows of jobs by size, each with about the same work."""
     rows = sorted(jobs, key=lambda job: job.size)
--- a/src/rosemarynotch/_internal/scheduling/policy/admit.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/admit.py
@@ -13,8 +13,9 @@
 from rosemarynotch._internal.scheduling.model import QueuePolicy
 from rosemarynotch._internal.scheduling.policy.ordering import CUTOFF_FACTOR
 from rosemarynotch._internal.scheduling.policy.ordering import draw
+from rosemarynotch._internal.scheduling.records import Backlog
+from rosemarynotch._internal.scheduling.records import backlog_name
 from rosemarynotch._internal.scheduling.records import LoadRecord
-from rosemarynotch._internal.scheduling.records import QueueLoad
 
 __all__ = [
     "AcceptAll",
@@ -68,7 +69,7 @@
     )
 
 
-def start_delay_ms(load: QueueLoad, work_ms: float, age_ms: float) -> float:
+def start_delay_ms(load: Backlog, work_ms: float, age_ms: float) -> float:
     """Return a lower bound of the wait of a new job before it starts.
 
     The work that goes before it fills the VMs of its pool, and after a move
@@ -161,17 +162,17 @@
     """
 
     def _delay_ms(self, queue, job_id, spec, load, now_unix_ms):
-        if load.queue_loads is None:
+        if load.backlogs is None:
             # The leader is of the previous version.
             return load.start_delay_ms.get(queue.name, 0)
-        queue_load = load.queue_loads.get(queue.name)
-        if queue_load is None:
+        backlog = load.backlogs.get(backlog_name(queue))
+        if backlog is None:
             return 0.0
         age_ms = max(0.0, now_unix_ms - load.written_unix_ms)
         work_ms = work_core_ms(spec)
-        if 0 < queue_load.large_core_ms <= work_ms:
+        if 0 < backlog.large_core_ms <= work_ms:
             work_ms *= draw(job_id)
-        return start_delay_ms(queue_load, work_ms, age_ms)
+        return start_delay_ms(backlog, work_ms, age_ms)
 
     @staticmethod
     def _refusal_share(delay_ms, limit_ms):
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -252,7 +252,7 @@
             waiting=waiting,
             start_delay_ms=outlook.start_delays_ms(wall_ms),
             turns=tuple(self._controller.forecast.turns),
-            queue_loads=outlook.queue_loads(now_s, wall_ms),
+            backlogs=outlook.backlogs(now_s, wall_ms),
         )
 
     def _roster(self) -> RosterRecord:
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -8,6 +8,8 @@
 from rosemarynotch._internal.scheduling.model import QueuePolicy
 
 __all__ = [
+    "Backlog",
+    "backlog_name",
     "CANCELLATIONS_PREFIX",
     "INTAKE_PREFIX",
     "JOBS_PREFIX",
@@ -17,7 +19,7 @@
     "LoadRecord",
     "Phase",
     "ProgressRecord",
-    "QueueLoad",
+    "Backlog",
     "ROSTER_KEY",
     "PROGRESS_PREFIX",
     "RosterRecord",
@@ -193,15 +195,17 @@
 
 
 @attrs.frozen(kw_only=True)
-class QueueLoad:
-    """What goes before a new job of a queue, and the capacity for it.
+class Backlog:
+    """What goes before new jobs of a rank, and the capacity for them.
+
+    A rank is a pool and a priority. Thousands of queues may share one.
 
     :ivar own_cores: processors of the VMs that serve its pool
     :ivar other_cores: processors of all other VMs, which may move there
     :ivar other_core_ms: work of other pools that goes before any job of the
-        queue
+        rank
     :ivar base_core_ms: work of its own pool that goes before any job of the
-        queue: started jobs and those of more urgent queues
+        rank: started jobs and those of more urgent queues
     :ivar sizes: waiting jobs of equal rank, which go before larger ones; in
         order of size, each row with all jobs up to its size
     :ivar large_core_ms: work from which on the size of a job is multiplied by
@@ -216,6 +220,11 @@
     large_core_ms: float = 0.0
 
 
+def backlog_name(queue: QueuePolicy) -> str:
+    """Return the name of the backlog that the jobs of a queue belong to."""
+    return f"{queue.pool}/{queue.priority}"
+
+
 @attrs.frozen(kw_only=True)
 class LoadRecord:
     """Load of the queues, published for nodes that accept jobs.
@@ -223,8 +232,8 @@
     :ivar waiting: number of accepted jobs without a started task, by queue
     :ivar start_delay_ms: expected wait of a new job, by queue; for nodes of
         the previous version
-    :ivar queue_loads: queues in which jobs wait; None in records of the
-        previous version
+    :ivar backlogs: what waits, see :func:`backlog_name`, of pools in which
+        jobs wait; None in records of the previous version
     :ivar turns: load peaks of the pools, from which a new leader forecasts
         the next ones
     """
@@ -233,4 +242,4 @@
     waiting: dict[str, int] = attrs.field(factory=dict)
     start_delay_ms: dict[str, int] = attrs.field(factory=dict)
     turns: tuple[Turn, ...] = ()
-    queue_loads: dict[str, QueueLoad] | None = None
+    backlogs: dict[str, Backlog] | None = None
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -21,10 +21,10 @@
 from rosemarynotch._internal.scheduling.policy import FleetAdmission
 from rosemarynotch._internal.scheduling.policy import start_delay_ms
 from rosemarynotch._internal.scheduling.ports import Item
+from rosemarynotch._internal.scheduling.records import Backlog
 from rosemarynotch._internal.scheduling.records import JOBS_PREFIX
 from rosemarynotch._internal.scheduling.records import LOAD_KEY
 from rosemarynotch._internal.scheduling.records import LoadRecord
-from rosemarynotch._internal.scheduling.records import QueueLoad
 from rosemarynotch._internal.scheduling.records import SizeLoad
 from rosemarynotch._internal.scheduling.refused_jobs import MAX_JOBS
 from rosemarynotch._internal.scheduling.refused_jobs import RefusedJobs
@@ -41,7 +41,7 @@
 
 
 def load_record(load, written_unix_ms=0):
-    return LoadRecord(written_unix_ms=written_unix_ms, queue_loads={"q": load})
+    return LoadRecord(written_unix_ms=written_unix_ms, backlogs={"p/0": load})
 
 
 def is_accepted(load, job_id="0" * 16, spec=SPEC, was_refused=False):
@@ -60,7 +60,7 @@
 
     def test_capacity_of_other_pools_arrives_after_a_move(self):
         """Guards against a wait that counts VMs which can still come."""
-        load = QueueLoad(own_cores=10, other_cores=90, base_core_ms=100_000)
+        load = Backlog(own_cores=10, other_cores=90, base_core_ms=100_000)
         # 2 s with 10 cores leave 80,000, which 100 cores do in 0.8 s.
         self.assertAlmostEqual(2800, start_delay_ms(load, 0, 0))
         alone = attrs.evolve(load, other_cores=0)
@@ -68,7 +68,7 @@
 
     def test_urgent_work_of_other_pools_delays_the_moves(self):
         """Guards against counting VMs that more urgent queues keep."""
-        load = QueueLoad(
+        load = Backlog(
             own_cores=10,
             other_cores=90,
             base_core_ms=100_000,
@@ -81,7 +81,7 @@
 
         The order starts small jobs first.
         """
-        load = QueueLoad(
+        load = Backlog(
             own_cores=10,
             sizes=(
                 SizeLoad(work_core_ms=1000, ahead_core_ms=5000),
@@ -95,7 +95,7 @@
     def test_arrivals_since_the_record_count(self):
         """Guards against nodes that accept a burst between two records."""
         row = SizeLoad(work_core_ms=1, ahead_core_ms=1000, arriving_cores=20)
-        load = QueueLoad(own_cores=10, sizes=(row,))
+        load = Backlog(own_cores=10, sizes=(row,))
         self.assertEqual(100, start_delay_ms(load, 1, 0))
         self.assertEqual(1100, start_delay_ms(load, 1, 500))
 
@@ -104,7 +104,7 @@
     """Guards against all nodes accepting or refusing everything at once."""
 
     def refused_share(self, wait_ms):
-        load = QueueLoad(own_cores=1, base_core_ms=wait_ms)
+        load = Backlog(own_cores=1, base_core_ms=wait_ms)
         ids = job_ids(400)
         refused = [each for each in ids if not is_accepted(load, each)]
         return len(refused) / len(ids)
@@ -122,7 +122,7 @@
 
     def test_jobs_that_were_refused_are_favoured(self):
         """Guards against callers that are refused until they give up."""
-        load = QueueLoad(own_cores=1, base_core_ms=LONGEST_WAIT_MS * 1.4)
+        load = Backlog(own_cores=1, base_core_ms=LONGEST_WAIT_MS * 1.4)
         for job_id in job_ids(50):
             self.assertTrue(is_accepted(load, job_id, was_refused=True))
 
@@ -140,7 +140,7 @@
     """Guards against a record that does not tell what waits."""
 
     def loads(self, leader):
-        return leader.planner.outlook.queue_loads(
+        return leader.planner.outlook.backlogs(
             leader.now_s, leader.now_s * 1000
         )
 
@@ -158,7 +158,7 @@
         for job_id in job_ids(60):
             leader.now_s += 1 / 6
             wall_ms = leader.now_s * 1000
-            record = load_record(self.loads(leader).get("q", QueueLoad()))
+            record = load_record(self.loads(leader).get("p/0", Backlog()))
             record = attrs.evolve(record, written_unix_ms=round(wall_ms))
             if admission.decide(
                 QUEUE, job_id, SPEC, record, wall_ms
@@ -177,26 +177,61 @@
         leader.submit("1" * 16, SPEC)
         leader.place()
         leader.submit("2" * 16, SPEC)
-        before = self.loads(leader)["q"].base_core_ms
+        before = self.loads(leader)["p/0"].base_core_ms
         leader.now_s += 0.5
         self.assertAlmostEqual(8000, before, delta=100)
         self.assertAlmostEqual(
-            4000, self.loads(leader)["q"].base_core_ms, delta=100
+            4000, self.loads(leader)["p/0"].base_core_ms, delta=100
         )
 
+    def test_started_jobs_of_less_urgent_queues_do_not_count(self):
+        """Guards against refusing urgent jobs that would go first."""
+        leader = Leader()
+        leader.add_workers("w1")
+        leader.scheduler.fleet_millicores = 8000
+        urgent = attrs.evolve(QUEUE, name="u", priority=-1)
+        leader.scheduler.configuration = attrs.evolve(
+            leader.scheduler.configuration, queues=(QUEUE, urgent)
+        )
+        leader.submit("1" * 16, job_spec(step(20)))
+        leader.place()
+        leader.submit("2" * 16, SPEC)
+        loads = self.loads(leader)
+        self.assertEqual(0, loads["p/-1"].base_core_ms)
+        self.assertAlmostEqual(20_000, loads["p/0"].base_core_ms, delta=100)
+
     def test_unknown_fleet_means_no_load(self):
         """Guards against refusals before a new leader has listed the VMs."""
         leader = Leader()
         leader.submit("1" * 16, SPEC)
         self.assertEqual({}, self.loads(leader))
 
+    def test_queues_of_one_rank_share_a_backlog(self):
+        """Guards against a record that grows with thousands of queues."""
+        leader = Leader()
+        leader.scheduler.fleet_millicores = 8000
+        leader.scheduler.configuration = Configuration(
+            version=1,
+            revision=1,
+            queues=tuple(
+                attrs.evolve(QUEUE, name=f"q{number}", priority=number % 2)
+                for number in range(3000)
+            ),
+        )
+        for job_id in job_ids(50):
+            leader.submit(job_id, SPEC)
+        loads = self.loads(leader)
+        self.assertEqual({"p/0", "p/1"}, set(loads))
+        self.assertEqual(0, loads["p/0"].base_core_ms)
+        self.assertEqual(50 * 8000, loads["p/1"].base_core_ms)
+
     def test_rows_cover_all_waiting_work(self):
         """Guards against work that is left out of the rows, or many rows."""
         leader = Leader()
         leader.scheduler.fleet_millicores = 8000
         for number, job_id in enumerate(job_ids(100)):
             leader.submit(job_id, job_spec(step(1 + number % 13)))
-        sizes = self.loads(leader)["q"].sizes
+        sizes = self.loads(leader)["p/0"].sizes
         total = sum((1 + number % 13) * 1000 for number in range(100))
         self.assertLessEqual(len(sizes), 9)
         self.assertEqual(total, sizes[-1].ahead_core_ms)
@@ -236,7 +271,7 @@
 class TestNode(testtools.TestCase):
     """Guards against refusals that the record does not justify."""
 
-    LOAD = QueueLoad(own_cores=1, base_core_ms=LONGEST_WAIT_MS * 3)
+    LOAD = Backlog(own_cores=1, base_core_ms=LONGEST_WAIT_MS * 3)
 
     def refuse(self, value, known=(), age_ms=0, count=1):
         """Return the answers of a node to submissions of one job."""
@@ -296,7 +331,7 @@
         record = load_record(self.LOAD)
         self.assertEqual([None], self.refuse(b"malformed"))
         self.assertEqual([None], self.refuse(record, age_ms=2100))
-        empty = LoadRecord(written_unix_ms=0, queue_loads={})
+        empty = LoadRecord(written_unix_ms=0, backlogs={})
         self.assertEqual([None], self.refuse(empty))
 
     def test_refusals_are_remembered(self):
@@ -313,7 +348,7 @@
             written_unix_ms=1, start_delay_ms={"q": 20_000}
         )
         record = decode(encode(former), LoadRecord)
-        self.assertIsNone(record.queue_loads)
+        self.assertIsNone(record.backlogs)
         for admission in (BacklogAdmission(), FleetAdmission()):
             decision = admission.decide(QUEUE, "0" * 16, SPEC, record, 1.0)
             self.assertFalse(decision.is_accepted)
@@ -340,4 +375,4 @@
     def test_job_without_steps_is_accepted(self):
         """Guards against a division by zero in the decision."""
         spec = JobSpec(payload="", steps=())
-        self.assertTrue(is_accepted(QueueLoad(), spec=spec))
+        self.assertTrue(is_accepted(Backlog(), spec=spec))
