Hold no jobs back while VMs cannot move

While the VM service is away, or the leader goes on without the store, jobs that gave way to another pool would have waited beside idle workers for up to a second each.

--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -109,6 +109,8 @@
             listing = controller.ports.fleet.vms()
             if isinstance(listing, Failure):
                 self._record_contact(listing)
+                # No VM can move now, so that no job has to give way.
+                controller.scheduler.short_of_vms = frozenset()
             else:
                 self._record_contact(None)
                 self._record_refused_rows(listing)
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -119,6 +119,9 @@
             )
         blocked = self._scheduler.jobs_with_unknown_runs(uncertain, led_at_s)
         self._caps.reserve_unknown(blocked.values(), led_at_s)
+        if min_lease_s:
+            # VMs cannot be ordered to move either.
+            self._short_pools = {}
         passes: list[_PoolPass] = []
         for pool, jobs in pools.items():
             free = [
--- a/tests/unit/test_overload_orders.py
+++ b/tests/unit/test_overload_orders.py
@@ -143,6 +143,15 @@
         self.leader.place()
         self.assertEqual(1, self.running_count())
 
+    def test_leader_without_the_store_holds_nothing_back(self):
+        """Guards against idle workers while no VM can be ordered to move."""
+        self.submit(job_spec())
+        worker = self.leader.scheduler.workers["w1"]
+        worker.granted_until_ms = round(self.leader.now_s * 1000) + 4000
+        wall_ms = self.leader.now_s * 1000
+        self.leader.planner.place(self.leader.now_s, wall_ms, 2.0)
+        self.assertEqual(1, self.running_count())
+
     def test_late_jobs_use_workers_that_do_not_leave(self):
         """Guards against idle workers beside jobs that are held back.
 
