--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -107,6 +107,8 @@
             listing = controller.ports.fleet.vms()
             if isinstance(listing, Failure):
                 self._record_contact(listing)
+                # No VM can move now, so that no job has to give way.
+                controller.scheduler.short_of_vms = frozenset()
             else:
                 self._record_contact(None)
                 self._record_refused_rows(listing)
@@ -211,6 +213,11 @@
             controller.mover.step(now_s)
         with controller.lock:
             loads = self._pool_loads(vms)
+            controller.scheduler.short_of_vms = frozenset(
+                load.name
+                for load in loads
+                if load.vm_count < self._sizer.desired_vms(load)
+            )
         moves = self._sizer.plan(loads, now_s)
         self._report(loads, now_s)
         if not moves or not self._vm_order_registry.announce(
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -79,7 +79,7 @@
         self._reconciler = RunReconciler(scheduler, advice, log)
         self._caps = CapGuard(scheduler)
         self._candidates = CandidateFactory(scheduler)
-        self.outlook = LoadOutlook(scheduler, self._candidates)
+        self.outlook = LoadOutlook(scheduler, self._candidates, order)
         self._uncertain_pools: set[str] = set()
         self._short_pools: dict[str, int] = {}
         self._short_logged_at_s = 0.0
@@ -122,6 +122,9 @@
             )
         blocked = self._scheduler.jobs_with_unknown_runs(uncertain, led_at_s)
         self._caps.reserve_unknown(blocked.values(), led_at_s)
+        if min_lease_s:
+            # VMs cannot be ordered to move either.
+            self._short_pools = {}
         passes: list[_PoolPass] = []
         for pool, jobs in pools.items():
             free = [
@@ -184,7 +187,8 @@
                     continue
                 commands += self._place_steps(waiting, each.capacity, now_s)
                 if (
-                    urgency is Urgency.ON_TIME
+                    each.pool in self._scheduler.short_of_vms
+                    and urgency is Urgency.ON_TIME
                     and candidate.priority < short.get(each.pool, math.inf)
                     and self._lacks_room(waiting)
                 ):
@@ -195,9 +199,7 @@
                 )
                 for waiting in held:
                     commands += self._place_steps(waiting, left, now_s)
-        # Without a VM service, capacity cannot move to the pools.
-        has_moves = self._scheduler.fleet_millicores > 0
-        self._record_short_pools(short if has_moves else {}, now_s)
+        self._record_short_pools(short, now_s)
         return commands
 
     def waiting(self, wall_ms: float) -> dict[str, list[Candidate]]:
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -252,7 +252,7 @@
             waiting=waiting,
             start_delay_ms=self._start_delays_ms(wall_ms),
             turns=tuple(self._controller.forecast.turns),
-            queue_loads=outlook.queue_loads(now_s, wall_ms),
+            backlogs=outlook.backlogs(now_s, wall_ms),
         )
 
     def _start_delays_ms(self, wall_ms: float) -> dict[str, int]:
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -48,6 +48,8 @@
         # Processors of all VMs that are not in a data centre being evacuated,
         # including those that are powered off.
         self.fleet_millicores = 0
+        # Pools that need more VMs than they have or are about to get.
+        self.short_of_vms: frozenset[str] = frozenset()
         # Since when all VMs are in such data centres, None if they are not.
         self.out_of_service_since_s: float | None = None
 
--- a/tests/unit/test_overload_orders.py
+++ b/tests/unit/test_overload_orders.py
@@ -110,7 +110,7 @@
         self.leader.scheduler.configuration = attrs.evolve(
             self.leader.scheduler.configuration, queues=(QUEUE, other)
         )
-        self.leader.scheduler.fleet_millicores = 16_000
+        self.leader.scheduler.short_of_vms = frozenset({"r"})
         self.other = other
 
     def submit(self, spec):
@@ -143,6 +143,15 @@
         self.leader.place()
         self.assertEqual(1, self.running_count())
 
+    def test_leader_without_the_store_holds_nothing_back(self):
+        """Guards against idle workers while no VM can be ordered to move."""
+        self.submit(job_spec())
+        worker = self.leader.scheduler.workers["w1"]
+        worker.granted_until_ms = round(self.leader.now_s * 1000) + 4000
+        wall_ms = self.leader.now_s * 1000
+        self.leader.planner.place(self.leader.now_s, wall_ms, 2.0)
+        self.assertEqual(1, self.running_count())
+
     def test_late_jobs_use_workers_that_do_not_leave(self):
         """Guards against idle workers beside jobs that are held back.
 
@@ -169,9 +178,12 @@
         self.submit(job_spec(step(cpu=9000)))
         self.assertEqual(1, self.running_count())
 
-    def test_pools_are_apart_without_a_vm_service(self):
-        """Guards against idle workers whose VMs cannot move."""
-        self.leader.scheduler.fleet_millicores = 0
+    def test_pools_that_get_enough_vms_are_not_short(self):
+        """Guards against jobs that wait though no VM has to leave.
+
+        VMs from standby are on the way, or there is no VM service.
+        """
+        self.leader.scheduler.short_of_vms = frozenset()
         self.submit(job_spec())
         self.assertEqual(1, self.running_count())
 
@@ -183,9 +195,10 @@
         """Guards against sorting by size alone."""
         ratios = [
             replay(
-                "short peak", seed, DrawnOrder(), KeepPoolsApart()
+                load, seed, DrawnOrder(), KeepPoolsApart()
             ).largest_tenth_ratio()
             for seed in range(2)
+            for load in ("short peak", "large burst")
         ]
         self.assertGreaterEqual(sum(ratios) / len(ratios), 0.5)
 
@@ -246,3 +259,36 @@
                     sorted(each.job_id for each in jobs),
                     sorted(each.job_id for each in order),
                 )
+
+
+class TestPassCost(testtools.TestCase):
+    """Guards against a leader that is too slow while hundreds of jobs wait."""
+
+    def test_unchanged_jobs_are_not_described_again(self):
+        """Guards against calculating every waiting job anew in each pass."""
+        leader = Leader()
+        leader.add_workers("w1")
+        jobs = [
+            leader.submit(f"{n:016x}", job_spec(step(8))) for n in range(9)
+        ]
+        leader.place()
+        leader.place()
+        factory = leader.planner._candidates
+        first = [factory.candidate(job, 0.0) for job in jobs]
+        leader.place()
+        for before, job in zip(first, jobs, strict=True):
+            self.assertIs(before, factory.candidate(job, 0.0))
+
+    def test_started_jobs_are_described_again(self):
+        """Guards against a rank from before the start of a job."""
+        leader = Leader()
+        leader.add_workers("w1")
+        job = leader.submit("1" * 16, job_spec(step(2), step(1, after=(0,))))
+        factory = leader.planner._candidates
+        self.assertFalse(factory.candidate(job, 0.0).is_started)
+        runs = leader.place()
+        started = factory.candidate(job, 0.0)
+        self.assertTrue(started.is_started)
+        leader.end(runs[0])
+        left = factory.candidate(job, 0.0).remaining_core_ms
+        self.assertLess(left, started.remaining_core_ms)
