Keep large configurations and impossible jobs from taking room

Configurations: a watch returns every version since the last answer.

Placement: a pass compared each pool with each worker.

Impossible jobs: tasks that no VM can hold, labels that no VM has and steps that failed on three workers without a success counted as demand for VMs, requested advice for workers without the label, and quarantined each worker on which two of their tasks failed. They are now no demand, start after all other jobs, request no advice for unsuited workers, and quarantine no worker; a long-running step is tried with one task every 2 s. The choice completion=none is the baseline.

--- a/src/rosemarynotch/_internal/scheduling/advice.py
+++ b/src/rosemarynotch/_internal/scheduling/advice.py
@@ -84,7 +84,8 @@
             advice = self._advice_by_step.setdefault(key, _Advice())
             is_valid = now_s < advice.valid_until_s - TICKET_MARGIN_S
             usable = set(workers) & set(advice.tickets) if is_valid else set()
-            if not usable and now_s - advice.requested_at_s > RETRY_S:
+            is_wanted = bool(workers) and not usable
+            if is_wanted and now_s - advice.requested_at_s > RETRY_S:
                 advice.requested_at_s = now_s
                 self._pending_requests[key] = AdviceRequest(
                     key=key,
--- /dev/null
+++ b/src/rosemarynotch/_internal/scheduling/commands.py
@@ -0,0 +1,51 @@
+"""Commands of the leader to start and stop runs."""
+
+import attrs
+
+from rosemarynotch._internal.scheduling.jobs import Run
+from rosemarynotch._internal.scheduling.jobs import RunPhase
+from rosemarynotch._internal.scheduling.workers import Worker
+
+__all__ = ["StartCommand", "StopCommand"]
+
+
+@attrs.frozen
+class StartCommand:
+    """Order to start a run; may be a repetition of an earlier order."""
+
+    run: Run
+    worker: Worker
+    ticket: str = ""
+
+    def is_current(self, now_s: float) -> bool:
+        """Tell whether the run is still wanted on the worker.
+
+        The order may have waited while its task was done or moved elsewhere,
+        its job ended, its run was marked to stop, or its worker was about to
+        leave. A worker that does not accept work at present gets no first
+        order, so that the task starts on another one. An order is not
+        repeated in a data centre that is being evacuated, as the worker may
+        not have received the one before.
+        """
+        run, worker, task = self.run, self.worker, self.run.task
+        is_newest = run.number == task.last_run or task.step.spec.speculative
+        if (
+            not worker.has_run(run)
+            or run.phase is not RunPhase.ORDERED
+            or task.is_done
+            or task.step.occurrence.job.phase.is_final
+            or not is_newest
+        ):
+            return False
+        if run.is_sent:
+            is_leaving = worker.entry.is_draining or worker.is_replaced
+            return not (is_leaving or worker.is_evacuated)
+        return worker.accepts_work(now_s)
+
+
+@attrs.frozen
+class StopCommand:
+    """Order to stop a run."""
+
+    run: Run
+    worker: Worker
--- a/src/rosemarynotch/_internal/scheduling/config_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/config_feed.py
@@ -43,6 +43,7 @@
         self._current: Configuration | None = None
         self._contact_at_s = -1e9
         self._failing = False
+        self._is_behind = False
 
     @property
     def current(self) -> Configuration | None:
@@ -66,9 +67,26 @@
         while not stop.is_set():
             revision = self.refresh()
             while revision and not stop.is_set():
-                revision = self._watch(revision)
+                if self._is_behind:
+                    revision = self._catch_up(revision)
+                else:
+                    revision = self._watch(revision)
             stop.wait(RETRY_S)
 
+    def _catch_up(self, revision: int) -> int:
+        """Read the key instead of its changes until it no longer changes.
+
+        A watch returns every version since the last answer. If versions are
+        written faster than they are transferred, each answer would be larger
+        than the one before, up to the whole memory of the node.
+
+        :param revision: revision that was read last
+        :returns: the revision from which to go on, 0 after a failure
+        """
+        read_revision = self.refresh()
+        self._is_behind = read_revision > revision
+        return read_revision
+
     def refresh(self) -> int:
         """Read the key.
 
@@ -95,19 +113,27 @@
                 self._record_failure(changes)
             return 0
         self._record_contact(requested_at_s)
-        for item in changes.items:
-            if item.key == self._key and item.value is not None:
-                self._apply(item)
+        versions = [
+            item
+            for item in changes.items
+            if item.key == self._key and item.value is not None
+        ]
+        self._is_behind = len(versions) > 1
+        # Earlier versions matter only if the newest one cannot be decoded.
+        for item in reversed(versions):
+            if self._apply(item):
+                break
         return max(revision, changes.revision)
 
-    def _apply(self, item: Item) -> None:
+    def _apply(self, item: Item) -> bool:
+        """Put a version in force; return whether it can be decoded."""
         known = self._current
         if known is not None and item.revision <= known.revision:
-            return
+            return True
         decoded = self._decode(item)
         if isinstance(decoded, Failure):
             self._log("configuration refused", why=decoded.reason)
-            return
+            return False
         for reason in decoded.refused:
             self._log(
                 "configuration row refused",
@@ -124,6 +150,7 @@
             version=decoded.version,
             revision=decoded.revision,
         )
+        return True
 
     def _record_contact(self, requested_at_s: float) -> None:
         self._contact_at_s = requested_at_s
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -97,8 +97,14 @@
         self.advice = AdviceCache()
         self.answer_losses = AnswerLosses()
         self.order_timeout = OrderTimeout()
+        self.completion = policies.make_check()
         self.planner = Planner(
-            self.scheduler, policies.order, policies.placer, self.advice, log
+            self.scheduler,
+            policies.order,
+            policies.placer,
+            self.advice,
+            log,
+            self.completion,
         )
         self._policies = policies
         self.forecast = policies.make_forecast(())
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -196,7 +196,9 @@
     def _step(self, vms: dict[str, FleetVm]) -> None:
         controller = self._controller
         now_s = controller.clock.monotonic_s()
-        controller.scheduler.measure_fleet(vms.values(), now_s)
+        usable = controller.scheduler.measure_fleet(vms.values(), now_s)
+        if self._is_list_complete:
+            controller.completion.update(usable)
         self._drop_finished_moves(vms, now_s)
         if any(
             vm.worker_id not in controller.scheduler.workers
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -10,6 +10,7 @@
 from rosemarynotch._internal.scheduling.records import ProgressRecord
 from rosemarynotch._internal.scheduling.records import StepRecord
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
+from rosemarynotch._internal.scheduling.step_failures import StepFailures
 
 __all__ = ["Job", "Occurrence", "Run", "RunPhase", "Step", "Task"]
 
@@ -175,6 +176,7 @@
     longest_run_s: float = 0.0
     done_at_s: float = 0.0
     gang_checkpoint: str = ""
+    failures: StepFailures = attrs.field(factory=StepFailures)
 
     @property
     def is_done(self) -> bool:
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -2,21 +2,24 @@
 
 from collections.abc import Callable
 
-import attrs
-
 from rosemarynotch._internal.scheduling.advice import AdviceCache
 from rosemarynotch._internal.scheduling.caps import CapGuard
+from rosemarynotch._internal.scheduling.commands import StartCommand
+from rosemarynotch._internal.scheduling.commands import StopCommand
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.jobs import Step
 from rosemarynotch._internal.scheduling.model import Organisation
 from rosemarynotch._internal.scheduling.policy import Candidate
+from rosemarynotch._internal.scheduling.policy import CompletionCheck
 from rosemarynotch._internal.scheduling.policy import CUTOFF_FACTOR
 from rosemarynotch._internal.scheduling.policy import FreeCapacity
 from rosemarynotch._internal.scheduling.policy import JobOrder
+from rosemarynotch._internal.scheduling.policy import NoCheck
 from rosemarynotch._internal.scheduling.policy import PoolCapacity
 from rosemarynotch._internal.scheduling.policy import StepPlacer
+from rosemarynotch._internal.scheduling.policy import suits
 from rosemarynotch._internal.scheduling.policy import Urgency
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
 from rosemarynotch._internal.scheduling.work_estimates import WorkEstimates
@@ -39,48 +42,10 @@
 # After this many stuck runs of a task, the limit doubles with each further
 # one. Workers on which tasks stand still are seldom met twice in a row.
 QUICK_STOPS = 2
-
-
-@attrs.frozen
-class StartCommand:
-    """Order to start a run; may be a repetition of an earlier order."""
-
-    run: Run
-    worker: Worker
-    ticket: str = ""
-
-    def is_current(self, now_s: float) -> bool:
-        """Tell whether the run is still wanted on the worker.
-
-        The order may have waited while its task was done or moved elsewhere,
-        its job ended, its run was marked to stop, or its worker was about to
-        leave. A worker that does not accept work at present gets no first
-        order, so that the task starts on another one. An order is not
-        repeated in a data centre that is being evacuated, as the worker may
-        not have received the one before.
-        """
-        run, worker, task = self.run, self.worker, self.run.task
-        is_newest = run.number == task.last_run or task.step.spec.speculative
-        if (
-            not worker.has_run(run)
-            or run.phase is not RunPhase.ORDERED
-            or task.is_done
-            or task.step.occurrence.job.phase.is_final
-            or not is_newest
-        ):
-            return False
-        if run.is_sent:
-            is_leaving = worker.entry.is_draining or worker.is_replaced
-            return not (is_leaving or worker.is_evacuated)
-        return worker.accepts_work(now_s)
-
-
-@attrs.frozen
-class StopCommand:
-    """Order to stop a run."""
-
-    run: Run
-    worker: Worker
+# A long-running step that fails on every worker is tried again after this time
+# with one task. It may fail any number of times, and would else take capacity
+# and orders all the time.
+FAILING_RETRY_S = 2.0
 
 
 class Planner:
@@ -88,6 +53,7 @@
 
     :param order: decides which job of a pool starts next
     :param placer: decides on which workers its tasks start
+    :param completion: tells which jobs can complete
     """
 
     def __init__(
@@ -97,12 +63,14 @@
         placer: StepPlacer,
         advice: AdviceCache,
         log: Callable[..., None] = lambda event, **fields: None,
+        completion: CompletionCheck = NoCheck(),
     ) -> None:
         self._scheduler = scheduler
         self._order = order
         self._placer = placer
         self._advice = advice
         self._log = log
+        self._completion = completion
         self._caps = CapGuard(scheduler)
         self._work = WorkEstimates(scheduler.durations)
         self._fair_millicores = 0.0
@@ -215,14 +183,9 @@
         blocked = self._scheduler.jobs_with_unknown_runs(uncertain, led_at_s)
         self._caps.reserve_unknown(blocked.values(), led_at_s)
         commands: list[StartCommand] = []
+        capacities = self._free_capacities(now_s, min_lease_s)
         for pool, jobs in pools.items():
-            free = [
-                FreeCapacity.of(worker, now_s)
-                for worker in self._scheduler.workers.values()
-                if worker.entry.pool == pool
-                and worker.accepts_work(now_s)
-                and worker.lease_left_s(now_s) >= min_lease_s
-            ]
+            free = capacities.get(pool, [])
             usable = [
                 job
                 for job in jobs
@@ -235,6 +198,21 @@
                 )
         return commands
 
+    def _free_capacities(
+        self, now_s: float, min_lease_s: float
+    ) -> dict[str, list[FreeCapacity]]:
+        """Return the free capacities of all workers, by pool."""
+        capacities: dict[str, list[FreeCapacity]] = {}
+        for worker in self._scheduler.workers.values():
+            if (
+                worker.accepts_work(now_s)
+                and worker.lease_left_s(now_s) >= min_lease_s
+            ):
+                capacities.setdefault(worker.entry.pool, []).append(
+                    FreeCapacity.of(worker, now_s)
+                )
+        return capacities
+
     def _place_pool(self, jobs, capacity, now_s, wall_ms):
         waiting = {}
         for job in jobs:
@@ -245,7 +223,14 @@
             self.candidate(job, wall_ms) for job, _ in waiting.values()
         ]
         commands: list[StartCommand] = []
-        for candidate in self._order.sort(candidates, wall_ms):
+        # Jobs that can never complete only get what all others leave over.
+        ordered = sorted(
+            self._order.sort(candidates, wall_ms),
+            key=lambda each: not self._completion.can_complete(
+                waiting[each.job_id][0]
+            ),
+        )
+        for candidate in ordered:
             job, steps = waiting[candidate.job_id]
             for step in steps:
                 commands += self._place_step(job, step, capacity, now_s)
@@ -291,6 +276,8 @@
 
     def is_viable(self, job: Job, wall_ms: float) -> bool:
         """Tell whether a job can end before its result is worthless."""
+        if not self._completion.can_complete(job):
+            return False
         urgency = self.candidate(job, wall_ms).urgency(wall_ms)
         return urgency is not Urgency.TOO_LATE
 
@@ -363,12 +350,19 @@
         if not pool.may_fit(spec.reserved):
             return []
         tasks = [task for task in step.tasks if task.is_waiting]
+        if step.failures.are_everywhere and spec.long_running:
+            # One task shows whether the others would fail again.
+            is_due = now_s - step.failures.last_at_s >= FAILING_RETRY_S
+            if not is_due or len(tasks) < len(step.tasks):
+                return []
+            tasks = tasks if spec.is_gang else tasks[:1]
         if spec.is_gang and len(tasks) < len(step.tasks):
             return []
         queue = self._scheduler.queue_of(job)
         tickets = None
         if queue.advice is not None:
-            tickets = self._advice.tickets(step, queue.advice, free, now_s)
+            able = [c for c in free if suits(spec, c.worker.entry)]
+            tickets = self._advice.tickets(step, queue.advice, able, now_s)
             if not tickets:
                 return []
         tasks = self._caps.select(job, tasks)
--- a/src/rosemarynotch/_internal/scheduling/policies.py
+++ b/src/rosemarynotch/_internal/scheduling/policies.py
@@ -8,6 +8,7 @@
 from rosemarynotch._internal.scheduling.fleet_ports import Advisor
 from rosemarynotch._internal.scheduling.fleet_ports import FleetService
 from rosemarynotch._internal.scheduling.maintenance import Wave
+from rosemarynotch._internal.scheduling.policy import CompletionCheck
 from rosemarynotch._internal.scheduling.policy import JobOrder
 from rosemarynotch._internal.scheduling.policy import PacePolicy
 from rosemarynotch._internal.scheduling.policy import PoolSizer
@@ -33,6 +34,7 @@
         earlier leader observed
     :ivar make_sizer: makes the policy of pool sizes; its argument tells
         whether there was no earlier leader
+    :ivar make_check: makes the check for jobs that can never complete
     """
 
     order: JobOrder
@@ -40,6 +42,7 @@
     pacer: PacePolicy
     make_forecast: Callable[[tuple[Turn, ...]], TurnForecast]
     make_sizer: Callable[[bool], PoolSizer]
+    make_check: Callable[[], CompletionCheck]
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -11,6 +11,10 @@
 from rosemarynotch._internal.scheduling.policy.demand import measure_demand
 from rosemarynotch._internal.scheduling.policy.demand import NO_DEMAND
 from rosemarynotch._internal.scheduling.policy.demand import vm_sizes
+from rosemarynotch._internal.scheduling.policy.feasible import CompletionCheck
+from rosemarynotch._internal.scheduling.policy.feasible import FleetCheck
+from rosemarynotch._internal.scheduling.policy.feasible import NoCheck
+from rosemarynotch._internal.scheduling.policy.feasible import suits
 from rosemarynotch._internal.scheduling.policy.forecast import CycleForecast
 from rosemarynotch._internal.scheduling.policy.forecast import ExpectedTurn
 from rosemarynotch._internal.scheduling.policy.forecast import NoForecast
@@ -48,6 +52,7 @@
     "ArrivalRates",
     "BestFit",
     "Candidate",
+    "CompletionCheck",
     "critical_path_ms",
     "CUTOFF_FACTOR",
     "CycleForecast",
@@ -56,11 +61,13 @@
     "DemandSizer",
     "ExpectedTurn",
     "FirstFit",
+    "FleetCheck",
     "FreeCapacity",
     "JobOrder",
     "measure_demand",
     "Move",
     "NO_DEMAND",
+    "NoCheck",
     "NoForecast",
     "NoPacing",
     "ObjectiveOrder",
@@ -74,6 +81,7 @@
     "PoolSizer",
     "StaticSizer",
     "StepPlacer",
+    "suits",
     "TailLatencyPacer",
     "TurnForecast",
     "Urgency",
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -7,6 +7,7 @@
 from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
+from rosemarynotch._internal.scheduling.jobs import Step
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import RunEnd
 from rosemarynotch._internal.scheduling.ports import RunStatus
@@ -51,8 +52,13 @@
         # Since when all VMs are in such data centres, None if they are not.
         self.out_of_service_since_s: float | None = None
 
-    def measure_fleet(self, vms: Collection[FleetVm], now_s: float) -> None:
-        """Update the capacity of the fleet from the list of VMs."""
+    def measure_fleet(
+        self, vms: Collection[FleetVm], now_s: float
+    ) -> list[FleetVm]:
+        """Update the capacity of the fleet from the list of VMs.
+
+        :returns: the VMs that are not in a data centre being evacuated
+        """
         usable = [
             vm for vm in vms if vm.data_centre not in self.evacuated_at_s
         ]
@@ -63,6 +69,7 @@
             self.out_of_service_since_s = None
         elif self.out_of_service_since_s is None:
             self.out_of_service_since_s = now_s
+        return usable
 
     def advance_acks(self) -> None:
         """Acknowledge the run ends of all workers that are persisted."""
@@ -203,6 +210,8 @@
             run.progressed_at_s = now_s
         run.percent = status.percent
         run.load = status.load
+        if status.percent >= 100 and run.task.step.spec.long_running:
+            run.task.step.failures.clear()
         if status.checkpoint:
             run.task.checkpoint = status.checkpoint
         return True
@@ -278,8 +287,7 @@
         task.last_run = max(task.last_run, end.run)
         is_fault = end.kind is EndKind.FAILED
         if is_fault or end.kind is EndKind.DONE:
-            if worker.record_run_outcome(now_s, is_fault):
-                self._log("worker quarantined", worker=worker.worker_id)
+            self._record_outcome(worker, task.step, is_fault, now_s)
         if not job.phase.is_final:
             self.mark_running(job)
             self._apply_end(worker, job, task, run, end, now_s)
@@ -288,6 +296,28 @@
             change = job.change
         return PendingAck(end.sequence, job, change)
 
+    def _record_outcome(
+        self, worker: Worker, step: Step, is_fault: bool, now_s: float
+    ) -> None:
+        """Attribute the outcome of a run to its worker or to its step.
+
+        The tasks of a step that fails on every worker would otherwise
+        quarantine all of them.
+        """
+        failures = step.failures
+        if not is_fault:
+            failures.clear()
+        else:
+            failures.record(worker.worker_id, now_s)
+        if failures.are_everywhere:
+            for worker_id in failures.workers:
+                known = self.workers.get(worker_id)
+                if known is not None and known.forgive(step, now_s):
+                    self._log("worker out of quarantine", worker=worker_id)
+            return
+        if worker.record_run_outcome(now_s, is_fault, step):
+            self._log("worker quarantined", worker=worker.worker_id)
+
     def _apply_end(self, worker, job, task, run, end: RunEnd, now_s) -> None:
         if end.checkpoint:
             task.checkpoint = end.checkpoint
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -7,23 +7,18 @@
 
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
+from rosemarynotch._internal.scheduling.jobs import Step
 from rosemarynotch._internal.scheduling.model import Resources
 from rosemarynotch._internal.scheduling.model import TaskId
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.ports import WorkerReport
+from rosemarynotch._internal.scheduling.worker_faults import QUARANTINE_S
+from rosemarynotch._internal.scheduling.worker_faults import WorkerFaults
 
 __all__ = ["PendingAck", "Worker", "WorkerClock"]
 
 # The platform allows the clock of a worker to run up to 2 % slow.
 SLOW_CLOCK_FACTOR = 0.98
-# A worker is quarantined for QUARANTINE_S after MIN_FAULTS failed or stuck
-# runs within FAULT_WINDOW_S, if these are at least MAX_FAULT_SHARE of the runs
-# that ended there. The share distinguishes a worker on which everything fails
-# from one with two unrelated failures.
-FAULT_WINDOW_S = 6.0
-MIN_FAULTS = 2
-MAX_FAULT_SHARE = 0.34
-QUARANTINE_S = 8.0
 # A worker that has not reported for this long gets no new runs. A report
 # request takes up to 1 s on a worker with runs and up to 2 s on an idle one.
 BUSY_SILENCE_S = 1.6
@@ -133,7 +128,7 @@
         this leader does not know, and with them what they reserve
     :ivar refused: rows of its newest report that could not be decoded
     :ivar quarantined_until_s: when it may get new runs again
-    :ivar outcomes: times of the latest run ends, and whether each failed
+    :ivar faults: the latest ends of runs, for its quarantine
     """
 
     entry: WorkerEntry
@@ -165,9 +160,7 @@
     unknown_run_count: int = 0
     refused: tuple[str, ...] = ()
     quarantined_until_s: float = 0.0
-    outcomes: deque[tuple[float, bool]] = attrs.field(
-        factory=lambda: deque(maxlen=64)
-    )
+    faults: WorkerFaults = attrs.field(factory=WorkerFaults)
 
     @property
     def worker_id(self) -> str:
@@ -341,20 +334,25 @@
                 self.clock_offset_ms, report.clock_ms - requested_at_s * 1000
             )
 
-    def record_run_outcome(self, now_s: float, is_fault: bool) -> bool:
-        """Record how a run ended.
+    def record_run_outcome(
+        self, now_s: float, is_fault: bool, step: Step | None = None
+    ) -> bool:
+        """Record how a run of a step ended.
 
         :returns: whether this puts the worker into quarantine
         """
-        self.outcomes.append((now_s, is_fault))
-        recent = [o for o in self.outcomes if o[0] > now_s - FAULT_WINDOW_S]
-        faults = sum(fault for _, fault in recent)
-        if faults < MIN_FAULTS or faults < MAX_FAULT_SHARE * len(recent):
+        if not self.faults.record(now_s, is_fault, step):
             return False
         self.quarantined_until_s = now_s + QUARANTINE_S
-        self.outcomes.clear()
         return True
 
+    def forgive(self, step: Step, now_s: float) -> bool:
+        """Drop the faults of a step; return whether that ends a quarantine."""
+        is_ended = self.faults.forgive(step)
+        if is_ended:
+            self.quarantined_until_s = now_s
+        return is_ended
+
     def advance_acks(self) -> None:
         """Acknowledge the persisted run ends, in order of sequence.
 
--- a/src/rosemarynotch/_internal/wiring/policies.py
+++ b/src/rosemarynotch/_internal/wiring/policies.py
@@ -9,6 +9,8 @@
 from rosemarynotch._internal.scheduling.policy import CycleForecast
 from rosemarynotch._internal.scheduling.policy import DemandSizer
 from rosemarynotch._internal.scheduling.policy import FirstFit
+from rosemarynotch._internal.scheduling.policy import FleetCheck
+from rosemarynotch._internal.scheduling.policy import NoCheck
 from rosemarynotch._internal.scheduling.policy import NoForecast
 from rosemarynotch._internal.scheduling.policy import NoPacing
 from rosemarynotch._internal.scheduling.policy import ObjectiveOrder
@@ -26,6 +28,7 @@
     "pacing": {"tail-latency": TailLatencyPacer, "none": NoPacing},
     "forecast": {"cycle": CycleForecast, "none": NoForecast},
     "sizing": {"demand": DemandSizer, "static": StaticSizer},
+    "completion": {"fleet": FleetCheck, "none": NoCheck},
 }
 
 
@@ -57,4 +60,5 @@
         pacer=kinds["pacing"](),
         make_forecast=kinds["forecast"],
         make_sizer=kinds["sizing"],
+        make_check=kinds["completion"],
     )
