Move serving tasks that do not serve, and allow for short bounds

Cause: a stuck task in an evacuated data centre used up the budget of its step by itself. A bound of 0 made watches without a pause and ended all starts.

--- a/src/rosemarynotch/_internal/scheduling/evacuation.py
+++ b/src/rosemarynotch/_internal/scheduling/evacuation.py
@@ -30,12 +30,21 @@
 
 
 def may_interrupt(
-    step: Step, workers: dict[str, Worker], now_s: float
+    step: Step,
+    workers: dict[str, Worker],
+    now_s: float,
+    interrupted: Task | None = None,
 ) -> bool:
-    """Tell whether the budget of a step allows one more unavailable task."""
+    """Tell whether the budget of a step allows one more unavailable task.
+
+    :param interrupted: task that would be interrupted; if it is unavailable
+        already, that costs nothing
+    """
     max_unavailable = max(1, step.spec.max_unavailable)
     unavailable = sum(
-        _is_unavailable(task.runs, workers, now_s) for task in step.tasks
+        _is_unavailable(task.runs, workers, now_s)
+        for task in step.tasks
+        if task is not interrupted
     )
     return unavailable < max_unavailable
 
@@ -161,9 +170,10 @@
         ]
         room = _FreeRoom(scheduler, self._moving, now_s)
         for run in runs:
+            task = run.task
             if may_interrupt(
-                run.task.step, scheduler.workers, now_s
-            ) and room.take(run.task):
+                task.step, scheduler.workers, now_s, task
+            ) and room.take(task):
                 self._stop(run, why)
 
     def _stop(self, run: Run, why: str) -> None:
--- a/src/rosemarynotch/_internal/scheduling/evacuation_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/evacuation_feed.py
@@ -18,11 +18,14 @@
 # Watches are shorter if the bound is, as the age of the requests known here
 # grows by the length of a watch.
 WATCHES_PER_BOUND = 4
+MIN_WATCH_MS = 100
 RETRY_S = 0.2
 METRIC = "evacuations_in_force"
 # A start that is sent takes this long at most to reach its worker if nothing
 # is lost. Requests that are older than the bound without it are not relied on.
 START_MARGIN_S = 0.4
+# A bound that is too short to be kept must not end all starts.
+MIN_AGE_S = 0.5
 
 
 class EvacuationFeed:
@@ -41,9 +44,9 @@
         self._controller = controller
         self._prefix = controller.ports.evacuations_prefix
         bound_s = controller.ports.evacuation_bound_s
-        self._max_age_s = max(bound_s - START_MARGIN_S, bound_s / 2)
-        bound_ms = round(bound_s * 1000)
-        self._watch_ms = min(WATCH_MS, bound_ms // WATCHES_PER_BOUND)
+        self._max_age_s = max(bound_s - START_MARGIN_S, MIN_AGE_S)
+        wait_ms = round(bound_s * 1000) // WATCHES_PER_BOUND
+        self._watch_ms = max(MIN_WATCH_MS, min(WATCH_MS, wait_ms))
         # Revisions of the requests, by data centre.
         self._revisions: dict[str, int] = {}
         self._revision = 0
--- a/tests/unit/test_evacuated_data_centre.py
+++ b/tests/unit/test_evacuated_data_centre.py
@@ -244,6 +244,18 @@
         self.assertEqual(3, len(moved))
         self.assertEqual([], runs)
 
+    def test_task_that_does_not_serve_is_moved(self):
+        """Guards against an evacuation that a stuck task holds up for good.
+
+        It used up the budget by itself.
+        """
+        runs = self.serving_runs("a", 3, cpu=2000, max_unavailable=1)
+        self.evacuate("a")
+        self.advance(1.1)
+        runs[0].percent = 40
+        self.mover().move_from_evacuated(self.leader.now_s)
+        self.assertEqual([runs[0]], self.stopping(runs))
+
     def test_no_move_without_room_elsewhere(self):
         """Guards against serving tasks that end without a successor."""
         runs = self.serving_runs("a", 2, max_unavailable=2)
--- a/tests/unit/test_evacuation_feed.py
+++ b/tests/unit/test_evacuation_feed.py
@@ -273,6 +273,18 @@
         self.assertEqual({"w1"}, self.evacuated())
 
 
+class TestShortBound(FeedCase):
+    """Guards against settings that make a leader useless."""
+
+    def test_bound_of_zero(self):
+        """Guards against watches without a pause, and no starts at all."""
+        self.controller.ports.evacuation_bound_s = 0.0
+        feed = EvacuationFeed(self.controller)
+        feed.load()
+        self.assertTrue(feed.is_fresh(self.leader.now_s + 0.4))
+        self.assertGreaterEqual(feed._watch_ms, 100)
+
+
 class TestFeatureOff(FeedCase):
     """Guards against effects where the settings have no bound."""
 
