Evacuate data centres in the soak

Change: a fault that evacuates one of two data centres, and a check that nothing starts there after evacuate-ms and the delay of late orders. The bound is not extended while the store fails.

The check goes red in test_soak_checks.py.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,13 +9,16 @@
 from standins.fleet import Emulator
 from standins.fleet.ledger import RunEntry
 
-__all__ = ["Checker", "WORKER_MILLICORES"]
+__all__ = ["Checker", "EVACUATE_MS", "WORKER_MILLICORES"]
 
 # Bounds of the users' platform: ``cancel_ms`` and ``attempts``. The emulated
 # workers execute orders up to 2 s late.
 CANCELLATION_TIMEOUT_S = 3.0
 MAX_ORDER_DELAY_S = 2.0
 MAX_FAILURES = 3
+# Setting ``evacuate-ms`` of the nodes. It is shorter than on the platform, as
+# most faults of the soak last for less than its 5 s.
+EVACUATE_MS = 1500
 # Share of a cap by which the platform lets usage exceed it
 # (``quota-overage``), in addition to one task.
 CAP_OVERAGE = 0.1
@@ -59,6 +62,7 @@
             *self._check_submitted(entries),
             *self._check_single_execution(entries),
             *self._check_cancelled(entries),
+            *self._check_evacuated(entries),
             *self._check_failed(entries),
             *self._check_capacity(entries),
             *self._check_orders(),
@@ -187,6 +191,26 @@
                 found.append(f"{entry.task}: started {delay_s:.1f} s too late")
         return found
 
+    def _check_evacuated(self, entries: Iterable[RunEntry]) -> list[str]:
+        """Find starts in a data centre that has been evacuated long enough.
+
+        Nodes start nothing by requests that are older than the bound, so it
+        is not extended while the store fails.
+        """
+        bound_s = EVACUATE_MS / 1000 + MAX_ORDER_DELAY_S
+        return [
+            f"{entry.task}: started in {each.data_centre} "
+            f"{entry.started_at_s - each.acknowledged_at_s:.1f} s after the "
+            "request to evacuate it"
+            for each in self._emulator.evacuations
+            for entry in entries
+            if each.acknowledged_at_s + bound_s
+            < entry.started_at_s
+            < each.ended_at_s
+            and self._emulator.data_centre_by_worker[entry.worker]
+            == each.data_centre
+        ]
+
     @staticmethod
     def _exhausted_jobs(entries: Iterable[RunEntry]) -> set[str]:
         """Return jobs with a task that failed as often as its queue allows.
--- a/soak/fleet_faults.py
+++ b/soak/fleet_faults.py
@@ -1,10 +1,12 @@
 """Faults that change which pool or VM tasks are looked for in."""
 
+import math
+
 from soak.faults import Fault
 from soak.faults import FAULTS
 from tests.lib.nodes import configuration
 
-__all__ = ["ALL_FAULTS", "QueueRouted", "VmRetired"]
+__all__ = ["ALL_FAULTS", "DataCentreEvacuated", "QueueRouted", "VmRetired"]
 
 # Range of the time that a retired worker serves on.
 DRAIN_S = (1.0, 8.0)
@@ -52,6 +54,35 @@
         """Do nothing: the worker exits by itself."""
 
 
+class DataCentreEvacuated(Fault):
+    """Evacuates a data centre and returns it; both may be evacuated."""
+
+    def begin(self):
+        """Request the evacuation of a data centre that is in service."""
+        emulator = self.target.emulator
+        evacuated = {
+            each.data_centre
+            for each in emulator.evacuations
+            if each.ended_at_s == math.inf
+        }
+        names = sorted(set(emulator.data_centres) - evacuated)
+        self._name = self.target.random.choice(names) if names else ""
+        if not names:
+            return "all data centres are evacuated already"
+        emulator.evacuate(self._name)
+        return f"data centre {self._name} evacuated"
+
+    def end(self):
+        """Return the data centre to service."""
+        if self._name:
+            self.target.emulator.end_evacuation(self._name)
+
+
 # Seeds of regressions choose from FAULTS, so that new faults do not change
 # what these seeds play.
-ALL_FAULTS: tuple[type[Fault], ...] = (*FAULTS, QueueRouted, VmRetired)
+ALL_FAULTS: tuple[type[Fault], ...] = (
+    *FAULTS,
+    QueueRouted,
+    VmRetired,
+    DataCentreEvacuated,
+)
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -11,6 +11,7 @@
 
 from soak.callers import Caller
 from soak.checks import Checker
+from soak.checks import EVACUATE_MS
 from soak.faults import Fault
 from soak.faults import Target
 from soak.fleet_faults import ALL_FAULTS
@@ -31,6 +32,7 @@
 COMPLETION_TIMEOUT_S = 14.0
 CHECK_INTERVAL_S = 1.0
 POOLS = {"one": 6, "two": 2, "spare": 4}
+DATA_CENTRES = ("zone-1", "zone-2")
 # In millicores. Above the usage of the long-running jobs of six callers, so
 # that all other jobs can complete.
 CAPS = {"team-b": 14000}
@@ -82,7 +84,7 @@
         self, emulator: Emulator, count: int, links: dict[int, Proxy]
     ) -> None:
         self._links = links
-        super().__init__(emulator, count)
+        super().__init__(emulator, count, {"evacuate-ms": EVACUATE_MS})
 
     def store_address(self, number: int) -> str:
         """Return the address of a node's proxy to the store."""
@@ -132,7 +134,10 @@
         self.timeline: list[str] = []
         self.history = History()
         self.emulator = Emulator(
-            dict(POOLS), standby="spare", seed=settings.seed
+            dict(POOLS),
+            standby="spare",
+            seed=settings.seed,
+            data_centres=DATA_CENTRES,
         )
         tenants = [
             {
--- a/standins/fleet/emulator.py
+++ b/standins/fleet/emulator.py
@@ -1,6 +1,7 @@
 """Emulated platform: store, VMs with their workers, and VM service."""
 
 import json
+import math
 import random
 import threading
 import time
@@ -14,7 +15,7 @@
 from standins.fleet.store import EmulatedStore
 from standins.fleet.worker import EmulatedWorker
 
-__all__ = ["Emulator", "EmulatedVm"]
+__all__ = ["EmulatedEvacuation", "EmulatedVm", "Emulator"]
 
 REGISTRATION_INTERVAL_S = 0.5
 CAPACITY = {"cpu": 8000, "mem-mb": 16384, "gpu": 0}
@@ -47,6 +48,19 @@
     waves: set[int] = attrs.field(factory=set)
 
 
+@attrs.define
+class EmulatedEvacuation:
+    """A request of the operator to evacuate a data centre.
+
+    :ivar acknowledged_at_s: when the store had answered
+    :ivar ended_at_s: when the key was about to be deleted
+    """
+
+    data_centre: str
+    acknowledged_at_s: float
+    ended_at_s: float = math.inf
+
+
 class Emulator:
     """Runs all services that a node calls.
 
@@ -55,6 +69,7 @@
     :param outage_s: time for which a move or maintenance stops a VM
     :param data_centres: names among which the VMs of a pool alternate
     :ivar data_centre_by_worker: data centre of each worker so far
+    :ivar evacuations: requests of the operator so far
     :ivar orders: orders for VMs: name, path, lease holder and fencing token
     """
 
@@ -68,7 +83,8 @@
     ) -> None:
         self.random = random.Random(seed)
         self.data_centre_by_worker: dict[str, str] = {}
-        self._data_centres = data_centres
+        self.data_centres = data_centres
+        self.evacuations: list[EmulatedEvacuation] = []
         self.ledger = Ledger()
         self.store = EmulatedStore(seed)
         self.vms: dict[str, EmulatedVm] = {}
@@ -98,7 +114,7 @@
             f"vm-{number}",
             pool,
             f"rack-{number % 3}",
-            data_centre or self._data_centres[0],
+            data_centre or self.data_centres[0],
         )
         # Replaced and never changed in place: other threads iterate over it.
         with self._lock:
@@ -131,10 +147,17 @@
         :returns: the time of the acknowledgement, of the monotonic clock
         """
         self.store.put(f"op/evacuate/{data_centre}", value)
-        return time.monotonic()
+        evacuation = EmulatedEvacuation(data_centre, time.monotonic())
+        self.evacuations.append(evacuation)
+        return evacuation.acknowledged_at_s
 
     def end_evacuation(self, data_centre: str) -> None:
         """Return a data centre to service, as the operator does."""
+        for evacuation in self.evacuations:
+            if evacuation.data_centre == data_centre:
+                evacuation.ended_at_s = min(
+                    evacuation.ended_at_s, time.monotonic()
+                )
         self.store.delete(f"op/evacuate/{data_centre}")
 
     def put_foreign_entry(self, name: str, value: bytes) -> None:
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -1,5 +1,6 @@
 """Tests of the checks and the proxy of the soak."""
 
+import math
 import time
 import types
 
@@ -15,6 +16,7 @@
 from soak.history import JobHistory
 from soak.proxy import LinkFault
 from soak.proxy import Proxy
+from standins.fleet.emulator import EmulatedEvacuation
 from standins.fleet.http import Answer
 from standins.fleet.http import JsonServer
 from standins.fleet.ledger import Ledger
@@ -32,8 +34,12 @@
         self.orders = []
         self.history = History()
         emulator = types.SimpleNamespace(
-            ledger=self.ledger, orders=self.orders
+            ledger=self.ledger,
+            orders=self.orders,
+            evacuations=[],
+            data_centre_by_worker={"w": "zone-1"},
         )
+        self.evacuations = emulator.evacuations
         self.checker = Checker(emulator, self.history, {"team-b": 2000})
         self.job = JobHistory(
             job_id=JOB_ID,
@@ -55,6 +61,21 @@
         if acknowledged:
             self.ledger.acknowledge(entry)
 
+    def test_start_in_an_evacuated_data_centre(self):
+        now_s = time.monotonic()
+        for name, acknowledged_at_s, ended_at_s in (
+            ("zone-1", now_s - 3.0, math.inf),
+            ("zone-1", now_s - 9.0, now_s - 0.1),
+            ("zone-2", now_s - 9.0, math.inf),
+        ):
+            self.evacuations.append(
+                EmulatedEvacuation(name, acknowledged_at_s, ended_at_s)
+            )
+        self.start()
+        self.assertEqual([], self.checker.violations())
+        self.evacuations.append(EmulatedEvacuation("zone-1", now_s - 3.6))
+        self.assert_violation("after the request to evacuate it")
+
     def assert_violation(self, text):
         found = [*self.checker.violations(), *self.checker.unfinished()]
         self.assertTrue(any(text in line for line in found), found)
