--- a/src/rosemarynotch/_internal/scheduling/evacuation.py
+++ b/src/rosemarynotch/_internal/scheduling/evacuation.py
@@ -69,7 +69,7 @@
     return True
 
 
-class _FreeRoom:
+class _SpareCapacity:
     """Capacity that is left for serving tasks that have to move.
 
     :param moving: tasks that were stopped and have not started again
@@ -168,12 +168,12 @@
             and not task.is_done
             and all(run.phase is RunPhase.STOPPING for run in task.runs)
         ]
-        room = _FreeRoom(scheduler, self._moving, now_s)
+        spare = _SpareCapacity(scheduler, self._moving, now_s)
         for run in runs:
             task = run.task
             if may_interrupt(
                 task.step, scheduler.workers, now_s, task
-            ) and room.take(task):
+            ) and spare.take(task):
                 self._stop(run, why)
 
     def _stop(self, run: Run, why: str) -> None:
--- a/tests/functional/test_evacuation.py
+++ b/tests/functional/test_evacuation.py
@@ -13,7 +13,7 @@
 from tests.lib.nodes import Nodes
 from tests.lib.nodes import wait_until
 
-ZONES = ("zone-1", "zone-2")
+DATA_CENTRES = ("zone-1", "zone-2")
 EVACUATE_MS = 3000
 EVACUATE_S = EVACUATE_MS / 1000
 # Bound after a disturbance of the store.
@@ -39,7 +39,7 @@
         """Start the nodes on a platform with two data centres."""
         self.emulator.close()
         self.emulator = Emulator(
-            dict(self.POOLS), standby="spare", data_centres=ZONES
+            dict(self.POOLS), standby="spare", data_centres=DATA_CENTRES
         )
         self.addCleanup(self.emulator.close)
         self.emulator.put_configuration(configuration())
@@ -62,29 +62,32 @@
         thread.start()
         self.addCleanup(thread.join)
         self.addCleanup(self.stop.set)
-        for zone in ZONES:
-            self.wait_for_start(zone)
+        for data_centre in DATA_CENTRES:
+            self.wait_for_start(data_centre)
 
-    def starts(self, zone, since_s=0.0):
+    def starts(self, data_centre, since_s=0.0):
         """Return the runs that were started in a data centre since a time."""
-        zones = self.emulator.data_centre_by_worker
+        data_centres = self.emulator.data_centre_by_worker
         return [
             entry
             for entry in self.emulator.ledger.snapshot()
-            if zones[entry.worker] == zone and entry.started_at_s > since_s
+            if data_centres[entry.worker] == data_centre
+            and entry.started_at_s > since_s
         ]
 
-    def wait_for_start(self, zone, since_s=None):
+    def wait_for_start(self, data_centre, since_s=None):
         """Wait until a run is started in a data centre."""
         since_s = time.monotonic() if since_s is None else since_s
         wait_until(
-            lambda: self.starts(zone, since_s), START_S, f"starts in {zone}"
+            lambda: self.starts(data_centre, since_s),
+            START_S,
+            f"starts in {data_centre}",
         )
 
-    def assert_no_starts(self, zone, since_s, lasts_s=2.0):
+    def assert_no_starts(self, data_centre, since_s, lasts_s=2.0):
         """Check that nothing starts in a data centre from a time on."""
         time.sleep(max(0.0, since_s + lasts_s - time.monotonic()))
-        self.assertEqual([], self.starts(zone, since_s))
+        self.assertEqual([], self.starts(data_centre, since_s))
 
     def assert_all_done_once(self):
         """Check that all accepted jobs end, without a task that runs twice."""
@@ -169,17 +172,17 @@
     def test_all_data_centres(self):
         """Guards against starts anywhere, and work that is lost for it."""
         self.start_load()
-        for zone in ZONES:
-            acknowledged_s = self.emulator.evacuate(zone)
+        for data_centre in DATA_CENTRES:
+            acknowledged_s = self.emulator.evacuate(data_centre)
         time.sleep(EVACUATE_S)
         orders = len(self.emulator.orders)
-        for zone in ZONES:
-            self.assert_no_starts(zone, acknowledged_s + EVACUATE_S)
+        for data_centre in DATA_CENTRES:
+            self.assert_no_starts(data_centre, acknowledged_s + EVACUATE_S)
         self.assertEqual(orders, len(self.emulator.orders))
-        for zone in ZONES:
-            self.emulator.end_evacuation(zone)
-        for zone in ZONES:
-            self.wait_for_start(zone)
+        for data_centre in DATA_CENTRES:
+            self.emulator.end_evacuation(data_centre)
+        for data_centre in DATA_CENTRES:
+            self.wait_for_start(data_centre)
         self.assert_all_done_once()
 
     def test_starts_without_an_answer(self):
@@ -215,14 +218,14 @@
         wait_until(lambda: len(active()) == 4, START_S, "all tasks run")
         time.sleep(1.0)
         self.emulator.evacuate("zone-1")
-        zones = self.emulator.data_centre_by_worker
+        data_centres = self.emulator.data_centre_by_worker
         least = [4]
 
         def have_moved():
             entries = active()
             least.append(len(entries))
             return len(entries) == 4 and all(
-                zones[entry.worker] == "zone-2" for entry in entries
+                data_centres[entry.worker] == "zone-2" for entry in entries
             )
 
         wait_until(have_moved, 30.0, "all tasks run in the other data centre")
