--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -98,6 +98,7 @@
         self.answer_losses = AnswerLosses()
         self.order_timeout = OrderTimeout()
         self.completion = policies.make_check()
+        self.scheduler.blames_steps = self.completion.blames_steps
         self.planner = Planner(
             self.scheduler,
             policies.order,
--- a/src/rosemarynotch/_internal/scheduling/policy/feasible.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/feasible.py
@@ -26,7 +26,13 @@
 
 
 class CompletionCheck(abc.ABC):
-    """Tells whether jobs can complete on the present fleet."""
+    """Tells whether jobs can complete on the present fleet.
+
+    :cvar blames_steps: whether failures count against a step, and not against
+        workers, once its tasks have failed on several of them
+    """
+
+    blames_steps = True
 
     def update(self, vms: Iterable[FleetVm]) -> None:
         """Use another list of VMs from now on."""
@@ -39,6 +45,8 @@
 class NoCheck(CompletionCheck):
     """Treats all jobs alike (baseline)."""
 
+    blames_steps = False
+
     def can_complete(self, job):
         """Return True."""
         return True
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -49,6 +49,8 @@
         # Processors of all VMs that are not in a data centre being evacuated,
         # including those that are powered off.
         self.fleet_millicores = 0
+        # Whether a step that fails on several workers is blamed for it.
+        self.blames_steps = True
         # Since when all VMs are in such data centres, None if they are not.
         self.out_of_service_since_s: float | None = None
 
@@ -307,7 +309,7 @@
         failures = step.failures
         if not is_fault:
             failures.clear()
-        else:
+        elif self.blames_steps:
             failures.record(worker.worker_id, now_s)
         if failures.are_everywhere:
             for worker_id in failures.workers:
--- a/tests/unit/test_impossible_jobs.py
+++ b/tests/unit/test_impossible_jobs.py
@@ -35,6 +35,7 @@
         self.vms = [self.vm(name) for name in self.names]
         self.check = self.CHECK()
         self.check.update(self.vms)
+        leader.scheduler.blames_steps = self.check.blames_steps
         leader.planner = Planner(
             leader.scheduler,
             ObjectiveOrder(),
@@ -148,11 +149,8 @@
         self.assertIsNone(self.leader.advice.next_request())
 
 
-class TestFailingSteps(ImpossibleCase):
-    """Guards against a step that fails everywhere and stops other work.
-
-    Each worker on which two of its tasks failed was quarantined for 8 s.
-    """
+class FailingCase(ImpossibleCase):
+    """Base of tests with a step that fails on each worker."""
 
     def fail_everywhere(self, **fields):
         """Let all tasks of a job fail until it has failed on each worker."""
@@ -167,6 +165,13 @@
         workers = self.leader.scheduler.workers.values()
         return {w.worker_id for w in workers if w.accepts_work(now_s)}
 
+
+class TestFailingSteps(FailingCase):
+    """Guards against a step that fails everywhere and stops other work.
+
+    Each worker on which two of its tasks failed was quarantined for 8 s.
+    """
+
     def test_workers_stay_in_service(self):
         """Guards against the quarantine of workers on which others succeed."""
         self.fail_everywhere()
@@ -213,7 +218,7 @@
         self.assertEqual(5, len(self.leader.place()))
 
 
-class TestBaseline(ImpossibleCase):
+class TestBaseline(FailingCase):
     """Guards against a check that cannot be switched off."""
 
     CHECK = NoCheck
@@ -222,3 +227,8 @@
         """Guards against the check in the baseline."""
         self.leader.submit("j1", job_spec(step(1, cpu=9000)))
         self.assertGreater(self.demand_vms(), 1)
+
+    def test_failures_count_against_workers(self):
+        """Guards against the attribution to steps in the baseline."""
+        self.fail_everywhere()
+        self.assertEqual(set(), self.accepting())
