Count labels of workers for jobs that can complete

Cause: a label that only the list of VMs lacked made a job count as impossible, so it started last and got no VMs.

Measured: test_impossible_jobs.py, test_evac*.py, test_wave_records.py and test_vms_without_workers.py pass.

--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -198,7 +198,10 @@
         now_s = controller.clock.monotonic_s()
         usable = controller.scheduler.measure_fleet(vms.values(), now_s)
         if self._is_list_complete:
-            controller.completion.update(usable)
+            with controller.lock:
+                workers = controller.scheduler.workers_in_service()
+            # Workers tell their labels themselves, and come up with a delay.
+            controller.completion.update([*usable, *workers])
         self._drop_finished_moves(vms, now_s)
         if any(
             vm.worker_id not in controller.scheduler.workers
--- a/src/rosemarynotch/_internal/scheduling/policy/feasible.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/feasible.py
@@ -34,8 +34,8 @@
 
     blames_steps = True
 
-    def update(self, vms: Iterable[FleetVm]) -> None:
-        """Use another list of VMs from now on."""
+    def update(self, vms: Iterable[FleetVm | WorkerEntry]) -> None:
+        """Use another list of VMs and workers from now on."""
 
     @abc.abstractmethod
     def can_complete(self, job: Job) -> bool:
@@ -65,7 +65,7 @@
         self._sizes: dict[str, set[Resources]] = {}
 
     def update(self, vms):
-        """Use another list of VMs from now on."""
+        """Use another list of VMs and workers from now on."""
         sizes: dict[str, set[Resources]] = {}
         for vm in vms:
             for label in ("", *vm.labels):
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -143,6 +143,14 @@
         for name in sorted(ended):
             self._log("evacuation ended", **self._describe(name))
 
+    def workers_in_service(self) -> list[WorkerEntry]:
+        """Return the entries of workers outside evacuated data centres."""
+        return [
+            worker.entry
+            for worker in self.workers.values()
+            if worker.is_listed and not worker.is_evacuated
+        ]
+
     def _describe(self, data_centre: str) -> dict:
         workers = [
             worker
--- a/tests/unit/test_impossible_jobs.py
+++ b/tests/unit/test_impossible_jobs.py
@@ -122,6 +122,16 @@
         self.check.update([*self.vms, other])
         self.assertGreater(self.demand_vms(), 0)
 
+    def test_labels_of_workers_count(self):
+        """Guards against a label that only the list of VMs lacks."""
+        self.leader.add_workers("w4", labels=("gpu",))
+        spec = job_spec(step(1, required_label="gpu"))
+        job = self.leader.submit("j1", spec)
+        self.assertFalse(self.check.can_complete(job))
+        workers = self.leader.scheduler.workers_in_service()
+        self.check.update([*self.vms, *workers])
+        self.assertTrue(self.check.can_complete(job))
+
     def test_nothing_is_excluded_before_the_first_list(self):
         """Guards against a new leader that takes all jobs for impossible."""
         check = FleetCheck()
