--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -103,6 +103,8 @@
         self.answer_losses = AnswerLosses()
         self.order_timeout = OrderTimeout()
         self.unstarted = UnstartedJobs(self)
+        self.completion = policies.make_check()
+        self.scheduler.blames_steps = self.completion.blames_steps
         self.planner = Planner(
             self.scheduler,
             policies.order,
@@ -111,6 +113,7 @@
             log,
             policies.sharing,
             self.unstarted.may_start,
+            self.completion,
         )
         self._policies = policies
         self.forecast = policies.make_forecast(())
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -8,25 +8,32 @@
 from rosemarynotch._internal.scheduling.advice import AdviceCache
 from rosemarynotch._internal.scheduling.candidates import CandidateFactory
 from rosemarynotch._internal.scheduling.caps import CapGuard
+from rosemarynotch._internal.scheduling.commands import StartCommand
+from rosemarynotch._internal.scheduling.commands import StopCommand
 from rosemarynotch._internal.scheduling.held_jobs import StayingWorkers
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Step
 from rosemarynotch._internal.scheduling.load_outlook import LoadOutlook
 from rosemarynotch._internal.scheduling.policy import Candidate
+from rosemarynotch._internal.scheduling.policy import CompletionCheck
 from rosemarynotch._internal.scheduling.policy import FreeCapacity
 from rosemarynotch._internal.scheduling.policy import JobOrder
+from rosemarynotch._internal.scheduling.policy import NoCheck
 from rosemarynotch._internal.scheduling.policy import PoolCapacity
 from rosemarynotch._internal.scheduling.policy import PoolSharing
 from rosemarynotch._internal.scheduling.policy import StepPlacer
+from rosemarynotch._internal.scheduling.policy import suits
 from rosemarynotch._internal.scheduling.policy import Urgency
 from rosemarynotch._internal.scheduling.policy import YieldToShortPools
 from rosemarynotch._internal.scheduling.run_reconciler import RunReconciler
-from rosemarynotch._internal.scheduling.run_reconciler import StartCommand
-from rosemarynotch._internal.scheduling.run_reconciler import StopCommand
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
 
 __all__ = ["Planner", "StartCommand", "StopCommand"]
 
+# A long-running step that fails on every worker is tried again after this time
+# with one task. It may fail any number of times, and would else take capacity
+# and orders all the time.
+FAILING_RETRY_S = 2.0
 # Which pools are short may change with each pass.
 LOG_INTERVAL_S = 1.0
 
@@ -56,6 +63,7 @@
     :param placer: decides on which workers its tasks start
     :param sharing: decides which jobs give way to those of other pools
     :param may_start: tells whether a job may be started now
+    :param completion: tells which jobs can complete
     :ivar outlook: sums up the work of the jobs
     """
 
@@ -68,6 +76,7 @@
         log: Callable[..., None] = lambda event, **fields: None,
         sharing: PoolSharing | None = None,
         may_start: Callable[[Job], bool] = lambda job: True,
+        completion: CompletionCheck = NoCheck(),
     ) -> None:
         self._may_start = may_start
         self._scheduler = scheduler
@@ -77,6 +86,7 @@
         self._log = log
         self._sharing = sharing or YieldToShortPools()
         self._reconciler = RunReconciler(scheduler, advice, log)
+        self._completion = completion
         self._caps = CapGuard(scheduler)
         self._candidates = CandidateFactory(scheduler)
         self.outlook = LoadOutlook(scheduler, self._candidates, order)
@@ -126,14 +136,9 @@
             # VMs cannot be ordered to move either.
             self._short_pools = {}
         passes: list[_PoolPass] = []
+        capacities = self._free_capacities(now_s, min_lease_s)
         for pool, jobs in pools.items():
-            free = [
-                FreeCapacity.of(worker, now_s)
-                for worker in self._scheduler.workers.values()
-                if worker.entry.pool == pool
-                and worker.accepts_work(now_s)
-                and worker.lease_left_s(now_s) >= min_lease_s
-            ]
+            free = capacities.get(pool, [])
             usable = [
                 job
                 for job in jobs
@@ -148,6 +153,21 @@
                 passes.append(_PoolPass(pool, PoolCapacity(free), waiting))
         return self._place_pools(passes, now_s, wall_ms)
 
+    def _free_capacities(
+        self, now_s: float, min_lease_s: float
+    ) -> dict[str, list[FreeCapacity]]:
+        """Return the free capacities of all workers, by pool."""
+        capacities: dict[str, list[FreeCapacity]] = {}
+        for worker in self._scheduler.workers.values():
+            if (
+                worker.accepts_work(now_s)
+                and worker.lease_left_s(now_s) >= min_lease_s
+            ):
+                capacities.setdefault(worker.entry.pool, []).append(
+                    FreeCapacity.of(worker, now_s)
+                )
+        return capacities
+
     def _sort_waiting(self, jobs, millicores, wall_ms) -> list["_Waiting"]:
         """Return the jobs with steps to place, in the order of the policy."""
         waiting = {}
@@ -159,12 +179,17 @@
             self._candidates.candidate(job, wall_ms)
             for job, _ in waiting.values()
         ]
-        return [
+        ordered = [
             _Waiting(candidate, *waiting[candidate.job_id])
             for candidate in self._order.sort(
                 candidates, wall_ms, millicores / 1000
             )
         ]
+        # Jobs that can never complete only get what all others leave over.
+        return sorted(
+            ordered,
+            key=lambda each: not self._completion.can_complete(each.job),
+        )
 
     def _place_pools(self, passes, now_s, wall_ms) -> list[StartCommand]:
         """Place the waiting jobs, and record which pools are short.
@@ -190,6 +215,7 @@
                     each.pool in self._scheduler.short_of_vms
                     and urgency is Urgency.ON_TIME
                     and candidate.priority < short.get(each.pool, math.inf)
+                    and self._completion.can_complete(waiting.job)
                     and self._lacks_room(waiting)
                 ):
                     short[each.pool] = candidate.priority
@@ -276,6 +302,8 @@
         It is not if it can only end when its result is worthless, or if it
         has to give way to the jobs of another pool.
         """
+        if not self._completion.can_complete(job):
+            return False
         candidate = self._candidates.candidate(job, wall_ms)
         urgency = candidate.urgency(wall_ms)
         pool = self._scheduler.queue_of(job).pool
@@ -294,12 +322,19 @@
         if not pool.may_fit(spec.reserved) or not self._may_start(job):
             return []
         tasks = [task for task in step.tasks if task.is_waiting]
+        if step.failures.are_everywhere and spec.long_running:
+            # One task shows whether the others would fail again.
+            is_due = now_s - step.failures.last_at_s >= FAILING_RETRY_S
+            if not is_due or len(tasks) < len(step.tasks):
+                return []
+            tasks = tasks if spec.is_gang else tasks[:1]
         if spec.is_gang and len(tasks) < len(step.tasks):
             return []
         queue = self._scheduler.queue_of(job)
         tickets = None
         if queue.advice is not None:
-            tickets = self._advice.tickets(step, queue.advice, free, now_s)
+            able = [c for c in free if suits(spec, c.worker.entry)]
+            tickets = self._advice.tickets(step, queue.advice, able, now_s)
             if not tickets:
                 return []
         tasks = self._caps.select(job, tasks)
--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -19,6 +19,10 @@
 from rosemarynotch._internal.scheduling.policy.demand import measure_demand
 from rosemarynotch._internal.scheduling.policy.demand import NO_DEMAND
 from rosemarynotch._internal.scheduling.policy.demand import vm_sizes
+from rosemarynotch._internal.scheduling.policy.feasible import CompletionCheck
+from rosemarynotch._internal.scheduling.policy.feasible import FleetCheck
+from rosemarynotch._internal.scheduling.policy.feasible import NoCheck
+from rosemarynotch._internal.scheduling.policy.feasible import suits
 from rosemarynotch._internal.scheduling.policy.forecast import CycleForecast
 from rosemarynotch._internal.scheduling.policy.forecast import ExpectedTurn
 from rosemarynotch._internal.scheduling.policy.forecast import NoForecast
@@ -70,6 +74,7 @@
     "BacklogRetry",
     "BestFit",
     "Candidate",
+    "CompletionCheck",
     "critical_path_ms",
     "CUTOFF_FACTOR",
     "CycleForecast",
@@ -81,6 +86,7 @@
     "ExpectedTurn",
     "FirstFit",
     "FleetAdmission",
+    "FleetCheck",
     "FreeCapacity",
     "JobOrder",
     "beyond_horizon",
@@ -90,6 +96,7 @@
     "MostOnTimeOrder",
     "Move",
     "NO_DEMAND",
+    "NoCheck",
     "NoForecast",
     "NoPacing",
     "ObjectiveOrder",
@@ -106,6 +113,7 @@
     "start_delay_ms",
     "StaticSizer",
     "StepPlacer",
+    "suits",
     "TailLatencyPacer",
     "TurnForecast",
     "Urgency",
--- a/src/rosemarynotch/_internal/wiring/policies.py
+++ b/src/rosemarynotch/_internal/wiring/policies.py
@@ -16,8 +16,10 @@
 from rosemarynotch._internal.scheduling.policy import ExcessRetry
 from rosemarynotch._internal.scheduling.policy import FirstFit
 from rosemarynotch._internal.scheduling.policy import FleetAdmission
+from rosemarynotch._internal.scheduling.policy import FleetCheck
 from rosemarynotch._internal.scheduling.policy import KeepPoolsApart
 from rosemarynotch._internal.scheduling.policy import MostOnTimeOrder
+from rosemarynotch._internal.scheduling.policy import NoCheck
 from rosemarynotch._internal.scheduling.policy import NoForecast
 from rosemarynotch._internal.scheduling.policy import NoPacing
 from rosemarynotch._internal.scheduling.policy import ObjectiveOrder
@@ -56,6 +58,7 @@
     "pacing": {"tail-latency": TailLatencyPacer, "none": NoPacing},
     "forecast": {"cycle": CycleForecast, "none": NoForecast},
     "sizing": {"demand": DemandSizer, "static": StaticSizer},
+    "completion": {"fleet": FleetCheck, "none": NoCheck},
 }
 
 
@@ -90,4 +93,5 @@
         pacer=kinds["pacing"](),
         make_forecast=kinds["forecast"],
         make_sizer=kinds["sizing"],
+        make_check=kinds["completion"],
     )
