Split held VM-seconds by pool and cause

The account now lists the causes by pool: batch work, long-running tasks, VMs kept by these alone, partly filled VMs, idle VMs whose own work cannot start, idle VMs that other pools lack, forecasts that came or did not, room for arrivals, spare, surplus and moves. `pool size` lines have two more fields for it.

No figure of the users should move.

--- a/src/rosemarynotch/_internal/replay/day_account.py
+++ b/src/rosemarynotch/_internal/replay/day_account.py
@@ -8,16 +8,12 @@
 
 from rosemarynotch._internal.replay.day_log import DayLog
 from rosemarynotch._internal.replay.day_log import JobTrace
-from rosemarynotch._internal.replay.day_log import PoolSample
+from rosemarynotch._internal.replay.vm_account import format_vm_account
 
-__all__ = ["format_account", "late_causes", "turned_moves", "vm_seconds"]
+__all__ = ["format_account", "late_causes"]
 
-# A sample is valid until the next one, but no longer than this.
-MAX_SAMPLE_S = 2.5
 # Share of a wait that an outage has to cover to count as its cause.
 OUTAGE_SHARE = 0.4
-# A move that is undone within this time served nobody.
-TURNED_WITHIN_S = 6.0
 
 Period = tuple[float, float]
 
@@ -124,58 +120,6 @@
     return "all VMs full"
 
 
-def vm_seconds(day: DayLog) -> dict[str, float]:
-    """Return the VM-seconds outside of standby by their use.
-
-    A VM is counted for the first use that explains it: moving, work, spread
-    of long-running tasks, work that waits, a forecast rise, spare VMs that
-    the size includes, and surplus.
-    """
-    uses: Counter[str] = Counter()
-    by_pool: dict[str, list[PoolSample]] = {}
-    for sample in day.pools:
-        if not sample.is_standby:
-            by_pool.setdefault(sample.pool, []).append(sample)
-    for samples in by_pool.values():
-        for sample, following in zip(samples, samples[1:]):
-            length_s = min(following.time_s - sample.time_s, MAX_SAMPLE_S)
-            for use, vms in _uses(sample):
-                uses[use] += vms * length_s
-    return dict(uses)
-
-
-def _uses(sample: PoolSample) -> list[tuple[str, float]]:
-    left = float(sample.vms)
-    uses = []
-
-    def take(use: str, vms: float) -> None:
-        nonlocal left
-        taken = max(0.0, min(left, vms))
-        left -= taken
-        uses.append((use, taken))
-
-    take("moving", sample.moving)
-    take("work", sample.running_vms)
-    take("spread", sample.spread_vms - sample.running_vms)
-    take("waiting work", sample.demand_vms - sample.running_vms)
-    used = max(sample.demand_vms, sample.spread_vms)
-    take("forecast", sample.expected_vms - used)
-    take("spare", sample.wanted_vms - max(used, sample.expected_vms))
-    take("surplus", left)
-    return uses
-
-
-def turned_moves(day: DayLog) -> int:
-    """Return the number of moves that were undone within a short time."""
-    turned = 0
-    last: dict[str, tuple[float, str]] = {}
-    for time_s, vm, source, target in day.moves:
-        moved_s, origin = last.get(vm, (float("-inf"), ""))
-        turned += target == origin and time_s - moved_s < TURNED_WITHIN_S
-        last[vm] = (time_s, source)
-    return turned
-
-
 def format_account(day: DayLog) -> str:
     """Return the account of a day as text."""
     causes = late_causes(day)
@@ -191,16 +135,7 @@
         lambda job: f"{2 * int(job.submitted_s // 2):3d}",
         day,
     )
-    uses = vm_seconds(day)
-    lines.append(f"VM-seconds in pools: {sum(uses.values()):.0f}")
-    lines += [
-        f"  {use:14} {uses[use]:7.0f}"
-        for use in sorted(uses, key=lambda each: -uses[each])
-    ]
-    lines.append(
-        f"moves: {len(day.moves)}, undone within {TURNED_WITHIN_S:.0f} s:"
-        f" {turned_moves(day)}"
-    )
+    lines += format_vm_account(day)
     lines += [
         f"wave {wave}: {length_s:.1f} s"
         for wave, length_s in sorted(day.wave_s.items())
--- a/src/rosemarynotch/_internal/replay/day_log.py
+++ b/src/rosemarynotch/_internal/replay/day_log.py
@@ -50,7 +50,12 @@
 
 @attrs.frozen(kw_only=True)
 class PoolSample:
-    """Size of a pool, logged about once a second by the leader."""
+    """Size of a pool, logged about once a second by the leader.
+
+    :ivar long_running_vms: VMs that the long-running tasks fill, 0 in the log
+        of a version that did not tell
+    :ivar serving_vms: VMs with long-running tasks only, likewise
+    """
 
     time_s: float
     pool: str
@@ -63,6 +68,9 @@
     expected_vms: float
     spread_vms: int
     wanted_vms: int
+    arriving_vms: float = 0.0
+    long_running_vms: float = 0.0
+    serving_vms: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -212,6 +220,9 @@
                 expected_vms=record["expected_vms"],
                 spread_vms=record["spread_vms"],
                 wanted_vms=record["wanted_vms"],
+                arriving_vms=record.get("arriving_vms", 0.0),
+                long_running_vms=record.get("long_running_vms", 0.0),
+                serving_vms=record.get("serving_vms", 0),
             )
         )
 
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -13,16 +13,13 @@
 from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
 from rosemarynotch._internal.scheduling.fleet_ports import VmListing
 from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
-from rosemarynotch._internal.scheduling.policy import ArrivalRates
-from rosemarynotch._internal.scheduling.policy import measure_demand
 from rosemarynotch._internal.scheduling.policy import Move
-from rosemarynotch._internal.scheduling.policy import NO_DEMAND
 from rosemarynotch._internal.scheduling.policy import PoolLoad
 from rosemarynotch._internal.scheduling.policy import PoolSizer
-from rosemarynotch._internal.scheduling.policy import vm_sizes
+from rosemarynotch._internal.scheduling.pool_loads import is_idle
+from rosemarynotch._internal.scheduling.pool_loads import PoolLoads
 from rosemarynotch._internal.scheduling.vm_orders import VmOrderRegistry
 from rosemarynotch._internal.scheduling.wave_runner import WaveRunner
-from rosemarynotch._internal.scheduling.workers import Worker
 
 if TYPE_CHECKING:
     from rosemarynotch._internal.scheduling.controller import Controller
@@ -87,7 +84,7 @@
         self._vm_order_registry = VmOrderRegistry(
             controller, timing.holder_interval_s, timing.orders_seen_at_s
         )
-        self._rates = ArrivalRates()
+        self._loads = PoolLoads(controller, self._vm_order_registry.may_order)
         self._moves: dict[str, _PendingMove] = {}
         self._orders = ThreadPoolExecutor(VM_ORDER_THREADS, "vm-orders")
         self._reachable = True
@@ -243,6 +240,8 @@
                 moving=load.moving_count,
                 wanted_vms=self._sizer.desired_vms(load),
                 running_vms=round(load.running_vms, 1),
+                long_running_vms=round(load.long_running_vms, 1),
+                serving_vms=load.serving_vms,
                 demand_vms=round(load.demand_vms, 1),
                 arriving_vms=round(load.arriving_vms, 1),
                 expected_vms=round(load.expected_vms, 1),
@@ -282,7 +281,7 @@
         with controller.lock:
             worker = controller.scheduler.workers.get(vm.worker_id)
             if worker is not None:
-                if not self._is_idle(worker):
+                if not is_idle(worker):
                     return
                 worker.is_cordoned = True
             elif vm.worker_id:
@@ -297,70 +296,5 @@
 
     def _pool_loads(self, vms: dict[str, FleetVm]) -> list[PoolLoad]:
         """Return for each pool its VMs and the VMs that it needs."""
-        scheduler = self._controller.scheduler
-        now_s = self._controller.clock.monotonic_s()
-        wall_ms = self._controller.clock.wall_s() * 1000
-        demand = measure_demand(
-            scheduler,
-            vm_sizes(vms.values()),
-            wall_ms,
-            lambda job: self._controller.planner.is_viable(job, wall_ms),
-        )
-        forecast = self._controller.forecast
-        forecast.observe(
-            {pool: each.arriving_vms for pool, each in demand.items()},
-            {pool: each.vms for pool, each in demand.items()},
-            wall_ms,
-        )
-        expected = forecast.expected_vms(wall_ms)
-        for pool, each in demand.items():
-            for arrival in each.arrivals:
-                self._rates.note(pool, arrival)
-        counts: dict[str, int] = {}
-        moving_counts: dict[str, int] = {}
-        idle: dict[str, list[str]] = {}
-        in_wave = self._waves.pending_vms()
-        pools = scheduler.configuration.pools
-        pools_off = {name for name, each in pools.items() if each.is_standby}
-        for vm in vms.values():
-            moving = self._moves.get(vm.name)
-            pool = moving.target if moving else vm.pool
-            if vm.phase is VmPhase.DOWN:
-                continue
-            if moving:
-                moving_counts[pool] = moving_counts.get(pool, 0) + 1
-            worker = scheduler.workers.get(vm.worker_id)
-            is_unavailable = vm.name in in_wave or (
-                worker is not None and worker.is_unavailable(now_s)
-            )
-            counts[pool] = counts.get(pool, 0) + (not is_unavailable)
-            if moving or vm.phase is not VmPhase.UP or vm.name in in_wave:
-                continue
-            if not self._vm_order_registry.may_order(vm.name, now_s):
-                continue
-            # VMs of a standby pool are switched off and have no worker. In
-            # other pools, one that is not named yet may have begun to work.
-            is_off = not vm.worker_id and pool in pools_off
-            if is_off or (worker and self._is_idle(worker)):
-                idle.setdefault(pool, []).append(vm.name)
-        return [
-            PoolLoad(
-                name=name,
-                is_standby=policy.is_standby,
-                vm_count=counts.get(name, 0),
-                idle_vms=tuple(sorted(idle.get(name, ()))),
-                moving_count=moving_counts.get(name, 0),
-                demand_vms=demand.get(name, NO_DEMAND).vms,
-                running_vms=demand.get(name, NO_DEMAND).running_vms,
-                arriving_vms=self._rates.vms(name, wall_ms),
-                expected_vms=expected.get(name, 0.0),
-                spread_vms=demand.get(name, NO_DEMAND).spread_vms,
-            )
-            for name, policy in pools.items()
-        ]
-
-    @staticmethod
-    def _is_idle(worker: Worker) -> bool:
-        return worker.is_empty and not (
-            worker.is_cordoned or worker.entry.is_draining
-        )
+        targets = {name: move.target for name, move in self._moves.items()}
+        return self._loads.measure(vms, targets, self._waves.pending_vms())
--- a/src/rosemarynotch/_internal/scheduling/policy/demand.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/demand.py
@@ -22,6 +22,7 @@
 
     :ivar vms: VMs that running and waiting tasks would fill
     :ivar running_vms: VMs that the running tasks fill
+    :ivar long_running_vms: VMs that the long-running ones of them fill
     :ivar arriving_vms: VMs that work would keep busy if it went on arriving
         at the present rate
     :ivar arrivals: the recent jobs from which that rate is calculated
@@ -31,6 +32,7 @@
 
     vms: float = 0.0
     running_vms: float = 0.0
+    long_running_vms: float = 0.0
     arriving_vms: float = 0.0
     arrivals: list[Arrival] = attrs.field(factory=list)
     spread_vms: int = 0
@@ -92,9 +94,10 @@
             count = len(step.tasks) - step.done_count
             share = _vm_share(step.spec.reserved, size)
             total.vms += count * share
-            total.running_vms += share * sum(
-                bool(task.runs) for task in step.tasks
-            )
+            running_vms = share * sum(bool(task.runs) for task in step.tasks)
+            total.running_vms += running_vms
+            if step.spec.long_running:
+                total.long_running_vms += running_vms
             # Other steps end soon, and VMs moved only to spread their tasks
             # would be missing in other pools.
             if step.spec.max_per_worker and step.spec.long_running:
--- a/src/rosemarynotch/_internal/scheduling/policy/sizing.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/sizing.py
@@ -37,6 +37,8 @@
     :ivar demand_vms: VMs filled by the running tasks and those that could
         start now
     :ivar running_vms: VMs filled by the running tasks
+    :ivar long_running_vms: VMs filled by those of them that are long-running
+    :ivar serving_vms: VMs on which only long-running tasks run
     :ivar arriving_vms: VMs kept busy by work at the present rate of arrivals
     :ivar expected_vms: VMs to provide ahead of a forecast rise in demand
     :ivar spread_vms: VMs that the tasks of one step need because only a few
@@ -50,6 +52,8 @@
     demand_vms: float
     moving_count: int = 0
     running_vms: float = 0.0
+    long_running_vms: float = 0.0
+    serving_vms: int = 0
     arriving_vms: float = 0.0
     expected_vms: float = 0.0
     spread_vms: int = 0
--- a/tests/unit/test_cut_reports.py
+++ b/tests/unit/test_cut_reports.py
@@ -9,9 +9,9 @@
 
 from rosemarynotch._internal.platform import HttpWorkerChannel
 from rosemarynotch._internal.scheduling.evacuation import may_interrupt
-from rosemarynotch._internal.scheduling.fleet_manager import FleetManager
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.model import TaskId
+from rosemarynotch._internal.scheduling.pool_loads import is_idle
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import RunEnd
 from rosemarynotch._internal.utils.clock import SystemClock
@@ -172,7 +172,7 @@
 
     def is_idle(self):
         """Tell whether the worker may be moved."""
-        return FleetManager._is_idle(self.worker)
+        return is_idle(self.worker)
 
     def test_cut_report(self):
         self.assertTrue(self.worker.is_empty and self.is_idle())
--- a/tests/unit/test_day_account.py
+++ b/tests/unit/test_day_account.py
@@ -7,9 +7,9 @@
 from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.replay.day_account import format_account
 from rosemarynotch._internal.replay.day_account import late_causes
-from rosemarynotch._internal.replay.day_account import turned_moves
-from rosemarynotch._internal.replay.day_account import vm_seconds
 from rosemarynotch._internal.replay.day_log import read_day
+from rosemarynotch._internal.replay.vm_account import turned_moves
+from rosemarynotch._internal.replay.vm_account import vm_seconds
 
 
 def line(time_s, event, **fields):
@@ -139,34 +139,80 @@
         self.assertEqual({"b": "change of the leader"}, causes)
 
 
+def _of_pool(name, held):
+    return [
+        value for (pool_name, _), value in held.items() if pool_name == name
+    ]
+
+
 class VmUseTest(testtools.TestCase):
     """Guards against VM-seconds that are counted twice or not at all."""
 
-    def test_uses(self):
-        """Guards against a use that hides another one."""
-        day = read_day(
-            [
-                submitted(0, "first"),
-                pool(
-                    0,
-                    vms=10,
-                    moving=1,
-                    running_vms=2.5,
-                    demand_vms=3.0,
-                    spread_vms=4,
-                    wanted_vms=6,
-                ),
-                pool(1),
-                pool(0, "s", standby=True, vms=9),
-                pool(1, "s", standby=True, vms=9),
-            ]
+    def held(self, *lines):
+        """Return the VM-seconds by pool and cause, rounded."""
+        held = vm_seconds(read_day([submitted(0, "first"), *lines]))
+        return {key: round(value, 6) for key, value in held.items()}
+
+    def test_each_vm_has_one_cause(self):
+        """Guards against a cause that hides another one."""
+        held = self.held(
+            pool(
+                0,
+                vms=14,
+                moving=1,
+                idle=4,
+                running_vms=3.5,
+                long_running_vms=1.0,
+                serving_vms=3,
+                demand_vms=3.5,
+                expected_vms=5.5,
+                spread_vms=4,
+                wanted_vms=6,
+            ),
+            pool(1),
+            pool(0, "s", standby=True, vms=9),
+            pool(1, "s", standby=True, vms=9),
         )
-        uses = vm_seconds(day)
-        self.assertEqual(10.0, round(sum(uses.values()), 6))
-        self.assertEqual(1.0, uses["moving"])
-        self.assertEqual(2.5, uses["work"])
-        self.assertEqual(1.5, uses["spread"])
-        self.assertEqual(2.0, uses["spare"])
+        causes = {
+            "moving": 1.0,
+            "batch work": 2.5,
+            "long-running tasks": 1.0,
+            "kept by long-running tasks": 2.0,
+            "partly filled": 3.5,
+            "forecast, rise did not come": 1.5,
+            "idle, spare or minimum": 0.5,
+            "idle, surplus held": 2.0,
+        }
+        self.assertEqual({("p", key): causes[key] for key in causes}, held)
+
+    def test_idle_vms_that_other_pools_lack(self):
+        """Guards against a loss that looks like spare VMs."""
+        lacking = {"vms": 6, "demand_vms": 9.0}
+        for standby_idle, missed in ((0, 3.0), (2, 1.0), (5, 0.0)):
+            with self.subTest(standby_idle):
+                held = self.held(
+                    pool(0, idle=4),
+                    pool(1, idle=4),
+                    pool(0, "r", **lacking),
+                    pool(1, "r", **lacking),
+                    pool(0, "s", standby=True, idle=standby_idle),
+                    pool(1, "s", standby=True, idle=standby_idle),
+                )
+                cause = "idle, work waits elsewhere"
+                self.assertEqual(missed, held.get(("p", cause), 0.0))
+                self.assertEqual(4.0, sum(_of_pool("p", held)))
+
+    def test_idle_vms_beside_own_work(self):
+        """Guards against VMs of which their own pool makes no use."""
+        held = self.held(pool(0, idle=4, demand_vms=3.0), pool(1))
+        self.assertEqual(3.0, held["p", "idle, own work cannot start"])
+
+    def test_forecast_rise_that_came(self):
+        """Guards against calling VMs vain that served a rise."""
+        lines = [pool(0, idle=4, expected_vms=4.0), pool(1)]
+        key = ("p", "forecast, rise came")
+        self.assertNotIn(key, self.held(*lines))
+        self.assertEqual(4.0, self.held(*lines, pool(2, demand_vms=3))[key])
 
     def test_turned_moves(self):
         """Guards against moves that serve nobody and look useful."""
