Order some VMs of a forecast turn 4 s ahead

Cause: a turn counts as started once its arrivals exceed those of the turn before, about a second after they begin to rise, so VMs that are ordered 2.3 s before that moment serve only the second half of the rise.

Change: half of a peak (two fifths for the first forecast) is ordered 4 s ahead and the rest as before.

--- a/src/rosemarynotch/_internal/scheduling/policy/forecast.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/forecast.py
@@ -25,16 +25,23 @@
 # other pool. Peaks are far higher than the load between them, but the window
 # of arrivals still includes the pool whose turn has just ended.
 DOMINANCE_FACTOR = 1.3
-# VMs are ordered this long before an expected rise: a move takes 1.5 s, and
+# VMs are ordered this long before an expected turn: a move takes 1.5 s, and
 # the worker then has to be listed and to report.
 LEAD_TIME_MS = 2300
+# Some of them are ordered this long before. The arrivals of a turn begin to
+# rise about a second before they exceed those of the turn before, which is
+# when it counts as started, and turns may start up to a second early.
+EARLY_LEAD_TIME_MS = 4000
 # An expected rise that is earlier or later by more than this was not forecast.
 GRACE_MS = 1200
-# Share of the last peak for which VMs are provided ahead of a rise. The rest
-# follows the measured demand.
+# Share of the last peak for which VMs are provided ahead of a rise, while the
+# last two turns were forecast. The rest follows the measured demand.
 PROVISIONED_SHARE = 0.8
-# The same share while the newest turn was not predicted, or at another time.
+# The same share while only the newest turn was forecast, or at another time,
+# and the largest share that is provided early.
 UNPROVED_SHARE = 0.5
+# The same share while no turn could be forecast yet.
+FIRST_SHARE = 0.4
 # Turns that are kept; the users have four queues that peak.
 MAX_TURNS = 24
 
@@ -107,14 +114,22 @@
     is not known yet, it is the only pool that had no turn so far, or else the
     one whose last turn started first.
 
-    Fewer VMs are provided while turns do not start when expected, and none
-    after a turn of another pool than expected: such a forecast moves VMs in
-    vain, and takes them from the pool that does peak.
+    Fewer VMs are provided until two forecasts have come true, and none after a
+    turn of another pool than expected: such a forecast moves VMs in vain, and
+    takes them from the pool that does peak.
+
+    :param early_lead_time_ms: time from the order of the first VMs to the
+        expected turn
     """
 
-    def __init__(self, turns: tuple[Turn, ...] = ()) -> None:
+    def __init__(
+        self,
+        turns: tuple[Turn, ...] = (),
+        early_lead_time_ms: float = EARLY_LEAD_TIME_MS,
+    ) -> None:
         super().__init__()
         self.turns = list(turns)
+        self._early_lead_time_ms = early_lead_time_ms
         self._pools: set[str] = {turn.pool for turn in turns}
 
     def observe(self, arriving_vms, demand_vms, now_ms):
@@ -149,25 +164,33 @@
         if expected is None:
             return {}
         remaining_ms = expected.at_ms - now_ms
-        if not -GRACE_MS <= remaining_ms <= LEAD_TIME_MS:
+        if not -GRACE_MS <= remaining_ms <= self._early_lead_time_ms:
             return {}
-        newest = len(self.turns) - 1
-        predicted = _next_turn(self.turns[:newest], self._pools)
-        share = _provisioned_share(predicted, self.turns[newest])
+        share = self._provisioned_share()
+        if remaining_ms > LEAD_TIME_MS:
+            share = min(share, UNPROVED_SHARE)
         return {expected.pool: expected.vms * share} if share else {}
 
-
-def _provisioned_share(predicted: ExpectedTurn | None, turn: Turn) -> float:
-    """Return the share of a peak to provide after the newest turn.
-
-    :param predicted: what was expected in place of that turn
-    """
-    if predicted is None:
-        return UNPROVED_SHARE
-    if predicted.pool != turn.pool:
-        return 0.0
-    is_in_time = abs(predicted.at_ms - turn.started_ms) <= GRACE_MS
-    return PROVISIONED_SHARE if is_in_time else UNPROVED_SHARE
+    def _provisioned_share(self) -> float:
+        """Return the share of a peak to provide after the newest turn."""
+        newest = len(self.turns) - 1
+        predicted = _next_turn(self.turns[:newest], self._pools)
+        if predicted is None:
+            return FIRST_SHARE
+        if predicted.pool != self.turns[newest].pool:
+            return 0.0
+        is_proved = all(map(self._was_forecast, (newest, newest - 1)))
+        return PROVISIONED_SHARE if is_proved else UNPROVED_SHARE
+
+    def _was_forecast(self, number: int) -> bool:
+        """Tell whether a turn started where and when it was expected."""
+        turn = self.turns[number]
+        predicted = _next_turn(self.turns[:number], self._pools)
+        return (
+            predicted is not None
+            and predicted.pool == turn.pool
+            and abs(predicted.at_ms - turn.started_ms) <= GRACE_MS
+        )
 
 
 def _next_turn(turns: Sequence[Turn], pools: set[str]) -> ExpectedTurn | None:
--- a/tests/unit/test_turn_forecast.py
+++ b/tests/unit/test_turn_forecast.py
@@ -25,13 +25,16 @@
 class PeakCycle:
     """Simulates four pools that peak in turn, with VMs that move slowly.
 
+    :param ramp_ms: time in which a peak rises, and in which it falls again
+        during the next turn
     :ivar missing_vm_ms: VM time that was missing for work, by turn
     :ivar pool_vm_ms: VM time spent outside of the standby pool
     """
 
-    def __init__(self, forecast: TurnForecast, order=POOLS, seed=1):
+    def __init__(self, forecast: TurnForecast, order=POOLS, seed=1, ramp_ms=0):
         self._forecast = forecast
         self._order = order
+        self._ramp_ms = ramp_ms
         self._random = random.Random(seed)
         self._sizer = DemandSizer(is_first=True)
         self._vms = dict.fromkeys(POOLS, 2) | {"s": FLEET_VMS - 8}
@@ -44,13 +47,19 @@
         for number in range(turns):
             missing = 0.0
             pool = self._order[number % len(self._order)]
+            last = self._order[(number - 1) % len(self._order)]
             for tick in range(0, TURN_MS, TICK_MS):
                 now_ms = number * TURN_MS + tick
                 self._finish_moves(now_ms)
                 wanted = self._wanted(pool)
+                if tick < self._ramp_ms:
+                    share = tick / self._ramp_ms
+                    wanted[last] += (1 - share) * wanted[pool]
+                    wanted[pool] *= share
                 self._forecast.observe(wanted, wanted, now_ms)
                 self._move(wanted, now_ms)
-                missing += max(0.0, wanted[pool] - self._vms[pool]) * TICK_MS
+                vm_count = self._vms[pool]
+                missing += max(0.0, wanted[pool] - vm_count) * TICK_MS
                 serving = FLEET_VMS - self._vms["s"]
                 self.pool_vm_ms += serving * TICK_MS
             self.missing_vm_ms.append(missing)
@@ -105,6 +114,21 @@
         saved = sum(before) - sum(after)
         self.assertLess(extra, LATE_WORK_TO_IDLE_COST * saved)
 
+    def test_gradual_rise_finds_vms(self):
+        """Guards against late work while a turn's arrivals rise gradually.
+
+        A turn is known once its work exceeds that of the others, a second
+        after its arrivals began to rise. VMs that are ordered 2.3 s before
+        that moment come after the first second of the rise.
+        """
+        shorter = PeakCycle(CycleForecast((), 2300), ramp_ms=2000)
+        tested = PeakCycle(CycleForecast(), ramp_ms=2000)
+        shorter.run(12)
+        tested.run(12)
+        before, after = shorter.missing_vm_ms[4:], tested.missing_vm_ms[4:]
+        self.assertLess(sum(after), sum(before))
+        self.assertLess(tested.pool_vm_ms, 1.15 * shorter.pool_vm_ms)
+
     def test_random_turns_cost_little(self):
         """Guards against VMs moved in vain while peaks come at random."""
         order = tuple(random.Random(5).choices(POOLS, k=40))
