Hold VMs for urgent queues until the first peak is known

Cause: at the start, idle VMs leave the pools 16 s before the traffic, and those that are ordered for the first arrivals serve 2 s later. Short jobs cannot wait that long (objective 2.1 s at a path of 1 s).

Change: while no peak is known, also from an earlier leader, pools of the most urgent queues in which long-running tasks run keep a tenth of the fleet beside these tasks, for at most 20 s. `reserve=none` is the baseline. The reserve is part of the `pool size` line.

--- a/src/rosemarynotch/_internal/replay/turn_trial.py
+++ b/src/rosemarynotch/_internal/replay/turn_trial.py
@@ -132,6 +132,7 @@
                 ),
             ),
             lambda vm, now_s: True,
+            policies.make_reserve(),
         )
         self._vms: dict[str, _Vm] = {}
         self._ends_s: dict[tuple, float] = {}
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -182,7 +182,12 @@
         self.start_thread(self.writer.run, "progress-writer")
         if self.ports.fleet is not None:
             sizer = self._policies.make_sizer(self.grant.term == 1)
-            manager = FleetManager(self, sizer, self._fleet_timing)
+            manager = FleetManager(
+                self,
+                sizer,
+                self._fleet_timing,
+                self._policies.make_reserve(),
+            )
             self.start_thread(manager.run, "fleet")
         if self.ports.advisor is not None:
             requester = AdviceRequester(
--- a/src/rosemarynotch/_internal/scheduling/fleet_manager.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_manager.py
@@ -14,8 +14,10 @@
 from rosemarynotch._internal.scheduling.fleet_ports import VmListing
 from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
 from rosemarynotch._internal.scheduling.policy import Move
+from rosemarynotch._internal.scheduling.policy import NoReserve
 from rosemarynotch._internal.scheduling.policy import PoolLoad
 from rosemarynotch._internal.scheduling.policy import PoolSizer
+from rosemarynotch._internal.scheduling.policy import StartReserve
 from rosemarynotch._internal.scheduling.pool_loads import is_idle
 from rosemarynotch._internal.scheduling.pool_loads import PoolLoads
 from rosemarynotch._internal.scheduling.vm_orders import VmOrderRegistry
@@ -68,6 +70,7 @@
     """Orders the moves chosen by the sizer and the maintenance of waves.
 
     :param sizer: chooses moves from the loads of the pools
+    :param reserve: chooses the VMs to hold before the first load peak
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         controller: "Controller",
         sizer: PoolSizer,
         timing: "FleetTiming",
+        reserve: StartReserve = NoReserve(),
     ) -> None:
         self._controller = controller
         self._sizer = sizer
@@ -84,7 +88,9 @@
         self._vm_order_registry = VmOrderRegistry(
             controller, timing.holder_interval_s, timing.orders_seen_at_s
         )
-        self._loads = PoolLoads(controller, self._vm_order_registry.may_order)
+        self._loads = PoolLoads(
+            controller, self._vm_order_registry.may_order, reserve
+        )
         self._moves: dict[str, _PendingMove] = {}
         self._orders = ThreadPoolExecutor(VM_ORDER_THREADS, "vm-orders")
         self._reachable = True
@@ -246,6 +252,7 @@
                 arriving_vms=round(load.arriving_vms, 1),
                 expected_vms=round(load.expected_vms, 1),
                 spread_vms=load.spread_vms,
+                reserve_vms=load.reserve_vms,
             )
 
     def _drop_finished_moves(
--- a/src/rosemarynotch/_internal/scheduling/policies.py
+++ b/src/rosemarynotch/_internal/scheduling/policies.py
@@ -11,6 +11,7 @@
 from rosemarynotch._internal.scheduling.policy import JobOrder
 from rosemarynotch._internal.scheduling.policy import PacePolicy
 from rosemarynotch._internal.scheduling.policy import PoolSizer
+from rosemarynotch._internal.scheduling.policy import StartReserve
 from rosemarynotch._internal.scheduling.policy import StepPlacer
 from rosemarynotch._internal.scheduling.policy import TurnForecast
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
@@ -33,6 +34,7 @@
         earlier leader observed
     :ivar make_sizer: makes the policy of pool sizes; its argument tells
         whether there was no earlier leader
+    :ivar make_reserve: makes the policy of VMs held before the first peak
     """
 
     order: JobOrder
@@ -40,6 +42,7 @@
     pacer: PacePolicy
     make_forecast: Callable[[tuple[Turn, ...]], TurnForecast]
     make_sizer: Callable[[bool], PoolSizer]
+    make_reserve: Callable[[], StartReserve]
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -33,6 +33,9 @@
 from rosemarynotch._internal.scheduling.policy.placement import StepPlacer
 from rosemarynotch._internal.scheduling.policy.rates import Arrival
 from rosemarynotch._internal.scheduling.policy.rates import ArrivalRates
+from rosemarynotch._internal.scheduling.policy.reserve import NoReserve
+from rosemarynotch._internal.scheduling.policy.reserve import StartReserve
+from rosemarynotch._internal.scheduling.policy.reserve import UrgentReserve
 from rosemarynotch._internal.scheduling.policy.retry import outage_retry_s
 from rosemarynotch._internal.scheduling.policy.sizing import DemandSizer
 from rosemarynotch._internal.scheduling.policy.sizing import Move
@@ -63,6 +66,7 @@
     "NO_DEMAND",
     "NoForecast",
     "NoPacing",
+    "NoReserve",
     "ObjectiveOrder",
     "OrderTimeout",
     "outage_retry_s",
@@ -72,10 +76,12 @@
     "PoolCapacity",
     "PoolLoad",
     "PoolSizer",
+    "StartReserve",
     "StaticSizer",
     "StepPlacer",
     "TailLatencyPacer",
     "TurnForecast",
     "Urgency",
+    "UrgentReserve",
     "vm_sizes",
 ]
--- a/src/rosemarynotch/_internal/scheduling/policy/sizing.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/sizing.py
@@ -43,6 +43,8 @@
     :ivar expected_vms: VMs to provide ahead of a forecast rise in demand
     :ivar spread_vms: VMs that the tasks of one step need because only a few
         of them may share a VM
+    :ivar reserve_vms: VMs to hold for arrivals beside the running tasks while
+        no load peak is known
     """
 
     name: str
@@ -57,6 +59,7 @@
     arriving_vms: float = 0.0
     expected_vms: float = 0.0
     spread_vms: int = 0
+    reserve_vms: float = 0.0
 
 
 @attrs.frozen
@@ -120,7 +123,8 @@
         vms = math.ceil(demand_vms * HEADROOM_FACTOR)
         needed = max(vms, pool.spread_vms, math.ceil(pool.expected_vms))
         spare = max(MIN_SPARE_VMS, round(SPARE_SHARE * vms))
-        return max(MIN_VMS, needed + spare)
+        reserve_vms = math.ceil(pool.long_running_vms + pool.reserve_vms)
+        return max(MIN_VMS, needed + spare, reserve_vms)
 
     def plan(self, pools, now_s):
         """Fill shortages from surpluses and standby, then release idle VMs.
--- a/src/rosemarynotch/_internal/scheduling/pool_loads.py
+++ b/src/rosemarynotch/_internal/scheduling/pool_loads.py
@@ -14,6 +14,7 @@
 from rosemarynotch._internal.scheduling.policy import measure_demand
 from rosemarynotch._internal.scheduling.policy import NO_DEMAND
 from rosemarynotch._internal.scheduling.policy import PoolLoad
+from rosemarynotch._internal.scheduling.policy import StartReserve
 from rosemarynotch._internal.scheduling.policy import vm_sizes
 from rosemarynotch._internal.scheduling.workers import Worker
 
@@ -48,14 +49,17 @@
     """Measures the VMs of the pools and the demand for them.
 
     :param may_order: tells whether a VM may be ordered at a time
+    :param reserve: chooses the VMs to hold before the first load peak
     """
 
     def __init__(
         self,
         controller: "Controller",
         may_order: Callable[[str, float], bool],
+        reserve: StartReserve,
     ) -> None:
         self._controller = controller
+        self._reserve = reserve
         self._may_order = may_order
         self._rates = ArrivalRates()
 
@@ -76,6 +80,7 @@
         wall_ms = self._controller.clock.wall_s() * 1000
         demand = self._measure_demand(vms, wall_ms)
         expected = self._controller.forecast.expected_vms(wall_ms)
+        reserve = self._reserve_vms(demand, len(vms))
         counts = self._count_vms(vms, targets, excluded)
         pools = self._controller.scheduler.configuration.pools
         loads = []
@@ -96,10 +101,23 @@
                     arriving_vms=self._rates.vms(name, wall_ms),
                     expected_vms=expected.get(name, 0.0),
                     spread_vms=need.spread_vms,
+                    reserve_vms=reserve.get(name, 0.0),
                 )
             )
         return loads
 
+    def _reserve_vms(
+        self, demand: Mapping[str, Demand], fleet_vms: int
+    ) -> dict[str, float]:
+        controller = self._controller
+        return self._reserve.reserve_vms(
+            controller.scheduler.configuration.queues,
+            {pool: each.long_running_vms for pool, each in demand.items()},
+            fleet_vms,
+            bool(controller.forecast.turns),
+            controller.clock.monotonic_s(),
+        )
+
     def _measure_demand(
         self, vms: Mapping[str, FleetVm], wall_ms: float
     ) -> dict[str, Demand]:
--- a/src/rosemarynotch/_internal/wiring/policies.py
+++ b/src/rosemarynotch/_internal/wiring/policies.py
@@ -11,9 +11,11 @@
 from rosemarynotch._internal.scheduling.policy import FirstFit
 from rosemarynotch._internal.scheduling.policy import NoForecast
 from rosemarynotch._internal.scheduling.policy import NoPacing
+from rosemarynotch._internal.scheduling.policy import NoReserve
 from rosemarynotch._internal.scheduling.policy import ObjectiveOrder
 from rosemarynotch._internal.scheduling.policy import StaticSizer
 from rosemarynotch._internal.scheduling.policy import TailLatencyPacer
+from rosemarynotch._internal.scheduling.policy import UrgentReserve
 
 __all__ = ["POLICIES_VARIABLE", "choose_policies"]
 
@@ -25,7 +27,11 @@
     "placement": {"best-fit": BestFit, "first-fit": FirstFit},
     "pacing": {"tail-latency": TailLatencyPacer, "none": NoPacing},
     "forecast": {"cycle": CycleForecast, "none": NoForecast},
-    "sizing": {"demand": DemandSizer, "static": StaticSizer},
+    "sizing": {
+        "demand": DemandSizer,
+        "static": StaticSizer,
+    },
+    "reserve": {"urgent": UrgentReserve, "none": NoReserve},
 }
 
 
@@ -57,4 +63,5 @@
         pacer=kinds["pacing"](),
         make_forecast=kinds["forecast"],
         make_sizer=kinds["sizing"],
+        make_reserve=kinds["reserve"],
     )
