Fill shortages of urgent queues first, forecasts last

Cause: when standby is empty, the largest shortage took all idle VMs.

Change: shortages of work that has arrived are filled before those of forecasts, by the priority of the queues, then by size. `sizing=largest` is the baseline.

--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -38,6 +38,7 @@
 from rosemarynotch._internal.scheduling.policy.reserve import UrgentReserve
 from rosemarynotch._internal.scheduling.policy.retry import outage_retry_s
 from rosemarynotch._internal.scheduling.policy.sizing import DemandSizer
+from rosemarynotch._internal.scheduling.policy.sizing import LargestFirstSizer
 from rosemarynotch._internal.scheduling.policy.sizing import Move
 from rosemarynotch._internal.scheduling.policy.sizing import PoolLoad
 from rosemarynotch._internal.scheduling.policy.sizing import PoolSizer
@@ -61,6 +62,7 @@
     "FirstFit",
     "FreeCapacity",
     "JobOrder",
+    "LargestFirstSizer",
     "measure_demand",
     "Move",
     "NO_DEMAND",
--- a/src/rosemarynotch/_internal/scheduling/policy/sizing.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/sizing.py
@@ -6,7 +6,14 @@
 
 import attrs
 
-__all__ = ["DemandSizer", "Move", "PoolLoad", "PoolSizer", "StaticSizer"]
+__all__ = [
+    "DemandSizer",
+    "LargestFirstSizer",
+    "Move",
+    "PoolLoad",
+    "PoolSizer",
+    "StaticSizer",
+]
 
 # Spare VMs of a pool, for the first tasks of a rise in demand: a VM takes
 # move_s to arrive, and an idle VM costs little during that time. The demand of
@@ -34,6 +41,8 @@
     :ivar vm_count: VMs that serve the pool or are moving to it
     :ivar moving_count: VMs that are moving to it
     :ivar idle_vms: VMs that could leave the pool now
+    :ivar priority: rank of the most urgent queue that it serves; 0 is the
+        most urgent
     :ivar demand_vms: VMs filled by the running tasks and those that could
         start now
     :ivar running_vms: VMs filled by the running tasks
@@ -52,6 +61,7 @@
     vm_count: int
     idle_vms: tuple[str, ...]
     demand_vms: float
+    priority: int = 0
     moving_count: int = 0
     running_vms: float = 0.0
     long_running_vms: float = 0.0
@@ -106,7 +116,8 @@
 
     Intended for queues that peak one after the other at several times their
     mean demand: with fixed sizes, the pool of the peaking queue is too small
-    while the others are idle.
+    while the others are idle. When the fleet is too small for all, the pools
+    of urgent queues go first: their jobs are short and cannot wait for VMs.
 
     :param is_first: whether there was no earlier leader; a pool without demand
         then has never had any, and its idle VMs may leave at once
@@ -134,13 +145,13 @@
         """
         standby = next((p for p in pools if p.is_standby), None)
         serving = [pool for pool in pools if not pool.is_standby]
-        shortages: list[tuple[int, PoolLoad]] = []
+        lacking: list[PoolLoad] = []
         surplus: list[tuple[str, str]] = []
         releasable: list[tuple[str, str]] = []
         for pool in serving:
             excess = pool.vm_count - self.desired_vms(pool)
             if excess < 0 and not self._awaits_own_vms(pool, now_s):
-                shortages.append((-excess, pool))
+                lacking.append(pool)
             if excess <= 0:
                 self._needed_at_s[pool.name] = now_s
                 continue
@@ -154,8 +165,28 @@
             spare = []
         else:
             spare = [(vm, standby.name) for vm in standby.idle_vms]
+        shortages = self._shortages(lacking)
         return self._match(shortages, surplus + spare, releasable, standby)
 
+    def _shortages(self, pools: Sequence[PoolLoad]) -> list[tuple[int, str]]:
+        """Return how many VMs pools lack, in the order of filling.
+
+        Work that has arrived goes before forecast work, of several pools that
+        of the most urgent queues. Then the largest shortage goes first.
+        """
+        present: list[tuple[int, int, str]] = []
+        forecast: list[tuple[int, int, str]] = []
+        for pool in pools:
+            unforecast = attrs.evolve(pool, expected_vms=0.0)
+            missing = self.desired_vms(pool) - pool.vm_count
+            now = max(0, self.desired_vms(unforecast) - pool.vm_count)
+            if now:
+                present.append((pool.priority, -now, pool.name))
+            if missing > now:
+                forecast.append((pool.priority, now - missing, pool.name))
+        ordered = sorted(present) + sorted(forecast)
+        return [(-count, name) for _, count, name in ordered]
+
     def _awaits_own_vms(self, pool: PoolLoad, now_s: float) -> bool:
         """Tell whether an empty pool without demand may wait for its VMs."""
         if pool.vm_count or pool.demand_vms or pool.expected_vms:
@@ -166,7 +197,7 @@
 
     @staticmethod
     def _match(shortages, sources, releasable, standby) -> list[Move]:
-        """Fill the largest shortages first, then move VMs to standby.
+        """Fill the shortages in their order, then move VMs to standby.
 
         :param shortages: number of missing VMs and pool
         :param sources: VMs that may fill shortages, with their pools
@@ -175,14 +206,12 @@
         """
         sources = list(sources)
         moves = []
-        for count, pool in sorted(
-            shortages, key=lambda each: (-each[0], each[1].name)
-        ):
+        for count, pool in shortages:
             for _ in range(count):
                 if not sources:
                     return moves
                 vm, source = sources.pop(0)
-                moves.append(Move(vm, source, pool.name))
+                moves.append(Move(vm, source, pool))
         if standby is not None:
             used = {move.vm for move in moves}
             moves += [
@@ -191,3 +220,15 @@
                 if vm not in used
             ]
         return moves
+
+
+class LargestFirstSizer(DemandSizer):
+    """Fills the largest shortages first, forecast or not (baseline)."""
+
+    def _shortages(self, pools):
+        """Return the shortages, the largest first."""
+        shortages = [
+            (self.desired_vms(pool) - pool.vm_count, pool.name)
+            for pool in pools
+        ]
+        return sorted(shortages, key=lambda each: (-each[0], each[1]))
--- a/src/rosemarynotch/_internal/scheduling/pool_loads.py
+++ b/src/rosemarynotch/_internal/scheduling/pool_loads.py
@@ -82,7 +82,12 @@
         expected = self._controller.forecast.expected_vms(wall_ms)
         reserve = self._reserve_vms(demand, len(vms))
         counts = self._count_vms(vms, targets, excluded)
-        pools = self._controller.scheduler.configuration.pools
+        configuration = self._controller.scheduler.configuration
+        pools = configuration.pools
+        priorities: dict[str, int] = {}
+        for queue in configuration.queues:
+            known = priorities.get(queue.pool, queue.priority)
+            priorities[queue.pool] = min(known, queue.priority)
         loads = []
         for name, policy in pools.items():
             count = counts.get(name, _VmCounts())
@@ -93,6 +98,7 @@
                     is_standby=policy.is_standby,
                     vm_count=count.vms,
                     idle_vms=tuple(sorted(count.idle)),
+                    priority=priorities.get(name, 0),
                     moving_count=count.moving,
                     demand_vms=need.vms,
                     running_vms=need.running_vms,
--- a/src/rosemarynotch/_internal/wiring/policies.py
+++ b/src/rosemarynotch/_internal/wiring/policies.py
@@ -9,6 +9,7 @@
 from rosemarynotch._internal.scheduling.policy import CycleForecast
 from rosemarynotch._internal.scheduling.policy import DemandSizer
 from rosemarynotch._internal.scheduling.policy import FirstFit
+from rosemarynotch._internal.scheduling.policy import LargestFirstSizer
 from rosemarynotch._internal.scheduling.policy import NoForecast
 from rosemarynotch._internal.scheduling.policy import NoPacing
 from rosemarynotch._internal.scheduling.policy import NoReserve
@@ -29,6 +30,7 @@
     "forecast": {"cycle": CycleForecast, "none": NoForecast},
     "sizing": {
         "demand": DemandSizer,
+        "largest": LargestFirstSizer,
         "static": StaticSizer,
     },
     "reserve": {"urgent": UrgentReserve, "none": NoReserve},
