Count forecast shortages like present ones

Cause: filled shortages for forecast turns last.

Change: pools go by the priority of their queues, then by all VMs that they lack.

--- a/src/rosemarynotch/_internal/scheduling/policy/sizing.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/sizing.py
@@ -171,21 +171,16 @@
     def _shortages(self, pools: Sequence[PoolLoad]) -> list[tuple[int, str]]:
         """Return how many VMs pools lack, in the order of filling.
 
-        Work that has arrived goes before forecast work, of several pools that
-        of the most urgent queues. Then the largest shortage goes first.
+        Pools of the most urgent queues go first, and of several the one that
+        lacks the most. Forecast work counts like work that has arrived: when
+        it came last, the next turn began without VMs whenever the present one
+        had a backlog.
         """
-        present: list[tuple[int, int, str]] = []
-        forecast: list[tuple[int, int, str]] = []
-        for pool in pools:
-            unforecast = attrs.evolve(pool, expected_vms=0.0)
-            missing = self.desired_vms(pool) - pool.vm_count
-            now = max(0, self.desired_vms(unforecast) - pool.vm_count)
-            if now:
-                present.append((pool.priority, -now, pool.name))
-            if missing > now:
-                forecast.append((pool.priority, now - missing, pool.name))
-        ordered = sorted(present) + sorted(forecast)
-        return [(-count, name) for _, count, name in ordered]
+        missing = [
+            (pool.priority, pool.vm_count - self.desired_vms(pool), pool.name)
+            for pool in pools
+        ]
+        return [(-count, name) for _, count, name in sorted(missing)]
 
     def _awaits_own_vms(self, pool: PoolLoad, now_s: float) -> bool:
         """Tell whether an empty pool without demand may wait for its VMs."""
@@ -223,7 +218,7 @@
 
 
 class LargestFirstSizer(DemandSizer):
-    """Fills the largest shortages first, forecast or not (baseline)."""
+    """Fills the largest shortages first (baseline)."""
 
     def _shortages(self, pools):
         """Return the shortages, the largest first."""
