--- a/src/rosemarynotch/_internal/scheduling/policies.py
+++ b/src/rosemarynotch/_internal/scheduling/policies.py
@@ -9,12 +9,14 @@
 from rosemarynotch._internal.scheduling.fleet_ports import FleetService
 from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.policy import Admission
+from rosemarynotch._internal.scheduling.policy import ArrivalRates
 from rosemarynotch._internal.scheduling.policy import CompletionCheck
 from rosemarynotch._internal.scheduling.policy import JobOrder
 from rosemarynotch._internal.scheduling.policy import PacePolicy
 from rosemarynotch._internal.scheduling.policy import PoolSharing
 from rosemarynotch._internal.scheduling.policy import PoolSizer
 from rosemarynotch._internal.scheduling.policy import RoomRetry
+from rosemarynotch._internal.scheduling.policy import StartReserve
 from rosemarynotch._internal.scheduling.policy import StepPlacer
 from rosemarynotch._internal.scheduling.policy import TurnForecast
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
@@ -41,6 +43,8 @@
     :ivar make_sizer: makes the policy of pool sizes; its argument tells
         whether there was no earlier leader
     :ivar make_check: makes the check for jobs that can never complete
+    :ivar make_rates: makes the estimate of the rates of arriving work
+    :ivar make_reserve: makes the policy of VMs held before the first peak
     """
 
     admission: Admission
@@ -52,6 +56,8 @@
     make_forecast: Callable[[tuple[Turn, ...]], TurnForecast]
     make_sizer: Callable[[bool], PoolSizer]
     make_check: Callable[[], CompletionCheck]
+    make_rates: Callable[[], ArrivalRates]
+    make_reserve: Callable[[], StartReserve]
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -48,6 +48,10 @@
 from rosemarynotch._internal.scheduling.policy.placement import StepPlacer
 from rosemarynotch._internal.scheduling.policy.rates import Arrival
 from rosemarynotch._internal.scheduling.policy.rates import ArrivalRates
+from rosemarynotch._internal.scheduling.policy.rates import RisingRates
+from rosemarynotch._internal.scheduling.policy.reserve import NoReserve
+from rosemarynotch._internal.scheduling.policy.reserve import StartReserve
+from rosemarynotch._internal.scheduling.policy.reserve import UrgentReserve
 from rosemarynotch._internal.scheduling.policy.retry import BacklogRetry
 from rosemarynotch._internal.scheduling.policy.retry import ExcessRetry
 from rosemarynotch._internal.scheduling.policy.retry import outage_retry_s
@@ -57,6 +61,7 @@
 from rosemarynotch._internal.scheduling.policy.sharing import YieldLateWork
 from rosemarynotch._internal.scheduling.policy.sharing import YieldToShortPools
 from rosemarynotch._internal.scheduling.policy.sizing import DemandSizer
+from rosemarynotch._internal.scheduling.policy.sizing import LargestFirstSizer
 from rosemarynotch._internal.scheduling.policy.sizing import Move
 from rosemarynotch._internal.scheduling.policy.sizing import PoolLoad
 from rosemarynotch._internal.scheduling.policy.sizing import PoolSizer
@@ -92,6 +97,7 @@
     "beyond_horizon",
     "JobSizes",
     "KeepPoolsApart",
+    "LargestFirstSizer",
     "measure_demand",
     "MostOnTimeOrder",
     "Move",
@@ -99,6 +105,7 @@
     "NoCheck",
     "NoForecast",
     "NoPacing",
+    "NoReserve",
     "ObjectiveOrder",
     "OrderTimeout",
     "outage_retry_s",
@@ -111,12 +118,15 @@
     "PoolSizer",
     "RoomRetry",
     "start_delay_ms",
+    "RisingRates",
+    "StartReserve",
     "StaticSizer",
     "StepPlacer",
     "suits",
     "TailLatencyPacer",
     "TurnForecast",
     "Urgency",
+    "UrgentReserve",
     "vm_sizes",
     "WeightedOrder",
     "work_core_ms",
--- a/src/rosemarynotch/_internal/wiring/policies.py
+++ b/src/rosemarynotch/_internal/wiring/policies.py
@@ -6,6 +6,7 @@
 from rosemarynotch._internal.scheduling.policies import SchedulingPolicies
 from rosemarynotch._internal.scheduling.policy import AcceptAll
 from rosemarynotch._internal.scheduling.policy import ArrivalOrder
+from rosemarynotch._internal.scheduling.policy import ArrivalRates
 from rosemarynotch._internal.scheduling.policy import BacklogAdmission
 from rosemarynotch._internal.scheduling.policy import BacklogRetry
 from rosemarynotch._internal.scheduling.policy import BestFit
@@ -18,13 +19,17 @@
 from rosemarynotch._internal.scheduling.policy import FleetAdmission
 from rosemarynotch._internal.scheduling.policy import FleetCheck
 from rosemarynotch._internal.scheduling.policy import KeepPoolsApart
+from rosemarynotch._internal.scheduling.policy import LargestFirstSizer
 from rosemarynotch._internal.scheduling.policy import MostOnTimeOrder
 from rosemarynotch._internal.scheduling.policy import NoCheck
 from rosemarynotch._internal.scheduling.policy import NoForecast
 from rosemarynotch._internal.scheduling.policy import NoPacing
+from rosemarynotch._internal.scheduling.policy import NoReserve
 from rosemarynotch._internal.scheduling.policy import ObjectiveOrder
+from rosemarynotch._internal.scheduling.policy import RisingRates
 from rosemarynotch._internal.scheduling.policy import StaticSizer
 from rosemarynotch._internal.scheduling.policy import TailLatencyPacer
+from rosemarynotch._internal.scheduling.policy import UrgentReserve
 from rosemarynotch._internal.scheduling.policy import WeightedOrder
 from rosemarynotch._internal.scheduling.policy import YieldLateWork
 from rosemarynotch._internal.scheduling.policy import YieldToShortPools
@@ -57,8 +62,14 @@
     "placement": {"best-fit": BestFit, "first-fit": FirstFit},
     "pacing": {"tail-latency": TailLatencyPacer, "none": NoPacing},
     "forecast": {"cycle": CycleForecast, "none": NoForecast},
-    "sizing": {"demand": DemandSizer, "static": StaticSizer},
     "completion": {"fleet": FleetCheck, "none": NoCheck},
+    "sizing": {
+        "demand": DemandSizer,
+        "largest": LargestFirstSizer,
+        "static": StaticSizer,
+    },
+    "rates": {"rising": RisingRates, "present": ArrivalRates},
+    "reserve": {"urgent": UrgentReserve, "none": NoReserve},
 }
 
 
@@ -94,4 +105,6 @@
         make_forecast=kinds["forecast"],
         make_sizer=kinds["sizing"],
         make_check=kinds["completion"],
+        make_rates=kinds["rates"],
+        make_reserve=kinds["reserve"],
     )
