Test nodes beside clients outside the limits

These tests start a node with the limits of a small machine (120 MB, 400 descriptors), or an entry, and a crowd of clients on loopback addresses. They check that the process lives, that VmHWM and its open descriptors stay within these limits, and that an ordinary request is answered afterwards. The crowds and bounds are frozen as of this commit; the product is unchanged.

The tests have a step of their own in `make test`, after the parallel one and without parallel processes. It also runs if the first step has failed.

--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,17 @@
 # Tests mostly wait; each parallel process has ports of its own.
 TEST_PROCESSES ?= 4
 
+# These start large crowds of clients and bound the memory of a process, so
+# they run one at a time and apart from the others. They run also if others
+# have failed.
+CROWD_TESTS := tests/functional/test_client_limits.py
+
 test: lint
-	$(BIN)/python -m pytest -n $(TEST_PROCESSES)
+	status=0; \
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --ignore $(CROWD_TESTS) \
+		|| status=$$?; \
+	$(BIN)/python -m pytest $(CROWD_TESTS) || status=$$?; \
+	exit $$status
 
 demo: $(VENV)/.installed
 	$(BIN)/python -m demo.run
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -265,6 +265,18 @@
         """Send a signal to a process."""
         self._processes[name].send_signal(number)
 
+    def process(self, name: str) -> subprocess.Popen:
+        """Return the process of a member."""
+        return self._processes[name]
+
+    def caller_address(self, name: str) -> str:
+        """Return the address at which an entry serves callers."""
+        return self._address(name, "caller")
+
+    def operator_address(self, name: str) -> str:
+        """Return the address at which an entry serves operators."""
+        return self._address(name, "operator")
+
     def wait(self, name: str) -> int:
         """Wait for the end of a process and return its exit status."""
         return self._processes[name].wait(WAIT_S)
