Bound the work of the server's thread and its connections

Cause: the thread that accepts and writes also parses, and the parser of waitress copies the rest of its input for each chunk. 200 bodies in chunks of one byte kept ordinary requests waiting for over 15 s. At their limit, connections that never sent anything kept new ones out.

waitress stays; its parser, channel and server are subclassed. The parser gets complete headers and small pieces of chunked bodies, and limits chunk extensions, trailers and framing. Bodies are limited by their content, as the framing counted before: 1 MiB in chunks of one byte was refused. A request that its first read does not complete takes turns with others, 5 ms in each iteration of the server's thread, and pauses of 2 ms in between. At the limit the connections that have waited for their clients for longest are closed. After a refusal, input is dropped for at most 2 s and 16 MiB, since closing at once would reset the connection and delete the refusal. Pipelined requests beyond the lookahead are kept as bytes; each took a parser of 2 KB before.

While a request runs, its connection is no longer polled for output: the thread polled 14 times for each small request (cProfile, 2,000 requests).

--- a/src/rosemarynotch/_internal/utils/graceful_server.py
+++ b/src/rosemarynotch/_internal/utils/graceful_server.py
@@ -5,13 +5,15 @@
 import threading
 import time
 
-import attrs
-from waitress.channel import HTTPChannel
-from waitress.server import create_server
 from waitress.task import ErrorTask
 from waitress.task import WSGITask
 from waitress import wasyncore
 
+from rosemarynotch._internal.utils.bounded_channel import BoundedChannel
+from rosemarynotch._internal.utils.bounded_channel import ServerLimits
+from rosemarynotch._internal.utils.bounded_server import BoundedServer
+from rosemarynotch._internal.utils.request_budget import RequestBudget
+
 __all__ = ["GracefulServer", "ServerLimits"]
 
 # At lower levels, waitress logs a line for each request that has to wait for a
@@ -21,10 +23,6 @@
 MEGABYTE = 1024 * 1024
 MAX_HEADER_BYTES = 32 * 1024
 MAX_BODY_BYTES = MEGABYTE
-IDLE_TIMEOUT_S = 60.0
-# Time within which a complete request has to arrive. A caller that stops in
-# the middle of a request would otherwise occupy its connection indefinitely.
-REQUEST_TIMEOUT_S = 10.0
 CLEANUP_INTERVAL_S = 1
 # Allows for idle keep-alive connections of callers in addition to those whose
 # requests are running.
@@ -35,19 +33,6 @@
 POLL_INTERVAL_S = 0.02
 
 
-@attrs.frozen(kw_only=True)
-class ServerLimits:
-    """Time-outs after which connections are closed.
-
-    :ivar idle_timeout_s: longest time without a request
-    :ivar request_timeout_s: longest time between the first and the last byte
-        of a request
-    """
-
-    idle_timeout_s: float = IDLE_TIMEOUT_S
-    request_timeout_s: float = REQUEST_TIMEOUT_S
-
-
 class _AnswerTask(WSGITask):
     """Closes the connection after an answer while the server is stopping."""
 
@@ -71,25 +56,8 @@
         self.channel.write_soon(head + data)
 
 
-class _TimedChannel(HTTPChannel):
-    """Records when the first byte of the current request arrived."""
-
+class _AnswerChannel(BoundedChannel):
     task_class = _AnswerTask
-    request_started_s = 0.0
-
-    def received(self, data):
-        """Handle received bytes."""
-        if self.request is None:
-            self.request_started_s = time.time()
-        return super().received(data)
-
-    def is_overdue(self, limits: ServerLimits, now_s: float) -> bool:
-        """Return whether the connection has exceeded a time-out."""
-        if self.requests or self.total_outbufs_len:
-            return False
-        if self.request is not None:
-            return now_s - self.request_started_s > limits.request_timeout_s
-        return now_s - self.last_activity > limits.idle_timeout_s
 
 
 class GracefulServer:
@@ -102,9 +70,11 @@
         at a time; further requests wait inside the server, in no particular
         order
     :param error_task: answers requests that the server itself refuses
-    :param connections: most open connections; further ones wait in the
-        listen queue
+    :param connections: most open connections; above it, those that have
+        waited for their clients for longest are closed
     :param limits: returns the current limits
+    :param budget: bounds the memory of requests; servers of one process
+        share it
     :ivar address: host and port on which the server listens
     """
 
@@ -118,14 +88,20 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         connections: int = 0,
         limits: Callable[[], ServerLimits] = ServerLimits,
+        budget: RequestBudget | None = None,
     ) -> None:
         self._app = app
-        self._server = create_server(
+        self._server = BoundedServer(
             app,
+            connections or threads * CONNECTIONS_PER_THREAD,
+            budget or RequestBudget(),
+            type(
+                "_Channel", (_AnswerChannel,), {"error_task_class": error_task}
+            ),
+            limits,
             host=host,
             port=port,
             threads=threads,
-            connection_limit=connections or threads * CONNECTIONS_PER_THREAD,
             cleanup_interval=CLEANUP_INTERVAL_S,
             # Waitress refuses a body whose size equals this limit.
             max_request_body_size=max_body_bytes + 1,
@@ -142,11 +118,6 @@
             log_socket_errors=False,
             ident=None,
         )
-        self._server.channel_class = type(
-            "_Channel", (_TimedChannel,), {"error_task_class": error_task}
-        )
-        self._limits = limits
-        self._server.maintenance = self._close_overdue
         self._server.is_stopping = False
         host, port = self._server.effective_host, self._server.effective_port
         self.address = f"{host}:{port}"
@@ -178,13 +149,6 @@
         self._run_on_server_thread(self._server.trigger.close)
         self._thread.join()
 
-    def _close_overdue(self, now_s: float) -> None:
-        """Close connections that have exceeded a time-out."""
-        limits = self._limits()
-        for channel in list(self._server.active_channels.values()):
-            if channel.is_overdue(limits, now_s):
-                channel.will_close = True
-
     def _run_on_server_thread(self, function):
         """Run a function in the thread that handles the connections."""
         done = threading.Event()
