Do not expect a body that is refused or absent

Cause: after "Expect: 100-continue", waitress marks a request as incomplete again when it sends "100 Continue", even if the request has no body or was refused. Such a request was never answered, and its bytes stayed counted.

A request that is complete no longer expects to continue. test_expected_continue covers a request without a body, one that is refused and one with a body.

--- a/src/rosemarynotch/_internal/utils/bounded_parser.py
+++ b/src/rosemarynotch/_internal/utils/bounded_parser.py
@@ -123,6 +123,10 @@
             used = self._receive_chunks(data)
         else:
             used = super().received(data)
+        if self.completed:
+            # The connection would send "100 Continue" and then wait for a
+            # body, although there is none to come or it has been refused.
+            self.expect_continue = False
         if self.completed and not self.empty:
             if isinstance(self.error, RequestEntityTooLarge):
                 self._limit = "body-size"
--- a/tests/functional/test_bounded_server.py
+++ b/tests/functional/test_bounded_server.py
@@ -70,11 +70,15 @@
         self.addCleanup(sock.close)
         return sock
 
-    def exchange(self, data):
-        """Send bytes and return the first response."""
+    def connect_and_send(self, data):
+        """Return a stream of a new connection on which bytes were sent."""
         sock = self.connect()
         sock.sendall(data)
-        return self.read_response(sock.makefile("rb"))
+        return sock.makefile("rwb")
+
+    def exchange(self, data):
+        """Send bytes and return the first response."""
+        return self.read_response(self.connect_and_send(data))
 
     def read_response(self, stream):
         """Return one response, empty if the connection was closed."""
@@ -121,6 +125,19 @@
         body = b'2;name="a value"\r\nab\r\n0\r\nX-Sum: 1\r\n\r\n'
         self.assertIn(b"\r\n\r\n2", self.exchange(CHUNKED + body))
 
+    def test_expected_continue(self):
+        """Guards against requests that wait for a body without an end."""
+        expect = HEAD + b"Expect: 100-continue\r\n"
+        self.assertIn(b"\r\n\r\n0", self.exchange(expect + b"\r\n"))
+        answer = self.exchange(expect + b"Content-Length: 9000000\r\n\r\n")
+        self.assertIn(b" 413 ", answer[:16])
+        stream = self.connect_and_send(expect + b"Content-Length: 2\r\n\r\n")
+        self.assertIn(b" 100 ", stream.readline())
+        self.assertEqual(b"\r\n", stream.readline())
+        stream.write(b"ab")
+        stream.flush()
+        self.assertIn(b"\r\n\r\n2", self.read_response(stream))
+
     def test_pipelined_requests_are_answered_in_order(self):
         """Guards against requests that are lost while others are served."""
         sock = self.connect()
