Derive the limits of a node from its settings

Cause: a node accepted 2,000 connections whatever its descriptors and memory were; 8 idle connections blocked the probe port and the metrics port; the hint port decoded datagrams as fast as they came.

limits.max-fds and limits.memory-mb give the connections of callers: half of the descriptors beyond 200, and 6 KB each in a tenth of the memory. 1,500 connections took 2.9 KB each when idle and 5.1 KB with a small incomplete request. The callers', probe and metrics ports share one budget. The hint port takes 200 datagrams in 0.1 s and logs refusals at most once a second.

--- a/src/rosemarynotch/_internal/platform/settings.py
+++ b/src/rosemarynotch/_internal/platform/settings.py
@@ -7,10 +7,13 @@
 
 from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.utils.addresses import split_address
+from rosemarynotch._internal.utils.request_budget import DEFAULT_MEMORY_MB
 
 __all__ = ["NodeSettings", "SETTINGS_VARIABLE", "load_settings"]
 
 SETTINGS_VARIABLE = "ROSEMARYNOTCH_CONFIG"
+# The fewest descriptors of a machine on which nodes run.
+DEFAULT_MAX_DESCRIPTORS = 4100
 
 
 @attrs.frozen(kw_only=True)
@@ -20,6 +23,8 @@
     :ivar callers_address: listen address for callers, HOST:PORT
     :ivar probe_address: listen address for readiness probes, HOST:PORT
     :ivar cores: processor time available to the node, in cores
+    :ivar memory_mb: memory of the machine; bounds requests and connections
+    :ivar max_descriptors: open descriptors that the process may have
     :ivar metrics_port: first of the internal ports, which are free on every
         node; metrics are served (TCP) and hints received (UDP) on it
     :ivar is_first_start: whether the whole system starts for the first time
@@ -42,6 +47,8 @@
     callers_address: str
     probe_address: str
     cores: float
+    memory_mb: float
+    max_descriptors: int
     metrics_port: int
     store_address: str
     vm_service_address: str
@@ -85,6 +92,12 @@
         "probe_address": reader.read_address("listen-addrs", "ready"),
         "cores": reader.read(float, "limits", "cpu-share", default=1.0)
         * reader.read(float, "limits", "cores", default=1.0),
+        "memory_mb": reader.read(
+            float, "limits", "memory-mb", default=DEFAULT_MEMORY_MB
+        ),
+        "max_descriptors": reader.read(
+            int, "limits", "max-fds", default=DEFAULT_MAX_DESCRIPTORS
+        ),
         "metrics_port": reader.read(int, "internal-port-range", 0),
         "store_address": reader.read_address("platform", "address"),
         "vm_service_address": reader.read_address(
--- a/src/rosemarynotch/_internal/scheduling/hints.py
+++ b/src/rosemarynotch/_internal/scheduling/hints.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 import re
 import socket
+import time
 
 import attrs
 
@@ -27,6 +28,11 @@
 MAX_KEYS = 16
 MAX_BYTES = 1400
 RETRY_S = 1.0
+# More datagrams than this wait in the buffer of the socket, and are dropped by
+# the kernel when that is full. All nodes of the largest fleet send fewer.
+MAX_DATAGRAMS_PER_WINDOW = 200
+WINDOW_S = 0.1
+REFUSAL_LOG_INTERVAL_S = 1.0
 KEY_PATTERN = re.compile(
     f"({re.escape(JOBS_PREFIX)}|{re.escape(CANCELLATIONS_PREFIX)})"
     "[0-9a-f]{16}"
@@ -87,6 +93,7 @@
     :param on_keys: called with the valid keys of each hint
     :param find_completed: returns a job if this node knows that it is
         recorded as completed
+    :param on_limit: called with the name of a limit that senders reach
     """
 
     def __init__(
@@ -98,10 +105,13 @@
         find_completed: Callable[[str], CompletedJob | None] = (
             lambda job_id: None
         ),
+        on_limit: Callable[[str], None] = lambda limit: None,
     ) -> None:
         self._on_keys = on_keys
         self._find_completed = find_completed
         self._log = log
+        self._on_limit = on_limit
+        self._next_refusal_log_s = 0.0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, port))
 
@@ -111,7 +121,13 @@
         return self._socket.getsockname()[1]
 
     def run(self, stop) -> None:
-        """Receive hints until the process stops."""
+        """Receive hints until the process stops.
+
+        The rate is limited, so that a flood of datagrams does not take the
+        processor time of the node; hints may be lost.
+        """
+        window_ends_s = 0.0
+        left = 0
         while not stop.is_set():
             try:
                 data, sender = self._socket.recvfrom(MAX_BYTES)
@@ -120,6 +136,14 @@
                 stop.wait(RETRY_S)
                 continue
             self._handle(data, sender)
+            now_s = time.monotonic()
+            if now_s >= window_ends_s:
+                window_ends_s = now_s + WINDOW_S
+                left = MAX_DATAGRAMS_PER_WINDOW
+            left -= 1
+            if not left:
+                self._on_limit("hints")
+                stop.wait(window_ends_s - now_s)
 
     def _handle(self, data: bytes, sender: tuple[str, int]) -> None:
         hint = decode(data, Hint)
@@ -131,7 +155,13 @@
         if isinstance(query, JobQuery):
             self._answer(query.asked_job, sender)
         else:
-            self._log("hint refused", why=hint.reason)
+            self._report_refusal(hint.reason)
+
+    def _report_refusal(self, reason: str) -> None:
+        now_s = time.monotonic()
+        if now_s >= self._next_refusal_log_s:
+            self._next_refusal_log_s = now_s + REFUSAL_LOG_INTERVAL_S
+            self._log("hint refused", why=reason)
 
     def _answer(self, job_id: str, sender: tuple[str, int]) -> None:
         found = self._find_completed(job_id)
--- /dev/null
+++ b/src/rosemarynotch/_internal/wiring/limits.py
@@ -0,0 +1,45 @@
+"""Limits of a node, derived from the limits of its machine."""
+
+from collections.abc import Callable
+
+from rosemarynotch._internal.platform.settings import NodeSettings
+from rosemarynotch._internal.utils.limit_events import LimitEvents
+from rosemarynotch._internal.utils.metrics import Metrics
+from rosemarynotch._internal.utils.request_budget import RequestBudget
+
+__all__ = ["caller_connections", "make_budget", "PROBE_CONNECTIONS"]
+
+# Descriptors for files, pipes and listening sockets.
+RESERVED_DESCRIPTORS = 200
+# Part of the rest that callers may use. The other part is for connections to
+# the store, the VM service and workers, and for probes and metrics.
+CALLERS_SHARE = 0.5
+# Memory of a connection with a small incomplete request, and the part of the
+# machine's memory that connections of callers may take.
+CONNECTION_KB = 6
+CONNECTIONS_MEMORY_SHARE = 0.1
+# Each turn of the server's thread looks at all connections.
+MAX_CALLER_CONNECTIONS = 2000
+# Connections of each of the ports for probes and metrics.
+PROBE_CONNECTIONS = 32
+
+
+def caller_connections(settings: NodeSettings) -> int:
+    """Return how many connections of callers a node may hold."""
+    descriptors = max(0, settings.max_descriptors - RESERVED_DESCRIPTORS)
+    memory_kb = settings.memory_mb * 1024 * CONNECTIONS_MEMORY_SHARE
+    return max(
+        PROBE_CONNECTIONS,
+        min(
+            int(descriptors * CALLERS_SHARE),
+            int(memory_kb / CONNECTION_KB),
+            MAX_CALLER_CONNECTIONS,
+        ),
+    )
+
+
+def make_budget(
+    memory_mb: float, metrics: Metrics, log: Callable[..., None]
+) -> RequestBudget:
+    """Return the bound that the servers of a process share."""
+    return RequestBudget(memory_mb, LimitEvents(metrics.count, log))
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -41,6 +41,9 @@
 from rosemarynotch._internal.utils.suspension import SuspensionClock
 from rosemarynotch._internal.wiring.clients import LEASE_CALL_TIMEOUT_S
 from rosemarynotch._internal.wiring.clients import PlatformClients
+from rosemarynotch._internal.wiring.limits import caller_connections
+from rosemarynotch._internal.wiring.limits import make_budget
+from rosemarynotch._internal.wiring.limits import PROBE_CONNECTIONS
 from rosemarynotch._internal.wiring.policies import choose_policies
 from rosemarynotch._internal.wiring.policies import POLICIES_VARIABLE
 
@@ -49,8 +52,6 @@
 # Added to the minimum time between orders of two leaders for the same VM.
 HOLDER_INTERVAL_MARGIN_S = 0.3
 CALLER_THREADS = 24
-# Part of the 3,900 file descriptors that a node may use for connections.
-CALLER_CONNECTIONS = 2000
 PROBE_THREADS = 2
 INTAKE_THREADS = 3
 # The load balancer removes a node after two failed probes, one per second.
@@ -92,12 +93,16 @@
         )
         self._log("starting")
         self._clients = PlatformClients(lambda: self._settings, self._clock)
+        self._budget = make_budget(
+            settings.memory_mb, self._metrics, self._log
+        )
         self._hints = HintReceiver(
             settings.ip,
             settings.metrics_port,
             self._forward_hint,
             self._log,
             self._find_completed,
+            self._budget.events.record,
         )
         self._config_feed = ConfigFeed(
             self._clients.store(),
@@ -150,16 +155,20 @@
             CallerInterface(self._job_api),
             settings.callers_address,
             CALLER_THREADS,
-            connections=CALLER_CONNECTIONS,
+            connections=caller_connections(settings),
             limits=self._limits,
         )
         self._probe_server = self._server(
-            ReadinessApp(self._job_api), settings.probe_address, PROBE_THREADS
+            ReadinessApp(self._job_api),
+            settings.probe_address,
+            PROBE_THREADS,
+            connections=PROBE_CONNECTIONS,
         )
         self._metrics_server = self._server(
             MetricsApp(self._metrics, self._log),
             f"{settings.ip}:{settings.metrics_port}",
             PROBE_THREADS,
+            connections=PROBE_CONNECTIONS,
         )
         self._vm_orders = VmOrderObserver(self._clients.store(), self._clock)
         self._controller: Controller | None = None
@@ -320,9 +329,11 @@
             request_timeout_s=2 * limits.header_timeout_ms / 1000,
         )
 
-    @staticmethod
-    def _server(app, address: str, threads: int, **options) -> GracefulServer:
+    def _server(
+        self, app, address: str, threads: int, **options
+    ) -> GracefulServer:
         host, port = parse_address("listen address", address)
+        options["budget"] = self._budget
         return GracefulServer(app, host, port, threads, **options)
 
 
--- a/tests/unit/test_hints.py
+++ b/tests/unit/test_hints.py
@@ -1,12 +1,14 @@
 """Tests of hints about new jobs and of stale reads of job states."""
 
 import threading
+from unittest import mock
 
 import testtools
 
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.models.codec import encode
 from rosemarynotch._internal.scheduling.access import CallerAccess
+from rosemarynotch._internal.scheduling import hints
 from rosemarynotch._internal.scheduling.hints import HintReceiver
 from rosemarynotch._internal.scheduling.hints import HintSender
 from rosemarynotch._internal.scheduling.intake import JobIntake
@@ -70,6 +72,38 @@
         self.assertTrue(self.arrived.wait(5))
         self.assertEqual([JOBS_PREFIX + JOB_ID], self.received)
 
+    def test_flood_is_slowed_down(self):
+        """Guards against datagrams that take all processor time."""
+
+        class Stop:
+            pauses_s = []
+
+            def is_set(self):
+                return bool(self.pauses_s)
+
+            def wait(self, pause_s):
+                self.pauses_s.append(pause_s)
+
+        received, limits = [], []
+        receiver = HintReceiver(
+            HOST, 0, received.append, no_log, on_limit=limits.append
+        )
+        sender = self.sender((HOST, receiver.port))
+
+        def flood():
+            while not limits:
+                sender.send([JOBS_PREFIX + JOB_ID])
+
+        # The window is longer than the test on any machine.
+        with mock.patch.object(hints, "WINDOW_S", 600):
+            thread = threading.Thread(target=flood)
+            thread.start()
+            receiver.run(Stop())
+            thread.join()
+        self.assertEqual(hints.MAX_DATAGRAMS_PER_WINDOW, len(received))
+        self.assertEqual(["hints"], limits)
+        self.assertLess(0, Stop.pauses_s[0])
+
     def test_own_hints_need_no_network(self):
         """Guards against a leader without hints about its own node's jobs."""
         local = []
