Bound clients on both HTTP ports of an entry

Cause: 60 open requests with bodies of 1 MB and 60 without an end kept the operators' port from answering (test_ports_of_callers_and_operators).

Refusals for want of memory are typed as overloaded and carry Retry-After.

--- a/src/rosemarynotch/_internal/callers/server.py
+++ b/src/rosemarynotch/_internal/callers/server.py
@@ -7,7 +7,9 @@
 from rosemarynotch._internal.callers.app import CallerApp
 from rosemarynotch._internal.callers.parsing import MAX_BODY_BYTES
 from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.utils.bounded_parser import RETRY_AFTER_S
 from rosemarynotch._internal.utils.graceful_server import GracefulServer
+from rosemarynotch._internal.utils.request_budget import RequestBudget
 
 __all__ = ["CallerServer"]
 
@@ -16,6 +18,7 @@
     413: failures.BODY_TOO_LARGE,
     431: failures.REQUEST_MALFORMED,
     501: failures.REQUEST_MALFORMED,
+    503: failures.OVERLOADED,
 }
 
 
@@ -33,6 +36,8 @@
             ("Content-Type", "application/json"),
             (RAN_HEADER, str(failure.ran)),
         ]
+        if error.code == 503:
+            self.response_headers.append(("Retry-After", str(RETRY_AFTER_S)))
         self.set_close_on_finish()
         self.content_length = len(body)
         self.write(body)
@@ -42,8 +47,19 @@
     """Serves callers; errors of waitress are answered as typed refusals."""
 
     def __init__(
-        self, app: CallerApp, host: str, port: int, threads: int
+        self,
+        app: CallerApp,
+        host: str,
+        port: int,
+        threads: int,
+        budget: RequestBudget | None = None,
     ) -> None:
         super().__init__(
-            app, host, port, threads, _RefusalTask, MAX_BODY_BYTES
+            app,
+            host,
+            port,
+            threads,
+            _RefusalTask,
+            MAX_BODY_BYTES,
+            budget=budget,
         )
--- a/src/rosemarynotch/_internal/operators/server.py
+++ b/src/rosemarynotch/_internal/operators/server.py
@@ -2,18 +2,19 @@
 
 import threading
 
-from waitress.server import create_server
 from waitress import wasyncore
 
 from rosemarynotch._internal.operators.app import OperatorApp
 from rosemarynotch._internal.operators.http import MAX_BODY_BYTES
+from rosemarynotch._internal.utils.bounded_server import BoundedServer
+from rosemarynotch._internal.utils.request_budget import RequestBudget
 
 __all__ = ["OperatorServer"]
 
 THREADS = 4
 CONNECTION_LIMIT = 64
+CLEANUP_INTERVAL_S = 1
 MAX_HEADER_BYTES = 32 * 1024
-CHANNEL_TIMEOUT_S = 60
 # waitress buffers larger responses in a file, and the VMs have no disks. The
 # largest response is the status of the fleet.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -22,17 +23,26 @@
 class OperatorServer:
     """Serves the operators' API with waitress.
 
+    :param budget: bounds the memory of requests; servers of one process
+        share it
     :ivar address: host and port of the listening socket
     """
 
-    def __init__(self, app: OperatorApp, host: str, port: int) -> None:
-        self._server = create_server(
+    def __init__(
+        self,
+        app: OperatorApp,
+        host: str,
+        port: int,
+        budget: RequestBudget | None = None,
+    ) -> None:
+        self._server = BoundedServer(
             app,
+            CONNECTION_LIMIT,
+            budget or RequestBudget(),
             host=host,
             port=port,
             threads=THREADS,
-            connection_limit=CONNECTION_LIMIT,
-            channel_timeout=CHANNEL_TIMEOUT_S,
+            cleanup_interval=CLEANUP_INTERVAL_S,
             # waitress also refuses a body of exactly this size.
             max_request_body_size=MAX_BODY_BYTES + 1,
             max_request_header_size=MAX_HEADER_BYTES,
--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -38,7 +38,9 @@
 from rosemarynotch._internal.targets.client import TargetClient
 from rosemarynotch._internal.targets.health import HealthTable
 from rosemarynotch._internal.utils.addresses import parse_address
+from rosemarynotch._internal.utils.request_budget import DEFAULT_MEMORY_MB
 from rosemarynotch._internal.wiring.heartbeats import HeartbeatSource
+from rosemarynotch._internal.wiring.limits import make_budget
 from rosemarynotch._internal.wiring.process import MemberProcess
 from rosemarynotch._internal.wiring.process import MemberSettings
 
@@ -110,6 +112,9 @@
             "operator-listen", settings.member.operator_listen
         )
         self.process = MemberProcess(settings.member)
+        self._budget = make_budget(
+            DEFAULT_MEMORY_MB, self.process.metrics, self._log_limits
+        )
 
     def run(self, stopping: threading.Event) -> int:
         """Serve until the event is set.
@@ -139,7 +144,11 @@
         process.exchange.set_forward_handler(forwarder.handle_forward)
         host, port = self._caller_address
         self._server = CallerServer(
-            app, host, port, self._settings.caller_threads
+            app,
+            host,
+            port,
+            self._settings.caller_threads,
+            self._budget,
         )
         self._jobs = jobs
         self._build_operators()
@@ -259,7 +268,11 @@
             is_trial=self._settings.is_trial,
         )
         host, port = self._operator_address
-        self._operator_server = OperatorServer(app, host, port)
+        self._operator_server = OperatorServer(app, host, port, self._budget)
+
+    @staticmethod
+    def _log_limits(event: str, **fields) -> None:
+        _log.warning(event, **fields)
 
     def _serve(self) -> None:
         self._permits.start()
