Close connections with urgent data, and survive descriptors running out

Cause, on: one byte of urgent data that a client leaves as its last made the server poll without a pause, 2.7 s of processor time in 3 s, and print a line for each iteration. With 100 descriptors and 200 open connections it used 5.4 s of processor time in 6 s and answered no further client. An exception in a connection's turn would have ended the server's thread.

A connection with urgent data is closed. An exception in a turn closes its connection, as elsewhere in waitress. The operators' port allows 60 s for a request, for documents over slow links.

--- a/src/rosemarynotch/_internal/operators/server.py
+++ b/src/rosemarynotch/_internal/operators/server.py
@@ -6,6 +6,7 @@
 
 from rosemarynotch._internal.operators.app import OperatorApp
 from rosemarynotch._internal.operators.http import MAX_BODY_BYTES
+from rosemarynotch._internal.utils.bounded_channel import ServerLimits
 from rosemarynotch._internal.utils.bounded_server import BoundedServer
 from rosemarynotch._internal.utils.request_budget import RequestBudget
 
@@ -14,6 +15,8 @@
 THREADS = 4
 CONNECTION_LIMIT = 64
 CLEANUP_INTERVAL_S = 1
+# Operators may send documents over slow links.
+TIMEOUTS = ServerLimits(idle_timeout_s=60, request_timeout_s=60)
 MAX_HEADER_BYTES = 32 * 1024
 # waitress buffers larger responses in a file, and the VMs have no disks. The
 # largest response is the status of the fleet.
@@ -39,6 +42,7 @@
             app,
             CONNECTION_LIMIT,
             budget or RequestBudget(),
+            limits=lambda: TIMEOUTS,
             host=host,
             port=port,
             threads=THREADS,
--- a/src/rosemarynotch/_internal/utils/bounded_channel.py
+++ b/src/rosemarynotch/_internal/utils/bounded_channel.py
@@ -237,6 +237,14 @@
         if self._dropped_bytes > MAX_DROPPED_BYTES:
             self.handle_close()
 
+    def handle_expt(self):
+        """Close a connection on which urgent data arrived.
+
+        HTTP has no such data. It stays unread, so that polling would end at
+        once as long as the connection is open.
+        """
+        self.will_close = True
+
     def handle_close(self):
         """Close the connection and stop counting its request."""
         super().handle_close()
--- a/src/rosemarynotch/_internal/utils/bounded_server.py
+++ b/src/rosemarynotch/_internal/utils/bounded_server.py
@@ -63,6 +63,7 @@
         self._thread_id = 0
         self._turn_ends_s = 0.0
         self._next_eviction_s = 0.0
+        self._accepts_after_s = 0.0
         self._beginnings: deque[BoundedChannel] = deque()
         self._rests: deque[BoundedChannel] = deque()
         self._blocked: list[BoundedChannel] = []
@@ -117,7 +118,11 @@
     def readable(self):
         """Return whether connections are accepted."""
         limit = self._connections + EXTRA_CONNECTIONS
-        return super().readable() and len(self.active_channels) < limit
+        return (
+            super().readable()
+            and len(self.active_channels) < limit
+            and time.time() >= self._accepts_after_s
+        )
 
     def handle_accept(self):
         """Accept connections; above the limit, choose others to close."""
@@ -134,6 +139,7 @@
         except OSError as error:
             if error.errno in NO_DESCRIPTORS:
                 self._evict_connections(1)
+                self._accepts_after_s = time.time() + EVICTION_INTERVAL_S
             raise
 
     def maintenance(self, now):
@@ -168,7 +174,13 @@
             return
         end_s = time.perf_counter() + time_s
         while channels and time.perf_counter() < end_s:
-            channels.popleft().advance()
+            channel = channels.popleft()
+            try:
+                channel.advance()
+            except Exception:
+                # Logs the error and closes the connection, as waitress does
+                # with errors in its own part of the iteration.
+                channel.handle_error()
 
     def _evict_connections(self, count: int) -> None:
         """Choose the connections that have waited for longest."""
--- a/tests/functional/test_bounded_server.py
+++ b/tests/functional/test_bounded_server.py
@@ -236,6 +236,20 @@
         self.assertEqual(statuses.count(b"200"), len(self.app.sizes))
 
 
+class UrgentDataTest(BoundedServerCase):
+    """Guards against input that the server never reads."""
+
+    def test_connection_with_urgent_data_is_closed(self):
+        """Guards against polling without a pause while it is open."""
+        sock = self.connect()
+        sock.send(b"x", socket.MSG_OOB)
+        try:
+            self.assertEqual(b"", sock.recv(1))
+        except ConnectionResetError:
+            pass
+        self.assertIn(b"200 OK", self.exchange(ORDINARY))
+
+
 class ConnectionsTest(BoundedServerCase):
     """Guards against connections that keep others from being accepted."""
 
