--- a/src/rosemarynotch/_internal/wiring/limits.py
+++ b/src/rosemarynotch/_internal/wiring/limits.py
@@ -9,6 +9,8 @@
 
 __all__ = ["caller_connections", "make_budget", "PROBE_CONNECTIONS"]
 
+# Its budget has room for the largest request of a caller.
+MIN_MEMORY_MB = 32
 # Descriptors for files, pipes and listening sockets.
 RESERVED_DESCRIPTORS = 200
 # Part of the rest that callers may use. The other part is for connections to
@@ -42,4 +44,5 @@
     memory_mb: float, metrics: Metrics, log: Callable[..., None]
 ) -> RequestBudget:
     """Return the bound that the servers of a process share."""
+    memory_mb = max(memory_mb, MIN_MEMORY_MB)
     return RequestBudget(memory_mb, LimitEvents(metrics.count, log))
