Look at idle connections at no extra cost, and count no closed ones

Both questions are answered from attributes of the instance, and a closed connection is no longer counted.

--- a/src/rosemarynotch/_internal/utils/bounded_channel.py
+++ b/src/rosemarynotch/_internal/utils/bounded_channel.py
@@ -54,9 +54,7 @@
     :ivar is_deferred: whether the connection waits for its turn
     """
 
-    is_deferred = False
     request_started_s = 0.0
-    _unparsed = b""
     _is_refusing = False
     _is_counted = False
     _lingering_since_s = 0.0
@@ -64,6 +62,14 @@
 
     def __init__(self, server, sock, addr, adj, map=None):
         self.parser_class = self._make_parser
+        # Attributes of the instance are found faster than those of the class.
+        # These are read for each connection in each iteration.
+        self.is_deferred = False
+        self._unparsed = b""
+        self._awaits_refusal = False
+        self.will_close = False
+        self.close_when_flushed = False
+        self.total_outbufs_len = 0
         super().__init__(server, sock, addr, adj, map)
 
     def _make_parser(self, adj) -> BoundedParser:
@@ -86,12 +92,20 @@
         return super().readable()
 
     def readable(self):
-        """Return whether the server should wait for input."""
-        if self.is_deferred or self._unparsed or self._is_refusing:
-            return bool(self._lingering_since_s) and not (
-                self.is_deferred or self.will_close
-            )
-        return super().readable()
+        """Return whether the server should wait for input.
+
+        This is asked for each connection in each iteration, so it does not
+        call the method of waitress.
+        """
+        return not (
+            self.is_deferred
+            or self._unparsed
+            or self._awaits_refusal
+            or self.total_outbufs_len
+            or self.will_close
+            or self.close_when_flushed
+            or len(self.requests) > self.adj.channel_request_lookahead
+        )
 
     def writable(self):
         """Return whether the server should wait until output can be sent.
@@ -100,9 +114,12 @@
         when it is done. Until then the server would poll without a pause,
         since it cannot get the lock of the output.
         """
-        if self.requests and not (self.will_close or self.close_when_flushed):
-            return self.total_outbufs_len >= HELPED_OUTPUT_BYTES
-        return super().writable()
+        output_bytes = self.total_outbufs_len
+        if output_bytes and (
+            not self.requests or output_bytes >= HELPED_OUTPUT_BYTES
+        ):
+            return True
+        return self.will_close or self.close_when_flushed
 
     def handle_read(self):
         """Read input now or when it is the connection's turn."""
@@ -149,7 +166,11 @@
         if self.request is not None:
             size += self.request.size_bytes()
         self._is_counted = bool(size)
-        self.server.budget.hold(self, size, self.request_started_s)
+        budget = self.server.budget
+        budget.hold(self, size, self.request_started_s)
+        if self._fileno is None:
+            # The connection was closed while its input was parsed.
+            budget.hold(self, 0, 0.0)
 
     def complete_request(self, request: BoundedParser) -> None:
         """Count a request before a thread can get it, or refuse it."""
@@ -159,12 +180,12 @@
         if request.error is None and not budget.admit(self, size):
             request.refuse(Overloaded("no memory for the request"))
             budget.events.record("request-memory")
-            self._is_refusing = True
+            self._is_refusing = self._awaits_refusal = True
         elif request.error is not None:
             budget.hold(self, 0, 0.0)
             if request.limit:
                 budget.events.record(request.limit)
-            self._is_refusing = True
+            self._is_refusing = self._awaits_refusal = True
         else:
             request.charge_bytes = size
 
@@ -200,7 +221,7 @@
             refusal.refuse(error)
             self.request = None
             self._unparsed = b""
-            self._is_refusing = True
+            self._is_refusing = self._awaits_refusal = True
             self.requests.append(refusal)
             if len(self.requests) == 1:
                 self.server.add_task(self)
@@ -226,6 +247,7 @@
             self.handle_close()
             return
         self._lingering_since_s = time.time()
+        self._awaits_refusal = False
 
     def _drop_input(self) -> None:
         try:
--- a/tests/functional/test_bounded_server.py
+++ b/tests/functional/test_bounded_server.py
@@ -52,13 +52,15 @@
         events = LimitEvents(
             lambda name, limit: self.limits.append(limit), lambda *_, **__: 0
         )
+        self.budget = RequestBudget(self.MEMORY_MB, events)
+        self.socks = []
         self.server = GracefulServer(
             self.app,
             "127.0.0.1",
             0,
             4,
             connections=self.CONNECTIONS,
-            budget=RequestBudget(self.MEMORY_MB, events),
+            budget=self.budget,
         )
         self.server.start()
         self.addCleanup(self.server.stop, 0)
@@ -68,6 +70,7 @@
         host, port = self.server.address.split(":")
         sock = socket.create_connection((host, int(port)), timeout=WAIT_S)
         self.addCleanup(sock.close)
+        self.socks.append(sock)
         return sock
 
     def connect_and_send(self, data):
@@ -250,6 +253,28 @@
         self.assertIn(b"200 OK", self.exchange(ORDINARY))
 
 
+class GoneClientsTest(BoundedServerCase):
+    """Guards against a budget that fills up with clients that are gone."""
+
+    def test_nothing_stays_counted(self):
+        """Guards against bytes of closed connections that stay counted."""
+        expect = HEAD + b"Expect: 100-continue\r\n"
+        for number in range(40):
+            sock = self.connect()
+            sock.sendall(
+                expect + b"Content-Length: 9000\r\n\r\n" + b"x" * number
+            )
+            sock.sendall(b"x" * 500)
+            self.connect().sendall(ORDINARY * number + HEAD)
+            sock.close()
+        for sock in self.socks:
+            sock.close()
+        end_s = time.monotonic() + WAIT_S
+        while self.budget.held_bytes:
+            self.assertTrue(time.monotonic() < end_s, "bytes are counted")
+            time.sleep(0.01)
+
+
 class ConnectionsTest(BoundedServerCase):
     """Guards against connections that keep others from being accepted."""
 
