Let started jobs give way while they can still be on time

The steps of long jobs that follow one another kept the VMs for most of the next turn, also if that of a more urgent queue. A started job now gives way to it until 0.3 s before its last moment.

If the long-running tasks are on all VMs (at most 3 on a worker), none can move and sharing changes nothing.

--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -176,7 +176,7 @@
                 candidate = waiting.candidate
                 urgency = candidate.urgency(wall_ms)
                 if not self._sharing.may_start(
-                    candidate, urgency, each.pool, self._short_pools
+                    candidate, wall_ms, each.pool, self._short_pools
                 ):
                     held.append(waiting)
                     continue
@@ -259,7 +259,7 @@
         urgency = candidate.urgency(wall_ms)
         pool = self._scheduler.queue_of(job).pool
         return urgency is not Urgency.TOO_LATE and self._sharing.may_start(
-            candidate, urgency, pool, self._short_pools
+            candidate, wall_ms, pool, self._short_pools
         )
 
     def forget(self, job_id: str) -> None:
--- a/src/rosemarynotch/_internal/scheduling/policy/sharing.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/sharing.py
@@ -22,6 +22,11 @@
 ]
 
 
+# A started job goes on this long before its last moment: passes are up to
+# 50 ms apart, and workers answer later under load.
+MIN_SLACK_MS = 300.0
+
+
 class PoolSharing(abc.ABC):
     """Chooses the jobs that start while other pools are short."""
 
@@ -29,13 +34,12 @@
     def may_start(
         self,
         candidate: Candidate,
-        urgency: Urgency,
+        now_ms: float,
         pool: str,
         short_pools: Mapping[str, int],
     ) -> bool:
         """Tell whether a job may start in its pool.
 
-        :param urgency: the result that its start can achieve
         :param short_pools: pools in which jobs that can be on time wait for
             capacity that VMs of other pools could provide, with the rank of
             the most urgent of them
@@ -45,7 +49,7 @@
 class KeepPoolsApart(PoolSharing):
     """Starts jobs wherever their pool has capacity (baseline)."""
 
-    def may_start(self, candidate, urgency, pool, short_pools):
+    def may_start(self, candidate, now_ms, pool, short_pools):
         """Allow every start."""
         return True
 
@@ -58,22 +62,28 @@
     pool that is itself short, since its VMs do not leave.
     """
 
-    def may_start(self, candidate, urgency, pool, short_pools):
+    def may_start(self, candidate, now_ms, pool, short_pools):
         """Allow starts that do not keep VMs from a pool that is short."""
-        if urgency <= Urgency.ON_TIME or pool in short_pools:
+        if not short_pools or pool in short_pools:
             return True
-        return not short_pools
+        return candidate.urgency(now_ms) <= Urgency.ON_TIME
 
 
 class YieldToShortPools(PoolSharing):
-    """Also holds new jobs back while a pool of a more urgent queue is short.
+    """Also holds jobs back while a pool of a more urgent queue is short.
 
-    Jobs that have been started continue: their work would be lost.
+    A job that has been started gives way only as long as it can be on time
+    afterwards, since its work would be lost otherwise. Without this, the
+    steps of long jobs that follow one another kept the VMs for most of the
+    next turn.
     """
 
-    def may_start(self, candidate, urgency, pool, short_pools):
+    def may_start(self, candidate, now_ms, pool, short_pools):
         """Allow starts that keep no VMs from more urgent or fresher jobs."""
-        if not short_pools or urgency is Urgency.SERVING:
+        if not short_pools:
+            return True
+        urgency = candidate.urgency(now_ms)
+        if urgency is Urgency.SERVING:
             return True
         most_urgent = min(
             (rank for name, rank in short_pools.items() if name != pool),
@@ -82,4 +92,7 @@
         if urgency > Urgency.ON_TIME:
             own = short_pools.get(pool)
             return most_urgent >= (math.inf if own is None else own)
-        return candidate.is_started or most_urgent >= candidate.priority
+        if most_urgent >= candidate.priority:
+            return True
+        latest_ms = candidate.objective_ms - candidate.remaining_ms
+        return candidate.is_started and latest_ms - now_ms <= MIN_SLACK_MS
--- a/tests/unit/test_overload_orders.py
+++ b/tests/unit/test_overload_orders.py
@@ -12,7 +12,6 @@
 from rosemarynotch._internal.scheduling.policy import KeepPoolsApart
 from rosemarynotch._internal.scheduling.policy import MostOnTimeOrder
 from rosemarynotch._internal.scheduling.policy import ObjectiveOrder
-from rosemarynotch._internal.scheduling.policy import Urgency
 from rosemarynotch._internal.scheduling.policy import WeightedOrder
 from rosemarynotch._internal.scheduling.policy import YieldLateWork
 from rosemarynotch._internal.scheduling.policy import YieldToShortPools
@@ -77,25 +76,28 @@
             ):
                 self.assertEqual(
                     may_start,
-                    policy.may_start(late, Urgency.LATE, "p", short),
+                    policy.may_start(late, 0.0, "p", short),
                 )
 
     def test_new_jobs_yield_to_more_urgent_queues(self):
         """Guards against urgent jobs that wait for VMs of other queues.
 
-        Started and serving jobs do not yield: their work would be lost.
+        Serving jobs do not yield, and started ones only as long as they can
+        be on time afterwards: their work would be lost.
         """
         policy = YieldToShortPools()
-        for each, urgency, short, may_start in (
-            (candidate(), Urgency.ON_TIME, {"q": 0}, False),
-            (candidate(), Urgency.ON_TIME, {"p": 0}, True),
-            (candidate(), Urgency.ON_TIME, {"q": 1}, True),
-            (candidate(priority=0), Urgency.ON_TIME, {"q": 0}, True),
-            (candidate(is_started=True), Urgency.ON_TIME, {"q": 0}, True),
-            (candidate(is_serving=True), Urgency.SERVING, {"q": 0}, True),
+        last_moment = candidate(is_started=True, objective_ms=300.0)
+        for each, short, may_start in (
+            (candidate(), {"q": 0}, False),
+            (candidate(), {"p": 0}, True),
+            (candidate(), {"q": 1}, True),
+            (candidate(priority=0), {"q": 0}, True),
+            (candidate(is_started=True), {"q": 0}, False),
+            (last_moment, {"q": 0}, True),
+            (candidate(is_serving=True), {"q": 0}, True),
         ):
             self.assertEqual(
-                may_start, policy.may_start(each, urgency, "p", short)
+                may_start, policy.may_start(each, 0.0, "p", short)
             )
 
 
