--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -3,18 +3,18 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
-import queue
 import threading
 
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import RUN_FENCED
-from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.scheduling.advice import AdviceCache
 from rosemarynotch._internal.scheduling.advice import AdviceRequester
 from rosemarynotch._internal.scheduling.answer_losses import AnswerLosses
 from rosemarynotch._internal.scheduling.ended_term import EndedTerm
 from rosemarynotch._internal.scheduling.evacuation import ServingTaskMover
 from rosemarynotch._internal.scheduling.evacuation_feed import EvacuationFeed
+from rosemarynotch._internal.scheduling.event_queue import Event
+from rosemarynotch._internal.scheduling.event_queue import EventQueue
 from rosemarynotch._internal.scheduling.fleet_manager import FleetManager
 from rosemarynotch._internal.scheduling.fleet_manager import FleetTiming
 from rosemarynotch._internal.scheduling.intake_feed import IntakeFeed
@@ -22,6 +22,7 @@
 from rosemarynotch._internal.scheduling.leadership import Grant
 from rosemarynotch._internal.scheduling.leadership import Leadership
 from rosemarynotch._internal.scheduling.load_report import LoadReport
+from rosemarynotch._internal.scheduling.load_report import read_last_turns
 from rosemarynotch._internal.scheduling.model import Configuration
 from rosemarynotch._internal.scheduling.order_sender import Command
 from rosemarynotch._internal.scheduling.order_sender import OrderSender
@@ -30,8 +31,6 @@
 from rosemarynotch._internal.scheduling.policies import SchedulingPolicies
 from rosemarynotch._internal.scheduling.policy import OrderTimeout
 from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
-from rosemarynotch._internal.scheduling.records import LOAD_KEY
-from rosemarynotch._internal.scheduling.records import LoadRecord
 from rosemarynotch._internal.scheduling.records import Phase
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
 from rosemarynotch._internal.scheduling.unstarted_jobs import UnstartedJobs
@@ -129,9 +128,7 @@
         self._is_granting = True
         self._configuration = configuration
         self._fleet_timing = fleet_timing
-        self._events: queue.SimpleQueue[Callable[[float], None]] = (
-            queue.SimpleQueue()
-        )
+        self._events = EventQueue()
         self.worker_feed = WorkerFeed(self)
         self.mover = ServingTaskMover(self)
         self.evacuations = EvacuationFeed(self)
@@ -175,9 +172,9 @@
         if self._feed is not None:
             self._feed.record_hint(keys)
 
-    def post(self, event: Callable[[float], None]) -> None:
+    def post(self, event: Event) -> None:
         """Queue a callback for the scheduling thread; it gets the time."""
-        self._events.put(event)
+        self._events.post(event)
 
     def run(self) -> EndedTerm:
         """Run the term until the grant ends."""
@@ -205,7 +202,8 @@
         self.scheduler.unstarted_ids = self.unstarted.inherited
         if not self._retry(feed.load):
             return
-        self._load_turns()
+        turns = read_last_turns(self.ports.store, self.log)
+        self.forecast = self._policies.make_forecast(turns)
         # Read last, so that the first starts follow the newest requests.
         if not self._retry(self.evacuations.load):
             return
@@ -286,7 +284,7 @@
         self.log("not leading", term=self.grant.term)
 
     def _pass(self) -> None:
-        events = self._next_events()
+        events = self._events.take(PASS_INTERVAL_S)
         started_s = self.clock.monotonic_s()
         with self.lock:
             now_s = self.clock.monotonic_s()
@@ -311,7 +309,7 @@
             max(MIN_PASS_INTERVAL_S - took_s, took_s * PASS_PAUSE_FACTOR)
         )
 
-    def _apply(self, event: Callable[[float], None], now_s: float) -> None:
+    def _apply(self, event: Event, now_s: float) -> None:
         """Apply an event; one that fails is logged and dropped.
 
         An event carries input from one worker, caller or list. The next
@@ -322,17 +320,6 @@
         except Exception as error:
             self.log("event failed", **describe_error(error))
 
-    def _next_events(self) -> list[Callable[[float], None]]:
-        try:
-            events = [self._events.get(timeout=PASS_INTERVAL_S)]
-        except queue.Empty:
-            events = []
-        while True:
-            try:
-                events.append(self._events.get_nowait())
-            except queue.Empty:
-                return events
-
     def _plan(self, now_s: float) -> list[Command]:
         scheduler = self.scheduler
         wall_ms = self.clock.wall_s() * 1000
@@ -399,20 +386,6 @@
                 self.grant, "a worker has a higher fence"
             )
 
-    def _load_turns(self) -> None:
-        """Initialise the forecast from an earlier leader's record.
-
-        It is not retried, as the leader can do without it.
-        """
-        item = self.ports.store.get(LOAD_KEY)
-        if isinstance(item, Failure):
-            return
-        load = decode(item.value, LoadRecord)
-        if isinstance(load, Failure):
-            self.log("load refused", why=load.reason)
-            return
-        self.forecast = self._policies.make_forecast(load.turns)
-
     def link(self, worker_id: str) -> WorkerLink | None:
         """Return the link to a worker, None if there is none."""
         return self.worker_feed.link(worker_id)
--- a/src/rosemarynotch/_internal/scheduling/load_report.py
+++ b/src/rosemarynotch/_internal/scheduling/load_report.py
@@ -1,10 +1,16 @@
-"""Periodic log line about the load of the leader."""
+"""Load of the leader: a periodic log line, and the record of the last one."""
 
 from collections.abc import Callable
 
+from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.models.codec import decode
+from rosemarynotch._internal.scheduling.ports import CoordinationStore
+from rosemarynotch._internal.scheduling.records import LOAD_KEY
+from rosemarynotch._internal.scheduling.records import LoadRecord
+from rosemarynotch._internal.scheduling.records import Turn
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
 
-__all__ = ["LoadReport"]
+__all__ = ["LoadReport", "read_last_turns"]
 
 REPORT_INTERVAL_S = 1.0
 
@@ -81,3 +87,20 @@
 
 def _by_pool(counts: dict[str, int]) -> str:
     return " ".join(f"{pool}={counts[pool]}" for pool in sorted(counts))
+
+
+def read_last_turns(
+    store: CoordinationStore, log: Callable[..., None]
+) -> tuple[Turn, ...]:
+    """Return the load peaks that an earlier leader recorded.
+
+    The read is not retried, as the leader can do without them.
+    """
+    item = store.get(LOAD_KEY)
+    if isinstance(item, Failure):
+        return ()
+    load = decode(item.value, LoadRecord)
+    if isinstance(load, Failure):
+        log("load refused", why=load.reason)
+        return ()
+    return load.turns
--- a/src/rosemarynotch/_internal/scheduling/worker_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/worker_registry.py
@@ -91,15 +91,13 @@
                 worker = Worker(
                     entry=entry,
                     known_since_s=now_s,
-                    earlier_lease_end_s=(
-                        None
-                        if lease_ends_s is None
-                        else lease_ends_s.get(worker_id, 0.0)
-                    ),
                     is_inherited=are_inherited or now_s < self.unknown_until_s,
                     started_unix_ms=entry.started_unix_ms,
                     pools={entry.pool},
                 )
+                if lease_ends_s is not None:
+                    end_s = lease_ends_s.get(worker_id, 0.0)
+                    worker.earlier_lease_end_s = end_s
                 self.workers[worker_id] = worker
                 added.append(worker)
                 if worker_id in self._removed_workers:
