Serve more jobs in total by default, and count no impossible work

Admission no longer counts the work of jobs that can never complete, nor the processors of workers in a data centre that is evacuated. Unit tests for both.

--- a/src/rosemarynotch/_internal/scheduling/load_outlook.py
+++ b/src/rosemarynotch/_internal/scheduling/load_outlook.py
@@ -1,11 +1,13 @@
 """What new jobs would have to wait for; performs no I/O."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 
 import attrs
 
 from rosemarynotch._internal.scheduling.candidates import CandidateFactory
+from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.policy import Candidate
 from rosemarynotch._internal.scheduling.policy import JobOrder
 from rosemarynotch._internal.scheduling.policy import Urgency
@@ -41,6 +43,8 @@
     """Sums up the work of the jobs for the nodes that accept jobs.
 
     :param order: decides which jobs go before others by their size
+    :param can_complete: tells whether a job can complete; the others only
+        start on capacity that is left over, so that no job waits for them
     """
 
     def __init__(
@@ -48,7 +52,9 @@
         scheduler: Scheduler,
         candidates: CandidateFactory,
         order: JobOrder,
+        can_complete: Callable[[Job], bool] = lambda job: True,
     ) -> None:
+        self._can_complete = can_complete
         self._order = order
         self._scheduler = scheduler
         self._candidates = candidates
@@ -62,7 +68,7 @@
         """
         work: dict[str, float] = {}
         for job in self._scheduler.active.values():
-            if job.is_long_running or job.is_scheduled:
+            if not self._counts(job):
                 continue
             candidate = self._candidates.candidate(job, wall_ms)
             if candidate.urgency(wall_ms) is not Urgency.TOO_LATE:
@@ -77,6 +83,10 @@
             if queue.pool in work
         }
 
+    def _counts(self, job: Job) -> bool:
+        is_batch = not (job.is_long_running or job.is_scheduled)
+        return is_batch and self._can_complete(job)
+
     def backlogs(self, now_s: float, wall_ms: float) -> dict[str, Backlog]:
         """Return what waits in pools, by pool and priority.
 
@@ -145,7 +155,7 @@
                 )
         jobs = []
         for job in self._scheduler.active.values():
-            if job.is_long_running or job.is_scheduled:
+            if not self._counts(job):
                 continue
             candidate = self._candidates.candidate(job, wall_ms)
             if candidate.urgency(wall_ms) is Urgency.TOO_LATE:
@@ -162,7 +172,8 @@
         cores = self._serving_cores()
         cores = {pool: -each for pool, each in cores.items()}
         for worker in self._scheduler.workers.values():
-            if worker.is_replaced or worker.entry.is_draining:
+            is_leaving = worker.is_replaced or worker.entry.is_draining
+            if is_leaving or worker.is_evacuated:
                 continue
             pool = worker.entry.pool
             size = worker.entry.capacity.cpu_millicores / 1000
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -89,7 +89,9 @@
         self._completion = completion
         self._caps = CapGuard(scheduler)
         self._candidates = CandidateFactory(scheduler)
-        self.outlook = LoadOutlook(scheduler, self._candidates, order)
+        self.outlook = LoadOutlook(
+            scheduler, self._candidates, order, completion.can_complete
+        )
         self._uncertain_pools: set[str] = set()
         self._short_pools: dict[str, int] = {}
         self._short_logged_at_s = 0.0
--- a/src/rosemarynotch/_internal/wiring/policies.py
+++ b/src/rosemarynotch/_internal/wiring/policies.py
@@ -47,8 +47,8 @@
     },
     "retry": {"backlog": BacklogRetry, "excess": ExcessRetry},
     "order": {
-        "drawn": DrawnOrder,
         "objective": ObjectiveOrder,
+        "drawn": DrawnOrder,
         "most-on-time": MostOnTimeOrder,
         "weighted-on-time": WeightedOrder,
         "deadline": DeadlineOrder,
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -144,6 +144,17 @@
             leader.now_s, leader.now_s * 1000
         )
 
+    def test_evacuated_workers_are_no_capacity(self):
+        """Guards against jobs accepted for a data centre without starts."""
+        leader = Leader()
+        leader.add_workers("w1", "w2")
+        leader.scheduler.fleet_millicores = 8000
+        leader.scheduler.workers["w2"].is_evacuated = True
+        for job_id in job_ids(30):
+            leader.submit(job_id, job_spec(step(8)))
+        (backlog,) = self.loads(leader).values()
+        self.assertEqual(8.0, backlog.own_cores)
+
     def test_half_of_the_fleet_is_lost(self):
         """Guards against accepting jobs that end too late.
 
--- a/tests/unit/test_impossible_jobs.py
+++ b/tests/unit/test_impossible_jobs.py
@@ -95,6 +95,16 @@
         self.assertEqual(2, self.demand_vms())
         self.assertEqual(2, len(self.leader.place()))
 
+    def test_no_new_job_waits_for_them(self):
+        """Guards against refusals because of work that is never done."""
+        leader = self.leader
+        leader.scheduler.fleet_millicores = 3 * CAPACITY.cpu_millicores
+        leader.submit("impossible", job_spec(step(90, cpu=9000)))
+        wall_ms = leader.now_s * 1000
+        outlook = leader.planner.outlook
+        self.assertEqual({}, outlook.start_delays_ms(wall_ms))
+        self.assertEqual({}, outlook.backlogs(leader.now_s, wall_ms))
+
     def test_possible_steps_start_after_other_jobs(self):
         """Guards against a job that holds workers before its useless end.
 
