--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -221,8 +221,8 @@
     :ivar durable_change: number of the last change that is persisted
     :ivar retained_since_s: when this leader first found that the job has
         ended, None if it has not
-    :ivar is_inherited: whether the job existed when this leader's term began,
-        so that an earlier leader may have started it
+    :ivar is_inherited: whether an earlier leader may have started the job,
+        as it existed when this leader's term began
     :ivar pools: pools that may have runs of the job, each with the number of
         the change that records it, 0 if the store had it before
     :ivar lost_runs: number of runs that ended without an end being reported
