Keep pools apart by default

With urgent-first, jobs that give way waited for VMs that were still on their way. The policy can be chosen.

--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -18,13 +18,13 @@
 from rosemarynotch._internal.scheduling.policy import CompletionCheck
 from rosemarynotch._internal.scheduling.policy import FreeCapacity
 from rosemarynotch._internal.scheduling.policy import JobOrder
+from rosemarynotch._internal.scheduling.policy import KeepPoolsApart
 from rosemarynotch._internal.scheduling.policy import NoCheck
 from rosemarynotch._internal.scheduling.policy import PoolCapacity
 from rosemarynotch._internal.scheduling.policy import PoolSharing
 from rosemarynotch._internal.scheduling.policy import StepPlacer
 from rosemarynotch._internal.scheduling.policy import suits
 from rosemarynotch._internal.scheduling.policy import Urgency
-from rosemarynotch._internal.scheduling.policy import YieldToShortPools
 from rosemarynotch._internal.scheduling.run_reconciler import RunReconciler
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
 
@@ -84,7 +84,7 @@
         self._placer = placer
         self._advice = advice
         self._log = log
-        self._sharing = sharing or YieldToShortPools()
+        self._sharing = sharing or KeepPoolsApart()
         self._reconciler = RunReconciler(scheduler, advice, log)
         self._completion = completion
         self._caps = CapGuard(scheduler)
--- a/src/rosemarynotch/_internal/wiring/policies.py
+++ b/src/rosemarynotch/_internal/wiring/policies.py
@@ -55,9 +55,9 @@
         "arrival": ArrivalOrder,
     },
     "sharing": {
-        "urgent-first": YieldToShortPools,
-        "late-last": YieldLateWork,
         "apart": KeepPoolsApart,
+        "late-last": YieldLateWork,
+        "urgent-first": YieldToShortPools,
     },
     "placement": {"best-fit": BestFit, "first-fit": FirstFit},
     "pacing": {"tail-latency": TailLatencyPacer, "none": NoPacing},
