--- a/tests/unit/test_overload_orders.py
+++ b/tests/unit/test_overload_orders.py
@@ -5,7 +5,9 @@
 
 from rosemarynotch._internal.replay.overload_load import make_case
 from rosemarynotch._internal.replay.overload_trial import OverloadTrial
+from rosemarynotch._internal.scheduling.planner import Planner
 from rosemarynotch._internal.scheduling.policy import ArrivalOrder
+from rosemarynotch._internal.scheduling.policy import BestFit
 from rosemarynotch._internal.scheduling.policy import Candidate
 from rosemarynotch._internal.scheduling.policy import DeadlineOrder
 from rosemarynotch._internal.scheduling.policy import DrawnOrder
@@ -108,6 +110,13 @@
         super().setUp()
         self.leader = Leader()
         self.leader.add_workers("w1")
+        self.leader.planner = Planner(
+            self.leader.scheduler,
+            ObjectiveOrder(),
+            BestFit(),
+            self.leader.advice,
+            sharing=YieldToShortPools(),
+        )
         other = attrs.evolve(QUEUE, name="r", prefix="/r/", pool="r")
         self.leader.scheduler.configuration = attrs.evolve(
             self.leader.scheduler.configuration, queues=(QUEUE, other)
