--- a/src/rosemarynotch/_internal/scheduling/unstarted_jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/unstarted_jobs.py
@@ -25,6 +25,7 @@
 # The record is renewed at this interval while it changes, and at once when a
 # job that it names could start.
 RENEWAL_INTERVAL_S = 0.15
+# Each renewal sorts the waiting jobs.
 MIN_INTERVAL_S = 0.03
 RETRY_S = 0.1
 # With fewer waiting jobs nothing is recorded.
