Test the memory of the machine beside clients that send large bodies

The tests of client limits read the peak memory of the process alone. What sockets have received and the process has not read is memory of the machine as well, so they passed while such clients took more than the machine has.

MemorySampler reads both every 0.1 s, by the ports and descriptors of a process. The tests that exist check the sum now, with their crowds and bounds as they were. tests/functional/test_client_memory.py plays what such clients sent: bodies over the limit, whole ones, and ones that stop short, with a length, piece by piece and in chunks of 1 byte to 900 KB, on each port, with a crowd of 800 connections against a node with 100 MB and 2,000 descriptors.

--- a/Makefile
+++ b/Makefile
@@ -24,11 +24,12 @@
 # These start large crowds of clients and bound the memory of a process, so
 # they run one at a time and apart from the others. They run also if others
 # have failed.
-CROWD_TESTS := tests/functional/test_client_limits.py
+CROWD_TESTS := tests/functional/test_client_limits.py \
+	tests/functional/test_client_memory.py
 
 test: lint
 	status=0; \
-	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --ignore $(CROWD_TESTS) \
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) $(CROWD_TESTS:%=--ignore %) \
 		|| status=$$?; \
 	$(BIN)/python -m pytest $(CROWD_TESTS) || status=$$?; \
 	exit $$status
--- a/tests/functional/test_client_limits.py
+++ b/tests/functional/test_client_limits.py
@@ -1,13 +1,11 @@
 """Tests of a node beside clients that stay outside the limits.
 
-They check only that the process lives, that its peak memory and its open
-descriptors stay within the limits of its settings, and that an ordinary
-request is answered afterwards. They run one at a time (``make test``).
+They check only that the process lives, that its peak memory, with what its
+sockets have received and it has not read, and its open descriptors stay within
+the limits of its settings, and that an ordinary request is answered
+afterwards. They run one at a time (``make test``).
 """
 
-import http.client
-import os
-from pathlib import Path
 import socket
 import threading
 import time
@@ -16,125 +14,36 @@
 
 from rosemarynotch._internal.models.codec import encode
 from rosemarynotch._internal.scheduling.hints import Hint
-from standins.fleet import Emulator
 from tests.lib.client_crowd import chunked
 from tests.lib.client_crowd import Crowd
 from tests.lib.client_crowd import HEAD
 from tests.lib.client_crowd import Sender
 from tests.lib.cluster import Cluster
-from tests.lib.nodes import configuration
-from tests.lib.nodes import Nodes
+from tests.lib.limited_nodes import ANSWER_S
+from tests.lib.limited_nodes import CROWD_S
+from tests.lib.limited_nodes import get_status
+from tests.lib.limited_nodes import LimitedNodeCase
+from tests.lib.limited_nodes import METRICS
+from tests.lib.limited_nodes import PROBE
 from tests.lib.nodes import wait_until
+from tests.lib.process_memory import MemorySampler
 
-START_S = 15.0
-# Time for which a crowd acts before the ordinary request is sent.
-CROWD_S = 6.0
-ANSWER_S = 20.0
 # A machine smaller than the smallest of the customers, so that a small crowd
 # shows the fault.
 MEMORY_MB = 120
 MAX_FDS = 400
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 LARGE_CHUNK = 65536
-CALL_TIMEOUT_S = 3.0
 DEFAULT_MEMORY_MB = 160
-# Ports of a node by their position in its settings.
-CALLERS, PROBE, METRICS = range(3)
 SMALL_CROWD = 80
 
 
-class LimitedNodes(Nodes):
-    """Nodes with the limits of a small machine in their settings."""
-
-    def __init__(self, emulator, count, max_fds):
-        self._limits = {"memory-mb": MEMORY_MB, "max-fds": max_fds}
-        super().__init__(emulator, count)
-
-    def write_settings(self, name, settings):
-        limits = self._limits
-        return super().write_settings(name, {**settings, "limits": limits})
-
-    def pid(self, number):
-        return self._processes[number].pid
-
-    def port(self, number, index):
-        return self._ports[number][index]
-
-    def is_alive(self, number):
-        return self._processes[number].poll() is None
-
-
-def peak_mb(pid):
-    """Return the peak memory of a process."""
-    status = Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
-    lines = status.splitlines()
-    line = next(each for each in lines if each.startswith("VmHWM"))
-    return int(line.split()[1]) // 1024
-
-
-def get_status(address, path):
-    """Return the status of a GET request, 0 without an answer."""
-    connection = http.client.HTTPConnection(address, timeout=CALL_TIMEOUT_S)
-    try:
-        connection.request("GET", path)
-        return connection.getresponse().status
-    except (OSError, http.client.HTTPException):
-        return 0
-    finally:
-        connection.close()
-
-
-class ClientLimitsCase(testtools.TestCase):
-    """Starts a node that allows incomplete requests for a minute."""
+class ClientLimitsCase(LimitedNodeCase):
+    """Starts a node on a machine with few descriptors."""
 
+    memory_mb = MEMORY_MB
     max_fds = MAX_FDS
 
-    def setUp(self):
-        super().setUp()
-        self.emulator = Emulator(
-            {"one": 2, "two": 1, "spare": 1}, standby="spare"
-        )
-        self.addCleanup(self.emulator.close)
-        limits = {"header-timeout-ms": 30_000, "idle-timeout-ms": 60_000}
-        self.emulator.put_configuration(configuration(limits=limits))
-        self.nodes = LimitedNodes(self.emulator, 1, self.max_fds)
-        self.addCleanup(self.nodes.close)
-        wait_until(lambda: self.nodes.is_ready(0), START_S, "it is ready")
-
-    def open_crowd(self, senders, port=CALLERS):
-        host = "127.0.0.1"
-        address = (host, self.nodes.port(0, port))
-        crowd = Crowd(address, senders)
-        self.addCleanup(crowd.close)
-
-    def open_descriptors(self):
-        return len(os.listdir(f"/proc/{self.nodes.pid(0)}/fd"))
-
-    def assert_node_serves(self):
-        """Check memory and descriptors, and send an ordinary request."""
-        descriptors = 0
-        end_s = time.monotonic() + CROWD_S
-        while time.monotonic() < end_s:
-            self.assertTrue(self.nodes.is_alive(0), "the process has ended")
-            descriptors = max(descriptors, self.open_descriptors())
-            time.sleep(0.1)
-        peaks = [peak_mb(self.nodes.pid(0))]
-        problems = []
-        try:
-            wait_until(lambda: self.nodes.is_ready(0), ANSWER_S, "an answer")
-        except AssertionError as error:
-            problems.append(str(error))
-        self.assertTrue(self.nodes.is_alive(0), "the process has ended")
-        peaks.append(peak_mb(self.nodes.pid(0)))
-        descriptors = max(descriptors, self.open_descriptors())
-        # Shown by pytest for a test that fails.
-        print(f"peak {peaks} MB, {descriptors} descriptors, {problems}")
-        if max(peaks) >= MEMORY_MB:
-            problems.append(f"peak memory is {max(peaks)} MB")
-        if descriptors >= self.max_fds:
-            problems.append(f"{descriptors} descriptors were open")
-        self.assertEqual([], problems)
-
 
 class CrowdTest(ClientLimitsCase):
     """Guards against nodes that clients outside the limits bring down."""
@@ -224,10 +133,6 @@
 class OtherPortsTest(ClientLimitsCase):
     """Guards against the same on the ports beside that of the callers."""
 
-    def get(self, port, path):
-        """Return the status of a GET request, 0 without an answer."""
-        return get_status(f"127.0.0.1:{self.nodes.port(0, port)}", path)
-
     def assert_port_serves(self, port, path):
         time.sleep(CROWD_S / 2)
         wait_until(lambda: self.get(port, path) == 200, ANSWER_S, "an answer")
@@ -247,7 +152,7 @@
 
     def test_hint_port(self):
         """Guards against a node that only reads datagrams."""
-        address = ("127.0.0.1", self.nodes.port(0, METRICS))
+        address = ("127.0.0.1", self.nodes.ports(0)[METRICS])
         hint = encode(Hint(("intake/jobs/0123456789abcdef",) * 16))
         datagrams = [hint, b"x" * 1400, b"\x91" * 1400]
         stop = threading.Event()
@@ -276,18 +181,22 @@
         with Cluster({"bank": 5}, entries=1) as cluster:
             name = cluster.names[0]
             process = cluster.process(name)
-            for address, size, count in (
-                (cluster.caller_address(name), 500_000, 240),
-                (cluster.operator_address(name), 1_000_000, 120),
+            addresses = [
+                cluster.caller_address(name),
+                cluster.operator_address(name),
+            ]
+            ports = [int(each.rpartition(":")[2]) for each in addresses]
+            memory = MemorySampler(process.pid, ports)
+            self.addCleanup(memory.stop)
+            for port, size, count in zip(
+                ports, (500_000, 1_000_000), (240, 120), strict=True
             ):
-                host, port = address.split(":")
                 senders = [Sender(chunked(size, LARGE_CHUNK)), Sender(HEAD)]
-                crowd = Crowd((host, int(port)), senders * (count // 2))
+                crowd = Crowd(("127.0.0.1", port), senders * (count // 2))
                 self.addCleanup(crowd.close)
             time.sleep(CROWD_S)
-            for address, path, status in (
-                (cluster.caller_address(name), "/healthz", 200),
-                (cluster.operator_address(name), "/", 401),
+            for address, path, status in zip(
+                addresses, ("/healthz", "/"), (200, 401), strict=True
             ):
                 wait_until(
                     lambda: get_status(address, path) == status,
@@ -295,4 +204,6 @@
                     f"an answer to {path}",
                 )
             self.assertIsNone(process.poll())
-            self.assertLess(peak_mb(process.pid), DEFAULT_MEMORY_MB)
+            peak = memory.stop()
+            print(peak)
+            self.assertLess(peak.total_mb, DEFAULT_MEMORY_MB)
--- a/tests/lib/client_crowd.py
+++ b/tests/lib/client_crowd.py
@@ -6,12 +6,13 @@
 
 import attrs
 
-__all__ = ["chunked", "Crowd", "Sender"]
+__all__ = ["chunked", "Crowd", "HEAD", "Sender", "sized"]
 
 DRIP_INTERVAL_S = 0.02
 # Sent on each connection in turn, so that all requests grow together.
 PART_BYTES = 65536
 CLOSE_TIMEOUT_S = 10.0
+# Without an API key, which the clients of a crowd do not have.
 HEAD = b"POST /one/0123456789abcdef HTTP/1.1\r\nHost: queues.example\r\n"
 
 
@@ -22,6 +23,11 @@
     return head + part * (size // chunk)
 
 
+def sized(size: int, sent: int, head: bytes = HEAD) -> bytes:
+    """Return a request with a length and the first bytes of its body."""
+    return head + b"Content-Length: %d\r\n\r\n" % size + b"x" * sent
+
+
 @attrs.frozen
 class Sender:
     """What one connection sends.
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -277,6 +277,10 @@
         """Return the address at which an entry serves operators."""
         return self._address(name, "operator")
 
+    def peer_address(self, name: str) -> str:
+        """Return the address at which a member serves its peers."""
+        return self._address(name, "peer")
+
     def wait(self, name: str) -> int:
         """Wait for the end of a process and return its exit status."""
         return self._processes[name].wait(WAIT_S)
