Bound what connections receive ahead of being read

Clients that sent large bodies took more memory than the machine has, although the budget bounded that of the process: 800 connections against a node with 100 MB took 111 to 305 MB together, 64 to 254 MB of them in the receive buffers of the kernel. A machine that counts them kills the process.

The cause: the server's thread leaves input in the kernel until it is the connection's turn, and nothing set the size of the buffers, which grow to 32 MB here. Connections that wait to be accepted receive as well.

15 % of the machine's memory are now divided by the connections that all ports of a process may hold or have waiting, at most 256 for each port instead of 1,024, and set as the receive buffer of the listening sockets. A client waits for its window, so no request is lost, and one buffer in each round trip is enough for the largest request (1 MB takes 0.002 s through 4 KB here). Buffers that grow for active connections were not chosen: an announced window cannot be taken back.

--- a/src/rosemarynotch/_internal/callers/server.py
+++ b/src/rosemarynotch/_internal/callers/server.py
@@ -53,6 +53,7 @@
         port: int,
         threads: int,
         budget: RequestBudget | None = None,
+        receive_buffer_bytes: int = 0,
     ) -> None:
         super().__init__(
             app,
@@ -62,4 +63,5 @@
             _RefusalTask,
             MAX_BODY_BYTES,
             budget=budget,
+            receive_buffer_bytes=receive_buffer_bytes,
         )
--- a/src/rosemarynotch/_internal/operators/server.py
+++ b/src/rosemarynotch/_internal/operators/server.py
@@ -10,7 +10,7 @@
 from rosemarynotch._internal.utils.bounded_server import BoundedServer
 from rosemarynotch._internal.utils.request_budget import RequestBudget
 
-__all__ = ["OperatorServer"]
+__all__ = ["CONNECTION_LIMIT", "OperatorServer"]
 
 THREADS = 4
 CONNECTION_LIMIT = 64
@@ -28,6 +28,8 @@
 
     :param budget: bounds the memory of requests; servers of one process
         share it
+    :param receive_buffer_bytes: most bytes that a connection receives ahead
+        of being read; 0 leaves it to the kernel
     :ivar address: host and port of the listening socket
     """
 
@@ -37,12 +39,14 @@
         host: str,
         port: int,
         budget: RequestBudget | None = None,
+        receive_buffer_bytes: int = 0,
     ) -> None:
         self._server = BoundedServer(
             app,
             CONNECTION_LIMIT,
             budget or RequestBudget(),
             limits=lambda: TIMEOUTS,
+            receive_buffer_bytes=receive_buffer_bytes,
             host=host,
             port=port,
             threads=THREADS,
--- a/src/rosemarynotch/_internal/utils/bounded_server.py
+++ b/src/rosemarynotch/_internal/utils/bounded_server.py
@@ -4,6 +4,7 @@
 from collections import deque
 import errno
 import heapq
+import socket
 import threading
 import time
 
@@ -16,7 +17,7 @@
 from rosemarynotch._internal.utils.bounded_channel import ServerLimits
 from rosemarynotch._internal.utils.request_budget import RequestBudget
 
-__all__ = ["BoundedServer"]
+__all__ = ["BoundedServer", "count_sockets"]
 
 # Time for input that begins requests, and for the rest of requests that were
 # not read at once, in each turn of the server's thread.
@@ -32,9 +33,26 @@
 # all connections.
 EVICTED_SHARE = 1 / 32
 EVICTION_INTERVAL_S = 0.05
+# Connections that wait to be accepted, at most as many as may be open.
+MAX_BACKLOG = 256
+# Linux doubles the size of a buffer to allow for its own data (socket(7)), of
+# which packets that are full need next to nothing.
+KERNEL_BUFFER_FACTOR = 2
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 
 
+def _backlog(connections: int) -> int:
+    return min(MAX_BACKLOG, connections)
+
+
+def count_sockets(connections: int) -> int:
+    """Return how many connections may hold received bytes at a time.
+
+    :param connections: most open connections of the server
+    """
+    return connections + EXTRA_CONNECTIONS + _backlog(connections)
+
+
 class BoundedServer(TcpWSGIServer):
     """Gives turns to its connections and evicts some at their limit.
 
@@ -44,6 +62,8 @@
     :param connections: most open connections
     :param channel_class: class of the connections
     :param limits: returns the current time-outs
+    :param receive_buffer_bytes: most bytes that a connection receives ahead
+        of being read; 0 leaves it to the kernel
     :param options: settings of waitress
     """
 
@@ -54,12 +74,14 @@
         budget: RequestBudget,
         channel_class: type[BoundedChannel] = BoundedChannel,
         limits: Callable[[], ServerLimits] = ServerLimits,
+        receive_buffer_bytes: int = 0,
         **options,
     ) -> None:
         self.budget = budget
         self.channel_class = channel_class
         self._connections = connections
         self._limits = limits
+        self._receive_buffer_bytes = receive_buffer_bytes
         self._thread_id = 0
         self._turn_ends_s = 0.0
         self._next_eviction_s = 0.0
@@ -70,7 +92,9 @@
         self._closing: list[BoundedChannel] = []
         self._calls: deque[Callable[[], None]] = deque()
         # The limit of waitress stops accepting without closing anything.
-        adj = Adjustments(connection_limit=2**31, **options)
+        adj = Adjustments(
+            connection_limit=2**31, backlog=_backlog(connections), **options
+        )
         dispatcher = ThreadedTaskDispatcher()
         dispatcher.set_thread_count(adj.threads)
         super().__init__(
@@ -81,6 +105,21 @@
             sockinfo=adj.listen[0],
         )
 
+    def bind_server_socket(self):
+        """Bind the port.
+
+        Connections inherit the receive buffer. It is set before they exist,
+        because a window that was announced is not taken back, and those that
+        wait to be accepted receive as well.
+        """
+        if self._receive_buffer_bytes:
+            self.socket.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_RCVBUF,
+                self._receive_buffer_bytes // KERNEL_BUFFER_FACTOR,
+            )
+        super().bind_server_socket()
+
     def run(self):
         """Serve until all sockets are closed."""
         self._thread_id = threading.get_ident()
--- a/src/rosemarynotch/_internal/utils/graceful_server.py
+++ b/src/rosemarynotch/_internal/utils/graceful_server.py
@@ -14,7 +14,7 @@
 from rosemarynotch._internal.utils.bounded_server import BoundedServer
 from rosemarynotch._internal.utils.request_budget import RequestBudget
 
-__all__ = ["GracefulServer", "ServerLimits"]
+__all__ = ["default_connections", "GracefulServer", "ServerLimits"]
 
 # At lower levels, waitress logs a line for each request that has to wait for a
 # thread.
@@ -33,6 +33,11 @@
 POLL_INTERVAL_S = 0.02
 
 
+def default_connections(threads: int) -> int:
+    """Return how many connections a server with some threads may hold."""
+    return threads * CONNECTIONS_PER_THREAD
+
+
 class _AnswerTask(WSGITask):
     """Closes the connection after an answer while the server is stopping."""
 
@@ -75,6 +80,8 @@
     :param limits: returns the current limits
     :param budget: bounds the memory of requests; servers of one process
         share it
+    :param receive_buffer_bytes: most bytes that a connection receives ahead
+        of being read; 0 leaves it to the kernel
     :ivar address: host and port on which the server listens
     """
 
@@ -89,16 +96,18 @@
         connections: int = 0,
         limits: Callable[[], ServerLimits] = ServerLimits,
         budget: RequestBudget | None = None,
+        receive_buffer_bytes: int = 0,
     ) -> None:
         self._app = app
         self._server = BoundedServer(
             app,
-            connections or threads * CONNECTIONS_PER_THREAD,
+            connections or default_connections(threads),
             budget or RequestBudget(),
             type(
                 "_Channel", (_AnswerChannel,), {"error_task_class": error_task}
             ),
             limits,
+            receive_buffer_bytes,
             host=host,
             port=port,
             threads=threads,
--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -21,6 +21,7 @@
 from rosemarynotch._internal.operators.keys import OperatorKeys
 from rosemarynotch._internal.operators.observer import Observer
 from rosemarynotch._internal.operators import OperatorServer
+from rosemarynotch._internal.operators.server import CONNECTION_LIMIT
 from rosemarynotch._internal.policy.local_shares import LocalShares
 from rosemarynotch._internal.policy.ordering import FifoOrder
 from rosemarynotch._internal.policy.ordering import OrderPolicy
@@ -38,9 +39,11 @@
 from rosemarynotch._internal.targets.client import TargetClient
 from rosemarynotch._internal.targets.health import HealthTable
 from rosemarynotch._internal.utils.addresses import parse_address
+from rosemarynotch._internal.utils.graceful_server import default_connections
 from rosemarynotch._internal.utils.request_budget import DEFAULT_MEMORY_MB
 from rosemarynotch._internal.wiring.heartbeats import HeartbeatSource
 from rosemarynotch._internal.wiring.limits import make_budget
+from rosemarynotch._internal.wiring.limits import receive_buffer_bytes
 from rosemarynotch._internal.wiring.process import MemberProcess
 from rosemarynotch._internal.wiring.process import MemberSettings
 
@@ -115,6 +118,11 @@
         self._budget = make_budget(
             DEFAULT_MEMORY_MB, self.process.metrics, self._log_limits
         )
+        self._receive_buffer_bytes = receive_buffer_bytes(
+            DEFAULT_MEMORY_MB,
+            default_connections(settings.caller_threads),
+            CONNECTION_LIMIT,
+        )
 
     def run(self, stopping: threading.Event) -> int:
         """Serve until the event is set.
@@ -149,6 +157,7 @@
             port,
             self._settings.caller_threads,
             self._budget,
+            self._receive_buffer_bytes,
         )
         self._jobs = jobs
         self._build_operators()
@@ -268,7 +277,9 @@
             is_trial=self._settings.is_trial,
         )
         host, port = self._operator_address
-        self._operator_server = OperatorServer(app, host, port, self._budget)
+        self._operator_server = OperatorServer(
+            app, host, port, self._budget, self._receive_buffer_bytes
+        )
 
     @staticmethod
     def _log_limits(event: str, **fields) -> None:
--- a/src/rosemarynotch/_internal/wiring/limits.py
+++ b/src/rosemarynotch/_internal/wiring/limits.py
@@ -3,14 +3,21 @@
 from collections.abc import Callable
 
 from rosemarynotch._internal.platform.settings import NodeSettings
+from rosemarynotch._internal.utils.bounded_server import count_sockets
 from rosemarynotch._internal.utils.limit_events import LimitEvents
 from rosemarynotch._internal.utils.metrics import Metrics
 from rosemarynotch._internal.utils.request_budget import RequestBudget
 
-__all__ = ["caller_connections", "make_budget", "PROBE_CONNECTIONS"]
+__all__ = [
+    "caller_connections",
+    "make_budget",
+    "PROBE_CONNECTIONS",
+    "receive_buffer_bytes",
+]
 
 # Its budget has room for the largest request of a caller.
 MIN_MEMORY_MB = 32
+MEGABYTE = 1024 * 1024
 # Descriptors for files, pipes and listening sockets.
 RESERVED_DESCRIPTORS = 200
 # Part of the rest that callers may use. The other part is for connections to
@@ -20,6 +27,9 @@
 # machine's memory that connections of callers may take.
 CONNECTION_KB = 6
 CONNECTIONS_MEMORY_SHARE = 0.1
+# Part of the machine's memory that all connections may have received ahead of
+# being read, those included that wait to be accepted.
+UNREAD_MEMORY_SHARE = 0.15
 # Each turn of the server's thread looks at all connections.
 MAX_CALLER_CONNECTIONS = 2000
 # Connections of each of the ports for probes and metrics.
@@ -40,6 +50,17 @@
     )
 
 
+def receive_buffer_bytes(memory_mb: float, *connections: int) -> int:
+    """Return how much a connection may receive ahead of being read.
+
+    :param memory_mb: memory of the machine
+    :param connections: most open connections of each server of the process
+    """
+    memory_mb = max(memory_mb, MIN_MEMORY_MB)
+    sockets = sum(count_sockets(each) for each in connections)
+    return int(memory_mb * MEGABYTE * UNREAD_MEMORY_SHARE / sockets)
+
+
 def make_budget(
     memory_mb: float, metrics: Metrics, log: Callable[..., None]
 ) -> RequestBudget:
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -45,6 +45,7 @@
 from rosemarynotch._internal.wiring.limits import caller_connections
 from rosemarynotch._internal.wiring.limits import make_budget
 from rosemarynotch._internal.wiring.limits import PROBE_CONNECTIONS
+from rosemarynotch._internal.wiring.limits import receive_buffer_bytes
 from rosemarynotch._internal.wiring.policies import choose_policies
 from rosemarynotch._internal.wiring.policies import POLICIES_VARIABLE
 
@@ -97,6 +98,13 @@
         self._budget = make_budget(
             settings.memory_mb, self._metrics, self._log
         )
+        connections = caller_connections(settings)
+        self._receive_buffer_bytes = receive_buffer_bytes(
+            settings.memory_mb,
+            connections,
+            PROBE_CONNECTIONS,
+            PROBE_CONNECTIONS,
+        )
         self._hints = HintReceiver(
             settings.ip,
             settings.metrics_port,
@@ -158,7 +166,7 @@
             CallerInterface(self._job_api),
             settings.callers_address,
             CALLER_THREADS,
-            connections=caller_connections(settings),
+            connections=connections,
             limits=self._limits,
         )
         self._probe_server = self._server(
@@ -338,8 +346,15 @@
         self, app, address: str, threads: int, **options
     ) -> GracefulServer:
         host, port = parse_address("listen address", address)
-        options["budget"] = self._budget
-        return GracefulServer(app, host, port, threads, **options)
+        return GracefulServer(
+            app,
+            host,
+            port,
+            threads,
+            budget=self._budget,
+            receive_buffer_bytes=self._receive_buffer_bytes,
+            **options,
+        )
 
 
 def _election_delay_s(settings: NodeSettings) -> float:
--- a/tests/unit/test_node_limits.py
+++ b/tests/unit/test_node_limits.py
@@ -1,11 +1,16 @@
 """Tests of the limits of a node that follow from its settings."""
 
+import socket
+
 import pytest
 import yaml
 
 from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.platform import load_settings
+from rosemarynotch._internal.utils.bounded_server import count_sockets
+from rosemarynotch._internal.utils.graceful_server import GracefulServer
 from rosemarynotch._internal.wiring.limits import caller_connections
+from rosemarynotch._internal.wiring.limits import receive_buffer_bytes
 
 
 @pytest.fixture
@@ -51,3 +56,42 @@
     """Guards against an error that does not name the setting."""
     with pytest.raises(SettingsError, match="limits.max-fds: 'x'"):
         load(**{"max-fds": "x"})
+
+
+@pytest.mark.parametrize("memory_mb", [32, 100, 160, 552])
+def test_sockets_of_all_ports_share_a_part_of_the_memory(load, memory_mb):
+    """Guards against ports whose sockets receive more than their part."""
+    settings = load(**{"memory-mb": memory_mb})
+    connections = (caller_connections(settings), 32, 32)
+    size = receive_buffer_bytes(memory_mb, *connections)
+    received = size * sum(map(count_sockets, connections))
+    assert received <= 0.15 * memory_mb * 1024 * 1024
+    # The kernel would not make a buffer smaller than this.
+    assert size >= 2304
+
+
+def test_connections_inherit_the_receive_buffer():
+    """Guards against buffers that grow with what a client sends."""
+
+    def app(environ, start_response):
+        raise AssertionError("no request is sent")
+
+    server = GracefulServer(
+        app, "127.0.0.1", 0, 1, receive_buffer_bytes=10_000
+    )
+    host, _, port = server.address.partition(":")
+    sent = 0
+    # The server is not started, so nothing is read.
+    with socket.create_connection((host, int(port))) as sock:
+        sock.settimeout(0.2)
+        try:
+            while sent < 100_000_000:
+                sent += sock.send(bytes(65536))
+        except TimeoutError:
+            pass
+        accepted, _ = server._server.accept()
+        with accepted:
+            accepted.settimeout(1.0)
+            unread = len(accepted.recv(100_000_000, socket.MSG_PEEK))
+    server._server.close()
+    assert 0 < unread <= 10_000
