Count requests until they are answered

The budget over the memory of requests counted none that a thread had picked up. 24 threads held 24 bodies of 1 MB, each twice, since the application reads the body into a copy, while as much again waited behind them on their connections.

A complete request is counted, with its body twice, until it is answered or dropped. Complete requests above 64 KB take at most three quarters of the budget, so that they don't refuse the small requests of ordinary callers. The list of earlier steps of a step is limited to the number of steps, since it was the one list in a job without a limit.

Before: both new tests fail (a running request isn't counted; large requests fill the budget alone).

--- a/src/rosemarynotch/_internal/platform/schema.py
+++ b/src/rosemarynotch/_internal/platform/schema.py
@@ -100,7 +100,7 @@
 
     count: Annotated[int, Meta(ge=1, le=MAX_TASKS)]
     estimated_ms: DurationMs = 0
-    after: list[TaskCount] = []
+    after: Annotated[list[TaskCount], Meta(max_length=MAX_STEPS)] = []
     checkpointing: Flag = False
     gang: Flag = False
     same_rack: Flag = False
--- a/src/rosemarynotch/_internal/utils/bounded_channel.py
+++ b/src/rosemarynotch/_internal/utils/bounded_channel.py
@@ -176,7 +176,7 @@
         """Count a request before a thread can get it, or refuse it."""
         budget = self.server.budget
         self._is_counted = False
-        size = request.size_bytes()
+        size = request.running_bytes()
         if request.error is None and not budget.admit(self, size):
             request.refuse(Overloaded("no memory for the request"))
             budget.events.record("request-memory")
@@ -195,11 +195,6 @@
         if size:
             self.server.budget.release(size)
 
-    def service(self):
-        """Execute the next request, which is no longer counted."""
-        self.release_request(self.requests[0])
-        super().service()
-
     def evict_request(self) -> None:
         """Refuse the incomplete request in the server's thread."""
         self.server.run_in_loop(
--- a/src/rosemarynotch/_internal/utils/bounded_parser.py
+++ b/src/rosemarynotch/_internal/utils/bounded_parser.py
@@ -102,6 +102,14 @@
             size += len(body.trailer) + len(body.control_line)
         return size
 
+    def running_bytes(self) -> int:
+        """Return about how much memory the request takes while it runs.
+
+        The application reads the body into a copy.
+        """
+        body = self.body_rcv
+        return self.size_bytes() + (0 if body is None else len(body))
+
     def refuse(self, error: Error) -> None:
         """Complete the request with an error and drop its body."""
         self.error = error
--- a/src/rosemarynotch/_internal/utils/request_budget.py
+++ b/src/rosemarynotch/_internal/utils/request_budget.py
@@ -17,6 +17,10 @@
 # Part of the bound that is left after an eviction. Requests are evicted in
 # groups, because each eviction compares all incomplete requests.
 TARGET_SHARE = 0.9
+# Complete requests above this size may take this part of the bound together.
+# The rest is for small ones, which ordinary callers send.
+LARGE_REQUEST_BYTES = 64 * 1024
+LARGE_REQUESTS_SHARE = 0.75
 # Added to the age of a request, so that size decides among new requests.
 AGE_OFFSET_S = 0.05
 
@@ -33,12 +37,13 @@
 
 
 class RequestBudget:
-    """Counts the bytes of requests that no thread has picked up yet.
+    """Counts the bytes of requests until they are answered.
 
     Above the bound, incomplete requests are evicted. The product of size and
     age decides, so that requests that have held much memory for long are
     evicted before those that have just begun. A complete request is refused
-    if the bound is exceeded without incomplete requests.
+    if the bound is exceeded without incomplete requests, or if it is large
+    and others of its kind take their part.
 
     :param memory_mb: memory of the machine
     :ivar events: records the limits that clients reach
@@ -54,6 +59,7 @@
         self._lock = threading.Lock()
         self._incomplete: dict[RequestHolder, tuple[int, float]] = {}
         self._held_bytes = 0
+        self._large_bytes = 0
 
     @property
     def held_bytes(self) -> int:
@@ -77,21 +83,32 @@
 
         :returns: False, without counting it, if it has to be refused
         """
+        large_bytes = size if size > LARGE_REQUEST_BYTES else 0
         with self._lock:
             self._set(holder, 0, 0.0)
+            max_large_bytes = self._limit_bytes * LARGE_REQUESTS_SHARE
+            if (
+                large_bytes
+                and self._large_bytes + large_bytes > max_large_bytes
+            ):
+                return False
             self._held_bytes += size
             victims = self._choose_victims()
             is_admitted = self._held_bytes <= self._limit_bytes
-            if not is_admitted:
+            if is_admitted:
+                self._large_bytes += large_bytes
+            else:
                 self._held_bytes -= size
         for victim in victims:
             victim.evict_request()
         return is_admitted
 
     def release(self, size: int) -> None:
-        """Remove a complete request that was picked up or dropped."""
+        """Remove a complete request that was answered or dropped."""
         with self._lock:
             self._held_bytes -= size
+            if size > LARGE_REQUEST_BYTES:
+                self._large_bytes -= size
 
     def _set(self, holder: RequestHolder, size: int, since_s: float) -> None:
         before = self._incomplete.get(holder)
--- a/tests/functional/test_bounded_server.py
+++ b/tests/functional/test_bounded_server.py
@@ -24,6 +24,7 @@
 
     def __init__(self):
         self.sizes = []
+        self.waiting = 0
         self.release = threading.Event()
 
     def mark_not_ready(self):
@@ -32,6 +33,7 @@
     def __call__(self, environ, start_response):
         """Answer one request."""
         if environ["PATH_INFO"] == "/wait":
+            self.waiting += 1
             self.release.wait(WAIT_S)
         size = len(environ["wsgi.input"].read())
         self.sizes.append(size)
@@ -247,6 +249,24 @@
         self.assertEqual({b"200", b"503"}, set(statuses))
         self.assertEqual(statuses.count(b"200"), len(self.app.sizes))
 
+    def test_running_requests(self):
+        """Guards against memory of requests that a thread has picked up."""
+        body = b"Content-Length: 900000\r\n\r\n" + b"x" * 900_000
+        running = self.connect_and_send(HEAD.replace(b"/x", b"/wait") + body)
+        end_s = time.monotonic() + WAIT_S
+        while not self.app.waiting:
+            self.assertTrue(time.monotonic() < end_s, "it does not run")
+            time.sleep(0.01)
+        self.assertGreater(self.budget.held_bytes, 900_000)
+        self.assertIn(b" 503 ", self.exchange(HEAD + body)[:16])
+        self.assertIn(b"200 OK", self.exchange(ORDINARY))
+        self.app.release.set()
+        self.assertIn(b"200 OK", self.read_response(running))
+        while self.budget.held_bytes:
+            self.assertTrue(time.monotonic() < end_s, "it stays counted")
+            time.sleep(0.01)
+        self.assertIn(b"200 OK", self.exchange(HEAD + body))
+
 
 class UrgentDataTest(BoundedServerCase):
     """Guards against input that the server never reads."""
--- a/tests/unit/test_request_budget.py
+++ b/tests/unit/test_request_budget.py
@@ -73,6 +73,16 @@
         self.budget.release(100 * KB)
         self.assertTrue(self.budget.admit(Holder(), 100 * KB))
 
+    def test_large_requests_leave_room_for_small_ones(self):
+        """Guards against small requests that are refused for large ones."""
+        self.assertTrue(self.budget.admit(Holder(), 70 * KB))
+        self.assertFalse(self.budget.admit(Holder(), 70 * KB))
+        for _ in range(8):
+            self.assertTrue(self.budget.admit(Holder(), 10 * KB))
+        self.assertFalse(self.budget.admit(Holder(), 10 * KB))
+        self.budget.release(70 * KB)
+        self.assertTrue(self.budget.admit(Holder(), 70 * KB))
+
     def test_own_incomplete_request_is_not_counted_twice(self):
         """Guards against refusing a request beside its own first part."""
         holder = self.hold(100, 1)
