Return large blocks of memory when they are freed

A crowd that sent jobs with long lists took more memory than the machine has, although neither the budget nor the receive buffers were exceeded.

The cause: glibc keeps freed blocks up to the size of the largest one freed so far, in an arena for each thread. 24 threads that decode one such body after the other each keep the memory of one, although only one decodes at a time.

The programs fix the threshold at its initial value, 128 KiB, with mallopt(). Blocks of that size then go back to the system when they are freed. Where the C library has no mallopt(), nothing changes.

--- a/src/rosemarynotch/_internal/cli/programs.py
+++ b/src/rosemarynotch/_internal/cli/programs.py
@@ -8,6 +8,7 @@
 from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.models.records import MemberKind
 from rosemarynotch._internal.utils.addresses import parse_address
+from rosemarynotch._internal.utils.heap import return_large_blocks
 from rosemarynotch._internal.utils.logs import set_up_logs
 
 if TYPE_CHECKING:
@@ -35,7 +36,7 @@
 def set_up_member(
     kind: MemberKind, log_level: str, **settings: str
 ) -> "MemberSettings":
-    """Check the settings that all members have, and set up logging.
+    """Check the settings that all members have; set up logging and memory.
 
     Log lines go to standard error and contain the incarnation.
 
@@ -55,6 +56,7 @@
         raise SettingsError(
             f"log-level: {log_level!r} is not a log level"
         ) from None
+    return_large_blocks()
     return MemberSettings(kind=kind, incarnation=incarnation, **settings)
 
 
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -35,6 +35,7 @@
 from rosemarynotch._internal.utils.addresses import parse_address
 from rosemarynotch._internal.utils.graceful_server import GracefulServer
 from rosemarynotch._internal.utils.graceful_server import ServerLimits
+from rosemarynotch._internal.utils.heap import return_large_blocks
 from rosemarynotch._internal.utils.json_logs import JsonLog
 from rosemarynotch._internal.utils.machine_speed import MachineSpeed
 from rosemarynotch._internal.utils.machine_speed import SAMPLE_INTERVAL_S
@@ -369,4 +370,5 @@
 def run_node() -> int:
     """Run a node with the settings of its file; return the exit status."""
     policies = choose_policies(os.environ.get(POLICIES_VARIABLE, ""))
+    return_large_blocks()
     return Node(load_settings(), policies).run()
