Bound connections where the kernel does not apply a buffer's size

A node asks for receive buffers that all fit into 15 % of its memory.

A node sets the size on a socket when it starts and reads what was applied. If it is more than wanted, the number of connections of callers follows from it, so that those of all ports, with those that wait to be accepted, fit into 25 % of the memory: 160 at 160 MB and 624 at 300 MB with 64 KB each. At the limit the connections that have waited for longest are closed, as before. The line "serving" names both values.

Tests replay both kernels without one.

--- a/src/rosemarynotch/_internal/utils/bounded_server.py
+++ b/src/rosemarynotch/_internal/utils/bounded_server.py
@@ -17,7 +17,12 @@
 from rosemarynotch._internal.utils.bounded_channel import ServerLimits
 from rosemarynotch._internal.utils.request_budget import RequestBudget
 
-__all__ = ["BoundedServer", "count_sockets"]
+__all__ = [
+    "applied_buffer_bytes",
+    "BoundedServer",
+    "connections_of_sockets",
+    "count_sockets",
+]
 
 # Time for input that begins requests, and for the rest of requests that were
 # not read at once, in each turn of the server's thread.
@@ -53,6 +58,29 @@
     return connections + EXTRA_CONNECTIONS + _backlog(connections)
 
 
+def connections_of_sockets(sockets: int) -> int:
+    """Return the most open connections of a server, see count_sockets."""
+    rest = sockets - EXTRA_CONNECTIONS
+    return max(0, rest // 2, rest - MAX_BACKLOG)
+
+
+def applied_buffer_bytes(size: int) -> int:
+    """Return the receive buffer that the kernel sets where a size is wanted.
+
+    :param size: most bytes that a connection should receive ahead of being
+        read
+    """
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        _set_receive_buffer(sock, size)
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+
+
+def _set_receive_buffer(sock: socket.socket, size: int) -> None:
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, size // KERNEL_BUFFER_FACTOR
+    )
+
+
 class BoundedServer(TcpWSGIServer):
     """Gives turns to its connections and evicts some at their limit.
 
@@ -113,11 +141,7 @@
         wait to be accepted receive as well.
         """
         if self._receive_buffer_bytes:
-            self.socket.setsockopt(
-                socket.SOL_SOCKET,
-                socket.SO_RCVBUF,
-                self._receive_buffer_bytes // KERNEL_BUFFER_FACTOR,
-            )
+            _set_receive_buffer(self.socket, self._receive_buffer_bytes)
         super().bind_server_socket()
 
     def run(self):
--- a/src/rosemarynotch/_internal/wiring/limits.py
+++ b/src/rosemarynotch/_internal/wiring/limits.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 
 from rosemarynotch._internal.platform.settings import NodeSettings
+from rosemarynotch._internal.utils.bounded_server import applied_buffer_bytes
+from rosemarynotch._internal.utils.bounded_server import connections_of_sockets
 from rosemarynotch._internal.utils.bounded_server import count_sockets
 from rosemarynotch._internal.utils.limit_events import LimitEvents
 from rosemarynotch._internal.utils.metrics import Metrics
@@ -30,17 +32,28 @@
 # Part of the machine's memory that all connections may have received ahead of
 # being read, those included that wait to be accepted.
 UNREAD_MEMORY_SHARE = 0.15
+# The same where the kernel does not apply the size of a buffer, so that the
+# number of connections has to follow from it.
+FIXED_BUFFERS_MEMORY_SHARE = 0.25
 # Each turn of the server's thread looks at all connections.
 MAX_CALLER_CONNECTIONS = 2000
 # Connections of each of the ports for probes and metrics.
 PROBE_CONNECTIONS = 32
+PROBE_PORTS = 2
 
 
-def caller_connections(settings: NodeSettings) -> int:
-    """Return how many connections of callers a node may hold."""
+def caller_connections(
+    settings: NodeSettings,
+    applied_bytes: Callable[[int], int] = applied_buffer_bytes,
+) -> int:
+    """Return how many connections of callers a node may hold.
+
+    :param applied_bytes: returns the receive buffer that the kernel sets
+        where a size is wanted
+    """
     descriptors = max(0, settings.max_descriptors - RESERVED_DESCRIPTORS)
     memory_kb = settings.memory_mb * 1024 * CONNECTIONS_MEMORY_SHARE
-    return max(
+    connections = max(
         PROBE_CONNECTIONS,
         min(
             int(descriptors * CALLERS_SHARE),
@@ -48,6 +61,17 @@
             MAX_CALLER_CONNECTIONS,
         ),
     )
+    others = (PROBE_CONNECTIONS,) * PROBE_PORTS
+    wanted = receive_buffer_bytes(settings.memory_mb, connections, *others)
+    applied = applied_bytes(wanted)
+    if applied <= wanted:
+        return connections
+    memory_bytes = max(settings.memory_mb, MIN_MEMORY_MB) * MEGABYTE
+    sockets = int(memory_bytes * FIXED_BUFFERS_MEMORY_SHARE / applied)
+    sockets -= sum(map(count_sockets, others))
+    return max(
+        PROBE_CONNECTIONS, min(connections, connections_of_sockets(sockets))
+    )
 
 
 def receive_buffer_bytes(memory_mb: float, *connections: int) -> int:
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -46,6 +46,7 @@
 from rosemarynotch._internal.wiring.limits import caller_connections
 from rosemarynotch._internal.wiring.limits import make_budget
 from rosemarynotch._internal.wiring.limits import PROBE_CONNECTIONS
+from rosemarynotch._internal.wiring.limits import PROBE_PORTS
 from rosemarynotch._internal.wiring.limits import receive_buffer_bytes
 from rosemarynotch._internal.wiring.policies import choose_policies
 from rosemarynotch._internal.wiring.policies import POLICIES_VARIABLE
@@ -99,12 +100,11 @@
         self._budget = make_budget(
             settings.memory_mb, self._metrics, self._log
         )
-        connections = caller_connections(settings)
+        self._connections = caller_connections(settings)
         self._receive_buffer_bytes = receive_buffer_bytes(
             settings.memory_mb,
-            connections,
-            PROBE_CONNECTIONS,
-            PROBE_CONNECTIONS,
+            self._connections,
+            *(PROBE_CONNECTIONS,) * PROBE_PORTS,
         )
         self._hints = HintReceiver(
             settings.ip,
@@ -167,7 +167,7 @@
             CallerInterface(self._job_api),
             settings.callers_address,
             CALLER_THREADS,
-            connections=connections,
+            connections=self._connections,
             limits=self._limits,
         )
         self._probe_server = self._server(
@@ -203,7 +203,11 @@
         self._start_thread(self._sample_speed, "speed")
         threading.Thread(target=self._run_controllers, daemon=True).start()
         threading.Thread(target=self._reload_settings, daemon=True).start()
-        self._log("serving")
+        self._log(
+            "serving",
+            connections=self._connections,
+            receive_buffer_bytes=self._receive_buffer_bytes,
+        )
         self._stop.wait()
         self._shut_down()
         return 0
--- a/tests/unit/test_node_limits.py
+++ b/tests/unit/test_node_limits.py
@@ -7,6 +7,7 @@
 
 from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.platform import load_settings
+from rosemarynotch._internal.utils.bounded_server import applied_buffer_bytes
 from rosemarynotch._internal.utils.bounded_server import count_sockets
 from rosemarynotch._internal.utils.graceful_server import GracefulServer
 from rosemarynotch._internal.wiring.limits import caller_connections
@@ -70,6 +71,26 @@
     assert size >= 2304
 
 
+@pytest.mark.parametrize(
+    ("memory_mb", "connections"),
+    [(100, 40), (160, 160), (200, 240), (300, 624), (552, 1632)],
+)
+def test_connections_follow_from_buffers_of_a_fixed_size(
+    load, memory_mb, connections
+):
+    """Guards against a kernel that does not apply the size of a buffer."""
+    settings = load(**{"memory-mb": memory_mb})
+    found = caller_connections(settings, lambda size: 65_536)
+    assert found == connections
+    received = 65_536 * sum(map(count_sockets, (found, 32, 32)))
+    assert received <= 0.25 * memory_mb * 1024 * 1024
+
+
+def test_this_kernel_applies_the_size_of_a_buffer():
+    """Guards against connections that are bounded without need."""
+    assert applied_buffer_bytes(10_000) <= 10_000
+
+
 def test_connections_inherit_the_receive_buffer():
     """Guards against buffers that grow with what a client sends."""
 
