Do not count the server's delay into the time-out of a request

A request of 1 MiB in chunks of one byte was cut off without an answer on a slow machine, although it is inside the limits.

The cause: the time-out counted from the first byte, including the time in which received input waited for its turn. It now counts the time in which the client is awaited, in all, so that a client that sends a byte now and then is still cut off. The work for one request stays bounded by its size.

ShortTimeoutTest: with a time-out of 0.2 s the largest body in chunks of one byte is not answered before this change, and is answered after; a request that stops and one that sends a byte each 10 ms are closed before and after.

--- a/src/rosemarynotch/_internal/utils/bounded_channel.py
+++ b/src/rosemarynotch/_internal/utils/bounded_channel.py
@@ -14,8 +14,8 @@
 __all__ = ["BoundedChannel", "ServerLimits"]
 
 IDLE_TIMEOUT_S = 60.0
-# Time within which a complete request has to arrive. A caller that stops in
-# the middle of a request would otherwise occupy its connection indefinitely.
+# Time for which the rest of a request is awaited. A caller that stops in the
+# middle of a request would otherwise occupy its connection indefinitely.
 REQUEST_TIMEOUT_S = 10.0
 
 # Time and bytes for which input is read and dropped after a refusal. Closing
@@ -37,8 +37,9 @@
     """Time-outs after which connections are closed.
 
     :ivar idle_timeout_s: longest time without a request
-    :ivar request_timeout_s: longest time between the first and the last byte
-        of a request
+    :ivar request_timeout_s: longest time in all for which input is awaited
+        between the first and the last byte of a request; time in which
+        received input waits for the server does not count
     """
 
     idle_timeout_s: float = IDLE_TIMEOUT_S
@@ -55,6 +56,8 @@
     """
 
     request_started_s = 0.0
+    _awaited_s = 0.0
+    _awaiting_since_s: float | None = None
     _is_refusing = False
     _is_counted = False
     _lingering_since_s = 0.0
@@ -123,6 +126,9 @@
 
     def handle_read(self):
         """Read input now or when it is the connection's turn."""
+        if self._awaiting_since_s is not None:
+            self._awaited_s += time.time() - self._awaiting_since_s
+            self._awaiting_since_s = None
         if not self.is_costly and self.server.has_time():
             super().handle_read()
         else:
@@ -147,6 +153,7 @@
             return False
         if self.request is None:
             self.request_started_s = time.time()
+            self._awaited_s = 0.0
         result = super().received(data)
         request = self.request
         if request is not None:
@@ -157,6 +164,8 @@
                     self._unparsed = b""
             if self._unparsed:
                 self.server.defer(self)
+            else:
+                self._awaiting_since_s = time.time()
         if self.request is not None or self._unparsed or self._is_counted:
             self._count()
         return result
@@ -276,7 +285,10 @@
             return False
         is_incomplete = self.request is not None or self._unparsed
         if is_incomplete and not self.total_outbufs_len:
-            return now_s - self.request_started_s > limits.request_timeout_s
+            awaited_s = self._awaited_s
+            if self._awaiting_since_s is not None:
+                awaited_s += now_s - self._awaiting_since_s
+            return awaited_s > limits.request_timeout_s
         return now_s - self.last_activity > limits.idle_timeout_s
 
     def waiting_since_s(self, now_s: float) -> float | None:
--- a/tests/functional/test_bounded_server.py
+++ b/tests/functional/test_bounded_server.py
@@ -166,6 +166,41 @@
             self.assertEqual(b"%d" % size, answer.rpartition(b"\r\n")[2])
 
 
+class ShortTimeoutTest(BoundedServerCase):
+    """Guards against a time-out that ends requests for the server's delay."""
+
+    LIMITS = ServerLimits(request_timeout_s=0.2)
+
+    def test_largest_body_in_the_smallest_chunks(self):
+        """Guards against a request that no slow machine would serve.
+
+        The client sends without a pause, and the server takes longer than the
+        time-out to parse it.
+        """
+        data = CHUNKED + self.chunks(MEGABYTE, 1)
+        answer = self.exchange(data)
+        self.assertIn(b"\r\n\r\n%d" % MEGABYTE, answer)
+
+    def test_request_that_stops(self):
+        """Guards against connections that stay open for a missing end."""
+        for data in (HEAD, CHUNKED + self.chunks(1000, 1)[:-5]):
+            stream = self.connect_and_send(data)
+            self.assertEqual(b"", self.read_response(stream))
+
+    def test_request_whose_rest_arrives_slowly(self):
+        """Guards against a time that starts again with each byte."""
+        sock = self.connect()
+        sock.sendall(HEAD + b"Content-Length: 100000\r\n\r\n")
+        end_s = time.monotonic() + WAIT_S
+        try:
+            while time.monotonic() < end_s:
+                sock.sendall(b"x")
+                time.sleep(0.01)
+        except OSError:
+            return
+        self.fail("the connection stays open")
+
+
 class RefusalTest(BoundedServerCase):
     """Guards against refusals that are lost, untrue or unbounded."""
 
