Send crowds of clients to the leader in the soak

The soak had no clients outside the limits, so nothing showed what they do beside a change of the leader. It overlaps with the other faults as they do among each other.

--- a/soak/fleet_faults.py
+++ b/soak/fleet_faults.py
@@ -2,6 +2,7 @@
 
 import math
 
+from soak.client_faults import ClientCrowd
 from soak.faults import Fault
 from soak.faults import FAULTS
 from tests.lib.nodes import configuration
@@ -85,4 +86,5 @@
     QueueRouted,
     VmRetired,
     DataCentreEvacuated,
+    ClientCrowd,
 )
--- a/tests/lib/limited_nodes.py
+++ b/tests/lib/limited_nodes.py
@@ -48,10 +48,6 @@
         """Return the process id of a node."""
         return self._processes[number].pid
 
-    def ports(self, number):
-        """Return the ports of callers, of probes and of metrics."""
-        return self._ports[number]
-
     def is_alive(self, number):
         """Return whether the process of a node runs."""
         return self._processes[number].poll() is None
--- a/tests/lib/nodes.py
+++ b/tests/lib/nodes.py
@@ -16,7 +16,7 @@
 from demo.processes import free_ports
 from standins.fleet import Emulator
 
-__all__ = ["configuration", "Nodes", "wait_until"]
+__all__ = ["configuration", "HOST", "KEYS", "Nodes", "wait_until"]
 
 ROOT = Path(__file__).parents[2]
 HOST = "127.0.0.1"
@@ -141,6 +141,10 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def ports(self, number: int) -> list[int]:
+        """Return the ports of callers, of probes and of metrics."""
+        return self._ports[number]
+
     def write_settings(self, name: str, settings: dict) -> Path:
         """Write a settings file and return its path."""
         path = Path(self._folder.name) / f"{name}.yaml"
