Name the connections of a node's other ports once

The root of a node and its limits both listed the ports for probes and metrics, from which the receive buffers follow. One constant lists them; values are as before.

--- a/src/rosemarynotch/_internal/wiring/limits.py
+++ b/src/rosemarynotch/_internal/wiring/limits.py
@@ -13,6 +13,7 @@
 __all__ = [
     "caller_connections",
     "make_budget",
+    "OTHER_CONNECTIONS",
     "PROBE_CONNECTIONS",
     "receive_buffer_bytes",
 ]
@@ -39,7 +40,8 @@
 MAX_CALLER_CONNECTIONS = 2000
 # Connections of each of the ports for probes and metrics.
 PROBE_CONNECTIONS = 32
-PROBE_PORTS = 2
+# Connections of all ports of a node beside that of callers.
+OTHER_CONNECTIONS = (PROBE_CONNECTIONS, PROBE_CONNECTIONS)
 
 
 def caller_connections(
@@ -61,14 +63,15 @@
             MAX_CALLER_CONNECTIONS,
         ),
     )
-    others = (PROBE_CONNECTIONS,) * PROBE_PORTS
-    wanted = receive_buffer_bytes(settings.memory_mb, connections, *others)
+    wanted = receive_buffer_bytes(
+        settings.memory_mb, connections, *OTHER_CONNECTIONS
+    )
     applied = applied_bytes(wanted)
     if applied <= wanted:
         return connections
     memory_bytes = max(settings.memory_mb, MIN_MEMORY_MB) * MEGABYTE
     sockets = int(memory_bytes * FIXED_BUFFERS_MEMORY_SHARE / applied)
-    sockets -= sum(map(count_sockets, others))
+    sockets -= sum(map(count_sockets, OTHER_CONNECTIONS))
     return max(
         PROBE_CONNECTIONS, min(connections, connections_of_sockets(sockets))
     )
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -45,8 +45,8 @@
 from rosemarynotch._internal.wiring.clients import PlatformClients
 from rosemarynotch._internal.wiring.limits import caller_connections
 from rosemarynotch._internal.wiring.limits import make_budget
+from rosemarynotch._internal.wiring.limits import OTHER_CONNECTIONS
 from rosemarynotch._internal.wiring.limits import PROBE_CONNECTIONS
-from rosemarynotch._internal.wiring.limits import PROBE_PORTS
 from rosemarynotch._internal.wiring.limits import receive_buffer_bytes
 from rosemarynotch._internal.wiring.policies import choose_policies
 from rosemarynotch._internal.wiring.policies import POLICIES_VARIABLE
@@ -104,7 +104,7 @@
         self._receive_buffer_bytes = receive_buffer_bytes(
             settings.memory_mb,
             self._connections,
-            *(PROBE_CONNECTIONS,) * PROBE_PORTS,
+            *OTHER_CONNECTIONS,
         )
         self._hints = HintReceiver(
             settings.ip,
