Share the check of an entry beside crowds

Two test files started an entry and read its memory with the same lines. The check moves to tests/lib/limited_nodes.py; crowds and bounds are as before, and both files check the operators' port and the memory together.

--- a/tests/functional/test_client_limits.py
+++ b/tests/functional/test_client_limits.py
@@ -10,23 +10,20 @@
 import threading
 import time
 
-import testtools
-
 from rosemarynotch._internal.models.codec import encode
 from rosemarynotch._internal.scheduling.hints import Hint
 from tests.lib.client_crowd import chunked
-from tests.lib.client_crowd import Crowd
 from tests.lib.client_crowd import HEAD
 from tests.lib.client_crowd import Sender
-from tests.lib.cluster import Cluster
 from tests.lib.limited_nodes import ANSWER_S
 from tests.lib.limited_nodes import CROWD_S
-from tests.lib.limited_nodes import get_status
+from tests.lib.limited_nodes import ENTRY_CALLERS
+from tests.lib.limited_nodes import ENTRY_OPERATORS
+from tests.lib.limited_nodes import EntryCase
 from tests.lib.limited_nodes import LimitedNodeCase
 from tests.lib.limited_nodes import METRICS
 from tests.lib.limited_nodes import PROBE
 from tests.lib.nodes import wait_until
-from tests.lib.process_memory import MemorySampler
 
 # A machine smaller than the smallest of the customers, so that a small crowd
 # shows the fault.
@@ -34,7 +31,6 @@
 MAX_FDS = 400
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 LARGE_CHUNK = 65536
-DEFAULT_MEMORY_MB = 160
 SMALL_CROWD = 80
 
 
@@ -170,40 +166,18 @@
         self.assert_node_serves()
 
 
-class EntryTest(testtools.TestCase):
+class EntryTest(EntryCase):
     """Guards against the same on the ports of the first interface."""
 
     def test_ports_of_callers_and_operators(self):
-        """Guards against an entry that a crowd brings down.
-
-        The entry is given no memory limit, so the default holds.
-        """
-        with Cluster({"bank": 5}, entries=1) as cluster:
-            name = cluster.names[0]
-            process = cluster.process(name)
-            addresses = [
-                cluster.caller_address(name),
-                cluster.operator_address(name),
-            ]
-            ports = [int(each.rpartition(":")[2]) for each in addresses]
-            memory = MemorySampler(process.pid, ports)
-            self.addCleanup(memory.stop)
-            for port, size, count in zip(
-                ports, (500_000, 1_000_000), (240, 120), strict=True
-            ):
-                senders = [Sender(chunked(size, LARGE_CHUNK)), Sender(HEAD)]
-                crowd = Crowd(("127.0.0.1", port), senders * (count // 2))
-                self.addCleanup(crowd.close)
-            time.sleep(CROWD_S)
-            for address, path, status in zip(
-                addresses, ("/healthz", "/"), (200, 401), strict=True
-            ):
-                wait_until(
-                    lambda: get_status(address, path) == status,
-                    ANSWER_S,
-                    f"an answer to {path}",
+        """Guards against an entry that a crowd brings down."""
+        self.assert_entry_serves(
+            {
+                port: [Sender(chunked(size, LARGE_CHUNK)), Sender(HEAD)]
+                * (count // 2)
+                for port, size, count in (
+                    (ENTRY_CALLERS, 500_000, 240),
+                    (ENTRY_OPERATORS, 1_000_000, 120),
                 )
-            self.assertIsNone(process.poll())
-            peak = memory.stop()
-            print(peak)
-            self.assertLess(peak.total_mb, DEFAULT_MEMORY_MB)
+            }
+        )
--- a/tests/functional/test_client_memory.py
+++ b/tests/functional/test_client_memory.py
@@ -9,27 +9,24 @@
 import json
 import socket
 
-import testtools
-
 from rosemarynotch._internal.peers.wire import MESSAGE_LIMIT_BYTES
-from rosemarynotch._internal.utils.request_budget import DEFAULT_MEMORY_MB
 from tests.lib.client_crowd import chunked
-from tests.lib.client_crowd import Crowd
 from tests.lib.client_crowd import HEAD
 from tests.lib.client_crowd import Sender
 from tests.lib.client_crowd import sized
-from tests.lib.cluster import Cluster
 from tests.lib.limited_nodes import ANSWER_S
 from tests.lib.limited_nodes import CALLERS
 from tests.lib.limited_nodes import CROWD_S
-from tests.lib.limited_nodes import get_status
+from tests.lib.limited_nodes import ENTRY_CALLERS
+from tests.lib.limited_nodes import ENTRY_OPERATORS
+from tests.lib.limited_nodes import ENTRY_PEERS
+from tests.lib.limited_nodes import EntryCase
 from tests.lib.limited_nodes import LimitedNodeCase
 from tests.lib.limited_nodes import METRICS
 from tests.lib.limited_nodes import PROBE
 from tests.lib.nodes import HOST
 from tests.lib.nodes import KEYS
 from tests.lib.nodes import wait_until
-from tests.lib.process_memory import MemorySampler
 
 # Ends a test that hangs; no check depends on elapsed time.
 HANG_S = 60.0
@@ -230,65 +227,30 @@
         self.assert_node_serves()
 
 
-class EntryTest(testtools.TestCase):
+class EntryTest(EntryCase):
     """Guards against the same on the ports of the first interface."""
 
-    def assert_entry_serves(self, port_number: int, senders: list[Sender]):
-        """Check an entry beside a crowd.
-
-        It is given no memory limit, so the default holds.
-
-        :param port_number: 0 for callers, 1 for operators, 2 for peers
-        """
-        with Cluster({"bank": 5}, entries=1) as cluster:
-            name = cluster.names[0]
-            process = cluster.process(name)
-            addresses = [
-                cluster.caller_address(name),
-                cluster.operator_address(name),
-                cluster.peer_address(name),
-            ]
-            ports = [int(each.rpartition(":")[2]) for each in addresses]
-            memory = MemorySampler(process.pid, ports)
-            self.addCleanup(memory.stop)
-            crowd = Crowd((HOST, ports[port_number]), senders)
-            self.addCleanup(crowd.close)
-            is_alive = memory.wait_while(
-                lambda: process.poll() is None, CROWD_S
-            )
-            self.assertTrue(is_alive, "the process has ended")
-            for address, path, status in zip(
-                addresses, ("/healthz", "/"), (200, 401), strict=False
-            ):
-                wait_until(
-                    lambda: get_status(address, path) == status,
-                    ANSWER_S,
-                    f"an answer to {path}",
-                )
-            self.assertIsNone(process.poll())
-            peak = memory.stop()
-            print(peak)
-            self.assertLess(peak.total_mb, DEFAULT_MEMORY_MB)
-
     def test_callers(self):
         """Guards against bodies that are sent to the port of callers."""
         senders = EACH_KIND * (CROWD // len(EACH_KIND))
-        self.assert_entry_serves(0, senders)
+        self.assert_entry_serves({ENTRY_CALLERS: senders})
 
     def test_operators(self):
         """Guards against bodies that are sent to the port of operators."""
         senders = EACH_KIND * (CROWD // len(EACH_KIND))
-        self.assert_entry_serves(1, senders)
+        self.assert_entry_serves({ENTRY_OPERATORS: senders})
 
     def test_incomplete_messages_to_peers(self):
         """Guards against messages that are announced and do not end."""
         message = peer_message(MESSAGE_LIMIT_BYTES)[:-1]
-        self.assert_entry_serves(2, [Sender(PEER_HELLO + message)] * 200)
+        senders = [Sender(PEER_HELLO + message)] * 200
+        self.assert_entry_serves({ENTRY_PEERS: senders})
 
     def test_messages_to_peers(self):
         """Guards against messages that arrive faster than they are read."""
         message = peer_message(MESSAGE_LIMIT_BYTES // 4)
-        self.assert_entry_serves(2, [Sender(PEER_HELLO + message * 8)] * 200)
+        senders = [Sender(PEER_HELLO + message * 8)] * 200
+        self.assert_entry_serves({ENTRY_PEERS: senders})
 
 
 class CalmTest(LimitedNodeCase):
--- a/tests/lib/limited_nodes.py
+++ b/tests/lib/limited_nodes.py
@@ -1,12 +1,14 @@
-"""A node with the limits of a small machine, for tests with crowds."""
+"""Processes on small machines, for tests with crowds of clients."""
 
 import http.client
 
 import testtools
 
+from rosemarynotch._internal.utils.request_budget import DEFAULT_MEMORY_MB
 from standins.fleet import Emulator
 from tests.lib.client_crowd import Crowd
 from tests.lib.client_crowd import Sender
+from tests.lib.cluster import Cluster
 from tests.lib.nodes import configuration
 from tests.lib.nodes import HOST
 from tests.lib.nodes import Nodes
@@ -17,6 +19,10 @@
     "ANSWER_S",
     "CALLERS",
     "CROWD_S",
+    "ENTRY_CALLERS",
+    "ENTRY_OPERATORS",
+    "ENTRY_PEERS",
+    "EntryCase",
     "get_status",
     "LimitedNodeCase",
     "METRICS",
@@ -30,6 +36,8 @@
 CALL_TIMEOUT_S = 3.0
 # Ports of a node by their position in its settings.
 CALLERS, PROBE, METRICS = range(3)
+# Ports of an entry.
+ENTRY_CALLERS, ENTRY_OPERATORS, ENTRY_PEERS = range(3)
 
 
 class LimitedNodes(Nodes):
@@ -129,3 +137,46 @@
         if peak.descriptors >= self.max_fds:
             problems.append(f"{peak.descriptors} descriptors were open")
         self.assertEqual([], problems)
+
+
+class EntryCase(testtools.TestCase):
+    """Starts an entry, which has the default memory limit."""
+
+    def assert_entry_serves(self, crowds: dict[int, list[Sender]]) -> None:
+        """Check memory beside crowds, and send ordinary requests.
+
+        :param crowds: the senders of each port
+        """
+        with Cluster({"bank": 5}, entries=1) as cluster:
+            name = cluster.names[0]
+            process = cluster.process(name)
+            addresses = [
+                cluster.caller_address(name),
+                cluster.operator_address(name),
+                cluster.peer_address(name),
+            ]
+            ports = [int(each.rpartition(":")[2]) for each in addresses]
+            memory = MemorySampler(process.pid, ports)
+            self.addCleanup(memory.stop)
+            for number, senders in crowds.items():
+                crowd = Crowd((HOST, ports[number]), senders)
+                self.addCleanup(crowd.close)
+            is_alive = memory.wait_while(
+                lambda: process.poll() is None, CROWD_S
+            )
+            self.assertTrue(is_alive, "the process has ended")
+            for number, path, status in (
+                (ENTRY_CALLERS, "/healthz", 200),
+                (ENTRY_OPERATORS, "/", 401),
+            ):
+                address = addresses[number]
+                wait_until(
+                    lambda: get_status(address, path) == status,
+                    ANSWER_S,
+                    f"an answer to {path}",
+                )
+            self.assertIsNone(process.poll())
+            peak = memory.stop()
+            # Shown by pytest for a test that fails.
+            print(peak)
+            self.assertLess(peak.total_mb, DEFAULT_MEMORY_MB)
