Allow starts after a lease whose ended runs are unknown

Each of these runs had ended while its worker gave no answers, so the end was not known. The worker's lease was then over, the task started elsewhere, and the end was acknowledged 0.07 to 0.2 s afterwards ("has_lapsed=True" in the output of all six pairs). Rule TWICE allows it: an end counts once it is acknowledged, unless the lease of its worker was over in between. The soak's check knew that, Ledger.repeats() of the functional tests did not.

Both now share one check. It is stricter than the soak's was: the ledger records when the lease was over, and an earlier start repeats the run all the same. A lapse after the acknowledgement excuses nothing.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -163,21 +163,12 @@
 
     @staticmethod
     def _check_repeated(task: str, runs: list[RunEntry]) -> list[str]:
-        """Check that no run starts after one that was done.
-
-        The end counts if it was acknowledged at any time, unless the lease of
-        its worker was over in between.
-        """
-        done = [
-            e
-            for e in runs
-            if e.how == "done" and e.acknowledged_at_s and not e.has_lapsed
-        ]
+        """Check that no run starts after one that was done."""
         return [
             f"{task}: run {second.run} started after run {first.run} was done"
-            for first in done
+            for first in runs
             for second in runs
-            if second.started_at_s > first.ended_at_s
+            if first.is_repeated_by(second)
         ]
 
     def _check_cancelled(self, entries: Iterable[RunEntry]) -> list[str]:
