Bound what connections of the peer port hold

Clients of the peer port of an entry ended its machine: 200 connections with incomplete messages of 4 MB took 856 MB of 160, of 1 MB 256 MB, and several complete messages of 1 MB each 242 MB. Messages of empty parts took 8,043 MB.

libzmq accepts any number of connections and receives a message of each before the server sees one; it keeps any number of parts of a message, 64 bytes for each. It has no limit for either.

The socket monitor tells the descriptors of its connections and the kernel how many bytes each has received. What the server has not read of that is now counted in the budget of the process, like an incomplete HTTP request, and the budget evicts by shutting a connection down. At most 256 connections are open; one without a readable message is closed first, after 10 s, or when its first message cannot be read. Requests may have 1 MiB and a connection receives at most two messages ahead. Members send a probe at once and hold next to nothing, so they stay connected.

Clients of the new crowds wait for the greeting of the server, since libzmq closes connections whose messages come before it. Removing the limit, the time-out, the check of the first message, the framing or the check of a reused descriptor each fails a unit test.

--- a/src/rosemarynotch/_internal/peers/exchange.py
+++ b/src/rosemarynotch/_internal/peers/exchange.py
@@ -29,6 +29,7 @@
 from rosemarynotch._internal.peers.wire import Kind
 from rosemarynotch._internal.peers.wire import Message
 from rosemarynotch._internal.peers.wire import MESSAGE_LIMIT_BYTES
+from rosemarynotch._internal.utils.request_budget import RequestBudget
 
 if TYPE_CHECKING:
     from rosemarynotch._internal.configuration import MembersView
@@ -51,6 +52,7 @@
     :param me: this member; the exchange binds its peer address
     :param members: the registered members, of which the others are the peers
     :param timing: periods and limits of heartbeats
+    :param budget: counts the memory of messages, by default one of its own
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         clock,
         metrics,
         timing: Timing | None = None,
+        budget: RequestBudget | None = None,
     ) -> None:
         self._me = me
         self._members = members
@@ -74,7 +77,11 @@
         )
         self._context = zmq.Context()
         self._server = Server(
-            self._context, metrics, self._handler.handle, self._handler.answer
+            self._context,
+            metrics,
+            self._handler.handle,
+            self._handler.answer,
+            budget or RequestBudget(),
         )
         self._address = ""
         self._links = Links(
--- a/src/rosemarynotch/_internal/peers/server.py
+++ b/src/rosemarynotch/_internal/peers/server.py
@@ -12,12 +12,14 @@
 from rosemarynotch._internal.exceptions import QUEUE_FULL
 from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.peers.connections import PeerConnections
 from rosemarynotch._internal.peers.mailbox import Mailbox
 from rosemarynotch._internal.peers.wire import decode_message
 from rosemarynotch._internal.peers.wire import encode_message
 from rosemarynotch._internal.peers.wire import Kind
 from rosemarynotch._internal.peers.wire import Message
-from rosemarynotch._internal.peers.wire import MESSAGE_LIMIT_BYTES
+from rosemarynotch._internal.peers.wire import REQUEST_LIMIT_BYTES
+from rosemarynotch._internal.utils.request_budget import RequestBudget
 
 __all__ = ["Server"]
 
@@ -29,6 +31,11 @@
 # Requests answered from memory have their own workers, so that they do not
 # wait for forwards, which take as long as their queue and target do.
 LOOKUP_WORKERS_COUNT = 2
+# Messages of one connection that may wait for the thread of the server.
+RECEIVE_QUEUE_MESSAGES = 2
+RECEIVE_BUFFER_BYTES = 32 * 1024
+# Messages that are read before answers and connections have their turn.
+MESSAGES_PER_TURN = 64
 REQUEST_KINDS = (Kind.FORWARD, Kind.DOCUMENT_REQUEST, Kind.METRICS_REQUEST)
 
 _log = logbook.Logger(__name__)
@@ -40,6 +47,7 @@
     :param handle: handles a message that is answered by an acknowledgement
         or not at all; called by the thread of the server
     :param answer: answers a request; called by a worker thread
+    :param budget: counts messages that were not read yet
     """
 
     def __init__(
@@ -48,8 +56,10 @@
         metrics,
         handle: Callable[[Message], None],
         answer: Callable[[Message], Message | Failure],
+        budget: RequestBudget,
     ) -> None:
         self._socket = context.socket(zmq.ROUTER)
+        self._connections = PeerConnections(self._socket, budget)
         self._metrics = metrics
         self._handle = handle
         self._answer = answer
@@ -73,13 +83,17 @@
         :raises SettingsError: if the address cannot be bound, for example
             because another process uses it
         """
-        self._socket.setsockopt(zmq.MAXMSGSIZE, MESSAGE_LIMIT_BYTES)
+        self._socket.setsockopt(zmq.MAXMSGSIZE, REQUEST_LIMIT_BYTES)
+        self._socket.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_MESSAGES)
+        self._socket.setsockopt(zmq.RCVBUF, RECEIVE_BUFFER_BYTES)
         try:
             self._socket.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
             raise SettingsError(f"peer address {address}: {error}") from error
         endpoint = self._socket.getsockopt(zmq.LAST_ENDPOINT)
-        return endpoint.rstrip(b"\0").decode().removeprefix("tcp://")
+        bound = endpoint.rstrip(b"\0").decode().removeprefix("tcp://")
+        self._connections.set_port(int(bound.rpartition(":")[2]))
+        return bound
 
     def start(self) -> None:
         """Start the thread, which owns the socket from now on."""
@@ -89,6 +103,7 @@
         """End the thread and close the socket."""
         self._stopped = True
         if self._thread.ident is None:
+            self._connections.close()
             self._socket.close(linger=0)
         else:
             self._mailbox.put(None)
@@ -100,24 +115,41 @@
         poller = zmq.Poller()
         poller.register(self._socket, zmq.POLLIN)
         poller.register(self._mailbox.fileno(), zmq.POLLIN)
+        poller.register(self._connections.monitor, zmq.POLLIN)
         while not self._stopped:
-            poller.poll()
-            for item in self._mailbox.drain():
-                if item is not None:
-                    self._send(*item)
-            self._receive()
+            interval_s = self._connections.interval_s()
+            ready = dict(poller.poll(1000 * interval_s))
+            if self._connections.monitor in ready:
+                self._connections.follow()
+            if self._mailbox.fileno() in ready:
+                for item in self._mailbox.drain():
+                    if item is not None:
+                        self._send(*item)
+            if self._socket in ready:
+                self._receive()
+            self._connections.measure()
+        self._connections.close()
         self._socket.close(linger=0)
         self._mailbox.close()
 
     def _receive(self) -> None:
-        while True:
+        for _ in range(MESSAGES_PER_TURN):
             try:
-                identity, *frames = self._socket.recv_multipart(zmq.DONTWAIT)
+                frames = self._socket.recv_multipart(zmq.DONTWAIT, copy=False)
             except zmq.Again:
                 return
-            data = frames[-1] if frames else b""
-            self._metrics.count("peer_bytes_received", len(data))
-            self._handle_message(identity, decode_message(data))
+            # A ROUTER socket puts the identity before the frames of a message.
+            identity, *_, frame = frames
+            for each in frames[1:]:
+                connection = self._connections.record_message(
+                    each.get(zmq.SRCFD), len(each)
+                )
+            self._metrics.count("peer_bytes_received", len(frame))
+            message = decode_message(frame.buffer)
+            self._connections.record_validity(
+                connection, not _is_malformed(message)
+            )
+            self._handle_message(identity.bytes, message)
 
     def _handle_message(
         self, identity: bytes, message: Message | Failure
@@ -178,3 +210,7 @@
 
 def _refusal(message: Message, failure: Failure) -> Message:
     return Message(Kind.REFUSAL, message.request_id, codec.encode(failure))
+
+
+def _is_malformed(message: Message | Failure) -> bool:
+    return isinstance(message, Failure) and not message.is_a(PEER_VERSION)
--- a/src/rosemarynotch/_internal/peers/wire.py
+++ b/src/rosemarynotch/_internal/peers/wire.py
@@ -22,12 +22,16 @@
     "Kind",
     "Message",
     "MESSAGE_LIMIT_BYTES",
+    "REQUEST_LIMIT_BYTES",
     "unpack_heartbeat_id",
 ]
 
 NUMBER_BITS = 32
 # Fits two bodies of the largest size. No process sends a larger message.
 MESSAGE_LIMIT_BYTES = 4 * 1024 * 1024
+# The same for requests and heartbeats: the largest body of a caller with its
+# header, or the longest lists of a heartbeat.
+REQUEST_LIMIT_BYTES = 1024 * 1024
 
 
 class Kind(enum.IntEnum):
@@ -84,7 +88,7 @@
     )
 
 
-def decode_message(data: bytes) -> Message | Failure:
+def decode_message(data: bytes | memoryview) -> Message | Failure:
     """Decode a message.
 
     :returns: the message, PEER_VERSION or RECORD_MALFORMED
@@ -102,7 +106,7 @@
     return Message(kind, request_id, body)
 
 
-def _version_failure(data: bytes) -> Failure | None:
+def _version_failure(data: bytes | memoryview) -> Failure | None:
     try:
         plain = msgspec.msgpack.decode(data)
     except msgspec.DecodeError:
--- a/src/rosemarynotch/_internal/wiring/entry.py
+++ b/src/rosemarynotch/_internal/wiring/entry.py
@@ -42,7 +42,6 @@
 from rosemarynotch._internal.utils.graceful_server import default_connections
 from rosemarynotch._internal.utils.request_budget import DEFAULT_MEMORY_MB
 from rosemarynotch._internal.wiring.heartbeats import HeartbeatSource
-from rosemarynotch._internal.wiring.limits import make_budget
 from rosemarynotch._internal.wiring.limits import receive_buffer_bytes
 from rosemarynotch._internal.wiring.process import MemberProcess
 from rosemarynotch._internal.wiring.process import MemberSettings
@@ -115,9 +114,6 @@
             "operator-listen", settings.member.operator_listen
         )
         self.process = MemberProcess(settings.member)
-        self._budget = make_budget(
-            DEFAULT_MEMORY_MB, self.process.metrics, self._log_limits
-        )
         self._receive_buffer_bytes = receive_buffer_bytes(
             DEFAULT_MEMORY_MB,
             default_connections(settings.caller_threads),
@@ -156,7 +152,7 @@
             host,
             port,
             self._settings.caller_threads,
-            self._budget,
+            self.process.budget,
             self._receive_buffer_bytes,
         )
         self._jobs = jobs
@@ -278,13 +274,9 @@
         )
         host, port = self._operator_address
         self._operator_server = OperatorServer(
-            app, host, port, self._budget, self._receive_buffer_bytes
+            app, host, port, self.process.budget, self._receive_buffer_bytes
         )
 
-    @staticmethod
-    def _log_limits(event: str, **fields) -> None:
-        _log.warning(event, **fields)
-
     def _serve(self) -> None:
         self._permits.start()
         self._dispatcher.start()
--- a/src/rosemarynotch/_internal/wiring/process.py
+++ b/src/rosemarynotch/_internal/wiring/process.py
@@ -28,6 +28,8 @@
 from rosemarynotch._internal.reference.records import RecordStore
 from rosemarynotch._internal.utils.clock import SystemClock
 from rosemarynotch._internal.utils.metrics import Metrics
+from rosemarynotch._internal.utils.request_budget import DEFAULT_MEMORY_MB
+from rosemarynotch._internal.wiring.limits import make_budget
 
 __all__ = ["MemberProcess", "MemberSettings"]
 
@@ -62,6 +64,8 @@
 
     The peer address is bound before the member registers. This proves that
     an earlier process with the same address has ended (rule R2).
+
+    :ivar budget: counts the requests and messages that this process holds
     """
 
     def __init__(self, settings: MemberSettings) -> None:
@@ -69,6 +73,7 @@
         self.clock = SystemClock()
         self.rng = random.Random()
         self.metrics = Metrics()
+        self.budget = make_budget(DEFAULT_MEMORY_MB, self.metrics, _log_limits)
         store = HttpStore(settings.store, self.clock)
         self.vms = HttpVmService(settings.vm_service, self.clock)
         self.tasks = HttpTaskService(settings.task_service, self.clock)
@@ -164,7 +169,13 @@
             peer_address=settings.peer_listen,
             operator_address=settings.operator_listen,
         )
-        self.exchange = Exchange(me, self.members, self.clock, self.metrics)
+        self.exchange = Exchange(
+            me,
+            self.members,
+            self.clock,
+            self.metrics,
+            budget=self.budget,
+        )
         me = attrs.evolve(me, peer_address=self.exchange.bind())
         self.membership = Membership(self.records, self.members, me)
         self.config_fetcher = ConfigFetcher(
@@ -248,3 +259,7 @@
         return VM_UNKNOWN.with_reason(
             f"VM {self.settings.vm} is not in the list of the platform"
         )
+
+
+def _log_limits(event: str, **fields) -> None:
+    _log.warning(event, **fields)
--- a/tests/functional/test_client_memory.py
+++ b/tests/functional/test_client_memory.py
@@ -9,6 +9,9 @@
 import json
 import socket
 
+from rosemarynotch._internal.peers.wire import encode_message
+from rosemarynotch._internal.peers.wire import Kind
+from rosemarynotch._internal.peers.wire import Message
 from rosemarynotch._internal.peers.wire import MESSAGE_LIMIT_BYTES
 from tests.lib.client_crowd import chunked
 from tests.lib.client_crowd import HEAD
@@ -27,6 +30,8 @@
 from tests.lib.nodes import HOST
 from tests.lib.nodes import KEYS
 from tests.lib.nodes import wait_until
+from tests.lib import peer_messages
+from tests.lib.peer_messages import frame_message
 
 # Ends a test that hangs; no check depends on elapsed time.
 HANG_S = 60.0
@@ -73,15 +78,13 @@
     return job_head(number) + length + body
 
 
-# What a socket of ZeroMQ sends first (rfc.zeromq.org/spec/23).
-PEER_HELLO = (
-    b"\xff" + bytes(8) + b"\x7f\x03\x00" + b"NULL".ljust(20, b"\0") + bytes(32)
-) + b"\x04\x1c\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER"
-
-
-def peer_message(size: int) -> bytes:
-    """Return a message in the framing of ZeroMQ."""
-    return b"\x02" + size.to_bytes(8, "big") + b"x" * size
+def peer_sender(data: bytes) -> Sender:
+    """Return a client that sends data once ZeroMQ has accepted it."""
+    return Sender(
+        data,
+        opening=peer_messages.HELLO,
+        answer_bytes=peer_messages.ANSWER_BYTES,
+    )
 
 
 class SizedBodyTest(LimitedNodeCase):
@@ -242,14 +245,37 @@
 
     def test_incomplete_messages_to_peers(self):
         """Guards against messages that are announced and do not end."""
-        message = peer_message(MESSAGE_LIMIT_BYTES)[:-1]
-        senders = [Sender(PEER_HELLO + message)] * 200
+        message = frame_message(b"x" * MESSAGE_LIMIT_BYTES)[:-1]
+        senders = [Sender(peer_messages.HELLO + message)] * 200
         self.assert_entry_serves({ENTRY_PEERS: senders})
 
     def test_messages_to_peers(self):
         """Guards against messages that arrive faster than they are read."""
-        message = peer_message(MESSAGE_LIMIT_BYTES // 4)
-        senders = [Sender(PEER_HELLO + message * 8)] * 200
+        message = frame_message(b"x" * (MESSAGE_LIMIT_BYTES // 4))
+        senders = [Sender(peer_messages.HELLO + message * 8)] * 200
+        self.assert_entry_serves({ENTRY_PEERS: senders})
+
+    def test_incomplete_messages_of_legal_size_to_peers(self):
+        """Guards against the sum of messages that do not end."""
+        message = frame_message(b"x" * (MESSAGE_LIMIT_BYTES // 4))[:-1]
+        senders = [peer_sender(message)] * 200
+        self.assert_entry_serves({ENTRY_PEERS: senders})
+
+    def test_incomplete_messages_of_members_to_peers(self):
+        """Guards against the same from clients that pass for members."""
+        probe = frame_message(encode_message(Message(Kind.PROBE)))
+        message = frame_message(b"x" * (MESSAGE_LIMIT_BYTES // 4))[:-1]
+        senders = [peer_sender(probe + message)] * 200
+        self.assert_entry_serves({ENTRY_PEERS: senders})
+
+    def test_messages_without_a_last_part_to_peers(self):
+        """Guards against parts that take more memory than they have bytes."""
+        sender = peer_sender(peer_messages.EMPTY_PART * 1_000_000)
+        self.assert_entry_serves({ENTRY_PEERS: [sender] * 200})
+
+    def test_connections_to_peers(self):
+        """Guards against connections that only stay open."""
+        senders = [Sender(peer_messages.HELLO)] * CROWD
         self.assert_entry_serves({ENTRY_PEERS: senders})
 
 
--- a/tests/lib/client_crowd.py
+++ b/tests/lib/client_crowd.py
@@ -34,15 +34,21 @@
 
     :ivar data: sent as fast as the server reads it
     :ivar drip: sent afterwards, a byte at a time and again and again
+    :ivar opening: sent before the data
+    :ivar answer_bytes: length of the answer to the opening, which is awaited
     """
 
     data: bytes = b""
     drip: bytes = b""
+    opening: bytes = b""
+    answer_bytes: int = 0
 
 
 class _Connection:
     def __init__(self, address: tuple[str, int], sender: Sender) -> None:
         self.sender = sender
+        self.opening = memoryview(sender.opening)
+        self.awaited_bytes = sender.answer_bytes
         self.rest = memoryview(sender.data)
         self.drips = 0
         self.socket = socket.socket()
@@ -50,7 +56,21 @@
         self.socket.connect_ex(address)
 
     def send(self) -> bool:
-        """Send a part of the data; return whether all have been sent."""
+        """Send a part of the data; return whether all have been sent.
+
+        :raises BlockingIOError: if the server has to act first
+        """
+        if self.opening:
+            sent = self.socket.send(self.opening)
+            self.opening = self.opening[sent:]
+            return False
+        if self.awaited_bytes:
+            answer = self.socket.recv(self.awaited_bytes, socket.MSG_PEEK)
+            if not answer:
+                raise ConnectionResetError
+            if len(answer) < self.awaited_bytes:
+                raise BlockingIOError
+            self.awaited_bytes = 0
         if self.rest:
             sent = self.socket.send(self.rest[:PART_BYTES])
             self.rest = self.rest[sent:]
--- /dev/null
+++ b/tests/unit/test_peer_connections.py
@@ -0,0 +1,207 @@
+"""Tests of the limits of the port for peers."""
+
+import os
+import socket
+import threading
+from unittest import mock
+
+import testtools
+
+from rosemarynotch._internal.configuration import MembersView
+from rosemarynotch._internal.models import messages
+from rosemarynotch._internal.models.records import MembersRecord
+from rosemarynotch._internal.peers import connections
+from rosemarynotch._internal.peers.connections import CONNECTIONS_LIMIT
+from rosemarynotch._internal.peers.connections import MIN_HELD_BYTES
+from rosemarynotch._internal.peers.connections import PeerConnection
+from rosemarynotch._internal.peers import Exchange
+from rosemarynotch._internal.peers import Timing
+from rosemarynotch._internal.peers.wire import encode_message
+from rosemarynotch._internal.peers.wire import Kind
+from rosemarynotch._internal.peers.wire import Message
+from rosemarynotch._internal.peers.wire import REQUEST_LIMIT_BYTES
+from rosemarynotch._internal.utils.clock import SystemClock
+from rosemarynotch._internal.utils.limit_events import LimitEvents
+from rosemarynotch._internal.utils.request_budget import RequestBudget
+from tests.lib.counts import Counts
+from tests.lib.fleet import member
+from tests.lib import peer_messages
+from tests.lib.peer_messages import frame_message
+from tests.unit.test_peers import ANY_PORT
+from tests.unit.test_peers import forward
+from tests.unit.test_peers import TIMEOUT_S
+from tests.unit.test_peers import wait_for
+
+FAST = Timing(period_s=0.1, per_participant_s=0.0, min_interval_s=0.02)
+MEMORY_MB = 4
+PROBE = frame_message(encode_message(Message(Kind.PROBE)))
+GARBAGE = frame_message(b"x")
+
+
+class PeerConnectionsTest(testtools.TestCase):
+    """Guards against clients of the port that harm its members."""
+
+    def setUp(self):
+        super().setUp()
+        self.set_message_timeout(10 * TIMEOUT_S)
+        counts = Counts()
+        self.budget = RequestBudget(MEMORY_MB, LimitEvents(counts.count))
+        views = {name: MembersView() for name in ("a", "b")}
+        budgets = {"a": RequestBudget(), "b": self.budget}
+        self.exchanges = {
+            name: Exchange(
+                member(name, address=ANY_PORT),
+                view,
+                SystemClock(),
+                Counts(),
+                FAST,
+                budgets[name],
+            )
+            for name, view in views.items()
+        }
+        for exchange in self.exchanges.values():
+            exchange.start()
+            self.addCleanup(exchange.stop)
+        record = MembersRecord(
+            members={
+                name: member(name, address=exchange.bind())
+                for name, exchange in self.exchanges.items()
+            }
+        )
+        for view in views.values():
+            view.apply(record, 1)
+        self.link = self.exchanges["a"]
+        wait_for(self.link.connected)
+        self.answer = messages.ForwardAnswer(
+            answer=messages.Answer(status=200, headers=(), body=b"")
+        )
+        self.exchanges["b"].set_forward_handler(lambda _: self.answer)
+
+    def set_message_timeout(self, timeout_s):
+        """Set how long a connection may be open without a message."""
+        patch = mock.patch.object(
+            connections, "FIRST_MESSAGE_TIMEOUT_S", timeout_s
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def connect(self, data=b""):
+        """Open a connection as a socket of ZeroMQ and send data."""
+        host, _, port = self.exchanges["b"].bind().rpartition(":")
+        client = socket.create_connection((host, int(port)), TIMEOUT_S)
+        self.addCleanup(client.close)
+        client.sendall(peer_messages.HELLO)
+        self.receive(client, peer_messages.ANSWER_BYTES)
+        client.sendall(data)
+        return client
+
+    def receive(self, client, size):
+        """Receive at least this number of bytes."""
+        received = 0
+        while received < size:
+            data = client.recv(4096)
+            self.assertNotEqual(b"", data, "the connection is closed")
+            received += len(data)
+
+    def assert_closed(self, client):
+        """Wait until the server has closed a connection."""
+        try:
+            while client.recv(4096):
+                pass
+        except ConnectionResetError:
+            pass
+
+    def assert_member_is_served(self):
+        """Check that the member is connected and may forward requests."""
+        answer = self.link.forward("b", forward(), TIMEOUT_S)
+        self.assertEqual(self.answer, answer)
+
+    def test_connections_beyond_the_limit(self):
+        """Guards against members that lose their place to other clients."""
+        oldest = self.connect()
+        for _ in range(CONNECTIONS_LIMIT):
+            newest = self.connect()
+        self.assert_closed(oldest)
+        self.assert_member_is_served()
+        newest.sendall(PROBE)
+        self.receive(newest, len(PROBE))
+
+    def test_connections_without_a_message(self):
+        """Guards against connections that stay open without being used."""
+        client = self.connect()
+        self.set_message_timeout(0.0)
+        self.assert_closed(client)
+        self.set_message_timeout(TIMEOUT_S)
+        self.assert_member_is_served()
+
+    def test_messages_that_cannot_be_read(self):
+        """Guards against strangers, and against a loss of later versions."""
+        self.assert_closed(self.connect(GARBAGE))
+        client = self.connect(PROBE + GARBAGE + PROBE)
+        self.receive(client, 2 * len(PROBE))
+
+    def test_messages_that_do_not_end(self):
+        """Guards against messages that fill the memory without an end."""
+        message = frame_message(bytes(REQUEST_LIMIT_BYTES - 64))[:-1]
+        clients = [self.connect(PROBE) for _ in range(MEMORY_MB)]
+        for client in clients:
+            threading.Thread(
+                target=self.send, args=[client, message], daemon=True
+            ).start()
+        self.assert_closed(clients[0])
+        self.assert_member_is_served()
+        for client in clients:
+            client.close()
+        wait_for(lambda: self.budget.held_bytes == 0)
+
+    def test_connection_that_is_lost_within_a_message(self):
+        """Guards against memory that stays counted for ever."""
+        message = frame_message(bytes(MIN_HELD_BYTES + 64))[:-1]
+        client = self.connect(PROBE + message)
+        wait_for(lambda: self.budget.held_bytes)
+        client.close()
+        wait_for(lambda: self.budget.held_bytes == 0)
+
+    def send(self, client, data):
+        """Send data on a connection that the server may close."""
+        try:
+            client.sendall(data)
+        except OSError:
+            pass
+
+    def test_messages_that_were_read(self):
+        """Guards against members that are closed for what was read."""
+        client = self.connect(PROBE)
+        for size, count in ((1, 20_000), (256, 4_000), (70_000, 100)):
+            message = Message(Kind.LIMIT_CHANGED, 0, bytes(size))
+            client.sendall(frame_message(encode_message(message)) * count)
+        client.sendall(PROBE)
+        self.receive(client, 2 * len(PROBE))
+        wait_for(lambda: self.budget.held_bytes == 0)
+        for _ in range(20):
+            self.assert_member_is_served()
+        wait_for(lambda: self.budget.held_bytes == 0)
+
+
+class ReusedDescriptorTest(testtools.TestCase):
+    """Guards against another socket that is closed for a connection."""
+
+    def test_descriptor_of_another_socket(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            port = server.getsockname()[1]
+            client = socket.create_connection(("127.0.0.1", port))
+            self.addCleanup(client.close)
+            accepted, _ = server.accept()
+            self.addCleanup(accepted.close)
+            for other in (client, server):
+                descriptor = other.fileno()
+                PeerConnection(descriptor, port, LimitEvents()).close()
+            accepted.sendall(b"x")
+            self.assertEqual(b"x", client.recv(1))
+            PeerConnection(accepted.fileno(), port, LimitEvents()).close()
+            self.assertEqual(b"", client.recv(1))
+
+    def test_descriptor_that_is_closed(self):
+        descriptor = os.dup(0)
+        os.close(descriptor)
+        PeerConnection(descriptor, 1, LimitEvents()).close()
