Count requests of peers until they are answered

An entry kept up to 256 unanswered requests of its peers, of 512 KiB each: 128 MB, and as much again once they were decoded, on a machine of 160 MB. test_forwards_to_peers, 200 clients that send 20 forwards of 512 KiB each, took 190 MB.

The requests are counted in the budget of the process, body twice, until they are answered. Above the budget they are refused at once, as not run, and the entry that forwarded them answers its caller or tries another one.

Members stay served: test_forwards_that_fill_the_memory fails when a refusal is ignored.

--- a/src/rosemarynotch/_internal/peers/server.py
+++ b/src/rosemarynotch/_internal/peers/server.py
@@ -12,6 +12,7 @@
 from rosemarynotch._internal.exceptions import QUEUE_FULL
 from rosemarynotch._internal.exceptions import SettingsError
 from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.peers.connections import PeerConnection
 from rosemarynotch._internal.peers.connections import PeerConnections
 from rosemarynotch._internal.peers.mailbox import Mailbox
 from rosemarynotch._internal.peers.wire import decode_message
@@ -36,6 +37,8 @@
 RECEIVE_BUFFER_BYTES = 32 * 1024
 # Messages that are read before answers and connections have their turn.
 MESSAGES_PER_TURN = 64
+# A request and the object decoded from it.
+COPIES_PER_REQUEST = 2
 REQUEST_KINDS = (Kind.FORWARD, Kind.DOCUMENT_REQUEST, Kind.METRICS_REQUEST)
 
 _log = logbook.Logger(__name__)
@@ -47,7 +50,8 @@
     :param handle: handles a message that is answered by an acknowledgement
         or not at all; called by the thread of the server
     :param answer: answers a request; called by a worker thread
-    :param budget: counts messages that were not read yet
+    :param budget: counts messages that were not read yet, and requests until
+        they are answered
     """
 
     def __init__(
@@ -59,6 +63,7 @@
         budget: RequestBudget,
     ) -> None:
         self._socket = context.socket(zmq.ROUTER)
+        self._budget = budget
         self._connections = PeerConnections(self._socket, budget)
         self._metrics = metrics
         self._handle = handle
@@ -149,10 +154,13 @@
             self._connections.record_validity(
                 connection, not _is_malformed(message)
             )
-            self._handle_message(identity.bytes, message)
+            self._handle_message(identity.bytes, message, connection)
 
     def _handle_message(
-        self, identity: bytes, message: Message | Failure
+        self,
+        identity: bytes,
+        message: Message | Failure,
+        connection: PeerConnection,
     ) -> None:
         if isinstance(message, Failure):
             self._metrics.count("peer_messages_refused")
@@ -161,26 +169,43 @@
                 self._send(identity, Message(Kind.ACK))
             return
         if message.kind in REQUEST_KINDS:
-            self._submit(identity, message)
+            self._submit(identity, message, connection)
             return
         if message.kind is Kind.PROBE:
             self._send(identity, Message(Kind.ACK))
         self._call_handler(self._handle, message)
 
-    def _submit(self, identity: bytes, message: Message) -> None:
+    def _submit(
+        self,
+        identity: bytes,
+        message: Message,
+        connection: PeerConnection,
+    ) -> None:
         if not self._free_requests.acquire(blocking=False):
             refusal = QUEUE_FULL.with_reason("too many requests of peers")
             self._send(identity, _refusal(message, refusal))
             return
+        size = COPIES_PER_REQUEST * len(message.body)
+        if not self._budget.admit(connection, size):
+            self._free_requests.release()
+            self._budget.events.record("request-memory")
+            refusal = QUEUE_FULL.with_reason(
+                "requests of peers fill the memory"
+            )
+            self._send(identity, _refusal(message, refusal))
+            return
         is_forward = message.kind is Kind.FORWARD
         workers = self._workers if is_forward else self._lookup_workers
-        workers.submit(self._answer_request, identity, message)
+        workers.submit(self._answer_request, identity, message, size)
 
-    def _answer_request(self, identity: bytes, message: Message) -> None:
+    def _answer_request(
+        self, identity: bytes, message: Message, size: int
+    ) -> None:
         try:
             answer = self._call_handler(self._answer, message)
         finally:
             self._free_requests.release()
+            self._budget.release(size)
         if isinstance(answer, Failure):
             answer = _refusal(message, answer)
         if answer is not None:
--- a/tests/functional/test_client_memory.py
+++ b/tests/functional/test_client_memory.py
@@ -273,6 +273,13 @@
         sender = peer_sender(peer_messages.EMPTY_PART * 1_000_000)
         self.assert_entry_serves({ENTRY_PEERS: [sender] * 200})
 
+    def test_forwards_to_peers(self):
+        """Guards against requests that arrive faster than answers go."""
+        body = bytes(MESSAGE_LIMIT_BYTES // 8)
+        message = encode_message(Message(Kind.FORWARD, 1, body))
+        senders = [peer_sender(frame_message(message) * 20)] * 200
+        self.assert_entry_serves({ENTRY_PEERS: senders})
+
     def test_connections_to_peers(self):
         """Guards against connections that only stay open."""
         senders = [Sender(peer_messages.HELLO)] * CROWD
--- a/tests/unit/test_peer_connections.py
+++ b/tests/unit/test_peer_connections.py
@@ -8,6 +8,8 @@
 import testtools
 
 from rosemarynotch._internal.configuration import MembersView
+from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.models import messages
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.peers import connections
@@ -182,6 +184,32 @@
             self.assert_member_is_served()
         wait_for(lambda: self.budget.held_bytes == 0)
 
+    def test_forwards_that_fill_the_memory(self):
+        """Guards against requests that are kept beyond the memory."""
+        done, entered = threading.Event(), threading.Semaphore(0)
+        self.addCleanup(done.set)
+
+        def wait(_):
+            entered.release()
+            done.wait(TIMEOUT_S)
+            return self.answer
+
+        def send():
+            # Acknowledgements may be late on a busy machine.
+            while self.link.forward("b", forward(), 3600) != self.answer:
+                done.wait(0.1)
+
+        self.exchanges["b"].set_forward_handler(wait)
+        for _ in range(2):
+            threading.Thread(target=send, daemon=True).start()
+            self.assertTrue(entered.acquire(timeout=TIMEOUT_S))
+        refused = self.link.forward("b", forward(), TIMEOUT_S)
+        self.assertTrue(refused.is_a(failures.QUEUE_FULL))
+        self.assertIs(Ran.NO, refused.ran)
+        done.set()
+        wait_for(lambda: self.budget.held_bytes == 0)
+        self.assert_member_is_served()
+
 
 class ReusedDescriptorTest(testtools.TestCase):
     """Guards against another socket that is closed for a connection."""
