Count answers that clients of the peer port do not read

A client of the peer port that sends requests and reads no answers made the entry keep up to 1,000 answers for each connection, of up to 2 MB.

What was sent and is not acknowledged, by the kernel's count, is added to what the connection holds, so the budget closes connections that read nothing. With ROUTER_MANDATORY an answer that the socket drops is not counted as sent, and peer_answers_dropped counts it.

test_answers_that_are_not_read fails without it: the connection stays open beyond a budget of 0.6 MB. A client that reads is not closed after 100 answers of 100 KB each.

--- a/src/rosemarynotch/_internal/peers/connections.py
+++ b/src/rosemarynotch/_internal/peers/connections.py
@@ -34,9 +34,10 @@
 ALERT_INTERVAL_S = 0.01
 CALM_INTERVAL_S = 0.1
 NEW_CONNECTION_S = 10.0
-# ``tcpi_bytes_received`` in ``struct tcp_info`` of Linux.
-BYTES_FORMAT = "=Q"
-BYTES_OFFSET = 128
+# ``tcpi_bytes_acked`` and ``tcpi_bytes_received`` in ``struct tcp_info`` of
+# Linux.
+BYTES_FORMAT = "=QQ"
+BYTES_OFFSET = 120
 TCP_INFO_BYTES = BYTES_OFFSET + struct.calcsize(BYTES_FORMAT)
 # Framing of a ZeroMQ message (rfc.zeromq.org/spec/23).
 SHORT_MESSAGE_BYTES = 255
@@ -53,6 +54,7 @@
     :param descriptor: descriptor of the connection, which libzmq owns
     :param port: local port of the connection
     :param events: records its eviction
+    :ivar identity: routing id of the connection, empty before a message
     :ivar is_known: whether a message of it could be read
     :ivar is_closing: whether this program has closed it
     :ivar since_s: time since which it may hold its present bytes
@@ -62,6 +64,7 @@
         self, descriptor: int, port: int, events: LimitEvents
     ) -> None:
         self.accepted_at_s = time.monotonic()
+        self.identity = b""
         self.is_known = False
         self.is_closing = False
         self.since_s = time.time()
@@ -69,20 +72,28 @@
         self._port = port
         self._events = events
         self._delivered_bytes = 0
+        self._sent_bytes = 0
 
     def record_message(self, size: int) -> None:
         """Record that the server has taken a message out of the socket."""
         self._delivered_bytes += _framed_bytes(size)
         self.since_s = time.time()
 
+    def record_answer(self, size: int) -> None:
+        """Record that the server has put a message into the socket."""
+        self._sent_bytes += _framed_bytes(size)
+
     def measure(self) -> int:
-        """Return the bytes to count for what the server has not taken yet.
+        """Return the bytes to count for messages in both directions.
 
-        They are in the buffers of the kernel or of libzmq.
+        They are in the buffers of the kernel or of libzmq: received and not
+        taken by the server, or sent and not acknowledged by the client.
         """
-        held_bytes = self._received_bytes() - self._delivered_bytes
+        acknowledged_bytes, received_bytes = self._transferred_bytes()
+        held_bytes = received_bytes - self._delivered_bytes
         if not self.is_known:
             held_bytes *= UNKNOWN_WEIGHT
+        held_bytes += max(0, self._sent_bytes - acknowledged_bytes)
         if held_bytes >= MIN_HELD_BYTES:
             return held_bytes
         self.since_s = time.time()
@@ -106,7 +117,8 @@
             # libzmq has closed it meanwhile, or nothing is left.
             pass
 
-    def _received_bytes(self) -> int:
+    def _transferred_bytes(self) -> tuple[int, int]:
+        """Return the bytes that the client acknowledged, and its own."""
         try:
             with self._duplicate() as sock:
                 info = sock.getsockopt(
@@ -115,8 +127,8 @@
         except OSError:
             info = b""
         if len(info) < TCP_INFO_BYTES:
-            return self._delivered_bytes
-        return struct.unpack_from(BYTES_FORMAT, info, BYTES_OFFSET)[0]
+            return self._sent_bytes, self._delivered_bytes
+        return struct.unpack_from(BYTES_FORMAT, info, BYTES_OFFSET)
 
     def _duplicate(self) -> socket.socket:
         """Return a socket that another thread cannot close meanwhile.
@@ -143,12 +155,13 @@
 class PeerConnections:
     """Bounds the connections of a server socket and the bytes they hold.
 
-    libzmq accepts any number of connections and receives messages of each of
-    them before the application sees one. It reports the descriptors of its
-    connections, and the kernel how many bytes each has received, so what is
-    held between the two is counted in the budget of the process. Above the
-    budget connections are closed, as are those that send nothing a member
-    would send. All methods belong to the thread of the server.
+    libzmq accepts any number of connections, receives messages of each of
+    them before the application sees one, and keeps answers that a client does
+    not read. It reports the descriptors of its connections, and the kernel how
+    many bytes each has transferred, so what is held between the two is counted
+    in the budget of the process. Above the budget connections are closed, as
+    are those that send nothing a member would send. All methods belong to the
+    thread of the server.
 
     :param server: the socket, before it is bound
     :param budget: counts the bytes that connections hold
@@ -159,6 +172,7 @@
         self._budget = budget
         self._port = 0
         self._by_descriptor: dict[int, PeerConnection] = {}
+        self._by_identity: dict[bytes, PeerConnection] = {}
         # Ordered by acceptance, and by the last message.
         self._unknown: dict[PeerConnection, None] = {}
         self._known: collections.OrderedDict[PeerConnection, None] = (
@@ -212,9 +226,12 @@
         for connection in list(self._by_descriptor.values()):
             self._measure(connection)
 
-    def record_message(self, descriptor: int, size: int) -> PeerConnection:
+    def record_message(
+        self, identity: bytes, descriptor: int, size: int
+    ) -> PeerConnection:
         """Record a message that the server has taken out of the socket.
 
+        :param identity: routing id of its connection
         :param descriptor: descriptor of its connection
         :param size: size of the message in bytes
         :returns: the connection, which may be closed already
@@ -226,8 +243,21 @@
             connection = self._make(descriptor)
             connection.is_closing = True
         connection.record_message(size)
+        if not connection.is_closing:
+            connection.identity = identity
+            self._by_identity[identity] = connection
         return connection
 
+    def record_answer(self, identity: bytes, size: int) -> None:
+        """Record a message that the server has put into the socket.
+
+        :param identity: routing id of the connection
+        :param size: size of the message in bytes
+        """
+        connection = self._by_identity.get(identity)
+        if connection is not None:
+            connection.record_answer(size)
+
     def record_validity(
         self, connection: PeerConnection, is_valid: bool
     ) -> None:
@@ -263,6 +293,7 @@
     def _remove(self, descriptor: int) -> None:
         connection = self._by_descriptor.pop(descriptor, None)
         if connection is not None:
+            self._by_identity.pop(connection.identity, None)
             self._forget(connection)
 
     def _close(self, connection: PeerConnection, limit: str) -> None:
--- a/src/rosemarynotch/_internal/peers/server.py
+++ b/src/rosemarynotch/_internal/peers/server.py
@@ -50,8 +50,8 @@
     :param handle: handles a message that is answered by an acknowledgement
         or not at all; called by the thread of the server
     :param answer: answers a request; called by a worker thread
-    :param budget: counts messages that were not read yet, and requests until
-        they are answered
+    :param budget: counts messages that were not read or not sent yet, and
+        requests until they are answered
     """
 
     def __init__(
@@ -91,6 +91,8 @@
         self._socket.setsockopt(zmq.MAXMSGSIZE, REQUEST_LIMIT_BYTES)
         self._socket.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_MESSAGES)
         self._socket.setsockopt(zmq.RCVBUF, RECEIVE_BUFFER_BYTES)
+        # Answers that cannot be sent raise an error.
+        self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
         try:
             self._socket.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
@@ -147,7 +149,7 @@
             identity, *_, frame = frames
             for each in frames[1:]:
                 connection = self._connections.record_message(
-                    each.get(zmq.SRCFD), len(each)
+                    identity.bytes, each.get(zmq.SRCFD), len(each)
                 )
             self._metrics.count("peer_bytes_received", len(frame))
             message = decode_message(frame.buffer)
@@ -227,9 +229,11 @@
         data = encode_message(message)
         try:
             self._socket.send_multipart([identity, data], zmq.DONTWAIT)
-        except zmq.Again:
+        except zmq.ZMQError:
+            # The queue of the connection is full, or it is closed.
             self._metrics.count("peer_answers_dropped")
             return
+        self._connections.record_answer(identity, len(data))
         self._metrics.count("peer_bytes_sent", len(data))
 
 
--- a/tests/functional/test_client_memory.py
+++ b/tests/functional/test_client_memory.py
@@ -9,6 +9,8 @@
 import json
 import socket
 
+from rosemarynotch._internal.models import codec
+from rosemarynotch._internal.models.messages import MetricsRequest
 from rosemarynotch._internal.peers.wire import encode_message
 from rosemarynotch._internal.peers.wire import Kind
 from rosemarynotch._internal.peers.wire import Message
@@ -280,6 +282,13 @@
         senders = [peer_sender(frame_message(message) * 20)] * 200
         self.assert_entry_serves({ENTRY_PEERS: senders})
 
+    def test_answers_to_peers_that_are_not_read(self):
+        """Guards against answers that wait for clients that read none."""
+        body = codec.encode(MetricsRequest())
+        message = encode_message(Message(Kind.METRICS_REQUEST, 1, body))
+        senders = [peer_sender(frame_message(message) * 2_000)] * 200
+        self.assert_entry_serves({ENTRY_PEERS: senders})
+
     def test_connections_to_peers(self):
         """Guards against connections that only stay open."""
         senders = [Sender(peer_messages.HELLO)] * CROWD
--- a/tests/unit/test_peer_connections.py
+++ b/tests/unit/test_peer_connections.py
@@ -10,6 +10,7 @@
 from rosemarynotch._internal.configuration import MembersView
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models import messages
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.peers import connections
@@ -164,6 +165,36 @@
         client.close()
         wait_for(lambda: self.budget.held_bytes == 0)
 
+    def test_answers_that_are_not_read(self):
+        """Guards against answers that wait for a client for ever.
+
+        A client that reads them is not closed, however many there are.
+        """
+        answer = messages.MetricsAnswer(
+            counters={}, histograms={"h": bytes(100_000)}
+        )
+        self.exchanges["b"].set_metrics_source(lambda: answer)
+        body = codec.encode(messages.MetricsRequest())
+        call = encode_message(Message(Kind.METRICS_REQUEST, 1, body))
+        reader = self.connect()
+        for _ in range(100):
+            reader.sendall(frame_message(call))
+            self.receive(reader, 100_000)
+        silent = self.connect()
+        silent.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        wait_for(lambda: self.is_closed_by(silent, frame_message(call)))
+        reader.sendall(frame_message(call))
+        self.receive(reader, 100_000)
+        self.assert_member_is_served()
+
+    def is_closed_by(self, client, data):
+        """Send data and return whether the server has closed."""
+        try:
+            client.sendall(data)
+        except OSError:
+            return True
+        return False
+
     def send(self, client, data):
         """Send data on a connection that the server may close."""
         try:
