Derive all limits from one size of the memory

The smallest memory was applied in three places. The sampler of the tests had a property that nothing reads and a wait that needs no sampler; the wait is now a function beside the cases that use it. No behaviour changes; the unit tests of limits and test_probes pass.

--- a/src/rosemarynotch/_internal/wiring/limits.py
+++ b/src/rosemarynotch/_internal/wiring/limits.py
@@ -69,7 +69,7 @@
     applied = applied_bytes(wanted)
     if applied <= wanted:
         return connections
-    memory_bytes = max(settings.memory_mb, MIN_MEMORY_MB) * MEGABYTE
+    memory_bytes = _memory_bytes(settings.memory_mb)
     sockets = int(memory_bytes * FIXED_BUFFERS_MEMORY_SHARE / applied)
     sockets -= sum(map(count_sockets, OTHER_CONNECTIONS))
     return max(
@@ -83,14 +83,18 @@
     :param memory_mb: memory of the machine
     :param connections: most open connections of each server of the process
     """
-    memory_mb = max(memory_mb, MIN_MEMORY_MB)
     sockets = sum(count_sockets(each) for each in connections)
-    return int(memory_mb * MEGABYTE * UNREAD_MEMORY_SHARE / sockets)
+    return int(_memory_bytes(memory_mb) * UNREAD_MEMORY_SHARE / sockets)
 
 
 def make_budget(
     memory_mb: float, metrics: Metrics, log: Callable[..., None]
 ) -> RequestBudget:
     """Return the bound that the servers of a process share."""
-    memory_mb = max(memory_mb, MIN_MEMORY_MB)
+    memory_mb = _memory_bytes(memory_mb) / MEGABYTE
     return RequestBudget(memory_mb, LimitEvents(metrics.count, log))
+
+
+def _memory_bytes(memory_mb: float) -> float:
+    """Return the memory of the machine that limits are derived from."""
+    return max(memory_mb, MIN_MEMORY_MB) * MEGABYTE
--- a/tests/functional/test_client_memory.py
+++ b/tests/functional/test_client_memory.py
@@ -29,6 +29,7 @@
 from tests.lib.limited_nodes import LimitedNodeCase
 from tests.lib.limited_nodes import METRICS
 from tests.lib.limited_nodes import PROBE
+from tests.lib.limited_nodes import wait_while
 from tests.lib.nodes import HOST
 from tests.lib.nodes import KEYS
 from tests.lib.nodes import wait_until
@@ -201,7 +202,7 @@
 
     def assert_port_serves(self, port, path):
         """Send a request to a port beside its crowd."""
-        self.memory.wait_while(lambda: self.nodes.is_alive(0), CROWD_S)
+        wait_while(lambda: self.nodes.is_alive(0), CROWD_S)
         wait_until(lambda: self.get(port, path) == 200, ANSWER_S, "an answer")
         self.assert_node_serves()
 
--- a/tests/lib/limited_nodes.py
+++ b/tests/lib/limited_nodes.py
@@ -1,6 +1,8 @@
 """Processes on small machines, for tests with crowds of clients."""
 
+from collections.abc import Callable
 import http.client
+import time
 
 import testtools
 
@@ -27,6 +29,7 @@
     "LimitedNodeCase",
     "METRICS",
     "PROBE",
+    "wait_while",
 ]
 
 START_S = 15.0
@@ -34,6 +37,7 @@
 CROWD_S = 6.0
 ANSWER_S = 20.0
 CALL_TIMEOUT_S = 3.0
+CHECK_INTERVAL_S = 0.1
 # Ports of a node by their position in its settings.
 CALLERS, PROBE, METRICS = range(3)
 # Ports of an entry.
@@ -61,6 +65,19 @@
         return self._processes[number].poll() is None
 
 
+def wait_while(is_wanted: Callable[[], bool], time_s: float) -> bool:
+    """Wait for a time.
+
+    :returns: False if the condition ended before
+    """
+    end_s = time.monotonic() + time_s
+    while time.monotonic() < end_s:
+        if not is_wanted():
+            return False
+        time.sleep(CHECK_INTERVAL_S)
+    return True
+
+
 def get_status(address, path):
     """Return the status of a GET request, 0 without an answer."""
     connection = http.client.HTTPConnection(address, timeout=CALL_TIMEOUT_S)
@@ -119,9 +136,7 @@
         Memory is that of the process and of what its sockets have received
         and it has not read.
         """
-        is_alive = self.memory.wait_while(
-            lambda: self.nodes.is_alive(0), CROWD_S
-        )
+        is_alive = wait_while(lambda: self.nodes.is_alive(0), CROWD_S)
         self.assertTrue(is_alive, "the process has ended")
         problems = []
         try:
@@ -161,9 +176,7 @@
             for number, senders in crowds.items():
                 crowd = Crowd((HOST, ports[number]), senders)
                 self.addCleanup(crowd.close)
-            is_alive = memory.wait_while(
-                lambda: process.poll() is None, CROWD_S
-            )
+            is_alive = wait_while(lambda: process.poll() is None, CROWD_S)
             self.assertTrue(is_alive, "the process has ended")
             for number, path, status in (
                 (ENTRY_CALLERS, "/healthz", 200),
--- a/tests/lib/process_memory.py
+++ b/tests/lib/process_memory.py
@@ -1,10 +1,8 @@
 """Memory of a process as the machine of a node counts it."""
 
-from collections.abc import Callable
 import os
 from pathlib import Path
 import threading
-import time
 
 import attrs
 
@@ -52,29 +50,12 @@
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
-    @property
-    def peak(self) -> MemoryPeak:
-        """Return the largest values so far."""
-        return self._peak
-
     def stop(self) -> MemoryPeak:
         """End the thread and return the largest values."""
         self._stop.set()
         self._thread.join(STOP_TIMEOUT_S)
         return self._peak
 
-    def wait_while(self, is_wanted: Callable[[], bool], time_s: float) -> bool:
-        """Wait for a time.
-
-        :returns: False if the condition ended before
-        """
-        end_s = time.monotonic() + time_s
-        while time.monotonic() < end_s:
-            if not is_wanted():
-                return False
-            time.sleep(SAMPLE_INTERVAL_S)
-        return True
-
     def _run(self) -> None:
         while not self._stop.wait(SAMPLE_INTERVAL_S):
             try:
