Do not send a request whose permit is older than a pause

A request is sent by another step than the one that takes its permit: the thread wakes up, and connects if it has to. If the process was suspended in between, its first byte followed after the pause, when other entries could have reclaimed the portion, so a team had more requests at its targets than its limit. The check for pauses covered the permit only.

The two new unit tests fail without the change.

--- a/src/rosemarynotch/_internal/callers/running.py
+++ b/src/rosemarynotch/_internal/callers/running.py
@@ -6,6 +6,7 @@
 
 from rosemarynotch._internal.callers.retries import RetryBudget
 from rosemarynotch._internal.callers.retries import RunTimes
+from rosemarynotch._internal.configuration import MAX_TICK_GAP_S
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
@@ -71,6 +72,8 @@
             )
             if isinstance(result, Answer):
                 return result
+            if not result.is_a(failures.GRANT_EXPIRED):
+                tried_vms = tried_vms | {grant.vm}
             if result.ran is Ran.NO:
                 result = earlier_failure or result
             else:
@@ -81,7 +84,6 @@
             remaining_s = end_s - self._clock.monotonic_s()
             if attempt == MAX_ATTEMPTS or remaining_s <= 0:
                 return result
-            tried_vms = tried_vms | {grant.vm}
             request = attrs.evolve(
                 request, remaining_ms=int(remaining_s * 1000)
             )
@@ -114,7 +116,15 @@
                     grant.vm, failures.TARGET_TIMEOUT
                 ),
             )
-            result = self._client.send(grant.address, request, timeout_s, late)
+            # The process may have been paused since the permit was taken, and
+            # the portion reclaimed.
+            result = self._client.send(
+                grant.address,
+                request,
+                timeout_s,
+                late,
+                grant.started_s + MAX_TICK_GAP_S,
+            )
         except BaseException:
             grant.hold(queue.longest_run_ms)
             raise
@@ -137,15 +147,16 @@
         return result
 
     def _is_inconclusive(self, request, result, timeout_s):
-        """Tell whether a time-out says nothing about the target's health.
+        """Tell whether a result says nothing about the target's health.
 
-        Under overload most requests are sent shortly before their deadline,
-        and their time-outs would eject healthy targets.
+        A request whose grant has expired was not sent. Under overload most
+        requests are sent shortly before their deadline, and their time-outs
+        would eject healthy targets.
         """
         if not isinstance(result, Failure):
             return False
         if not result.is_a(failures.TARGET_TIMEOUT):
-            return False
+            return result.is_a(failures.GRANT_EXPIRED)
         threshold_s = self._run_times.outlier_threshold_s(
             request.queue, request.team
         )
--- a/src/rosemarynotch/_internal/configuration/__init__.py
+++ b/src/rosemarynotch/_internal/configuration/__init__.py
@@ -14,6 +14,7 @@
 from rosemarynotch._internal.configuration.keys import make_key
 from rosemarynotch._internal.configuration.membership import Membership
 from rosemarynotch._internal.configuration.membership import new_incarnation
+from rosemarynotch._internal.configuration.pauses import MAX_TICK_GAP_S
 from rosemarynotch._internal.configuration.pauses import PauseGuard
 from rosemarynotch._internal.configuration.views import ConfigInForce
 from rosemarynotch._internal.configuration.views import DocumentInForce
@@ -34,6 +35,7 @@
     "Freshness",
     "KeyHolder",
     "make_key",
+    "MAX_TICK_GAP_S",
     "Membership",
     "MembersView",
     "new_incarnation",
--- a/src/rosemarynotch/_internal/exceptions.py
+++ b/src/rosemarynotch/_internal/exceptions.py
@@ -100,6 +100,7 @@
 # Targets and peers.
 TARGET_UNREACHABLE = Failure("target-unreachable", 502)
 TARGET_REFUSED = Failure("target-refused", 503)
+GRANT_EXPIRED = Failure("grant-expired", 503)
 TARGET_TIMEOUT = Failure("target-timeout", 504, Ran.UNKNOWN)
 ANSWER_TRUNCATED = Failure("answer-truncated", 502, Ran.UNKNOWN)
 PEER_UNREACHABLE = Failure("peer-unreachable", 503)
--- a/src/rosemarynotch/_internal/targets/client.py
+++ b/src/rosemarynotch/_internal/targets/client.py
@@ -1,6 +1,7 @@
 """HTTP client for targets with pooled connections (rules R3 and R4)."""
 
 import http.client
+import math
 import threading
 
 from rosemarynotch._internal import exceptions as failures
@@ -49,6 +50,7 @@
         request: CallerRequest,
         timeout_s: float,
         late: LateAnswerCallbacks | None = None,
+        send_by_s: float = math.inf,
     ) -> Answer | Failure:
         """Send a request and read the whole answer.
 
@@ -56,9 +58,10 @@
         :param timeout_s: bound on the whole exchange
         :param late: callbacks for an answer that arrives after the time-out;
             None closes the connection at the time-out
-        :returns: the answer as the target sent it; TARGET_UNREACHABLE when
-            nothing was sent; TARGET_TIMEOUT or ANSWER_TRUNCATED when the
-            request may have run
+        :param send_by_s: latest time of the first byte, by the clock
+        :returns: the answer as the target sent it; TARGET_UNREACHABLE or
+            GRANT_EXPIRED when nothing was sent; TARGET_TIMEOUT or
+            ANSWER_TRUNCATED when the request may have run
         """
         connection = self._take_idle(address, request.idempotent)
         if connection is None:
@@ -67,7 +70,7 @@
                 return connection
         try:
             connection.begin_exchange(timeout_s)
-            result, reusable = self._exchange(connection, request)
+            result, reusable = self._exchange(connection, request, send_by_s)
         except TimeoutError:
             self._close_idle_to(address)
             self._abandon(connection, late)
@@ -156,8 +159,11 @@
             return failures.TARGET_UNREACHABLE.with_reason(reason)
         return connection
 
-    def _exchange(self, connection, request):
-        _send(connection, request)
+    def _exchange(self, connection, request, send_by_s):
+        _put_head(connection, request)
+        if self._clock.monotonic_s() > send_by_s:
+            return failures.GRANT_EXPIRED, False
+        connection.endheaders(request.body or None)
         connection.sock.awaits_answer = True
         response = connection.getresponse()
         error = _delimiter_error(response, request.method)
@@ -182,7 +188,8 @@
         return answer, reusable
 
 
-def _send(connection, request):
+def _put_head(connection, request):
+    """Prepare the head of a request, which is sent together with its body."""
     connection.putrequest(
         request.method, request.path, skip_accept_encoding=True
     )
@@ -191,7 +198,6 @@
             connection.putheader(name, value)
     if request.body or request.method in ("POST", "PUT", "PATCH"):
         connection.putheader("Content-Length", str(len(request.body)))
-    connection.endheaders(request.body or None)
 
 
 def _delimiter_error(response, method):
--- a/tests/unit/test_callers.py
+++ b/tests/unit/test_callers.py
@@ -4,9 +4,11 @@
 import json
 import threading
 import time
+from unittest import mock
 
 import testtools
 
+from rosemarynotch._internal.configuration import MAX_TICK_GAP_S
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.models.messages import Forward
 from rosemarynotch._internal.models.messages import ForwardAnswer
@@ -194,6 +196,31 @@
         self.assertEqual("no", json.loads(body)["ran"])
         self.assertEqual(0, self.entry.permits.running("red"))
 
+    def test_pause_between_admission_and_sending(self):
+        """Guards against a request that is sent beyond the limit of its team.
+
+        Its permit may have been reclaimed. It is admitted again, also where
+        there is no other target.
+        """
+        self.start(lambda c, _: c.sendall(answer_bytes()))
+        dispatcher = self.entry.dispatcher
+        admit = dispatcher.admit
+        grants = []
+
+        def admit_and_pause(*args):
+            grants.append(admit(*args))
+            if len(grants) == 1:
+                grants[0].started_s -= MAX_TICK_GAP_S
+                self.assertEqual(1, self.entry.permits.running("red"))
+            return grants[-1]
+
+        record = mock.patch.object(self.entry.health, "record_outcome")
+        with mock.patch.object(dispatcher, "admit", admit_and_pause), record:
+            self.assertEqual((200, b"ok"), self.call(method="POST"))
+            self.entry.health.record_outcome.assert_called_once()
+        self.assertEqual((2, 1), (len(grants), self.arrived()))
+        self.assertEqual(0, self.entry.permits.running("red"))
+
     def test_connection_without_answer_times_out_early_enough_to_retry(self):
         """Guards against waiting for one target until the deadline."""
         requests = []
--- a/tests/unit/test_targets.py
+++ b/tests/unit/test_targets.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP client with targets that violate the protocol."""
 
+import math
 import threading
 import time
 
@@ -7,6 +8,7 @@
 
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.targets.client import MAX_ANSWER_BYTES
 from rosemarynotch._internal.targets.client import TargetClient
 from rosemarynotch._internal.utils.clock import SystemClock
@@ -94,6 +96,21 @@
         self.assertEqual("target-unreachable", result.code)
         self.assertEqual("no", result.ran)
 
+    def test_request_that_is_too_late_is_not_sent(self):
+        """Guards against a byte sent after the time at which it may run."""
+        target = self.start(lambda c, _: c.sendall(answer_bytes(b"x")))
+        client = TargetClient(SystemClock())
+        request = caller_request(method="POST", body=b"body")
+        for send_by_s in (0.0, math.inf):
+            result = client.send(
+                target.address, request, 5.0, send_by_s=send_by_s
+            )
+            if not send_by_s:
+                self.assertTrue(result.is_a(failures.GRANT_EXPIRED))
+                self.assertIs(Ran.NO, result.ran)
+                self.assertEqual([], target.requests)
+        self.assertEqual(200, result.status)
+
     def test_late_answer_never_reaches_another_caller(self):
         """Guards against an answer to an earlier request.
 
