Let a test wait for surplus bytes and not for a time

test_bytes_after_an_answer_never_reach_another_caller failed once beside load: it slept while its target sent surplus bytes, so a delay of 50 ms let them arrive after the next request had begun. It now waits until they are sent; on loopback they have arrived then. The bytes come with the answer, or after the client has it, as before.

--- a/tests/unit/test_targets.py
+++ b/tests/unit/test_targets.py
@@ -186,26 +186,38 @@
     def test_bytes_after_an_answer_never_reach_another_caller(self):
         """Guards against surplus bytes that are read as the next answer."""
         # The surplus bytes arrive with the answer or after it.
-        for pause_s in (0, 0.05):
+        for is_late in (False, True):
             requests = []
-
-            def behave(connection, request, pause_s=pause_s):
+            answered, sent = threading.Event(), threading.Event()
+
+            def behave(
+                connection,
+                request,
+                requests=requests,
+                answered=answered,
+                sent=sent,
+                is_late=is_late,
+            ):
                 requests.append(request)
                 answer = answer_bytes(b"%d" % len(requests))
                 surplus = answer_bytes(b"surplus")
-                if not pause_s:
+                if is_late:
+                    connection.sendall(answer)
+                    self.assertTrue(answered.wait(ANSWER_WAIT_S))
+                    connection.sendall(surplus)
+                else:
                     connection.sendall(answer + surplus)
-                    return
-                connection.sendall(answer)
-                time.sleep(pause_s)
-                connection.sendall(surplus)
+                sent.set()
 
             target = self.start(behave)
             client = TargetClient(SystemClock())
             for expected in (b"1", b"2"):
-                result = client.send(target.address, caller_request(), 1.0)
+                answered.clear()
+                sent.clear()
+                result = client.send(target.address, caller_request(), 10.0)
                 self.assertEqual(expected, result.body)
-                time.sleep(0.1)
+                answered.set()
+                self.assertTrue(sent.wait(ANSWER_WAIT_S))
             self.assertEqual(2, target.connections_count)
 
     def test_idle_connections_are_reused_within_their_limits(self):
