Read messages of peers without a list of their frames

With the bounds of the peer port the server took 15 to 45 us more processor time for each forward, as recv_multipart() without copies builds a list of frames in Python. The routing id is now read with a copy, the frames one by one.

--- a/src/rosemarynotch/_internal/peers/server.py
+++ b/src/rosemarynotch/_internal/peers/server.py
@@ -142,21 +142,23 @@
     def _receive(self) -> None:
         for _ in range(MESSAGES_PER_TURN):
             try:
-                frames = self._socket.recv_multipart(zmq.DONTWAIT, copy=False)
+                # A ROUTER socket puts the identity before each message.
+                identity = self._socket.recv(zmq.DONTWAIT)
             except zmq.Again:
                 return
-            # A ROUTER socket puts the identity before the frames of a message.
-            identity, *_, frame = frames
-            for each in frames[1:]:
+            is_complete = False
+            while not is_complete:
+                frame = self._socket.recv(copy=False)
+                is_complete = not frame.more
                 connection = self._connections.record_message(
-                    identity.bytes, each.get(zmq.SRCFD), len(each)
+                    identity, frame.get(zmq.SRCFD), len(frame)
                 )
             self._metrics.count("peer_bytes_received", len(frame))
             message = decode_message(frame.buffer)
             self._connections.record_validity(
                 connection, not _is_malformed(message)
             )
-            self._handle_message(identity.bytes, message, connection)
+            self._handle_message(identity, message, connection)
 
     def _handle_message(
         self,
