Tell clients of the peer port that their connection is closed

The server had closed the connection, and had discarded what was left in it, so the kernel sent no reset; a client whose window was full learned nothing of it for the minute that the kernel keeps such a connection.

The test sent its messages before its probe was answered. Until the server had read the probe, the bytes counted as those of an unknown client, 32 times, above the small budget of the test.

A connection is now closed with a reset, and the server reads what has arrived before it measures.

--- a/src/rosemarynotch/_internal/peers/connections.py
+++ b/src/rosemarynotch/_internal/peers/connections.py
@@ -45,6 +45,8 @@
 LONG_FRAMING_BYTES = 9
 DISCARD_BYTES = 64 * 1024
 DISCARD = socket.MSG_DONTWAIT | socket.MSG_TRUNC
+# ``struct linger``: a close discards what was not sent.
+RESET = struct.pack("ii", 1, 0)
 EVENTS = zmq.Event.ACCEPTED | zmq.Event.DISCONNECTED
 
 
@@ -109,6 +111,9 @@
         self.is_closing = True
         try:
             with self._duplicate() as sock:
+                # A client that waits to send more learns of the end by a
+                # reset when libzmq closes the connection.
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                 sock.shutdown(socket.SHUT_RDWR)
                 # libzmq would read what has arrived before the end.
                 while sock.recv(DISCARD_BYTES, DISCARD):
@@ -197,12 +202,13 @@
         self._server.disable_monitor()
         self.monitor.close(linger=0)
 
-    def interval_s(self) -> float:
-        """Return the time after which :meth:`measure` should be called."""
-        age_s = time.monotonic() - self._accepted_at_s
-        if self._unknown or self._holding or age_s < NEW_CONNECTION_S:
-            return ALERT_INTERVAL_S
-        return CALM_INTERVAL_S
+    def due_in_s(self) -> float:
+        """Return the time after which to call :meth:`measure`, at least 0."""
+        now_s = time.monotonic()
+        is_new = now_s - self._accepted_at_s < NEW_CONNECTION_S
+        is_alert = self._unknown or self._holding or is_new
+        interval_s = ALERT_INTERVAL_S if is_alert else CALM_INTERVAL_S
+        return max(0.0, self._measured_at_s + interval_s - now_s)
 
     def follow(self) -> None:
         """Read which connections were accepted and closed."""
@@ -214,10 +220,11 @@
                 self._add(descriptor)
 
     def measure(self) -> None:
-        """Count what connections hold, if the last time is long enough ago."""
+        """Count what connections hold, and close those without a message.
+
+        The server should have taken out of the socket what has arrived.
+        """
         now_s = time.monotonic()
-        if now_s - self._measured_at_s < self.interval_s():
-            return
         self._measured_at_s = now_s
         for connection in list(self._unknown):
             if now_s - connection.accepted_at_s < FIRST_MESSAGE_TIMEOUT_S:
--- a/src/rosemarynotch/_internal/peers/server.py
+++ b/src/rosemarynotch/_internal/peers/server.py
@@ -1,6 +1,7 @@
 """Server socket for messages of peers, owned by one thread."""
 
 import concurrent.futures
+import math
 import threading
 from typing import Callable
 
@@ -124,17 +125,19 @@
         poller.register(self._mailbox.fileno(), zmq.POLLIN)
         poller.register(self._connections.monitor, zmq.POLLIN)
         while not self._stopped:
-            interval_s = self._connections.interval_s()
-            ready = dict(poller.poll(1000 * interval_s))
+            due_in_s = self._connections.due_in_s()
+            ready = dict(poller.poll(math.ceil(1000 * due_in_s)))
             if self._connections.monitor in ready:
                 self._connections.follow()
             if self._mailbox.fileno() in ready:
                 for item in self._mailbox.drain():
                     if item is not None:
                         self._send(*item)
-            if self._socket in ready:
+            is_due = self._connections.due_in_s() <= 0
+            if self._socket in ready or is_due:
                 self._receive()
-            self._connections.measure()
+            if is_due:
+                self._connections.measure()
         self._connections.close()
         self._socket.close(linger=0)
         self._mailbox.close()
