--- a/src/rosemarynotch/_internal/peers/connections.py
+++ b/src/rosemarynotch/_internal/peers/connections.py
@@ -25,9 +25,9 @@
 # Connections whose messages could be read are not counted below this size, so
 # that heartbeats on their way are not evicted for complete requests.
 MIN_HELD_BYTES = 16 * 1024
-# A message may consist of parts, which take 64 bytes each for the two that an
-# empty one has on the wire. No member sends parts, so only the bytes of other
-# connections count as often.
+# libzmq keeps 64 bytes for each part of a message, and an empty part has two
+# on the wire. Members send messages of one part, so the weight applies to
+# connections without a readable message alone.
 UNKNOWN_WEIGHT = 32
 # Times between measurements while some connection is new, unknown or holds
 # much, and otherwise.
