Share what tests of exchanges set up

Its two ways to send to a server that may close are one. MemberProcess passes the logger's method instead of a function around it, and the limits of a node start from one size in MB, which was converted to bytes and back.

--- a/src/rosemarynotch/_internal/wiring/limits.py
+++ b/src/rosemarynotch/_internal/wiring/limits.py
@@ -69,7 +69,7 @@
     applied = applied_bytes(wanted)
     if applied <= wanted:
         return connections
-    memory_bytes = _memory_bytes(settings.memory_mb)
+    memory_bytes = _assumed_memory_mb(settings.memory_mb) * MEGABYTE
     sockets = int(memory_bytes * FIXED_BUFFERS_MEMORY_SHARE / applied)
     sockets -= sum(map(count_sockets, OTHER_CONNECTIONS))
     return max(
@@ -84,17 +84,18 @@
     :param connections: most open connections of each server of the process
     """
     sockets = sum(count_sockets(each) for each in connections)
-    return int(_memory_bytes(memory_mb) * UNREAD_MEMORY_SHARE / sockets)
+    memory_bytes = _assumed_memory_mb(memory_mb) * MEGABYTE
+    return int(memory_bytes * UNREAD_MEMORY_SHARE / sockets)
 
 
 def make_budget(
     memory_mb: float, metrics: Metrics, log: Callable[..., None]
 ) -> RequestBudget:
     """Return the bound that the servers of a process share."""
-    memory_mb = _memory_bytes(memory_mb) / MEGABYTE
-    return RequestBudget(memory_mb, LimitEvents(metrics.count, log))
+    events = LimitEvents(metrics.count, log)
+    return RequestBudget(_assumed_memory_mb(memory_mb), events)
 
 
-def _memory_bytes(memory_mb: float) -> float:
+def _assumed_memory_mb(memory_mb: float) -> float:
     """Return the memory of the machine that limits are derived from."""
-    return max(memory_mb, MIN_MEMORY_MB) * MEGABYTE
+    return max(memory_mb, MIN_MEMORY_MB)
--- a/src/rosemarynotch/_internal/wiring/process.py
+++ b/src/rosemarynotch/_internal/wiring/process.py
@@ -73,7 +73,9 @@
         self.clock = SystemClock()
         self.rng = random.Random()
         self.metrics = Metrics()
-        self.budget = make_budget(DEFAULT_MEMORY_MB, self.metrics, _log_limits)
+        self.budget = make_budget(
+            DEFAULT_MEMORY_MB, self.metrics, _log.warning
+        )
         store = HttpStore(settings.store, self.clock)
         self.vms = HttpVmService(settings.vm_service, self.clock)
         self.tasks = HttpTaskService(settings.task_service, self.clock)
@@ -259,7 +261,3 @@
         return VM_UNKNOWN.with_reason(
             f"VM {self.settings.vm} is not in the list of the platform"
         )
-
-
-def _log_limits(event: str, **fields) -> None:
-    _log.warning(event, **fields)
--- a/tests/unit/test_peer_connections.py
+++ b/tests/unit/test_peer_connections.py
@@ -7,79 +7,51 @@
 
 import testtools
 
-from rosemarynotch._internal.configuration import MembersView
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.models import codec
 from rosemarynotch._internal.models import messages
-from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.peers import connections
 from rosemarynotch._internal.peers.connections import CONNECTIONS_LIMIT
 from rosemarynotch._internal.peers.connections import MIN_HELD_BYTES
 from rosemarynotch._internal.peers.connections import PeerConnection
-from rosemarynotch._internal.peers import Exchange
-from rosemarynotch._internal.peers import Timing
 from rosemarynotch._internal.peers.wire import encode_message
 from rosemarynotch._internal.peers.wire import Kind
 from rosemarynotch._internal.peers.wire import Message
 from rosemarynotch._internal.peers.wire import REQUEST_LIMIT_BYTES
-from rosemarynotch._internal.utils.clock import SystemClock
 from rosemarynotch._internal.utils.limit_events import LimitEvents
 from rosemarynotch._internal.utils.request_budget import RequestBudget
-from tests.lib.counts import Counts
-from tests.lib.fleet import member
+from tests.lib.exchanges import ExchangePairCase
+from tests.lib.exchanges import forward
+from tests.lib.exchanges import TIMEOUT_S
+from tests.lib.exchanges import wait_for
 from tests.lib import peer_messages
 from tests.lib.peer_messages import frame_message
-from tests.unit.test_peers import ANY_PORT
-from tests.unit.test_peers import forward
-from tests.unit.test_peers import TIMEOUT_S
-from tests.unit.test_peers import wait_for
 
-FAST = Timing(period_s=0.1, per_participant_s=0.0, min_interval_s=0.02)
 MEMORY_MB = 4
 PROBE = frame_message(encode_message(Message(Kind.PROBE)))
 GARBAGE = frame_message(b"x")
 
 
-class PeerConnectionsTest(testtools.TestCase):
-    """Guards against clients of the port that harm its members."""
+class PeerConnectionsTest(ExchangePairCase):
+    """Guards against clients of the port that harm its members.
+
+    The member b has little memory.
+    """
 
     def setUp(self):
+        self.budget = RequestBudget(MEMORY_MB)
         super().setUp()
         self.set_message_timeout(10 * TIMEOUT_S)
-        counts = Counts()
-        self.budget = RequestBudget(MEMORY_MB, LimitEvents(counts.count))
-        views = {name: MembersView() for name in ("a", "b")}
-        budgets = {"a": RequestBudget(), "b": self.budget}
-        self.exchanges = {
-            name: Exchange(
-                member(name, address=ANY_PORT),
-                view,
-                SystemClock(),
-                Counts(),
-                FAST,
-                budgets[name],
-            )
-            for name, view in views.items()
-        }
-        for exchange in self.exchanges.values():
-            exchange.start()
-            self.addCleanup(exchange.stop)
-        record = MembersRecord(
-            members={
-                name: member(name, address=exchange.bind())
-                for name, exchange in self.exchanges.items()
-            }
-        )
-        for view in views.values():
-            view.apply(record, 1)
         self.link = self.exchanges["a"]
-        wait_for(self.link.connected)
         self.answer = messages.ForwardAnswer(
             answer=messages.Answer(status=200, headers=(), body=b"")
         )
         self.exchanges["b"].set_forward_handler(lambda _: self.answer)
 
+    def make_budget(self, name):
+        return self.budget if name == "b" else None
+
     def set_message_timeout(self, timeout_s):
         """Set how long a connection may be open without a message."""
         patch = mock.patch.object(
@@ -106,6 +78,14 @@
             self.assertNotEqual(b"", data, "the connection is closed")
             received += len(data)
 
+    def send(self, client, data):
+        """Send data; return False if the server has closed."""
+        try:
+            client.sendall(data)
+        except OSError:
+            return False
+        return True
+
     def assert_closed(self, client):
         """Wait until the server has closed a connection."""
         try:
@@ -184,26 +164,11 @@
             self.receive(reader, 100_000)
         silent = self.connect()
         silent.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        wait_for(lambda: self.is_closed_by(silent, frame_message(call)))
+        wait_for(lambda: not self.send(silent, frame_message(call)))
         reader.sendall(frame_message(call))
         self.receive(reader, 100_000)
         self.assert_member_is_served()
 
-    def is_closed_by(self, client, data):
-        """Send data and return whether the server has closed."""
-        try:
-            client.sendall(data)
-        except OSError:
-            return True
-        return False
-
-    def send(self, client, data):
-        """Send data on a connection that the server may close."""
-        try:
-            client.sendall(data)
-        except OSError:
-            pass
-
     def test_messages_that_were_read(self):
         """Guards against members that are closed for what was read."""
         client = self.connect(PROBE)
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -34,44 +34,16 @@
 from rosemarynotch._internal.utils.clock import SystemClock
 from tests.lib.clocks import ManualClock
 from tests.lib.counts import Counts
+from tests.lib.exchanges import ANY_PORT
+from tests.lib.exchanges import ExchangePairCase
+from tests.lib.exchanges import FAST
+from tests.lib.exchanges import forward
+from tests.lib.exchanges import TIMEOUT_S
+from tests.lib.exchanges import wait_for
 from tests.lib.fleet import control
 from tests.lib.fleet import heartbeat
 from tests.lib.fleet import member
 
-FAST = Timing(period_s=0.1, per_participant_s=0.0, min_interval_s=0.02)
-# Detects a hang; the tests don't measure this time.
-TIMEOUT_S = 20
-ANY_PORT = "127.0.0.1:0"
-
-
-def wait_for(condition):
-    """Wait until a condition holds, or fail after a time-out."""
-    end_s = time.monotonic() + TIMEOUT_S
-    while not condition():
-        if time.monotonic() > end_s:
-            raise AssertionError("condition not reached")
-        time.sleep(0.01)
-
-
-def forward():
-    """Build a request to forward."""
-    request = messages.CallerRequest(
-        request_id="r",
-        team="t",
-        key_id="k",
-        queue="q",
-        method="POST",
-        path="/",
-        headers=(),
-        body=b"x" * 100_000,
-        worth=1.0,
-        remaining_ms=1000,
-        idempotent=False,
-    )
-    return messages.Forward(
-        request=request, members_revision=1, config_version=1
-    )
-
 
 class RawPeer:
     """A peer whose answers a test defines.
@@ -306,35 +278,9 @@
         second.stop()
 
 
-class PairTest(testtools.TestCase):
+class PairTest(ExchangePairCase):
     """Guards against messages between two processes that get lost."""
 
-    def setUp(self):
-        super().setUp()
-        self.exchanges = {}
-        views = {}
-        for name in ("a", "b"):
-            views[name] = MembersView()
-            exchange = Exchange(
-                member(name, address=ANY_PORT),
-                views[name],
-                SystemClock(),
-                Counts(),
-                FAST,
-            )
-            self.exchanges[name] = exchange
-            exchange.start()
-            self.addCleanup(exchange.stop)
-        record = MembersRecord(
-            members={
-                name: member(name, address=exchange.bind())
-                for name, exchange in self.exchanges.items()
-            }
-        )
-        for view in views.values():
-            view.apply(record, 1)
-        wait_for(lambda: self.exchanges["a"].connected())
-
     def test_forward_hint_and_document(self):
         """Guards against messages that do not arrive or are changed."""
         a, b = self.exchanges["a"], self.exchanges["b"]
