Receive messages of peers while the server is busy

Callers would have got an unknown outcome (504).

The sender's link saw no acknowledgement for 0.3 s, replaced its connection and failed what it had sent ("connection to b lost"). That happens on a busy machine before and after. But since a connection receives only two messages ahead of the server, so most forwards were still at the sender, where they are lost with the connection. Before, libzmq had received them and they were run.

A connection now receives up to 64 messages ahead.

--- a/src/rosemarynotch/_internal/peers/server.py
+++ b/src/rosemarynotch/_internal/peers/server.py
@@ -33,8 +33,9 @@
 # Requests answered from memory have their own workers, so that they do not
 # wait for forwards, which take as long as their queue and target do.
 LOOKUP_WORKERS_COUNT = 2
-# Messages of one connection that may wait for the thread of the server.
-RECEIVE_QUEUE_MESSAGES = 2
+# Messages of one connection that may wait for the thread of the server. Those
+# that still wait at the peer are lost when its link replaces the connection.
+RECEIVE_QUEUE_MESSAGES = 64
 RECEIVE_BUFFER_BYTES = 32 * 1024
 # Messages that are read before answers and connections have their turn.
 MESSAGES_PER_TURN = 64
--- a/tests/functional/test_client_memory.py
+++ b/tests/functional/test_client_memory.py
@@ -271,6 +271,13 @@
         senders = [peer_sender(probe + message)] * 200
         self.assert_entry_serves({ENTRY_PEERS: senders})
 
+    def test_messages_of_members_to_peers(self):
+        """Guards against messages that wait for the server to read them."""
+        probe = frame_message(encode_message(Message(Kind.PROBE)))
+        message = frame_message(b"x" * (MESSAGE_LIMIT_BYTES // 4))
+        senders = [peer_sender(probe + message * 64)] * 200
+        self.assert_entry_serves({ENTRY_PEERS: senders})
+
     def test_messages_without_a_last_part_to_peers(self):
         """Guards against parts that take more memory than they have bytes."""
         sender = peer_sender(peer_messages.EMPTY_PART * 1_000_000)
--- a/tests/unit/test_peer_connections.py
+++ b/tests/unit/test_peer_connections.py
@@ -1,7 +1,10 @@
 """Tests of the limits of the port for peers."""
 
+import fcntl
 import os
 import socket
+import struct
+import termios
 import threading
 from unittest import mock
 
@@ -33,6 +36,12 @@
 GARBAGE = frame_message(b"x")
 
 
+def unacknowledged_bytes(client: socket.socket) -> int:
+    """Return how many bytes the kernel of the receiver has not taken."""
+    size = fcntl.ioctl(client, termios.TIOCOUTQ, bytes(4))
+    return struct.unpack("i", size)[0]
+
+
 class PeerConnectionsTest(ExchangePairCase):
     """Guards against clients of the port that harm its members.
 
@@ -183,6 +192,33 @@
             self.assert_member_is_served()
         wait_for(lambda: self.budget.held_bytes == 0)
 
+    def test_messages_that_arrive_while_the_server_is_busy(self):
+        """Guards against requests that are lost when a link is replaced.
+
+        What has not arrived by then is lost.
+        """
+        done, received = threading.Event(), []
+        self.addCleanup(done.set)
+
+        def wait(team):
+            received.append(team)
+            done.wait(TIMEOUT_S)
+
+        self.exchanges["b"].add_limit_listener(wait)
+        body = codec.encode(messages.LimitChanged(team="t" * 8_000))
+        message = frame_message(
+            encode_message(Message(Kind.LIMIT_CHANGED, 0, body))
+        )
+        count = 60
+        client = self.connect(PROBE)
+        self.receive(client, len(PROBE))
+        client.sendall(message * count)
+        wait_for(lambda: unacknowledged_bytes(client) == 0)
+        self.assertEqual(1, len(received))
+        client.close()
+        done.set()
+        wait_for(lambda: len(received) == count)
+
     def test_forwards_that_fill_the_memory(self):
         """Guards against requests that are kept beyond the memory."""
         done, entered = threading.Event(), threading.Semaphore(0)
