Bound the time for which a stop waits for libzmq

A process that stops could wait for ever. Then zmq_ctx_term() does not return, although all sockets were closed (gdb; list of the context's sockets).

Ruled out: sockets left open.

The context is now terminated in a thread of its own, for which the stop waits at most 2 s. All sockets are closed without linger before, so no message depends on it. The unit test holds destroy() and fails with a join() without a time-out.

--- a/src/rosemarynotch/_internal/peers/exchange.py
+++ b/src/rosemarynotch/_internal/peers/exchange.py
@@ -1,9 +1,11 @@
 """Messages between the members of the cluster."""
 
 import itertools
+import threading
 from typing import Callable
 from typing import TYPE_CHECKING
 
+import logbook
 import zmq
 
 from rosemarynotch._internal.exceptions import BODY_TOO_LARGE
@@ -41,6 +43,9 @@
 # takes 3.5 KB and 2,048 counters take 136 KB, so a process with 256 such
 # histograms stays below it.
 METRICS_LIMIT_BYTES = 2 * 1024 * 1024
+TERMINATION_TIMEOUT_S = 2.0
+
+_log = logbook.Logger(__name__)
 
 
 class Exchange:
@@ -124,7 +129,7 @@
         self._links.stop()
         self._heartbeats.join()
         self._server.stop()
-        self._context.destroy(linger=0)
+        self._terminate_context()
 
     def set_leading(self, leads: bool) -> None:
         """Let a control process exchange heartbeats only while it leads."""
@@ -261,6 +266,27 @@
             return decoded.with_ran_unknown()
         return decoded
 
+    def _terminate_context(self) -> None:
+        """Free the resources of libzmq.
+
+        All sockets are closed, so nothing is lost if this does not end. libzmq
+        may wait without end for a connection that was lost while its received
+        messages filled their queue.
+        """
+        thread = threading.Thread(
+            target=self._context.destroy,
+            kwargs={"linger": 0},
+            name="peer-termination",
+            daemon=True,
+        )
+        thread.start()
+        thread.join(TERMINATION_TIMEOUT_S)
+        if thread.is_alive():
+            _log.warning(
+                "connections of peers not freed within {} s",
+                TERMINATION_TIMEOUT_S,
+            )
+
     def _on_members_changed(self) -> None:
         self._links.update()
         self._handler.update_members()
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -3,6 +3,7 @@
 import itertools
 import threading
 import time
+from unittest import mock
 
 import attrs
 import msgspec
@@ -19,6 +20,7 @@
 from rosemarynotch._internal.models import messages
 from rosemarynotch._internal.models.records import MembersRecord
 from rosemarynotch._internal.peers import Exchange
+from rosemarynotch._internal.peers import exchange as exchange_module
 from rosemarynotch._internal.peers.exchange import METRICS_LIMIT_BYTES
 from rosemarynotch._internal.peers.latest_heartbeats import LatestHeartbeats
 from rosemarynotch._internal.peers.rows import HeartbeatDecoder
@@ -266,6 +268,32 @@
         self.exchange.forward("b", forward(), 0.3)
         wait_for(lambda: Kind.FORWARD in new.kinds())
 
+    def test_stop_while_connections_are_not_freed(self):
+        """Guards against a process that does not end."""
+        done = threading.Event()
+        destroy = zmq.Context.destroy
+
+        def wait(context, linger):
+            done.wait(10 * TIMEOUT_S)
+            destroy(context, linger)
+
+        stopped = Exchange(
+            member("c", address=ANY_PORT),
+            self.members,
+            SystemClock(),
+            self.counts,
+        )
+        stopped.start()
+        with (
+            mock.patch.object(zmq.Context, "destroy", wait),
+            mock.patch.object(exchange_module, "TERMINATION_TIMEOUT_S", 0.1),
+        ):
+            stopping = threading.Thread(target=stopped.stop, daemon=True)
+            stopping.start()
+            stopping.join(TIMEOUT_S)
+            self.addCleanup(done.set)
+            self.assertFalse(stopping.is_alive())
+
     def test_second_process_cannot_bind_the_address(self):
         """Guards against two processes that share an address."""
         second = Exchange(
