--- a/src/rosemarynotch/_internal/peers/exchange.py
+++ b/src/rosemarynotch/_internal/peers/exchange.py
@@ -269,9 +269,8 @@
     def _terminate_context(self) -> None:
         """Free the resources of libzmq.
 
-        All sockets are closed, so nothing is lost if this does not end. libzmq
-        may wait without end for a connection that was lost while its received
-        messages filled their queue.
+        All sockets are closed, so nothing is lost if libzmq does not return,
+        as it may when connections are lost while their messages wait.
         """
         thread = threading.Thread(
             target=self._context.destroy,
