Fit the queue of a peer's messages to the memory

A process with 4 MB of memory has a budget of 0.6 MB, and libzmq received 4 MB before the server's thread had its turn. With a queue of two the kernel had slowed the sender down.

The queue now has as many messages as bodies of 64 KB fit into a sixth of the budget, from two to 64: two at 4 MB, 64 at 160 MB, the smallest machine.

test_messages_that_arrive_while_the_server_is_busy uses a member with the default of the memory now.

--- a/src/rosemarynotch/_internal/peers/server.py
+++ b/src/rosemarynotch/_internal/peers/server.py
@@ -21,6 +21,7 @@
 from rosemarynotch._internal.peers.wire import Kind
 from rosemarynotch._internal.peers.wire import Message
 from rosemarynotch._internal.peers.wire import REQUEST_LIMIT_BYTES
+from rosemarynotch._internal.utils.request_budget import LARGE_REQUEST_BYTES
 from rosemarynotch._internal.utils.request_budget import RequestBudget
 
 __all__ = ["Server"]
@@ -33,9 +34,14 @@
 # Requests answered from memory have their own workers, so that they do not
 # wait for forwards, which take as long as their queue and target do.
 LOOKUP_WORKERS_COUNT = 2
-# Messages of one connection that may wait for the thread of the server. Those
-# that still wait at the peer are lost when its link replaces the connection.
-RECEIVE_QUEUE_MESSAGES = 64
+# Bounds of the messages of one connection that may wait for the thread of the
+# server. Those that still wait at the peer are lost when its link replaces the
+# connection.
+MAX_QUEUE_MESSAGES = 64
+MIN_QUEUE_MESSAGES = 2
+# Part of the budget that a queue with the largest bodies of ordinary callers
+# may take, so that a fast member is slowed down and not evicted.
+QUEUE_SHARE = 1 / 6
 RECEIVE_BUFFER_BYTES = 32 * 1024
 # Messages that are read before answers and connections have their turn.
 MESSAGES_PER_TURN = 64
@@ -91,7 +97,7 @@
             because another process uses it
         """
         self._socket.setsockopt(zmq.MAXMSGSIZE, REQUEST_LIMIT_BYTES)
-        self._socket.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_MESSAGES)
+        self._socket.setsockopt(zmq.RCVHWM, self._queue_messages())
         self._socket.setsockopt(zmq.RCVBUF, RECEIVE_BUFFER_BYTES)
         # Answers that cannot be sent raise an error.
         self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
@@ -120,6 +126,11 @@
         for workers in (self._workers, self._lookup_workers):
             workers.shutdown(wait=False, cancel_futures=True)
 
+    def _queue_messages(self) -> int:
+        share_bytes = self._budget.limit_bytes * QUEUE_SHARE
+        messages = int(share_bytes / LARGE_REQUEST_BYTES)
+        return max(MIN_QUEUE_MESSAGES, min(messages, MAX_QUEUE_MESSAGES))
+
     def _run(self) -> None:
         poller = zmq.Poller()
         poller.register(self._socket, zmq.POLLIN)
--- a/src/rosemarynotch/_internal/utils/request_budget.py
+++ b/src/rosemarynotch/_internal/utils/request_budget.py
@@ -6,7 +6,12 @@
 
 from rosemarynotch._internal.utils.limit_events import LimitEvents
 
-__all__ = ["DEFAULT_MEMORY_MB", "RequestBudget", "RequestHolder"]
+__all__ = [
+    "DEFAULT_MEMORY_MB",
+    "LARGE_REQUEST_BYTES",
+    "RequestBudget",
+    "RequestHolder",
+]
 
 MEGABYTE = 1024 * 1024
 # The smallest machine on which nodes run.
@@ -61,6 +66,11 @@
         self._held_bytes = 0
         self._large_bytes = 0
 
+    @property
+    def limit_bytes(self) -> int:
+        """Return the bound in bytes."""
+        return self._limit_bytes
+
     @property
     def held_bytes(self) -> int:
         """Return the bytes that are counted at present."""
--- a/tests/unit/test_peer_connections.py
+++ b/tests/unit/test_peer_connections.py
@@ -69,9 +69,9 @@
         patch.start()
         self.addCleanup(patch.stop)
 
-    def connect(self, data=b""):
-        """Open a connection as a socket of ZeroMQ and send data."""
-        host, _, port = self.exchanges["b"].bind().rpartition(":")
+    def connect(self, data=b"", name="b"):
+        """Connect to a member as a socket of ZeroMQ does and send data."""
+        host, _, port = self.exchanges[name].bind().rpartition(":")
         client = socket.create_connection((host, int(port)), TIMEOUT_S)
         self.addCleanup(client.close)
         client.sendall(peer_messages.HELLO)
@@ -195,7 +195,8 @@
     def test_messages_that_arrive_while_the_server_is_busy(self):
         """Guards against requests that are lost when a link is replaced.
 
-        What has not arrived by then is lost.
+        What has not arrived by then is lost. The member a has the default of
+        the memory.
         """
         done, received = threading.Event(), []
         self.addCleanup(done.set)
@@ -204,15 +205,17 @@
             received.append(team)
             done.wait(TIMEOUT_S)
 
-        self.exchanges["b"].add_limit_listener(wait)
+        self.exchanges["a"].add_limit_listener(wait)
         body = codec.encode(messages.LimitChanged(team="t" * 8_000))
         message = frame_message(
             encode_message(Message(Kind.LIMIT_CHANGED, 0, body))
         )
         count = 60
-        client = self.connect(PROBE)
+        client = self.connect(PROBE, "a")
         self.receive(client, len(PROBE))
-        client.sendall(message * count)
+        client.sendall(message)
+        wait_for(lambda: received)
+        client.sendall(message * (count - 1))
         wait_for(lambda: unacknowledged_bytes(client) == 0)
         self.assertEqual(1, len(received))
         client.close()
