--- /dev/null
+++ b/review/common-2/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that the scripts of this review share."""
