--- a/review/6/case.py
+++ b/review/6/case.py
@@ -97,9 +97,7 @@
                 "spec": "work=0.2",
                 "steps": [{"count": 1, "cpu": 500, "estimated-ms": 200}],
             }
-            is_accepted = nodes.submit(
-                "/one/", ordinary, plain, key="key-b"
-            )
+            is_accepted = nodes.submit("/one/", ordinary, plain, key="key-b")
             record(f"job of another tenant accepted: {is_accepted}")
             time.sleep(WATCH_S)
             status, answer = nodes.all[0].call(
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -51,8 +51,8 @@
     if first_s is None or state != "completed":
         return (
             f"LOST: a job was accepted, and {FINISH_S + SPAN_S:.0f} s later "
-            f"nothing of it had run (state {state}), while {len(ALLOWED)} empty "
-            "minions were allowed to run it"
+            f"nothing of it had run (state {state}), while "
+            f"{len(ALLOWED)} empty minions were allowed to run it"
         )
     return None
 
--- a/review/common-2/advice.py
+++ b/review/common-2/advice.py
@@ -111,9 +111,7 @@
             or not self.needs_ticket
         )
         if not is_known:
-            why = self.advisor.why_refused(
-                body.get("ticket", ""), task, self
-            )
+            why = self.advisor.why_refused(body.get("ticket", ""), task, self)
             if why:
                 self.record(
                     f"{self.worker_id}: start of {task} run {run} refused, "
