--- a/review/6/case.py
+++ b/review/6/case.py
@@ -120,4 +120,4 @@
     return None
 
 
-bench.main(HERE, play)
+bench.main(HERE / "record.txt", play)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -45,4 +45,4 @@
     return None
 
 
-bench.main(HERE, play)
+bench.main(HERE / "record.txt", play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Minions crash and come back; jobs that only they may run never start."""
+"""A rack crashes and comes back; jobs that only it may run never start."""
 
 from pathlib import Path
 import sys
@@ -10,9 +10,9 @@
 import advice  # noqa: E402
 import bench  # noqa: E402
 
-MINIONS = {f"i-{number:02}": f"r{number // 8}" for number in range(36)}
-ALLOWED = ("i-00", "i-01", "i-02", "i-03")
-DOWN_S = 7.0
+MINIONS = {f"i-{number:02}": f"r{number // 8}" for number in range(40)}
+ALLOWED = tuple(name for name, rack in MINIONS.items() if rack == "r0")
+DOWN_S = 6.2
 # From the end of the traffic (finish_s), and the span of the rule.
 FINISH_S = 14.0
 SPAN_S = 3.0
@@ -48,7 +48,8 @@
             record("no task of the second job was started")
         else:
             record(f"its first task started after {first_s - sent_s:.2f} s")
-    if first_s is None or state != "completed":
+    # A job that has run is not judged, whatever its state.
+    if first_s is None:
         return (
             f"LOST: a job was accepted, and {FINISH_S + SPAN_S:.0f} s later "
             f"nothing of it had run (state {state}), while "
@@ -57,4 +58,4 @@
     return None
 
 
-bench.main(HERE, play)
+bench.main(HERE / "record.txt", play)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -11,8 +11,8 @@
 from standins.fleet import Emulator  # noqa: E402
 
 POOLS = {"one": 4}
-# A wave lists machines, is due in duration-s, and takes cap at once.
-WAVE_S = 20.0
+WAVE_S = 26
+WAVE = {"wave": 1, "machines": ["vm-1"], "duration-s": WAVE_S, "cap": 1}
 FINISH_S = 14.0
 SPAN_S = 3.0
 LASTING, AFTER = "5c0e7a21d94b36f8", "6d1f8b32ea5c47a9"
@@ -79,8 +79,9 @@
         if not platform.ledger.of_task(f"{LASTING}.0.0.0"):
             raise RuntimeError("the lasting task did not start")
         if bench.TROUBLE:
-            platform.put_wave(1, ["vm-1"], 1)
-            record("op/wave/1: vm-1 is due for upkeep within 20 s, cap 1")
+            document = bench.json.dumps(WAVE)
+            platform.store.put("op/wave/1", document.encode())
+            record(f"op/wave/1: {document}")
         time.sleep(5.0)
         body = {"spec": "work=0.5", "steps": [step | {"count": 1}]}
         if not nodes.submit("/one/", AFTER, body):
@@ -113,4 +114,4 @@
     return None
 
 
-bench.main(HERE, play)
+bench.main(HERE / "record.txt", play)
--- a/review/common-2/bench.py
+++ b/review/common-2/bench.py
@@ -263,13 +263,14 @@
         return False
 
 
-def main(folder, play):
+def main(record_path, play):
     """Play a case and exit with its result.
 
+    :param record_path: file for what was sent, answered and run
     :param play: gets the record; returns a text if the rule was broken, and
         None if it held
     """
-    record = Record(Path(folder) / "record.txt")
+    record = Record(record_path)
     record(f"TROUBLE={int(TROUBLE)}")
     try:
         why = play(record)
