Log what the jobs of a leader take

The log of a leader that exceeds the memory of its machine did not tell what filled it: not how large the process was, not how many tasks it held, and not for which organisation.

"leader load" now has the resident memory, the number of known jobs and the number of tasks by organisation; "jobs read" has the size of what a new leader has read.

--- a/src/rosemarynotch/_internal/scheduling/intake_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/intake_feed.py
@@ -9,12 +9,14 @@
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.scheduling.ports import Item
+from rosemarynotch._internal.scheduling.ports import Listing
 from rosemarynotch._internal.scheduling.records import CANCELLATIONS_PREFIX
 from rosemarynotch._internal.scheduling.records import INTAKE_PREFIX
 from rosemarynotch._internal.scheduling.records import JOBS_PREFIX
 from rosemarynotch._internal.scheduling.records import PROGRESS_PREFIX
 from rosemarynotch._internal.scheduling.records import ProgressRecord
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
+from rosemarynotch._internal.utils.process_memory import resident_mb
 
 if TYPE_CHECKING:
     from rosemarynotch._internal.scheduling.controller import Controller
@@ -68,6 +70,14 @@
                 return False
         if not self._controller.is_running:
             return False
+        self._controller.log(
+            "jobs read",
+            intake_items=len(intake.items),
+            intake_bytes=_size(intake),
+            progress_items=len(progress.items),
+            progress_bytes=_size(progress),
+            resident_mb=round(resident_mb()),
+        )
         records = {
             item.key.removeprefix(PROGRESS_PREFIX): item
             for item in progress.items
@@ -237,5 +247,9 @@
             scheduler.refuse(job_id, item.revision)
 
 
+def _size(listing: Listing) -> int:
+    return sum(len(item.value or b"") for item in listing.items)
+
+
 def _is_cancellation(item: Item) -> bool:
     return item.key.startswith(CANCELLATIONS_PREFIX)
--- a/src/rosemarynotch/_internal/scheduling/load_report.py
+++ b/src/rosemarynotch/_internal/scheduling/load_report.py
@@ -9,6 +9,7 @@
 from rosemarynotch._internal.scheduling.records import LoadRecord
 from rosemarynotch._internal.scheduling.records import Turn
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
+from rosemarynotch._internal.utils.process_memory import resident_mb
 
 __all__ = ["LoadReport", "read_last_turns"]
 
@@ -79,14 +80,26 @@
             longest_order_wait_ms=round(take_longest_wait_s() * 1000),
             active_jobs=len(scheduler.active),
             unwritten_jobs=len(scheduler.dirty),
-            running=_by_pool(running),
-            usable_workers=_by_pool(workers),
+            running=_by_name(running),
+            usable_workers=_by_name(workers),
+            resident_mb=round(resident_mb()),
+            known_jobs=len(scheduler.jobs),
+            known_tasks=_by_name(_count_tasks(scheduler)),
         )
         self._reset()
 
 
-def _by_pool(counts: dict[str, int]) -> str:
-    return " ".join(f"{pool}={counts[pool]}" for pool in sorted(counts))
+def _by_name(counts: dict[str, int]) -> str:
+    return " ".join(f"{name}={counts[name]}" for name in sorted(counts))
+
+
+def _count_tasks(scheduler: Scheduler) -> dict[str, int]:
+    """Return the number of tasks of all jobs, by organisation."""
+    counts: dict[str, int] = {}
+    for job in scheduler.jobs.values():
+        name = job.submission.organisation
+        counts[name] = counts.get(name, 0) + len(job.all_tasks())
+    return counts
 
 
 def read_last_turns(
