Bound the size of a page in the emulated store

The protocol lets a page of a listing have about 500 items or 1 MB; the emulator only bounded the items, so that a page of large records had 12 MB.

--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -16,6 +16,7 @@
 __all__ = ["EmulatedStore", "StoreFault"]
 
 MAX_PAGE_ITEMS = 200
+MAX_PAGE_BYTES = 1_000_000
 MAX_VALUE_BYTES = 1_048_576
 MAX_HISTORY_EVENTS = 5000
 SILENT_DELAY_S = 3.0
@@ -47,6 +48,10 @@
     lease: int
 
 
+def _fits_page(size: int) -> bool:
+    return size <= MAX_PAGE_BYTES
+
+
 class EmulatedStore:
     """Key-value store with revisions, leases, transactions and watches.
 
@@ -167,7 +172,12 @@
             for key in self._rows
             if key.startswith(query["prefix"]) and key > query.get("after", "")
         )
-        page = keys[:MAX_PAGE_ITEMS]
+        sizes = itertools.accumulate(
+            len(self._rows[key].value) * 3 // 4 for key in keys
+        )
+        # A page ends with the item that exceeds the size.
+        count = sum(1 for _ in itertools.takewhile(_fits_page, sizes)) + 1
+        page = keys[: min(MAX_PAGE_ITEMS, count)]
         return Answer(
             200,
             {
