--- a/src/rosemarynotch/_internal/platform/store.py
+++ b/src/rosemarynotch/_internal/platform/store.py
@@ -52,8 +52,19 @@
     def list_prefix(self, prefix):
         """List all items, page by page."""
         items: list[Item] = []
-        after = ""
         first_revision = 0
+        for page in self.pages(prefix):
+            if isinstance(page, Failure):
+                return page
+            # The pages are not a snapshot. The revision of the first one is
+            # returned, so that a watch from it delivers all later changes.
+            first_revision = first_revision or page.revision
+            items += page.items
+        return Listing(items=tuple(items), revision=first_revision)
+
+    def pages(self, prefix):
+        """List the items one page after the other."""
+        after = ""
         while True:
             query = {"prefix": prefix}
             if after:
@@ -62,19 +73,19 @@
                 "GET", "kv-range", {200: RangeAnswer}, query=query
             )
             if isinstance(answer, Failure):
-                return answer
+                yield answer
+                return
             _, page = answer
-            items += [_to_item(row) for row in page.items]
-            # The pages are not a snapshot. The revision of the first one is
-            # returned, so that a watch from it delivers all later changes.
-            first_revision = first_revision or page.at
-            if not page.has_more:
-                return Listing(items=tuple(items), revision=first_revision)
-            if not page.items:
+            items = tuple(map(_to_item, page.items))
+            if page.has_more and not items:
                 # What the listing lacks would count as deleted.
-                return STORE_UNAVAILABLE.with_reason(
+                yield STORE_UNAVAILABLE.with_reason(
                     f"{prefix}: a page without items is not the last one"
                 )
+                return
+            yield Listing(items=items, revision=page.at)
+            if not page.has_more:
+                return
             after = items[-1].key
 
     def watch(self, prefix, after_revision, wait_ms):
--- a/src/rosemarynotch/_internal/scheduling/candidates.py
+++ b/src/rosemarynotch/_internal/scheduling/candidates.py
@@ -18,6 +18,9 @@
 # An organisation counts as over its share when it uses more than this multiple
 # of its fair share. A lower factor would reorder jobs on small differences.
 OVER_SHARE_FACTOR = 1.5
+# Estimates of jobs that have ended are dropped when there are more than this,
+# and more than of active ones.
+MIN_CACHED = 100
 
 
 @attrs.frozen
@@ -50,15 +53,15 @@
         """Calculate the fair shares anew, which all candidates use."""
         self._fair_millicores = self._fair_share()
         self._usage = {}
+        active = self._scheduler.active
+        if len(self._cache) > 2 * len(active) + MIN_CACHED:
+            for job_id in self._cache.keys() - active.keys():
+                self.forget(job_id)
 
     def candidate(self, job: Job, wall_ms: float) -> Candidate:
         """Return the properties of a job that decide when it starts."""
         queue = self._scheduler.queue_of(job)
-        occurrence = job.occurrences[-1]
-        if len(job.occurrences) > 1:
-            occurrence = next(
-                (o for o in job.occurrences if not o.is_done), occurrence
-            )
+        occurrence = job.first_unfinished()
         work = self._work.remaining(job, queue.name, occurrence)
         is_started = job.highest_run > 0
         usage = self._usage_of(job.submission.organisation)
@@ -73,7 +76,8 @@
             return cached.candidate
         accepted_ms = job.submission.accepted_unix_ms
         if job.is_scheduled:
-            accepted_ms = max(accepted_ms, occurrence.due_unix_ms)
+            due_ms = job.due_unix_ms(occurrence.number)
+            accepted_ms = max(accepted_ms, due_ms)
         if cached is None:
             name = backlog_name(queue)
             sizes = self._sizes.setdefault(name, JobSizes())
--- a/src/rosemarynotch/_internal/scheduling/caps.py
+++ b/src/rosemarynotch/_internal/scheduling/caps.py
@@ -37,13 +37,11 @@
         in_room: dict[str, Resources] = {}
         for job in capped:
             name = job.submission.organisation
-            for task in job.all_tasks():
-                if not task.is_waiting:
-                    continue
+            for spec, count in job.waiting_counts():
                 # The processors of filling tasks take no room of a worker.
-                spec = task.step.spec
-                _add(in_room, name, spec.reserved)
-                _add(self._unknown, name, spec.size.minus(spec.reserved))
+                filling = spec.size.minus(spec.reserved)
+                _add(in_room, name, spec.reserved.times(count))
+                _add(self._unknown, name, filling.times(count))
         for name, size in in_room.items():
             if room is not None:
                 size = size.at_most(room)
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -18,6 +18,8 @@
 from rosemarynotch._internal.scheduling.fleet_manager import FleetManager
 from rosemarynotch._internal.scheduling.fleet_manager import FleetTiming
 from rosemarynotch._internal.scheduling.intake_feed import IntakeFeed
+from rosemarynotch._internal.scheduling.job_loader import JobLoader
+from rosemarynotch._internal.scheduling.job_memory import JobMemory
 from rosemarynotch._internal.scheduling.leader_query import CompletedJob
 from rosemarynotch._internal.scheduling.leadership import Grant
 from rosemarynotch._internal.scheduling.leadership import Leadership
@@ -70,6 +72,8 @@
     :param longest_lease_s: longest lease that an earlier leader may have
         granted to a worker
     :param last_term: newest term in which this process led, None if it has not
+    :param job_memory: bounds the memory for jobs, by default that of a node on
+        the smallest machine
     :ivar lock: guards the scheduler's state
     """
 
@@ -86,6 +90,7 @@
         policies: SchedulingPolicies,
         longest_lease_s: float = LEASE_S,
         last_term: EndedTerm | None = None,
+        job_memory: JobMemory | None = None,
     ) -> None:
         self.grant = grant
         self.leadership = leadership
@@ -98,6 +103,7 @@
         self.scheduler = Scheduler(
             grant.term, grant.fence, longest_lease_s, log
         )
+        self.scheduler.memory = job_memory or JobMemory()
         self.advice = AdviceCache()
         self.answer_losses = AnswerLosses()
         self.order_timeout = OrderTimeout()
@@ -116,7 +122,7 @@
         )
         self._policies = policies
         self.forecast = policies.make_forecast(())
-        self._load_report = LoadReport(log)
+        self._load_report = LoadReport(log, metrics)
         self._reconciled_at_s = 0.0
         # Time of the last pass during which no other leader could exist.
         self._led_at_s = 0.0
@@ -160,6 +166,9 @@
         every worker, so the memory of this node is not enough.
         """
         job = self.scheduler.jobs.get(job_id)
+        ended = self.scheduler.ended.get(job_id)
+        if ended is not None and ended.phase is Phase.COMPLETED:
+            return CompletedJob(job_id, ended.organisation, ended.queue)
         if job is None or job.phase is not Phase.COMPLETED:
             return None
         if job.durable_change < job.change:
@@ -216,6 +225,7 @@
         )
         self.start_thread(feed.run, "intake-feed")
         self.start_thread(feed.run_hints, "intake-hints")
+        self.start_thread(JobLoader(self, feed).run, "job-loader")
         self.start_thread(self.worker_feed.run, "worker-list")
         self.start_thread(self.writer.run, "progress-writer")
         self.start_thread(self.unstarted.run, "unstarted-jobs")
--- a/src/rosemarynotch/_internal/scheduling/evacuation.py
+++ b/src/rosemarynotch/_internal/scheduling/evacuation.py
@@ -41,12 +41,13 @@
         already, that costs nothing
     """
     max_unavailable = max(1, step.spec.max_unavailable)
-    unavailable = sum(
-        _is_unavailable(task.runs, workers, now_s)
-        for task in step.tasks
+    available = sum(
+        not _is_unavailable(task.runs, workers, now_s)
+        for task in step.tasks.held
         if task is not interrupted
     )
-    return unavailable < max_unavailable
+    others = step.spec.task_count - (interrupted is not None)
+    return others - available < max_unavailable
 
 
 def _is_unavailable(
--- a/src/rosemarynotch/_internal/scheduling/intake.py
+++ b/src/rosemarynotch/_internal/scheduling/intake.py
@@ -26,6 +26,7 @@
 from rosemarynotch._internal.scheduling.ports import CommitConflict
 from rosemarynotch._internal.scheduling.ports import Condition
 from rosemarynotch._internal.scheduling.ports import CoordinationStore
+from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import Write
 from rosemarynotch._internal.scheduling.records import JOBS_PREFIX
 from rosemarynotch._internal.scheduling.records import LOAD_KEY
@@ -363,23 +364,32 @@
         return counts.get(queue_name, 0)
 
     def _count_in_store(self) -> dict[str, int] | Failure:
-        jobs = self._store.list_prefix(JOBS_PREFIX)
-        if isinstance(jobs, Failure):
-            return jobs
-        progress = self._store.list_prefix(PROGRESS_PREFIX)
-        if isinstance(progress, Failure):
-            return progress
-        started = set()
-        for item in progress.items:
-            record = decode(item.value, ProgressRecord)
-            # A waiting job has one, too, if its queue has changed its pool.
-            if isinstance(record, Failure) or record.phase is not Phase.QUEUED:
-                started.add(item.key.removeprefix(PROGRESS_PREFIX))
+        # Only the names are kept of each page, as the records of all jobs may
+        # take more memory than the node has.
+        started: set[str] = set()
+        for page in self._store.pages(PROGRESS_PREFIX):
+            if isinstance(page, Failure):
+                return page
+            started.update(
+                item.key.removeprefix(PROGRESS_PREFIX)
+                for item in page.items
+                if _has_started(item)
+            )
         counts: dict[str, int] = {}
-        for item in jobs.items:
-            if item.key.removeprefix(JOBS_PREFIX) in started:
-                continue
-            record = decode(item.value, SubmissionRecord)
-            if not isinstance(record, Failure):
-                counts[record.queue] = counts.get(record.queue, 0) + 1
+        for page in self._store.pages(JOBS_PREFIX):
+            if isinstance(page, Failure):
+                return page
+            for item in page.items:
+                if item.key.removeprefix(JOBS_PREFIX) in started:
+                    continue
+                record = decode(item.value, SubmissionRecord)
+                if not isinstance(record, Failure):
+                    counts[record.queue] = counts.get(record.queue, 0) + 1
         return counts
+
+
+def _has_started(item: Item) -> bool:
+    """Tell whether a progress record is that of a job that does not wait."""
+    record = decode(item.value, ProgressRecord)
+    # A waiting job has one, too, if its queue has changed its pool.
+    return isinstance(record, Failure) or record.phase is not Phase.QUEUED
--- a/src/rosemarynotch/_internal/scheduling/intake_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/intake_feed.py
@@ -1,9 +1,12 @@
 """Passes accepted jobs and cancellations from the store to the scheduler."""
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 import threading
 from typing import TYPE_CHECKING
 
+import attrs
+
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import STORE_HISTORY_LOST
 from rosemarynotch._internal.exceptions import STORE_KEY_MISSING
@@ -59,36 +62,48 @@
     def load(self) -> bool:
         """Read all jobs with their progress.
 
+        They are read page by page, so that the memory which this takes does
+        not grow with their number.
+
         :returns: False if the store did not answer, or not within the term
         """
-        store = self._controller.ports.store
-        intake = store.list_prefix(INTAKE_PREFIX)
-        progress = store.list_prefix(PROGRESS_PREFIX)
-        for listing in (intake, progress):
-            if isinstance(listing, Failure):
-                self._controller.log("jobs not read", why=listing.reason)
-                return False
-        if not self._controller.is_running:
+        controller = self._controller
+        store = controller.ports.store
+        progress = _ProgressReader(store.pages(PROGRESS_PREFIX))
+        counts = _ReadCounts()
+        revision = 0
+        for page in store.pages(INTAKE_PREFIX):
+            if isinstance(page, Failure):
+                return self._log_not_read(page)
+            revision = revision or page.revision
+            for item in page.items:
+                record = None
+                if not _is_cancellation(item):
+                    record = progress.find(item.key.removeprefix(JOBS_PREFIX))
+                if isinstance(record, Failure):
+                    return self._log_not_read(record)
+                if not controller.is_running:
+                    return False
+                counts.add(item, record)
+                with controller.lock:
+                    self._apply(item, record)
+        if not controller.is_running:
             return False
-        self._controller.log(
+        controller.log(
             "jobs read",
-            intake_items=len(intake.items),
-            intake_bytes=_size(intake),
-            progress_items=len(progress.items),
-            progress_bytes=_size(progress),
+            unloaded=len(controller.scheduler.unloaded),
             resident_mb=round(resident_mb()),
+            **attrs.asdict(counts),
         )
-        records = {
-            item.key.removeprefix(PROGRESS_PREFIX): item
-            for item in progress.items
-        }
-        with self._controller.lock:
-            for item in intake.items:
-                self._apply(item, records)
-            self._controller.scheduler.advance_intake(intake.revision)
-        self._revision = intake.revision
+        with controller.lock:
+            controller.scheduler.advance_intake(revision)
+        self._revision = revision
         return True
 
+    def _log_not_read(self, failure: Failure) -> bool:
+        self._controller.log("jobs not read", why=failure.reason)
+        return False
+
     def record_hint(self, keys: Iterable[str]) -> None:
         """Record keys that a node has written.
 
@@ -132,7 +147,7 @@
     def _is_known(self, key: str) -> bool:
         scheduler = self._controller.scheduler
         if key.startswith(JOBS_PREFIX):
-            return key.removeprefix(JOBS_PREFIX) in scheduler.jobs
+            return scheduler.is_known(key.removeprefix(JOBS_PREFIX))
         return key.removeprefix(CANCELLATIONS_PREFIX) in (
             scheduler.cancelled_ids
         )
@@ -158,11 +173,14 @@
             controller.stop.wait(RETRY_S)
 
     def _list_again(self) -> None:
-        intake = self._controller.ports.store.list_prefix(INTAKE_PREFIX)
-        if isinstance(intake, Failure):
-            return
-        self._revision = intake.revision
-        self._post(intake.items, self._revision)
+        revision = 0
+        for page in self._controller.ports.store.pages(INTAKE_PREFIX):
+            if isinstance(page, Failure):
+                return
+            revision = revision or page.revision
+            self._post(page.items)
+        self._revision = revision
+        self._post((), revision)
 
     def _post(self, items: tuple[Item, ...], revision: int = 0) -> None:
         """Pass items that were just received to the scheduling thread.
@@ -188,25 +206,28 @@
         # One event each, so that an item that cannot be applied costs only
         # itself: those after it would count as passed on.
         for item in found:
-            controller.post(lambda now_s, item=item: self._apply(item, {}))
+            controller.post(lambda now_s, item=item: self._apply(item))
         if revision:
             controller.post(
                 lambda now_s: controller.scheduler.advance_intake(revision)
             )
 
-    def _apply(self, item: Item, progress: dict[str, Item]) -> None:
+    def _apply(self, item: Item, progress: Item | None = None) -> None:
+        """Apply a job or a cancellation.
+
+        :param progress: progress record of the job, None if it has none
+        """
         scheduler = self._controller.scheduler
         if _is_cancellation(item):
             job_id = item.key.removeprefix(CANCELLATIONS_PREFIX)
             # A job is created before its cancellation. If it is not known
             # though the cancellation was passed on, it will not be added.
-            if job_id in scheduler.jobs or not scheduler.was_passed(
-                item.revision
-            ):
+            is_held = job_id in scheduler.jobs or job_id in scheduler.unloaded
+            if is_held or not scheduler.was_passed(item.revision):
                 scheduler.cancel(job_id)
             return
         job_id = item.key.removeprefix(JOBS_PREFIX)
-        if job_id in scheduler.jobs or job_id in scheduler.refused_ids:
+        if scheduler.is_known(job_id):
             return
         if scheduler.was_passed(item.revision):
             self._controller.log(
@@ -217,6 +238,39 @@
                 why="refused or forgotten before",
             )
             return
+        self._add_job(item, progress)
+
+    def add_unloaded(
+        self,
+        job_id: str,
+        item: Item | None,
+        progress: Item | None,
+        now_s: float,
+    ) -> None:
+        """Add a job that was left in the store before.
+
+        :param item: its record, None if the store has none
+        :param progress: its progress record, None if it has none
+        """
+        scheduler = self._controller.scheduler
+        if job_id not in scheduler.unloaded:
+            return
+        if item is not None:
+            self._add_job(item, progress, is_needed=True)
+        # A job that the store lacks, or that was refused, is not read again.
+        scheduler.unloaded.pop(job_id)
+        scheduler.apply_withheld_ends(job_id, now_s)
+
+    def _add_job(
+        self, item: Item, known: Item | None, is_needed: bool = False
+    ) -> None:
+        """Decode a job with its progress and add it.
+
+        :param known: its progress record, None if it has none
+        :param is_needed: whether it is added even if there is no memory
+        """
+        scheduler = self._controller.scheduler
+        job_id = item.key.removeprefix(JOBS_PREFIX)
         submission = decode(item.value, SubmissionRecord)
         if isinstance(submission, Failure):
             self._controller.log(
@@ -224,7 +278,7 @@
             )
             scheduler.refuse(job_id, item.revision)
             return
-        known, record = progress.get(job_id), None
+        record = None
         if known is not None:
             record = decode(known.value, ProgressRecord)
             if isinstance(record, Failure):
@@ -239,6 +293,7 @@
             item.revision,
             record,
             known.revision if known else 0,
+            is_needed,
         )
         if job is None:
             self._controller.log(
@@ -247,8 +302,53 @@
             scheduler.refuse(job_id, item.revision)
 
 
-def _size(listing: Listing) -> int:
-    return sum(len(item.value or b"") for item in listing.items)
+@attrs.define
+class _ReadCounts:
+    """What was read of the store, in items and bytes."""
+
+    intake_items: int = 0
+    intake_bytes: int = 0
+    progress_items: int = 0
+    progress_bytes: int = 0
+
+    def add(self, item: Item, progress: Item | None) -> None:
+        """Count a job or a cancellation, and its progress record."""
+        self.intake_items += 1
+        self.intake_bytes += len(item.value or b"")
+        if progress is not None:
+            self.progress_items += 1
+            self.progress_bytes += len(progress.value or b"")
+
+
+class _ProgressReader:
+    """Finds the progress records of jobs that are listed in order.
+
+    Jobs and progress records have the same order, so one page of the records
+    is held at a time. None is written between the start of a term and the end
+    of its first listing.
+    """
+
+    def __init__(self, pages: Iterator[Listing | Failure]) -> None:
+        self._pages = pages
+        self._items: dict[str, Item] = {}
+        self._last_key = ""
+        self._is_complete = False
+
+    def find(self, job_id: str) -> Item | None | Failure:
+        """Return the progress record of a job, None if it has none.
+
+        :param job_id: job after those that were asked for before
+        """
+        key = PROGRESS_PREFIX + job_id
+        while self._last_key < key and not self._is_complete:
+            page = next(self._pages, None)
+            if isinstance(page, Failure):
+                return page
+            self._is_complete = page is None
+            if page is not None and page.items:
+                self._items = {item.key: item for item in page.items}
+                self._last_key = page.items[-1].key
+        return self._items.get(key)
 
 
 def _is_cancellation(item: Item) -> bool:
--- a/src/rosemarynotch/_internal/scheduling/job_api.py
+++ b/src/rosemarynotch/_internal/scheduling/job_api.py
@@ -8,6 +8,7 @@
 from rosemarynotch._internal.exceptions import CONFIGURATION_MISSING
 from rosemarynotch._internal.exceptions import CONFIGURATION_STALE
 from rosemarynotch._internal.exceptions import Failure
+from rosemarynotch._internal.exceptions import JOB_MEMORY_FULL
 from rosemarynotch._internal.exceptions import KEY_INVALID
 from rosemarynotch._internal.exceptions import KEY_MISSING
 from rosemarynotch._internal.exceptions import OVERLOADED
@@ -16,11 +17,13 @@
 from rosemarynotch._internal.scheduling.access import CallerAccess
 from rosemarynotch._internal.scheduling.config_feed import ConfigFeed
 from rosemarynotch._internal.scheduling.intake import JobIntake
+from rosemarynotch._internal.scheduling.memory_admission import MemoryAdmission
 from rosemarynotch._internal.scheduling.model import Configuration
 from rosemarynotch._internal.scheduling.model import JobSpec
 from rosemarynotch._internal.scheduling.model import QueuePolicy
 from rosemarynotch._internal.scheduling.phase_reader import PhaseReader
 from rosemarynotch._internal.scheduling.policy import Admission
+from rosemarynotch._internal.scheduling.policy import memory_retry_s
 from rosemarynotch._internal.scheduling.policy import outage_retry_s
 from rosemarynotch._internal.scheduling.policy import RoomRetry
 from rosemarynotch._internal.scheduling.ports import CommitConflict
@@ -86,6 +89,7 @@
         self._admission = admission
         self._room_retry = room_retry
         self._refused_jobs = RefusedJobs()
+        self._memory = MemoryAdmission()
         self._phase_reader = phase_reader
         self._config_feed = config_feed
         self._intake = intake
@@ -185,7 +189,9 @@
     ) -> None | Failure:
         if not self._is_in_contact():
             return CONFIGURATION_STALE
-        refusal = self._refuse_if_too_late(request, job_id, spec)
+        refusal = self._refuse_if_too_late(
+            request, job_id, spec
+        ) or self._refuse_without_memory(request, job_id, spec)
         if refusal is not None:
             return refusal
         for _ in range(MAX_ATTEMPTS):
@@ -202,6 +208,10 @@
                 request.configuration.revision,
                 request.wait_ms,
             )
+            if answer is None:
+                self._memory.record_accepted(
+                    record.organisation, spec, record.accepted_unix_ms
+                )
             if not isinstance(answer, CommitConflict):
                 return answer
             self._config_feed.refresh()
@@ -250,6 +260,26 @@
             )
         )
 
+    def _refuse_without_memory(
+        self, request: CallerRequest, job_id: str, spec: JobSpec
+    ) -> Failure | None:
+        """Refuse a job for which the leader has no memory.
+
+        A job that has been accepted before is not refused, nor is one of which
+        the store does not tell whether it was.
+        """
+        excess = self._memory.find_excess(
+            request.organisation or "", spec, self._intake.load()
+        )
+        if not excess or self._intake.is_known(job_id) is not False:
+            return None
+        self._metrics.count(
+            "refused_jobs", queue=request.queue.name, reason="memory"
+        )
+        return JOB_MEMORY_FULL.with_reason(excess).with_retry_after(
+            memory_retry_s(job_id)
+        )
+
     def _is_in_contact(self) -> bool:
         is_failing = self._config_feed.is_failing
         max_age_s = MAX_FAILING_AGE_S if is_failing else MAX_CONTACT_AGE_S
--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -2,6 +2,11 @@
 
 from collections.abc import Callable
 
+from rosemarynotch._internal.scheduling.ended_jobs import EndedJob
+from rosemarynotch._internal.scheduling.job_memory import JobMemory
+from rosemarynotch._internal.scheduling.job_memory import LOADED_SHARE
+from rosemarynotch._internal.scheduling.job_memory import OPENED_SHARE
+from rosemarynotch._internal.scheduling.job_sizes import occurrence_bytes
 from rosemarynotch._internal.scheduling.job_times import measure_chain
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
@@ -11,12 +16,17 @@
 from rosemarynotch._internal.scheduling.records import Phase
 from rosemarynotch._internal.scheduling.records import ProgressRecord
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
+from rosemarynotch._internal.scheduling.unloaded_jobs import may_unload
+from rosemarynotch._internal.scheduling.unloaded_jobs import UnloadedJob
+from rosemarynotch._internal.scheduling.unloaded_jobs import UnloadedJobs
 
 __all__ = ["JobRegistry"]
 
 # Run numbers per task that are reserved for each term. Runs of a later term
 # thereby get higher numbers than those of an earlier one.
 RUNS_PER_TERM = 1000
+# Until then workers may still report runs and ends of a job that has ended.
+COMPACT_AFTER_S = 10.0
 
 
 class JobRegistry:
@@ -29,6 +39,9 @@
     :param log: called with the name of an event and its fields
     :ivar jobs: all jobs by identifier
     :ivar active: jobs that have not ended, by identifier
+    :ivar ended: all that is kept of jobs that ended some time ago
+    :ivar unloaded: jobs that are left in the store
+    :ivar memory: what the jobs take
     :ivar cancelled_ids: cancelled jobs, including those not read yet
     :ivar intake_revision: store revision up to which all accepted jobs have
         been passed to this registry
@@ -53,6 +66,9 @@
         self._changes = 0
         self.jobs: dict[str, Job] = {}
         self.active: dict[str, Job] = {}
+        self.ended: dict[str, EndedJob] = {}
+        self.unloaded = UnloadedJobs()
+        self.memory = JobMemory()
         self.cancelled_ids: set[str] = set()
         self.intake_revision = 0
         self.refused_ids: set[str] = set()
@@ -69,9 +85,13 @@
         created_revision: int,
         progress: ProgressRecord | None = None,
         progress_revision: int = 0,
+        is_needed: bool = False,
     ) -> Job | None:
         """Add an accepted job, or return it if it is already known.
 
+        If there is no memory for it, it is left in the store and read later.
+
+        :param is_needed: add the job whether there is memory for it or not
         :returns: None if the progress is not that of the submitted job
         """
         known = self.jobs.get(job_id)
@@ -90,6 +110,28 @@
         if is_from_earlier_term:
             floor = (self._term - 1) * RUNS_PER_TERM
             job.run_floor = max(floor, job.highest_run)
+        is_ending = (
+            job.phase.is_final
+            or job_id in self.cancelled_ids
+            or submission.is_withdrawn
+        )
+        if job.phase.is_final and not is_needed:
+            self.ended[job_id] = EndedJob.of(job)
+            return job
+        organisation, size = submission.organisation, job.memory_bytes
+        if not (is_needed or is_ending) and not self.memory.has_room(
+            organisation, size, LOADED_SHARE
+        ):
+            self.unloaded.add(UnloadedJob.of(job))
+            return job
+        self.ended.pop(job_id, None)
+        unloaded = self.unloaded.pop(job_id)
+        if unloaded is not None:
+            # Not all of its runs need be in its progress record.
+            job.highest_run = max(job.highest_run, unloaded.highest_run)
+            job.run_floor = max(job.run_floor, job.highest_run)
+        else:
+            self.memory.add(organisation, size)
         self.jobs[job_id] = job
         if not job.phase.is_final:
             self.active[job_id] = job
@@ -130,6 +172,8 @@
         The identifier is kept if the job has not been read yet.
         """
         self.cancelled_ids.add(job_id)
+        if job_id in self.unloaded:
+            self.want(job_id)
         job = self.jobs.get(job_id)
         if job is not None and not job.phase.is_final:
             self.finish(job, Phase.CANCELLED)
@@ -172,7 +216,16 @@
         if job.change <= change:
             self.dirty.pop(job.job_id, None)
 
-    def expired_jobs(self, now_s: float, retention_s: float) -> list[Job]:
+    def is_known(self, job_id: str) -> bool:
+        """Return whether a job was added, left in the store or refused."""
+        return (
+            job_id in self.jobs
+            or job_id in self.ended
+            or job_id in self.unloaded
+            or job_id in self.refused_ids
+        )
+
+    def expired_jobs(self, now_s: float, retention_s: float) -> list[str]:
         """Return jobs whose retention period is over.
 
         It begins when this leader first finds that a job has ended. The time
@@ -180,24 +233,105 @@
         as its final state is not persisted, or a watch may still report that
         it was created, see :meth:`was_passed`.
         """
-        expired = []
-        for job in self.jobs.values():
+        for job in list(self.jobs.values()):
             if not job.finished_unix_ms:
                 continue
             if job.retained_since_s is None:
                 job.retained_since_s = now_s
             if (
                 job.durable_change >= job.change
-                and self.was_passed(job.created_revision)
-                and now_s - job.retained_since_s > retention_s
+                and not job.held_tasks
+                and now_s - job.retained_since_s > COMPACT_AFTER_S
             ):
-                expired.append(job)
+                self.ended[job.job_id] = EndedJob.of(job)
+                del self.jobs[job.job_id]
+        expired = []
+        for ended in self.ended.values():
+            if ended.retained_since_s is None:
+                ended.retained_since_s = now_s
+            if (
+                self.was_passed(ended.created_revision)
+                and now_s - ended.retained_since_s > retention_s
+            ):
+                expired.append(ended.job_id)
         return expired
 
-    def forget(self, job: Job) -> None:
+    def forget(self, job_id: str) -> None:
         """Remove a job that was deleted from the store."""
-        self.jobs.pop(job.job_id, None)
-        self.cancelled_ids.discard(job.job_id)
+        self.jobs.pop(job_id, None)
+        self.ended.pop(job_id, None)
+        self.cancelled_ids.discard(job_id)
+
+    def want(self, job_id: str) -> None:
+        """Request a job that is in the store, but not in memory.
+
+        A worker has a run or an end of it, or its caller has cancelled it.
+        """
+        ended = self.ended.get(job_id)
+        if ended is not None and job_id not in self.unloaded:
+            self.unloaded.add(UnloadedJob.of_ended(ended))
+        self.unloaded.want(job_id)
+
+    def measure_memory(self) -> None:
+        """Count the memory of all jobs anew."""
+        self.memory.measure(self.jobs.values(), self.ended.values())
+
+    def has_room_to_open(self, job: Job) -> bool:
+        """Return whether there is memory for more occurrences of a job."""
+        submission = job.submission
+        size = occurrence_bytes(submission.spec)
+        return self.memory.has_room(
+            submission.organisation, size, OPENED_SHARE
+        )
+
+    def startable_count(self, job: Job) -> int:
+        """Return how many tasks of a job there is memory to start.
+
+        The first one always has room, so that each job can go on.
+        """
+        count = self.memory.startable_tasks(job.submission.organisation)
+        return count if job.held_tasks else max(1, count)
+
+    def choose_loads(self, wall_ms: float) -> tuple[list[str], list[Job]]:
+        """Return which jobs are to be read, and those that gave way to them.
+
+        Jobs that are due give way to none.
+        """
+        idle = [
+            job
+            for job in self.active.values()
+            if len(self.unloaded) and may_unload(job, wall_ms)
+        ]
+        idle.sort(key=lambda job: job.due_unix_ms(job.first_unfinished_number))
+        given_way: list[Job] = []
+
+        def make_room(wanted: UnloadedJob) -> bool:
+            name, size = wanted.organisation, wanted.size_bytes
+            while not self.memory.has_room(name, size, LOADED_SHARE):
+                is_own = self.memory.is_share_used(name, size, LOADED_SHARE)
+                victim = next(
+                    (
+                        job
+                        for job in reversed(idle)
+                        if not is_own or job.submission.organisation == name
+                    ),
+                    None,
+                )
+                if victim is None:
+                    return False
+                idle.remove(victim)
+                given_way.append(victim)
+                self._unload(victim)
+            self.memory.add(name, size)
+            return True
+
+        return self.unloaded.choose(wall_ms, make_room), given_way
+
+    def _unload(self, job: Job) -> None:
+        """Leave a job in the store and drop it from memory."""
+        self.unloaded.add(UnloadedJob.of(job))
+        del self.jobs[job.job_id], self.active[job.job_id]
+        self.memory.add(job.submission.organisation, -job.memory_bytes)
 
     def mark_running(self, job: Job) -> None:
         """Mark a queued job as running.
@@ -212,7 +346,7 @@
 
     def complete_if_done(self, job: Job) -> None:
         """Complete a job if all of its tasks are done."""
-        if all(occurrence.is_done for occurrence in job.occurrences):
+        if job.is_done:
             self.finish(job, Phase.COMPLETED)
 
     def finish(self, job: Job, phase: Phase) -> None:
@@ -233,6 +367,7 @@
             run_ms=times.run_ms if times else None,
             lost_runs=job.lost_runs,
         )
+        job.release_unused()
 
     def adjust_usage(self, run: Run, sign: int) -> None:
         """Add a run to the usage of its organisation, or subtract it.
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -1,218 +1,45 @@
-"""In-memory state of accepted jobs and their tasks in the leader."""
+"""In-memory state of accepted jobs in the leader."""
 
-import enum
+from collections.abc import Iterator
 
 import attrs
 
+from rosemarynotch._internal.scheduling.job_sizes import ended_bytes
+from rosemarynotch._internal.scheduling.job_sizes import occurrence_bytes
+from rosemarynotch._internal.scheduling.job_sizes import spec_bytes
+from rosemarynotch._internal.scheduling.job_sizes import TASK_BYTES
 from rosemarynotch._internal.scheduling.model import StepSpec
 from rosemarynotch._internal.scheduling.model import TaskId
 from rosemarynotch._internal.scheduling.records import Phase
 from rosemarynotch._internal.scheduling.records import ProgressRecord
 from rosemarynotch._internal.scheduling.records import StepRecord
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
-from rosemarynotch._internal.scheduling.step_failures import StepFailures
+from rosemarynotch._internal.scheduling.runs import Run
+from rosemarynotch._internal.scheduling.runs import RunPhase
+from rosemarynotch._internal.scheduling.tasks import Occurrence
+from rosemarynotch._internal.scheduling.tasks import Step
+from rosemarynotch._internal.scheduling.tasks import Task
+from rosemarynotch._internal.utils.lazy import IndexSet
+from rosemarynotch._internal.utils.lazy import LazySequence
 
 __all__ = ["Job", "Occurrence", "Run", "RunPhase", "Step", "Task"]
 
-
-class RunPhase(enum.Enum):
-    """State of a run as known to the leader.
-
-    ORDERED: the start order is being sent. ACTIVE: the worker has confirmed
-    the run. UNCONFIRMED: the start order was not answered and may still be
-    carried out. STOPPING: a stop was ordered.
-    """
-
-    ORDERED = "ordered"
-    ACTIVE = "active"
-    UNCONFIRMED = "unconfirmed"
-    STOPPING = "stopping"
-
-
-@attrs.define(kw_only=True, eq=False)
-class Run:
-    """A run of a task on a worker.
-
-    :ivar checkpoint: checkpoint to resume from; the same in each order for the
-        run, and for all members of a gang
-    :ivar ordered_at_s: when the start was first ordered
-    :ivar lease_until_ms: end of the lease sent with the start order, on the
-        worker's clock; a repeated order carries the same value, so that it
-        cannot prevent a lost run from expiring
-    :ivar confirmed_at_s: when the worker confirmed the run; every report
-        requested later has to contain it
-    :ivar stop_sent_at_s: when a stop was last ordered, 0 if none was or if it
-        has to be ordered again
-    :ivar listed_at_s: when a report last listed it as running, 0 if none has
-    :ivar progressed_at_s: when it was confirmed, or its percentage last
-        increased
-    :ivar pace_percent: share of its full speed that it was ordered to use
-    :ivar load: latest load reported by the worker: the latency tail in
-        milliseconds of a serving task, otherwise the processors in use
-    :ivar is_sent: whether a start order was sent; until then the worker
-        cannot have the run
-    :ivar is_resent: whether the start order was sent more than once
-    :ivar start_count: number of start orders that were sent
-    :ivar stop_count: number of stops that were sent
-    """
-
-    task: "Task"
-    number: int
-    worker_id: str
-    phase: RunPhase = RunPhase.ORDERED
-    checkpoint: str = ""
-    ordered_at_s: float = 0.0
-    lease_until_ms: int = 0
-    confirmed_at_s: float = 0.0
-    stop_sent_at_s: float = 0.0
-    percent: int = 0
-    listed_at_s: float = 0.0
-    progressed_at_s: float = 0.0
-    pace_percent: int = 100
-    load: float = 0.0
-    is_sent: bool = False
-    is_resent: bool = False
-    start_count: int = 0
-    stop_count: int = 0
-
-    @property
-    def key(self) -> tuple[TaskId, int]:
-        """Return the identity of the run on its worker."""
-        return self.task.task_id, self.number
-
-    def confirm(self, now_s: float) -> None:
-        """Record proof that the worker has accepted the run.
-
-        The run may work from the first proof on. Its order may have waited in
-        a queue before.
-        """
-        if self.phase in (RunPhase.ORDERED, RunPhase.UNCONFIRMED):
-            self.phase = RunPhase.ACTIVE
-        if not self.confirmed_at_s:
-            self.confirmed_at_s = self.progressed_at_s = now_s
-
-
-@attrs.define(eq=False)
-class Task:
-    """A task of a job.
-
-    :ivar last_run: highest run number used for the task
-    :ivar runs: runs that may exist; more than one only while an earlier one
-        is being stopped, or if the step allows speculative copies
-    :ivar failed_workers: workers on which a run failed or got stuck
-    :ivar stuck_count: number of its runs that were stopped as stuck
-    :ivar failed_runs: numbers of the runs that failed; empty for a
-        long-running task, which may fail any number of times
-    """
-
-    step: "Step"
-    index: int
-    is_done: bool = False
-    _checkpoint: str = ""
-    last_run: int = 0
-    runs: list[Run] = attrs.field(factory=list)
-    failed_workers: set[str] = attrs.field(factory=set)
-    stuck_count: int = 0
-    failed_runs: set[int] = attrs.field(factory=set)
-
-    @property
-    def checkpoint(self) -> str:
-        """Return the newest checkpoint, empty if there is none.
-
-        That of any member of a gang is valid for all, and a gang works only
-        if all members resume from the same one.
-        """
-        step = self.step
-        return step.gang_checkpoint if step.spec.is_gang else self._checkpoint
-
-    @checkpoint.setter
-    def checkpoint(self, value: str) -> None:
-        if self.step.spec.is_gang:
-            self.step.gang_checkpoint = value
-        else:
-            self._checkpoint = value
-
-    @property
-    def failures(self) -> int:
-        """Return the number of runs that have failed."""
-        return len(self.failed_runs)
-
-    @property
-    def task_id(self) -> TaskId:
-        """Return the identifier of the task."""
-        occurrence = self.step.occurrence
-        return TaskId(
-            occurrence.job.job_id,
-            occurrence.number,
-            self.step.number,
-            self.index,
-        )
-
-    @property
-    def is_waiting(self) -> bool:
-        """Return whether the task needs a run."""
-        return not self.is_done and not self.runs
-
-
-@attrs.define(eq=False)
-class Step:
-    """A step of an occurrence.
-
-    :ivar first_ordered_at_s: when a task was first ordered to start, 0 if
-        this leader has ordered none
-    :ivar last_ordered_at_s: when a task was last ordered to start
-    :ivar longest_run_s: longest run that ended as done
-    :ivar done_at_s: when the last task ended, 0 if it has not
-    :ivar gang_checkpoint: newest checkpoint of any member of a gang
-    """
-
-    occurrence: "Occurrence"
-    number: int
-    spec: StepSpec
-    tasks: list[Task] = attrs.field(factory=list)
-    done_count: int = 0
-    first_ordered_at_s: float = 0.0
-    last_ordered_at_s: float = 0.0
-    longest_run_s: float = 0.0
-    done_at_s: float = 0.0
-    gang_checkpoint: str = ""
-    failures: StepFailures = attrs.field(factory=StepFailures)
-
-    @property
-    def is_done(self) -> bool:
-        """Return whether all tasks are done."""
-        return self.done_count == len(self.tasks)
-
-    @property
-    def is_ready(self) -> bool:
-        """Return whether all steps that it depends on are done."""
-        steps = self.occurrence.steps
-        return all(steps[number].is_done for number in self.spec.after)
-
-
-@attrs.define(eq=False)
-class Occurrence:
-    """One execution of all steps of a job.
-
-    :ivar due_unix_ms: earliest start of a scheduled job's occurrence
-    """
-
-    job: "Job"
-    number: int
-    due_unix_ms: int
-    steps: list[Step] = attrs.field(factory=list)
-
-    @property
-    def is_done(self) -> bool:
-        """Return whether all steps are done."""
-        return all(step.is_done for step in self.steps)
+# Due occurrences of a job that are held before any of their tasks has started.
+# The others are opened as these start.
+MAX_UNTOUCHED_OCCURRENCES = 30
 
 
 @attrs.define(eq=False, kw_only=True)
 class Job:
     """A job and its state in the leader.
 
+    Of the occurrences of a scheduled job, only those that are due and not
+    done are held.
+
     :ivar created_revision: store revision at which the job was accepted
+    :ivar done_occurrences: numbers of the occurrences of a scheduled job that
+        are done
+    :ivar held_tasks: number of its tasks that are held
     :ivar run_floor: new runs get numbers above this one
     :ivar highest_run: highest run number used for any of its tasks
     :ivar progress_revision: store revision of its progress record, 0 if it
@@ -232,7 +59,9 @@
     submission: SubmissionRecord
     created_revision: int = 0
     phase: Phase = Phase.QUEUED
-    occurrences: list[Occurrence] = attrs.field(factory=list)
+    occurrences: LazySequence[Occurrence] = attrs.field(init=False)
+    done_occurrences: IndexSet = attrs.field(init=False)
+    held_tasks: int = 0
     run_floor: int = 0
     highest_run: int = 0
     progress_revision: int = 0
@@ -243,30 +72,40 @@
     is_inherited: bool = False
     pools: dict[str, int] = attrs.field(factory=dict)
     lost_runs: int = 0
+    _spec_bytes: int = attrs.field(init=False)
+    # Occurrences below this number were opened, or are done.
+    _next_unopened: int = 0
+
+    def __attrs_post_init__(self):
+        count = max(1, self.submission.spec.repeat_count)
+        self.occurrences = LazySequence(count, Occurrence, self)
+        self.done_occurrences = IndexSet(count)
+        if not self.is_scheduled:
+            self.occurrences[0]
+        self._spec_bytes = spec_bytes(self.submission.spec)
 
     @classmethod
     def from_submission(
         cls, job_id: str, submission: SubmissionRecord, revision: int
     ) -> "Job":
-        """Create a job with the occurrences and tasks of its submission."""
-        job = cls(
+        """Create a job of which nothing has started."""
+        return cls(
             job_id=job_id,
             submission=submission,
             created_revision=revision,
             pools={submission.policy.pool: 0},
         )
-        spec = submission.spec
-        for number in range(max(1, spec.repeat_count)):
-            due = spec.first_run_unix_ms + number * spec.interval_ms
-            occurrence = Occurrence(job, number, due)
-            for index, step_spec in enumerate(spec.steps):
-                step = Step(occurrence, index, step_spec)
-                step.tasks = [
-                    Task(step, each) for each in range(step_spec.task_count)
-                ]
-                occurrence.steps.append(step)
-            job.occurrences.append(occurrence)
-        return job
+
+    @property
+    def memory_bytes(self) -> int:
+        """Return an upper estimate of the memory that the job takes."""
+        spec = self.submission.spec
+        if self.phase.is_final:
+            size = ended_bytes(spec)
+        else:
+            further = max(0, self.occurrences.held_count - 1)
+            size = self._spec_bytes + further * occurrence_bytes(spec)
+        return size + self.held_tasks * TASK_BYTES
 
     @property
     def is_long_running(self) -> bool:
@@ -278,32 +117,141 @@
         """Return whether the occurrences of the job have due times."""
         return self.submission.spec.repeat_count > 0
 
+    @property
+    def is_done(self) -> bool:
+        """Return whether all tasks of all occurrences are done."""
+        if self.is_scheduled:
+            return self.done_occurrences.is_full
+        return self.occurrences[0].is_done
+
+    @property
+    def unheld_count(self) -> int:
+        """Return the number of occurrences that are neither held nor done."""
+        done = self.done_occurrences
+        held = sum(each.number not in done for each in self.occurrences.held)
+        return len(self.occurrences) - len(done) - held
+
+    def due_unix_ms(self, number: int) -> int:
+        """Return the earliest start of an occurrence of a scheduled job."""
+        spec = self.submission.spec
+        return spec.first_run_unix_ms + number * spec.interval_ms
+
+    def due_count(self, wall_ms: float) -> int:
+        """Return how many occurrences may have started by a time."""
+        if not self.is_scheduled:
+            return 1
+        spec = self.submission.spec
+        since_ms = wall_ms - spec.first_run_unix_ms
+        if since_ms < 0:
+            return 0
+        if not spec.interval_ms:
+            return spec.repeat_count
+        return min(spec.repeat_count, int(since_ms // spec.interval_ms) + 1)
+
+    def unopened_count(self, wall_ms: float) -> int:
+        """Return how many due occurrences are neither held nor done."""
+        due_count = self.due_count(wall_ms)
+        held = sum(
+            each.number < due_count and not each.is_done
+            for each in self.occurrences.held
+        )
+        return max(0, due_count - len(self.done_occurrences) - held)
+
+    @property
+    def first_unfinished_number(self) -> int:
+        """Return the number of the first occurrence that is not done.
+
+        :returns: that of the last one if all are done
+        """
+        last = len(self.occurrences) - 1
+        return next(self.done_occurrences.missing(), last)
+
+    def first_unfinished(self) -> Occurrence:
+        """Return the first occurrence that is not done, or the last one."""
+        return self.occurrences[self.first_unfinished_number]
+
+    def open_occurrences(
+        self, wall_ms: float, has_room: bool = True
+    ) -> list[Occurrence]:
+        """Return the due occurrences that are held and not done.
+
+        Further ones are opened as long as few have nothing started.
+
+        :param has_room: whether there is memory for more than one
+        """
+        if not self.is_scheduled:
+            occurrence = self.occurrences[0]
+            return [] if occurrence.is_done else [occurrence]
+        due_count = self.due_count(wall_ms)
+        found = [
+            each
+            for each in self.occurrences.held
+            if each.number < due_count and not each.is_done
+        ]
+        untouched = sum(each.is_untouched for each in found)
+        while self._next_unopened < due_count:
+            if untouched >= MAX_UNTOUCHED_OCCURRENCES:
+                break
+            if found and not has_room:
+                break
+            number = self._next_unopened
+            self._next_unopened += 1
+            if number in self.done_occurrences:
+                continue
+            if self.occurrences.peek(number) is None:
+                found.append(self.occurrences[number])
+                untouched += 1
+        return sorted(found, key=lambda each: each.number)
+
+    def release(self, occurrence: Occurrence) -> None:
+        """Drop an occurrence that does not have to be held."""
+        if occurrence.is_needed:
+            return
+        if self.is_scheduled and occurrence.is_done:
+            self.done_occurrences.add(occurrence.number)
+        self.occurrences.drop(occurrence.number)
+
+    def release_unused(self) -> None:
+        """Drop all that does not have to be held.
+
+        After the end of the job this includes its payload.
+        """
+        if self.phase.is_final and self.submission.spec.payload:
+            spec = attrs.evolve(self.submission.spec, payload="")
+            self.submission = attrs.evolve(self.submission, spec=spec)
+        for occurrence in self.occurrences.held:
+            for step in occurrence.steps:
+                step.release_unused()
+            self.release(occurrence)
+
     def task(self, task_id: TaskId) -> Task | None:
-        """Return a task of this job, None if there is no such task."""
+        """Return a task of this job, None if there is no such task.
+
+        It is held from now on.
+        """
         try:
             occurrence = self.occurrences[task_id.occurrence]
             return occurrence.steps[task_id.step].tasks[task_id.index]
         except IndexError:
             return None
 
-    def all_tasks(self) -> list[Task]:
-        """Return all tasks of all occurrences."""
-        return [
-            task
-            for occurrence in self.occurrences
-            for step in occurrence.steps
-            for task in step.tasks
-        ]
+    def waiting_counts(self) -> Iterator[tuple[StepSpec, int]]:
+        """Return how many tasks of each step need a run, due or not."""
+        held = self.occurrences.held
+        for index, spec in enumerate(self.submission.spec.steps):
+            waiting = sum(each.steps[index].waiting_count for each in held)
+            yield spec, waiting + self.unheld_count * spec.task_count
 
     def mark_done(self, task: Task) -> None:
         """Mark a task, or all tasks of its gang, as done."""
         step = task.step
-        members = step.tasks if step.spec.is_gang else [task]
-        for member in members:
-            if not member.is_done:
-                member.is_done = True
-                member.checkpoint = ""
-                step.done_count += 1
+        step.mark_done(task)
+        if self.is_scheduled and step.occurrence.is_done:
+            self.done_occurrences.add(step.occurrence.number)
+        if step.spec.is_gang:
+            step.release_unused()
+        else:
+            step.release(task)
 
     def can_restore(self, record: ProgressRecord) -> bool:
         """Return whether all that a record names is a part of this job."""
@@ -331,8 +279,7 @@
         for row in record.steps:
             step = self.occurrences[row.occurrence].steps[row.step]
             for index in row.done:
-                step.tasks[index].is_done = True
-            step.done_count = sum(task.is_done for task in step.tasks)
+                step.done.add(index)
             for index, count in row.failures.items():
                 # Older records only count the failures. Negative numbers
                 # cannot clash with run numbers, which are positive.
@@ -341,6 +288,8 @@
                 step.tasks[index].failed_runs |= set(runs)
             for index, checkpoint in row.checkpoints.items():
                 step.tasks[index].checkpoint = checkpoint
+            self.release(step.occurrence)
+        self.release_unused()
 
     def progress(self) -> ProgressRecord:
         """Return the progress record to be written to the store.
@@ -349,12 +298,7 @@
         """
         rows = []
         if not self.phase.is_final:
-            rows = [
-                row
-                for occurrence in self.occurrences
-                for step in occurrence.steps
-                if (row := _step_record(step))
-            ]
+            rows = list(self._step_records())
         return ProgressRecord(
             phase=self.phase,
             queue=self.submission.queue,
@@ -369,15 +313,32 @@
             steps=tuple(rows),
         )
 
+    def _step_records(self) -> Iterator[StepRecord]:
+        steps = self.submission.spec.steps
+        held = {each.number: each for each in self.occurrences.held}
+        for number in sorted(held.keys() | set(self.done_occurrences)):
+            if number in held:
+                rows = map(_step_record, held[number].steps)
+                yield from (row for row in rows if row is not None)
+                continue
+            for index, spec in enumerate(steps):
+                yield StepRecord(
+                    occurrence=number,
+                    step=index,
+                    done=tuple(range(spec.task_count)),
+                )
+
 
 def _step_record(step: Step) -> StepRecord | None:
-    done = tuple(task.index for task in step.tasks if task.is_done)
+    done = tuple(step.done)
+    tasks = sorted(step.tasks.held, key=lambda task: task.index)
     failed_runs = {
-        t.index: tuple(sorted(t.failed_runs))
-        for t in step.tasks
-        if t.failed_runs
+        t.index: tuple(sorted(t.failed_runs)) for t in tasks if t.failed_runs
     }
-    checkpoints = {t.index: t.checkpoint for t in step.tasks if t.checkpoint}
+    checkpoints = {t.index: t.checkpoint for t in tasks if t.checkpoint}
+    if step.spec.is_gang and step.gang_checkpoint:
+        members = range(step.spec.task_count)
+        checkpoints = dict.fromkeys(members, step.gang_checkpoint)
     if not (done or failed_runs or checkpoints):
         return None
     return StepRecord(
--- a/src/rosemarynotch/_internal/scheduling/load_report.py
+++ b/src/rosemarynotch/_internal/scheduling/load_report.py
@@ -9,21 +9,25 @@
 from rosemarynotch._internal.scheduling.records import LoadRecord
 from rosemarynotch._internal.scheduling.records import Turn
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
+from rosemarynotch._internal.utils.metrics import Metrics
 from rosemarynotch._internal.utils.process_memory import resident_mb
 
 __all__ = ["LoadReport", "read_last_turns"]
 
 REPORT_INTERVAL_S = 1.0
+KILOBYTE = 1024
 
 
 class LoadReport:
     """Aggregates the leader's scheduling passes into a line per second.
 
     :param log: called with the name of an event and its fields
+    :param metrics: gets what jobs take, as gauges
     """
 
-    def __init__(self, log: Callable[..., None]) -> None:
+    def __init__(self, log: Callable[..., None], metrics: Metrics) -> None:
         self._log = log
+        self._metrics = metrics
         self._reported_at_s = 0.0
         self._reset()
 
@@ -69,6 +73,7 @@
             pool = worker.entry.pool
             workers[pool] = workers.get(pool, 0) + worker.accepts_work(now_s)
             running[pool] = running.get(pool, 0) + len(worker.runs)
+        memory = scheduler.memory.use
         self._log(
             "leader load",
             passes=self._passes,
@@ -84,8 +89,19 @@
             usable_workers=_by_name(workers),
             resident_mb=round(resident_mb()),
             known_jobs=len(scheduler.jobs),
-            known_tasks=_by_name(_count_tasks(scheduler)),
+            ended_jobs=len(scheduler.ended),
+            unloaded_jobs=len(scheduler.unloaded),
+            job_memory_kb=memory.used_bytes // KILOBYTE,
+            job_memory_kb_by_organisation=_by_name(
+                {
+                    name: size // KILOBYTE
+                    for name, size in memory.by_organisation.items()
+                }
+            ),
         )
+        self._metrics.set_gauge("job_memory_bytes", memory.used_bytes)
+        self._metrics.set_gauge("job_memory_limit_bytes", memory.limit_bytes)
+        self._metrics.set_gauge("unloaded_jobs", len(scheduler.unloaded))
         self._reset()
 
 
@@ -93,15 +109,6 @@
     return " ".join(f"{name}={counts[name]}" for name in sorted(counts))
 
 
-def _count_tasks(scheduler: Scheduler) -> dict[str, int]:
-    """Return the number of tasks of all jobs, by organisation."""
-    counts: dict[str, int] = {}
-    for job in scheduler.jobs.values():
-        name = job.submission.organisation
-        counts[name] = counts.get(name, 0) + len(job.all_tasks())
-    return counts
-
-
 def read_last_turns(
     store: CoordinationStore, log: Callable[..., None]
 ) -> tuple[Turn, ...]:
--- a/src/rosemarynotch/_internal/scheduling/model.py
+++ b/src/rosemarynotch/_internal/scheduling/model.py
@@ -40,6 +40,14 @@
             gpu_count=self.gpu_count - other.gpu_count,
         )
 
+    def times(self, count: int) -> "Resources":
+        """Return a multiple."""
+        return Resources(
+            cpu_millicores=self.cpu_millicores * count,
+            memory_mb=self.memory_mb * count,
+            gpu_count=self.gpu_count * count,
+        )
+
     def at_most(self, other: "Resources") -> "Resources":
         """Return the lesser amount of each kind."""
         return Resources(
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -1,6 +1,7 @@
 """Plans which runs the leader starts and stops next."""
 
 from collections.abc import Callable
+from itertools import islice
 import math
 
 import attrs
@@ -34,6 +35,8 @@
 # with one task. It may fail any number of times, and would else take capacity
 # and orders all the time.
 FAILING_RETRY_S = 2.0
+# Of more waiting tasks of a step, only as many are tried as may have room.
+MAX_TRIED_TASKS = 32
 # Which pools are short may change with each pass.
 LOG_INTERVAL_S = 1.0
 
@@ -268,11 +271,11 @@
         by more VMs.
         """
         for step in waiting.steps:
-            tasks = [task for task in step.tasks if task.is_waiting]
+            tasks = list(islice(step.waiting_tasks(), 1))
             if (
                 tasks
                 and self._fits_a_worker(step)
-                and self._caps.select(waiting.job, tasks[:1])
+                and self._caps.select(waiting.job, tasks)
             ):
                 return True
         return False
@@ -285,18 +288,14 @@
             for worker in self._scheduler.workers.values()
         )
 
-    @staticmethod
-    def _waiting_steps(job: Job, wall_ms: float) -> list[Step]:
-        steps = []
-        for occurrence in job.occurrences:
-            if job.is_scheduled and wall_ms < occurrence.due_unix_ms:
-                continue
-            for step in occurrence.steps:
-                if step.is_done or not step.is_ready:
-                    continue
-                if any(task.is_waiting for task in step.tasks):
-                    steps.append(step)
-        return steps
+    def _waiting_steps(self, job: Job, wall_ms: float) -> list[Step]:
+        has_room = self._scheduler.has_room_to_open(job)
+        return [
+            step
+            for occurrence in job.open_occurrences(wall_ms, has_room)
+            for step in occurrence.steps
+            if not step.is_done and step.is_ready and step.waiting_count
+        ]
 
     def is_viable(self, job: Job, wall_ms: float) -> bool:
         """Tell whether a job is worth VMs.
@@ -323,14 +322,19 @@
         free, spec = pool.capacities, step.spec
         if not pool.may_fit(spec.reserved) or not self._may_start(job):
             return []
-        tasks = [task for task in step.tasks if task.is_waiting]
-        if step.failures.are_everywhere and spec.long_running:
+        count = waiting_count = step.waiting_count
+        if step.fails_everywhere and spec.long_running:
             # One task shows whether the others would fail again.
             is_due = now_s - step.failures.last_at_s >= FAILING_RETRY_S
-            if not is_due or len(tasks) < len(step.tasks):
+            if not is_due or waiting_count < spec.task_count:
                 return []
-            tasks = tasks if spec.is_gang else tasks[:1]
-        if spec.is_gang and len(tasks) < len(step.tasks):
+            count = waiting_count if spec.is_gang else 1
+        if count > MAX_TRIED_TASKS:
+            count = pool.room_for(spec.reserved, count)
+            if not count:
+                pool.record_too_large(spec.reserved)
+        count = min(count, self._scheduler.startable_count(job))
+        if spec.is_gang and count < spec.task_count:
             return []
         queue = self._scheduler.queue_of(job)
         tickets = None
@@ -339,14 +343,22 @@
             tickets = self._advice.tickets(step, queue.advice, able, now_s)
             if not tickets:
                 return []
+        tasks = list(islice(step.waiting_tasks(), count))
         tasks = self._caps.select(job, tasks)
         if not tasks or (spec.is_gang and len(tasks) < len(step.tasks)):
             return []
         placed = self._placer.place(tasks, free, tickets)
         if not placed and not any(c.free.covers(spec.reserved) for c in free):
             pool.record_too_large(spec.reserved)
+        commands = self._start(placed, tasks, tickets or {}, now_s)
+        if spec.task_count > MAX_TRIED_TASKS:
+            step.release_unused()
+        return commands
+
+    def _start(self, placed, tasks, tickets, now_s) -> list[StartCommand]:
+        """Return the starts of placed tasks, and register their runs."""
         number = 0
-        if spec.is_gang and placed:
+        if placed and placed[0].task.step.spec.is_gang:
             number = self._scheduler.next_run_number(tasks)
         return [
             StartCommand(
@@ -354,7 +366,7 @@
                     each.task, each.capacity.worker, now_s, number
                 ),
                 each.capacity.worker,
-                (tickets or {}).get(each.capacity.worker.worker_id, ""),
+                tickets.get(each.capacity.worker.worker_id, ""),
             )
             for each in placed
         ]
--- a/src/rosemarynotch/_internal/scheduling/policy/__init__.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/__init__.py
@@ -54,6 +54,7 @@
 from rosemarynotch._internal.scheduling.policy.reserve import UrgentReserve
 from rosemarynotch._internal.scheduling.policy.retry import BacklogRetry
 from rosemarynotch._internal.scheduling.policy.retry import ExcessRetry
+from rosemarynotch._internal.scheduling.policy.retry import memory_retry_s
 from rosemarynotch._internal.scheduling.policy.retry import outage_retry_s
 from rosemarynotch._internal.scheduling.policy.retry import RoomRetry
 from rosemarynotch._internal.scheduling.policy.sharing import KeepPoolsApart
@@ -108,6 +109,7 @@
     "NoReserve",
     "ObjectiveOrder",
     "OrderTimeout",
+    "memory_retry_s",
     "outage_retry_s",
     "PaceChange",
     "PacePolicy",
--- a/src/rosemarynotch/_internal/scheduling/policy/demand.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/demand.py
@@ -94,7 +94,7 @@
             count = len(step.tasks) - step.done_count
             share = _vm_share(step.spec.reserved, size)
             total.vms += count * share
-            running_vms = share * sum(bool(task.runs) for task in step.tasks)
+            running_vms = share * step.running_count
             total.running_vms += running_vms
             if step.spec.long_running:
                 total.long_running_vms += running_vms
@@ -103,6 +103,9 @@
             if step.spec.max_per_worker and step.spec.long_running:
                 spread = math.ceil(count / step.spec.max_per_worker)
                 total.spread_vms = max(total.spread_vms, spread)
+        unopened = job.unopened_count(wall_ms)
+        if unopened:
+            total.vms += unopened * _first_vm_share(job, size)
     for pool, ages in ages_ms.items():
         # The window starts at the oldest arrival, so that one is not counted.
         # A single job therefore does not indicate a rate.
@@ -120,23 +123,31 @@
 def _work_vm_ms(job: Job, vm: Resources) -> float:
     """Return the VM time that the whole job takes."""
     return sum(
-        len(step.tasks)
-        * _vm_share(step.spec.reserved, vm)
-        * step.spec.estimated_ms
-        for step in job.occurrences[0].steps
+        step.task_count * _vm_share(step.reserved, vm) * step.estimated_ms
+        for step in job.submission.spec.steps
     )
 
 
 def _ready_steps(job: Job, wall_ms: float) -> list[Step]:
+    due_count = job.due_count(wall_ms)
     return [
         step
-        for occurrence in job.occurrences
-        if not job.is_scheduled or wall_ms >= occurrence.due_unix_ms
+        for occurrence in job.occurrences.held
+        if occurrence.number < due_count
         for step in occurrence.steps
         if not step.is_done and step.is_ready
     ]
 
 
+def _first_vm_share(job: Job, vm: Resources) -> float:
+    """Return the share of a VM that the first steps of an occurrence take."""
+    return sum(
+        step.task_count * _vm_share(step.reserved, vm)
+        for step in job.submission.spec.steps
+        if not step.after
+    )
+
+
 def _vm_share(task: Resources, vm: Resources) -> float:
     """Return the share of a VM that a task takes, with unusable remainder.
 
--- a/src/rosemarynotch/_internal/scheduling/policy/feasible.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/feasible.py
@@ -74,9 +74,12 @@
 
     def can_complete(self, job):
         """Return whether each remaining step fits and has not failed."""
+        specs = job.submission.spec.steps
+        if job.unheld_count and not all(map(self._fits, specs)):
+            return False
         return all(
-            self._fits(step.spec) and not step.failures.are_everywhere
-            for occurrence in job.occurrences
+            self._fits(step.spec) and not step.fails_everywhere
+            for occurrence in job.occurrences.held
             for step in occurrence.steps
             if not step.is_done
         )
--- a/src/rosemarynotch/_internal/scheduling/policy/placement.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/placement.py
@@ -89,6 +89,18 @@
         self.capacities = capacities
         self._unplaceable_sizes: list[Resources] = []
 
+    def room_for(self, size: Resources, limit: int) -> int:
+        """Return how many tasks of a size fit on the workers, or the limit.
+
+        Some of them may not be admitted for other reasons than their size.
+        """
+        room = 0
+        for capacity in self.capacities:
+            room += _count_fits(capacity.free, size, limit)
+            if room >= limit:
+                return limit
+        return room
+
     def may_fit(self, size: Resources) -> bool:
         """Tell whether a size may fit on a worker.
 
@@ -104,6 +116,20 @@
         self._unplaceable_sizes.append(size)
 
 
+def _count_fits(free: Resources, size: Resources, limit: int) -> int:
+    """Return how many requests of a size fit, or the limit."""
+    if not free.covers(size):
+        return 0
+    counts = [limit]
+    if size.cpu_millicores:
+        counts.append(free.cpu_millicores // size.cpu_millicores)
+    if size.memory_mb:
+        counts.append(free.memory_mb // size.memory_mb)
+    if size.gpu_count:
+        counts.append(free.gpu_count // size.gpu_count)
+    return min(counts)
+
+
 @attrs.frozen
 class Placement:
     """A task and the worker on which it is placed."""
--- a/src/rosemarynotch/_internal/scheduling/policy/retry.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/retry.py
@@ -11,7 +11,13 @@
 
 from rosemarynotch._internal.scheduling.policy.ordering import draw
 
-__all__ = ["BacklogRetry", "ExcessRetry", "outage_retry_s", "RoomRetry"]
+__all__ = [
+    "BacklogRetry",
+    "ExcessRetry",
+    "memory_retry_s",
+    "outage_retry_s",
+    "RoomRetry",
+]
 
 MIN_RETRY_S = 1
 # A longer delay would keep callers away for long after the store is back.
@@ -22,6 +28,9 @@
 # The longest time over which retries are spread. Callers wait at most a few
 # seconds, and jobs that come back later are too late in any case.
 MAX_SPREAD_MS = 4000.0
+# The shortest delay after a refusal for lack of memory; the longest is twice
+# as long.
+MEMORY_RETRY_S = 5
 
 
 def outage_retry_s(outage_age_s: float, job_id: str) -> int:
@@ -38,6 +47,14 @@
     return round(min(MAX_RETRY_S, max(MIN_RETRY_S, outage_age_s * factor)))
 
 
+def memory_retry_s(job_id: str) -> int:
+    """Return the delay after a refusal for lack of memory, in seconds.
+
+    Memory becomes free when jobs end, which no record tells in advance.
+    """
+    return MEMORY_RETRY_S + round(MEMORY_RETRY_S * draw(job_id))
+
+
 class RoomRetry(abc.ABC):
     """Tells when a job that was refused for lack of room may come back."""
 
--- a/src/rosemarynotch/_internal/scheduling/ports.py
+++ b/src/rosemarynotch/_internal/scheduling/ports.py
@@ -4,6 +4,7 @@
 """
 
 import abc
+from collections.abc import Iterator
 import enum
 
 import attrs
@@ -101,6 +102,14 @@
     def list_prefix(self, prefix: str) -> Listing | Failure:
         """Return all items whose keys start with a prefix."""
 
+    def pages(self, prefix: str) -> Iterator[Listing | Failure]:
+        """Return the same items in several listings, in the order of keys.
+
+        The listings are not a snapshot. A watch from the revision of the first
+        one delivers all later changes. A failure is the last element.
+        """
+        yield self.list_prefix(prefix)
+
     @abc.abstractmethod
     def watch(
         self, prefix: str, after_revision: int, wait_ms: int
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -115,25 +115,25 @@
         if removed:
             controller.log("jobs removed", count=removed, revision=revision)
 
-    def _remove(self, batch: list[Job]) -> int | CommitConflict | Failure:
+    def _remove(self, batch: list[str]) -> int | CommitConflict | Failure:
         """Remove jobs from the store, and then from the scheduler.
 
         :returns: the answer of the store
         """
         controller = self._controller
         keys = [
-            prefix + job.job_id
-            for job in batch
+            prefix + job_id
+            for job_id in batch
             for prefix in (JOBS_PREFIX, PROGRESS_PREFIX, CANCELLATIONS_PREFIX)
         ]
         condition = Condition(LEADER_KEY, controller.grant.fence)
         answer = controller.ports.store.commit([condition], [], keys)
         if isinstance(answer, int):
             with controller.lock:
-                for job in batch:
-                    controller.scheduler.forget(job)
-                    controller.advice.forget(job.job_id)
-                    controller.planner.forget(job.job_id)
+                for job_id in batch:
+                    controller.scheduler.forget(job_id)
+                    controller.advice.forget(job_id)
+                    controller.planner.forget(job_id)
         return answer
 
     def flush(self) -> None:
@@ -244,6 +244,10 @@
             if job.phase is Phase.QUEUED:
                 name = job.submission.queue
                 waiting[name] = waiting.get(name, 0) + 1
+        scheduler = self._controller.scheduler
+        for name, count in scheduler.unloaded.queued_by_queue().items():
+            waiting[name] = waiting.get(name, 0) + count
+        scheduler.measure_memory()
         now_s = self._controller.clock.monotonic_s()
         wall_ms = round(self._controller.clock.wall_s() * 1000)
         outlook = self._controller.planner.outlook
@@ -253,6 +257,7 @@
             start_delay_ms=self._start_delays_ms(wall_ms),
             turns=tuple(self._controller.forecast.turns),
             backlogs=outlook.backlogs(now_s, wall_ms),
+            job_memory=scheduler.memory.use,
         )
 
     def _start_delays_ms(self, wall_ms: float) -> dict[str, int]:
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -18,6 +18,7 @@
     "LOAD_KEY",
     "LeaderRecord",
     "LoadRecord",
+    "MemoryUse",
     "Phase",
     "ProgressRecord",
     "ROSTER_KEY",
@@ -231,6 +232,19 @@
     return f"{queue.pool}/{queue.priority}"
 
 
+@attrs.frozen(kw_only=True)
+class MemoryUse:
+    """Memory that the leader uses for jobs, in bytes.
+
+    :ivar limit_bytes: how much it may use
+    :ivar by_organisation: the organisations that use the most
+    """
+
+    limit_bytes: int
+    used_bytes: int = 0
+    by_organisation: dict[str, int] = attrs.field(factory=dict)
+
+
 @attrs.frozen(kw_only=True)
 class LoadRecord:
     """Load of the queues, published for nodes that accept jobs.
@@ -240,6 +254,7 @@
         the previous version
     :ivar backlogs: what waits, see :func:`backlog_name`, of pools in which
         jobs wait; None in records of the previous version
+    :ivar job_memory: None in records of the previous version
     :ivar turns: load peaks of the pools, from which a new leader forecasts
         the next ones
     """
@@ -249,6 +264,7 @@
     start_delay_ms: dict[str, int] = attrs.field(factory=dict)
     turns: tuple[Turn, ...] = ()
     backlogs: dict[str, Backlog] | None = None
+    job_memory: MemoryUse | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -11,8 +11,8 @@
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.jobs import Task
+from rosemarynotch._internal.scheduling.pending_acks import PendingAck
 from rosemarynotch._internal.scheduling.ports import RunEnd
-from rosemarynotch._internal.scheduling.workers import PendingAck
 from rosemarynotch._internal.scheduling.workers import Worker
 
 __all__ = ["RunRegistry"]
@@ -160,9 +160,13 @@
 
         The worker may forget it if its job was removed, but not if the job
         was refused: a later leader that can decode it would start the task
-        again.
+        again. The end of a job that is left in the store is applied once the
+        job has been read.
         """
-        is_withheld = end.task.job_id in self.refused_ids
+        is_unloaded = end.task.job_id in self.unloaded
+        if is_unloaded:
+            self.want(end.task.job_id)
+        is_withheld = is_unloaded or end.task.job_id in self.refused_ids
         self._log(
             "end of unknown task",
             task=str(end.task),
@@ -172,7 +176,11 @@
             how=end.kind.value,
             acknowledged=not is_withheld,
         )
-        return PendingAck(end.sequence, is_withheld=is_withheld)
+        return PendingAck(
+            end.sequence,
+            is_withheld=is_withheld,
+            end=end if is_unloaded else None,
+        )
 
     def on_stop_answer(
         self, run: Run, answer: None | Failure, now_s: float
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -8,13 +8,13 @@
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.jobs import Step
+from rosemarynotch._internal.scheduling.pending_acks import PendingAck
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import RunEnd
 from rosemarynotch._internal.scheduling.ports import RunStatus
 from rosemarynotch._internal.scheduling.ports import WorkerReport
 from rosemarynotch._internal.scheduling.records import Phase
 from rosemarynotch._internal.scheduling.worker_registry import WorkerRegistry
-from rosemarynotch._internal.scheduling.workers import PendingAck
 from rosemarynotch._internal.scheduling.workers import Worker
 
 __all__ = ["Scheduler"]
@@ -232,6 +232,7 @@
         job = self.jobs.get(status.task.job_id)
         task = job.task(status.task) if job else None
         if task is None:
+            self.want(status.task.job_id)
             return None
         run = Run(
             task=task,
@@ -278,6 +279,15 @@
             worker.pending_acks.append(ack or PendingAck(sequence))
         worker.advance_acks()
 
+    def apply_withheld_ends(self, job_id: str, now_s: float) -> None:
+        """Apply the ends of a job that came in before it was read."""
+        for worker in self.workers.values():
+            for index, ack in enumerate(worker.pending_acks):
+                if ack.end is not None and ack.end.task.job_id == job_id:
+                    worker.pending_acks[index] = self._on_end(
+                        worker, ack.end, now_s
+                    )
+
     def _on_end(self, worker: Worker, end: RunEnd, now_s: float) -> PendingAck:
         """Apply an end; return what has to be persisted."""
         job = self.jobs.get(end.task.job_id)
@@ -313,7 +323,7 @@
             failures.clear()
         elif self.blames_steps:
             failures.record(worker.worker_id, now_s)
-        if failures.are_everywhere:
+        if step.fails_everywhere:
             for worker_id in failures.workers:
                 known = self.workers.get(worker_id)
                 if known is not None and known.forgive(step, now_s):
--- a/src/rosemarynotch/_internal/scheduling/work_estimates.py
+++ b/src/rosemarynotch/_internal/scheduling/work_estimates.py
@@ -49,7 +49,7 @@
             path_ms=self._path_ms(queue, occurrence, all_steps=True),
             remaining_ms=self._path_ms(queue, occurrence, all_steps=False),
             remaining_core_ms=sum(
-                (len(step.tasks) - step.done_count)
+                (step.spec.task_count - step.done_count)
                 * step.spec.size.cpu_millicores
                 / 1000
                 * step.spec.estimated_ms
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -5,17 +5,17 @@
 
 import attrs
 
-from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import Step
 from rosemarynotch._internal.scheduling.model import Resources
 from rosemarynotch._internal.scheduling.model import TaskId
+from rosemarynotch._internal.scheduling.pending_acks import PendingAck
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.ports import WorkerReport
 from rosemarynotch._internal.scheduling.worker_faults import QUARANTINE_S
 from rosemarynotch._internal.scheduling.worker_faults import WorkerFaults
 
-__all__ = ["PendingAck", "Worker", "WorkerClock"]
+__all__ = ["Worker", "WorkerClock"]
 
 # The platform allows the clock of a worker to run up to 2 % slow.
 SLOW_CLOCK_FACTOR = 0.98
@@ -31,29 +31,6 @@
 MAX_WITHHELD_ENDS = 400
 
 
-@attrs.frozen
-class PendingAck:
-    """The end of a run that the worker repeats until it is acknowledged.
-
-    :ivar job: job of the run, None if the leader does not know it
-    :ivar change: change of the job that has to be persisted first
-    :ivar is_withheld: whether the end must be left to a later leader, as this
-        one cannot record it
-    """
-
-    sequence: int
-    job: Job | None = None
-    change: int = 0
-    is_withheld: bool = False
-
-    @property
-    def is_persisted(self) -> bool:
-        """Return whether the worker may forget the end."""
-        if self.job is None:
-            return not self.is_withheld
-        return self.job.durable_change >= self.change
-
-
 @attrs.frozen
 class WorkerClock:
     """A reading of a worker's clock.
@@ -306,6 +283,7 @@
             del self.runs[run.key]
             self.reserved = self.reserved.minus(run.task.step.spec.reserved)
             run.task.runs.remove(run)
+            run.task.step.release(run.task)
 
     @property
     def clock(self) -> "WorkerClock":
@@ -378,7 +356,11 @@
         pending = self.pending_acks
         while pending and (
             pending[0].is_persisted
-            or (pending[0].is_withheld and self.is_report_cut)
+            or (
+                pending[0].is_withheld
+                and pending[0].end is None
+                and self.is_report_cut
+            )
         ):
             self.acked_sequence = pending.popleft().sequence
 
--- a/src/rosemarynotch/_internal/wiring/limits.py
+++ b/src/rosemarynotch/_internal/wiring/limits.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "caller_connections",
+    "job_memory_bytes",
     "make_budget",
     "OTHER_CONNECTIONS",
     "PROBE_CONNECTIONS",
@@ -36,6 +37,8 @@
 # The same where the kernel does not apply the size of a buffer, so that the
 # number of connections has to follow from it.
 FIXED_BUFFERS_MEMORY_SHARE = 0.25
+# Part of the machine's memory for the jobs of a leader.
+JOBS_MEMORY_SHARE = 0.25
 # Each turn of the server's thread looks at all connections.
 MAX_CALLER_CONNECTIONS = 2000
 # Connections of each of the ports for probes and metrics.
@@ -88,6 +91,15 @@
     return int(memory_bytes * UNREAD_MEMORY_SHARE / sockets)
 
 
+def job_memory_bytes(memory_mb: float) -> int:
+    """Return how much memory a leader may use for jobs.
+
+    :param memory_mb: memory of the machine
+    """
+    memory_bytes = _assumed_memory_mb(memory_mb) * MEGABYTE
+    return int(memory_bytes * JOBS_MEMORY_SHARE)
+
+
 def make_budget(
     memory_mb: float, metrics: Metrics, log: Callable[..., None]
 ) -> RequestBudget:
--- a/src/rosemarynotch/_internal/wiring/node.py
+++ b/src/rosemarynotch/_internal/wiring/node.py
@@ -24,6 +24,7 @@
 from rosemarynotch._internal.scheduling.hints import HintSender
 from rosemarynotch._internal.scheduling.intake import JobIntake
 from rosemarynotch._internal.scheduling.job_api import JobApi
+from rosemarynotch._internal.scheduling.job_memory import JobMemory
 from rosemarynotch._internal.scheduling.leader_query import CompletedJob
 from rosemarynotch._internal.scheduling.leader_query import LeaderQuery
 from rosemarynotch._internal.scheduling.leadership import Leadership
@@ -44,6 +45,7 @@
 from rosemarynotch._internal.wiring.clients import LEASE_CALL_TIMEOUT_S
 from rosemarynotch._internal.wiring.clients import PlatformClients
 from rosemarynotch._internal.wiring.limits import caller_connections
+from rosemarynotch._internal.wiring.limits import job_memory_bytes
 from rosemarynotch._internal.wiring.limits import make_budget
 from rosemarynotch._internal.wiring.limits import OTHER_CONNECTIONS
 from rosemarynotch._internal.wiring.limits import PROBE_CONNECTIONS
@@ -310,6 +312,9 @@
                 ),
                 self._policies,
                 last_term=last_term,
+                job_memory=JobMemory(
+                    job_memory_bytes(self._settings.memory_mb)
+                ),
             )
             last_term = self._controller.run()
 
--- a/tests/unit/test_cancellations.py
+++ b/tests/unit/test_cancellations.py
@@ -10,6 +10,7 @@
 from rosemarynotch._internal.models.codec import encode
 from rosemarynotch._internal.scheduling.access import CallerAccess
 from rosemarynotch._internal.scheduling.intake import JobIntake
+from rosemarynotch._internal.scheduling.ports import CoordinationStore
 from rosemarynotch._internal.scheduling.ports import Listing
 from rosemarynotch._internal.scheduling.ports import Write
 from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
@@ -42,6 +43,8 @@
 class IntakeStore(Store):
     """A store that also lists and deletes, and allows stale reads."""
 
+    pages = CoordinationStore.pages
+
     def get(self, key, allow_stale=False):
         return super().get(key)
 
--- a/tests/unit/test_caps.py
+++ b/tests/unit/test_caps.py
@@ -43,7 +43,11 @@
         self.leader.report("w2")
         self.leader.place()
         self.leader.report(
-            "w1", [(task.task_id, 1, 50) for task in earlier.all_tasks()]
+            "w1",
+            [
+                (task.task_id, 1, 50)
+                for task in earlier.occurrences[0].steps[0].tasks
+            ],
         )
         return self.scheduler.usage["o"].cpu_millicores
 
--- a/tests/unit/test_cut_reports.py
+++ b/tests/unit/test_cut_reports.py
@@ -345,7 +345,7 @@
 
     def test_end_of_a_forgotten_job(self):
         """Guards against ends of jobs whose retention period is over."""
-        self.leader.scheduler.forget(self.job)
+        self.leader.scheduler.forget(self.job.job_id)
         self.leader.report("w1", ends=[end_of(self.run_, 1)])
         self.assertEqual(1, self.worker.acked_sequence)
 
--- a/tests/unit/test_intake_feed.py
+++ b/tests/unit/test_intake_feed.py
@@ -12,6 +12,7 @@
 from rosemarynotch._internal.scheduling.controller import Controller
 from rosemarynotch._internal.scheduling.intake_feed import IntakeFeed
 from rosemarynotch._internal.scheduling.model import TaskId
+from rosemarynotch._internal.scheduling.ports import CoordinationStore
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import Listing
@@ -66,6 +67,9 @@
         self.leader = Leader(term=2, started_revision=FENCE)
         self.scheduler = self.leader.scheduler
         self.store = mock.Mock()
+        self.store.pages = lambda prefix: CoordinationStore.pages(
+            self.store, prefix
+        )
         self.posted = []
         self.controller = mock.Mock(
             lock=threading.RLock(),
@@ -190,6 +194,11 @@
         self.load()
         self.row = job_row(NEW, 50)
 
+    def assert_no_jobs(self):
+        """Check that nothing is left of any job."""
+        self.assertEqual({}, self.scheduler.jobs)
+        self.assertEqual({}, self.scheduler.ended)
+
     def complete(self):
         """Complete the job, write that, and let its retention end."""
         job = self.scheduler.jobs[NEW]
@@ -208,7 +217,7 @@
 
         def read(*args):
             self.remove_expired()
-            self.assertNotIn(NEW, self.scheduler.jobs)
+            self.assert_no_jobs()
             return answer
 
         return read
@@ -222,7 +231,7 @@
         self.store.list_prefix = self.forget_during(listing)
         self.feed._list_again()
         self.apply_posted()
-        self.assertEqual({}, self.scheduler.jobs)
+        self.assert_no_jobs()
         self.assertEqual(set(), self.scheduler.cancelled_ids)
         self.controller.log.assert_has_calls(
             [
@@ -246,7 +255,7 @@
         self.store.get = read
         self.feed._read_hinted(self.row.key)
         self.apply_posted()
-        self.assertEqual({}, self.scheduler.jobs)
+        self.assert_no_jobs()
 
     def test_watch_that_fell_behind(self):
         """Guards against a watch that returns the history since long ago.
@@ -258,9 +267,9 @@
         self.complete()
         self.remove_expired()
         self.watch((self.row,), 50)
-        self.assertTrue(self.scheduler.jobs[NEW].phase.is_final)
+        self.assertTrue(self.scheduler.ended[NEW].phase.is_final)
         self.remove_expired()
-        self.assertEqual({}, self.scheduler.jobs)
+        self.assert_no_jobs()
 
     def test_submission_after_the_removal(self):
         """Guards against a new job that is taken for the forgotten one."""
@@ -279,12 +288,12 @@
         self.scheduler.mark_written(job, job.change, 60)
         for _ in range(2):
             self.remove_expired()
-            self.assertIn(NEW, self.scheduler.jobs)
+            self.assertTrue(self.scheduler.is_known(NEW))
             self.leader.now_s += RETENTION_S - 1
 
     def test_hinted_key_that_was_removed(self):
         self.read_hinted(STORE_KEY_MISSING)
-        self.assertEqual({}, self.scheduler.jobs)
+        self.assert_no_jobs()
         self.assertEqual({}, self.feed._hinted_keys)
 
 
--- a/tests/unit/test_intake_waits.py
+++ b/tests/unit/test_intake_waits.py
@@ -149,9 +149,9 @@
     def get(self, key, allow_stale=False):
         return STORE_UNAVAILABLE
 
-    def list_prefix(self, prefix):
+    def pages(self, prefix):
         self.listings += 1
-        return self._answer
+        yield self._answer
 
 
 class CountTest(testtools.TestCase):
@@ -260,8 +260,8 @@
         }
         store = types.SimpleNamespace(
             get=lambda key, allow_stale=False: STORE_UNAVAILABLE,
-            list_prefix=lambda prefix: Listing(
-                items=(rows[prefix],), revision=11
+            pages=lambda prefix: iter(
+                [Listing(items=(rows[prefix],), revision=11)]
             ),
         )
         intake = JobIntake(store, ManualClock(), "config", no_log)
--- a/tests/unit/test_progress_writer.py
+++ b/tests/unit/test_progress_writer.py
@@ -103,7 +103,7 @@
     def test_usual_checkpoints(self):
         """Guards against work that is lost though the store could keep it."""
         job = self.leader.submit("j1", job_spec(step(5000)))
-        for task in job.all_tasks():
+        for task in job.occurrences[0].steps[0].tasks:
             task.checkpoint = "0" * 16
         self.leader.scheduler.mark_dirty(job)
         self.assertTrue(self.writer._write())
--- a/tests/unit/test_scheduling.py
+++ b/tests/unit/test_scheduling.py
@@ -327,7 +327,7 @@
         job = leader.submit("old", revision=40)
         entries = [leader.entry("w1")]
         leader.scheduler.set_workers(entries, 1000.0, are_inherited=True)
-        task_id = job.all_tasks()[0].task_id
+        task_id = job.occurrences[0].steps[0].tasks[0].task_id
         leader.report("w1", [(task_id, 1, 30)])
         leader.scheduler.workers["w1"].is_enrolled = True
         self.assertEqual([], leader.place())
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -44,7 +44,7 @@
 
     def report_run(self):
         """Report the run of the earlier term on the first worker."""
-        task = self.job.all_tasks()[0].task_id
+        task = self.job.occurrences[0].steps[0].tasks[0].task_id
         self.leader.report("w1", [(task, 1, 50)])
 
 
@@ -88,7 +88,7 @@
 
     def test_replaced_worker_with_an_end_that_is_not_written(self):
         """Guards against a roster without a worker that tells of an end."""
-        task = self.job.all_tasks()[0].task_id
+        task = self.job.occurrences[0].steps[0].tasks[0].task_id
         end = RunEnd(sequence=1, task=task, run=1, kind=EndKind.DONE)
         self.leader.report("w1", ends=[end])
         self.scheduler.workers["w1"].mark_replaced("test")
