Write changed jobs in turn and in batches of bounded size

Changes were written in the order in which jobs had first changed. A job that changed while it was written kept its place, so that 14 jobs that always change kept all others from being written, and their run ends from being acknowledged. A batch could also have 14 records of up to 500 KB, which take several times that while they are sent.

A job that has changed again goes to the end, and a batch has at most 1 MB, or one record. Both tests fail without the change (14 jobs before one that is never written; a batch of 1,880,045 bytes) and pass with it.

--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -213,8 +213,10 @@
         """
         job.durable_change = max(job.durable_change, change)
         job.progress_revision = revision
-        if job.change <= change:
-            self.dirty.pop(job.job_id, None)
+        self.dirty.pop(job.job_id, None)
+        if job.change > change:
+            # The others are written first.
+            self.dirty[job.job_id] = job
 
     def is_known(self, job_id: str) -> bool:
         """Return whether a job was added, left in the store or refused."""
--- a/src/rosemarynotch/_internal/scheduling/progress_writer.py
+++ b/src/rosemarynotch/_internal/scheduling/progress_writer.py
@@ -35,6 +35,8 @@
 # batch. Without checkpoints and failed runs, the record of a job with 5,000
 # occurrences, the most there can be, has 320 kB.
 MAX_RECORD_BYTES = 500_000
+# A batch takes several times its size while it is encoded and sent.
+MAX_BATCH_BYTES = 1_000_000
 LOAD_INTERVAL_S = 0.5
 # The platform promises callers the state of a job for 120 s after its end. The
 # margin is for repeated submissions, which may still arrive after that.
@@ -201,10 +203,17 @@
         """Return changed jobs with their change numbers and records."""
         dirty = list(self._controller.scheduler.dirty.values())[:MAX_JOBS]
         wall_ms = round(self._controller.clock.wall_s() * 1000)
+        batch: list[tuple[Job, int, bytes]] = []
+        size = 0
         for job in dirty:
             if job.phase.is_final and not job.finished_unix_ms:
                 job.finished_unix_ms = wall_ms
-        return [(job, job.change, self._encode(job)) for job in dirty]
+            data = self._encode(job)
+            size += len(data)
+            if batch and size > MAX_BATCH_BYTES:
+                break
+            batch.append((job, job.change, data))
+        return batch
 
     def _encode(self, job: Job) -> bytes:
         """Return the record of a job, without checkpoints if it is too large.
--- a/tests/unit/test_progress_writer.py
+++ b/tests/unit/test_progress_writer.py
@@ -11,6 +11,7 @@
 from rosemarynotch._internal.scheduling.model import TaskId
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import RunEnd
+from rosemarynotch._internal.scheduling.progress_writer import MAX_JOBS
 from rosemarynotch._internal.scheduling.progress_writer import ProgressWriter
 from rosemarynotch._internal.scheduling.records import PROGRESS_PREFIX
 from rosemarynotch._internal.scheduling.records import ProgressRecord
@@ -34,12 +35,8 @@
         return 7
 
 
-class LargeRecordTest(testtools.TestCase):
-    """Guards against a record that the store refuses again and again.
-
-    It kept all jobs of its batch from being written, and so all ends of their
-    workers from being acknowledged.
-    """
+class WriterCase(testtools.TestCase):
+    """Base of tests with a writer and its store."""
 
     def setUp(self):
         super().setUp()
@@ -67,6 +64,14 @@
         data = self.store.values[PROGRESS_PREFIX + job.job_id]
         return decode(data, ProgressRecord)
 
+
+class LargeRecordTest(WriterCase):
+    """Guards against a record that the store refuses again and again.
+
+    It kept all jobs of its batch from being written, and so all ends of their
+    workers from being acknowledged.
+    """
+
     def test_long_checkpoints(self):
         odd = self.leader.submit("j1", job_spec(step(2)))
         other = self.leader.submit("j2")
@@ -125,3 +130,53 @@
         self.assertFalse(job.phase.is_final)
         self.assertTrue(self.writer._write())
         self.assertEqual((), self.record(job).steps)
+
+
+class OrderTest(WriterCase):
+    """Guards against changes that are never written.
+
+    Their run ends would never be acknowledged.
+    """
+
+    def test_jobs_that_always_change(self):
+        """Guards against a batch that is always filled by the same jobs."""
+        scheduler = self.leader.scheduler
+        busy = [self.leader.submit(f"j{n}") for n in range(MAX_JOBS)]
+        last = self.leader.submit("last")
+        commit = self.store.commit
+
+        def change_meanwhile(*arguments):
+            for job in busy:
+                scheduler.mark_dirty(job)
+            return commit(*arguments)
+
+        self.store.commit = change_meanwhile
+        for job in (*busy, last):
+            scheduler.mark_dirty(job)
+        self.assertTrue(self.writer._write())
+        self.assertTrue(self.writer._write())
+        self.assertEqual(last.change, last.durable_change)
+
+    def test_large_records(self):
+        """Guards against a batch that takes more memory than it may."""
+        schedule = job_spec(
+            step(), repeat_count=5000, first_run_unix_ms=1, interval_ms=1
+        )
+        jobs = [self.leader.submit(f"j{n}", schedule) for n in range(6)]
+        sizes = []
+        commit = self.store.commit
+
+        def measure(conditions, writes, deletes=()):
+            sizes.append(sum(len(write.value) for write in writes))
+            return commit(conditions, writes, deletes)
+
+        self.store.commit = measure
+        for job in jobs:
+            for number in range(4900):
+                job.mark_done(job.occurrences[number].steps[0].tasks[0])
+            self.leader.scheduler.mark_dirty(job)
+        while self.leader.scheduler.dirty:
+            self.assertTrue(self.writer._write())
+        self.assertGreater(sum(sizes), 1_500_000)
+        self.assertLess(max(sizes), 1_200_000)
+        self.assertEqual([4900] * 6, [len(self.record(j).steps) for j in jobs])
