Log answers of the advice service and tickets that are refused

A start that a worker refuses for its ticket did not tell whether the ticket had expired, was of an earlier life of the worker or had never been valid, and nothing told which workers the service had been asked for.

"advice received" has the workers asked for, those allowed and the time of the call; "ticket refused" has the age of the ticket and of the worker.

--- a/src/rosemarynotch/_internal/scheduling/advice.py
+++ b/src/rosemarynotch/_internal/scheduling/advice.py
@@ -46,6 +46,7 @@
 @attrs.define
 class _Advice:
     tickets: dict[str, str] = attrs.field(factory=dict)
+    issued_at_s: dict[str, float] = attrs.field(factory=dict)
     valid_until_s: float = 0.0
     requested_at_s: float = -1e9
 
@@ -127,8 +128,18 @@
         with self._lock:
             advice = self._advice_by_step.setdefault(request.key, _Advice())
             advice.tickets |= {t.worker_id: t.value for t in tickets}
+            advice.issued_at_s |= {
+                t.worker_id: requested_at_s for t in tickets
+            }
             advice.valid_until_s = requested_at_s + request.validity_ms / 1000
 
+    def ticket_age_s(self, run: Run, now_s: float) -> float | None:
+        """Return the age of the ticket for a run, None if there is none."""
+        with self._lock:
+            advice = self._advice_by_step.get(_key(run.task.step))
+            issued_at_s = advice and advice.issued_at_s.get(run.worker_id)
+            return None if issued_at_s is None else now_s - issued_at_s
+
     def forget(self, job_id: str) -> None:
         """Drop tickets and pending requests for the steps of a job."""
         with self._lock:
@@ -188,5 +199,15 @@
             if isinstance(answer, Failure):
                 self._log("advice failed", job=job_id, why=answer.reason)
                 continue
+            took_s = self._clock.monotonic_s() - requested_at_s
+            self._log(
+                "advice received",
+                job=job_id,
+                occurrence=occurrence,
+                step=step,
+                asked=" ".join(workers),
+                allowed=" ".join(ticket.worker_id for ticket in answer),
+                took_ms=round(took_s * 1000),
+            )
             self._cache.record_answer(request, answer, requested_at_s)
             self._post(lambda now_s: None)
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -6,6 +6,7 @@
 
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
+from rosemarynotch._internal.exceptions import RUN_NO_TICKET
 from rosemarynotch._internal.exceptions import WORKER_REPLACED
 from rosemarynotch._internal.exceptions import WORKER_UNREACHABLE
 from rosemarynotch._internal.scheduling.order_queue import OrderKind
@@ -241,6 +242,8 @@
         )
         if is_answered:
             self._controller.order_timeout.record(now_s - started_s)
+        if isinstance(answer, Failure) and answer.is_a(RUN_NO_TICKET):
+            self._log_ticket(command, now_s)
         outcome = answer.code if isinstance(answer, Failure) else "started"
         self._controller.metrics.count(
             "starts", queue=job.submission.queue, how=outcome
@@ -261,6 +264,22 @@
         )
         return answer
 
+    def _log_ticket(self, command: StartCommand, now_s: float) -> None:
+        """Log a ticket that a worker has refused."""
+        worker = command.worker
+        age_s = self._controller.advice.ticket_age_s(command.run, now_s)
+        self._controller.log(
+            "ticket refused",
+            task=str(command.run.task.task_id),
+            worker=worker.worker_id,
+            ticket_age_s=None if age_s is None else round(age_s, 3),
+            worker_age_s=round(
+                self._controller.clock.wall_s()
+                - worker.started_unix_ms / 1000,
+                3,
+            ),
+        )
+
     def _send_pace(
         self, change: PaceChange, link: WorkerLink
     ) -> None | Failure:
