Use a ticket for one life of its worker only

Cause: the tickets of a step had one time of validity for all workers and belonged to an identifier. Answers about other workers renewed those of an earlier life, and no refusal dropped them.

Change: a ticket holds for one incarnation of one worker, for a time of its own, which the answer of the service may name. A refusal drops it and pauses no other step of the worker; a worker that refuses ticket after ticket is left out for that step, for 0.3 s doubling to 8 s. This works because a ticket is used only if the life that reports now is the one that was known when it was asked for, and because what is refused cannot be used again.

The emulator has the advice service for it, and its crashed workers no longer answer a waiting call.

--- a/src/rosemarynotch/_internal/platform/advice.py
+++ b/src/rosemarynotch/_internal/platform/advice.py
@@ -3,7 +3,8 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import PLATFORM_UNAVAILABLE
 from rosemarynotch._internal.platform.calls import call_json
-from rosemarynotch._internal.platform.schema import AdviceAnswer
+from rosemarynotch._internal.platform.schema import AdviceBody
+from rosemarynotch._internal.scheduling.fleet_ports import AdviceAnswer
 from rosemarynotch._internal.scheduling.fleet_ports import Advisor
 from rosemarynotch._internal.scheduling.fleet_ports import Ticket
 from rosemarynotch._internal.utils.http import HttpClient
@@ -27,7 +28,7 @@
             "POST",
             ("advise",),
             PLATFORM_UNAVAILABLE,
-            answers={200: AdviceAnswer},
+            answers={200: AdviceBody},
             body={
                 "step": f"{job_id}.{occurrence}.{step}",
                 "workers": workers,
@@ -39,7 +40,12 @@
         status, body = answer
         if status != 200:
             return PLATFORM_UNAVAILABLE.with_reason(f"advise: status {status}")
-        return [
-            Ticket(worker_id=worker_id, value=value)
-            for worker_id, value in body.allowed
-        ]
+        return AdviceAnswer(
+            tickets=tuple(
+                Ticket(worker_id=worker_id, value=value)
+                for worker_id, value in body.allowed
+            ),
+            validity_ms=(
+                None if body.validity_ms is None else int(body.validity_ms)
+            ),
+        )
--- a/src/rosemarynotch/_internal/platform/schema.py
+++ b/src/rosemarynotch/_internal/platform/schema.py
@@ -16,7 +16,7 @@
 from rosemarynotch._internal.utils.addresses import split_address
 
 __all__ = [
-    "AdviceAnswer",
+    "AdviceBody",
     "BornAnswer",
     "ClockAnswer",
     "ConfigurationBody",
@@ -316,10 +316,11 @@
     next_token: str | int | None = None
 
 
-class AdviceAnswer(msgspec.Struct, rename="kebab", frozen=True):
+class AdviceBody(msgspec.Struct, rename="kebab", frozen=True):
     """Pairs of a worker that may run a step and its ticket."""
 
     allowed: list[tuple[Name, str]] = []
+    validity_ms: DurationMs | None = None
 
 
 # The store, which encodes binary values as base64 text.
--- a/src/rosemarynotch/_internal/scheduling/advice.py
+++ b/src/rosemarynotch/_internal/scheduling/advice.py
@@ -1,21 +1,18 @@
 """Caches tickets of the advice service, which are requested ahead."""
 
-from collections.abc import Callable
 from collections.abc import Sequence
 import threading
 
 import attrs
 
-from rosemarynotch._internal.exceptions import Failure
-from rosemarynotch._internal.scheduling.fleet_ports import Advisor
-from rosemarynotch._internal.scheduling.fleet_ports import Ticket
+from rosemarynotch._internal.scheduling.fleet_ports import AdviceAnswer
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import Step
 from rosemarynotch._internal.scheduling.model import AdvicePolicy
 from rosemarynotch._internal.scheduling.policy import FreeCapacity
-from rosemarynotch._internal.utils.clock import Clock
+from rosemarynotch._internal.scheduling.workers import Worker
 
-__all__ = ["AdviceCache", "AdviceRequest", "AdviceRequester"]
+__all__ = ["AdviceCache", "AdviceRequest"]
 
 # Most workers named in one call; each of them adds to the time of the call.
 MAX_WORKERS_PER_REQUEST = 30
@@ -25,8 +22,11 @@
 # Shortest time between two requests for the same step. It also delays the
 # retry of a refused or failed call.
 RETRY_S = 0.3
-# Interval at which an idle requester checks whether its term has ended.
-REQUEST_WAIT_S = 0.5
+# A worker that refuses one ticket after the other is left out for the step,
+# for twice as long each time. Refusals longer ago than the memory count as
+# none.
+MAX_PAUSE_S = 8.0
+REFUSAL_MEMORY_S = 20.0
 
 StepKey = tuple[str, int, int]
 
@@ -35,25 +35,65 @@
 class AdviceRequest:
     """Request for tickets for the tasks of one step.
 
-    :ivar workers: workers on which the tasks may start
+    :ivar workers: workers on which the tasks may start, with the start time of
+        the incarnation that is known of each
     """
 
     key: StepKey
-    workers: tuple[str, ...]
+    workers: dict[str, int]
     validity_ms: int
 
 
+@attrs.frozen
+class _Ticket:
+    """A ticket for one step on one incarnation of a worker."""
+
+    value: str
+    issued_at_s: float
+    valid_until_s: float
+    worker_started_unix_ms: int
+
+    def is_valid(self, worker: Worker, now_s: float) -> bool:
+        """Return whether a start that is ordered now can use it."""
+        return (
+            now_s < self.valid_until_s - TICKET_MARGIN_S
+            and worker.started_unix_ms == self.worker_started_unix_ms
+        )
+
+
+@attrs.frozen
+class _Refusals:
+    """Tickets that a worker has refused one after the other."""
+
+    count: int = 0
+    last_at_s: float = -1e9
+
+    def add(self, now_s: float) -> "_Refusals":
+        """Return the refusals with another one."""
+        is_recent = now_s - self.last_at_s < REFUSAL_MEMORY_S
+        return _Refusals(self.count + 1 if is_recent else 1, now_s)
+
+    def is_pausing(self, now_s: float) -> bool:
+        """Return whether the worker is left out."""
+        if self.count < 2:
+            return False
+        pause_s = min(MAX_PAUSE_S, RETRY_S * 2 ** (self.count - 2))
+        return now_s - self.last_at_s < pause_s
+
+
 @attrs.define
 class _Advice:
-    tickets: dict[str, str] = attrs.field(factory=dict)
-    issued_at_s: dict[str, float] = attrs.field(factory=dict)
-    valid_until_s: float = 0.0
+    tickets: dict[str, _Ticket] = attrs.field(factory=dict)
+    refusals: dict[str, _Refusals] = attrs.field(factory=dict)
     requested_at_s: float = -1e9
 
 
 class AdviceCache:
     """Caches tickets by step, and queues requests for missing ones.
 
+    A ticket holds for one incarnation of one worker, and for its own time. One
+    that its worker refuses is dropped.
+
     :ivar has_requests: set while requests may be pending
     """
 
@@ -75,34 +115,62 @@
         The request names the workers with the most free processors.
         """
         key = _key(step)
-        workers = [
-            capacity.worker.worker_id
-            for capacity in sorted(
-                capacities, key=lambda capacity: -capacity.free.cpu_millicores
-            )
-        ]
         with self._lock:
             advice = self._advice_by_step.setdefault(key, _Advice())
-            is_valid = now_s < advice.valid_until_s - TICKET_MARGIN_S
-            usable = set(workers) & set(advice.tickets) if is_valid else set()
+            workers = [
+                capacity.worker
+                for capacity in sorted(
+                    capacities,
+                    key=lambda capacity: -capacity.free.cpu_millicores,
+                )
+                if not _is_pausing(advice, capacity.worker, now_s)
+            ]
+            usable = {
+                worker.worker_id: ticket.value
+                for worker in workers
+                if (ticket := advice.tickets.get(worker.worker_id))
+                and ticket.is_valid(worker, now_s)
+            }
             is_wanted = bool(workers) and not usable
             if is_wanted and now_s - advice.requested_at_s > RETRY_S:
                 advice.requested_at_s = now_s
                 self._pending_requests[key] = AdviceRequest(
                     key=key,
-                    workers=tuple(workers[:MAX_WORKERS_PER_REQUEST]),
+                    workers={
+                        worker.worker_id: worker.started_unix_ms
+                        for worker in workers[:MAX_WORKERS_PER_REQUEST]
+                    },
                     validity_ms=policy.validity_ms,
                 )
                 self.has_requests.set()
-            return {
-                worker_id: advice.tickets[worker_id] for worker_id in usable
-            }
+            return usable
+
+    def ticket(self, run: Run, worker: Worker, now_s: float) -> str:
+        """Return the ticket for a repeated start of a run.
+
+        :returns: the newest one if it is valid, else that of the first order
+        """
+        with self._lock:
+            advice = self._advice_by_step.get(_key(run.task.step))
+            ticket = advice and advice.tickets.get(run.worker_id)
+            if ticket and ticket.is_valid(worker, now_s):
+                return ticket.value
+        return run.ticket
+
+    def reject(self, run: Run, value: str, now_s: float) -> float | None:
+        """Drop a ticket that the worker of a run has refused.
 
-    def ticket(self, run: Run) -> str:
-        """Return the ticket that a run was started with."""
+        :returns: its age in seconds, None if it was dropped before
+        """
         with self._lock:
             advice = self._advice_by_step.get(_key(run.task.step))
-            return advice.tickets.get(run.worker_id, "") if advice else ""
+            ticket = advice and advice.tickets.get(run.worker_id)
+            if not ticket or ticket.value != value:
+                return None
+            del advice.tickets[run.worker_id]
+            earlier = advice.refusals.get(run.worker_id, _Refusals())
+            advice.refusals[run.worker_id] = earlier.add(now_s)
+            return now_s - ticket.issued_at_s
 
     def next_request(self) -> AdviceRequest | None:
         """Remove and return the oldest pending request, None if none is."""
@@ -117,7 +185,7 @@
     def record_answer(
         self,
         request: AdviceRequest,
-        tickets: list[Ticket],
+        answer: AdviceAnswer,
         requested_at_s: float,
     ) -> None:
         """Store the tickets of an answer.
@@ -125,20 +193,19 @@
         :param requested_at_s: when the request was sent; the validity of the
             tickets counts from then
         """
+        validity_ms = request.validity_ms
+        if answer.validity_ms is not None:
+            validity_ms = answer.validity_ms
         with self._lock:
             advice = self._advice_by_step.setdefault(request.key, _Advice())
-            advice.tickets |= {t.worker_id: t.value for t in tickets}
-            advice.issued_at_s |= {
-                t.worker_id: requested_at_s for t in tickets
-            }
-            advice.valid_until_s = requested_at_s + request.validity_ms / 1000
-
-    def ticket_age_s(self, run: Run, now_s: float) -> float | None:
-        """Return the age of the ticket for a run, None if there is none."""
-        with self._lock:
-            advice = self._advice_by_step.get(_key(run.task.step))
-            issued_at_s = advice and advice.issued_at_s.get(run.worker_id)
-            return None if issued_at_s is None else now_s - issued_at_s
+            for row in answer.tickets:
+                if row.worker_id in request.workers:
+                    advice.tickets[row.worker_id] = _Ticket(
+                        row.value,
+                        requested_at_s,
+                        requested_at_s + validity_ms / 1000,
+                        request.workers[row.worker_id],
+                    )
 
     def forget(self, job_id: str) -> None:
         """Drop tickets and pending requests for the steps of a job."""
@@ -155,59 +222,6 @@
     return occurrence.job.job_id, occurrence.number, step.number
 
 
-class AdviceRequester:
-    """Asks the advice service for what the cache is missing.
-
-    :param is_running: returns whether the term lasts
-    :param post: queues a callback for the scheduling thread
-    :param accepts_work: tells whether new runs may be placed on a worker
-    """
-
-    def __init__(
-        self,
-        cache: AdviceCache,
-        advisor: Advisor,
-        clock: Clock,
-        is_running: Callable[[], bool],
-        post: Callable[[Callable[[float], None]], None],
-        log: Callable[..., None],
-        accepts_work: Callable[[str], bool] = lambda worker_id: True,
-    ) -> None:
-        self._cache = cache
-        self._accepts_work = accepts_work
-        self._advisor = advisor
-        self._clock = clock
-        self._is_running = is_running
-        self._post = post
-        self._log = log
-
-    def run(self) -> None:
-        """Send requests until the term ends."""
-        while self._is_running():
-            if not self._cache.has_requests.wait(REQUEST_WAIT_S):
-                continue
-            request = self._cache.next_request()
-            if request is None:
-                continue
-            # The request may have waited while workers stopped accepting.
-            workers = [*filter(self._accepts_work, request.workers)]
-            if not workers:
-                continue
-            requested_at_s = self._clock.monotonic_s()
-            job_id, occurrence, step = request.key
-            answer = self._advisor.advise(job_id, occurrence, step, workers)
-            if isinstance(answer, Failure):
-                self._log("advice failed", job=job_id, why=answer.reason)
-                continue
-            took_s = self._clock.monotonic_s() - requested_at_s
-            self._log(
-                "advice received",
-                job=job_id,
-                occurrence=occurrence,
-                step=step,
-                asked=" ".join(workers),
-                allowed=" ".join(ticket.worker_id for ticket in answer),
-                took_ms=round(took_s * 1000),
-            )
-            self._cache.record_answer(request, answer, requested_at_s)
-            self._post(lambda now_s: None)
+def _is_pausing(advice: _Advice, worker: Worker, now_s: float) -> bool:
+    refusals = advice.refusals.get(worker.worker_id)
+    return refusals is not None and refusals.is_pausing(now_s)
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -8,7 +8,7 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import RUN_FENCED
 from rosemarynotch._internal.scheduling.advice import AdviceCache
-from rosemarynotch._internal.scheduling.advice import AdviceRequester
+from rosemarynotch._internal.scheduling.advice_requester import AdviceRequester
 from rosemarynotch._internal.scheduling.answer_losses import AnswerLosses
 from rosemarynotch._internal.scheduling.ended_term import EndedTerm
 from rosemarynotch._internal.scheduling.evacuation import ServingTaskMover
@@ -165,16 +165,10 @@
         What a caller was shown must survive the loss of every node and of
         every worker, so the memory of this node is not enough.
         """
-        job = self.scheduler.jobs.get(job_id)
-        ended = self.scheduler.ended.get(job_id)
-        if ended is not None and ended.phase is Phase.COMPLETED:
-            return CompletedJob(job_id, ended.organisation, ended.queue)
+        job = self.scheduler.find_ended(job_id)
         if job is None or job.phase is not Phase.COMPLETED:
             return None
-        if job.durable_change < job.change:
-            return None
-        submission = job.submission
-        return CompletedJob(job_id, submission.organisation, submission.queue)
+        return CompletedJob(job_id, job.organisation, job.queue)
 
     def record_hint(self, keys: Iterable[str]) -> None:
         """Pass a hint about written intake keys to the intake feed."""
--- a/src/rosemarynotch/_internal/scheduling/fleet_ports.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_ports.py
@@ -12,6 +12,7 @@
 from rosemarynotch._internal.scheduling.model import Resources
 
 __all__ = [
+    "AdviceAnswer",
     "Advisor",
     "FleetService",
     "FleetVm",
@@ -86,11 +87,23 @@
     value: str
 
 
+@attrs.frozen(kw_only=True)
+class AdviceAnswer:
+    """Tickets for the workers that may run a step.
+
+    :ivar validity_ms: how long they are valid, None for as long as the policy
+        of the queue says
+    """
+
+    tickets: tuple[Ticket, ...]
+    validity_ms: int | None = None
+
+
 class Advisor(abc.ABC):
     """Client of the service that decides which workers may run a step."""
 
     @abc.abstractmethod
     def advise(
         self, job_id: str, occurrence: int, step: int, workers: list[str]
-    ) -> list[Ticket] | Failure:
+    ) -> AdviceAnswer | Failure:
         """Return tickets for the given workers that may run the step."""
--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -227,6 +227,14 @@
             or job_id in self.refused_ids
         )
 
+    def find_ended(self, job_id: str) -> EndedJob | None:
+        """Return a job whose end is recorded in the store, None if none is."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return self.ended.get(job_id)
+        is_recorded = job.durable_change >= job.change
+        return EndedJob.of(job) if job.phase.is_final and is_recorded else None
+
     def expired_jobs(self, now_s: float, retention_s: float) -> list[str]:
         """Return jobs whose retention period is over.
 
--- a/src/rosemarynotch/_internal/scheduling/order_sender.py
+++ b/src/rosemarynotch/_internal/scheduling/order_sender.py
@@ -243,7 +243,7 @@
         if is_answered:
             self._controller.order_timeout.record(now_s - started_s)
         if isinstance(answer, Failure) and answer.is_a(RUN_NO_TICKET):
-            self._log_ticket(command, now_s)
+            self._drop_ticket(command, now_s)
         outcome = answer.code if isinstance(answer, Failure) else "started"
         self._controller.metrics.count(
             "starts", queue=job.submission.queue, how=outcome
@@ -264,10 +264,12 @@
         )
         return answer
 
-    def _log_ticket(self, command: StartCommand, now_s: float) -> None:
-        """Log a ticket that a worker has refused."""
+    def _drop_ticket(self, command: StartCommand, now_s: float) -> None:
+        """Drop and log a ticket that a worker has refused."""
         worker = command.worker
-        age_s = self._controller.advice.ticket_age_s(command.run, now_s)
+        age_s = self._controller.advice.reject(
+            command.run, command.ticket, now_s
+        )
         self._controller.log(
             "ticket refused",
             task=str(command.run.task.task_id),
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -360,13 +360,10 @@
         number = 0
         if placed and placed[0].task.step.spec.is_gang:
             number = self._scheduler.next_run_number(tasks)
-        return [
-            StartCommand(
-                self._scheduler.new_run(
-                    each.task, each.capacity.worker, now_s, number
-                ),
-                each.capacity.worker,
-                tickets.get(each.capacity.worker.worker_id, ""),
-            )
-            for each in placed
-        ]
+        commands = []
+        for each in placed:
+            worker = each.capacity.worker
+            run = self._scheduler.new_run(each.task, worker, now_s, number)
+            run.ticket = tickets.get(worker.worker_id, "")
+            commands.append(StartCommand(run, worker, run.ticket))
+        return commands
--- a/src/rosemarynotch/_internal/scheduling/run_reconciler.py
+++ b/src/rosemarynotch/_internal/scheduling/run_reconciler.py
@@ -67,7 +67,8 @@
                 return None
             run.phase = RunPhase.ORDERED
             run.is_resent = True
-            return StartCommand(run, worker, self._advice.ticket(run))
+            ticket = self._advice.ticket(run, worker, now_s)
+            return StartCommand(run, worker, ticket)
         if run.phase is RunPhase.ACTIVE and self._is_stuck(run):
             self._log(
                 "run stuck",
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -5,6 +5,7 @@
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import Ran
 from rosemarynotch._internal.exceptions import RUN_LATE
+from rosemarynotch._internal.exceptions import RUN_NO_TICKET
 from rosemarynotch._internal.exceptions import RUN_SUPERSEDED
 from rosemarynotch._internal.exceptions import WORKER_REPLACED
 from rosemarynotch._internal.scheduling.job_registry import JobRegistry
@@ -132,10 +133,19 @@
             # makes that harmless and frees the task before the lease expires.
             run.phase = RunPhase.STOPPING
             run.stop_sent_at_s = 0.0
-            worker.pause_until(now_s + REFUSED_PAUSE_S)
+            self._pause_refusing(worker, answer, now_s)
         else:
             worker.drop_run(run)
             self.adjust_usage(run, -1)
+            self._pause_refusing(worker, answer, now_s)
+
+    @staticmethod
+    def _pause_refusing(worker: Worker, why: Failure, now_s: float) -> None:
+        """Pause a worker that has refused a start.
+
+        A ticket that it does not accept says nothing of the other steps.
+        """
+        if not why.is_a(RUN_NO_TICKET):
             worker.pause_until(now_s + REFUSED_PAUSE_S)
 
     def on_order_withheld(self, run: Run) -> None:
--- a/src/rosemarynotch/_internal/scheduling/runs.py
+++ b/src/rosemarynotch/_internal/scheduling/runs.py
@@ -33,6 +33,8 @@
 
     :ivar checkpoint: checkpoint to resume from; the same in each order for the
         run, and for all members of a gang
+    :ivar ticket: ticket of the advice service that the first order carries,
+        empty if it needs none
     :ivar ordered_at_s: when the start was first ordered
     :ivar lease_until_ms: end of the lease sent with the start order, on the
         worker's clock; a repeated order carries the same value, so that it
@@ -59,6 +61,7 @@
     worker_id: str
     phase: RunPhase = RunPhase.ORDERED
     checkpoint: str = ""
+    ticket: str = ""
     ordered_at_s: float = 0.0
     lease_until_ms: int = 0
     confirmed_at_s: float = 0.0
--- a/standins/fleet/emulator.py
+++ b/standins/fleet/emulator.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from standins.fleet.advice import EmulatedAdvisor
 from standins.fleet.http import Answer
 from standins.fleet.http import Call
 from standins.fleet.http import JsonServer
@@ -68,6 +69,8 @@
     :param standby: the pool whose VMs are off
     :param outage_s: time for which a move or maintenance stops a VM
     :param data_centres: names among which the VMs of a pool alternate
+    :param advisor: advice service whose tickets all starts need, None if they
+        need none
     :ivar data_centre_by_worker: data centre of each worker so far
     :ivar evacuations: requests of the operator so far
     :ivar orders: orders for VMs: name, path, lease holder and fencing token
@@ -80,7 +83,11 @@
         outage_s: float = 0.5,
         seed: int = 0,
         data_centres: tuple[str, ...] = ("zone-1",),
+        advisor: EmulatedAdvisor | None = None,
     ) -> None:
+        self.advisor = advisor
+        if advisor is not None:
+            advisor.find_start = self._find_start
         self.random = random.Random(seed)
         self.data_centre_by_worker: dict[str, str] = {}
         self.data_centres = data_centres
@@ -215,6 +222,8 @@
             worker.kill()
         self.store_server.close()
         self.cloud_server.close()
+        if self.advisor is not None:
+            self.advisor.server.close()
 
     def _start_vm(
         self, vm: EmulatedVm, former: EmulatedWorker | None = None
@@ -235,9 +244,22 @@
                 vm.worker = EmulatedWorker(
                     worker_id, self.ledger, self.random, port
                 )
+                if self.advisor is not None:
+                    vm.worker.accepts_ticket = self._ticket_check(vm.worker)
                 self.data_centre_by_worker[worker_id] = vm.data_centre
         self._register_worker(vm)
 
+    def _find_start(self, worker_id: str) -> int | None:
+        for worker in self.workers():
+            if worker.worker_id == worker_id:
+                return worker.started_unix_ms
+        return None
+
+    def _ticket_check(self, worker: EmulatedWorker):
+        return lambda ticket, task: self.advisor.accepts(
+            ticket, task, worker.worker_id, worker.started_unix_ms
+        )
+
     def _remove_vm(self, vm: EmulatedVm) -> None:
         with self._lock:
             worker, vm.worker = vm.worker, None
--- a/standins/fleet/worker.py
+++ b/standins/fleet/worker.py
@@ -63,6 +63,7 @@
     :ivar fault: fault applied to calls and runs at present
     :ivar fault_share: share of the calls to which the fault applies
     :ivar affects: whether the fault applies to a call
+    :ivar accepts_ticket: whether a task may start with a ticket
     """
 
     def __init__(
@@ -76,6 +77,9 @@
         self.fault = WorkerFault.NONE
         self.fault_share = 1.0
         self.affects: Callable[[Call], bool] = lambda call: True
+        self.accepts_ticket: Callable[[str, str], bool] = (
+            lambda ticket, task: True
+        )
         self.is_alive = True
         self._ledger = ledger
         self._random = rng
@@ -214,6 +218,8 @@
             return self._refuse("old")
         if body["deadline-ms"] <= self._clock_ms():
             return self._refuse("late")
+        if not self.accepts_ticket(body.get("ticket", ""), task):
+            return self._refuse("ticket")
         self._extend_lease(body)
         words = body["spec"].split()
         work_s = next(
@@ -253,6 +259,9 @@
             if remaining_s <= 0:
                 break
             self._changed.wait(min(remaining_s, 0.1))
+        if not self.is_alive:
+            # A crashed worker says nothing, also to a call that waits.
+            raise LostAnswer
         running = [
             [task, run.number, "", self._percent(run), 1.0]
             for task, run in self._runs.items()
--- a/tests/unit/test_evacuated_data_centre.py
+++ b/tests/unit/test_evacuated_data_centre.py
@@ -9,8 +9,9 @@
 from rosemarynotch._internal import exceptions as failures
 from rosemarynotch._internal.scheduling.advice import AdviceCache
 from rosemarynotch._internal.scheduling.advice import AdviceRequest
-from rosemarynotch._internal.scheduling.advice import AdviceRequester
+from rosemarynotch._internal.scheduling.advice_requester import AdviceRequester
 from rosemarynotch._internal.scheduling.evacuation import ServingTaskMover
+from rosemarynotch._internal.scheduling.fleet_ports import AdviceAnswer
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.planner import StartCommand
 from rosemarynotch._internal.scheduling.planner import StopCommand
@@ -293,12 +294,14 @@
         rounds = iter((True, True, True, False))
         advisor = mock.Mock()
         advisor.advise = lambda job, occurrence, number, workers: (
-            calls.append(workers) or []
+            calls.append(workers) or AdviceAnswer(tickets=())
         )
         for number, workers in enumerate((("a1", "b1"), ("a1", "a2"))):
             key = ("j", 0, number)
             cache._pending_requests[key] = AdviceRequest(
-                key=key, workers=workers, validity_ms=1000
+                key=key,
+                workers=dict.fromkeys(workers, 1),
+                validity_ms=1000,
             )
         cache.has_requests.set()
         AdviceRequester(
--- a/tests/unit/test_impossible_jobs.py
+++ b/tests/unit/test_impossible_jobs.py
@@ -161,11 +161,13 @@
         self.leader.add_workers("w4", labels=("b", "rack-1"))
         self.leader.submit("j1", job_spec(step(1, required_label="b")))
         self.leader.place()
-        self.assertEqual(("w4",), self.leader.advice.next_request().workers)
+        request = self.leader.advice.next_request()
+        self.assertEqual(["w4"], list(request.workers))
         self.leader.submit("j2", job_spec(step(1, required_label="c")))
         self.leader.now_s += 1
         self.leader.place()
-        self.assertEqual(("w4",), self.leader.advice.next_request().workers)
+        request = self.leader.advice.next_request()
+        self.assertEqual(["w4"], list(request.workers))
         self.assertIsNone(self.leader.advice.next_request())
 
 
