Reserve run numbers beyond those of a term

A term has 1,000 run numbers for each task, and the next leader goes on above them without knowing which were used. Nothing kept a leader from using more: review/7 used some 700 in 26 s. The next leader would have started tasks with numbers that workers had seen, which they refuse as runs that have ended, or take for a late order.

A leader that has used up the numbers of its term reserves 1,000 more in the progress record of the job and starts nothing of it before that is recorded. Usual jobs need no write for it.

--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -20,10 +20,11 @@
 from rosemarynotch._internal.scheduling.unloaded_jobs import UnloadedJob
 from rosemarynotch._internal.scheduling.unloaded_jobs import UnloadedJobs
 
-__all__ = ["JobRegistry"]
+__all__ = ["JobRegistry", "RUNS_PER_TERM"]
 
 # Run numbers per task that are reserved for each term. Runs of a later term
-# thereby get higher numbers than those of an earlier one.
+# thereby get higher numbers than those of an earlier one. Further numbers are
+# reserved in the progress record of a job, as many at a time.
 RUNS_PER_TERM = 1000
 # Until then workers may still report runs and ends of a job that has ended.
 COMPACT_AFTER_S = 10.0
@@ -107,6 +108,7 @@
         if progress is not None:
             job.restore(progress)
             job.progress_revision = progress_revision
+        job.run_limit = max(self._term * RUNS_PER_TERM, job.highest_run)
         if is_from_earlier_term:
             floor = (self._term - 1) * RUNS_PER_TERM
             job.run_floor = max(floor, job.highest_run)
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -41,6 +41,10 @@
         are done
     :ivar held_tasks: number of its tasks that are held
     :ivar run_floor: new runs get numbers above this one
+    :ivar run_limit: highest run number that may be used; a later leader uses
+        higher ones only
+    :ivar reserved_run: the next limit, in force once it is recorded
+    :ivar reservation_change: number of the change that records it
     :ivar highest_run: highest run number used for any of its tasks
     :ivar progress_revision: store revision of its progress record, 0 if it
         has none
@@ -63,6 +67,9 @@
     done_occurrences: IndexSet = attrs.field(init=False)
     held_tasks: int = 0
     run_floor: int = 0
+    run_limit: int = 0
+    reserved_run: int = 0
+    reservation_change: int = 0
     highest_run: int = 0
     progress_revision: int = 0
     change: int = 0
@@ -303,7 +310,7 @@
             phase=self.phase,
             queue=self.submission.queue,
             organisation=self.submission.organisation,
-            highest_run=self.highest_run,
+            highest_run=max(self.highest_run, self.reserved_run),
             finished_unix_ms=self.finished_unix_ms,
             pools=tuple(
                 pool
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -322,6 +322,8 @@
         free, spec = pool.capacities, step.spec
         if not pool.may_fit(spec.reserved) or not self._may_start(job):
             return []
+        if not self._scheduler.has_run_number(job):
+            return []
         count = waiting_count = step.waiting_count
         if step.fails_everywhere and spec.long_running:
             # One task shows whether the others would fail again.
--- a/src/rosemarynotch/_internal/scheduling/records.py
+++ b/src/rosemarynotch/_internal/scheduling/records.py
@@ -124,7 +124,8 @@
 class ProgressRecord:
     """Progress of a job; written by the leader only.
 
-    :ivar highest_run: highest run number used for any task of the job
+    :ivar highest_run: no higher run number was used for any task of the job,
+        beside those of the leader's term
     :ivar pools: pools that may have runs of the job, beside the pool that its
         queue had when it was accepted
     :ivar steps: progress of the steps, empty once the job has ended
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -9,6 +9,8 @@
 from rosemarynotch._internal.exceptions import RUN_SUPERSEDED
 from rosemarynotch._internal.exceptions import WORKER_REPLACED
 from rosemarynotch._internal.scheduling.job_registry import JobRegistry
+from rosemarynotch._internal.scheduling.job_registry import RUNS_PER_TERM
+from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.jobs import Task
@@ -62,6 +64,29 @@
         floor = tasks[0].step.occurrence.job.run_floor
         return max(floor, *(task.last_run for task in tasks)) + 1
 
+    def has_run_number(self, job: Job) -> bool:
+        """Return whether the next run of a job may get a number.
+
+        Otherwise more are reserved, and may be used once the store has
+        recorded that. The next leader would use them again without it, and
+        workers would take its runs for those that have ended.
+        """
+        if job.highest_run < job.run_limit:
+            return True
+        if job.reserved_run <= job.run_limit:
+            job.reserved_run = job.run_limit + RUNS_PER_TERM
+            job.reservation_change = self.mark_dirty(job)
+            self._log(
+                "run numbers reserved",
+                job=job.job_id,
+                used=job.highest_run,
+                reserved=job.reserved_run,
+            )
+        elif job.durable_change >= job.reservation_change:
+            job.run_limit = job.reserved_run
+            return True
+        return False
+
     def new_run(
         self, task: Task, worker: Worker, now_s: float, number: int = 0
     ) -> Run:
