Ask the advice service for all workers that may be allowed

It needs no crash: in a pool of more than 30 workers, of which the allowed ones are listed last, no job of the queue starts.

Cause: each request named the 30 workers with the most free processors, the same ones again and again, as nothing remembered their answer. The line "advice received" shows it: 46 answers for i-08 to i-37, none allowed.

Change: answers are remembered by step and incarnation of a worker. A request names those that are known to be allowed and have room, alone if that is enough, then those never asked for, and after 5 s those that were not allowed. It is repeated until the tickets suffice for all tasks that could start. A call is awaited for the time that follows from the queue's times and the workers named, and names no more than it can be answered for within half of the validity. Calls for tasks under a used cap, or of steps that no longer wait, are not made. This works because every worker with room is named once within a bounded number of calls, whatever their order.

--- a/src/rosemarynotch/_internal/platform/advice.py
+++ b/src/rosemarynotch/_internal/platform/advice.py
@@ -21,7 +21,7 @@
     def __init__(self, http: HttpClient) -> None:
         self._http = http
 
-    def advise(self, job_id, occurrence, step, workers):
+    def advise(self, job_id, occurrence, step, workers, wait_s):
         """Request tickets for a step on at most 100 workers."""
         answer = call_json(
             self._http,
@@ -34,6 +34,7 @@
                 "workers": workers,
             },
             repeatable=False,
+            wait_ms=round(wait_s * 1000),
         )
         if isinstance(answer, Failure):
             return answer
--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -243,6 +243,7 @@
                 lambda: self.is_running,
                 self.post,
                 self.log,
+                self.metrics,
                 lambda worker_id: self.scheduler.accepts_work(
                     worker_id, self.clock.monotonic_s()
                 ),
--- a/src/rosemarynotch/_internal/scheduling/fleet_ports.py
+++ b/src/rosemarynotch/_internal/scheduling/fleet_ports.py
@@ -104,6 +104,15 @@
 
     @abc.abstractmethod
     def advise(
-        self, job_id: str, occurrence: int, step: int, workers: list[str]
+        self,
+        job_id: str,
+        occurrence: int,
+        step: int,
+        workers: list[str],
+        wait_s: float,
     ) -> AdviceAnswer | Failure:
-        """Return tickets for the given workers that may run the step."""
+        """Return tickets for the given workers that may run the step.
+
+        :param wait_s: time that the service needs for the call, and for those
+            before it
+        """
--- a/src/rosemarynotch/_internal/scheduling/model.py
+++ b/src/rosemarynotch/_internal/scheduling/model.py
@@ -179,6 +179,10 @@
     per_worker_ms: int
     validity_ms: int
 
+    def call_s(self, worker_count: int) -> float:
+        """Return the time of a call for some workers."""
+        return (self.decision_ms + worker_count * self.per_worker_ms) / 1000
+
 
 @attrs.frozen(kw_only=True)
 class QueuePolicy:
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -24,7 +24,6 @@
 from rosemarynotch._internal.scheduling.policy import PoolCapacity
 from rosemarynotch._internal.scheduling.policy import PoolSharing
 from rosemarynotch._internal.scheduling.policy import StepPlacer
-from rosemarynotch._internal.scheduling.policy import suits
 from rosemarynotch._internal.scheduling.policy import Urgency
 from rosemarynotch._internal.scheduling.run_reconciler import RunReconciler
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
@@ -338,17 +337,18 @@
         count = min(count, self._scheduler.startable_count(job))
         if spec.is_gang and count < spec.task_count:
             return []
+        tasks = list(islice(step.waiting_tasks(), count))
+        tasks = self._caps.select(job, tasks)
+        if not tasks or (spec.is_gang and len(tasks) < len(step.tasks)):
+            return []
         queue = self._scheduler.queue_of(job)
         tickets = None
         if queue.advice is not None:
-            able = [c for c in free if suits(spec, c.worker.entry)]
-            tickets = self._advice.tickets(step, queue.advice, able, now_s)
+            tickets = self._advice.tickets(
+                step, queue.advice, free, len(tasks), now_s
+            )
             if not tickets:
                 return []
-        tasks = list(islice(step.waiting_tasks(), count))
-        tasks = self._caps.select(job, tasks)
-        if not tasks or (spec.is_gang and len(tasks) < len(step.tasks)):
-            return []
         placed = self._placer.place(tasks, free, tickets)
         if not placed and not any(c.free.covers(spec.reserved) for c in free):
             pool.record_too_large(spec.reserved)
--- a/src/rosemarynotch/_internal/scheduling/policy/placement.py
+++ b/src/rosemarynotch/_internal/scheduling/policy/placement.py
@@ -58,6 +58,19 @@
         self.free = self.free.minus(step.spec.reserved)
         self.count(step)
 
+    def room_for(self, step: Step, limit: int) -> int:
+        """Return how many tasks of a step the worker has room for.
+
+        :param limit: the most that are counted
+        """
+        spec = step.spec
+        if spec.required_label not in ("", *self.worker.entry.labels):
+            return 0
+        if spec.max_per_worker:
+            running = self.tasks_by_step.get(id(step), 0)
+            limit = max(0, min(limit, spec.max_per_worker - running))
+        return _count_fits(self.free, spec.reserved, limit)
+
     def admits(self, task: Task, tickets: dict[str, str] | None) -> bool:
         """Tell whether a task may start on the worker.
 
--- a/standins/fleet/emulator.py
+++ b/standins/fleet/emulator.py
@@ -218,12 +218,16 @@
     def close(self) -> None:
         """Kill the workers and stop the servers."""
         self._is_closed = True
-        for worker in self.workers():
-            worker.kill()
-        self.store_server.close()
-        self.cloud_server.close()
+        closing = [worker.kill for worker in self.workers()]
+        closing += [self.store_server.close, self.cloud_server.close]
         if self.advisor is not None:
-            self.advisor.server.close()
+            closing.append(self.advisor.server.close)
+        # Each of them takes up to half a second.
+        threads = [threading.Thread(target=close) for close in closing]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
 
     def _start_vm(
         self, vm: EmulatedVm, former: EmulatedWorker | None = None
--- a/tests/functional/test_advice.py
+++ b/tests/functional/test_advice.py
@@ -13,7 +13,6 @@
 # Longer than the lease of a worker, so that its tasks start anew.
 DOWN_S = 6.5
 RUN_S = 10.0
-TIMES = AdviceTimes(decision_ms=50, period_ms=10, validity_ms=3000)
 
 
 class AdvisedNodes(Nodes):
@@ -33,19 +32,25 @@
     """Starts a node with a pool of which some workers are allowed.
 
     :cvar vms: number of VMs of the pool
+    :cvar times: times of the service
     """
 
     vms = 6
+    times = AdviceTimes(decision_ms=50, period_ms=10, validity_ms=3000)
 
     def setUp(self):
         """Start the emulator and a node."""
         super().setUp()
         self.allowed = set()
-        advisor = EmulatedAdvisor(lambda name: name in self.allowed, TIMES)
+        advisor = EmulatedAdvisor(
+            lambda name: name in self.allowed, self.times
+        )
         self.emulator = Emulator({"one": self.vms}, advisor=advisor)
         self.addCleanup(self.emulator.close)
         document = configuration()
-        document["routes"] = [document["routes"][0] | {"advisor": TIMES.row()}]
+        document["routes"] = [
+            document["routes"][0] | {"advisor": self.times.row()}
+        ]
         document["services"] = document["services"][:1]
         self.emulator.put_configuration(document)
         self.nodes = AdvisedNodes(self.emulator, 1)
@@ -67,6 +72,45 @@
         return job_id
 
 
+class ManyWorkersTest(AdviceCase):
+    """Guards against workers that are never asked for (rule LOST)."""
+
+    vms = 40
+
+    def test_allowed_workers_that_are_listed_last(self):
+        # Workers are listed in the order of their identifiers.
+        vms = sorted(
+            self.emulator.vms.values(), key=lambda vm: vm.worker.worker_id
+        )
+        self.allow(vms[-8:])
+        job_id = self.submit(spec="work=0.1", count=2)
+        wait_until(
+            lambda: self.nodes.state(0, job_id) == "completed",
+            RUN_S,
+            "the job is completed",
+        )
+        # The first request names workers that are not allowed.
+        self.assertGreater(len(self.emulator.advisor.calls), 1)
+
+
+class SlowServiceTest(AdviceCase):
+    """Guards against calls that are given up before they can be answered."""
+
+    times = AdviceTimes(decision_ms=200, period_ms=50, validity_ms=6000)
+    vms = 30
+
+    def test_call_of_the_configured_time(self):
+        """Guards against a time-out that does not follow from the times."""
+        self.allow(self.emulator.vms.values())
+        job_id = self.submit(spec="work=0.1", count=2)
+        wait_until(
+            lambda: self.nodes.state(0, job_id) == "completed",
+            RUN_S,
+            "the job is completed",
+        )
+        self.assertEqual(30, len(self.emulator.advisor.calls[0]))
+
+
 class RestartedWorkerTest(AdviceCase):
     """Guards against tickets of a life that has ended (rule LOST)."""
 
--- a/tests/unit/test_advice.py
+++ b/tests/unit/test_advice.py
@@ -4,6 +4,7 @@
 import testtools
 
 from rosemarynotch._internal import exceptions as failures
+from rosemarynotch._internal.scheduling.advice import NOT_ALLOWED_S
 from rosemarynotch._internal.scheduling.fleet_ports import AdviceAnswer
 from rosemarynotch._internal.scheduling.fleet_ports import Ticket
 from rosemarynotch._internal.scheduling.model import AdvicePolicy
@@ -73,7 +74,7 @@
     def answer_requests(self, validity_ms=None):
         """Answer the requests that wait; return the names asked for."""
         asked = []
-        while request := self.advice.next_request():
+        while request := self.advice.next_request(self.leader.now_s):
             names = [*request.workers]
             self.calls.append(names)
             asked += names
@@ -85,7 +86,9 @@
                 if name in self.allowed
             )
             answer = AdviceAnswer(tickets=tickets, validity_ms=validity_ms)
-            self.advice.record_answer(request, answer, sent_s)
+            self.advice.record_answer(
+                request, answer, sent_s, self.leader.now_s
+            )
         return asked
 
     def plan(self):
@@ -136,7 +139,7 @@
         """Guards against a ticket that an answer without it makes valid."""
         self.confirm(self.command)
         self.scheduler.workers["w1"].pause_until(self.leader.now_s + 100)
-        self.advance(VALIDITY_S)
+        self.advance(NOT_ALLOWED_S + 1)
         self.leader.end(self.command.run, kind=EndKind.FAILED)
         self.assertEqual([], self.plan())
         self.assertEqual({"w2", "w3"}, set(self.answer_requests()))
--- a/tests/unit/test_evacuated_data_centre.py
+++ b/tests/unit/test_evacuated_data_centre.py
@@ -13,10 +13,12 @@
 from rosemarynotch._internal.scheduling.evacuation import ServingTaskMover
 from rosemarynotch._internal.scheduling.fleet_ports import AdviceAnswer
 from rosemarynotch._internal.scheduling.jobs import RunPhase
+from rosemarynotch._internal.scheduling.model import AdvicePolicy
 from rosemarynotch._internal.scheduling.planner import StartCommand
 from rosemarynotch._internal.scheduling.planner import StopCommand
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.worker_registry import COLD_S
+from rosemarynotch._internal.utils.metrics import Metrics
 from tests.lib.scheduling import job_spec
 from tests.lib.scheduling import Leader
 from tests.lib.scheduling import LEASE_S
@@ -293,7 +295,7 @@
         cache, calls = AdviceCache(), []
         rounds = iter((True, True, True, False))
         advisor = mock.Mock()
-        advisor.advise = lambda job, occurrence, number, workers: (
+        advisor.advise = lambda job, occurrence, number, workers, wait_s: (
             calls.append(workers) or AdviceAnswer(tickets=())
         )
         for number, workers in enumerate((("a1", "b1"), ("a1", "a2"))):
@@ -301,7 +303,9 @@
             cache._pending_requests[key] = AdviceRequest(
                 key=key,
                 workers=dict.fromkeys(workers, 1),
-                validity_ms=1000,
+                policy=AdvicePolicy(
+                    decision_ms=1, per_worker_ms=1, validity_ms=1000
+                ),
             )
         cache.has_requests.set()
         AdviceRequester(
@@ -311,6 +315,7 @@
             lambda: next(rounds),
             lambda event: None,
             lambda event, **fields: None,
+            Metrics(),
             lambda name: self.scheduler.accepts_work(name, self.leader.now_s),
         ).run()
         self.assertEqual([["b1"]], calls)
--- a/tests/unit/test_impossible_jobs.py
+++ b/tests/unit/test_impossible_jobs.py
@@ -161,14 +161,15 @@
         self.leader.add_workers("w4", labels=("b", "rack-1"))
         self.leader.submit("j1", job_spec(step(1, required_label="b")))
         self.leader.place()
-        request = self.leader.advice.next_request()
+        request = self.leader.advice.next_request(self.leader.now_s)
         self.assertEqual(["w4"], list(request.workers))
+        self.leader.advice.drop_request(request, self.leader.now_s)
         self.leader.submit("j2", job_spec(step(1, required_label="c")))
         self.leader.now_s += 1
         self.leader.place()
-        request = self.leader.advice.next_request()
+        request = self.leader.advice.next_request(self.leader.now_s)
         self.assertEqual(["w4"], list(request.workers))
-        self.assertIsNone(self.leader.advice.next_request())
+        self.assertIsNone(self.leader.advice.next_request(self.leader.now_s))
 
 
 class FailingCase(ImpossibleCase):
