Log which VMs a wave cordons, and why they do not become empty

A wave that does not end told nothing: neither which VM was cordoned nor what kept it from being empty.

"vm cordoned" is written once for each; "vm not empty" every 5 s, with the runs and why a long-running task on it was not stopped.

--- a/src/rosemarynotch/_internal/scheduling/evacuation.py
+++ b/src/rosemarynotch/_internal/scheduling/evacuation.py
@@ -114,6 +114,8 @@
         self._controller = controller
         self._moving: list[Task] = []
         self._moved_at_s = 0.0
+        # Why tasks on workers that have to be empty were not stopped.
+        self.kept_why: dict[str, str] = {}
 
     def step(self, now_s: float) -> None:
         """Mark the runs on draining and cordoned workers that stop next."""
@@ -129,6 +131,7 @@
             for worker in draining:
                 for run in _serving_runs(worker):
                     self._stop(run, "draining")
+            self.kept_why.clear()
             self._move(cordoned, "cordoned", now_s)
 
     def move_from_evacuated(self, now_s: float) -> None:
@@ -172,10 +175,13 @@
         spare = _SpareCapacity(scheduler, self._moving, now_s)
         for run in runs:
             task = run.task
-            if may_interrupt(
-                task.step, scheduler.workers, now_s, task
-            ) and spare.take(task):
-                self._stop(run, why)
+            kept_why = "others of the step are unavailable"
+            if may_interrupt(task.step, scheduler.workers, now_s, task):
+                kept_why = "no other worker has room"
+                if spare.take(task):
+                    self._stop(run, why)
+                    continue
+            self.kept_why[run.worker_id] = f"{task.task_id}: {kept_why}"
 
     def _stop(self, run: Run, why: str) -> None:
         run.phase = RunPhase.STOPPING
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -9,6 +9,7 @@
 from rosemarynotch._internal.exceptions import PLATFORM_REFUSED
 from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
 from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
+from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.maintenance import SpreadOverPools
 from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.maintenance import WaveVm
@@ -16,6 +17,7 @@
 from rosemarynotch._internal.scheduling.vm_tracker import VmTracker
 from rosemarynotch._internal.scheduling.wave_records import RunningWave
 from rosemarynotch._internal.scheduling.wave_records import WaveStore
+from rosemarynotch._internal.scheduling.workers import Worker
 
 if TYPE_CHECKING:
     from rosemarynotch._internal.scheduling.controller import Controller
@@ -27,6 +29,8 @@
 MAINTENANCE_MARGIN_S = 0.5
 # The VM list may show a VM unchanged for this time after an order.
 LIST_LAG_S = 0.7
+# Interval at which cordoned VMs that are not empty are logged.
+REPORT_INTERVAL_S = 5.0
 
 
 class WaveRunner:
@@ -57,6 +61,7 @@
         self._tracker = VmTracker(controller, self._maintenance_s + LIST_LAG_S)
         self._waves: dict[int, RunningWave] = {}
         self._listed_at_s = -1e9
+        self._reported_at_s = -1e9
 
     def pending_vms(self) -> set[str]:
         """Return VMs that are being emptied or maintained for a wave."""
@@ -235,6 +240,14 @@
             worker = self._controller.scheduler.workers.get(vm.worker_id)
             if worker is not None:
                 worker.is_cordoned = True
+            if vm.name not in state.cordoned:
+                self._controller.log(
+                    "vm cordoned",
+                    wave=state.wave.number,
+                    vm=vm.name,
+                    worker=vm.worker_id,
+                    runs=len(worker.runs) if worker else 0,
+                )
             state.cordoned[vm.name] = vm.worker_id
 
     def _maintain_empty(self, state: RunningWave, vms, now_s) -> None:
@@ -257,6 +270,10 @@
                 )
             if is_empty:
                 empty.append(vm)
+            elif now_s - self._reported_at_s > REPORT_INTERVAL_S:
+                self._report_not_empty(vm, worker)
+        if now_s - self._reported_at_s > REPORT_INTERVAL_S:
+            self._reported_at_s = now_s
         ordered_before = set(state.record.ordered)
         chosen = self._record_orders(
             state, empty, self._down_count(state, vms)
@@ -271,6 +288,17 @@
             is_first = vm.name not in ordered_before
             self._record_answer(state, vm, answer, is_first, answered_s)
 
+    def _report_not_empty(self, vm: FleetVm, worker: Worker | None) -> None:
+        runs = list(worker.runs.values()) if worker else []
+        self._controller.log(
+            "vm not empty",
+            vm=vm.name,
+            runs=len(runs),
+            stopping=sum(run.phase is RunPhase.STOPPING for run in runs),
+            lasting=sum(run.task.step.spec.long_running for run in runs),
+            why=self._controller.mover.kept_why.get(vm.worker_id, ""),
+        )
+
     @staticmethod
     def _down_count(state: RunningWave, vms: dict[str, FleetVm]) -> int:
         """Return the number of VMs that are down or may go down.
