Empty VMs whose tasks fit nowhere else, or leave them in service

Operators saw a wave that stays running.

Cause: a VM of a wave was kept from new runs until it was empty, and its serving tasks were stopped only while another worker had room for them. Where there can be none, that never ended; it also took up the wave's limit, so that no other VM was maintained.

Change: each VM is judged before it is cordoned and while it is. Tasks that suit no other VM are stopped together, within their budgets, when nothing else is left there and the order can be given; a VM whose budgets do not allow it serves on. This works because a cordon now either leads to an order within a bounded time, waits for batch tasks that end, or ends itself.

--- a/src/rosemarynotch/_internal/scheduling/evacuation.py
+++ b/src/rosemarynotch/_internal/scheduling/evacuation.py
@@ -4,6 +4,7 @@
 (`max_unavailable`) of their step.
 """
 
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 from rosemarynotch._internal.scheduling.jobs import Run
@@ -18,7 +19,7 @@
 if TYPE_CHECKING:
     from rosemarynotch._internal.scheduling.controller import Controller
 
-__all__ = ["ServingTaskMover", "may_interrupt"]
+__all__ = ["count_unavailable", "ServingTaskMover", "may_interrupt"]
 
 # A serving task counts as available from this percentage on.
 SERVING_PERCENT = 100
@@ -40,14 +41,27 @@
     :param interrupted: task that would be interrupted; if it is unavailable
         already, that costs nothing
     """
-    max_unavailable = max(1, step.spec.max_unavailable)
+    excluded = [] if interrupted is None else [interrupted]
+    unavailable = count_unavailable(step, workers, now_s, excluded)
+    return unavailable < max(1, step.spec.max_unavailable)
+
+
+def count_unavailable(
+    step: Step,
+    workers: dict[str, Worker],
+    now_s: float,
+    excluded: Collection[Task] = (),
+) -> int:
+    """Return how many tasks of a step are not known to be serving.
+
+    :param excluded: tasks that are not counted
+    """
     available = sum(
         not _is_unavailable(task.runs, workers, now_s)
         for task in step.tasks.held
-        if task is not interrupted
+        if not any(task is each for each in excluded)
     )
-    others = step.spec.task_count - (interrupted is not None)
-    return others - available < max_unavailable
+    return step.spec.task_count - len(excluded) - available
 
 
 def _is_unavailable(
@@ -183,6 +197,14 @@
                     continue
             self.kept_why[run.worker_id] = f"{task.task_id}: {kept_why}"
 
+    def stop_in_place(self, worker: Worker) -> None:
+        """Mark all serving runs of a worker to stop, as none can move.
+
+        The caller holds the lock, and has compared them with the budgets.
+        """
+        for run in _serving_runs(worker):
+            self._stop(run, "fits nowhere else")
+
     def _stop(self, run: Run, why: str) -> None:
         run.phase = RunPhase.STOPPING
         self._moving.append(run.task)
--- a/src/rosemarynotch/_internal/scheduling/wave_runner.py
+++ b/src/rosemarynotch/_internal/scheduling/wave_runner.py
@@ -7,9 +7,10 @@
 
 from rosemarynotch._internal.exceptions import Failure
 from rosemarynotch._internal.exceptions import PLATFORM_REFUSED
+from rosemarynotch._internal.scheduling.cordons import Cordons
+from rosemarynotch._internal.scheduling.emptying import Alternatives
 from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
 from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
-from rosemarynotch._internal.scheduling.jobs import RunPhase
 from rosemarynotch._internal.scheduling.maintenance import SpreadOverPools
 from rosemarynotch._internal.scheduling.maintenance import Wave
 from rosemarynotch._internal.scheduling.maintenance import WaveVm
@@ -17,7 +18,6 @@
 from rosemarynotch._internal.scheduling.vm_tracker import VmTracker
 from rosemarynotch._internal.scheduling.wave_records import RunningWave
 from rosemarynotch._internal.scheduling.wave_records import WaveStore
-from rosemarynotch._internal.scheduling.workers import Worker
 
 if TYPE_CHECKING:
     from rosemarynotch._internal.scheduling.controller import Controller
@@ -29,8 +29,6 @@
 MAINTENANCE_MARGIN_S = 0.5
 # The VM list may show a VM unchanged for this time after an order.
 LIST_LAG_S = 0.7
-# Interval at which cordoned VMs that are not empty are logged.
-REPORT_INTERVAL_S = 5.0
 
 
 class WaveRunner:
@@ -61,7 +59,7 @@
         self._tracker = VmTracker(controller, self._maintenance_s + LIST_LAG_S)
         self._waves: dict[int, RunningWave] = {}
         self._listed_at_s = -1e9
-        self._reported_at_s = -1e9
+        self._cordons = Cordons(controller)
 
     def pending_vms(self) -> set[str]:
         """Return VMs that are being emptied or maintained for a wave."""
@@ -139,6 +137,8 @@
         self._record_begun(state, vms, now_s)
         self._record_maintained(state, vms, now_s)
         self._retry_unanswered(state, vms)
+        may_go_down = self._down_count(state, vms) < state.wave.max_down
+        self._cordons.review(state, vms, may_go_down, now_s)
         self._maintain_empty(state, vms, now_s)
         self._cordon_next(state, vms, moving, now_s)
         remaining = [
@@ -197,7 +197,7 @@
                     "vm maintained", wave=state.wave.number, vm=name
                 )
                 if vm is not None:
-                    self._uncordon(vm.worker_id)
+                    self._cordons.end(vm.worker_id)
         if len(back) != len(state.record.back):
             state.record = attrs.evolve(state.record, back=tuple(sorted(back)))
             state.is_written = False
@@ -232,23 +232,7 @@
             if name in state.record.back or name in state.cordoned:
                 continue
             if vm.phase is VmPhase.UP:
-                self._cordon(state, vm)
-
-    def _cordon(self, state: RunningWave, vm: FleetVm) -> None:
-        """Keep new runs away from a VM until it is maintained."""
-        with self._controller.lock:
-            worker = self._controller.scheduler.workers.get(vm.worker_id)
-            if worker is not None:
-                worker.is_cordoned = True
-            if vm.name not in state.cordoned:
-                self._controller.log(
-                    "vm cordoned",
-                    wave=state.wave.number,
-                    vm=vm.name,
-                    worker=vm.worker_id,
-                    runs=len(worker.runs) if worker else 0,
-                )
-            state.cordoned[vm.name] = vm.worker_id
+                self._cordons.add(state, vm)
 
     def _maintain_empty(self, state: RunningWave, vms, now_s) -> None:
         """Order the maintenance of cordoned VMs that have no runs left."""
@@ -259,7 +243,7 @@
             if vm is None or vm.worker_id != worker_id:
                 del state.cordoned[name]
                 if name not in state.record.ordered:
-                    self._uncordon(worker_id)
+                    self._cordons.end(worker_id)
                 continue
             with controller.lock:
                 worker = controller.scheduler.workers.get(worker_id)
@@ -270,10 +254,6 @@
                 )
             if is_empty:
                 empty.append(vm)
-            elif now_s - self._reported_at_s > REPORT_INTERVAL_S:
-                self._report_not_empty(vm, worker)
-        if now_s - self._reported_at_s > REPORT_INTERVAL_S:
-            self._reported_at_s = now_s
         ordered_before = set(state.record.ordered)
         chosen = self._record_orders(
             state, empty, self._down_count(state, vms)
@@ -288,17 +268,6 @@
             is_first = vm.name not in ordered_before
             self._record_answer(state, vm, answer, is_first, answered_s)
 
-    def _report_not_empty(self, vm: FleetVm, worker: Worker | None) -> None:
-        runs = list(worker.runs.values()) if worker else []
-        self._controller.log(
-            "vm not empty",
-            vm=vm.name,
-            runs=len(runs),
-            stopping=sum(run.phase is RunPhase.STOPPING for run in runs),
-            lasting=sum(run.task.step.spec.long_running for run in runs),
-            why=self._controller.mover.kept_why.get(vm.worker_id, ""),
-        )
-
     @staticmethod
     def _down_count(state: RunningWave, vms: dict[str, FleetVm]) -> int:
         """Return the number of VMs that are down or may go down.
@@ -360,13 +329,7 @@
             del ordered[vm.name]
             state.record = attrs.evolve(state.record, ordered=ordered)
             state.is_written = False
-            self._uncordon(vm.worker_id)
-
-    def _uncordon(self, worker_id: str) -> None:
-        with self._controller.lock:
-            worker = self._controller.scheduler.workers.get(worker_id)
-            if worker is not None:
-                worker.is_cordoned = False
+            self._cordons.end(vm.worker_id)
 
     def _cordon_next(
         self, state: RunningWave, vms, moving: set[str], now_s: float
@@ -382,7 +345,7 @@
             elapsed = (now_s - state.seen_at_s) / max(state.wave.duration_s, 1)
             chosen = self._policy.choose(candidates, limit, elapsed)
             for name in chosen:
-                self._cordon(state, vms[name])
+                self._cordons.add(state, vms[name])
 
     def _candidates(
         self, state, vms, moving: set[str], now_s: float
@@ -390,6 +353,7 @@
         """Return the VMs of a wave that may be cordoned now."""
         scheduler = self._controller.scheduler
         totals = count_pools(scheduler, vms.values())
+        alternatives = Alternatives(scheduler, vms.values())
         candidates = []
         for name in state.wave.vms:
             vm = vms.get(name)
@@ -400,6 +364,8 @@
             is_without_worker = self._tracker.is_without_worker(vm, now_s)
             if not vm.worker_id and not is_without_worker:
                 continue
+            if not self._cordons.may_add(state, vm, alternatives, now_s):
+                continue
             worker = scheduler.workers.get(vm.worker_id)
             total = totals[vm.pool]
             candidates.append(
--- a/tests/unit/test_wave_records.py
+++ b/tests/unit/test_wave_records.py
@@ -11,6 +11,7 @@
 from rosemarynotch._internal.exceptions import STORE_UNAVAILABLE
 from rosemarynotch._internal.models.codec import decode
 from rosemarynotch._internal.models.codec import encode
+from rosemarynotch._internal.scheduling.evacuation import ServingTaskMover
 from rosemarynotch._internal.scheduling.fleet_ports import FleetVm
 from rosemarynotch._internal.scheduling.fleet_ports import VmPhase
 from rosemarynotch._internal.scheduling.maintenance import Wave
@@ -19,6 +20,7 @@
 from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import Listing
 from rosemarynotch._internal.scheduling.wave_runner import WaveRunner
+from rosemarynotch._internal.utils.metrics import Metrics
 from tests.lib.scheduling import CAPACITY
 from tests.lib.scheduling import Leader
 from tests.unit.test_roster import FENCE
@@ -95,7 +97,9 @@
             ),
             grant=types.SimpleNamespace(fence=FENCE, term=1),
             log=lambda event, **fields: None,
+            metrics=Metrics(),
         )
+        controller.mover = self.mover = ServingTaskMover(controller)
         self.runner = WaveRunner(
             controller, self.order, self.replaced.append, MAINTENANCE_S
         )
