Start nothing on a worker that is listed as its former life

Cause: reports are requested every 0.25 s and entries listed every 0.5 s. A worker whose entry is newer than its reports got no runs, but one whose reports are newer than its entry did, by the labels and capacity of its former life. In a log of the start follows "worker restarted" after 0.043 s.

Change: a worker gets no runs, and no repeated starts, while its entry is of an earlier incarnation than its reports. An unanswered start on a worker that no longer suits is stopped. This works because what a task needs is then compared with the life that gets it.

--- a/src/rosemarynotch/_internal/scheduling/commands.py
+++ b/src/rosemarynotch/_internal/scheduling/commands.py
@@ -4,6 +4,7 @@
 
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
+from rosemarynotch._internal.scheduling.policy import suits
 from rosemarynotch._internal.scheduling.workers import Worker
 
 __all__ = ["StartCommand", "StopCommand"]
@@ -25,7 +26,8 @@
         leave. A worker that does not accept work at present gets no first
         order, so that the task starts on another one. An order is not
         repeated in a data centre that is being evacuated, as the worker may
-        not have received the one before.
+        not have received the one before, nor to a worker that has restarted
+        and may be of another kind.
         """
         run, worker, task = self.run, self.worker, self.run.task
         is_newest = run.number == task.last_run or task.step.spec.speculative
@@ -39,7 +41,12 @@
             return False
         if run.is_sent:
             is_leaving = worker.entry.is_draining or worker.is_replaced
-            return not (is_leaving or worker.is_evacuated)
+            return not (
+                is_leaving
+                or worker.is_evacuated
+                or worker.has_outdated_entry
+                or not suits(task.step.spec, worker.entry)
+            )
         return worker.accepts_work(now_s)
 
 
--- a/src/rosemarynotch/_internal/scheduling/run_reconciler.py
+++ b/src/rosemarynotch/_internal/scheduling/run_reconciler.py
@@ -7,6 +7,7 @@
 from rosemarynotch._internal.scheduling.commands import StopCommand
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
+from rosemarynotch._internal.scheduling.policy import suits
 from rosemarynotch._internal.scheduling.scheduler import Scheduler
 from rosemarynotch._internal.scheduling.workers import Worker
 
@@ -61,10 +62,17 @@
             if worker.is_evacuated:
                 # The stop also prevents the start if it was not carried out.
                 return self._stop(run, worker, now_s)
-            if worker.has_restarted or not worker.is_enrolled:
+            if (
+                worker.has_restarted
+                or worker.has_outdated_entry
+                or not worker.is_enrolled
+            ):
                 # The lease has to be by the clock of the new incarnation, and
                 # the next leader has to find the worker in the roster.
                 return None
+            if not suits(run.task.step.spec, worker.entry):
+                # The worker has restarted as one of another kind.
+                return self._stop(run, worker, now_s)
             run.phase = RunPhase.ORDERED
             run.is_resent = True
             ticket = self._advice.ticket(run, worker, now_s)
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -158,6 +158,7 @@
             self.is_listed
             and self.has_reported
             and not self.has_restarted
+            and not self.has_outdated_entry
             and self.is_enrolled
             and not self.is_replaced
             and not self.is_cordoned
@@ -184,6 +185,14 @@
         """Return whether a later incarnation is listed than has reported."""
         return 0 < self.started_unix_ms < self.entry.started_unix_ms
 
+    @property
+    def has_outdated_entry(self) -> bool:
+        """Return whether a later incarnation has reported than is listed.
+
+        Its labels and its capacity may differ from the listed ones.
+        """
+        return 0 < self.entry.started_unix_ms < self.started_unix_ms
+
     def is_unavailable(self, now_s: float) -> bool:
         """Return whether the worker needs a substitute in its pool.
 
--- a/tests/unit/test_cut_reports.py
+++ b/tests/unit/test_cut_reports.py
@@ -139,6 +139,9 @@
         self.assertEqual(
             TASKS - 1, sum(run.task.is_waiting for run in self.runs)
         )
+        # Its labels and its capacity are known once it is listed.
+        self.assertFalse(self.worker.accepts_work(self.leader.now_s))
+        self.worker.entry = attrs.evolve(self.worker.entry, started_unix_ms=2)
         self.assertTrue(self.worker.accepts_work(self.leader.now_s))
 
     def test_draining_worker(self):
--- a/tests/unit/test_worker_restart.py
+++ b/tests/unit/test_worker_restart.py
@@ -17,6 +17,7 @@
 from rosemarynotch._internal.scheduling.controller import Controller
 from rosemarynotch._internal.scheduling.model import TaskId
 from rosemarynotch._internal.scheduling.order_sender import OrderSender
+from rosemarynotch._internal.scheduling.planner import StopCommand
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import RunEnd
 from rosemarynotch._internal.scheduling.ports import StartOrder
@@ -29,8 +30,10 @@
 from rosemarynotch._internal.utils.http import HttpClient
 from standins.fleet.http import Answer
 from standins.fleet.http import JsonServer
+from tests.lib.scheduling import job_spec
 from tests.lib.scheduling import Leader
 from tests.lib.scheduling import LEASE_S
+from tests.lib.scheduling import step
 from tests.unit.test_worker_link import FakeController
 
 LOST = WORKER_UNREACHABLE.with_ran_unknown()
@@ -121,6 +124,40 @@
         self.assertIs(command.run, again.run)
         self.assertEqual(0, command.run.lease_until_ms)
 
+    def test_entry_of_an_earlier_incarnation(self):
+        """Guards against a start by the labels of a former life (rule ROUTE).
+
+        A worker may come back as one of another kind. Its first report was
+        received before the list that says so.
+        """
+        self.leader.now_s += 0.1
+        self.report_restart()
+        (other,) = self.leader.place()
+        self.assertNotEqual(self.name, other.worker_id)
+        self.leader.submit("j2", job_spec(step(16)))
+        self.assertEqual(
+            {other.worker_id}, {run.worker_id for run in self.leader.place()}
+        )
+        self.list_restart()
+        self.assertTrue(self.worker.accepts_work(self.leader.now_s))
+
+    def test_repeated_start_on_a_worker_of_another_kind(self):
+        """Guards against the same for a start that had no answer."""
+        scheduler, now_s = self.leader.scheduler, self.leader.now_s
+        self.leader.submit("j2", job_spec(step(required_label="rack-1")))
+        (command,) = self.leader.planner.place(now_s, now_s * 1000)
+        command.run.is_sent = True
+        scheduler.on_start_answer(command.run, LOST, now_s)
+        self.worker, self.name = command.worker, command.run.worker_id
+        self.report_restart()
+        self.assertEqual([], self.leader.planner.reconcile_runs(now_s))
+        self.list_restart()
+        self.worker.entry = attrs.evolve(
+            self.worker.entry, labels=("b", "rack-2")
+        )
+        (again,) = self.leader.planner.reconcile_runs(now_s)
+        self.assertIsInstance(again, StopCommand)
+
     def test_ends_are_numbered_anew(self):
         """Guards against ends of a new incarnation that count as known."""
         self.worker.seen_sequence = self.worker.acked_sequence = 5
@@ -133,11 +170,11 @@
 
     def expires_after_s(self, lost_at_s):
         """Return how long the run is kept after the worker was lost."""
-        for step in range(1, 400):
-            now_s = lost_at_s + step / 10
+        for tenth in range(1, 400):
+            now_s = lost_at_s + tenth / 10
             self.leader.scheduler.expire_workers(now_s)
             if self.task.is_waiting:
-                return step / 10
+                return tenth / 10
         return None
 
     def test_lease_by_the_clock_of_the_new_incarnation(self):
