Send starts that were placed on idle workers

Cause: a worker without runs is asked for a report that may take 2 s, one with runs for one that takes 1 s, and is taken for silent after 2.6 and 1.6 s. A run that was placed on an idle worker made the shorter limit apply at once, so that its start, checked again right before it is sent, was withheld and placed again in each pass until the next report.

Change: the shorter limit applies once a report was applied while the worker had runs. A member of a gang is sent if another one was, as long as its worker does not leave.

--- a/src/rosemarynotch/_internal/scheduling/commands.py
+++ b/src/rosemarynotch/_internal/scheduling/commands.py
@@ -24,7 +24,8 @@
         The order may have waited while its task was done or moved elsewhere,
         its job ended, its run was marked to stop, or its worker was about to
         leave. A worker that does not accept work at present gets no first
-        order, so that the task starts on another one. An order is not
+        order, so that the task starts on another one, but if another member of
+        its gang has been sent. An order is not
         repeated in a data centre that is being evacuated, as the worker may
         not have received the one before, nor to a worker that has restarted
         and may be of another kind.
@@ -39,7 +40,7 @@
             or not is_newest
         ):
             return False
-        if run.is_sent:
+        if run.is_sent or self._is_gang_started():
             is_leaving = worker.entry.is_draining or worker.is_replaced
             return not (
                 is_leaving
@@ -49,6 +50,18 @@
             )
         return worker.accepts_work(now_s)
 
+    def _is_gang_started(self) -> bool:
+        """Tell whether another member of a gang has been ordered to start.
+
+        It ends alone if the others do not follow.
+        """
+        step = self.run.task.step
+        return step.spec.is_gang and any(
+            run.is_sent and run.number == self.run.number
+            for task in step.tasks.held
+            for run in task.runs
+        )
+
 
 @attrs.frozen
 class StopCommand:
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -132,6 +132,7 @@
                 why=report.refused[0],
             )
         worker.refused = report.refused
+        worker.had_runs = bool(worker.runs)
 
     def _log_first_report(
         self, worker: Worker, report: WorkerReport, now_s: float
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -103,6 +103,7 @@
     :ivar acked_sequence: sequence number of the last run end that is
         persisted and may be acknowledged
     :ivar unanswered_orders: number of consecutive orders without an answer
+    :ivar had_runs: whether it had runs when its newest report was applied
     :ivar unknown_run_count: number of runs in its newest report whose jobs
         this leader does not know, and with them what they reserve
     :ivar refused: rows of its newest report that could not be decoded
@@ -137,6 +138,7 @@
     runs: dict[tuple[TaskId, int], Run] = attrs.field(factory=dict)
     reserved: Resources = Resources()
     unanswered_orders: int = 0
+    had_runs: bool = False
     unknown_run_count: int = 0
     refused: tuple[str, ...] = ()
     quarantined_until_s: float = 0.0
@@ -209,7 +211,10 @@
 
     @property
     def _silence_limit_s(self) -> float:
-        return BUSY_SILENCE_S if self.runs else IDLE_SILENCE_S
+        # The request that is under way waits as long as the runs at its start
+        # allowed.
+        is_busy = self.runs and self.had_runs
+        return BUSY_SILENCE_S if is_busy else IDLE_SILENCE_S
 
     def record_order_outcome(self, is_unanswered: bool) -> None:
         """Update the number of consecutive orders without an answer."""
