--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,7 +12,10 @@
 from tests.lib.nodes import Nodes
 from tests.lib.nodes import QUEUE_HOST
 
-__all__ = ["Caller"]
+__all__ = ["ADVISED_QUEUE", "Caller"]
+
+# Queue whose starts need tickets of the advice service.
+ADVISED_QUEUE = "advised"
 
 CALL_TIMEOUT_S = 3.0
 MAX_ATTEMPTS = 5
@@ -28,6 +31,9 @@
 LONG_WORK_S = 3.0
 # In millicores. A worker of the emulator has 8000.
 CPU_CHOICES = (500, 1000, 3000)
+MAX_OCCURRENCES = 4
+DUE_AFTER_S = 0.5
+OCCURRENCE_INTERVAL_S = 0.4
 # A node that did not accept the job itself may learn of it this much later.
 VISIBILITY_DELAY_S = 3.0
 
@@ -37,6 +43,8 @@
 
     :param seed: seed of the random choices, such as which jobs to submit
     :param long_share: share of the jobs with tasks of LONG_WORK_S
+    :param advised_share: share of the jobs on the queue with advice
+    :param scheduled_share: share of the jobs with several occurrences
     """
 
     def __init__(
@@ -45,11 +53,15 @@
         history: History,
         seed: int,
         long_share: float = 0.0,
+        advised_share: float = 0.0,
+        scheduled_share: float = 0.0,
     ) -> None:
         self._nodes = nodes
         self._history = history
         self._random = random.Random(seed)
         self._long_share = long_share
+        self._advised_share = advised_share
+        self._scheduled_share = scheduled_share
         self._stop = threading.Event()
         self._node = self._random.choice(list(nodes.addresses))
         self._connection: http.client.HTTPConnection | None = None
@@ -86,16 +98,23 @@
         draw = self._random.random()
         is_long_running = draw < LONG_RUNNING_SHARE
         work_s = self._random.choice((0.05, 0.2, 0.6))
-        is_long = (
-            self._long_share > 0 and self._random.random() < self._long_share
-        )
+        is_long = self._draw(self._long_share)
         if is_long:
             work_s = LONG_WORK_S
         spec = "lasting" if is_long_running else f"work={work_s}"
         if draw > 1 - FAILING_SHARE:
             spec += " failing"
         job_id = f"{self._random.getrandbits(64):016x}"
+        is_scheduled = not is_long_running and self._draw(
+            self._scheduled_share
+        )
         return JobHistory(
+            queue=(
+                ADVISED_QUEUE if self._draw(self._advised_share) else "one"
+            ),
+            repeat_count=MAX_OCCURRENCES if is_scheduled else 0,
+            due_at_s=time.monotonic() + DUE_AFTER_S,
+            interval_s=OCCURRENCE_INTERVAL_S,
             job_id=job_id,
             spec=f"{spec} {job_id}",
             team=self._random.choice(sorted(KEYS)),
@@ -110,6 +129,10 @@
             sent_at_s=time.monotonic(),
         )
 
+    def _draw(self, share: float) -> bool:
+        """Decide at random; a share of 0 leaves the random state unchanged."""
+        return share > 0 and self._random.random() < share
+
     def _submit(self, job: JobHistory) -> None:
         step = {
             "count": job.task_count,
@@ -119,6 +142,13 @@
         if job.is_long_running:
             step |= {"long-running": True, "max-unavailable": 1}
         body = {"spec": job.spec, "steps": [step]}
+        if job.repeat_count:
+            due_in_s = job.due_at_s - time.monotonic()
+            body |= {
+                "repeat-count": job.repeat_count,
+                "first-run-ms": round((time.time() + due_in_s) * 1000),
+                "interval-ms": round(job.interval_s * 1000),
+            }
         statuses = []
         for _ in range(MAX_ATTEMPTS):
             status, _ = self._call("POST", job, body)
@@ -178,7 +208,7 @@
         data = None if body is None else json.dumps(body)
         try:
             self._connection.request(
-                method, f"/one/{job.job_id}", data, headers
+                method, f"/{job.queue}/{job.job_id}", data, headers
             )
             response = self._connection.getresponse()
             text = response.read()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -23,6 +23,8 @@
 # (``quota-overage``), in addition to one task.
 CAP_OVERAGE = 0.1
 WORKER_MILLICORES = 8000
+# ``early_ms``, and 5 s more where clocks jump.
+MAX_EARLY_S = 5.25
 # After the end of a task is acknowledged, a worker may still start a run that
 # was ordered just before.
 ACK_GRACE_S = 1.0
@@ -60,6 +62,7 @@
         return [
             *self._history.wrong_answers,
             *self._check_submitted(entries),
+            *self._check_due(entries),
             *self._check_single_execution(entries),
             *self._check_cancelled(entries),
             *self._check_evacuated(entries),
@@ -85,7 +88,7 @@
         for job in self._history.jobs():
             if job.accepted_at_s is None or job.job_id in exhausted:
                 continue
-            tasks = {f"{job.job_id}.0.0.{n}" for n in range(job.task_count)}
+            tasks = job.tasks
             if job.cancel_sent_at_s is not None:
                 still_running = (
                     tasks & running if job.cancelled_at_s else set()
@@ -127,6 +130,23 @@
                 found.append(f"{entry.task}: started but refused")
         return found
 
+    def _check_due(self, entries: Iterable[RunEntry]) -> list[str]:
+        """Find starts of occurrences before their time.
+
+        The clocks of nodes are set by the soak.
+        """
+        found = []
+        for entry in entries:
+            job = self._job_of(entry)
+            if job is None or not job.repeat_count:
+                continue
+            occurrence = int(entry.task.split(".")[1])
+            due_at_s = job.due_at_s + occurrence * job.interval_s
+            if entry.started_at_s < due_at_s - MAX_EARLY_S:
+                early_s = due_at_s - entry.started_at_s
+                found.append(f"{entry.task}: started {early_s:.1f} s early")
+        return found
+
     def _check_single_execution(self, entries: list[RunEntry]) -> list[str]:
         by_task: dict[str, list[RunEntry]] = {}
         for entry in entries:
--- a/soak/fleet_faults.py
+++ b/soak/fleet_faults.py
@@ -5,7 +5,7 @@
 from soak.client_faults import ClientCrowd
 from soak.faults import Fault
 from soak.faults import FAULTS
-from tests.lib.nodes import configuration
+from soak.queues import make_routes
 
 __all__ = ["ALL_FAULTS", "DataCentreEvacuated", "QueueRouted", "VmRetired"]
 
@@ -27,9 +27,7 @@
         self._route("one")
 
     def _route(self, pool: str) -> int:
-        routes = configuration()["routes"]
-        routes[0]["backend"] = pool
-        return self.target.put_configuration(routes=routes)
+        return self.target.put_configuration(routes=make_routes(pool))
 
 
 class VmRetired(Fault):
--- a/soak/history.py
+++ b/soak/history.py
@@ -21,6 +21,10 @@
     :ivar completed_at_s: time at which its state was first reported as
         completed
     :ivar is_failed: whether its state was reported as failed
+    :ivar queue: prefix of its queue, without slashes
+    :ivar repeat_count: number of its occurrences, 0 if it is not scheduled
+    :ivar due_at_s: when the first of them is due
+    :ivar interval_s: time between two of them
     """
 
     job_id: str
@@ -36,6 +40,19 @@
     cancelled_at_s: float | None = None
     completed_at_s: float | None = None
     is_failed: bool = False
+    queue: str = "one"
+    repeat_count: int = 0
+    due_at_s: float = 0.0
+    interval_s: float = 0.0
+
+    @property
+    def tasks(self) -> set[str]:
+        """Return the names of its tasks."""
+        return {
+            f"{self.job_id}.{occurrence}.0.{index}"
+            for occurrence in range(max(1, self.repeat_count))
+            for index in range(self.task_count)
+        }
 
 
 class History:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from soak.callers import ADVISED_QUEUE
 from soak.callers import Caller
 from soak.checks import Checker
 from soak.checks import EVACUATE_MS
@@ -17,6 +18,9 @@
 from soak.fleet_faults import ALL_FAULTS
 from soak.history import History
 from soak.proxy import Proxy
+from soak.queues import ADVICE_TIMES
+from soak.queues import make_routes
+from standins.fleet import EmulatedAdvisor
 from standins.fleet import Emulator
 from tests.lib.nodes import configuration
 from tests.lib.nodes import KEYS
@@ -48,6 +52,8 @@
     :ivar faults: faults to choose from
     :ivar long_share: share of the jobs whose tasks outlast the change of a
         leader
+    :ivar advised_share: share of the jobs whose starts need tickets
+    :ivar scheduled_share: share of the jobs with several occurrences
     """
 
     seed: int
@@ -58,6 +64,8 @@
     fault_s: float = 5.0
     faults: tuple[type[Fault], ...] = ALL_FAULTS
     long_share: float = 0.08
+    advised_share: float = 0.15
+    scheduled_share: float = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -84,8 +92,14 @@
         self, emulator: Emulator, count: int, links: dict[int, Proxy]
     ) -> None:
         self._links = links
+        self._advisor = emulator.advisor.address
         super().__init__(emulator, count, {"evacuate-ms": EVACUATE_MS})
 
+    def write_settings(self, name, settings):
+        """Add the advice service to the settings."""
+        settings = {**settings, "advisor": self._advisor}
+        return super().write_settings(name, settings)
+
     def store_address(self, number: int) -> str:
         """Return the address of a node's proxy to the store."""
         return self._links[number].address
@@ -138,7 +152,9 @@
             standby="spare",
             seed=settings.seed,
             data_centres=DATA_CENTRES,
+            advisor=EmulatedAdvisor(lambda worker_id: True, ADVICE_TIMES),
         )
+        self.emulator.advisor.needs_ticket = self._needs_ticket
         tenants = [
             {
                 "name": name,
@@ -148,7 +164,8 @@
             }
             for name, key in KEYS.items()
         ]
-        self.emulator.put_configuration(configuration(tenants=tenants))
+        changes = {"tenants": tenants, "routes": make_routes()}
+        self.emulator.put_configuration(configuration(**changes))
         self._links = {
             number: Proxy(self.emulator.store_server.address)
             for number in range(settings.node_count)
@@ -160,10 +177,14 @@
         self._target = Target(
             self.emulator, self._nodes, self._links, clocks, self._random
         )
-        self._target.config_changes = {"tenants": tenants}
+        self._target.config_changes = changes
         self._checker = Checker(self.emulator, self.history, CAPS)
         self._started_at_s = time.monotonic()
 
+    def _needs_ticket(self, task: str) -> bool:
+        job = self.history.find(task.partition(".")[0])
+        return job is not None and job.queue == ADVISED_QUEUE
+
     def execute(self) -> list[str]:
         """Run callers and faults; return the violated guarantees."""
         wait_until(
@@ -178,6 +199,8 @@
                 self.history,
                 self._random.getrandbits(32),
                 self._settings.long_share,
+                self._settings.advised_share,
+                self._settings.scheduled_share,
             )
             for _ in range(self._settings.caller_count)
         ]
--- a/standins/fleet/advice.py
+++ b/standins/fleet/advice.py
@@ -51,6 +51,7 @@
     :ivar calls: workers of each call so far
     :ivar find_start: returns the start time of the worker with an identifier,
         None if there is none
+    :ivar needs_ticket: whether a task may only start with a ticket
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self.times = times
         self.calls: list[list[str]] = []
         self.find_start: Callable[[str], int | None] = lambda worker_id: None
+        self.needs_ticket: Callable[[str], bool] = lambda task: True
         self._allows = allows
         self._lock = threading.Lock()
         self._turn = threading.Lock()
@@ -109,7 +111,9 @@
     def accepts(
         self, ticket: str, task: str, worker_id: str, started_unix_ms: int
     ) -> bool:
-        """Return whether a ticket is valid for a task on a worker."""
+        """Return whether a task may start on a worker with a ticket."""
+        if not self.needs_ticket(task):
+            return True
         step = task.rpartition(".")[0]
         with self._lock:
             known = self._issued.get(ticket)
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -15,6 +15,8 @@
         duration_s=each.duration_s,
         faults=FAULTS,
         long_share=0.0,
+        advised_share=0.0,
+        scheduled_share=0.0,
     )
     for each in REGRESSIONS
 ]
