Adopt runs of a job as soon as it is read

Runs that a worker reported of a job that was left in the store were adopted with the worker's next report. It has no runs to the leader until then and is asked for reports that take up to 2 s, during which it gets no starts, and a run of a cancelled job goes on. The runs of its newest report are kept and adopted when the job has been read.

Both tests of such runs fail without the change, as they no longer apply another report, and pass with it.

--- a/src/rosemarynotch/_internal/scheduling/intake_feed.py
+++ b/src/rosemarynotch/_internal/scheduling/intake_feed.py
@@ -259,7 +259,7 @@
             self._add_job(item, progress, is_needed=True)
         # A job that the store lacks, or that was refused, is not read again.
         scheduler.unloaded.pop(job_id)
-        scheduler.apply_withheld_ends(job_id, now_s)
+        scheduler.apply_withheld(job_id, now_s)
 
     def _add_job(
         self, item: Item, known: Item | None, is_needed: bool = False
--- a/src/rosemarynotch/_internal/scheduling/scheduler.py
+++ b/src/rosemarynotch/_internal/scheduling/scheduler.py
@@ -117,10 +117,11 @@
         worker.has_reported |= not report.is_cut
         self._apply_ends(worker, report, received_at_s)
         present = set()
-        unknown = 0
+        unknown = []
         for status in report.running:
             present.add((status.task, status.run))
-            unknown += not self._on_status(worker, status, received_at_s)
+            if not self._on_status(worker, status, received_at_s):
+                unknown.append(status)
         self._record_unknown_runs(worker, unknown)
         if not (report.refused or report.is_cut):
             self._drop_absent(worker, present, requested_at_s, received_at_s)
@@ -191,13 +192,17 @@
             if run.confirmed_at_s and requested_at_s > run.confirmed_at_s:
                 self._drop_lost_run(worker, run, now_s, "not on its worker")
 
-    def _record_unknown_runs(self, worker: Worker, count: int) -> None:
-        """Record how many runs of unknown jobs a report lists."""
-        if count != worker.unknown_run_count:
-            worker.unknown_run_count = count
+    def _record_unknown_runs(
+        self, worker: Worker, unknown: list[RunStatus]
+    ) -> None:
+        """Record which runs of unknown jobs a worker has."""
+        if len(unknown) != len(worker.unknown_runs):
             self._log(
-                "runs of unknown jobs", worker=worker.worker_id, count=count
+                "runs of unknown jobs",
+                worker=worker.worker_id,
+                count=len(unknown),
             )
+        worker.unknown_runs = tuple(unknown)
 
     def _on_status(
         self, worker: Worker, status: RunStatus, now_s: float
@@ -280,14 +285,24 @@
             worker.pending_acks.append(ack or PendingAck(sequence))
         worker.advance_acks()
 
-    def apply_withheld_ends(self, job_id: str, now_s: float) -> None:
-        """Apply the ends of a job that came in before it was read."""
+    def apply_withheld(self, job_id: str, now_s: float) -> None:
+        """Apply what workers told of a job before it was read.
+
+        A run that has ended since is missing in the next report.
+        """
         for worker in self.workers.values():
             for index, ack in enumerate(worker.pending_acks):
                 if ack.end is not None and ack.end.task.job_id == job_id:
                     worker.pending_acks[index] = self._on_end(
                         worker, ack.end, now_s
                     )
+            unknown = [
+                status
+                for status in worker.unknown_runs
+                if status.task.job_id != job_id
+                or not self._on_status(worker, status, now_s)
+            ]
+            self._record_unknown_runs(worker, unknown)
 
     def _on_end(self, worker: Worker, end: RunEnd, now_s: float) -> PendingAck:
         """Apply an end; return what has to be persisted."""
--- a/src/rosemarynotch/_internal/scheduling/workers.py
+++ b/src/rosemarynotch/_internal/scheduling/workers.py
@@ -10,6 +10,7 @@
 from rosemarynotch._internal.scheduling.model import Resources
 from rosemarynotch._internal.scheduling.model import TaskId
 from rosemarynotch._internal.scheduling.pending_acks import PendingAck
+from rosemarynotch._internal.scheduling.ports import RunStatus
 from rosemarynotch._internal.scheduling.ports import WorkerEntry
 from rosemarynotch._internal.scheduling.ports import WorkerReport
 from rosemarynotch._internal.scheduling.worker_faults import QUARANTINE_S
@@ -104,7 +105,7 @@
         persisted and may be acknowledged
     :ivar unanswered_orders: number of consecutive orders without an answer
     :ivar had_runs: whether it had runs when its newest report was applied
-    :ivar unknown_run_count: number of runs in its newest report whose jobs
+    :ivar unknown_runs: runs in its newest report whose jobs
         this leader does not know, and with them what they reserve
     :ivar refused: rows of its newest report that could not be decoded
     :ivar quarantined_until_s: when it may get new runs again
@@ -139,7 +140,7 @@
     reserved: Resources = Resources()
     unanswered_orders: int = 0
     had_runs: bool = False
-    unknown_run_count: int = 0
+    unknown_runs: tuple[RunStatus, ...] = ()
     refused: tuple[str, ...] = ()
     quarantined_until_s: float = 0.0
     faults: WorkerFaults = attrs.field(factory=WorkerFaults)
@@ -166,7 +167,7 @@
             and not self.is_cordoned
             and not self.is_evacuated
             and not self.has_many_withheld_ends
-            and not self.unknown_run_count
+            and not self.unknown_runs
             and not self.entry.is_draining
             and now_s - self.clock_received_at_s < self._silence_limit_s
             and now_s >= self.quarantined_until_s
@@ -245,7 +246,7 @@
             self.has_reported
             and not self.is_report_cut
             and not self.runs
-            and not self.unknown_run_count
+            and not self.unknown_runs
             and not self.pending_acks
         )
 
