Count started tasks at once, and clear gauges of former leaders

The memory of jobs is measured twice a second. Starts in between did not count, so that tasks without a size, which no capacity bounds, could exceed the bound for that time; and a step whose tasks were only held, not running, could be kept from its first start. Gauges of the leader kept their last value on nodes that no longer lead.

Starts count at once, and a step without a run may always start one task. The gauges are cleared at the end of a term. A step that fits no worker is found before its tasks are looked at. The added check of test_tasks_without_a_size fails without the change.

--- a/src/rosemarynotch/_internal/scheduling/controller.py
+++ b/src/rosemarynotch/_internal/scheduling/controller.py
@@ -286,6 +286,7 @@
         self.worker_feed.list_now.set()
         self._sender.close()
         self.evacuations.close()
+        self._load_report.close()
         self.log("not leading", term=self.grant.term)
 
     def _pass(self) -> None:
--- a/src/rosemarynotch/_internal/scheduling/cordons.py
+++ b/src/rosemarynotch/_internal/scheduling/cordons.py
@@ -133,6 +133,7 @@
             for name, worker_id in list(state.cordoned.items()):
                 worker = controller.scheduler.workers.get(worker_id)
                 if worker is None or not worker.runs:
+                    self._cordons.pop(worker_id, None)
                     continue
                 verdict = self._judge(
                     worker, alternatives, self._waited_s(worker, now_s), now_s
--- a/src/rosemarynotch/_internal/scheduling/job_loader.py
+++ b/src/rosemarynotch/_internal/scheduling/job_loader.py
@@ -16,8 +16,8 @@
 __all__ = ["JobLoader"]
 
 INTERVAL_S = 0.05
-# Added to it when no job could be read.
-IDLE_S = 0.2
+# The same when no job could be read.
+IDLE_S = 0.25
 LOAD_THREADS = 8
 LOG_INTERVAL_S = 1.0
 
@@ -42,14 +42,12 @@
         """Read jobs until the term ends."""
         controller = self._controller
         while controller.is_running:
-            controller.stop.wait(INTERVAL_S)
-            if not len(controller.scheduler.unloaded):
-                continue
-            chosen = self._choose()
-            list(self._threads.map(self._load, chosen))
-            self._log()
-            if not chosen:
-                controller.stop.wait(IDLE_S)
+            chosen = []
+            if len(controller.scheduler.unloaded):
+                chosen = self._choose()
+                list(self._threads.map(self._load, chosen))
+                self._log()
+            controller.stop.wait(INTERVAL_S if chosen else IDLE_S)
         self._threads.shutdown(wait=False, cancel_futures=True)
 
     def _choose(self) -> list[str]:
--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -10,6 +10,7 @@
 from rosemarynotch._internal.scheduling.job_times import measure_chain
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
+from rosemarynotch._internal.scheduling.jobs import Step
 from rosemarynotch._internal.scheduling.model import Configuration
 from rosemarynotch._internal.scheduling.model import QueuePolicy
 from rosemarynotch._internal.scheduling.model import Resources
@@ -296,13 +297,14 @@
             submission.organisation, size, OPENED_SHARE
         )
 
-    def startable_count(self, job: Job) -> int:
-        """Return how many tasks of a job there is memory to start.
+    def startable_count(self, step: Step) -> int:
+        """Return how many tasks of a step there is memory to start.
 
         The first one always has room, so that each job can go on.
         """
-        count = self.memory.startable_tasks(job.submission.organisation)
-        return count if job.held_tasks else max(1, count)
+        organisation = step.occurrence.job.submission.organisation
+        count = self.memory.startable_tasks(organisation)
+        return count if step.running_count else max(1, count)
 
     def choose_loads(self, wall_ms: float) -> tuple[list[str], list[Job]]:
         """Return which jobs are to be read, and those that gave way to them.
--- a/src/rosemarynotch/_internal/scheduling/load_report.py
+++ b/src/rosemarynotch/_internal/scheduling/load_report.py
@@ -16,6 +16,12 @@
 
 REPORT_INTERVAL_S = 1.0
 KILOBYTE = 1024
+LEADER_GAUGES = (
+    "job_memory_bytes",
+    "job_memory_limit_bytes",
+    "unloaded_jobs",
+    "wave_vms_blocked",
+)
 
 
 class LoadReport:
@@ -31,6 +37,11 @@
         self._reported_at_s = 0.0
         self._reset()
 
+    def close(self) -> None:
+        """Clear the gauges, which only the leader sets."""
+        for name in LEADER_GAUGES:
+            self._metrics.set_gauge(name, 0)
+
     def _reset(self) -> None:
         self._passes = 0
         self._events = 0
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -288,7 +288,7 @@
         )
 
     def _waiting_steps(self, job: Job, wall_ms: float) -> list[Step]:
-        has_room = self._scheduler.has_room_to_open(job)
+        has_room = job.is_scheduled and self._scheduler.has_room_to_open(job)
         return [
             step
             for occurrence in job.open_occurrences(wall_ms, has_room)
@@ -321,6 +321,9 @@
         free, spec = pool.capacities, step.spec
         if not pool.may_fit(spec.reserved) or not self._may_start(job):
             return []
+        if not any(each.free.covers(spec.reserved) for each in free):
+            pool.record_too_large(spec.reserved)
+            return []
         if not self._scheduler.has_run_number(job):
             return []
         count = waiting_count = step.waiting_count
@@ -332,9 +335,7 @@
             count = waiting_count if spec.is_gang else 1
         if count > MAX_TRIED_TASKS:
             count = pool.room_for(spec.reserved, count)
-            if not count:
-                pool.record_too_large(spec.reserved)
-        count = min(count, self._scheduler.startable_count(job))
+        count = min(count, self._scheduler.startable_count(step))
         if spec.is_gang and count < spec.task_count:
             return []
         tasks = list(islice(step.waiting_tasks(), count))
@@ -350,8 +351,6 @@
             if not tickets:
                 return []
         placed = self._placer.place(tasks, free, tickets)
-        if not placed and not any(c.free.covers(spec.reserved) for c in free):
-            pool.record_too_large(spec.reserved)
         commands = self._start(placed, tasks, tickets or {}, now_s)
         if spec.task_count > MAX_TRIED_TASKS:
             step.release_unused()
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -10,6 +10,7 @@
 from rosemarynotch._internal.exceptions import WORKER_REPLACED
 from rosemarynotch._internal.scheduling.job_registry import JobRegistry
 from rosemarynotch._internal.scheduling.job_registry import RUNS_PER_TERM
+from rosemarynotch._internal.scheduling.job_sizes import TASK_BYTES
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
 from rosemarynotch._internal.scheduling.jobs import RunPhase
@@ -105,6 +106,7 @@
             ordered_at_s=now_s,
         )
         worker.add_run(run)
+        self.memory.add(job.submission.organisation, TASK_BYTES)
         step = task.step
         step.first_ordered_at_s = step.first_ordered_at_s or now_s
         step.last_ordered_at_s = now_s
--- a/tests/unit/test_job_memory.py
+++ b/tests/unit/test_job_memory.py
@@ -248,6 +248,8 @@
         count = len(leader.place())
         self.assertGreater(count, 0)
         self.assertLess(count, 100)
+        # Starts count before the memory is measured again.
+        self.assertEqual([], leader.place())
         leader.scheduler.memory.measure([job])
         self.assertEqual([], leader.place())
         for run in list(leader.scheduler.workers["w1"].runs.values()):
