--- a/src/rosemarynotch/_internal/scheduling/commands.py
+++ b/src/rosemarynotch/_internal/scheduling/commands.py
@@ -24,11 +24,10 @@
         The order may have waited while its task was done or moved elsewhere,
         its job ended, its run was marked to stop, or its worker was about to
         leave. A worker that does not accept work at present gets no first
-        order, so that the task starts on another one, but if another member of
-        its gang has been sent. An order is not
-        repeated in a data centre that is being evacuated, as the worker may
-        not have received the one before, nor to a worker that has restarted
-        and may be of another kind.
+        order, so that the task starts on another one; members of a gang follow
+        one that was sent. An order is not repeated in a data centre that is
+        being evacuated, as the worker may not have received the one before,
+        nor to a worker that has restarted and may be of another kind.
         """
         run, worker, task = self.run, self.worker, self.run.task
         is_newest = run.number == task.last_run or task.step.spec.speculative
--- a/src/rosemarynotch/_internal/scheduling/cordons.py
+++ b/src/rosemarynotch/_internal/scheduling/cordons.py
@@ -32,10 +32,12 @@
 
     :ivar run_count: runs that it had when it was looked at last
     :ivar since_s: since when it has as many
+    :ivar reported_at_s: when it was last logged
     """
 
     run_count: int = -1
     since_s: float = 0.0
+    reported_at_s: float = 0.0
 
 
 @attrs.define
@@ -58,7 +60,6 @@
         self._cordons: dict[str, _Cordon] = {}
         self._retries: dict[str, _Retry] = {}
         self._blocked: set[str] = set()
-        self._reported_at_s = -1e9
 
     def add(self, state: RunningWave, vm: FleetVm) -> None:
         """Keep new runs away from a VM until it is maintained."""
@@ -126,8 +127,9 @@
         :param may_go_down: whether the maintenance of another VM may be
             ordered now
         """
+        if not state.cordoned:
+            return
         controller = self._controller
-        is_report_due = now_s - self._reported_at_s > REPORT_INTERVAL_S
         with controller.lock:
             alternatives = Alternatives(controller.scheduler, vms.values())
             for name, worker_id in list(state.cordoned.items()):
@@ -135,9 +137,9 @@
                 if worker is None or not worker.runs:
                     self._cordons.pop(worker_id, None)
                     continue
-                verdict = self._judge(
-                    worker, alternatives, self._waited_s(worker, now_s), now_s
-                )
+                cordon = self._observe(worker, now_s)
+                waited_s = now_s - cordon.since_s
+                verdict = self._judge(worker, alternatives, waited_s, now_s)
                 if verdict is Emptying.STOP and may_go_down:
                     controller.mover.stop_in_place(worker)
                 elif (
@@ -145,21 +147,22 @@
                     and name not in state.record.ordered
                 ):
                     self._give_back(state, name, worker, now_s)
-                elif is_report_due:
+                elif now_s - cordon.reported_at_s > REPORT_INTERVAL_S:
+                    cordon.reported_at_s = now_s
                     self._log(state, "vm not empty", name, worker)
-        if is_report_due:
-            self._reported_at_s = now_s
 
     def _judge(self, worker, alternatives, waited_s, now_s) -> Emptying:
         scheduler = self._controller.scheduler
         return judge_emptying(worker, scheduler, alternatives, waited_s, now_s)
 
-    def _waited_s(self, worker: Worker, now_s: float) -> float:
-        """Return the time in which no run of a cordoned worker has ended."""
-        cordon = self._cordons.setdefault(worker.worker_id, _Cordon())
+    def _observe(self, worker: Worker, now_s: float) -> _Cordon:
+        """Record how many runs a cordoned worker has, and since when."""
+        cordon = self._cordons.setdefault(
+            worker.worker_id, _Cordon(reported_at_s=now_s)
+        )
         if cordon.run_count != len(worker.runs):
             cordon.run_count, cordon.since_s = len(worker.runs), now_s
-        return now_s - cordon.since_s
+        return cordon
 
     def _give_back(
         self, state: RunningWave, name: str, worker: Worker, now_s: float
--- a/src/rosemarynotch/_internal/scheduling/load_report.py
+++ b/src/rosemarynotch/_internal/scheduling/load_report.py
@@ -103,11 +103,10 @@
             ended_jobs=len(scheduler.ended),
             unloaded_jobs=len(scheduler.unloaded),
             job_memory_kb=memory.used_bytes // KILOBYTE,
-            job_memory_kb_by_organisation=_by_name(
-                {
-                    name: size // KILOBYTE
-                    for name, size in memory.by_organisation.items()
-                }
+            # Names of organisations may have spaces.
+            job_memory_kb_by_organisation=", ".join(
+                f"{name}={size // KILOBYTE}"
+                for name, size in memory.by_organisation.items()
             ),
         )
         self._metrics.set_gauge("job_memory_bytes", memory.used_bytes)
