Let jobs that no VM can run give way to unloaded ones

Cause: only a scheduled job that is due later gave way to one in the store. Jobs that need a label no VM has stayed in memory for ever, so that a few of them kept out all jobs behind them that could run.

Change: a job that has nothing running and that the fleet cannot complete gives way too, and is read again after 10 min, as VMs may be added. What is opened, started and read within the bound moves from JobRegistry to BoundedRegistry. The planner releases the tasks of a step none of which was placed.

--- a/src/rosemarynotch/_internal/scheduling/job_loader.py
+++ b/src/rosemarynotch/_internal/scheduling/job_loader.py
@@ -54,7 +54,9 @@
         controller = self._controller
         wall_ms = controller.clock.wall_s() * 1000
         with controller.lock:
-            chosen, given_way = controller.scheduler.choose_loads(wall_ms)
+            chosen, given_way = controller.scheduler.choose_loads(
+                wall_ms, controller.completion.can_complete
+            )
             for job in given_way:
                 controller.planner.forget(job.job_id)
                 controller.advice.forget(job.job_id)
--- a/src/rosemarynotch/_internal/scheduling/job_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/job_registry.py
@@ -5,19 +5,15 @@
 from rosemarynotch._internal.scheduling.ended_jobs import EndedJob
 from rosemarynotch._internal.scheduling.job_memory import JobMemory
 from rosemarynotch._internal.scheduling.job_memory import LOADED_SHARE
-from rosemarynotch._internal.scheduling.job_memory import OPENED_SHARE
-from rosemarynotch._internal.scheduling.job_sizes import occurrence_bytes
 from rosemarynotch._internal.scheduling.job_times import measure_chain
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.jobs import Run
-from rosemarynotch._internal.scheduling.jobs import Step
 from rosemarynotch._internal.scheduling.model import Configuration
 from rosemarynotch._internal.scheduling.model import QueuePolicy
 from rosemarynotch._internal.scheduling.model import Resources
 from rosemarynotch._internal.scheduling.records import Phase
 from rosemarynotch._internal.scheduling.records import ProgressRecord
 from rosemarynotch._internal.scheduling.records import SubmissionRecord
-from rosemarynotch._internal.scheduling.unloaded_jobs import may_unload
 from rosemarynotch._internal.scheduling.unloaded_jobs import UnloadedJob
 from rosemarynotch._internal.scheduling.unloaded_jobs import UnloadedJobs
 
@@ -125,7 +121,7 @@
         if not (is_needed or is_ending) and not self.memory.has_room(
             organisation, size, LOADED_SHARE
         ):
-            self.unloaded.add(UnloadedJob.of(job))
+            self.unloaded.add(UnloadedJob.of(job, job.next_due_ms))
             return job
         self.ended.pop(job_id, None)
         unloaded = self.unloaded.pop(job_id)
@@ -285,68 +281,6 @@
             self.unloaded.add(UnloadedJob.of_ended(ended))
         self.unloaded.want(job_id)
 
-    def measure_memory(self) -> None:
-        """Count the memory of all jobs anew."""
-        self.memory.measure(self.jobs.values(), self.ended.values())
-
-    def has_room_to_open(self, job: Job) -> bool:
-        """Return whether there is memory for more occurrences of a job."""
-        submission = job.submission
-        size = occurrence_bytes(submission.spec)
-        return self.memory.has_room(
-            submission.organisation, size, OPENED_SHARE
-        )
-
-    def startable_count(self, step: Step) -> int:
-        """Return how many tasks of a step there is memory to start.
-
-        The first one always has room, so that each job can go on.
-        """
-        organisation = step.occurrence.job.submission.organisation
-        count = self.memory.startable_tasks(organisation)
-        return count if step.running_count else max(1, count)
-
-    def choose_loads(self, wall_ms: float) -> tuple[list[str], list[Job]]:
-        """Return which jobs are to be read, and those that gave way to them.
-
-        Jobs that are due give way to none.
-        """
-        idle = [
-            job
-            for job in self.active.values()
-            if len(self.unloaded) and may_unload(job, wall_ms)
-        ]
-        idle.sort(key=lambda job: job.due_unix_ms(job.first_unfinished_number))
-        given_way: list[Job] = []
-
-        def make_room(wanted: UnloadedJob) -> bool:
-            name, size = wanted.organisation, wanted.size_bytes
-            while not self.memory.has_room(name, size, LOADED_SHARE):
-                is_own = self.memory.is_share_used(name, size, LOADED_SHARE)
-                victim = next(
-                    (
-                        job
-                        for job in reversed(idle)
-                        if not is_own or job.submission.organisation == name
-                    ),
-                    None,
-                )
-                if victim is None:
-                    return False
-                idle.remove(victim)
-                given_way.append(victim)
-                self._unload(victim)
-            self.memory.add(name, size)
-            return True
-
-        return self.unloaded.choose(wall_ms, make_room), given_way
-
-    def _unload(self, job: Job) -> None:
-        """Leave a job in the store and drop it from memory."""
-        self.unloaded.add(UnloadedJob.of(job))
-        del self.jobs[job.job_id], self.active[job.job_id]
-        self.memory.add(job.submission.organisation, -job.memory_bytes)
-
     def mark_running(self, job: Job) -> None:
         """Mark a queued job as running.
 
--- a/src/rosemarynotch/_internal/scheduling/jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/jobs.py
@@ -143,6 +143,13 @@
         spec = self.submission.spec
         return spec.first_run_unix_ms + number * spec.interval_ms
 
+    @property
+    def next_due_ms(self) -> int:
+        """Return when the next occurrence is due, 0 for a job without."""
+        if not self.is_scheduled:
+            return 0
+        return self.due_unix_ms(self.first_unfinished_number)
+
     def due_count(self, wall_ms: float) -> int:
         """Return how many occurrences may have started by a time."""
         if not self.is_scheduled:
--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -340,9 +340,17 @@
             return []
         tasks = list(islice(step.waiting_tasks(), count))
         tasks = self._caps.select(job, tasks)
-        if not tasks or (spec.is_gang and len(tasks) < len(step.tasks)):
-            return []
-        queue = self._scheduler.queue_of(job)
+        commands = []
+        if tasks and not (spec.is_gang and len(tasks) < spec.task_count):
+            commands = self._start(tasks, free, now_s)
+        if not commands or spec.task_count > MAX_TRIED_TASKS:
+            step.release_unused()
+        return commands
+
+    def _start(self, tasks, free, now_s) -> list[StartCommand]:
+        """Place tasks of a step, register their runs and return the starts."""
+        step = tasks[0].step
+        queue = self._scheduler.queue_of(step.occurrence.job)
         tickets = None
         if queue.advice is not None:
             tickets = self._advice.tickets(
@@ -351,20 +359,13 @@
             if not tickets:
                 return []
         placed = self._placer.place(tasks, free, tickets)
-        commands = self._start(placed, tasks, tickets or {}, now_s)
-        if spec.task_count > MAX_TRIED_TASKS:
-            step.release_unused()
-        return commands
-
-    def _start(self, placed, tasks, tickets, now_s) -> list[StartCommand]:
-        """Return the starts of placed tasks, and register their runs."""
         number = 0
-        if placed and placed[0].task.step.spec.is_gang:
+        if placed and step.spec.is_gang:
             number = self._scheduler.next_run_number(tasks)
         commands = []
         for each in placed:
             worker = each.capacity.worker
             run = self._scheduler.new_run(each.task, worker, now_s, number)
-            run.ticket = tickets.get(worker.worker_id, "")
+            run.ticket = (tickets or {}).get(worker.worker_id, "")
             commands.append(StartCommand(run, worker, run.ticket))
         return commands
--- a/src/rosemarynotch/_internal/scheduling/run_registry.py
+++ b/src/rosemarynotch/_internal/scheduling/run_registry.py
@@ -8,7 +8,7 @@
 from rosemarynotch._internal.exceptions import RUN_NO_TICKET
 from rosemarynotch._internal.exceptions import RUN_SUPERSEDED
 from rosemarynotch._internal.exceptions import WORKER_REPLACED
-from rosemarynotch._internal.scheduling.job_registry import JobRegistry
+from rosemarynotch._internal.scheduling.bounded_registry import BoundedRegistry
 from rosemarynotch._internal.scheduling.job_registry import RUNS_PER_TERM
 from rosemarynotch._internal.scheduling.job_sizes import TASK_BYTES
 from rosemarynotch._internal.scheduling.jobs import Job
@@ -31,7 +31,7 @@
 MAX_REPORT_AGE_S = 1.2
 
 
-class RunRegistry(JobRegistry):
+class RunRegistry(BoundedRegistry):
     """Holds jobs, workers and runs, and applies the answers to orders.
 
     :param term: number of this leader's term; run numbers of later terms are
--- a/src/rosemarynotch/_internal/scheduling/unloaded_jobs.py
+++ b/src/rosemarynotch/_internal/scheduling/unloaded_jobs.py
@@ -13,13 +13,20 @@
 from rosemarynotch._internal.scheduling.jobs import Job
 from rosemarynotch._internal.scheduling.records import Phase
 
-__all__ = ["may_unload", "UnloadedJob", "UnloadedJobs"]
+__all__ = [
+    "is_idle",
+    "next_start_ms",
+    "UNLOAD_AHEAD_MS",
+    "UnloadedJob",
+    "UnloadedJobs",
+]
 
 # A scheduled job is read this long before it is due.
 LOAD_AHEAD_MS = 10_000
-# A job whose next occurrence is due later than this can give way to one that
-# is due.
+# A job that starts later than this can give way to one that is due.
 UNLOAD_AHEAD_MS = 60_000
+# A job that no VM can run gives way for this time.
+IMPOSSIBLE_PAUSE_MS = 600_000
 # Jobs that are read in one turn.
 MAX_CHOSEN = 100
 # Later than the time of any job.
@@ -47,17 +54,14 @@
     size_bytes: int
 
     @classmethod
-    def of(cls, job: Job) -> "UnloadedJob":
+    def of(cls, job: Job, due_unix_ms: float) -> "UnloadedJob":
         """Return what is kept of a job."""
-        due_ms = 0
-        if job.is_scheduled:
-            due_ms = job.due_unix_ms(job.first_unfinished_number)
         return cls(
             job_id=job.job_id,
             queue=job.submission.queue,
             organisation=job.submission.organisation,
             created_revision=job.created_revision,
-            due_unix_ms=due_ms,
+            due_unix_ms=round(due_unix_ms),
             is_queued=job.phase is Phase.QUEUED,
             highest_run=job.highest_run,
             size_bytes=spec_bytes(job.submission.spec),
@@ -142,13 +146,23 @@
         return chosen
 
 
-def may_unload(job: Job, wall_ms: float) -> bool:
-    """Tell whether nothing is lost or late if a job leaves the memory."""
+def is_idle(job: Job) -> bool:
+    """Tell whether nothing is lost if a job leaves the memory."""
     return (
-        job.is_scheduled
-        and not job.phase.is_final
+        not job.phase.is_final
         and not job.held_tasks
         and job.durable_change >= job.change
-        and job.due_unix_ms(job.first_unfinished_number)
-        > wall_ms + UNLOAD_AHEAD_MS
     )
+
+
+def next_start_ms(
+    job: Job, wall_ms: float, can_complete: Callable[[Job], bool]
+) -> float:
+    """Return when a job has to be in memory again.
+
+    A job that the fleet cannot run is looked at again after some time, as VMs
+    may be added.
+    """
+    if can_complete(job):
+        return job.next_due_ms
+    return max(job.next_due_ms, wall_ms + IMPOSSIBLE_PAUSE_MS)
--- a/tests/unit/test_unloaded_jobs.py
+++ b/tests/unit/test_unloaded_jobs.py
@@ -11,6 +11,8 @@
 from rosemarynotch._internal.scheduling.job_memory import JobMemory
 from rosemarynotch._internal.scheduling.job_sizes import spec_bytes
 from rosemarynotch._internal.scheduling.model import TaskId
+from rosemarynotch._internal.scheduling.policy import FleetCheck
+from rosemarynotch._internal.scheduling.policy import NoCheck
 from rosemarynotch._internal.scheduling.ports import EndKind
 from rosemarynotch._internal.scheduling.ports import Item
 from rosemarynotch._internal.scheduling.ports import RunEnd
@@ -49,6 +51,7 @@
         self.scheduler.memory = JobMemory(int(limit))
         self.controller.planner = self.leader.planner
         self.controller.advice = self.leader.advice
+        self.controller.completion = NoCheck()
         self.loader = JobLoader(self.controller, self.feed)
 
     def put(self, number, spec=SMALL, organisation="o", progress=None):
@@ -328,3 +331,50 @@
         job = self.scheduler.jobs[job_name(8)]
         self.assertIs(Phase.RUNNING, job.phase)
         self.assertGreaterEqual(job.run_floor, 7)
+
+
+class ImpossibleJobTest(UnloadedCase):
+    """Guards against jobs that wait for ever behind those no VM can run."""
+
+    def setUp(self):
+        super().setUp()
+        self.controller.completion = FleetCheck()
+        self.leader.add_workers("w1")
+        entries = [each.entry for each in self.scheduler.workers.values()]
+        self.controller.completion.update(entries)
+        for number in range(4):
+            self.put(number, job_spec(step(required_label="x")))
+        for number in range(4, 7):
+            self.put(number)
+        self.load_all()
+        self.assertEqual([0, 1, 2, 3], self.loaded())
+
+    def test_jobs_that_can_run(self):
+        self.leader.place()
+        self.read_more()
+        self.assertEqual([4, 5, 6], [n for n in self.loaded() if n > 3])
+        for _ in range(5):
+            self.read_more()
+        # Those that gave way do not take turns.
+        self.assertEqual([4, 5, 6], [n for n in self.loaded() if n > 3])
+
+    def test_vm_that_is_added(self):
+        """Guards against jobs that stay in the store when they can run."""
+        self.read_more()
+        self.leader.add_workers("w2", labels=("a", "rack-1", "x"))
+        entries = [each.entry for each in self.scheduler.workers.values()]
+        self.controller.completion.update(entries)
+        started = set()
+        for _ in range(20):
+            self.leader.now_s += 60.0
+            for name in self.scheduler.workers:
+                self.leader.report_runs(name)
+            for run in self.leader.place():
+                started.add(run.task.task_id.job_id)
+                self.leader.end(run)
+            for job in list(self.scheduler.dirty.values()):
+                self.scheduler.mark_written(job, job.change, 200)
+            for name in [*self.scheduler.jobs.keys() - self.scheduler.active]:
+                self.scheduler.forget(name)
+            self.read_more()
+        self.assertEqual({job_name(n) for n in range(7)}, started)
