Release tasks that were only compared with the caps

Cause: while a pool is short of VMs, one task of each waiting step was looked at and then held, so that its job never counted as idle.

Change: the task is released again.

--- a/src/rosemarynotch/_internal/scheduling/planner.py
+++ b/src/rosemarynotch/_internal/scheduling/planner.py
@@ -271,11 +271,9 @@
         """
         for step in waiting.steps:
             tasks = list(islice(step.waiting_tasks(), 1))
-            if (
-                tasks
-                and self._fits_a_worker(step)
-                and self._caps.select(waiting.job, tasks)
-            ):
+            is_allowed = tasks and self._caps.select(waiting.job, tasks)
+            step.release_unused()
+            if is_allowed and self._fits_a_worker(step):
                 return True
         return False
 
